Add the answers of explain, moves, log, configuration and profiles to the operator schema

The command line reads these from the operator port, and had no checked shape for them.

Weighed: free-form JSON passed through to the terminal. Ruled out, since a cut or strange answer would then look like an empty one.

Conclusion: five validators more; nothing that was there before changes.

--- a/packages/schema/scripts/generate.mjs
+++ b/packages/schema/scripts/generate.mjs
@@ -21,7 +21,18 @@
 /** Definitions that are checked at run time; the others are checked as parts of these. */
 const checkedDefinitions = {
     log: ["ClaimRecord", "Configuration", "FleetRecord", "Profile", "Snapshot", "Stop"],
-    operator: ["ChangeAnswer", "ConfigurationChange", "ProfileChange", "StatusAnswer", "StopChange"],
+    operator: [
+        "ChangeAnswer",
+        "ConfigurationAnswer",
+        "ConfigurationChange",
+        "ExplainAnswer",
+        "LogAnswer",
+        "MovesAnswer",
+        "ProfileChange",
+        "ProfilesAnswer",
+        "StatusAnswer",
+        "StopChange",
+    ],
     peer: ["PeerMessage"],
     platform: [
         "AppendAnswer",
