Add the operators' command line

Operators had no way to publish, announce or look. The commands stand on a typed client of the operator port.

Not tried yet against catkinwharfd, which is being written.

--- /dev/null
+++ b/packages/cli/src/commands/log.ts
@@ -0,0 +1,78 @@
+/**
+ * `catkinwharf log`: reads the fleet's records from the platform's log.
+ */
+import * as schema from "@catkinwharf/schema";
+import * as clipanion from "clipanion";
+import * as neverthrow from "neverthrow";
+import * as operatorClient from "../operator-client.js";
+import * as rendering from "../rendering.js";
+import * as reportingCommand from "../reporting-command.js";
+import * as wholeNumber from "../whole-number.js";
+
+/** Records shown without --from. */
+const defaultTail = 20;
+const pageSize = 200;
+const pollMs = 1_000;
+
+/** Prints the newest records, and new ones as they come. */
+export class LogTail extends reportingCommand.OperatorCommand {
+    static override paths = [["log", "tail"]];
+    static override usage = clipanion.Command.Usage({
+        category: "Fleet",
+        description: "Print the newest records of the fleet's log, with what became of each.",
+        details: "With --json, one JSON document a line.",
+    });
+
+    from = clipanion.Option.String("--from", { description: "Offset to start at." });
+    follow = clipanion.Option.Boolean("--follow", false, { description: "Go on with new records until interrupted." });
+
+    protected async ask(client: operatorClient.OperatorClient): Promise<reportingCommand.CommandResult> {
+        const from = wholeNumber.parseWholeNumber("--from", this.from);
+        const status = from.isOk() ? await client.readStatus() : neverthrow.err(from.error);
+        if (from.isErr() || status.isErr()) {
+            return neverthrow.err(from.isErr() ? from.error : status._unsafeUnwrapErr());
+        }
+        const head = status.value.appliedOffset;
+        return this.#printFrom(client, from.value ?? Math.max(0, head - defaultTail), head);
+    }
+
+    async #printFrom(
+        client: operatorClient.OperatorClient,
+        start: number,
+        head: number,
+    ): Promise<reportingCommand.CommandResult> {
+        let next = start;
+        while (this.follow || next < head) {
+            const page = await client.readLog(next, pageSize);
+            if (page.isErr()) {
+                return neverthrow.err(page.error);
+            }
+            this.#printPage(page.value, next);
+            const isAtEnd = page.value.nextOffset <= next;
+            next = Math.max(next, page.value.nextOffset);
+            if (this.context.signal.aborted || isAtEnd && !this.follow) {
+                break;
+            }
+            if (isAtEnd) {
+                await this.context.sleep(pollMs);
+            }
+        }
+        return neverthrow.ok(undefined);
+    }
+
+    #printPage(page: schema.operator.LogAnswer, from: number): void {
+        if (page.oldestOffset > from) {
+            this.notify(`note: records ${from} to ${page.oldestOffset - 1} are no longer kept`);
+        }
+        for (const entry of page.entries) {
+            this.print(this.json ? JSON.stringify(entry) : renderEntry(entry));
+        }
+    }
+}
+
+function renderEntry(entry: schema.operator.LogEntry): string {
+    const { kind, author, ...rest } = entry.body;
+    const verdict = entry.verdict === undefined ? "" : ` [${entry.verdict}]`;
+    const time = rendering.renderTime(entry.appendedAt);
+    return `${entry.offset} ${time} ${String(kind)} by ${String(author)}${verdict} ${JSON.stringify(rest)}`;
+}
