Fold the fleet and claims streams

Cause: every race of the system is ordered by the log's offsets, so all processes need one pure function from its records to a state.

The stored form of a state is a definition of the log schema (StoredFleet), additive, so that restoring is a schema check.

Measurement: node scripts/run-tests.mjs fleet-state: 25 passed, 0 failed.

--- /dev/null
+++ b/packages/fleet-state/src/configurationRecords.ts
@@ -0,0 +1,72 @@
+/**
+ * Profiles and configuration: published against the version that the author saw, so that of two operators who race
+ * one wins and the other reads a conflict.
+ */
+import type * as schema from "@catkinwharf/schema";
+import * as change from "./change.js";
+import type * as model from "./model.js";
+import * as verdict from "./verdict.js";
+
+export const applyProfilePublished: change.Handler<schema.log.ProfilePublished> = (state, record, position) => {
+    const name = record.profile.name;
+    const published = publish(state.profiles.get(name), record.profile, record.expectedVersion, position);
+    if (published === undefined) {
+        return change.ignore(verdict.Ignored.conflict);
+    }
+    return change.accept({ ...state, profiles: change.withValue(state.profiles, name, published) });
+};
+
+export const applyConfigurationPublished: change.Handler<schema.log.ConfigurationPublished> = (
+    state,
+    record,
+    position,
+) => {
+    const published = publish(state.configuration, record.configuration, record.expectedVersion, position);
+    if (published === undefined) {
+        return change.ignore(verdict.Ignored.conflict);
+    }
+    const fault = findConfigurationFault(record.configuration, new Set(state.profiles.keys()));
+    return fault === undefined ? change.accept({ ...state, configuration: published }) : change.ignore(fault);
+};
+
+/**
+ * First fault of a configuration that follows the schema, given the names of the published profiles; undefined if
+ * the fold accepts it.
+ */
+export function findConfigurationFault(
+    configuration: schema.log.Configuration,
+    profiles: ReadonlySet<string>,
+): verdict.Ignored | undefined {
+    const pools = new Set(configuration.pools.map(pool => pool.name));
+    const services = new Set(configuration.services.map(service => service.name));
+    if (pools.size < configuration.pools.length || pools.has(configuration.sparePool)) {
+        return verdict.Ignored.poolRepeated;
+    }
+    if (services.size < configuration.services.length) {
+        return verdict.Ignored.serviceRepeated;
+    }
+    if (configuration.services.some(service => !pools.has(service.pool))) {
+        return verdict.Ignored.poolNotListed;
+    }
+    if (configuration.services.some(service => !profiles.has(service.profile))) {
+        return verdict.Ignored.profileUnknown;
+    }
+    return undefined;
+}
+
+/** Whether the configuration in force has the pool, the spare pool included. */
+export function hasPool(state: model.FleetState, pool: string): boolean {
+    const configuration = state.configuration?.value;
+    return configuration !== undefined
+        && (configuration.sparePool === pool || configuration.pools.some(listed => listed.name === pool));
+}
+
+function publish<Value>(
+    current: model.Versioned<Value> | undefined,
+    value: Value,
+    expectedVersion: number,
+    position: change.Position,
+): model.Versioned<Value> | undefined {
+    const version = current?.version ?? 0;
+    return expectedVersion === version ? { version: version + 1, offset: position.offset, value } : undefined;
+}
--- /dev/null
+++ b/packages/fleet-state/src/drainRecords.ts
@@ -0,0 +1,151 @@
+/**
+ * The way of an instance out of work and back: drain, release by the home, then a move to another pool or a reboot.
+ */
+import type * as schema from "@catkinwharf/schema";
+import * as change from "./change.js";
+import * as configurationRecords from "./configurationRecords.js";
+import * as homes from "./homes.js";
+import * as model from "./model.js";
+import * as stopProgress from "./stopProgress.js";
+import * as verdict from "./verdict.js";
+
+export const applyDrainStarted: change.Handler<schema.log.DrainStarted> = (state, record) => {
+    const instance = state.instances.get(record.instance);
+    if (instance === undefined) {
+        return change.ignore(verdict.Ignored.instanceUnknown);
+    }
+    if (instance.phase !== model.Phase.active) {
+        return change.ignore(verdict.Ignored.wrongPhase);
+    }
+    const fault = findPurposeFault(state, instance, record.purpose);
+    if (fault !== undefined) {
+        return change.ignore(fault);
+    }
+    return change.accept(change.withInstance(state, {
+        ...instance,
+        phase: instance.home === undefined ? model.Phase.released : model.Phase.draining,
+        drain: { id: record.drain, purpose: record.purpose, startedAt: record.startedAt },
+    }));
+};
+
+export const applyDrainCancelled: change.Handler<schema.log.DrainCancelled> = (state, record) => {
+    const instance = state.instances.get(record.instance);
+    const fault = findDrainFault(instance, record.drain, [model.Phase.draining, model.Phase.released]);
+    if (instance === undefined || fault !== undefined) {
+        return change.ignore(fault ?? verdict.Ignored.instanceUnknown);
+    }
+    const active = { ...instance, phase: model.Phase.active, drain: undefined };
+    const resumed = change.withInstance(state, active.home === undefined ? homes.chooseAnew(state, active) : active);
+    const purpose = instance.drain?.purpose;
+    return change.accept(
+        purpose?.kind === "stop" ? stopProgress.excuseIfCancelled(resumed, purpose.stop, record.instance) : resumed,
+    );
+};
+
+export const applyHomeReleased: change.Handler<schema.log.HomeReleased> = (state, record) => {
+    const instance = state.instances.get(record.instance);
+    if (instance === undefined) {
+        return change.ignore(verdict.Ignored.instanceUnknown);
+    }
+    if (record.generation !== instance.generation) {
+        return change.ignore(verdict.Ignored.staleGeneration);
+    }
+    if (record.author !== record.session || record.session !== instance.home) {
+        return change.ignore(verdict.Ignored.wrongAuthor);
+    }
+    if (instance.phase === model.Phase.draining) {
+        return change.accept(change.withInstance(state, homes.release(instance)));
+    }
+    if (instance.phase === model.Phase.active && instance.nextHome !== undefined) {
+        return change.accept(change.withInstance(state, homes.chooseAnew(state, instance)));
+    }
+    return change.ignore(verdict.Ignored.wrongPhase);
+};
+
+export const applyMoveCommitted: change.Handler<schema.log.MoveCommitted> = (state, record) => {
+    const instance = state.instances.get(record.instance);
+    const fault = findDrainFault(instance, record.drain, [model.Phase.released]);
+    if (instance === undefined || fault !== undefined) {
+        return change.ignore(fault ?? verdict.Ignored.instanceUnknown);
+    }
+    const purpose = instance.drain?.purpose;
+    if (purpose?.kind !== "move") {
+        return change.ignore(verdict.Ignored.wrongPhase);
+    }
+    const moved = homes.chooseAnew(state, {
+        ...instance,
+        pool: purpose.pool,
+        phase: model.Phase.active,
+        drain: undefined,
+    });
+    return change.accept(change.withInstance(state, moved));
+};
+
+export const applyInstanceStopped: change.Handler<schema.log.InstanceStopped> = (state, record) => {
+    const instance = state.instances.get(record.instance);
+    const fault = findDrainFault(instance, record.drain, [model.Phase.released]);
+    if (instance === undefined || fault !== undefined) {
+        return change.ignore(fault ?? verdict.Ignored.instanceUnknown);
+    }
+    if (instance.drain?.purpose.kind !== "stop") {
+        return change.ignore(verdict.Ignored.wrongPhase);
+    }
+    return change.accept(change.withInstance(state, { ...instance, phase: model.Phase.stopped }));
+};
+
+export const applyInstanceReturned: change.Handler<schema.log.InstanceReturned> = (state, record) => {
+    const instance = state.instances.get(record.instance);
+    const fault = findDrainFault(instance, record.drain, [model.Phase.stopped]);
+    if (instance === undefined || fault !== undefined) {
+        return change.ignore(fault ?? verdict.Ignored.instanceUnknown);
+    }
+    const purpose = instance.drain?.purpose;
+    if (purpose?.kind !== "stop") {
+        return change.ignore(verdict.Ignored.wrongPhase);
+    }
+    const returned = homes.chooseAnew(state, {
+        ...instance,
+        phase: model.Phase.active,
+        drain: undefined,
+        failedReturn: !record.healthy,
+    });
+    return change.accept(
+        stopProgress.recordReturn(change.withInstance(state, returned), purpose.stop, record.instance, record.healthy),
+    );
+};
+
+function findDrainFault(
+    instance: model.InstanceState | undefined,
+    drain: string,
+    phases: readonly model.Phase[],
+): verdict.Ignored | undefined {
+    if (instance === undefined) {
+        return verdict.Ignored.instanceUnknown;
+    }
+    if (instance.drain?.id !== drain) {
+        return verdict.Ignored.drainUnknown;
+    }
+    if (phases.includes(instance.phase)) {
+        return undefined;
+    }
+    return instance.phase === model.Phase.draining ? verdict.Ignored.notReleased : verdict.Ignored.wrongPhase;
+}
+
+function findPurposeFault(
+    state: model.FleetState,
+    instance: model.InstanceState,
+    purpose: schema.log.DrainPurpose,
+): verdict.Ignored | undefined {
+    if (purpose.kind === "move") {
+        const usable = purpose.pool !== instance.pool && configurationRecords.hasPool(state, purpose.pool);
+        return usable ? undefined : verdict.Ignored.poolUnknown;
+    }
+    const stop = state.stops.get(purpose.stop);
+    if (stop === undefined) {
+        return verdict.Ignored.stopUnknown;
+    }
+    if (stop.cancelled) {
+        return verdict.Ignored.stopCancelled;
+    }
+    return stop.remaining.includes(instance.instance.name) ? undefined : verdict.Ignored.notCovered;
+}
--- /dev/null
+++ b/packages/fleet-state/src/leaseRecords.ts
@@ -0,0 +1,50 @@
+/**
+ * The coordinator lease. An acquisition names the newest lease record that its author saw: it is a compare-and-set,
+ * which any renewal in between defeats.
+ */
+import type * as schema from "@catkinwharf/schema";
+import * as change from "./change.js";
+import type * as model from "./model.js";
+import * as verdict from "./verdict.js";
+
+export const applyLeaseAcquired: change.Handler<schema.log.LeaseAcquired> = (state, record, position) => {
+    if (!state.sessions.has(record.session)) {
+        return change.ignore(verdict.Ignored.sessionUnknown);
+    }
+    if (record.author !== record.session) {
+        return change.ignore(verdict.Ignored.wrongAuthor);
+    }
+    if (record.observedOffset !== state.lease.offset) {
+        return change.ignore(verdict.Ignored.conflict);
+    }
+    return change.accept(withLease(state, record.session, state.lease.epoch + 1, position));
+};
+
+export const applyLeaseRenewed: change.Handler<schema.log.LeaseRenewed> = (state, record, position) =>
+    isHolder(state, record)
+        ? change.accept(withLease(state, record.session, record.epoch, position))
+        : change.ignore(verdict.Ignored.staleEpoch);
+
+export const applyLeaseReleased: change.Handler<schema.log.LeaseReleased> = (state, record, position) =>
+    isHolder(state, record)
+        ? change.accept(withLease(state, undefined, record.epoch, position))
+        : change.ignore(verdict.Ignored.staleEpoch);
+
+function isHolder(
+    state: model.FleetState,
+    record: schema.log.LeaseRenewed | schema.log.LeaseReleased,
+): boolean {
+    return record.author === record.session
+        && record.session === state.lease.session
+        && record.epoch === state.lease.epoch;
+}
+
+function withLease(
+    state: model.FleetState,
+    session: string | undefined,
+    epoch: number,
+    position: change.Position,
+): model.FleetState {
+    const lease = { session, epoch, offset: position.offset, renewedAt: position.appendedAt };
+    return { ...state, lease };
+}
--- /dev/null
+++ b/packages/fleet-state/src/selectors.ts
@@ -0,0 +1,49 @@
+/**
+ * Questions to a fleet state. Lists are sorted by name, so that they don't depend on how the state came about.
+ */
+import type * as model from "./model.js";
+
+/** Open sessions of an availability zone. */
+export function openSessionsOfZone(state: model.FleetState, availabilityZone: string): model.SessionState[] {
+    return [...state.sessions.values()]
+        .filter(session => session.availabilityZone === availabilityZone)
+        .sort((left, right) => compareNames(left.session, right.session));
+}
+
+/** Instances whose home is the session. */
+export function listHomedInstances(state: model.FleetState, session: string): model.InstanceState[] {
+    return selectInstances(state, instance => instance.home === session);
+}
+
+/** Instances of a pool, in whatever phase. */
+export function instancesOfPool(state: model.FleetState, pool: string): model.InstanceState[] {
+    return selectInstances(state, instance => instance.pool === pool);
+}
+
+/** Instances of an availability zone, in whatever phase. */
+export function instancesOfZone(state: model.FleetState, availabilityZone: string): model.InstanceState[] {
+    return selectInstances(state, instance => instance.instance.availabilityZone === availabilityZone);
+}
+
+/** Whether the session holds the coordinator lease. */
+export function holdsLease(state: model.FleetState, session: string): boolean {
+    return state.lease.session === session;
+}
+
+/** Order of code units, the same everywhere. */
+export function compareNames(left: string, right: string): number {
+    return left < right ? -1 : Number(left > right);
+}
+
+function selectInstances(
+    state: model.FleetState,
+    isWanted: (instance: model.InstanceState) => boolean,
+): model.InstanceState[] {
+    const wanted: model.InstanceState[] = [];
+    for (const instance of state.instances.values()) {
+        if (isWanted(instance)) {
+            wanted.push(instance);
+        }
+    }
+    return wanted.sort((left, right) => compareNames(left.instance.name, right.instance.name));
+}
--- /dev/null
+++ b/packages/fleet-state/src/sessionRecords.ts
@@ -0,0 +1,107 @@
+/**
+ * Sessions of entry instances: opened, renewed and closed. A closed session stays closed, so that a process which
+ * was paused reads on waking that it must open another.
+ */
+import type * as schema from "@catkinwharf/schema";
+import * as change from "./change.js";
+import * as homes from "./homes.js";
+import * as idWindow from "./idWindow.js";
+import type * as model from "./model.js";
+import * as verdict from "./verdict.js";
+
+export const applySessionOpened: change.Handler<schema.log.SessionOpened> = (state, record, position) => {
+    const fault = findOpeningFault(state, record);
+    if (fault !== undefined) {
+        return change.ignore(fault);
+    }
+    const session = createSession(record, position);
+    const opened = { ...state, sessions: change.withValue(state.sessions, session.session, session) };
+    return change.accept({ ...opened, instances: homes.welcomeSession(opened, session.availabilityZone) });
+};
+
+export const applySessionRenewed: change.Handler<schema.log.SessionRenewed> = (state, record, position) => {
+    const session = state.sessions.get(record.session);
+    if (session === undefined) {
+        return change.ignore(verdict.Ignored.sessionUnknown);
+    }
+    if (record.author !== record.session) {
+        return change.ignore(verdict.Ignored.wrongAuthor);
+    }
+    const renewed: model.SessionState = {
+        ...session,
+        renewalOffset: position.offset,
+        renewedAt: position.appendedAt,
+        appliedOffset: record.appliedOffset,
+        configurationVersion: record.configurationVersion,
+    };
+    return change.accept({ ...state, sessions: change.withValue(state.sessions, session.session, renewed) });
+};
+
+export const applySessionClosed: change.Handler<schema.log.SessionClosed> = (state, record) => {
+    const session = state.sessions.get(record.session);
+    if (session === undefined) {
+        return change.ignore(verdict.Ignored.sessionUnknown);
+    }
+    if (record.observedRenewal !== session.renewalOffset) {
+        return change.ignore(verdict.Ignored.staleRenewal);
+    }
+    const fault = closeRules[record.reason](session, record.author, state);
+    return fault === undefined ? change.accept(closeSession(state, session)) : change.ignore(fault);
+};
+
+type CloseRule = (
+    session: model.SessionState,
+    author: string,
+    state: model.FleetState,
+) => verdict.Ignored | undefined;
+
+/** Who may close a session, by reason. */
+const closeRules: { readonly [Reason in schema.log.SessionClosed["reason"]]: CloseRule; } = {
+    goodbye: (session, author) => author === session.session ? undefined : verdict.Ignored.wrongAuthor,
+    fenced: (session, author, state) => {
+        const closer = state.sessions.get(author);
+        if (closer === undefined) {
+            return verdict.Ignored.sessionUnknown;
+        }
+        return closer.availabilityZone === session.availabilityZone ? undefined : verdict.Ignored.wrongZone;
+    },
+    operator: (_session, author, state) => state.sessions.has(author) ? undefined : verdict.Ignored.sessionUnknown,
+};
+
+function findOpeningFault(
+    state: model.FleetState,
+    record: schema.log.SessionOpened,
+): verdict.Ignored | undefined {
+    if (state.sessions.has(record.session)) {
+        return verdict.Ignored.alreadyKnown;
+    }
+    if (idWindow.hasId(state.closedSessions, record.session)) {
+        return verdict.Ignored.sessionClosed;
+    }
+    return record.author === record.session ? undefined : verdict.Ignored.wrongAuthor;
+}
+
+function createSession(record: schema.log.SessionOpened, position: change.Position): model.SessionState {
+    return {
+        session: record.session,
+        entry: record.entry,
+        availabilityZone: record.availabilityZone,
+        peerAddress: record.peerAddress,
+        operatorAddress: record.operatorAddress,
+        openedOffset: position.offset,
+        renewalOffset: position.offset,
+        renewedAt: position.appendedAt,
+        appliedOffset: 0,
+        configurationVersion: 0,
+    };
+}
+
+function closeSession(state: model.FleetState, session: model.SessionState): model.FleetState {
+    const closed: model.FleetState = {
+        ...state,
+        sessions: change.withoutKey(state.sessions, session.session),
+        closedSessions: idWindow.addId(state.closedSessions, session.session),
+        lease: state.lease.session === session.session ? { ...state.lease, session: undefined } : state.lease,
+    };
+    return { ...closed, instances: homes.dismissSession(closed, session.availabilityZone, session.session) };
+}
--- /dev/null
+++ b/packages/fleet-state/src/storage.ts
@@ -0,0 +1,56 @@
+/**
+ * The stored form of a fleet state, for snapshots, and its hash. Equal states have the same stored form, however
+ * they came about.
+ */
+import * as schema from "@catkinwharf/schema";
+import * as crypto from "node:crypto";
+import * as canonicalJson from "./canonicalJson.js";
+import * as idWindow from "./idWindow.js";
+import * as model from "./model.js";
+import * as selectors from "./selectors.js";
+
+/** The state as plain JSON; lists are sorted by name. */
+export function storeState(state: model.FleetState): schema.log.Snapshot["state"] {
+    return canonicalJson.sortKeys({
+        ...state,
+        profiles: listSorted(state.profiles),
+        sessions: listSorted(state.sessions),
+        instances: listSorted(state.instances),
+        stops: listSorted(state.stops),
+        recentIds: idWindow.listIds(state.recentIds),
+        closedSessions: idWindow.listIds(state.closedSessions),
+    }) as schema.log.Snapshot["state"];
+}
+
+/** The state that `storeState` stored; undefined if the stored form does not follow the schema. */
+export function restoreState(stored: unknown): model.FleetState | undefined {
+    if (!schema.validators.logStoredFleet(stored)) {
+        return undefined;
+    }
+    return {
+        nextOffset: stored.nextOffset,
+        configuration: stored.configuration,
+        profiles: new Map(stored.profiles.map(profile => [profile.value.name, profile])),
+        sessions: new Map(stored.sessions.map(session => [session.session, session])),
+        lease: { ...stored.lease, session: stored.lease.session },
+        instances: new Map(stored.instances.map(instance => [instance.instance.name, restoreInstance(instance)])),
+        stops: new Map(stored.stops.map(stop => [stop.stop.name, stop])),
+        recentIds: idWindow.restoreIds(model.recentIdCount, stored.recentIds),
+        closedSessions: idWindow.restoreIds(model.closedSessionCount, stored.closedSessions),
+        generationFloor: stored.generationFloor,
+    };
+}
+
+/** SHA-256 of the stored form in canonical JSON, in hex. */
+export function hashState(state: model.FleetState): string {
+    return crypto.createHash("sha256").update(JSON.stringify(storeState(state))).digest("hex");
+}
+
+/** The optional parts are named, so that restored instances have the same properties as others. */
+function restoreInstance(stored: schema.log.StoredInstance): model.InstanceState {
+    return { ...stored, drain: stored.drain, home: stored.home, nextHome: stored.nextHome };
+}
+
+function listSorted<Value>(map: ReadonlyMap<string, Value>): Value[] {
+    return [...map].sort(([left], [right]) => selectors.compareNames(left, right)).map(([, value]) => value);
+}
--- a/packages/schema/scripts/generate.mjs
+++ b/packages/schema/scripts/generate.mjs
@@ -20,7 +20,7 @@
 
 /** Definitions that are checked at run time; the others are checked as parts of these. */
 const checkedDefinitions = {
-    log: ["ClaimRecord", "Configuration", "FleetRecord", "Profile", "Snapshot", "Stop"],
+    log: ["ClaimRecord", "Configuration", "FleetRecord", "Profile", "Snapshot", "Stop", "StoredFleet"],
     operator: [
         "ChangeAnswer",
         "ConfigurationAnswer",
