--- /dev/null
+++ b/packages/cli/src/documentation.test.ts
@@ -0,0 +1,143 @@
+import * as types from "@catkinwharf/types";
+import * as fs from "node:fs";
+import * as path from "node:path";
+import * as uvu from "uvu";
+import * as assert from "uvu/assert";
+import * as commandLine from "./command-line.js";
+import * as operatorPort from "./testing/operator-port.js";
+
+const root = path.resolve(import.meta.dirname, "../../..");
+const updateNote = "run UPDATE_DOCS=1 node scripts/run-tests.mjs documentation";
+const suite = uvu.suite("documentation");
+
+/** The part of a JSON Schema that the table of settings shows. */
+interface Property {
+    readonly $ref?: string;
+    readonly type?: string;
+    readonly description?: string;
+    readonly default?: unknown;
+    readonly enum?: readonly string[];
+    readonly minimum?: number;
+    readonly maximum?: number;
+    readonly minLength?: number;
+    readonly required?: readonly string[];
+    readonly properties?: Readonly<Record<string, Property>>;
+}
+
+const units: readonly { readonly suffix: RegExp; readonly unit: string; }[] = [
+    { suffix: /Ms$/, unit: "ms" },
+    { suffix: /Bytes$/, unit: "bytes" },
+    { suffix: /PerSecond$/, unit: "per second" },
+    { suffix: /Share$/, unit: "share" },
+];
+
+function listDocuments(): readonly string[] {
+    const folders = ["docs", "docs/operations", "packages/cli", "examples", "."];
+    return folders.flatMap(folder =>
+        fs.readdirSync(path.join(root, folder)).filter(file => file.endsWith(".md")).map(file =>
+            path.join(folder, file)
+        )
+    );
+}
+
+function checkTable(file: string, name: string, lines: readonly string[]): void {
+    const full = path.join(root, file);
+    const text = fs.readFileSync(full, "utf8");
+    const pattern = new RegExp(`<!-- ${name} -->\n[^]*?<!-- end -->`);
+    const wanted = [`<!-- ${name} -->`, "", ...lines, "", "<!-- end -->"].join("\n");
+    if (process.env["UPDATE_DOCS"] === "1") {
+        fs.writeFileSync(full, text.replace(pattern, () => wanted));
+        return;
+    }
+    assert.fixture(pattern.exec(text)?.[0] ?? "", wanted, `${file} is not current: ${updateNote}`);
+}
+
+suite("the callers' page has every reason with its outcome and status", () => {
+    const rows = Object.values(types.Reason)
+        .map(code => ({ code, form: types.reasonForms[code] }))
+        .sort((one, other) => one.code < other.code ? -1 : 1)
+        .map(({ code, form }) =>
+            `| \`${code}\` | ${form.outcome} | ${form.status} | ${form.retryAfterSeconds ?? ""} | ${form.detail} |`
+        );
+    const head = [
+        "| code | outcome | status | retry after, s | what happened and what to do |",
+        "|---|---|---|---|---|",
+    ];
+    checkTable("docs/callers.md", "reasons", [...head, ...rows]);
+});
+
+function readDefinitions(): Readonly<Record<string, Property>> {
+    return JSON.parse(fs.readFileSync(path.join(root, "packages/schema/schemas/settings.json"), "utf8")).$defs;
+}
+
+function listSettings(
+    definitions: Readonly<Record<string, Property>>,
+    name: string,
+    prefix: string,
+    requiredText: string,
+): readonly string[] {
+    const definition = definitions[name];
+    return Object.entries(definition?.properties ?? {}).flatMap(([key, property]) => {
+        const place = `${prefix}${key}`;
+        const isRequired = definition?.required?.includes(key) === true;
+        const referred = property.$ref?.replace("#/$defs/", "");
+        if (referred === undefined) {
+            return [renderSetting(place, property, isRequired ? requiredText : "none")];
+        }
+        const isWhole = isRequired || property.default !== undefined;
+        const own = isWhole ? [] : [`| \`${place}\` | ${property.description ?? ""} | | | none |`];
+        const text = isWhole ? requiredText : `required in \`${place}\``;
+        return [...own, ...listSettings(definitions, referred, `${place}.`, text)];
+    });
+}
+
+function renderSetting(place: string, property: Property, absentText: string): string {
+    const unit = units.find(({ suffix }) => suffix.test(place))?.unit ?? "";
+    const range = [
+        property.minimum === undefined ? "" : `from ${property.minimum}`,
+        property.maximum === undefined ? "" : `to ${property.maximum}`,
+        property.minLength === undefined || property.minLength < 2 ? "" : `${property.minLength} characters or more`,
+        property.enum === undefined ? "" : property.enum.join(", "),
+    ].filter(text => text !== "").join(" ");
+    const preset = property.default === undefined ? absentText : String(property.default);
+    return `| \`${place}\` | ${property.description ?? ""} | ${unit} | ${range} | ${preset} |`;
+}
+
+suite("the settings page has every key with its unit and default", () => {
+    const head = ["| key | meaning | unit | allowed | default |", "|---|---|---|---|---|"];
+    checkTable("docs/operations/settings.md", "settings", [
+        ...head,
+        ...listSettings(readDefinitions(), "EntrySettings", "", "required"),
+    ]);
+});
+
+suite("every link leads to a file", () => {
+    for (const file of listDocuments()) {
+        const text = fs.readFileSync(path.join(root, file), "utf8");
+        for (const [, target = ""] of text.matchAll(/\]\(([^)#:]+)(?:#[^)]*)?\)/g)) {
+            assert.ok(fs.existsSync(path.join(root, path.dirname(file), target)), `${file}: ${target}`);
+        }
+    }
+});
+
+suite("every command in the pages is one that the command line knows", () => {
+    const cli = commandLine.createCli();
+    let commands = 0;
+    for (const file of listDocuments()) {
+        const text = fs.readFileSync(path.join(root, file), "utf8");
+        const blocks = [...text.matchAll(/^ {4,}(?:\$ )?catkinwharf (.+)$/gm)].map(match => match[1]);
+        const spans = [...text.matchAll(/`catkinwharf ([a-z]+ [^`.]+)`/g)].map(match => match[1]);
+        for (const line of [...blocks, ...spans]) {
+            const words = [...(line ?? "").matchAll(/"([^"]*)"|(\S+)/g)].map(match => match[1] ?? match[2] ?? "");
+            assert.not.throws(
+                () => cli.process(words, operatorPort.createIdleContext()),
+                undefined,
+                `${file}: ${line}`,
+            );
+            commands += 1;
+        }
+    }
+    assert.ok(commands > 0);
+});
+
+suite.run();
--- a/packages/cli/src/testing/operator-port.ts
+++ b/packages/cli/src/testing/operator-port.ts
@@ -7,12 +7,14 @@
 import * as stream from "node:stream";
 import * as commandLine from "../command-line.js";
 import * as exitCode from "../exit-code.js";
+import * as reportingCommand from "../reporting-command.js";
 
 /** Key that the scripted port accepts. */
 export const operatorKey = "test-operator-key-0001";
 /** Time at which each run starts, in ms since 1970. */
 export const startedAt = Date.parse("2026-12-04T06:00:00Z");
 
+/** Answer of the scripted port. */
 export interface Reply {
     readonly status: number;
     readonly body: unknown;
@@ -59,6 +61,7 @@
     }
 }
 
+/** What a run of the command line gave. */
 export interface Run {
     readonly code: exitCode.ExitCode;
     readonly output: string;
@@ -75,13 +78,15 @@
     }
 }
 
-export async function run(url: string, line: readonly string[], key = operatorKey, isTerminal = false): Promise<Run> {
-    const stdout = new TextSink();
-    stdout.isTTY = isTerminal;
-    const stderr = new TextSink();
+/** Context of a command that runs against `url`; its clock moves on only when it sleeps. */
+export function createContext(
+    url: string,
+    key: string,
+    stdout: stream.Writable,
+    stderr: stream.Writable,
+): reportingCommand.CommandContext {
     let now = startedAt;
-    const interruption = new AbortController();
-    const code = await commandLine.runCli(line, {
+    return {
         ...clipanion.Cli.defaultContext,
         env: { CATKINWHARF_URL: url, CATKINWHARF_OPERATOR_KEY: key },
         stdout,
@@ -90,11 +95,25 @@
         sleep: async durationMs => {
             now += durationMs;
         },
-        signal: interruption.signal,
-    });
+        signal: new AbortController().signal,
+    };
+}
+
+/** Context of a command that is parsed and never run. */
+export function createIdleContext(): reportingCommand.CommandContext {
+    return createContext("", "", new TextSink(), new TextSink());
+}
+
+/** Runs one command line and collects what it prints. */
+export async function run(url: string, line: readonly string[], key = operatorKey, isTerminal = false): Promise<Run> {
+    const stdout = new TextSink();
+    stdout.isTTY = isTerminal;
+    const stderr = new TextSink();
+    const code = await commandLine.runCli(line, createContext(url, key, stdout, stderr));
     return { code, output: stdout.text, errors: stderr.text };
 }
 
+/** Runs one command line against a port that is open just for it. */
 export async function runAgainst(routes: Record<string, Route>, line: readonly string[], key?: string): Promise<Run> {
     const port = new OperatorPort(routes);
     const url = await port.open();
@@ -106,14 +125,17 @@
     }
 }
 
+/** A route that always gives the same reply. */
 export function reply(body: unknown, status = 200): Route {
     return () => ({ status, body });
 }
 
+/** Status of a planned stop of four instances. */
 export function createStop(done: number, state: string, waitingFor = ""): Record<string, unknown> {
     return { stop: "kernel-12", state, total: 4, done, inProgress: 4 - done, overdue: [], waitingFor };
 }
 
+/** Status of a fleet with two zones, one of which is out of reach. */
 export function createStatus(stops: readonly unknown[]): Record<string, unknown> {
     const session = { appliedOffset: 42, renewedAt: startedAt, homes: 9, configurationVersion: 3 };
     const sessions = [
@@ -137,6 +159,7 @@
     };
 }
 
+/** Answer to a change. */
 export function createAnswer(status: string, version: number, reason = ""): Record<string, unknown> {
     return { status, version, offset: status === "unknown" ? -1 : 42, reason };
 }
