Let the command line name several entry instances, and bound each wait

An entry instance may be replaced at any time, and a watch that lasts for hours ended with it. A frozen one held a read for 30 s in each of three attempts.

Weighed: sending a change on after any failure. Ruled out: it is passed to the next entry instance only when no byte of it was sent or the first said that it isn't ready; any other failure is reported as unknown. Reads wait 5 s for each part of the answer, changes 30 s, since an entry instance itself waits for the log. An exception inside a command used to go to standard output with exit code 1; it is now an error with exit code 3.

Conclusion: reads and watches outlive one entry instance.

--- a/packages/cli/src/change.ts
+++ b/packages/cli/src/change.ts
@@ -20,6 +20,9 @@
 
 type ChangeResult = neverthrow.Result<schema.operator.ChangeAnswer, commandError.CommandError>;
 
+/** Longer than an entry instance waits for the platform's log before it answers `unknown`, in ms. */
+export const changeTimeoutMs = 30_000;
+
 /** Statuses whose body is a change answer. */
 const answeredStatuses: ReadonlySet<number> = new Set([200, 202, 409, 422]);
 
--- a/packages/cli/src/command-line.test.ts
+++ b/packages/cli/src/command-line.test.ts
@@ -60,10 +60,53 @@
     assert.match(result.errors, "--url");
 });
 
+suite("asks the next entry instance only where the first did nothing", async () => {
+    const accepting = new operatorPort.OperatorPort({
+        [postConfiguration]: operatorPort.reply(operatorPort.createAnswer("accepted", 4)),
+    });
+    const accepted = await accepting.open();
+    const silent = new operatorPort.OperatorPort({ [postConfiguration]: () => undefined });
+    const lost = await operatorPort.run(`${await silent.open()},${accepted}`, publish);
+    assert.is(lost.code, exitCode.ExitCode.unknown);
+    assert.equal(accepting.asked, []);
+
+    const notReady = new operatorPort.OperatorPort({ [postConfiguration]: operatorPort.reply({}, 503) });
+    const gone = new operatorPort.OperatorPort({});
+    const goneUrl = await gone.open();
+    gone.close();
+    const done = await operatorPort.run(`${goneUrl},${await notReady.open()},${accepted}`, publish);
+    assert.is(done.code, exitCode.ExitCode.done, done.errors);
+    assert.equal(accepting.asked, [postConfiguration]);
+    [accepting, silent, notReady].forEach(port => port.close());
+});
+
+suite("follows the log until it is interrupted", async () => {
+    const entry = { appendedAt: operatorPort.startedAt, body: { kind: "session-renewed", author: "s1" } };
+    const pages = [{ entries: [{ ...entry, offset: 42 }], nextOffset: 43 }, { entries: [], nextOffset: 43 }];
+    let page = 0;
+    const tail = operatorPort.reply({ entries: [{ ...entry, offset: 41 }], nextOffset: 42, oldestOffset: 0 });
+    const later: operatorPort.Route = () => ({
+        status: 200,
+        body: { ...pages[Math.min(page++, pages.length - 1)], oldestOffset: 0 },
+    });
+    const result = await operatorPort.runAgainst(
+        {
+            "GET /operator/status": operatorPort.reply(operatorPort.createStatus([])),
+            "GET /operator/log?from=22&limit=200": tail,
+            "GET /operator/log?from=42&limit=200": later,
+            "GET /operator/log?from=43&limit=200": later,
+        },
+        ["log", "tail", "--follow", "--json"],
+        { sleeps: 2 },
+    );
+    assert.is(result.code, exitCode.ExitCode.done, result.errors);
+    assert.equal(result.output.trim().split("\n").map(line => JSON.parse(line).offset), [41, 42]);
+});
+
 suite("never prints the key, not even one that is sent back", async () => {
     const wrongKey = "wrong-operator-key-0002";
     for (const flags of [[], ["--json"]]) {
-        const result = await operatorPort.runAgainst({}, ["status", ...flags], wrongKey);
+        const result = await operatorPort.runAgainst({}, ["status", ...flags], { key: wrongKey });
         assert.is(result.code, exitCode.ExitCode.unauthorized);
         assert.match(result.errors, "security.operatorKey");
         assert.not.match(result.output + result.errors, wrongKey);
@@ -147,8 +190,7 @@
     const result = await operatorPort.run(
         await port.open(),
         ["stop", "watch", "kernel-12", "--timeout", "5"],
-        operatorPort.operatorKey,
-        true,
+        { isTerminal: true },
     );
     port.close();
     assert.is(result.code, exitCode.ExitCode.unknown);
--- a/packages/cli/src/commands/config.ts
+++ b/packages/cli/src/commands/config.ts
@@ -122,7 +122,7 @@
     const body: schema.operator.ConfigurationChange = { configuration, expectedVersion };
     return {
         subject: "configuration",
-        question: { method: "POST", path: "/operator/configurations", body },
+        question: { method: "POST", path: "/operator/configurations", body, answerTimeoutMs: change.changeTimeoutMs },
         conflictStep: version =>
             `See \`catkinwharf config diff ${file}\`, carry the other change over, `
             + `then publish with --expect-version ${version}.`,
--- a/packages/cli/src/commands/profile.ts
+++ b/packages/cli/src/commands/profile.ts
@@ -75,7 +75,7 @@
     const body: schema.operator.ProfileChange = { profile, expectedVersion };
     return {
         subject: `profile ${profile.name}`,
-        question: { method: "POST", path: "/operator/profiles", body },
+        question: { method: "POST", path: "/operator/profiles", body, answerTimeoutMs: change.changeTimeoutMs },
         conflictStep: version =>
             `Look at it with \`catkinwharf profile list\`, then publish with --expect-version ${version}.`,
         unknownStep: "Look at `catkinwharf profile list`. Publishing again with "
--- a/packages/cli/src/commands/stop.ts
+++ b/packages/cli/src/commands/stop.ts
@@ -106,7 +106,7 @@
     const body: schema.operator.StopChange = { stop };
     return {
         subject: `stop ${stop.name}`,
-        question: { method: "POST", path: "/operator/stops", body },
+        question: { method: "POST", path: "/operator/stops", body, answerTimeoutMs: change.changeTimeoutMs },
         conflictStep: () => "See `catkinwharf stop list`; if it is another stop, choose another name.",
         unknownStep: "Look at `catkinwharf stop list`. Announcing it again under the same name is safe: "
             + "a name is taken only once.",
@@ -116,7 +116,11 @@
 function createCancellation(name: string): change.Change {
     return {
         subject: `stop ${name}`,
-        question: { method: "DELETE", path: `/operator/stops/${encodeURIComponent(name)}` },
+        question: {
+            method: "DELETE",
+            path: `/operator/stops/${encodeURIComponent(name)}`,
+            answerTimeoutMs: change.changeTimeoutMs,
+        },
         conflictStep: () => "See `catkinwharf stop list` for its state.",
         unknownStep: "Look at `catkinwharf stop list`. Cancelling it again is safe.",
     };
--- a/packages/cli/src/connection.ts
+++ b/packages/cli/src/connection.ts
@@ -5,22 +5,24 @@
 import * as neverthrow from "neverthrow";
 import * as commandError from "./command-error.js";
 
-/** Environment variable that holds the URL of an operator port. */
+/** Environment variable that holds the URL of an operator port, or several between commas. */
 export const urlVariable = "CATKINWHARF_URL";
 /** Environment variable that holds the operator key. */
 export const keyVariable = "CATKINWHARF_OPERATOR_KEY";
 
 /** Options of the command that name the operator port. */
 export interface ConnectionOptions {
-    readonly url: string | undefined;
+    /** URLs of operator ports. */
+    readonly url: readonly string[] | undefined;
     readonly key: string | undefined;
     /** File of command settings. */
     readonly settingsFile: string | undefined;
 }
 
-/** An operator port and the key for it. */
+/** Operator ports, in the order in which they are tried, and the key for all. */
 export interface Connection {
-    readonly url: URL;
+    /** One or more. */
+    readonly urls: readonly URL[];
     readonly operatorKey: string;
 }
 
@@ -35,9 +37,10 @@
     environment: Readonly<Record<string, string | undefined>>,
 ): neverthrow.Result<Connection, commandError.CommandError> {
     return readFile(options.settingsFile).andThen(file => {
-        const url = options.url ?? file.url ?? environment[urlVariable];
+        const urls = options.url ?? (file.url === undefined ? undefined : [file.url])
+            ?? environment[urlVariable]?.split(",") ?? [];
         const key = options.key ?? file.key ?? environment[keyVariable];
-        return parseUrl(url).andThen(parsed => parseKey(key).map(operatorKey => ({ url: parsed, operatorKey })));
+        return parseUrls(urls).andThen(parsed => parseKey(key).map(operatorKey => ({ urls: parsed, operatorKey })));
     });
 }
 
@@ -50,14 +53,18 @@
         .mapErr(commandError.fromSettingsError);
 }
 
-function parseUrl(text: string | undefined): neverthrow.Result<URL, commandError.CommandError> {
-    if (text === undefined || text === "") {
+function parseUrls(texts: readonly string[]): neverthrow.Result<readonly URL[], commandError.CommandError> {
+    const wanted = texts.map(text => text.trim()).filter(text => text !== "");
+    if (wanted.length === 0) {
         return invalid("no entry instance is named", `Give --url, --settings FILE or ${urlVariable}.`);
     }
-    const isUsable = URL.canParse(text) && /^https?:$/.test(new URL(text).protocol);
-    return isUsable
-        ? neverthrow.ok(new URL(text))
-        : invalid("the URL of the operator port is malformed", "Give it as http://HOST:PORT.");
+    return wanted.every(isOperatorUrl)
+        ? neverthrow.ok(wanted.map(text => new URL(text)))
+        : invalid("the URL of an operator port is malformed", "Give it as http://HOST:PORT.");
+}
+
+function isOperatorUrl(text: string): boolean {
+    return URL.canParse(text) && /^https?:$/.test(new URL(text).protocol);
 }
 
 function parseKey(text: string | undefined): neverthrow.Result<string, commandError.CommandError> {
--- a/packages/cli/src/operator-client.ts
+++ b/packages/cli/src/operator-client.ts
@@ -1,5 +1,6 @@
 /**
- * Typed client of an entry instance's operator port. Reads are retried; changes are sent once.
+ * Typed client of the operator ports. Reads are retried, at the next entry instance if several are named; changes are
+ * sent once.
  */
 import * as schema from "@catkinwharf/schema";
 import * as neverthrow from "neverthrow";
@@ -15,15 +16,19 @@
 /** Waits for a time in ms. */
 export type Sleep = (durationMs: number) => Promise<void>;
 
+type Exchanged = neverthrow.Result<transport.Answer, transport.TransportError>;
+
 type Check<Document> = ((document: unknown) => document is Document) & {
     errors?: Parameters<typeof schema.describeFailure>[0];
 };
 
 const readAttempts = 3;
+/** Within which a part of a read's answer has to come, in ms. */
+const readTimeoutMs = 5_000;
 const firstPauseMs = 200;
 const notReadyStatus = 503;
 
-/** Speaks to one operator port. */
+/** Speaks to the operator ports of one fleet. */
 export class OperatorClient {
     readonly #agent = transport.createAgent();
 
@@ -56,9 +61,17 @@
         return this.#read(`/operator/log?from=${from}&limit=${limit}`, schema.validators.operatorLogAnswer);
     }
 
-    /** Sends a change once. */
+    /**
+     * Sends a change once. Only when no byte of it was sent, or the entry instance is not ready and so appends
+     * nothing, the next entry instance is asked.
+     */
     async send(wanted: change.Change): Read<schema.operator.ChangeAnswer> {
-        return change.judgeChange(wanted, await transport.exchange(this.#agent, this.target, wanted.question));
+        for (let attempt = 0;; attempt += 1) {
+            const exchanged = await transport.exchange(this.#agent, this.#endpoint(attempt), wanted.question);
+            if (attempt + 1 >= this.target.urls.length || !isWithoutEffect(exchanged)) {
+                return change.judgeChange(wanted, exchanged);
+            }
+        }
     }
 
     /** Ends the connections. */
@@ -67,22 +80,37 @@
     }
 
     async #read<Document>(path: string, check: Check<Document>): Read<Document> {
-        for (let attempt = 1;; attempt += 1) {
-            const exchanged = await transport.exchange(this.#agent, this.target, { method: "GET", path });
-            if (attempt === readAttempts || !isWorthRetrying(exchanged)) {
+        const question: transport.Question = { method: "GET", path, answerTimeoutMs: readTimeoutMs };
+        const attempts = Math.max(readAttempts, this.target.urls.length);
+        for (let attempt = 0;; attempt += 1) {
+            const exchanged = await transport.exchange(this.#agent, this.#endpoint(attempt), question);
+            if (attempt + 1 === attempts || !isWorthRetrying(exchanged)) {
                 return judgeRead(exchanged, check);
             }
-            await this.sleep(firstPauseMs * 2 ** (attempt - 1));
+            await this.sleep(firstPauseMs * 2 ** attempt);
         }
     }
+
+    /** Each attempt goes to the next entry instance. */
+    #endpoint(attempt: number): transport.Endpoint {
+        const url = this.target.urls[attempt % this.target.urls.length] as URL;
+        return { url, operatorKey: this.target.operatorKey };
+    }
 }
 
-function isWorthRetrying(exchanged: neverthrow.Result<transport.Answer, transport.TransportError>): boolean {
+function isWorthRetrying(exchanged: Exchanged): boolean {
     return exchanged.match(answer => answer.status === notReadyStatus, () => true);
 }
 
+function isWithoutEffect(exchanged: Exchanged): boolean {
+    return exchanged.match(
+        answer => answer.status === notReadyStatus,
+        error => error.fault === transport.TransportFault.unsent,
+    );
+}
+
 function judgeRead<Document>(
-    exchanged: neverthrow.Result<transport.Answer, transport.TransportError>,
+    exchanged: Exchanged,
     check: Check<Document>,
 ): neverthrow.Result<Document, commandError.CommandError> {
     return exchanged
--- a/packages/cli/src/reporting-command.ts
+++ b/packages/cli/src/reporting-command.ts
@@ -1,6 +1,7 @@
 /**
  * Bases of all commands: output as text or JSON, errors on standard error, exit codes, and the connection.
  */
+import * as errors from "@catkinwharf/errors";
 import * as clipanion from "clipanion";
 import * as neverthrow from "neverthrow";
 import * as commandError from "./command-error.js";
@@ -35,10 +36,26 @@
     #secret: string | undefined;
 
     async execute(): Promise<number> {
-        const result = await this.produce();
+        const result = await this.#produceSafely();
         return result.match(report => this.#printReport(report), error => this.#printError(error));
     }
 
+    /** An exception is a fault of the command itself; a change may have been sent before. */
+    async #produceSafely(): Promise<CommandResult> {
+        try {
+            return await this.produce();
+        }
+        catch (thrown) {
+            return neverthrow.err(
+                commandError.createError(
+                    commandError.CommandFault.unknown,
+                    `the command failed: ${errors.describeThrown(thrown)}`,
+                    "Look at `catkinwharf status` before you repeat a change, and report this as a fault.",
+                ),
+            );
+        }
+    }
+
     /** Does the work. */
     protected abstract produce(): Promise<CommandResult>;
 
@@ -81,8 +98,9 @@
 
 /** A command that asks an entry instance. */
 export abstract class OperatorCommand extends ReportingCommand {
-    url = clipanion.Option.String("--url", {
-        description: `URL of an entry instance's operator port; else from --settings or ${connection.urlVariable}.`,
+    url = clipanion.Option.Array("--url", {
+        description: `URL of an entry instance's operator port; else from --settings or ${connection.urlVariable}. `
+            + "Given again, the next is asked when one can't be.",
     });
     key = clipanion.Option.String("--key", {
         description: `Operator key; better in --settings or ${connection.keyVariable}, out of the process list.`,
--- a/packages/cli/src/testing/operator-port.ts
+++ b/packages/cli/src/testing/operator-port.ts
@@ -78,47 +78,65 @@
     }
 }
 
+/** How a run differs from an ordinary one. */
+export interface RunOptions {
+    readonly key?: string;
+    readonly isTerminal?: boolean;
+    /** Sleeps after which the operator interrupts the command. */
+    readonly sleeps?: number;
+}
+
 /** Context of a command that runs against `url`; its clock moves on only when it sleeps. */
 export function createContext(
     url: string,
-    key: string,
     stdout: stream.Writable,
     stderr: stream.Writable,
+    options: RunOptions,
 ): reportingCommand.CommandContext {
+    const interruption = new AbortController();
     let now = startedAt;
+    let sleepsLeft = options.sleeps ?? Number.POSITIVE_INFINITY;
     return {
         ...clipanion.Cli.defaultContext,
-        env: { CATKINWHARF_URL: url, CATKINWHARF_OPERATOR_KEY: key },
+        env: { CATKINWHARF_URL: url, CATKINWHARF_OPERATOR_KEY: options.key ?? operatorKey },
         stdout,
         stderr,
         now: () => now,
         sleep: async durationMs => {
             now += durationMs;
+            sleepsLeft -= 1;
+            if (sleepsLeft <= 0) {
+                interruption.abort();
+            }
         },
-        signal: new AbortController().signal,
+        signal: interruption.signal,
     };
 }
 
 /** Context of a command that is parsed and never run. */
 export function createIdleContext(): reportingCommand.CommandContext {
-    return createContext("", "", new TextSink(), new TextSink());
+    return createContext("", new TextSink(), new TextSink(), {});
 }
 
 /** Runs one command line and collects what it prints. */
-export async function run(url: string, line: readonly string[], key = operatorKey, isTerminal = false): Promise<Run> {
+export async function run(url: string, line: readonly string[], options: RunOptions = {}): Promise<Run> {
     const stdout = new TextSink();
-    stdout.isTTY = isTerminal;
+    stdout.isTTY = options.isTerminal === true;
     const stderr = new TextSink();
-    const code = await commandLine.runCli(line, createContext(url, key, stdout, stderr));
+    const code = await commandLine.runCli(line, createContext(url, stdout, stderr, options));
     return { code, output: stdout.text, errors: stderr.text };
 }
 
 /** Runs one command line against a port that is open just for it. */
-export async function runAgainst(routes: Record<string, Route>, line: readonly string[], key?: string): Promise<Run> {
+export async function runAgainst(
+    routes: Record<string, Route>,
+    line: readonly string[],
+    options?: RunOptions,
+): Promise<Run> {
     const port = new OperatorPort(routes);
     const url = await port.open();
     try {
-        return await run(url, line, key);
+        return await run(url, line, options);
     }
     finally {
         port.close();
--- a/packages/cli/src/transport.ts
+++ b/packages/cli/src/transport.ts
@@ -4,7 +4,6 @@
 import * as errors from "@catkinwharf/errors";
 import * as neverthrow from "neverthrow";
 import * as undici from "undici";
-import * as connection from "./connection.js";
 
 export const TransportFault = {
     /** No byte of the question was sent. */
@@ -21,12 +20,20 @@
     readonly reason: string;
 }
 
+/** One operator port and the key for it. */
+export interface Endpoint {
+    readonly url: URL;
+    readonly operatorKey: string;
+}
+
 /** A question to the operator port. */
 export interface Question {
     readonly method: "GET" | "POST" | "DELETE";
     /** Path with its query. */
     readonly path: string;
     readonly body?: unknown;
+    /** Time in ms within which each part of the answer has to come. */
+    readonly answerTimeoutMs: number;
 }
 
 /** A whole answer. */
@@ -37,8 +44,6 @@
 }
 
 const connectTimeoutMs = 3_000;
-/** Longer than an entry instance waits for the platform's log before it answers `unknown`. */
-const answerTimeoutMs = 30_000;
 
 /** Failures that come before the first byte is sent. */
 const unsentCodes: ReadonlySet<string> = new Set([
@@ -53,24 +58,22 @@
 
 /** Opens the pool of connections for one run of the command line. */
 export function createAgent(): undici.Agent {
-    return new undici.Agent({
-        connect: { timeout: connectTimeoutMs },
-        headersTimeout: answerTimeoutMs,
-        bodyTimeout: answerTimeoutMs,
-    });
+    return new undici.Agent({ connect: { timeout: connectTimeoutMs } });
 }
 
 /** Asks once; never repeats by itself. */
 export async function exchange(
     agent: undici.Agent,
-    target: connection.Connection,
+    endpoint: Endpoint,
     question: Question,
 ): Promise<neverthrow.Result<Answer, TransportError>> {
     try {
-        const response = await undici.request(new URL(question.path, target.url), {
+        const response = await undici.request(new URL(question.path, endpoint.url), {
             dispatcher: agent,
             method: question.method,
-            headers: createHeaders(target, question),
+            headers: createHeaders(endpoint, question),
+            headersTimeout: question.answerTimeoutMs,
+            bodyTimeout: question.answerTimeoutMs,
             body: question.body === undefined ? undefined : JSON.stringify(question.body),
         });
         const text = await response.body.text();
@@ -81,8 +84,8 @@
     }
 }
 
-function createHeaders(target: connection.Connection, question: Question): Record<string, string> {
-    const headers = { "accept": "application/json", "authorization": `Bearer ${target.operatorKey}` };
+function createHeaders(endpoint: Endpoint, question: Question): Record<string, string> {
+    const headers = { "accept": "application/json", "authorization": `Bearer ${endpoint.operatorKey}` };
     return question.body === undefined ? headers : { ...headers, "content-type": "application/json" };
 }
 
