--- a/packages/cli/src/commands/explain.ts
+++ b/packages/cli/src/commands/explain.ts
@@ -2,6 +2,7 @@
  * `catkinwharf explain`: says why an instance, a planned stop or a request is where it is.
  */
 import * as clipanion from "clipanion";
+import * as coordinatorNote from "../coordinator-note.js";
 import * as operatorClient from "../operator-client.js";
 import * as reportingCommand from "../reporting-command.js";
 
@@ -35,6 +36,18 @@
     static override usage = clipanion.Command.Usage({ category, description: "Say what a planned stop waits for." });
 
     protected readonly collection = "stops";
+
+    protected override async ask(client: operatorClient.OperatorClient): Promise<reportingCommand.CommandResult> {
+        const explained = await super.ask(client);
+        const status = explained.isOk() ? await client.readStatus() : undefined;
+        const note = status?.map(answer =>
+            coordinatorNote.describeCoordinator(answer, answer.stops.filter(stop => stop.stop === this.name))
+        ).unwrapOr(undefined);
+        if (note !== undefined) {
+            this.notify(note);
+        }
+        return explained;
+    }
 }
 
 /** Explains a request by its idempotency key. */
--- a/packages/cli/src/commands/stop-watch.ts
+++ b/packages/cli/src/commands/stop-watch.ts
@@ -5,6 +5,7 @@
 import * as clipanion from "clipanion";
 import * as neverthrow from "neverthrow";
 import * as commandError from "../command-error.js";
+import * as coordinatorNote from "../coordinator-note.js";
 import * as operatorClient from "../operator-client.js";
 import * as rendering from "../rendering.js";
 import * as reportingCommand from "../reporting-command.js";
@@ -29,6 +30,7 @@
     name = clipanion.Option.String({ name: "NAME" });
     timeout = clipanion.Option.String("--timeout", { description: "Seconds to watch; without it, until the end." });
     #lastLine = "";
+    #lastNote: string | undefined;
 
     protected async ask(client: operatorClient.OperatorClient): Promise<reportingCommand.CommandResult> {
         const seconds = wholeNumber.parseWholeNumber("--timeout", this.timeout);
@@ -39,9 +41,10 @@
         for (;;) {
             const answered = await client.readStatus();
             const found = answered.andThen(answer => findStop(answer, this.name));
-            if (found.isErr()) {
-                return neverthrow.err(found.error);
+            if (answered.isErr() || found.isErr()) {
+                return neverthrow.err(answered.isErr() ? answered.error : found._unsafeUnwrapErr());
             }
+            this.#showNote(coordinatorNote.describeCoordinator(answered.value, [found.value]));
             this.#showProgress(found.value);
             const end = endHandlers[found.value.state](found.value);
             if (end !== undefined) {
@@ -56,6 +59,14 @@
         }
     }
 
+    /** Shows a note when it differs from the last one. */
+    #showNote(note: string | undefined): void {
+        if (note !== undefined && note !== this.#lastNote) {
+            this.notify(note);
+        }
+        this.#lastNote = note;
+    }
+
     #showProgress(status: schema.operator.StopStatus): void {
         const line = this.json ? JSON.stringify(status) : rendering.renderProgress(status);
         if (line === this.#lastLine) {
--- a/packages/cli/src/commands/stop.ts
+++ b/packages/cli/src/commands/stop.ts
@@ -6,6 +6,7 @@
 import * as neverthrow from "neverthrow";
 import * as change from "../change.js";
 import * as commandError from "../command-error.js";
+import * as coordinatorNote from "../coordinator-note.js";
 import * as operatorClient from "../operator-client.js";
 import * as rendering from "../rendering.js";
 import * as reportingCommand from "../reporting-command.js";
@@ -78,10 +79,15 @@
 
     protected async ask(client: operatorClient.OperatorClient): Promise<reportingCommand.CommandResult> {
         const answered = await client.readStatus();
-        return answered.map(({ stops }) => ({
-            document: { stops },
-            text: stops.length === 0 ? "no planned stop" : stops.map(rendering.renderProgress).join("\n"),
-        }));
+        return answered.map(status => {
+            const { stops } = status;
+            const note = coordinatorNote.describeCoordinator(status, stops);
+            if (note !== undefined) {
+                this.notify(note);
+            }
+            const text = stops.length === 0 ? "no planned stop" : stops.map(rendering.renderProgress).join("\n");
+            return { document: { stops }, text };
+        });
     }
 }
 
--- a/packages/cli/src/documentation.test.ts
+++ b/packages/cli/src/documentation.test.ts
@@ -111,6 +111,21 @@
     ]);
 });
 
+/** Values of a constant table in another package's source, which this package does not depend on. */
+function listValues(file: string, table: string): readonly string[] {
+    const text = fs.readFileSync(path.join(root, file), "utf8");
+    const body = new RegExp(`const ${table} = \\{([^]*?)\\n\\} as const`).exec(text)?.[1] ?? "";
+    return [...body.matchAll(/^ {4}\w+: "(.+)",$/gm)].map(match => match[1] ?? "");
+}
+
+suite("the page of planned stops has every reason to wait", () => {
+    const page = fs.readFileSync(path.join(root, "docs/operations/planned-stops.md"), "utf8");
+    const rows = [...page.matchAll(/^\| `([a-z-]+)` \|/gm)].map(match => match[1]);
+    const reasons = listValues("packages/planner/src/draft.ts", "WaitReason");
+    assert.ok(reasons.length > 0);
+    assert.equal(reasons.filter(reason => !rows.includes(reason)), []);
+});
+
 suite("every link leads to a file", () => {
     for (const file of listDocuments()) {
         const text = fs.readFileSync(path.join(root, file), "utf8");
