Explain refusals of the fold, and leave renewals out of the log's tail

Weighed: sentences made by the entry process. Ruled out: the code is what scripts compare, and it stays in the text.

Conclusion: the schema says "applied" where the entry process does.

--- a/packages/cli/src/change.ts
+++ b/packages/cli/src/change.ts
@@ -5,6 +5,7 @@
 import * as neverthrow from "neverthrow";
 import * as commandError from "./command-error.js";
 import * as problem from "./problem.js";
+import * as refusal from "./refusal.js";
 import * as transport from "./transport.js";
 
 /** A change and what its operator should do when it does not simply succeed. */
@@ -12,6 +13,8 @@
     /** What is changed, for messages. */
     readonly subject: string;
     readonly question: transport.Question;
+    /** What a conflict means here. */
+    readonly conflictReason: string;
     /** Next step after a conflict, given the version that won. */
     readonly conflictStep: (winningVersion: number) => string;
     /** Next step when the change may have taken effect. */
@@ -37,20 +40,22 @@
         neverthrow.err(
             commandError.createError(
                 commandError.CommandFault.conflict,
-                `${change.subject}: ${answer.reason}${describeVersion(answer.version)}`,
+                `${change.subject}: ${change.conflictReason}${describeVersion(answer.version)}`,
                 change.conflictStep(answer.version),
                 answer,
             ),
         ),
-    invalid: (change, answer) =>
-        neverthrow.err(
+    invalid: (change, answer) => {
+        const { text, nextStep } = refusal.explainRefusal(answer.reason);
+        return neverthrow.err(
             commandError.createError(
                 commandError.CommandFault.invalid,
-                `${change.subject}: ${answer.reason}`,
-                "Correct it and run the command again. Nothing was changed.",
+                `${change.subject}: ${text}`,
+                nextStep ?? "Correct it and run the command again. Nothing was changed.",
                 answer,
             ),
-        ),
+        );
+    },
     unknown: (change, answer) => neverthrow.err(createUnknown(change, answer.reason, answer)),
 };
 
--- a/packages/cli/src/command-line.test.ts
+++ b/packages/cli/src/command-line.test.ts
@@ -81,8 +81,9 @@
 });
 
 suite("follows the log until it is interrupted", async () => {
-    const entry = { appendedAt: operatorPort.startedAt, body: { kind: "session-renewed", author: "s1" } };
-    const pages = [{ entries: [{ ...entry, offset: 42 }], nextOffset: 43 }, { entries: [], nextOffset: 43 }];
+    const entry = { appendedAt: operatorPort.startedAt, body: { kind: "session-opened", author: "s1" } };
+    const renewal = { ...entry, offset: 43, body: { kind: "session-renewed", author: "s1" } };
+    const pages = [{ entries: [{ ...entry, offset: 42 }, renewal], nextOffset: 44 }, { entries: [], nextOffset: 44 }];
     let page = 0;
     const tail = operatorPort.reply({ entries: [{ ...entry, offset: 41 }], nextOffset: 42, oldestOffset: 0 });
     const later: operatorPort.Route = () => ({
@@ -92,9 +93,9 @@
     const result = await operatorPort.runAgainst(
         {
             "GET /operator/status": operatorPort.reply(operatorPort.createStatus([])),
-            "GET /operator/log?from=22&limit=200": tail,
+            "GET /operator/log?from=0&limit=200": tail,
             "GET /operator/log?from=42&limit=200": later,
-            "GET /operator/log?from=43&limit=200": later,
+            "GET /operator/log?from=44&limit=200": later,
         },
         ["log", "tail", "--follow", "--json"],
         { sleeps: 2 },
--- a/packages/cli/src/commands/config.ts
+++ b/packages/cli/src/commands/config.ts
@@ -123,6 +123,7 @@
     return {
         subject: "configuration",
         question: { method: "POST", path: "/operator/configurations", body, answerTimeoutMs: change.changeTimeoutMs },
+        conflictReason: "another change came first",
         conflictStep: version =>
             `See \`catkinwharf config diff ${file}\`, carry the other change over, `
             + `then publish with --expect-version ${version}.`,
--- a/packages/cli/src/commands/log.ts
+++ b/packages/cli/src/commands/log.ts
@@ -9,8 +9,12 @@
 import * as reportingCommand from "../reporting-command.js";
 import * as wholeNumber from "../whole-number.js";
 
-/** Records shown without --from. */
-const defaultTail = 20;
+/** Records read back from the head without --from. */
+const defaultTail = 100;
+/** Verdict of records that changed the state. */
+const appliedVerdict = "applied";
+/** Kinds that come every second from every entry instance. */
+const renewalKinds: ReadonlySet<unknown> = new Set(["session-renewed", "lease-renewed"]);
 const pageSize = 200;
 const pollMs = 1_000;
 
@@ -20,10 +24,12 @@
     static override usage = clipanion.Command.Usage({
         category: "Fleet",
         description: "Print the newest records of the fleet's log, with what became of each.",
-        details: "With --json, one JSON document a line.",
+        details: "Renewals of sessions and of the coordinator lease are left out without --all. With --json, one JSON "
+            + "document a line.",
     });
 
     from = clipanion.Option.String("--from", { description: "Offset to start at." });
+    all = clipanion.Option.Boolean("--all", false, { description: "Show renewals too." });
     follow = clipanion.Option.Boolean("--follow", false, { description: "Go on with new records until interrupted." });
 
     protected async ask(client: operatorClient.OperatorClient): Promise<reportingCommand.CommandResult> {
@@ -64,15 +70,17 @@
         if (page.oldestOffset > from) {
             this.notify(`note: records ${from} to ${page.oldestOffset - 1} are no longer kept`);
         }
-        for (const entry of page.entries) {
+        const shown = page.entries.filter(entry => this.all || !renewalKinds.has(entry.body["kind"]));
+        for (const entry of shown) {
             this.print(this.json ? JSON.stringify(entry) : renderEntry(entry));
         }
     }
 }
 
 function renderEntry(entry: schema.operator.LogEntry): string {
-    const { kind, author, ...rest } = entry.body;
-    const verdict = entry.verdict === undefined ? "" : ` [${entry.verdict}]`;
-    const time = rendering.renderTime(entry.appendedAt);
-    return `${entry.offset} ${time} ${String(kind)} by ${String(author)}${verdict} ${JSON.stringify(rest)}`;
+    const details = Object.entries(entry.body).filter(([name]) => !["kind", "id", "author"].includes(name));
+    const isPlain = entry.verdict === undefined || entry.verdict === appliedVerdict;
+    const verdict = isPlain ? "" : ` [changed nothing: ${entry.verdict}]`;
+    const head = `${entry.offset} ${rendering.renderTime(entry.appendedAt)} ${String(entry.body["kind"])}`;
+    return `${head} by ${String(entry.body["author"])}${verdict} ${JSON.stringify(Object.fromEntries(details))}`;
 }
--- a/packages/cli/src/commands/profile.ts
+++ b/packages/cli/src/commands/profile.ts
@@ -76,6 +76,7 @@
     return {
         subject: `profile ${profile.name}`,
         question: { method: "POST", path: "/operator/profiles", body, answerTimeoutMs: change.changeTimeoutMs },
+        conflictReason: "another change came first",
         conflictStep: version =>
             `Look at it with \`catkinwharf profile list\`, then publish with --expect-version ${version}.`,
         unknownStep: "Look at `catkinwharf profile list`. Publishing again with "
--- a/packages/cli/src/commands/stop.ts
+++ b/packages/cli/src/commands/stop.ts
@@ -113,6 +113,7 @@
     return {
         subject: `stop ${stop.name}`,
         question: { method: "POST", path: "/operator/stops", body, answerTimeoutMs: change.changeTimeoutMs },
+        conflictReason: "a stop of this name was announced before",
         conflictStep: () => "See `catkinwharf stop list`; if it is another stop, choose another name.",
         unknownStep: "Look at `catkinwharf stop list`. Announcing it again under the same name is safe: "
             + "a name is taken only once.",
@@ -127,6 +128,7 @@
             path: `/operator/stops/${encodeURIComponent(name)}`,
             answerTimeoutMs: change.changeTimeoutMs,
         },
+        conflictReason: "another change came first",
         conflictStep: () => "See `catkinwharf stop list` for its state.",
         unknownStep: "Look at `catkinwharf stop list`. Cancelling it again is safe.",
     };
--- a/packages/cli/src/session.test.ts
+++ b/packages/cli/src/session.test.ts
@@ -69,7 +69,7 @@
             if (body["expectedVersion"] !== version) {
                 return {
                     status: 409,
-                    body: operatorPort.createAnswer("conflict", version, "another version was expected"),
+                    body: operatorPort.createAnswer("conflict", version, "conflict"),
                 };
             }
             version += 1;
@@ -78,8 +78,8 @@
         },
         "POST /operator/stops": operatorPort.reply(operatorPort.createAnswer("accepted", 0)),
         "DELETE /operator/stops/kernel-12": operatorPort.reply(
-            operatorPort.createAnswer("conflict", 0, "the stop has ended"),
-            409,
+            operatorPort.createAnswer("invalid", 0, "stop-cancelled"),
+            422,
         ),
         "GET /operator/status": () => {
             const status = operatorPort.createStatus([stops[Math.min(stop, stops.length - 1)]]);
@@ -104,7 +104,7 @@
                 offset: 41,
                 appendedAt: operatorPort.startedAt,
                 body: { kind: "stop-cancelled", id: "r1", author: "s1", stop: "kernel-12" },
-                verdict: "the stop has ended",
+                verdict: "stop-cancelled",
             }],
             nextOffset: 42,
             oldestOffset: 40,
