Add the platform's clients and the links between entry instances

Cause: the entry process needs the log with appends that are never made twice blindly, and questions to peers that tell not-sent from lost. Weighed: resolving an unknown append by a read that began after its failure, against asking the platform for an id (it has no such call); a question of a link waiting for a redial, against failing at once as not sent (chosen, so that the caller places it elsewhere). Ruled out: more than one append in flight for one stream (order); one shared HTTP connection for reads and appends (a long poll would hold appends back).

--- a/packages/peers/src/index.ts
+++ b/packages/peers/src/index.ts
@@ -1,1 +1,11 @@
-export {};
+/**
+ * Framed, authenticated connections between entry instances.
+ */
+export type { PeerHandlers } from "./accepted-connection.js";
+export * from "./counters.js";
+export type { HeartbeatContent } from "./dialed-connection.js";
+export type { PeerIdentity } from "./handshake.js";
+export type { PeerLimits } from "./limits.js";
+export * from "./link.js";
+export * from "./listener.js";
+export type { AnswerOutcome } from "./questions.js";
--- /dev/null
+++ b/packages/peers/src/link.test.ts
@@ -0,0 +1,256 @@
+import * as logger from "@catkinwharf/logger";
+import type * as schema from "@catkinwharf/schema";
+import * as net from "node:net";
+import * as uvu from "uvu";
+import * as assert from "uvu/assert";
+import * as peers from "./index.js";
+
+const host = "127.0.0.1";
+const peerKey = "a key for tests only";
+const limits: peers.PeerLimits = { heartbeatMs: 20, timeoutMs: 200, maxFrameBytes: 100_000, maxConnections: 40 };
+const answering: peers.PeerIdentity = { session: "session-b", entry: "entry-b", availabilityZone: "zone-a" };
+const asking: peers.PeerIdentity = { session: "session-a", entry: "entry-a", availabilityZone: "zone-a" };
+const load = { blind: false, leaving: false, appliedOffset: 0, digests: [], ejected: [] };
+const question = {
+    requestId: "request-1",
+    service: "service",
+    method: "POST",
+    path: "/",
+    headers: [],
+    body: Buffer.from("body"),
+    idempotent: false,
+    urgency: 3,
+    timeoutMs: 1000,
+};
+
+class Counts implements peers.PeerCounters {
+    readonly reasons: string[] = [];
+    count(_name: string, reason: string): void {
+        this.reasons.push(reason);
+    }
+}
+
+const echo: peers.PeerHandlers = {
+    "heartbeat": message => ({ ...load, kind: "heartbeat-answer", exchange: message.exchange, session: "session-b" }),
+    "dispatch": async message => ({ ...dispatchAnswer, exchange: message.exchange, body: message.body }),
+    "key-query": async message => ({ ...keyAnswer, exchange: message.exchange }),
+    "records-query": async message => ({
+        kind: "records-answer",
+        exchange: message.exchange,
+        entries: [],
+        nextOffset: 7,
+    }),
+    "goodbye": () => undefined,
+};
+const dispatchAnswer: schema.peer.DispatchAnswer = {
+    kind: "dispatch-answer",
+    exchange: 0,
+    outcome: "answered",
+    reason: "",
+    status: 200,
+    headers: [],
+    body: Buffer.alloc(0),
+};
+const keyAnswer: schema.peer.KeyAnswer = {
+    kind: "key-answer",
+    exchange: 0,
+    state: "running",
+    status: 0,
+    headers: [],
+    body: Buffer.alloc(0),
+};
+
+const cleanups: (() => unknown)[] = [];
+
+async function listen(handlers: Partial<peers.PeerHandlers> = {}, counts = new Counts()): Promise<peers.PeerListener> {
+    const listener = await peers.listenForPeers({
+        listener: { host, port: 0 },
+        identity: answering,
+        peerKey,
+        handlers: { ...echo, ...handlers },
+        limits,
+        counters: counts,
+        logger: logger.silentLogger,
+    });
+    cleanups.push(() => listener.close());
+    return listener;
+}
+
+function link(port: number, changes: Partial<peers.PeerLinkOptions> = {}): peers.PeerLink {
+    const created = new peers.PeerLink({
+        address: { host, port },
+        expected: answering,
+        identity: asking,
+        peerKey,
+        limits,
+        clock: () => performance.now(),
+        counters: new Counts(),
+        logger: logger.silentLogger,
+        makeHeartbeat: () => ({ ...load, session: asking.session }),
+        onHeartbeatAnswer: () => undefined,
+        ...changes,
+    });
+    cleanups.push(() => created.close());
+    return created;
+}
+
+/** Waits for a condition; the bound only turns a hang into a failure. */
+async function waitFor(condition: () => boolean): Promise<void> {
+    const hangsAt = performance.now() + 20_000;
+    while (!condition()) {
+        assert.ok(performance.now() < hangsAt, `never came true: ${condition}`);
+        await new Promise(resolve => setTimeout(resolve, 5));
+    }
+}
+
+/** Forwards bytes until it is frozen; then the connections that stand go silent and new ones work. */
+async function createFreezingProxy(target: number): Promise<{ port: number; freeze(): void; reset(): void; }> {
+    const sockets = new Set<net.Socket>();
+    const frozen = new Set<net.Socket>();
+    const server = net.createServer(client => {
+        const upstream = net.connect(target, host);
+        client.pipe(upstream).pipe(client);
+        [client, upstream].forEach(socket => socket.on("error", () => undefined));
+        sockets.add(client);
+        client.on("close", () => upstream.destroy());
+        upstream.on("close", () => frozen.has(client) || client.destroy());
+        cleanups.push(() => client.destroy());
+    });
+    await new Promise<void>(resolve => server.listen(0, host, resolve));
+    cleanups.push(() => server.close());
+    return {
+        port: (server.address() as net.AddressInfo).port,
+        freeze: () =>
+            sockets.forEach(socket => {
+                frozen.add(socket);
+                socket.unpipe().pause();
+            }),
+        reset: () => sockets.forEach(socket => socket.resetAndDestroy()),
+    };
+}
+
+const suite = uvu.suite("peer link");
+
+suite.after.each(async () => {
+    for (const cleanup of cleanups.splice(0).reverse()) {
+        await cleanup();
+    }
+});
+
+suite("asks each kind of question and gets its answer", async () => {
+    const listener = await listen();
+    const connected = link(listener.port);
+    await waitFor(() => connected.lastAnsweredAt !== undefined);
+    assert.is(connected.state, "connected");
+    const answer = (await connected.dispatch(question, 5000))._unsafeUnwrap();
+    assert.is(Buffer.from(answer.body).toString(), "body");
+    const key = await connected.queryKey({ key: "key", requestId: "request-1", waitMs: 0 }, 5000);
+    assert.is(key._unsafeUnwrap().state, "running");
+    assert.is((await connected.queryRecords({ from: 7 }, 5000))._unsafeUnwrap().nextOffset, 7);
+});
+
+suite("tells a refused dial from a lost question", async () => {
+    const listener = await listen({ dispatch: () => new Promise(() => undefined) });
+    const proxy = await createFreezingProxy(listener.port);
+    const connected = link(proxy.port);
+    await waitFor(() => connected.state === "connected");
+    const asked = connected.dispatch(question, 5000);
+    proxy.reset();
+    assert.is((await asked)._unsafeUnwrapErr().fault, "lost");
+    const gone = link(await findClosedPort());
+    assert.is((await gone.dispatch(question, 5000))._unsafeUnwrapErr().fault, "unreachable");
+    await waitFor(() => gone.state === "refused");
+    assert.is((await gone.dispatch(question, 5000))._unsafeUnwrapErr().fault, "connection-refused");
+});
+
+suite("gives up a silent connection and goes on over a new one", async () => {
+    const listener = await listen({ dispatch: () => new Promise(() => undefined) });
+    const proxy = await createFreezingProxy(listener.port);
+    const connected = link(proxy.port);
+    await waitFor(() => connected.lastAnsweredAt !== undefined);
+    const asked = connected.dispatch(question, 60_000);
+    proxy.freeze();
+    assert.is((await asked)._unsafeUnwrapErr().fault, "lost");
+    const lostAt = performance.now();
+    await waitFor(() => connected.state === "connected" && connected.lastAnsweredAt! > lostAt);
+});
+
+suite("refuses a wrong key on both sides", async () => {
+    const counts = new Counts();
+    const listener = await listen({}, counts);
+    const stranger = link(listener.port, { peerKey: "another key for tests" });
+    await waitFor(() => counts.reasons.includes("wrong-key"));
+    await waitFor(() => stranger.state === "unreachable");
+    const answer = await stranger.dispatch(question, 5000);
+    assert.is(answer._unsafeUnwrapErr().fault, "unreachable");
+});
+
+suite("refuses another session than the expected one", async () => {
+    const listener = await listen();
+    const stranger = link(listener.port, { expected: { ...answering, session: "session-gone" } });
+    await waitFor(() => stranger.state === "strange");
+    assert.is((await stranger.dispatch(question, 5000))._unsafeUnwrapErr().fault, "strange");
+});
+
+suite("aborts a dispatch that is cancelled, and one whose connection is lost", async () => {
+    let aborted = 0;
+    const running: AbortSignal[] = [];
+    const listener = await listen({
+        dispatch: (message, _from, signal) =>
+            new Promise(resolve => {
+                running.push(signal);
+                signal.addEventListener("abort", () => {
+                    aborted += 1;
+                    resolve({
+                        ...dispatchAnswer,
+                        exchange: message.exchange,
+                        outcome: "not-run",
+                        reason: "caller-gone",
+                    });
+                });
+            }),
+    });
+    const connected = link(listener.port);
+    await waitFor(() => connected.state === "connected");
+    const controller = new AbortController();
+    const cancelled = connected.dispatch(question, 5000, controller.signal);
+    await waitFor(() => running.length === 1);
+    controller.abort();
+    assert.is((await cancelled)._unsafeUnwrap().outcome, "not-run");
+    void connected.dispatch(question, 5000);
+    await waitFor(() => running.length === 2);
+    connected.close();
+    await waitFor(() => aborted === 2);
+});
+
+suite("survives garbage, oversized frames and silence on the peer port", async () => {
+    const counts = new Counts();
+    const listener = await listen({}, counts);
+    const garbage = [
+        Buffer.from("GET / HTTP/1.1\r\n\r\n"),
+        Buffer.from([0, 0, 0, 2, 0xff, 0xff]),
+        Buffer.from([0, 0, 0, 1, 0x01]),
+        Buffer.alloc(0),
+    ];
+    for (const bytes of garbage) {
+        const socket = net.connect(listener.port, host);
+        cleanups.push(() => socket.destroy());
+        socket.on("error", () => undefined);
+        socket.write(bytes);
+    }
+    const expected = ["oversized-frame", "undecodable-frame", "wrong-schema", "handshake-timeout"];
+    await waitFor(() => expected.every(reason => counts.reasons.includes(reason)));
+    const connected = link(listener.port);
+    await waitFor(() => connected.state === "connected");
+    assert.is(listener.connections, 1);
+});
+
+async function findClosedPort(): Promise<number> {
+    const server = net.createServer();
+    await new Promise<void>(resolve => server.listen(0, host, resolve));
+    const port = (server.address() as net.AddressInfo).port;
+    await new Promise(resolve => server.close(resolve));
+    return port;
+}
+
+suite.run();
--- a/packages/platform/src/index.ts
+++ b/packages/platform/src/index.ts
@@ -1,1 +1,11 @@
-export {};
+/**
+ * Typed clients of the platform: log service, membership list and control of instances.
+ */
+export type { AppendOutcome, AppendRecord } from "./append-queue.js";
+export * from "./control.js";
+export * from "./counters.js";
+export type { EntrySource, LogEntry, StreamHandlers } from "./follower.js";
+export * from "./membership.js";
+export type { ServiceOptions } from "./service.js";
+export * from "./snapshots.js";
+export * from "./stream.js";
