--- a/packages/cli/src/commands/status.ts
+++ b/packages/cli/src/commands/status.ts
@@ -24,18 +24,28 @@
         category: "Fleet",
         description: "Show the configuration in force by entry instance and zone, pools, stops and coordinator.",
         details: "The answer is what the asked entry instance knows. Versions of other entry instances are those of "
-            + "their last renewal in the platform's log; one that is not reachable may have gone on since.",
+            + "their last renewal in the platform's log; one that is not reachable may have gone on since, but never "
+            + "back.",
     });
 
     protected async ask(client: operatorClient.OperatorClient): Promise<reportingCommand.CommandResult> {
         const answered = await client.readStatus();
         return answered.map(status => {
-            const zones = summarizeZones(status.sessions);
-            return { document: { ...status, zones }, text: renderStatus(status, zones) };
+            const current = { ...status, sessions: updateOwnSession(status) };
+            const zones = summarizeZones(current.sessions);
+            return { document: { ...current, zones }, text: renderStatus(current, zones) };
         });
     }
 }
 
+/** The asked entry instance knows its own version better than its last renewal does. */
+function updateOwnSession(status: schema.operator.StatusAnswer): schema.operator.SessionStatus[] {
+    const { configurationVersion, appliedOffset } = status;
+    return status.sessions.map(session =>
+        session.session === status.session ? { ...session, configurationVersion, appliedOffset } : session
+    );
+}
+
 /** Lowest and highest version in force by availability zone, in order of name. */
 export function summarizeZones(sessions: readonly schema.operator.SessionStatus[]): readonly ZoneSummary[] {
     const names = [...new Set(sessions.map(session => session.availabilityZone))].sort();
--- a/packages/cli/src/testing/operator-port.ts
+++ b/packages/cli/src/testing/operator-port.ts
@@ -157,7 +157,14 @@
 export function createStatus(stops: readonly unknown[]): Record<string, unknown> {
     const session = { appliedOffset: 42, renewedAt: startedAt, homes: 9, configurationVersion: 3 };
     const sessions = [
-        { ...session, session: "s1", entry: "entry-a1", availabilityZone: "brno-a", reachable: true },
+        {
+            ...session,
+            session: "s1",
+            entry: "entry-a1",
+            availabilityZone: "brno-a",
+            reachable: true,
+            configurationVersion: 1,
+        },
         { ...session, session: "s2", entry: "entry-b1", availabilityZone: "brno-b", reachable: false },
     ];
     return {
