Share all but one shard when a map of the fleet state changes

Cause: copying whole maps took 1165 us for a drain at 7,200 instances and 59 us for a renewal at 240 sessions; renewed once a second each, that is 1.4% of a core for renewals alone.

Weighed: a mutable state with undo (each reader that keeps a state would have to copy it), and a library for persistent maps (none is installed). Rendezvous hashes each session once for all instances of a zone instead of once for each.

--- a/packages/fleet-state/src/change.ts
+++ b/packages/fleet-state/src/change.ts
@@ -3,6 +3,7 @@
  */
 import type * as schema from "@catkinwharf/schema";
 import type * as model from "./model.js";
+import * as shardedMap from "./shardedMap.js";
 import * as verdict from "./verdict.js";
 
 /** Result of a handler: the state after the record, or the reason why the record changes nothing. */
@@ -35,15 +36,17 @@
 }
 
 /** A copy of the map with one more or one other value. */
-export function withValue<Value>(map: ReadonlyMap<string, Value>, key: string, value: Value): Map<string, Value> {
-    return new Map(map).set(key, value);
+export function withValue<Value>(
+    map: ReadonlyMap<string, Value>,
+    key: string,
+    value: Value,
+): ReadonlyMap<string, Value> {
+    return shardedMap.ShardedMap.from(map).with(key, value);
 }
 
 /** A copy of the map without one key. */
-export function withoutKey<Value>(map: ReadonlyMap<string, Value>, key: string): Map<string, Value> {
-    const copy = new Map(map);
-    copy.delete(key);
-    return copy;
+export function withoutKey<Value>(map: ReadonlyMap<string, Value>, key: string): ReadonlyMap<string, Value> {
+    return shardedMap.ShardedMap.from(map).without(key);
 }
 
 export function withInstance(state: model.FleetState, instance: model.InstanceState): model.FleetState {
--- a/packages/fleet-state/src/homes.ts
+++ b/packages/fleet-state/src/homes.ts
@@ -6,11 +6,11 @@
 import * as model from "./model.js";
 import * as rendezvous from "./rendezvous.js";
 import * as selectors from "./selectors.js";
+import * as shardedMap from "./shardedMap.js";
 
 /** The instance with a home chosen anew among the open sessions of its availability zone. */
 export function chooseAnew(state: model.FleetState, instance: model.InstanceState): model.InstanceState {
-    const sessions = selectors.openSessionsOfZone(state, instance.instance.availabilityZone);
-    return rehome(instance, sessions.map(session => session.session));
+    return rehome(instance, prepareChoice(state, instance.instance.availabilityZone));
 }
 
 /** All instances after a session of the availability zone opened; `state` holds the session already. */
@@ -18,12 +18,12 @@
     state: model.FleetState,
     availabilityZone: string,
 ): ReadonlyMap<string, model.InstanceState> {
-    const sessions = selectors.openSessionsOfZone(state, availabilityZone).map(session => session.session);
+    const choose = prepareChoice(state, availabilityZone);
     return mapZone(state, availabilityZone, instance => {
         if (!isInUse(instance)) {
             return instance;
         }
-        return instance.home === undefined ? rehome(instance, sessions) : planNextHome(instance, sessions);
+        return instance.home === undefined ? rehome(instance, choose) : planNextHome(instance, choose);
     });
 }
 
@@ -33,12 +33,12 @@
     availabilityZone: string,
     closed: string,
 ): ReadonlyMap<string, model.InstanceState> {
-    const sessions = selectors.openSessionsOfZone(state, availabilityZone).map(session => session.session);
+    const choose = prepareChoice(state, availabilityZone);
     return mapZone(state, availabilityZone, instance => {
         if (instance.home === closed) {
-            return instance.phase === model.Phase.draining ? release(instance) : rehome(instance, sessions);
+            return instance.phase === model.Phase.draining ? release(instance) : rehome(instance, choose);
         }
-        return instance.nextHome === closed ? planNextHome(instance, sessions) : instance;
+        return instance.nextHome === closed ? planNextHome(instance, choose) : instance;
     });
 }
 
@@ -53,17 +53,17 @@
     };
 }
 
-function rehome(instance: model.InstanceState, sessions: readonly string[]): model.InstanceState {
+function rehome(instance: model.InstanceState, choose: rendezvous.Choice): model.InstanceState {
     return {
         ...instance,
-        home: rendezvous.chooseHome(instance.instance.name, sessions),
+        home: choose(instance.instance.name),
         nextHome: undefined,
         generation: instance.generation + 1,
     };
 }
 
-function planNextHome(instance: model.InstanceState, sessions: readonly string[]): model.InstanceState {
-    const best = rendezvous.chooseHome(instance.instance.name, sessions);
+function planNextHome(instance: model.InstanceState, choose: rendezvous.Choice): model.InstanceState {
+    const best = choose(instance.instance.name);
     const nextHome = best === instance.home ? undefined : best;
     return nextHome === instance.nextHome ? instance : { ...instance, nextHome };
 }
@@ -72,16 +72,18 @@
     return instance.phase === model.Phase.active || instance.phase === model.Phase.draining;
 }
 
+/** All instances, those of the availability zone changed. */
 function mapZone(
     state: model.FleetState,
     availabilityZone: string,
     change: (instance: model.InstanceState) => model.InstanceState,
 ): ReadonlyMap<string, model.InstanceState> {
-    const instances = new Map(state.instances);
-    for (const [name, instance] of state.instances) {
-        if (instance.instance.availabilityZone === availabilityZone) {
-            instances.set(name, change(instance));
-        }
-    }
-    return instances;
+    return shardedMap.ShardedMap.from(state.instances).mapValues(instance =>
+        instance.instance.availabilityZone === availabilityZone ? change(instance) : instance
+    );
+}
+
+function prepareChoice(state: model.FleetState, availabilityZone: string): rendezvous.Choice {
+    const sessions = selectors.openSessionsOfZone(state, availabilityZone);
+    return rendezvous.prepareChoice(sessions.map(session => session.session));
 }
--- a/packages/fleet-state/src/model.ts
+++ b/packages/fleet-state/src/model.ts
@@ -4,6 +4,7 @@
  */
 import type * as schema from "@catkinwharf/schema";
 import * as idWindow from "./idWindow.js";
+import * as shardedMap from "./shardedMap.js";
 
 /** A published value and the version that its publication gave it. */
 export interface Versioned<Value> {
@@ -132,11 +133,11 @@
 export const emptyFleetState: FleetState = {
     nextOffset: 0,
     configuration: undefined,
-    profiles: new Map(),
-    sessions: new Map(),
+    profiles: shardedMap.ShardedMap.empty(),
+    sessions: shardedMap.ShardedMap.empty(),
     lease: { session: undefined, epoch: 0, offset: -1, renewedAt: 0 },
-    instances: new Map(),
-    stops: new Map(),
+    instances: shardedMap.ShardedMap.empty(),
+    stops: shardedMap.ShardedMap.empty(),
     recentIds: idWindow.createIdWindow(recentIdCount),
     closedSessions: idWindow.createIdWindow(closedSessionCount),
     generationFloor: 0,
--- a/packages/fleet-state/src/properties.test.ts
+++ b/packages/fleet-state/src/properties.test.ts
@@ -5,6 +5,7 @@
 import * as histories from "./histories.test.js";
 import * as idWindow from "./idWindow.js";
 import * as fleetState from "./index.js";
+import * as shardedMap from "./shardedMap.js";
 
 const suite = uvu.suite("properties of the fold");
 
@@ -196,4 +197,31 @@
     assert.equal(idWindow.restoreIds(500, idWindow.listIds(window)), window);
 });
 
+suite("a sharded map acts as a map, and its older copies stay as they were", () => {
+    const changes = fc.array(fc.tuple(fc.stringMatching(/^[a-e]{1,2}$/), fc.option(fc.nat(), { nil: undefined })));
+    fc.assert(
+        fc.property(changes, list => {
+            const expected = new Map<string, number>();
+            let actual = shardedMap.ShardedMap.empty<number>();
+            for (const [key, value] of list) {
+                const [before, copy] = [actual, [...actual]];
+                actual = value === undefined ? actual.without(key) : actual.with(key, value);
+                if (value === undefined) {
+                    expected.delete(key);
+                }
+                else {
+                    expected.set(key, value);
+                }
+                assert.equal([...before], copy);
+                assert.equal(new Map(actual), expected);
+                assert.equal([actual.size, actual.get(key)], [expected.size, value]);
+            }
+            assert.equal(new Map(shardedMap.ShardedMap.from(expected)), expected);
+            const doubled = [...expected].map(([key, value]) => [key, value * 2] as const);
+            assert.equal(new Map(actual.mapValues(value => value * 2)), new Map(doubled));
+        }),
+        histories.parameters,
+    );
+});
+
 suite.run();
--- a/packages/fleet-state/src/stopProgress.ts
+++ b/packages/fleet-state/src/stopProgress.ts
@@ -46,10 +46,10 @@
     if (waiting.length === 0) {
         return stops;
     }
-    const changed = new Map(stops);
-    for (const [name, stop] of waiting) {
-        changed.set(name, addFailed(stop, instance));
-    }
+    const changed = waiting.reduce(
+        (kept, [name, stop]) => change.withValue(kept, name, addFailed(stop, instance)),
+        stops,
+    );
     return dropOldFinished(changed);
 }
 
@@ -60,11 +60,9 @@
         return stops;
     }
     finished.sort((left, right) => left.offset - right.offset);
-    const kept = new Map(stops);
-    for (const stop of finished.slice(0, finished.length - finishedStopCount)) {
-        kept.delete(stop.stop.name);
-    }
-    return kept;
+    return finished
+        .slice(0, finished.length - finishedStopCount)
+        .reduce((kept, stop) => change.withoutKey(kept, stop.stop.name), stops);
 }
 
 function addReturned(stop: model.StopState, instance: string): model.StopState {
--- a/packages/fleet-state/src/storage.ts
+++ b/packages/fleet-state/src/storage.ts
@@ -8,6 +8,7 @@
 import * as idWindow from "./idWindow.js";
 import * as model from "./model.js";
 import * as selectors from "./selectors.js";
+import * as shardedMap from "./shardedMap.js";
 
 /** The state as plain JSON; lists are sorted by name. */
 export function storeState(state: model.FleetState): schema.log.Snapshot["state"] {
@@ -30,11 +31,13 @@
     return {
         nextOffset: stored.nextOffset,
         configuration: stored.configuration,
-        profiles: new Map(stored.profiles.map(profile => [profile.value.name, profile])),
-        sessions: new Map(stored.sessions.map(session => [session.session, session])),
+        profiles: shardedMap.ShardedMap.from(stored.profiles.map(profile => [profile.value.name, profile])),
+        sessions: shardedMap.ShardedMap.from(stored.sessions.map(session => [session.session, session])),
         lease: { ...stored.lease, session: stored.lease.session },
-        instances: new Map(stored.instances.map(instance => [instance.instance.name, restoreInstance(instance)])),
-        stops: new Map(stored.stops.map(stop => [stop.stop.name, stop])),
+        instances: shardedMap.ShardedMap.from(
+            stored.instances.map(instance => [instance.instance.name, restoreInstance(instance)]),
+        ),
+        stops: shardedMap.ShardedMap.from(stored.stops.map(stop => [stop.stop.name, stop])),
         recentIds: idWindow.restoreIds(model.recentIdCount, stored.recentIds),
         closedSessions: idWindow.restoreIds(model.closedSessionCount, stored.closedSessions),
         generationFloor: stored.generationFloor,
