Add the stand-ins, the fault proxy and the launcher

Cause: entry processes are to be tested as real processes, under faults of the platform, of backend servers and of the network between them. Ruled out: an accepting proxy that hides a target that has gone (a refused connection is evidence that the fence rule uses); a route for each pair of zones (an entry process advertises one address). The launcher has not started an entry process yet. Conclusion: zones are cut off by the source address of connections (`sourceHost`); docs/design/stand-ins.md names the limits.

--- /dev/null
+++ b/packages/test-utils/src/launcher/deployment.ts
@@ -0,0 +1,234 @@
+/**
+ * A running deployment on loopback, whose entry processes can be killed and started again.
+ */
+import type * as schema from "@catkinwharf/schema";
+import * as crypto from "node:crypto";
+import * as fs from "node:fs";
+import * as path from "node:path";
+import * as timers from "node:timers/promises";
+import * as undici from "undici";
+import type * as faultProxy from "../proxy/fault-proxy.js";
+import * as standIn from "../stand-in.js";
+import * as controlClient from "./control-client.js";
+import * as deploymentPlan from "./deployment-plan.js";
+import * as entrySettings from "./entry-settings.js";
+import * as processes from "./process.js";
+
+/** The running platform stand-in. */
+export interface RunningPlatform extends StandInPorts {
+    readonly handle: processes.ProcessHandle;
+}
+
+/** A running backend server stand-in. */
+export interface RunningBackendServer extends RunningPlatform, deploymentPlan.PlannedInstance {
+    /** Port that the membership list names: the fault proxy's, if there is one. */
+    readonly memberPort: number;
+}
+
+/** The running fault proxy. */
+export interface RunningProxy extends faultProxy.ProxyPorts {
+    readonly handle: processes.ProcessHandle;
+}
+
+/** A running entry process. */
+export interface RunningEntry {
+    readonly name: string;
+    readonly availabilityZone: string;
+    readonly callerUrl: string;
+    readonly operatorUrl: string;
+    readonly handle: processes.ProcessHandle;
+    readonly settingsFile: string;
+}
+
+interface StandInPorts {
+    readonly port: number;
+    readonly controlPort: number;
+}
+
+interface EntryPorts {
+    readonly callerPort: number;
+    readonly operatorPort: number;
+    readonly peerPort: number;
+}
+
+interface EntryPlace extends deploymentPlan.PlannedEntry {
+    readonly platformPort: number;
+    readonly peerPort: number;
+    readonly advertisedPort: number;
+}
+
+const entryScript = path.resolve(import.meta.dirname, "../../../entry/dist/bin/catkinwharfd.js");
+const readyLimitMs = 30_000;
+const readyPollMs = 50;
+
+/** A deployment that runs until it is stopped. */
+export class RunningDeployment {
+    /** Key that operators present. */
+    readonly operatorKey = crypto.randomBytes(16).toString("hex");
+    /** Entry processes that were started last under each name. */
+    entries: readonly RunningEntry[] = [];
+    /** Availability zones that are cut off. */
+    readonly cutZones = new Set<string>();
+    private readonly peerKey = crypto.randomBytes(16).toString("hex");
+    private readonly places = new Map<string, EntryPlace>();
+
+    constructor(
+        readonly deployment: schema.settings.Deployment,
+        readonly platform: RunningPlatform,
+        readonly backendServers: readonly RunningBackendServer[],
+        /** The fault proxy, if the deployment is proxied. */
+        readonly proxy: RunningProxy | undefined,
+        private readonly folder: string,
+        private readonly overrides: entrySettings.DeepPartial<schema.settings.EntrySettings>,
+    ) {}
+
+    /** Control port of the fault proxy, if the deployment is proxied. */
+    get proxyControl(): number | undefined {
+        return this.proxy?.controlPort;
+    }
+
+    /** Configuration to publish. */
+    configuration(): schema.log.Configuration {
+        return deploymentPlan.createConfiguration(this.deployment);
+    }
+
+    /** Profiles to publish. */
+    profiles(): readonly schema.log.Profile[] {
+        return this.deployment.profiles;
+    }
+
+    /** Chooses the ports of all entry processes, so that each can name the others. */
+    async placeEntries(): Promise<void> {
+        for (const entry of deploymentPlan.planEntries(this.deployment)) {
+            this.places.set(entry.name, await this.placeEntry(entry));
+        }
+    }
+
+    /** Starts an entry process that does not run. Resolves when it listens, which is before it is ready. */
+    async startEntry(name: string): Promise<RunningEntry> {
+        const place = this.places.get(name);
+        if (place === undefined) {
+            throw new Error(`no entry instance ${name}`);
+        }
+        const settingsFile = this.writeSettings(place);
+        const handle = processes.startProcess(entryScript, "--settings", settingsFile);
+        const ports = await handle.ready as EntryPorts;
+        const entry = {
+            name,
+            availabilityZone: place.availabilityZone,
+            callerUrl: `http://${standIn.loopbackHost}:${ports.callerPort}`,
+            operatorUrl: `http://${standIn.loopbackHost}:${ports.operatorPort}`,
+            handle,
+            settingsFile,
+        };
+        this.entries = [...this.entries.filter(other => other.name !== name), entry]
+            .sort((left, right) => left.name.localeCompare(right.name));
+        await this.registerEntry(place, "live");
+        return entry;
+    }
+
+    /** Kills an entry process; the membership list learns of it. */
+    async killEntry(name: string): Promise<void> {
+        const entry = this.findEntry(name);
+        processes.signalProcess(entry.handle, "SIGKILL");
+        await entry.handle.exited;
+        const place = this.places.get(name);
+        if (place !== undefined) {
+            await this.registerEntry(place, "gone");
+        }
+    }
+
+    /** The entry process that was started last under a name. */
+    findEntry(name: string): RunningEntry {
+        const entry = this.entries.find(candidate => candidate.name === name);
+        if (entry === undefined) {
+            throw new Error(`entry ${name} was not started`);
+        }
+        return entry;
+    }
+
+    /** Waits until entry processes are ready; rejects with their output after 30 s. */
+    async waitReady(entryNames: readonly string[] = this.entries.map(entry => entry.name)): Promise<void> {
+        await Promise.all(entryNames.map(name => waitEntryReady(this.findEntry(name))));
+    }
+
+    /** Kills all processes and removes the settings files. */
+    async stop(): Promise<void> {
+        const standIns = [this.platform, ...this.backendServers, ...this.proxy === undefined ? [] : [this.proxy]];
+        await processes.killProcesses([...this.entries, ...standIns].map(running => running.handle));
+        fs.rmSync(this.folder, { recursive: true, force: true });
+    }
+
+    private async placeEntry(entry: deploymentPlan.PlannedEntry): Promise<EntryPlace> {
+        const peerPort = await entrySettings.findFreePort();
+        if (this.proxy === undefined) {
+            return { ...entry, peerPort, advertisedPort: peerPort, platformPort: this.platform.port };
+        }
+        const delayMs = this.deployment.latency.betweenZonesMs;
+        const targetHost = standIn.loopbackHost;
+        const platformPort = await controlClient.putRoute(this.proxy, {
+            name: `platform/${entry.name}`,
+            targetHost,
+            targetPort: this.platform.port,
+            delayMs,
+        });
+        const advertisedPort = await controlClient.putRoute(this.proxy, {
+            name: `peer/${entry.name}`,
+            targetHost,
+            targetPort: peerPort,
+            delayMs,
+            undelayedFrom: deploymentPlan.findSourcePrefix(this.deployment, entry.availabilityZone),
+        });
+        return { ...entry, peerPort, advertisedPort, platformPort };
+    }
+
+    private writeSettings(place: EntryPlace): string {
+        const others = [...this.places.values()].filter(other => other.name !== place.name);
+        const settings = entrySettings.createEntrySettings(place, {
+            platformPort: place.platformPort,
+            peerPort: place.peerPort,
+            advertisedPort: place.advertisedPort,
+            seedPorts: others.map(other => other.advertisedPort),
+            security: { peerKey: this.peerKey, operatorKey: this.operatorKey },
+        });
+        return entrySettings.writeSettings(this.folder, settings, this.overrides);
+    }
+
+    private async registerEntry(place: EntryPlace, state: schema.platform.Member["state"]): Promise<void> {
+        const member: schema.platform.Member = {
+            name: place.name,
+            role: "entry",
+            availabilityZone: place.availabilityZone,
+            rack: `rack-${place.availabilityZone}-entries`,
+            address: { host: standIn.loopbackHost, port: place.advertisedPort },
+            state,
+            boot: 1,
+            slots: 0,
+            connections: 0,
+            memoryGigabytes: 1,
+            accelerators: 0,
+        };
+        await controlClient.callControl(this.platform.controlPort, "PUT", `/membership/${place.name}`, member);
+    }
+}
+
+async function waitEntryReady(entry: RunningEntry): Promise<void> {
+    const limit = performance.now() + readyLimitMs;
+    while (!await isReady(entry)) {
+        if (performance.now() > limit) {
+            throw new Error(`${entry.name} is not ready: ${entry.handle.readOutput()}`);
+        }
+        await timers.setTimeout(readyPollMs);
+    }
+}
+
+async function isReady(entry: RunningEntry): Promise<boolean> {
+    try {
+        const answer = await undici.request(`${entry.operatorUrl}/readyz`);
+        await answer.body.dump();
+        return answer.statusCode === 200;
+    }
+    catch {
+        return false;
+    }
+}
