Planner: keep a reserve where it doesn't hold up the stop, settle returns, accept losses late

Cause: a pool with a rack in reserve held the whole wave up, a bad return was counted as available before its fault could be known, and a rack's loss lowered the promise once its instances were unregistered.

--- a/packages/planner/src/balance.ts
+++ b/packages/planner/src/balance.ts
@@ -4,7 +4,7 @@
 import type * as fleetState from "@catkinwharf/fleet-state";
 
 /** Time for which an instance can't serve before it is replaced, in ms. */
-export const replaceAfterMs = 120_000;
+export const replaceAfterMs = 300_000;
 
 /** A pool against its plan. */
 export interface Balance {
--- a/packages/planner/src/borrowing.ts
+++ b/packages/planner/src/borrowing.ts
@@ -2,7 +2,7 @@
  * Spare instances that join pools for the time of a stop, where the shorter wave is worth the moves.
  */
 import * as balance from "./balance.js";
-import type * as capacity from "./capacity.js";
+import * as capacity from "./capacity.js";
 import type * as context from "./context.js";
 import type * as draft from "./draft.js";
 import * as moves from "./moves.js";
@@ -20,6 +20,8 @@
     readonly remaining: number;
     /** Instances that may be out at once. */
     width: number;
+    /** Whether one of the instances goes with the first batch. */
+    readonly startsFirst: boolean;
 }
 
 /**
@@ -56,6 +58,7 @@
             pool,
             remaining: pool.instances.filter(one => remaining.has(one.name)).length,
             width: Math.min(pool.instances.length, pool.planned) - pool.required,
+            startsFirst: capacity.prefersRollOut(pool),
         }))
         .filter(part => part.remaining > 0);
 }
@@ -115,8 +118,10 @@
     return Math.max(0, ...parts.map(countRounds));
 }
 
+/** Rounds of reboots, the first batch included. */
 function countRounds(part: Part): number {
-    return Math.ceil(part.remaining / Math.max(1, part.width));
+    const first = part.startsFirst ? 1 : 0;
+    return 1 + Math.ceil((part.remaining - first) / Math.max(1, part.width));
 }
 
 function sumWeights(parts: readonly Part[]): { bufferCost: number; rollOutTime: number; moves: number; } {
--- a/packages/planner/src/capacity.ts
+++ b/packages/planner/src/capacity.ts
@@ -1,7 +1,7 @@
 /**
  * What each pool has, what it must keep, and what one plan has taken out of it so far.
  *
- * An instance is available when it is active, live and not failing. The promise of a pool is the number that must
+ * An instance is available when it is active, live, not failing, and has held for a while after a reboot. The promise of a pool is the number that must
  * stay available: the strictest among the profiles of its services.
  */
 import * as fleetState from "@catkinwharf/fleet-state";
@@ -36,6 +36,12 @@
 /** Kind of failure domain. */
 export type Domain = "rack" | "availabilityZone";
 
+/**
+ * Time for which a pool is below its plan before it is judged by the instances that it has, in ms. Without this a
+ * stop would never end in a fleet that lost more instances for good than it has spare ones.
+ */
+const acceptLossAfterMs = 1_800_000;
+
 /** Tolerance for shares that binary fractions don't hit exactly. */
 const shareTolerance = 1e-9;
 
@@ -56,7 +62,10 @@
         views.push(viewInstance(name, instance, seen, leaving, now));
         byPool.set(instance.pool, views);
     }
-    return new Map([...byPool].map(([pool, views]) => [pool, viewPool(pool, views, state, configuration)]));
+    return new Map([...byPool].map(([pool, views]) => {
+        const acceptsLoss = seen.isShortFor(pool, acceptLossAfterMs, now);
+        return [pool, viewPool(pool, views, state, configuration, acceptsLoss)];
+    }));
 }
 
 /** Instances available now. */
@@ -117,7 +126,7 @@
         availabilityZone: instance.instance.availabilityZone,
         state: instance,
         lost,
-        available: serves && !lost && !leaving.has(name),
+        available: serves && !lost && !leaving.has(name) && !seen.isSettling(name, now),
     };
 }
 
@@ -126,6 +135,7 @@
     instances: readonly InstanceView[],
     state: fleetState.FleetState,
     configuration: schema.log.Configuration,
+    acceptsLoss: boolean,
 ): PoolView {
     const planned = configuration.pools.find(pool => pool.name === name)?.instances ?? 0;
     const profiles = configuration.services
@@ -137,12 +147,11 @@
         planned,
         instances: [...instances].sort((left, right) => fleetState.compareNames(left.name, right.name)),
         profiles,
-        required: countRequired(profiles, Math.min(planned, instances.length)),
+        required: countRequired(profiles, acceptsLoss ? Math.min(planned, instances.length) : planned),
         weights: sumWeights(profiles),
     };
 }
 
-/** A pool that lost instances for good is judged by those it has, but for the profile's minimum. */
 function countRequired(profiles: readonly schema.log.Profile[], total: number): number {
     const required = profiles.map(({ availability }) =>
         Math.max(availability.minimumInstances, total - countAllowed(availability, total))
--- a/packages/planner/src/context.ts
+++ b/packages/planner/src/context.ts
@@ -79,6 +79,15 @@
         return this.#pending.has(instance);
     }
 
+    /** Whether the instance is out for the stop, or will be by a decision that was not read back. */
+    isOutFor(instance: string, stop: string): boolean {
+        const decided = this.input.pending?.find(one => draft.getSubject(one) === instance);
+        const purpose = decided?.kind === "drain-started"
+            ? decided.purpose
+            : this.state.instances.get(instance)?.drain?.purpose;
+        return purpose?.kind === "stop" && purpose.stop === stop;
+    }
+
     /** Notes drafts of this plan, so that later parts decide nothing else about the same instances. */
     noteDecided(drafts: readonly draft.DecisionDraft[]): void {
         for (const one of drafts) {
--- a/packages/planner/src/observations.ts
+++ b/packages/planner/src/observations.ts
@@ -25,9 +25,12 @@
 
 /** Time for which a finished reboot outweighs a membership list that still shows an earlier boot, in ms. */
 const bootTrustMs = 60_000;
-/** Weight of a new move in the learnt length of a move. */
-const moveGain = 0.3;
+/** Weight of a new observation in a learnt length. */
+const gain = 0.3;
 const initialMoveMs = 10_000;
+/** Time for which a returned instance has to hold before it counts: at most this, in ms, and this share of a reboot. */
+const maxSettleMs = 10_000;
+const settleShare = 0.02;
 
 /** Memory of first sightings. */
 export class Observations {
@@ -36,11 +39,13 @@
     readonly #absentSince = new Map<string, number>();
     readonly #lostSince = new Map<string, number>();
     readonly #stoppedSince = new Map<string, number>();
+    readonly #returnedAt = new Map<string, number>();
     readonly #shortSince = new Map<string, number>();
     readonly #surplusSince = new Map<string, number>();
     readonly #confirmedBoots = new Map<string, ConfirmedBoot>();
     readonly #moveStarts = new Map<string, number>();
     #moveMs = initialMoveMs;
+    #rebootMs: number | undefined;
 
     /** Takes in what is seen now; called before each plan. */
     observe(sighting: Sighting, now: number): void {
@@ -72,6 +77,12 @@
         return this.#unhealthy.has(name) || !this.isLive(name, now);
     }
 
+    /** Whether the instance came back from a reboot so recently that a fault would not be known yet. */
+    isSettling(name: string, now: number): boolean {
+        const settleMs = Math.min(maxSettleMs, (this.#rebootMs ?? 0) * settleShare);
+        return now - (this.#returnedAt.get(name) ?? Number.NEGATIVE_INFINITY) < settleMs;
+    }
+
     /** Clock time since which the instance is not live, undefined while it is. */
     getAbsentSince(name: string): number | undefined {
         return this.#absentSince.get(name);
@@ -118,11 +129,24 @@
             const serves = instance.phase === fleetState.Phase.active;
             note(this.#absentSince, name, !this.isLive(name, now), now);
             note(this.#lostSince, name, serves && this.isLost(name, now), now);
+            if (serves) {
+                this.#noteReturn(name, now);
+            }
             note(this.#stoppedSince, name, instance.phase === fleetState.Phase.stopped, now);
         }
         dropUnknown(this.#absentSince, state.instances);
         dropUnknown(this.#lostSince, state.instances);
         dropUnknown(this.#stoppedSince, state.instances);
+        dropUnknown(this.#returnedAt, state.instances);
+    }
+
+    #noteReturn(name: string, now: number): void {
+        const stoppedSince = this.#stoppedSince.get(name);
+        if (stoppedSince !== undefined) {
+            const lengthMs = now - stoppedSince;
+            this.#rebootMs = learn(this.#rebootMs ?? lengthMs, lengthMs);
+            this.#returnedAt.set(name, now);
+        }
     }
 
     #watchPools(state: fleetState.FleetState, now: number): void {
@@ -140,7 +164,7 @@
             const moves = instance.drain?.purpose.kind === "move";
             const startedAt = this.#moveStarts.get(name);
             if (!moves && startedAt !== undefined) {
-                this.#moveMs += moveGain * (now - startedAt - this.#moveMs);
+                this.#moveMs = learn(this.#moveMs, now - startedAt);
             }
             note(this.#moveStarts, name, moves, now);
         }
@@ -148,6 +172,10 @@
     }
 }
 
+function learn(learnt: number, observed: number): number {
+    return learnt + gain * (observed - learnt);
+}
+
 function note(since: Map<string, number>, name: string, holds: boolean, now: number): void {
     if (!holds) {
         since.delete(name);
--- a/packages/planner/src/policies.ts
+++ b/packages/planner/src/policies.ts
@@ -7,11 +7,11 @@
 export interface Policy {
     readonly name: string;
     /** Whether the pool can do without the instance now. */
-    readonly mayTakeOut: (pool: capacity.PoolView, instance: capacity.InstanceView) => boolean;
+    readonly mayTakeOut: (pool: capacity.PoolView, instance: capacity.InstanceView, pace: Pace) => boolean;
     /** Instances that one stop may have out at once. */
     readonly maxOut: number;
-    /** Instances of the first batch; undefined for none. */
-    readonly firstBatch: number | undefined;
+    /** Whether a small first batch has to return before others go. */
+    readonly startsSmall: boolean;
     /** Whether a stop halts while returned instances fail. */
     readonly haltsOnFailures: boolean;
     /** Whether spare instances may join a pool for the time of a stop. */
@@ -24,6 +24,14 @@
     readonly reservePerPool: number;
 }
 
+/** What a pool still has to do for a stop, and how long the whole stop takes. */
+export interface Pace {
+    /** Instances of the pool that the stop still covers, those under way included. */
+    readonly remaining: number;
+    /** Reboots one after the other that the slowest pool still needs. */
+    readonly criticalRounds: number;
+}
+
 /** Share of a pool that the fixed-fraction policy takes out at once. */
 const fixedFraction = 0.25;
 
@@ -33,7 +41,7 @@
         name: "chosen",
         mayTakeOut: keepsPromiseAfterLoss,
         maxOut: Number.POSITIVE_INFINITY,
-        firstBatch: 1,
+        startsSmall: true,
         haltsOnFailures: true,
         borrowsSpares: true,
         followsDemand: true,
@@ -44,7 +52,7 @@
         name: "one-at-a-time",
         mayTakeOut: () => true,
         maxOut: 1,
-        firstBatch: undefined,
+        startsSmall: false,
         haltsOnFailures: false,
         borrowsSpares: false,
         followsDemand: false,
@@ -55,7 +63,7 @@
         name: "fixed-fraction",
         mayTakeOut: keepsFraction,
         maxOut: Number.POSITIVE_INFINITY,
-        firstBatch: undefined,
+        startsSmall: false,
         haltsOnFailures: false,
         borrowsSpares: false,
         followsDemand: false,
@@ -66,7 +74,7 @@
         name: "budget-only",
         mayTakeOut: keepsPromise,
         maxOut: Number.POSITIVE_INFINITY,
-        firstBatch: undefined,
+        startsSmall: false,
         haltsOnFailures: false,
         borrowsSpares: false,
         followsDemand: false,
@@ -77,7 +85,7 @@
         name: "static-n-plus-one",
         mayTakeOut: keepsPromise,
         maxOut: Number.POSITIVE_INFINITY,
-        firstBatch: 1,
+        startsSmall: true,
         haltsOnFailures: true,
         borrowsSpares: false,
         followsDemand: false,
@@ -94,29 +102,35 @@
 }
 
 /**
- * Whether the pool keeps its promise without the instance and without the greatest further domain that its budget can
- * afford to lose during a wave.
+ * Whether the pool keeps its promise without the instance, also when a further domain is lost that the pool can
+ * afford to provide for.
  */
-function keepsPromiseAfterLoss(pool: capacity.PoolView, instance: capacity.InstanceView): boolean {
+function keepsPromiseAfterLoss(pool: capacity.PoolView, instance: capacity.InstanceView, pace: Pace): boolean {
     if (!instance.available) {
         return true;
     }
-    const domain = chooseProtectedDomain(pool);
+    const domain = chooseProtectedDomain(pool, pace);
     const furtherLoss = domain === undefined ? 0 : capacity.measureFurtherLoss(pool, domain, instance);
     return capacity.countAvailable(pool) - 1 - furtherLoss >= pool.required;
 }
 
+/** How much longer than necessary a stop may take so that pools keep their reserve, by what the pool weighs most. */
+const maxStretch = { rollOut: 1, other: 1.2 } as const;
+
 /**
- * The domain whose loss during a wave the pool survives: an availability zone if the budget allows one beside a
- * drained instance, else a rack, else none. Profiles that weigh roll-out time most use the whole budget.
+ * The domain whose loss during a wave the pool survives: an availability zone, else a rack, else none.
+ *
+ * The budget has to allow the domain's instances beside a drained one, and the pool must not hold up the stop by
+ * keeping them in reserve.
  */
-export function chooseProtectedDomain(pool: capacity.PoolView): capacity.Domain | undefined {
-    if (capacity.prefersRollOut(pool)) {
-        return undefined;
-    }
+export function chooseProtectedDomain(pool: capacity.PoolView, pace: Pace): capacity.Domain | undefined {
     const allowed = pool.instances.length - pool.required;
+    const stretch = capacity.prefersRollOut(pool) ? maxStretch.rollOut : maxStretch.other;
     const domains: readonly capacity.Domain[] = ["availabilityZone", "rack"];
-    return domains.find(domain => capacity.measureGreatestDomain(pool, domain) < allowed);
+    return domains.find(domain => {
+        const width = allowed - capacity.measureGreatestDomain(pool, domain);
+        return width > 0 && Math.ceil(pace.remaining / width) <= Math.floor(pace.criticalRounds * stretch);
+    });
 }
 
 function keepsFraction(pool: capacity.PoolView): boolean {
--- a/packages/planner/src/stop-status.ts
+++ b/packages/planner/src/stop-status.ts
@@ -5,6 +5,18 @@
 import * as balance from "./balance.js";
 import type * as context from "./context.js";
 
+/** How boldly a stop goes on. */
+export const Stage = {
+    /** The first batch: one instance, and one of each pool that weighs roll-out time most. */
+    firstBatch: "first-batch",
+    /** Some returned instances failed: one at a time until as many have returned healthy. */
+    careful: "careful",
+    /** As many as the budgets allow. */
+    open: "open",
+} as const;
+
+export type Stage = (typeof Stage)[keyof typeof Stage];
+
 /** A stop that still has instances to go through. */
 export interface StopStatus {
     readonly stop: fleetState.StopState;
@@ -13,8 +25,8 @@
     /** Returned instances that can't serve and were not replaced. */
     readonly failing: readonly string[];
     readonly halted: boolean;
-    /** Instances that the stop may have out at once. */
-    readonly maxOut: number;
+    /** What the stop may have out at once. */
+    readonly stage: Stage;
     /** Instances that this plan takes out for the stop. */
     readonly taken: Set<string>;
 }
@@ -38,37 +50,43 @@
 }
 
 function assess(given: context.PlanContext, stop: fleetState.StopState): StopStatus {
-    const failing = listFailing(given, stop);
+    const lost = listLost(given, stop);
+    const failing = listUnreplaced(given, lost);
     const back = stop.returned.length + stop.failed.length;
-    const halted = given.input.policy.haltsOnFailures && failing.length > Math.floor(back * toleratedShare);
     return {
         stop,
         out: countOut(given, stop),
         failing,
-        halted,
-        maxOut: limitOut(given, stop, failing.length),
+        halted: given.input.policy.haltsOnFailures && failing.length > Math.floor(back * toleratedShare),
+        stage: findStage(given, stop, lost.length),
         taken: new Set(),
     };
 }
 
 function countOut(given: context.PlanContext, stop: fleetState.StopState): number {
-    const pending = (given.input.pending ?? []).filter(one =>
-        one.kind === "drain-started" && one.purpose.kind === "stop" && one.purpose.stop === stop.stop.name
+    return stop.remaining.filter(name => given.isOutFor(name, stop.stop.name)).length;
+}
+
+/**
+ * Instances that came back from the stop and can't serve now. Those in a rack that lost others too are left out: the
+ * rack is at fault and not the reboot.
+ */
+function listLost(given: context.PlanContext, stop: fleetState.StopState): string[] {
+    const back = new Set([...stop.failed, ...stop.returned]);
+    const lost = [...given.state.instances.values()].filter(({ phase, instance }) =>
+        phase === fleetState.Phase.active && given.observations.isLost(instance.name, given.now)
     );
-    const drained = stop.remaining.filter(name => {
-        const purpose = given.state.instances.get(name)?.drain?.purpose;
-        return purpose?.kind === "stop" && purpose.stop === stop.stop.name;
-    });
-    return drained.length + pending.length;
+    const hitRacks = new Set(lost.filter(one => !back.has(one.instance.name)).map(one => one.instance.rack));
+    return lost
+        .filter(({ instance }) => back.has(instance.name) && !hitRacks.has(instance.rack))
+        .map(({ instance }) => instance.name);
 }
 
-function listFailing(given: context.PlanContext, stop: fleetState.StopState): string[] {
+function listUnreplaced(given: context.PlanContext, lost: readonly string[]): string[] {
     const balances = balance.measureBalances(given.state, name => given.isLostForLong(name));
-    return [...new Set([...stop.failed, ...stop.returned])].filter(name => {
+    return lost.filter(name => {
         const instance = given.state.instances.get(name);
-        return instance?.phase === fleetState.Phase.active
-            && given.observations.isLost(name, given.now)
-            && !isReplaced(given, instance, balances);
+        return instance !== undefined && !isReplaced(given, instance, balances);
     });
 }
 
@@ -81,14 +99,16 @@
     return given.isLostForLong(instance.instance.name) && (balances.get(instance.pool)?.difference ?? 0) >= 0;
 }
 
-/** The first batch goes alone; after a failure it takes one healthy return more for each. */
-function limitOut(given: context.PlanContext, stop: fleetState.StopState, failing: number): number {
-    const { firstBatch, maxOut } = given.input.policy;
-    const failures = Math.max(stop.failed.length, failing);
+/** The first batch goes alone; after failures, so does one after the other until more have returned healthy. */
+function findStage(given: context.PlanContext, stop: fleetState.StopState, lost: number): Stage {
+    const failures = Math.max(stop.failed.length, lost);
     const total = stop.remaining.length + stop.returned.length + stop.failed.length;
-    if (firstBatch === undefined || (total <= smallStop && failures === 0)) {
-        return maxOut;
+    if (!given.input.policy.startsSmall || (total <= smallStop && failures === 0)) {
+        return Stage.open;
+    }
+    const settling = stop.returned.filter(name => given.observations.isSettling(name, given.now)).length;
+    if (stop.returned.length - lost - settling > failures) {
+        return Stage.open;
     }
-    const healthy = stop.returned.length - failing;
-    return healthy > failures ? maxOut : firstBatch;
+    return failures === 0 ? Stage.firstBatch : Stage.careful;
 }
--- a/packages/planner/src/waves.ts
+++ b/packages/planner/src/waves.ts
@@ -4,7 +4,7 @@
 import * as capacity from "./capacity.js";
 import type * as context from "./context.js";
 import * as draft from "./draft.js";
-import type * as stopStatus from "./stop-status.js";
+import * as stopStatus from "./stop-status.js";
 
 /** Decisions and waits of all running stops. */
 export interface WavePlan {
@@ -17,6 +17,10 @@
     readonly pool: capacity.PoolView;
     /** Instances that could be taken out now, if the budget allows. */
     readonly candidates: readonly capacity.InstanceView[];
+    /** Instances that the stop still covers, those under way included. */
+    readonly remaining: number;
+    /** Instances that are out for the stop. */
+    readonly out: number;
     /** Reboots one after the other that the part still needs. */
     readonly rounds: number;
 }
@@ -48,7 +52,7 @@
     if (status.halted || given.isMembershipStale()) {
         return taken;
     }
-    const room = Math.min(maxDecisions, status.maxOut - status.out);
+    const room = Math.min(maxDecisions, given.input.policy.maxOut - status.out);
     while (taken.length < room) {
         const next = chooseNext(given, status);
         if (next === undefined) {
@@ -62,9 +66,11 @@
 
 /** The pool that needs most rounds goes first, since it decides when the wave ends. */
 function chooseNext(given: context.PlanContext, status: stopStatus.StopStatus): capacity.InstanceView | undefined {
-    const parts = listParts(given, status).sort((left, right) => right.rounds - left.rounds);
-    for (const part of parts) {
-        const fitting = part.candidates.filter(one => given.input.policy.mayTakeOut(part.pool, one));
+    const parts = listParts(given, status);
+    const criticalRounds = Math.max(0, ...parts.map(part => part.rounds));
+    for (const part of parts.filter(one => stageRules[status.stage](one, status))) {
+        const pace = { remaining: part.remaining, criticalRounds };
+        const fitting = part.candidates.filter(one => given.input.policy.mayTakeOut(part.pool, one, pace));
         const best = chooseBest(part.pool, fitting);
         if (best !== undefined) {
             return best;
@@ -73,17 +79,49 @@
     return undefined;
 }
 
+type StageRule = (part: PoolPart, status: stopStatus.StopStatus) => boolean;
+
+/** Whether a stop may take a further instance from a pool. */
+const stageRules: Readonly<Record<stopStatus.Stage, StageRule>> = {
+    [stopStatus.Stage.firstBatch]: (part, status) =>
+        isNoneOut(status) || (capacity.prefersRollOut(part.pool) && part.out === 0),
+    [stopStatus.Stage.careful]: (_part, status) => isNoneOut(status),
+    [stopStatus.Stage.open]: () => true,
+};
+
+function isNoneOut(status: stopStatus.StopStatus): boolean {
+    return status.out + status.taken.size === 0;
+}
+
+/** The parts of a stop, those that need most rounds first. */
 function listParts(given: context.PlanContext, status: stopStatus.StopStatus): PoolPart[] {
     const remaining = new Set(status.stop.remaining);
-    return [...given.pools.values()].map(pool => {
-        const covered = pool.instances.filter(one => remaining.has(one.name) && !status.taken.has(one.name));
-        const candidates = covered.filter(one => given.isFree(one) && isRebootable(given, one));
-        return { pool, candidates, rounds: countRounds(pool, covered.length) };
-    });
+    return [...given.pools.values()]
+        .map(pool => describePart(given, pool, status, remaining))
+        .sort((left, right) => right.rounds - left.rounds);
+}
+
+function describePart(
+    given: context.PlanContext,
+    pool: capacity.PoolView,
+    status: stopStatus.StopStatus,
+    remaining: ReadonlySet<string>,
+): PoolPart {
+    const covered = pool.instances.filter(one => remaining.has(one.name));
+    const candidates = covered.filter(one => given.isFree(one) && isRebootable(given, one));
+    const isOut = (one: capacity.InstanceView): boolean =>
+        status.taken.has(one.name) || given.isOutFor(one.name, status.stop.stop.name);
+    return {
+        pool,
+        candidates,
+        remaining: covered.length,
+        out: covered.filter(isOut).length,
+        rounds: countRounds(pool, covered.length),
+    };
 }
 
 /** Rounds of reboots that the instances need when the pool's whole budget is used. */
-export function countRounds(pool: capacity.PoolView, instances: number): number {
+function countRounds(pool: capacity.PoolView, instances: number): number {
     return Math.ceil(instances / Math.max(1, pool.instances.length - pool.required));
 }
 
@@ -139,11 +177,11 @@
     if (planFull) {
         return { stop, reason: draft.WaitReason.planFull, detail: `other decisions go first; ${out}` };
     }
-    if (status.out > 0 && status.out >= status.maxOut) {
-        const reason = status.maxOut === given.input.policy.maxOut
-            ? draft.WaitReason.width
-            : draft.WaitReason.firstBatch;
-        return { stop, reason, detail: `at most ${status.maxOut} at once until they return healthy; ${out}` };
+    if (status.out >= given.input.policy.maxOut) {
+        return { stop, reason: draft.WaitReason.width, detail: `no more at once by policy; ${out}` };
+    }
+    if (status.out > 0 && status.stage !== stopStatus.Stage.open) {
+        return { stop, reason: draft.WaitReason.firstBatch, detail: `the ${status.stage} stage; ${out}` };
     }
     return explainParts(given, status, out);
 }
