--- /dev/null
+++ b/packages/bench/src/decision-setup.ts
@@ -0,0 +1,40 @@
+/**
+ * Members and configuration of a deployment, as a decision run starts with them.
+ */
+import type * as schema from "@catkinwharf/schema";
+
+const timeoutMs = 10_000;
+const maxQueued = 200;
+
+/** Members of all pools, dealt to the availability zones in turn and filling one rack after the other. */
+export function createMembers(deployment: schema.settings.Deployment, spares: number): schema.platform.Member[] {
+    const { services, availabilityZones, instancesPerRack, worker } = deployment;
+    const total = services.reduce((sum, service) => sum + service.workers, spares);
+    return Array.from({ length: total }, (_, index) => {
+        const zone = index % availabilityZones.length;
+        const rack = Math.floor(Math.floor(index / availabilityZones.length) / instancesPerRack);
+        return {
+            name: `i-${index}`,
+            role: "backend-server",
+            availabilityZone: availabilityZones[zone]?.name ?? "",
+            rack: `rack-${zone}-${rack}`,
+            address: { host: "127.0.0.1", port: 1000 + index },
+            state: "live",
+            boot: 1,
+            slots: worker.slots,
+            connections: worker.connections,
+            memoryGigabytes: worker.memoryGigabytes,
+            accelerators: 0,
+        };
+    });
+}
+
+/** A pool of its own for each service. */
+export function createConfiguration(deployment: schema.settings.Deployment): schema.log.Configuration {
+    const { services, sparePool } = deployment;
+    return {
+        services: services.map(({ name, profile }) => ({ name, profile, pool: name, timeoutMs, maxQueued })),
+        pools: services.map(({ name, workers }) => ({ name, instances: workers })),
+        sparePool,
+    };
+}
