--- a/packages/peers/src/accepted-connection.ts
+++ b/packages/peers/src/accepted-connection.ts
@@ -46,6 +46,12 @@
     | schema.peer.KeyAnswer
     | schema.peer.RecordsAnswer;
 
+/**
+ * Frames of the largest size whose bytes may wait as answers. More than for questions, since an answer that is dropped
+ * leaves its caller without the outcome of work that was done.
+ */
+const maxAnswerFrames = 8;
+
 type KindHandlers = {
     readonly [Kind in messages.MessageKind]?: (message: messages.MessageOf<Kind>) => void;
 };
@@ -144,7 +150,7 @@
     }
 
     private sendAnswer(answer: Answer): void {
-        const sent = this.channel.send(answer);
+        const sent = this.channel.send(answer, maxAnswerFrames * this.options.limits.maxFrameBytes);
         if (sent.isErr() && sent.error !== channel.SendFault.closed) {
             this.channel.fail(channel.CloseReason.answerBacklog, sent.error);
         }
--- a/packages/peers/src/channel.ts
+++ b/packages/peers/src/channel.ts
@@ -64,8 +64,16 @@
         this.decoder.setMaxFrameBytes(this.maxFrameBytes);
     }
 
-    /** Gives a message to the socket. After an error none of its bytes was given. */
-    send(message: schema.peer.PeerMessage, onFlushed?: () => void): neverthrow.Result<void, SendFault> {
+    /**
+     * Gives a message to the socket. After an error none of its bytes was given.
+     *
+     * @param maxWaitingBytes bound on the bytes that wait in front of it
+     */
+    send(
+        message: schema.peer.PeerMessage,
+        maxWaitingBytes: number = this.maxFrameBytes,
+        onFlushed?: () => void,
+    ): neverthrow.Result<void, SendFault> {
         if (!this.open || this.socket.destroyed || !this.socket.writable) {
             return neverthrow.err(SendFault.closed);
         }
@@ -74,7 +82,7 @@
             return neverthrow.err(SendFault.oversized);
         }
         const waiting = this.socket.writableLength;
-        if (waiting > 0 && waiting + frame.value.length > this.maxFrameBytes) {
+        if (waiting > 0 && waiting + frame.value.length > maxWaitingBytes) {
             return neverthrow.err(SendFault.backlogFull);
         }
         this.socket.write(frame.value, () => onFlushed?.());
--- a/packages/peers/src/dialed-connection.ts
+++ b/packages/peers/src/dialed-connection.ts
@@ -102,7 +102,7 @@
         if (signal === undefined) {
             return answered;
         }
-        const cancel = () => this.channel.send({ kind: "dispatch-cancel", exchange });
+        const cancel = () => this.channel.send({ kind: "dispatch-cancel", exchange }, Number.POSITIVE_INFINITY);
         signal.addEventListener("abort", cancel, { once: true });
         return answered.finally(() => signal.removeEventListener("abort", cancel));
     }
@@ -111,7 +111,7 @@
     sayGoodbye(): Promise<neverthrow.Result<void, errors.PeerError>> {
         return new Promise(resolve => {
             const goodbye = { kind: "goodbye", session: this.options.identity.session } as const;
-            const sent = this.channel.send(goodbye, () => resolve(neverthrow.ok()));
+            const sent = this.channel.send(goodbye, Number.POSITIVE_INFINITY, () => resolve(neverthrow.ok()));
             if (sent.isErr()) {
                 resolve(questions.createError("unreachable", sent.error));
             }
@@ -182,7 +182,8 @@
     private sendHeartbeat(): void {
         const exchange = this.takeExchange();
         const sentAt = this.options.clock();
-        const sent = this.channel.send({ ...this.options.makeHeartbeat(), kind: "heartbeat", exchange });
+        const heartbeat = { ...this.options.makeHeartbeat(), kind: "heartbeat", exchange } as const;
+        const sent = this.channel.send(heartbeat, Number.POSITIVE_INFINITY);
         if (sent.isOk()) {
             this.heartbeatsSentAt.set(exchange, sentAt);
         }
--- a/packages/peers/src/link.test.ts
+++ b/packages/peers/src/link.test.ts
@@ -106,25 +106,25 @@
 /** Forwards bytes until it is frozen; then the connections that stand go silent and new ones work. */
 async function createFreezingProxy(target: number): Promise<{ port: number; freeze(): void; reset(): void; }> {
     const sockets = new Set<net.Socket>();
-    const frozen = new Set<net.Socket>();
+    let frozen = new Set<net.Socket>();
     const server = net.createServer(client => {
         const upstream = net.connect(target, host);
         client.pipe(upstream).pipe(client);
-        [client, upstream].forEach(socket => socket.on("error", () => undefined));
-        sockets.add(client);
-        client.on("close", () => upstream.destroy());
-        upstream.on("close", () => frozen.has(client) || client.destroy());
-        cleanups.push(() => client.destroy());
+        for (const [socket, other] of [[client, upstream], [upstream, client]] as const) {
+            sockets.add(socket);
+            socket.on("error", () => undefined);
+            socket.on("close", () => frozen.has(other) || other.destroy());
+        }
+        cleanups.push(() => client.destroy(), () => upstream.destroy());
     });
     await new Promise<void>(resolve => server.listen(0, host, resolve));
     cleanups.push(() => server.close());
     return {
         port: (server.address() as net.AddressInfo).port,
-        freeze: () =>
-            sockets.forEach(socket => {
-                frozen.add(socket);
-                socket.unpipe().pause();
-            }),
+        freeze: () => {
+            frozen = new Set(sockets);
+            frozen.forEach(socket => socket.unpipe().pause());
+        },
         reset: () => sockets.forEach(socket => socket.resetAndDestroy()),
     };
 }
@@ -163,6 +163,29 @@
     assert.is((await gone.dispatch(question, 5000))._unsafeUnwrapErr().fault, "connection-refused");
 });
 
+suite("tells a question that timed out from one that found no room to be sent", async () => {
+    const counts = new Counts();
+    const listener = await listen({
+        dispatch: async message => {
+            await new Promise(resolve => setTimeout(resolve, 100));
+            return { ...dispatchAnswer, exchange: message.exchange };
+        },
+    });
+    const proxy = await createFreezingProxy(listener.port);
+    const connected = link(proxy.port, { counters: counts, limits: { ...limits, timeoutMs: 20_000 } });
+    await waitFor(() => connected.state === "connected");
+    assert.is((await connected.dispatch(question, 10))._unsafeUnwrapErr().fault, "timed-out");
+    await waitFor(() => counts.reasons.includes("late-answer"));
+    const large = { ...question, body: Buffer.alloc(limits.maxFrameBytes) };
+    assert.is((await connected.dispatch(large, 5000))._unsafeUnwrapErr().reason, "message-too-large");
+    proxy.freeze();
+    const half = { ...question, body: Buffer.alloc(limits.maxFrameBytes / 2) };
+    const many = await Promise.all(Array.from({ length: 200 }, () => connected.dispatch(half, 500)));
+    const faults = many.map(outcome => outcome._unsafeUnwrapErr().fault);
+    assert.equal([...new Set(faults)].sort(), ["timed-out", "unreachable"]);
+    assert.is(connected.state, "connected");
+});
+
 suite("gives up a silent connection and goes on over a new one", async () => {
     const listener = await listen({ dispatch: () => new Promise(() => undefined) });
     const proxy = await createFreezingProxy(listener.port);
@@ -223,6 +246,22 @@
     await waitFor(() => aborted === 2);
 });
 
+suite("bounds strangers and lets genuine peers in among them", async () => {
+    const counts = new Counts();
+    const listener = await listen({}, counts);
+    const strangers = Array.from({ length: limits.maxConnections * 2 }, () => net.connect(listener.port, host));
+    strangers.forEach(socket => socket.on("error", () => undefined));
+    cleanups.push(() => strangers.forEach(socket => socket.destroy()));
+    const left: string[] = [];
+    const leaving = await listen({ goodbye: message => left.push(message.session) }, counts);
+    const connected = [listener, leaving].map(each => link(each.port));
+    await waitFor(() => connected.every(each => each.state === "connected"));
+    assert.ok(counts.reasons.includes("too-many-connections"));
+    assert.ok(listener.connections <= limits.maxConnections);
+    await connected[1]!.sayGoodbye();
+    await waitFor(() => left.includes(asking.session));
+});
+
 suite("survives garbage, oversized frames and silence on the peer port", async () => {
     const counts = new Counts();
     const listener = await listen({}, counts);
--- a/packages/platform/src/follower.ts
+++ b/packages/platform/src/follower.ts
@@ -22,10 +22,14 @@
 /** Where entries came from. */
 export type EntrySource = "platform" | "peer";
 
-/** What a stream tells its owner. Entries come in order of offset, and one handler runs at a time. None may throw. */
+/** What a stream tells its owner. Entries come in order of offset, and one handler runs at a time. */
 export interface StreamHandlers {
+    /** Must not throw. */
     onEntries(entries: readonly LogEntry[], source: EntrySource): void;
-    /** The next offset is no longer kept. Resolves with the offset to go on from, after the owner loaded a snapshot. */
+    /**
+     * The next offset is no longer kept. Resolves with the offset to go on from, after the owner loaded a snapshot.
+     * Called again after a delay when it rejects, or resolves with an offset below the oldest.
+     */
     onGap(oldestOffset: number): Promise<number>;
 }
 
@@ -82,6 +86,7 @@
         return this.position;
     }
 
+    /** Largest head that an answer told; a smaller one comes from a replica that lags. */
     get headOffset(): number | undefined {
         return this.head;
     }
@@ -186,9 +191,9 @@
 
     private takeEntries(message: schema.platform.ReadAnswer, sentAt: number): void {
         const next = message.entries.filter(entry => entry.offset >= this.position);
-        this.head = message.headOffset;
+        this.head = Math.max(this.head ?? 0, message.headOffset);
         this.deliver(next, Math.max(this.position, message.nextOffset), "platform");
-        if (this.position < message.headOffset) {
+        if (this.position < this.head) {
             return;
         }
         this.fresh = sentAt;
@@ -218,14 +223,14 @@
 
     private async skipTo(oldestOffset: number): Promise<neverthrow.Result<void, errors.PlatformError>> {
         this.skipping = true;
-        const next = await this.options.handlers.onGap(oldestOffset);
+        const next = await this.options.handlers.onGap(oldestOffset).catch(() => this.position);
         this.skipping = false;
-        this.position = next;
-        this.options.onSkip(next);
         if (next < oldestOffset) {
             const reason = `offset ${next} is not kept; the oldest is ${oldestOffset}`;
             return neverthrow.err({ layer: "platform", fault: errors.PlatformFault.notRetained, reason });
         }
+        this.position = next;
+        this.options.onSkip(next);
         return neverthrow.ok();
     }
 
--- a/packages/platform/src/stream.test.ts
+++ b/packages/platform/src/stream.test.ts
@@ -35,6 +35,7 @@
     oldest = 0;
     fates: AppendFate[] = [AppendFate.accept];
     ignoreReads = false;
+    reads = 0;
     private waiting: (() => void)[] = [];
     private readonly server = http.createServer((request, response) => void this.handle(request, response));
 
@@ -66,6 +67,7 @@
         if (this.ignoreReads) {
             return;
         }
+        this.reads += 1;
         const from = Number(url.searchParams.get("from"));
         await this.wait(from, Number(url.searchParams.get("waitMs")));
         const entries = this.entries.slice(from, from + Number(url.searchParams.get("limit")));
@@ -182,11 +184,15 @@
 suite("doesn't append again when the answer was lost and the record is read back", async () => {
     const { log, stream, retries } = await createScene();
     log.fates = [AppendFate.loseAnswer, AppendFate.accept];
+    log.ignoreReads = true;
     stream.start(0);
-    assert.is((await stream.append({ id: "once" }, soon()))._unsafeUnwrap(), 0);
-    await stream.append({ id: "next" }, soon());
-    assert.equal(log.ids(), ["once", "next"]);
+    const once = stream.append({ id: "once" }, soon());
+    const next = stream.append({ id: "next" }, soon());
+    await waitFor(() => retries.filter(retry => retry === "read_retry unanswered").length === 2);
     assert.ok(retries.includes("append_retry unanswered"));
+    log.ignoreReads = false;
+    assert.equal([(await once)._unsafeUnwrap(), (await next)._unsafeUnwrap()], [0, 1]);
+    assert.equal(log.ids(), ["once", "next"]);
 });
 
 suite("appends again with the same id when the lost append had no effect", async () => {
@@ -225,6 +231,18 @@
     assert.equal(log.appends, ["sent", "later"]);
 });
 
+suite("isn't fresh by the answer of a replica that lags", async () => {
+    const { log, stream } = await createScene();
+    log.put("a", "b");
+    stream.start(0);
+    await waitFor(() => stream.freshAt !== undefined);
+    const lagsAt = performance.now();
+    log.entries.pop();
+    await waitFor(() => log.reads > 5);
+    assert.ok(stream.freshAt! <= lagsAt);
+    assert.is(stream.headOffset, 2);
+});
+
 suite("takes entries of a peer only where they continue, also while the platform is silent", async () => {
     const { log, stream, delivered } = await createScene();
     log.ignoreReads = true;
--- a/packages/platform/src/stream.ts
+++ b/packages/platform/src/stream.ts
@@ -60,7 +60,7 @@
         return this.follower.nextOffset;
     }
 
-    /** Head offset that the platform last told; undefined before the first answer. */
+    /** Largest head offset that the platform told; undefined before the first answer. */
     get headOffset(): number | undefined {
         return this.follower.headOffset;
     }
