--- /dev/null
+++ b/packages/bench/src/bin/soak.ts
@@ -0,0 +1,64 @@
+/**
+ * Runs random faults of all kinds against the real processes under load, and checks the promises.
+ *
+ * The same seed draws the same faults at the same times. Exits with 1 if a promise was broken.
+ */
+import * as settings from "@catkinwharf/settings";
+import * as testUtils from "@catkinwharf/test-utils";
+import * as clipanion from "clipanion";
+import * as deploymentFile from "../deployment-file.js";
+import * as load from "../load.js";
+import * as report from "../report.js";
+import * as benchSession from "../session.js";
+import * as soak from "../soak.js";
+
+class SoakCommand extends clipanion.Command {
+    deployment = clipanion.Option.String("--deployment", "small", {
+        description: "Name of a deployment file, or small.",
+    });
+    seed = clipanion.Option.String("--seed", "1", { description: "Seed of load and faults." });
+    minutes = clipanion.Option.String("--minutes", "1", { description: "Length of the run." });
+    rate = clipanion.Option.String("--rate", "150", { description: "Mean calls a second over all services." });
+    only = clipanion.Option.String("--only", "", { description: "Names of the faults to draw from, with commas." });
+    json = clipanion.Option.Boolean("--json", false, { description: "Print the summary as JSON." });
+
+    override async execute(): Promise<number> {
+        const read = deploymentFile.readNamedDeployment(this.deployment);
+        if (read.isErr()) {
+            this.context.stderr.write(`soak: ${settings.describeError(read.error)}\n`);
+            return 1;
+        }
+        const deployment = read.value;
+        const seed = Number(this.seed);
+        const launch: testUtils.LaunchOptions = {
+            deployment,
+            proxied: true,
+            settingsOverrides: { requests: { silentConnectionMs: 1_500 } },
+        };
+        const scale = load.computeScale(deployment, load.burstShape, Number(this.rate));
+        return benchSession.runSession({ launch, seed, maxAttempts: 4 }, async session => {
+            const summary = await soak.runSoak(session, {
+                durationMs: Number(this.minutes) * 60_000,
+                scale,
+                names: this.only === "" ? undefined : this.only.split(","),
+                onFault: line => this.json ? undefined : report.print(line),
+            });
+            this.#print(seed, summary);
+            return summary.violations.length === 0 ? 0 : 1;
+        });
+    }
+
+    #print(seed: number, summary: soak.SoakSummary): void {
+        if (this.json) {
+            report.print(JSON.stringify({ seed, ...summary }));
+            return;
+        }
+        report.print(`Seed ${seed}: ${summary.calls} calls, ${summary.faults} faults.`);
+        report.printCounts(summary.finals);
+        report.printViolations(summary.violations);
+    }
+}
+
+const cli = new clipanion.Cli({ binaryName: "soak" });
+cli.register(SoakCommand);
+process.exit(await cli.run(process.argv.slice(2)));
--- /dev/null
+++ b/packages/entry/src/caller-port.ts
@@ -0,0 +1,281 @@
+/**
+ * The port for callers: proxies service requests, issues tickets, and tells the outcome known for a key.
+ */
+import * as errors from "@catkinwharf/errors";
+import * as fleetState from "@catkinwharf/fleet-state";
+import * as logger from "@catkinwharf/logger";
+import * as schema from "@catkinwharf/schema";
+import * as types from "@catkinwharf/types";
+import * as crypto from "node:crypto";
+import * as http from "node:http";
+import * as polka from "polka";
+import * as headers from "./headers.js";
+import * as httpServer from "./http-server.js";
+import * as metrics from "./metrics.js";
+import * as request from "./request.js";
+
+const servicePath = /^\/v1\/services\/([^/?]+)(\/[^?]*)?(\?.*)?$/;
+
+/** Methods that RFC 9110, section 9.2.2, calls idempotent. */
+const idempotentMethods: ReadonlySet<string> = new Set(["GET", "HEAD", "OPTIONS", "TRACE", "PUT", "DELETE"]);
+
+/** What is known of a key's request. */
+export interface KnownOutcome {
+    readonly service: string;
+    readonly key: string;
+    readonly state: schema.peer.KeyAnswer["state"];
+    readonly status: number | undefined;
+}
+
+export interface CallerPortParts {
+    readonly limits: schema.settings.RequestLimits;
+    readonly metrics: metrics.Metrics;
+    readonly logger: logger.Logger;
+    readonly clock: () => number;
+    /** Why no request is taken now; undefined if requests are taken. */
+    readRefusal(): types.Reason | undefined;
+    readState(): fleetState.FleetState;
+    /** Runs a request that may be repeated. */
+    runIdempotent(question: request.ServiceRequest, signal: AbortSignal): Promise<request.RequestResult>;
+    /** Runs a request at most once. */
+    runKeyed(question: request.ServiceRequest, key: string): Promise<request.RequestResult>;
+    issueTicket(): string;
+    /** Outcomes known for a key, one for each service that has seen it. */
+    describeKey(key: string, service: string | undefined): Promise<readonly KnownOutcome[]>;
+}
+
+/** A request that was read, or the reason for refusing it. */
+type ReadRequest = { readonly question: request.ServiceRequest; readonly key: string | undefined; } | {
+    readonly refusal: types.Reason;
+};
+
+export class CallerPort {
+    readonly #parts: CallerPortParts;
+    readonly #server: http.Server;
+    #active = 0;
+    #closing = false;
+
+    constructor(parts: CallerPortParts) {
+        this.#parts = parts;
+        this.#server = http.createServer();
+        this.#server.on("clientError", (_error, socket) => this.#refuseGarbage(socket));
+        const app = polka.default({
+            server: this.#server,
+            onError: (error, _question, response) => this.#fail(error, response as http.ServerResponse),
+            onNoMatch: (_question, response) =>
+                httpServer.sendProblem(response as unknown as http.ServerResponse, types.Reason.badRequest),
+        });
+        app.all("/v1/services/*", (message, response) => void this.#serve(message, response));
+        app.post("/v1/tickets", (_message, response) => this.#issueTicket(response));
+        app.get(
+            "/v1/requests/:key",
+            (message, response) =>
+                void this.#describeKey(String(message.params["key"] ?? ""), message.query["service"], response),
+        );
+        this.#server.on("request", app.handler as unknown as http.RequestListener);
+    }
+
+    /** Requests that are being answered. */
+    get active(): number {
+        return this.#active;
+    }
+
+    listen(listener: schema.settings.Listener): Promise<number> {
+        return httpServer.listen(this.#server, listener);
+    }
+
+    /** From now on each response asks its caller to use another connection. */
+    announceClose(): void {
+        this.#closing = true;
+    }
+
+    /** Takes no new connections and waits for the open requests. */
+    close(): Promise<void> {
+        return httpServer.closeServer(this.#server);
+    }
+
+    #refuseGarbage(socket: import("node:stream").Duplex): void {
+        this.#parts.metrics.count("bad_input", "callers");
+        if (socket.writable) {
+            socket.end("HTTP/1.1 400 Bad Request\r\nconnection: close\r\ncontent-length: 0\r\n\r\n");
+        }
+    }
+
+    #fail(error: unknown, response: http.ServerResponse): void {
+        this.#parts.logger.error(`A request failed: ${errors.describeThrown(error)}.`);
+        httpServer.sendProblem(response, types.Reason.badRequest);
+    }
+
+    async #serve(message: http.IncomingMessage, response: http.ServerResponse): Promise<void> {
+        const arrivedAt = this.#parts.clock();
+        this.#active += 1;
+        try {
+            const result = await this.#run(message, response, arrivedAt);
+            this.#respond(response, result);
+            this.#note(result, arrivedAt);
+        }
+        catch (error) {
+            this.#fail(error, response);
+        }
+        finally {
+            this.#active -= 1;
+        }
+    }
+
+    async #run(
+        message: http.IncomingMessage,
+        response: http.ServerResponse,
+        arrivedAt: number,
+    ): Promise<request.RequestResult> {
+        const refusal = this.#parts.readRefusal();
+        if (refusal !== undefined) {
+            return request.createNotRun(refusal);
+        }
+        const read = await this.#readRequest(message, arrivedAt);
+        if ("refusal" in read) {
+            return request.createNotRun(read.refusal);
+        }
+        if (read.key !== undefined) {
+            return this.#parts.runKeyed(read.question, read.key);
+        }
+        return this.#parts.runIdempotent(read.question, createCallerSignal(response));
+    }
+
+    async #readRequest(message: http.IncomingMessage, arrivedAt: number): Promise<ReadRequest> {
+        const target = servicePath.exec(message.url ?? "") ?? undefined;
+        if (target === undefined) {
+            return { refusal: types.Reason.badRequest };
+        }
+        const service = this.#findService(target[1]);
+        if (service === undefined) {
+            return { refusal: types.Reason.serviceUnknown };
+        }
+        const timeoutMs = headers.readTimeout(
+            headers.readField(message.headers, types.timeoutHeader),
+            service.timeoutMs,
+            this.#parts.limits.maxTimeoutMs,
+        );
+        if (timeoutMs === undefined) {
+            return { refusal: types.Reason.badRequest };
+        }
+        const body = await httpServer.readBody(message, this.#parts.limits.maxBodyBytes);
+        if (typeof body === "string") {
+            return { refusal: bodyRefusals[body] };
+        }
+        const path = `${target[2] ?? "/"}${target[3] ?? ""}`;
+        return this.#createRequest(message, service, path, body, arrivedAt + timeoutMs);
+    }
+
+    #findService(encoded: string | undefined): schema.log.Service | undefined {
+        return this.#parts.readState().configuration?.value.services.find(service => service.name === encoded);
+    }
+
+    #createRequest(
+        message: http.IncomingMessage,
+        service: schema.log.Service,
+        path: string,
+        body: Uint8Array,
+        deadline: number,
+    ): ReadRequest {
+        const method = message.method ?? "GET";
+        const idempotent = idempotentMethods.has(method) || isDeclaredIdempotent(service, method, path);
+        const field = headers.readField(message.headers, types.idempotencyKeyHeader);
+        const key = field === undefined ? undefined : headers.readIdempotencyKey(field);
+        if (field !== undefined && key === undefined) {
+            return { refusal: types.Reason.badRequest };
+        }
+        if (!idempotent && key === undefined) {
+            return { refusal: types.Reason.keyRequired };
+        }
+        const question: request.ServiceRequest = {
+            requestId: crypto.randomUUID(),
+            service: service.name,
+            method,
+            path,
+            headers: headers.listPassedFields(message.headers),
+            body,
+            idempotent,
+            urgency: headers.readUrgency(headers.readField(message.headers, "priority")),
+            deadline,
+        };
+        return { question, key: idempotent ? undefined : key };
+    }
+
+    #respond(response: http.ServerResponse, result: request.RequestResult): void {
+        if (response.destroyed || response.headersSent) {
+            return;
+        }
+        if (this.#closing) {
+            response.setHeader("connection", "close");
+        }
+        if (result.outcome !== types.Outcome.answered) {
+            if (result.reason === types.Reason.bodyTooLarge) {
+                response.setHeader("connection", "close");
+            }
+            httpServer.sendProblem(response, result.reason);
+            return;
+        }
+        for (const field of result.headers) {
+            response.appendHeader(field.name, field.value);
+        }
+        response.setHeader(types.outcomeHeader, result.outcome);
+        response.statusCode = result.status;
+        if (mayHaveBody(result.status)) {
+            response.setHeader("content-length", result.body.byteLength);
+        }
+        response.end(result.body);
+    }
+
+    #note(result: request.RequestResult, arrivedAt: number): void {
+        const reason = result.outcome === types.Outcome.answered ? "" : result.reason;
+        this.#parts.metrics.count("requests", reason === "" ? result.outcome : `${result.outcome}:${reason}`);
+        this.#parts.metrics.observeDuration(result.outcome, this.#parts.clock() - arrivedAt);
+        if (reason === types.Reason.badRequest) {
+            this.#parts.metrics.count("bad_input", "callers");
+        }
+    }
+
+    #issueTicket(response: http.ServerResponse): void {
+        const refusal = this.#parts.readRefusal();
+        if (refusal !== undefined) {
+            httpServer.sendProblem(response, refusal);
+            return;
+        }
+        response.setHeader(types.outcomeHeader, types.Outcome.answered);
+        httpServer.sendJson(response, 201, { key: this.#parts.issueTicket() });
+    }
+
+    async #describeKey(key: string, service: unknown, response: http.ServerResponse): Promise<void> {
+        const wanted = typeof service === "string" ? service : undefined;
+        const outcomes = await this.#parts.describeKey(decodeURIComponent(key), wanted);
+        response.setHeader(types.outcomeHeader, types.Outcome.answered);
+        httpServer.sendJson(response, outcomes.length === 0 ? 404 : 200, { key, outcomes });
+    }
+}
+
+const bodyRefusals: Readonly<Record<httpServer.BodyFault, types.Reason>> = {
+    [httpServer.BodyFault.tooLarge]: types.Reason.bodyTooLarge,
+    [httpServer.BodyFault.cut]: types.Reason.callerGone,
+};
+
+function isDeclaredIdempotent(service: schema.log.Service, method: string, path: string): boolean {
+    return (service.idempotentOperations ?? []).some(operation =>
+        operation.method === method && path.startsWith(operation.pathPrefix)
+    );
+}
+
+/** Statuses without a body (RFC 9110, section 6.4.1). */
+function mayHaveBody(status: number): boolean {
+    return status !== 204 && status !== 304;
+}
+
+/** Aborts when the caller closes its connection before its answer is written. */
+function createCallerSignal(response: http.ServerResponse): AbortSignal {
+    const controller = new AbortController();
+    response.on("close", () => {
+        if (!response.writableFinished) {
+            controller.abort();
+        }
+    });
+    return controller.signal;
+}
--- /dev/null
+++ b/packages/entry/src/entry-process.ts
@@ -0,0 +1,278 @@
+/**
+ * The entry process: puts its parts together, and starts and stops them in order.
+ */
+import * as peers from "@catkinwharf/peers";
+import * as planner from "@catkinwharf/planner";
+import * as platform from "@catkinwharf/platform";
+import * as types from "@catkinwharf/types";
+import * as callerPort from "./caller-port.js";
+import * as controlPlane from "./control-plane.js";
+import * as coordinator from "./coordinator.js";
+import * as homeReleaser from "./home-releaser.js";
+import * as leaseKeeper from "./lease-keeper.js";
+import * as logStreams from "./log-streams.js";
+import * as operatorChanges from "./operator-changes.js";
+import * as operatorPort from "./operator-port.js";
+import * as operatorViews from "./operator-views.js";
+import * as peerQuestions from "./peer-questions.js";
+import * as platformWatch from "./platform-watch.js";
+import * as processContext from "./process-context.js";
+import * as requestPath from "./request-path.js";
+import * as snapshotWriter from "./snapshot-writer.js";
+
+/** Time in ms between looks at fences, releases and sessions to close. */
+const tickMs = 100;
+/** Time in ms in which the balancer notices that this process is no longer ready. */
+const balancerNoticeMs = 500;
+/** Time in ms for the goodbye to be read back. */
+const goodbyeTimeoutMs = 3_000;
+/** Time in ms between looks for requests that still run. */
+const drainPollMs = 20;
+
+/** Ports in use. */
+export interface ListeningPorts {
+    readonly callerPort: number;
+    readonly operatorPort: number;
+    readonly peerPort: number;
+}
+
+export class EntryProcess {
+    readonly #context: processContext.ProcessContext;
+    readonly #control: controlPlane.ControlPlane;
+    readonly #requests: requestPath.RequestPath;
+    readonly #callers: callerPort.CallerPort;
+    readonly #releaser: homeReleaser.HomeReleaser;
+    readonly #coordinator: coordinator.Coordinator;
+    readonly #operators: operatorPort.OperatorPort;
+    #listener: peers.PeerListener | undefined;
+    #timer: NodeJS.Timeout | undefined;
+    #stopping = false;
+
+    constructor(context: processContext.ProcessContext) {
+        this.#context = context;
+        this.#control = new controlPlane.ControlPlane(context, {
+            listDigests: () => this.#requests.dispatcher.listDigests(),
+            listEjected: () => this.#requests.dispatcher.listEjected(),
+            applyClaims: entries => this.#requests.keys.applyEntries(entries),
+            isLeaving: () => this.#stopping,
+        });
+        this.#requests = new requestPath.RequestPath(context, this.#control);
+        this.#callers = this.#requests.createCallerPort(() => this.#readRefusal());
+        this.#releaser = new homeReleaser.HomeReleaser({
+            view: this.#control.view,
+            stream: this.#control.fleetStream,
+            homes: this.#requests.homes,
+            metrics: context.metrics,
+            clock: context.clock,
+            readSession: () => this.#control.session,
+        });
+        this.#coordinator = this.#createCoordinator();
+        this.#operators = this.#createOperatorPort();
+        this.#control.view.listen(() => this.#followState());
+        this.#addGauges();
+    }
+
+    #createCoordinator(): coordinator.Coordinator {
+        const { settings, metrics, clock, wallClock, random } = this.#context;
+        const control = this.#control;
+        const shared = {
+            view: control.view,
+            stream: control.fleetStream,
+            metrics,
+            logger: this.#context.createLogger("coordinator"),
+            clock,
+            readSession: () => control.session,
+        };
+        const service = (url: string): platform.ServiceOptions => logStreams.createServiceOptions(settings, url);
+        return new coordinator.Coordinator({
+            ...shared,
+            wallClock,
+            lease: new leaseKeeper.LeaseKeeper({ ...shared, times: settings.session, random }),
+            watch: new platformWatch.PlatformWatch({
+                membership: new platform.MembershipClient(service(settings.platform.membership)),
+                control: new platform.ControlClient(service(settings.platform.control)),
+                metrics,
+                wallClock,
+            }),
+            snapshots: new snapshotWriter.SnapshotWriter({
+                ...shared,
+                service: service(settings.platform.log),
+                snapshotEvery: settings.log.snapshotEvery,
+            }),
+            isFresh: () => control.isFresh(),
+            listEjected: () => this.#listAllEjected(),
+            listDemand: () => this.#listDemand(),
+        });
+    }
+
+    #listAllEjected(): ReadonlySet<string> {
+        return new Set([...this.#requests.dispatcher.listEjected(), ...this.#control.directory.listEjected()]);
+    }
+
+    /** Load of all homes, from the own digests and those of the peers. */
+    #listDemand(): planner.Demand[] {
+        const remote = this.#control.directory.list().flatMap(peer => peer.status?.digests ?? []);
+        const observedAt = this.#context.wallClock();
+        const totals = new Map<string, planner.Demand>();
+        for (const digest of [...this.#requests.dispatcher.listDigests(), ...remote]) {
+            const total = totals.get(digest.service);
+            totals.set(digest.service, {
+                service: digest.service,
+                busySlots: (total?.busySlots ?? 0) + digest.slots - digest.free,
+                queued: (total?.queued ?? 0) + digest.queued,
+                observedAt,
+            });
+        }
+        return [...totals.values()];
+    }
+
+    #createOperatorPort(): operatorPort.OperatorPort {
+        const { settings, metrics, clock, wallClock } = this.#context;
+        const control = this.#control;
+        return new operatorPort.OperatorPort({
+            operatorKey: settings.security.operatorKey,
+            metrics,
+            logger: this.#context.createLogger("operators"),
+            changes: new operatorChanges.OperatorChanges({
+                view: control.view,
+                stream: control.fleetStream,
+                clock,
+                readSession: () => control.session,
+            }),
+            views: new operatorViews.OperatorViews({
+                view: control.view,
+                directory: control.directory,
+                coordinator: this.#coordinator,
+                wallClock,
+                describeSelf: () => this.#describeSelf(),
+                listEjected: () => this.#requests.dispatcher.listEjected(),
+                explainRequest: key => this.#explainRequest(key),
+            }),
+            isReady: () => this.#isReady(),
+        });
+    }
+
+    #describeSelf(): operatorViews.SelfDescription {
+        return {
+            entry: this.#context.settings.entry,
+            availabilityZone: this.#context.settings.availabilityZone,
+            session: this.#control.session,
+            ready: this.#isReady(),
+            blind: this.#control.isBlind,
+        };
+    }
+
+    async #explainRequest(key: string): Promise<readonly string[]> {
+        const outcomes = await this.#requests.keyService.describe(key, undefined);
+        return outcomes.map(outcome =>
+            `Service ${outcome.service}: ${outcome.state}${
+                outcome.status === undefined ? "" : `, status ${outcome.status}`
+            }.`
+        );
+    }
+
+    #addGauges(): void {
+        const { metrics } = this.#context;
+        metrics.addGauge({
+            name: "ready",
+            help: "Whether requests are taken.",
+            read: () => Number(this.#isReady()),
+        });
+        metrics.addGauge({
+            name: "blind",
+            help: "Whether contact with the log is lost.",
+            read: () => Number(this.#control.isBlind),
+        });
+        metrics.addGauge({
+            name: "configuration_version",
+            help: "Configuration version in force.",
+            read: () => this.#control.view.state.configuration?.version ?? 0,
+        });
+        metrics.addGauge({
+            name: "requests_in_flight",
+            help: "Requests that run on backend servers homed here.",
+            read: () => this.#requests.homes.countInFlight(),
+        });
+    }
+
+    #isReady(): boolean {
+        return !this.#stopping && this.#control.hasCaughtUp && this.#control.hasOpened;
+    }
+
+    #readRefusal(): types.Reason | undefined {
+        return this.#stopping || this.#isReady() ? undefined : types.Reason.notReady;
+    }
+
+    /** Listens, and begins to follow the log. The process becomes ready by itself. */
+    async start(): Promise<ListeningPorts> {
+        const { settings, metrics } = this.#context;
+        const callers = await this.#callers.listen(settings.callers);
+        const operators = await this.#operators.listen(settings.operators);
+        this.#listener = await peers.listenForPeers({
+            listener: settings.peers,
+            identity: this.#control.identity,
+            peerKey: settings.security.peerKey,
+            handlers: this.#createHandlers(),
+            limits: this.#control.peerLimits,
+            counters: metrics.createSink("peer_events"),
+            logger: this.#context.createLogger("peers"),
+        });
+        const peerAddress = settings.advertised ?? { host: settings.peers.host, port: this.#listener.port };
+        this.#control.start(peerAddress, { host: settings.operators.host, port: operators });
+        this.#coordinator.start();
+        this.#timer = setInterval(() => this.#tick(), tickMs);
+        return { callerPort: callers, operatorPort: operators, peerPort: this.#listener.port };
+    }
+
+    #createHandlers(): peers.PeerHandlers {
+        return peerQuestions.createPeerHandlers({
+            directory: this.#control.directory,
+            dispatcher: this.#requests.dispatcher,
+            keys: this.#requests.keys,
+            view: this.#control.view,
+            metrics: this.#context.metrics,
+            clock: this.#context.clock,
+            makeStatus: () => this.#control.makeStatus(),
+            readSession: () => this.#control.session,
+            isStopping: () => this.#stopping,
+            runTicket: (question, ticket) => this.#requests.keyService.run(question, ticket),
+        });
+    }
+
+    #followState(): void {
+        this.#control.sync();
+        this.#requests.sync();
+        this.#releaser.look();
+    }
+
+    #tick(): void {
+        this.#control.tick();
+        this.#requests.sync();
+        this.#requests.expire(this.#context.clock());
+        this.#releaser.look();
+    }
+
+    /** Stops gracefully: out of the balancer, finish all requests, pass the homes on, close. */
+    async stop(): Promise<void> {
+        if (this.#stopping) {
+            return;
+        }
+        this.#stopping = true;
+        this.#callers.announceClose();
+        await new Promise(resolve => setTimeout(resolve, balancerNoticeMs));
+        await this.#callers.close();
+        this.#requests.homes.close();
+        await this.#waitUntilIdle();
+        await this.#coordinator.stop();
+        clearInterval(this.#timer);
+        await this.#control.stop(goodbyeTimeoutMs);
+        await this.#listener?.close();
+        await this.#operators.close();
+    }
+
+    async #waitUntilIdle(): Promise<void> {
+        while (this.#requests.homes.countInFlight() > 0) {
+            await new Promise(resolve => setTimeout(resolve, drainPollMs));
+        }
+    }
+}
--- /dev/null
+++ b/packages/entry/src/http-server.ts
@@ -0,0 +1,83 @@
+/**
+ * Helpers for the two HTTP ports: listening, bounded bodies, JSON and problem documents.
+ */
+import * as schema from "@catkinwharf/schema";
+import * as types from "@catkinwharf/types";
+import * as http from "node:http";
+import type * as net from "node:net";
+
+/** Listens and answers the port in use. */
+export function listen(server: http.Server, listener: schema.settings.Listener): Promise<number> {
+    return new Promise((resolve, reject) => {
+        server.once("error", reject);
+        server.listen(listener.port, listener.host, () => {
+            server.off("error", reject);
+            resolve((server.address() as net.AddressInfo).port);
+        });
+    });
+}
+
+/** Stops accepting connections and waits until the open ones have ended. */
+export function closeServer(server: http.Server): Promise<void> {
+    return new Promise(resolve => {
+        server.close(() => resolve());
+        server.closeIdleConnections();
+    });
+}
+
+/** Why a body could not be read. */
+export const BodyFault = { tooLarge: "too-large", cut: "cut" } as const;
+export type BodyFault = (typeof BodyFault)[keyof typeof BodyFault];
+
+/** Reads a whole body of at most `maxBytes`. */
+export function readBody(message: http.IncomingMessage, maxBytes: number): Promise<Buffer | BodyFault> {
+    if (Number(message.headers["content-length"] ?? 0) > maxBytes) {
+        return Promise.resolve(BodyFault.tooLarge);
+    }
+    return new Promise(resolve => {
+        const chunks: Buffer[] = [];
+        let bytes = 0;
+        message.on("data", (chunk: Buffer) => {
+            bytes += chunk.byteLength;
+            if (bytes > maxBytes) {
+                message.pause();
+                resolve(BodyFault.tooLarge);
+                return;
+            }
+            chunks.push(chunk);
+        });
+        message.on("end", () => resolve(message.complete ? Buffer.concat(chunks) : BodyFault.cut));
+        message.on("close", () => resolve(BodyFault.cut));
+        message.on("error", () => resolve(BodyFault.cut));
+    });
+}
+
+export function sendJson(response: http.ServerResponse, status: number, document: unknown): void {
+    sendText(response, status, "application/json", JSON.stringify(document));
+}
+
+export function sendText(response: http.ServerResponse, status: number, contentType: string, text: string): void {
+    if (response.headersSent || response.destroyed) {
+        return;
+    }
+    response.writeHead(status, { "content-type": contentType, "content-length": Buffer.byteLength(text) });
+    response.end(text);
+}
+
+/** Tells a caller that its request was not answered, as RFC 9457 describes. */
+export function sendProblem(response: http.ServerResponse, reason: types.Reason): void {
+    const form = types.reasonForms[reason];
+    response.setHeader(types.outcomeHeader, form.outcome);
+    response.setHeader(types.reasonHeader, reason);
+    if (form.retryAfterSeconds !== undefined) {
+        response.setHeader("retry-after", form.retryAfterSeconds);
+    }
+    const problem: schema.operator.Problem = {
+        type: `urn:catkinwharf:reason:${reason}`,
+        title: `${form.outcome}: ${reason}`,
+        status: form.status,
+        detail: form.detail,
+        reason,
+    };
+    sendText(response, form.status, "application/problem+json", JSON.stringify(problem));
+}
--- /dev/null
+++ b/packages/entry/src/integration/whole-path.test.ts
@@ -0,0 +1,51 @@
+import * as bench from "@catkinwharf/bench";
+import * as testUtils from "@catkinwharf/test-utils";
+import * as undici from "undici";
+import * as uvu from "uvu";
+import * as assert from "uvu/assert";
+import * as golden from "./golden-session.js";
+
+const seed = 1;
+const suite = uvu.suite(`whole path (seed ${seed})`);
+
+suite("serves, publishes, and stops without cutting anything off", async () => {
+    const launch = { deployment: testUtils.createSmallDeployment() };
+    await bench.runSession({ launch, seed }, async session => {
+        const [left, right] = session.running.entries;
+        assert.ok(left !== undefined && right !== undefined);
+        golden.compareSession("whole-path", await golden.recordSession(left.callerUrl, right.callerUrl));
+        await publishThroughOneEntry(session);
+        await stopUnderLoad(session, right);
+    });
+});
+
+/** A configuration published through one entry instance is in force on the other. */
+async function publishThroughOneEntry(session: bench.Session): Promise<void> {
+    const first = bench.createOperator(session.running, 0);
+    const second = bench.createOperator(session.running, 1);
+    const configuration = session.running.configuration();
+    const stale = await second.publishConfiguration(configuration, 0);
+    assert.is(stale.status, "conflict");
+    assert.is(stale.version, 1);
+    const answer = await first.publishConfiguration(configuration, 1);
+    assert.is(answer.status, "accepted");
+    const status = await bench.waitForStatus(second, seen => seen.configurationVersion === 2, 10_000);
+    assert.is(status.configurationVersion, 2);
+}
+
+async function stopUnderLoad(session: bench.Session, stopped: testUtils.RunningEntry): Promise<void> {
+    const loading = session.runLoad(3_000, bench.steadyShape);
+    await new Promise(resolve => setTimeout(resolve, 1_000));
+    testUtils.signalProcess(stopped.handle, "SIGTERM");
+    session.listTargets = () => session.running.entries.filter(entry => entry.name !== stopped.name);
+    const ready = await undici.request(`${stopped.operatorUrl}/readyz`);
+    assert.is(ready.statusCode, 503);
+    const exit = await stopped.handle.exited;
+    assert.is(exit.code, 0, stopped.handle.readOutput());
+    const calls = await loading;
+    assert.equal(await session.check(calls), []);
+    const lost = calls.flatMap(call => call.attempts).filter(attempt => attempt.outcome === "lost");
+    assert.equal(lost, []);
+}
+
+suite.run();
--- /dev/null
+++ b/packages/entry/src/local-dispatcher.ts
@@ -0,0 +1,223 @@
+/**
+ * Runs requests on the backend servers homed here: admission, queue, choice of a server, one send.
+ */
+import * as fleetState from "@catkinwharf/fleet-state";
+import * as placement from "@catkinwharf/placement";
+import * as schema from "@catkinwharf/schema";
+import * as types from "@catkinwharf/types";
+import * as backendConnection from "./backend-connection.js";
+import * as homeDirectory from "./home-directory.js";
+import * as metrics from "./metrics.js";
+import * as request from "./request.js";
+import * as serviceQueue from "./service-queue.js";
+
+/** A run that takes this many times as long as usual counts as silent, if the request may be repeated. */
+const silentRunFactor = 10;
+
+export interface DispatcherParts {
+    readonly homes: homeDirectory.HomeDirectory;
+    readonly limits: schema.settings.RequestLimits;
+    readonly metrics: metrics.Metrics;
+    readonly clock: () => number;
+    readonly random: () => number;
+    /** Whether the session may dispatch now. */
+    mayDispatch(): boolean;
+    readState(): fleetState.FleetState;
+}
+
+export class LocalDispatcher {
+    readonly #parts: DispatcherParts;
+    readonly #queues = new Map<string, serviceQueue.ServiceQueue>();
+    readonly #estimator = new placement.RunTimeEstimator();
+    readonly #outliers = new placement.OutlierDetector();
+    #peerEjected: ReadonlySet<string> = new Set();
+
+    constructor(parts: DispatcherParts) {
+        this.#parts = parts;
+    }
+
+    /** Follows changes of homes and pools, and of the instances that peers have ejected. */
+    sync(peerEjected: ReadonlySet<string>): void {
+        this.#peerEjected = peerEjected;
+        const state = this.#parts.readState();
+        for (const service of state.configuration?.value.services ?? []) {
+            this.#updateOutlierCap(state, service);
+            this.#updateConcurrency(service);
+        }
+    }
+
+    #updateOutlierCap(state: fleetState.FleetState, service: schema.log.Service): void {
+        const servers = this.#parts.homes.listServers(service.pool);
+        const members = fleetState.instancesOfPool(state, service.pool);
+        const budget = state.profiles.get(service.profile)?.value.availability;
+        const allowed = Math.max(1, Math.floor(members.length * (budget?.maxUnavailableShare ?? 0)));
+        const out = members.filter(member =>
+            member.phase !== fleetState.Phase.active || this.#peerEjected.has(member.instance.name)
+        );
+        this.#outliers.updatePool(
+            service.pool,
+            servers.map(server => server.instance),
+            Math.max(0, allowed - out.length),
+        );
+    }
+
+    #updateConcurrency(service: schema.log.Service): void {
+        const servers = this.#parts.homes.listServers(service.pool);
+        const ending = servers.filter(server => !server.accepting).reduce((sum, server) => sum + server.inFlight, 0);
+        const usable = this.#countSlots(servers);
+        this.#queueOf(service.name).setConcurrency(usable === 0 ? 0 : usable + ending);
+    }
+
+    #countSlots(servers: readonly homeDirectory.HomedServer[]): number {
+        return servers.filter(server => server.accepting)
+            .reduce((sum, server) => sum + this.#usableSlots(server), 0);
+    }
+
+    #usableSlots(server: homeDirectory.HomedServer): number {
+        const share = this.#outliers.share(server.instance, this.#parts.clock());
+        return share === 0 ? 0 : Math.max(1, Math.floor(server.slots * share));
+    }
+
+    #queueOf(service: string): serviceQueue.ServiceQueue {
+        const known = this.#queues.get(service);
+        if (known !== undefined) {
+            return known;
+        }
+        const created = new serviceQueue.ServiceQueue(
+            (question, signal) => this.#execute(question, signal),
+            this.#parts.clock,
+        );
+        this.#queues.set(service, created);
+        return created;
+    }
+
+    /** Instances homed here that get no work because they fail. */
+    listEjected(): readonly string[] {
+        return this.#outliers.listEjected(this.#parts.clock());
+    }
+
+    /** Load of each configured service. */
+    listDigests(): schema.peer.Digest[] {
+        const services = this.#parts.readState().configuration?.value.services ?? [];
+        return services.map(service => this.#digestService(service));
+    }
+
+    #digestService(service: schema.log.Service): schema.peer.Digest {
+        const servers = this.#parts.homes.listServers(service.pool).filter(server => server.accepting);
+        const slots = this.#parts.mayDispatch() ? this.#countSlots(servers) : 0;
+        const busy = servers.reduce((sum, server) => sum + server.inFlight, 0);
+        return {
+            service: service.name,
+            slots,
+            free: Math.max(0, slots - busy),
+            queued: this.#queueOf(service.name).queued,
+        };
+    }
+
+    /** Runs a request here, or says why not. */
+    run(question: request.ServiceRequest, signal: AbortSignal): Promise<request.RequestResult> {
+        const service = this.#findService(question.service);
+        if (service === undefined) {
+            return Promise.resolve(request.createNotRun(types.Reason.serviceUnknown));
+        }
+        if (!this.#parts.mayDispatch()) {
+            return Promise.resolve(request.createNotRun(types.Reason.fenced));
+        }
+        this.#updateConcurrency(service);
+        const slots = this.#countSlots(this.#parts.homes.listServers(service.pool));
+        if (slots === 0) {
+            return Promise.resolve(request.createNotRun(types.Reason.noCapacity));
+        }
+        return this.#admit(service, slots, question, signal);
+    }
+
+    #findService(name: string): schema.log.Service | undefined {
+        return this.#parts.readState().configuration?.value.services.find(service => service.name === name);
+    }
+
+    #admit(
+        service: schema.log.Service,
+        slots: number,
+        question: request.ServiceRequest,
+        signal: AbortSignal,
+    ): Promise<request.RequestResult> {
+        const queue = this.#queueOf(service.name);
+        const decision = placement.decideAdmission({
+            queued: queue.queued,
+            maxQueued: service.maxQueued,
+            slots,
+            deadline: question.deadline,
+            urgency: question.urgency,
+            expectedRunMs: this.#estimator.estimate(service.name),
+            worst: queue.worst,
+        }, this.#parts.clock());
+        if (decision.kind === "refuse") {
+            return Promise.resolve(request.createNotRun(decision.reason));
+        }
+        if (decision.kind === "shed") {
+            queue.giveUp(decision.id, types.Reason.shed);
+        }
+        return queue.run(question, signal);
+    }
+
+    async #execute(question: request.ServiceRequest, signal: AbortSignal): Promise<request.RequestResult> {
+        const service = this.#findService(question.service);
+        const server = service === undefined ? undefined : this.#chooseServer(service.pool);
+        if (server === undefined) {
+            return request.createNotRun(types.Reason.noCapacity);
+        }
+        const startedAt = this.#parts.clock();
+        this.#parts.homes.beginRequest(server.instance);
+        const sent = await server.connection.send(question, {
+            timeoutMs: this.#chooseTimeout(question, startedAt),
+            mayDispatch: () => this.#parts.mayDispatch(),
+            signal: question.idempotent ? signal : undefined,
+        });
+        this.#parts.homes.endRequest(server.instance);
+        this.#learn(question, server.instance, sent, startedAt);
+        if (service !== undefined) {
+            this.#updateConcurrency(service);
+        }
+        return sent.result;
+    }
+
+    #chooseServer(pool: string): homeDirectory.HomedServer | undefined {
+        const servers = this.#parts.homes.listServers(pool).filter(server => server.accepting);
+        const candidates = servers.map(server => ({
+            instance: server.instance,
+            slots: server.slots,
+            inFlight: server.inFlight,
+            share: this.#outliers.share(server.instance, this.#parts.clock()),
+        }));
+        const chosen = placement.chooseBackendServer(candidates, this.#parts.random());
+        return servers.find(server => server.instance === chosen?.instance);
+    }
+
+    /** A request that may be repeated is given up early, so that time is left to repeat it. */
+    #chooseTimeout(question: request.ServiceRequest, now: number): number {
+        const remainingMs = Math.max(1, question.deadline - now);
+        if (!question.idempotent) {
+            return remainingMs;
+        }
+        const usualMs = this.#estimator.estimate(question.service) * silentRunFactor;
+        return Math.min(remainingMs, Math.max(usualMs, this.#parts.limits.silentConnectionMs));
+    }
+
+    #learn(
+        question: request.ServiceRequest,
+        instance: string,
+        sent: backendConnection.SendResult,
+        startedAt: number,
+    ): void {
+        const now = this.#parts.clock();
+        if (sent.fault === undefined) {
+            if (sent.result.outcome === types.Outcome.answered) {
+                this.#estimator.record(question.service, now - startedAt, now);
+                this.#outliers.recordSuccess(instance, now);
+            }
+            return;
+        }
+        this.#parts.metrics.count("server_faults", sent.fault);
+        this.#outliers.recordFailure(instance, question.requestId, sent.fault, now);
+    }
+}
--- /dev/null
+++ b/packages/entry/src/log-streams.ts
@@ -0,0 +1,100 @@
+/**
+ * The two streams that the entry process follows, and how each starts anew below the retained offset.
+ */
+import * as fleetState from "@catkinwharf/fleet-state";
+import * as logger from "@catkinwharf/logger";
+import * as platform from "@catkinwharf/platform";
+import * as schema from "@catkinwharf/schema";
+import * as fleetView from "./fleet-view.js";
+import * as metrics from "./metrics.js";
+
+/** Name of the stream of fleet records. */
+export const fleetStream = "fleet";
+/** Name of the stream of key claims. */
+export const claimsStream = "claims";
+
+/** Time in ms between tries to read a snapshot. */
+const snapshotRetryMs = 500;
+
+export interface StreamParts {
+    readonly settings: schema.settings.EntrySettings;
+    readonly metrics: metrics.Metrics;
+    readonly logger: logger.Logger;
+    readonly clock: () => number;
+}
+
+/** How the platform's services are reached. */
+export function createServiceOptions(settings: schema.settings.EntrySettings, url: string): platform.ServiceOptions {
+    return {
+        url,
+        timeoutMs: settings.log.timeoutMs,
+        ...(settings.sourceHost === undefined ? {} : { localAddress: settings.sourceHost }),
+    };
+}
+
+function createStreamOptions(parts: StreamParts, stream: string): Omit<platform.StreamOptions, "handlers"> {
+    return {
+        ...createServiceOptions(parts.settings, parts.settings.platform.log),
+        stream,
+        limits: parts.settings.log,
+        clock: parts.clock,
+        logger: parts.logger,
+        counters: parts.metrics.createSink("platform_events"),
+    };
+}
+
+/** Follows the fleet stream into the view. */
+export function createFleetStream(parts: StreamParts, view: fleetView.FleetView): platform.Stream {
+    const options = createStreamOptions(parts, fleetStream);
+    return new platform.Stream({
+        ...options,
+        handlers: {
+            onEntries: entries => view.applyEntries(entries, parts.clock()),
+            onGap: oldestOffset => loadSnapshot(parts, view, oldestOffset),
+        },
+    });
+}
+
+/** Follows the claims stream. A reader that fell behind goes on at the oldest claim that is kept. */
+export function createClaimsStream(
+    parts: StreamParts,
+    onEntries: (entries: readonly platform.LogEntry[]) => void,
+): platform.Stream {
+    return new platform.Stream({
+        ...createStreamOptions(parts, claimsStream),
+        handlers: {
+            onEntries,
+            onGap: oldestOffset => Promise.resolve(oldestOffset),
+        },
+    });
+}
+
+/** Loads the newest snapshot and answers where to read on. An older state than the one held is never taken. */
+async function loadSnapshot(
+    parts: StreamParts,
+    view: fleetView.FleetView,
+    oldestOffset: number,
+): Promise<number> {
+    const service = createServiceOptions(parts.settings, parts.settings.platform.log);
+    for (;;) {
+        const read = await platform.readLastSnapshot(service);
+        const snapshot = read.isOk() ? restoreSnapshot(read.value?.body) : undefined;
+        if (snapshot !== undefined && snapshot.nextOffset >= oldestOffset) {
+            view.loadState(snapshot, parts.clock());
+            parts.logger.info(`Read on from a snapshot at offset ${view.state.nextOffset}.`);
+            return view.state.nextOffset;
+        }
+        parts.metrics.count("platform_events", "snapshot:missing");
+        parts.logger.warn(`No snapshot covers offset ${oldestOffset}; trying again.`);
+        await new Promise(resolve => setTimeout(resolve, snapshotRetryMs));
+    }
+}
+
+/** Restores a snapshot whose state has the hash that it names; undefined otherwise. */
+export function restoreSnapshot(document: unknown): fleetState.FleetState | undefined {
+    if (!schema.validators.logSnapshot(document)) {
+        return undefined;
+    }
+    const state = fleetState.restoreState(document.state);
+    return state !== undefined && fleetState.hashState(state) === document.hash ? state : undefined;
+}
--- /dev/null
+++ b/packages/entry/src/operator-changes.ts
@@ -0,0 +1,90 @@
+/**
+ * Changes that operators ask for: checked, appended to the log, and answered with the fold's verdict.
+ */
+import * as errors from "@catkinwharf/errors";
+import * as fleetState from "@catkinwharf/fleet-state";
+import * as schema from "@catkinwharf/schema";
+import * as fleetView from "./fleet-view.js";
+import * as records from "./records.js";
+
+/** Time in ms for a change to be read back. */
+const changeTimeoutMs = 10_000;
+
+export interface ChangeParts {
+    readonly view: fleetView.FleetView;
+    readonly stream: fleetView.RecordStream;
+    readonly clock: () => number;
+    readSession(): string;
+}
+
+/** Answer for input that was never appended. */
+export function createInvalid(reason: string): schema.operator.ChangeAnswer {
+    return { status: "invalid", version: 0, offset: -1, reason };
+}
+
+export class OperatorChanges {
+    readonly #parts: ChangeParts;
+
+    constructor(parts: ChangeParts) {
+        this.#parts = parts;
+    }
+
+    publishProfile(document: unknown): Promise<schema.operator.ChangeAnswer> {
+        const check = schema.validators.operatorProfileChange;
+        if (!check(document)) {
+            return Promise.resolve(createInvalid(schema.describeFailure(check.errors)));
+        }
+        return this.#append({ ...this.#createHeader(), kind: "profile-published", ...document });
+    }
+
+    publishConfiguration(document: unknown): Promise<schema.operator.ChangeAnswer> {
+        const check = schema.validators.operatorConfigurationChange;
+        if (!check(document)) {
+            return Promise.resolve(createInvalid(schema.describeFailure(check.errors)));
+        }
+        return this.#append({ ...this.#createHeader(), kind: "configuration-published", ...document });
+    }
+
+    announceStop(document: unknown): Promise<schema.operator.ChangeAnswer> {
+        const check = schema.validators.operatorStopChange;
+        if (!check(document)) {
+            return Promise.resolve(createInvalid(schema.describeFailure(check.errors)));
+        }
+        return this.#append({ ...this.#createHeader(), kind: "stop-announced", stop: document.stop });
+    }
+
+    cancelStop(name: string): Promise<schema.operator.ChangeAnswer> {
+        return this.#append({ ...this.#createHeader(), kind: "stop-cancelled", stop: name });
+    }
+
+    #createHeader(): records.RecordHeader {
+        return records.createHeader(this.#parts.readSession());
+    }
+
+    async #append(record: schema.log.FleetRecord): Promise<schema.operator.ChangeAnswer> {
+        const check = schema.validators.logFleetRecord;
+        if (!check(record)) {
+            return createInvalid(schema.describeFailure(check.errors));
+        }
+        const deadline = this.#parts.clock() + changeTimeoutMs;
+        const settled = await this.#parts.view.propose(this.#parts.stream, record, deadline);
+        return settled.match(describeSettlement, describeError);
+    }
+}
+
+function describeSettlement(settlement: fleetView.Settlement): schema.operator.ChangeAnswer {
+    const { verdict, offset } = settlement;
+    if (verdict.applied) {
+        return { status: "accepted", version: verdict.version, offset, reason: "" };
+    }
+    const status = verdict.ignored === fleetState.Ignored.conflict ? "conflict" : "invalid";
+    return { status, version: verdict.version, offset, reason: verdict.ignored ?? "" };
+}
+
+function describeError(error: errors.PlatformError): schema.operator.ChangeAnswer {
+    const sent = error.fault === errors.PlatformFault.unanswered;
+    if (sent) {
+        return { status: "unknown", version: 0, offset: -1, reason: "the log did not answer; look at the status" };
+    }
+    return createInvalid(`the log is out of reach (${error.reason}); nothing was published, try again`);
+}
--- /dev/null
+++ b/packages/entry/src/operator-port.ts
@@ -0,0 +1,171 @@
+/**
+ * The port for operators: health, metrics, and the calls of the command line.
+ */
+import * as errors from "@catkinwharf/errors";
+import * as logger from "@catkinwharf/logger";
+import * as schema from "@catkinwharf/schema";
+import * as crypto from "node:crypto";
+import * as http from "node:http";
+import * as polka from "polka";
+import * as httpServer from "./http-server.js";
+import * as metrics from "./metrics.js";
+import * as operatorChanges from "./operator-changes.js";
+import * as operatorViews from "./operator-views.js";
+
+/** Largest body that an operator may send. */
+const maxBodyBytes = 1_048_576;
+
+export interface OperatorPortParts {
+    readonly operatorKey: string;
+    readonly metrics: metrics.Metrics;
+    readonly logger: logger.Logger;
+    readonly changes: operatorChanges.OperatorChanges;
+    readonly views: operatorViews.OperatorViews;
+    isReady(): boolean;
+}
+
+type ChangeCall = (document: unknown) => Promise<schema.operator.ChangeAnswer>;
+
+const changeStatuses: Readonly<Record<schema.operator.ChangeAnswer["status"], number>> = {
+    accepted: 200,
+    conflict: 409,
+    invalid: 422,
+    unknown: 202,
+};
+
+export class OperatorPort {
+    readonly #parts: OperatorPortParts;
+    readonly #server: http.Server;
+
+    constructor(parts: OperatorPortParts) {
+        this.#parts = parts;
+        this.#server = http.createServer();
+        this.#server.on("clientError", (_error, socket) => {
+            this.#parts.metrics.count("bad_input", "operators");
+            socket.destroy();
+        });
+        const app = polka.default({
+            server: this.#server,
+            onError: (error, _question, response) => this.#fail(error, response as http.ServerResponse),
+            onNoMatch: (_question, response) =>
+                httpServer.sendJson(response as unknown as http.ServerResponse, 404, { reason: "no such path" }),
+        });
+        this.#addOpenRoutes(app);
+        this.#addViewRoutes(app);
+        this.#addChangeRoutes(app);
+        this.#server.on("request", app.handler as unknown as http.RequestListener);
+    }
+
+    listen(listener: schema.settings.Listener): Promise<number> {
+        return httpServer.listen(this.#server, listener);
+    }
+
+    close(): Promise<void> {
+        this.#server.closeAllConnections();
+        return httpServer.closeServer(this.#server);
+    }
+
+    #addOpenRoutes(app: polka.Polka): void {
+        app.get("/healthz", (_message, response) => httpServer.sendJson(response, 200, { status: "alive" }));
+        app.get("/readyz", (_message, response) => {
+            const ready = this.#parts.isReady();
+            httpServer.sendJson(response, ready ? 200 : 503, { ready });
+        });
+        app.get("/metrics", (_message, response) => {
+            void this.#parts.metrics.render().then(text => httpServer.sendText(response, 200, "text/plain", text));
+        });
+    }
+
+    #addViewRoutes(app: polka.Polka): void {
+        const views = this.#parts.views;
+        this.#addView(app, "/operator/status", () => views.describeStatus());
+        this.#addView(app, "/operator/configuration", () => views.describeConfiguration());
+        this.#addView(app, "/operator/profiles", () => views.listProfiles());
+        this.#addView(app, "/operator/moves", () => views.listMoves());
+        this.#addView(app, "/operator/log", message => views.listLog(message.query));
+        this.#addView(app, "/operator/explain/instances/:name", message => views.explainInstance(readName(message)));
+        this.#addView(app, "/operator/explain/stops/:name", message => views.explainStop(readName(message)));
+        this.#addView(app, "/operator/explain/requests/:name", message => views.explainRequest(readName(message)));
+    }
+
+    #addView(app: polka.Polka, path: string, view: (message: polka.Request) => unknown): void {
+        app.get(path, (message, response) => {
+            if (!this.#authorize(message, response)) {
+                return;
+            }
+            void Promise.resolve(view(message as unknown as polka.Request)).then(document =>
+                document === undefined
+                    ? httpServer.sendJson(response, 404, { reason: "no such subject" })
+                    : httpServer.sendJson(response, 200, document)
+            );
+        });
+    }
+
+    #addChangeRoutes(app: polka.Polka): void {
+        const changes = this.#parts.changes;
+        const routes: Readonly<Record<string, ChangeCall>> = {
+            "/operator/profiles": document => changes.publishProfile(document),
+            "/operator/configurations": document => changes.publishConfiguration(document),
+            "/operator/stops": document => changes.announceStop(document),
+        };
+        for (const [path, call] of Object.entries(routes)) {
+            app.post(path, (message, response) => void this.#serveChange(message, response, call));
+        }
+        app.delete("/operator/stops/:name", (message, response) => {
+            const name = readName(message as unknown as polka.Request);
+            void this.#serveChange(message, response, () => changes.cancelStop(name));
+        });
+    }
+
+    async #serveChange(message: http.IncomingMessage, response: http.ServerResponse, call: ChangeCall): Promise<void> {
+        if (!this.#authorize(message, response)) {
+            return;
+        }
+        const body = await httpServer.readBody(message, maxBodyBytes);
+        const document = typeof body === "string" ? undefined : parseJson(body);
+        if (document === undefined) {
+            this.#parts.metrics.count("bad_input", "operators");
+            httpServer.sendJson(response, 422, operatorChanges.createInvalid("the body is not JSON"));
+            return;
+        }
+        const answer = await call(document);
+        this.#parts.metrics.count("operator_calls", answer.status);
+        httpServer.sendJson(response, changeStatuses[answer.status], answer);
+    }
+
+    #authorize(message: http.IncomingMessage, response: http.ServerResponse): boolean {
+        const expected = hashText(`Bearer ${this.#parts.operatorKey}`);
+        const given = hashText(message.headers.authorization ?? "");
+        if (crypto.timingSafeEqual(expected, given)) {
+            return true;
+        }
+        this.#parts.metrics.count("bad_input", "operator-key");
+        httpServer.sendJson(response, 401, { reason: "the operator key is missing or wrong" });
+        return false;
+    }
+
+    #fail(error: unknown, response: http.ServerResponse): void {
+        this.#parts.logger.error(`An operator's call failed: ${errors.describeThrown(error)}.`);
+        httpServer.sendJson(response, 500, { reason: "internal error" });
+    }
+}
+
+function hashText(text: string): Buffer {
+    return crypto.createHash("sha256").update(text).digest();
+}
+
+function readName(message: polka.Request): string {
+    return decodeURIComponent(message.params["name"] ?? "");
+}
+
+function parseJson(body: Buffer): unknown {
+    if (body.byteLength === 0) {
+        return {};
+    }
+    try {
+        return JSON.parse(body.toString("utf8")) ?? undefined;
+    }
+    catch {
+        return undefined;
+    }
+}
--- /dev/null
+++ b/packages/entry/src/peer-directory.ts
@@ -0,0 +1,164 @@
+/**
+ * Links to the other open sessions, and what their heartbeats tell.
+ */
+import * as fleetState from "@catkinwharf/fleet-state";
+import * as logger from "@catkinwharf/logger";
+import * as peers from "@catkinwharf/peers";
+import * as schema from "@catkinwharf/schema";
+import * as fence from "./fence.js";
+import * as metrics from "./metrics.js";
+
+/** The part of a heartbeat that is not the exchange number. */
+export type PeerStatus = Omit<schema.peer.Heartbeat, "kind" | "exchange">;
+
+/** A peer as this process sees it. */
+export interface KnownPeer {
+    readonly session: string;
+    readonly entry: string;
+    readonly availabilityZone: string;
+    readonly link: peers.PeerLink;
+    /** Newest status; undefined before the first heartbeat. */
+    readonly status: PeerStatus | undefined;
+    /** Clock time in ms at which the status arrived. */
+    readonly statusAt: number;
+}
+
+export interface PeerDirectoryParts {
+    readonly identity: peers.PeerIdentity;
+    readonly peerKey: string;
+    readonly limits: peers.PeerLimits;
+    readonly sourceHost: string | undefined;
+    readonly times: schema.settings.SessionTimes;
+    readonly metrics: metrics.Metrics;
+    readonly logger: logger.Logger;
+    readonly clock: () => number;
+    makeStatus(): PeerStatus;
+}
+
+interface PeerRecord {
+    readonly session: string;
+    readonly entry: string;
+    readonly availabilityZone: string;
+    readonly link: peers.PeerLink;
+    status: PeerStatus | undefined;
+    statusAt: number;
+}
+
+export class PeerDirectory {
+    readonly #parts: PeerDirectoryParts;
+    readonly #peers = new Map<string, PeerRecord>();
+    readonly #promisedAt = new Map<string, number>();
+    readonly #goodbyes = new Set<string>();
+
+    constructor(parts: PeerDirectoryParts) {
+        this.#parts = parts;
+    }
+
+    /** Follows the fleet state: a link to each open session but `own`. */
+    sync(state: fleetState.FleetState, own: string): void {
+        for (const session of state.sessions.values()) {
+            if (session.session !== own && !this.#peers.has(session.session)) {
+                this.#peers.set(session.session, this.#connect(session));
+            }
+        }
+        for (const [session, record] of this.#peers) {
+            if (session === own || !state.sessions.has(session)) {
+                record.link.close();
+                this.#peers.delete(session);
+                this.#goodbyes.delete(session);
+                this.#promisedAt.delete(session);
+            }
+        }
+    }
+
+    #connect(session: fleetState.SessionState): PeerRecord {
+        const record: PeerRecord = {
+            session: session.session,
+            entry: session.entry,
+            availabilityZone: session.availabilityZone,
+            link: this.#createLink(session),
+            status: undefined,
+            statusAt: 0,
+        };
+        return record;
+    }
+
+    #createLink(session: fleetState.SessionState): peers.PeerLink {
+        const parts = this.#parts;
+        return new peers.PeerLink({
+            address: session.peerAddress,
+            expected: {
+                session: session.session,
+                entry: session.entry,
+                availabilityZone: session.availabilityZone,
+            },
+            identity: parts.identity,
+            peerKey: parts.peerKey,
+            limits: parts.limits,
+            clock: parts.clock,
+            counters: parts.metrics.createSink("peer_events"),
+            logger: parts.logger,
+            localAddress: parts.sourceHost,
+            makeHeartbeat: () => parts.makeStatus(),
+            onHeartbeatAnswer: (answer, _sentAt, receivedAt) => this.noteStatus(answer, receivedAt),
+        });
+    }
+
+    /** Closes all links, because this process goes on under a new session or ends. */
+    closeAll(): void {
+        for (const record of this.#peers.values()) {
+            record.link.close();
+        }
+        this.#peers.clear();
+    }
+
+    /** Takes a status from a heartbeat or its answer. */
+    noteStatus(status: PeerStatus, now: number): void {
+        const record = this.#peers.get(status.session);
+        if (record !== undefined) {
+            record.status = status;
+            record.statusAt = now;
+        }
+    }
+
+    /** Remembers that a heartbeat of `session` was answered: for the fence time it won't be closed from here. */
+    notePromise(session: string, now: number): void {
+        this.#promisedAt.set(session, now);
+    }
+
+    /** Clock time in ms of the newest heartbeat of `session` that was answered here. */
+    promisedAt(session: string): number | undefined {
+        return this.#promisedAt.get(session);
+    }
+
+    noteGoodbye(session: string): void {
+        this.#goodbyes.add(session);
+    }
+
+    get(session: string): KnownPeer | undefined {
+        return this.#peers.get(session);
+    }
+
+    list(): readonly KnownPeer[] {
+        return [...this.#peers.values()];
+    }
+
+    /** Contact to one session. */
+    contact(session: string, now: number): fence.Contact {
+        const record = this.#peers.get(session);
+        if (record === undefined) {
+            return fence.Contact.unreachable;
+        }
+        const gone = this.#goodbyes.has(session) || record.link.state === "refused" || record.link.state === "strange";
+        return fence.classifyContact({ gone, answeredAt: record.link.lastAnsweredAt }, this.#parts.times, now);
+    }
+
+    /** Instances that peers report as ejected. */
+    listEjected(): ReadonlySet<string> {
+        return new Set(this.list().flatMap(peer => peer.status?.ejected ?? []));
+    }
+
+    async sayGoodbye(): Promise<void> {
+        await Promise.all(this.list().map(peer => peer.link.sayGoodbye()));
+    }
+}
--- /dev/null
+++ b/packages/entry/src/zone-contacts.ts
@@ -0,0 +1,19 @@
+/**
+ * Contacts to the other open sessions of an availability zone.
+ */
+import * as fleetState from "@catkinwharf/fleet-state";
+import * as fence from "./fence.js";
+import * as peerDirectory from "./peer-directory.js";
+
+/** One contact for each open session of the zone but `own`. `now` is clock time in ms. */
+export function listContacts(
+    state: fleetState.FleetState,
+    directory: peerDirectory.PeerDirectory,
+    availabilityZone: string,
+    own: string,
+    now: number,
+): readonly fence.Contact[] {
+    return fleetState.openSessionsOfZone(state, availabilityZone)
+        .filter(session => session.session !== own)
+        .map(session => directory.contact(session.session, now));
+}
--- a/packages/fleet-state/src/claims.ts
+++ b/packages/fleet-state/src/claims.ts
@@ -43,6 +43,7 @@
 /** Claims by key, up to an offset of the stream. */
 export class ClaimTable {
     readonly #rememberMs: number;
+    readonly #onExpired: (key: string) => void;
     /** By key, oldest claim first. */
     readonly #claims = new Map<string, ClaimState>();
     /** Time of the release by released request, oldest first: a late repetition of its claim must not win. */
@@ -50,9 +51,13 @@
     #nextOffset = 0;
     #newestAt = 0;
 
-    /** `rememberMs` must be the same in all entry instances and shorter than the platform's retention. */
-    constructor(rememberMs: number = defaultRememberMs) {
+    /**
+     * `rememberMs` must be the same in all entry instances and shorter than the platform's retention. `onExpired` gets
+     * the key of each claim that no longer stands.
+     */
+    constructor(rememberMs: number = defaultRememberMs, onExpired: (key: string) => void = () => undefined) {
         this.#rememberMs = rememberMs;
+        this.#onExpired = onExpired;
     }
 
     /** Claims in the table. */
@@ -104,6 +109,7 @@
                 break;
             }
             this.#claims.delete(claim.key);
+            this.#onExpired(claim.key);
             dropped++;
         }
         return dropped;
--- a/packages/types/src/reason.ts
+++ b/packages/types/src/reason.ts
@@ -27,8 +27,10 @@
     serviceUnknown: "service-unknown",
     stopping: "stopping",
     answerCutShort: "answer-cut-short",
+    answerForgotten: "answer-forgotten",
     answerMismatched: "answer-mismatched",
     answerTooLarge: "answer-too-large",
+    outcomeUnknown: "outcome-unknown",
     peerLost: "peer-lost",
 } as const;
 
@@ -89,7 +91,12 @@
     [Reason.serviceUnknown]: notRun(404, undefined, "The configuration names no such service."),
     [Reason.stopping]: notRun(503, 1, "This entry instance is shutting down. Retry."),
     [Reason.answerCutShort]: unknown(502, "The backend server's answer ended before it was whole."),
+    [Reason.answerForgotten]: unknown(409, "The key's request ran, but its answer is no longer kept."),
     [Reason.answerMismatched]: unknown(502, "The backend server's answer belongs to another request."),
     [Reason.answerTooLarge]: unknown(502, "The backend server's answer is larger than the settings allow."),
+    [Reason.outcomeUnknown]: unknown(
+        502,
+        "The key's request was sent to a backend server; what became of it is not known.",
+    ),
     [Reason.peerLost]: unknown(502, "The entry instance that ran the request was lost before it answered."),
 };
