--- a/packages/bench/src/evidence-collector.ts
+++ b/packages/bench/src/evidence-collector.ts
@@ -39,9 +39,14 @@
         this.#versions.set(entry.name, versions);
     }
 
+    /** Stops looking. */
+    stop(): void {
+        clearInterval(this.#timer);
+    }
+
     /** Stops looking, and reads the lists of the stand-ins. */
     async collect(calls: readonly callRecord.Call[]): Promise<promiseChecker.Evidence> {
-        clearInterval(this.#timer);
+        this.stop();
         const lists = await Promise.all(this.#running.backendServers.map(server => testUtils.readExecutions(server)));
         return {
             calls,
--- a/packages/bench/src/session.ts
+++ b/packages/bench/src/session.ts
@@ -42,6 +42,7 @@
         throw thrown;
     }
     finally {
+        session.collector.stop();
         await session.caller.close();
         await running.stop();
     }
