Name the fold's files in kebab case, like those of the other packages

Cause: two manners of file names in one workspace. Ruled out: camel case everywhere (the larger part of the files has kebab case, and so have the packages). Measured: the fleet-state tests pass before and after. Conclusion: renamed; no code changed but the import paths.

--- a/packages/fleet-state/src/apply.ts
+++ b/packages/fleet-state/src/apply.ts
@@ -4,14 +4,14 @@
  */
 import * as schema from "@catkinwharf/schema";
 import * as change from "./change.js";
-import * as configurationRecords from "./configurationRecords.js";
-import * as drainRecords from "./drainRecords.js";
-import * as idWindow from "./idWindow.js";
-import * as instanceRecords from "./instanceRecords.js";
-import * as leaseRecords from "./leaseRecords.js";
+import * as configurationRecords from "./configuration-records.js";
+import * as drainRecords from "./drain-records.js";
+import * as idWindow from "./id-window.js";
+import * as instanceRecords from "./instance-records.js";
+import * as leaseRecords from "./lease-records.js";
 import type * as model from "./model.js";
-import * as sessionRecords from "./sessionRecords.js";
-import * as stopRecords from "./stopRecords.js";
+import * as sessionRecords from "./session-records.js";
+import * as stopRecords from "./stop-records.js";
 import * as verdict from "./verdict.js";
 
 type Kind = schema.log.FleetRecord["kind"];
--- a/packages/fleet-state/src/change.ts
+++ b/packages/fleet-state/src/change.ts
@@ -3,7 +3,7 @@
  */
 import type * as schema from "@catkinwharf/schema";
 import type * as model from "./model.js";
-import * as shardedMap from "./shardedMap.js";
+import * as shardedMap from "./sharded-map.js";
 import * as verdict from "./verdict.js";
 
 /** Result of a handler: the state after the record, or the reason why the record changes nothing. */
--- a/packages/fleet-state/src/drainRecords.ts
+++ b/packages/fleet-state/src/drain-records.ts
@@ -3,10 +3,10 @@
  */
 import type * as schema from "@catkinwharf/schema";
 import * as change from "./change.js";
-import * as configurationRecords from "./configurationRecords.js";
+import * as configurationRecords from "./configuration-records.js";
 import * as homes from "./homes.js";
 import * as model from "./model.js";
-import * as stopProgress from "./stopProgress.js";
+import * as stopProgress from "./stop-progress.js";
 import * as verdict from "./verdict.js";
 
 export const applyDrainStarted: change.Handler<schema.log.DrainStarted> = (state, record) => {
--- a/packages/fleet-state/src/histories.test.ts
+++ b/packages/fleet-state/src/histories.test.ts
@@ -8,7 +8,7 @@
 import * as url from "node:url";
 import * as uvu from "uvu";
 import * as assert from "uvu/assert";
-import * as idWindow from "./idWindow.js";
+import * as idWindow from "./id-window.js";
 import * as fleetState from "./index.js";
 import * as records from "./records.test.js";
 
--- a/packages/fleet-state/src/homes.ts
+++ b/packages/fleet-state/src/homes.ts
@@ -6,7 +6,7 @@
 import * as model from "./model.js";
 import * as rendezvous from "./rendezvous.js";
 import * as selectors from "./selectors.js";
-import * as shardedMap from "./shardedMap.js";
+import * as shardedMap from "./sharded-map.js";
 
 /** The instance with a home chosen anew among the open sessions of its availability zone. */
 export function chooseAnew(state: model.FleetState, instance: model.InstanceState): model.InstanceState {
--- a/packages/fleet-state/src/index.ts
+++ b/packages/fleet-state/src/index.ts
@@ -3,7 +3,7 @@
  */
 export * from "./apply.js";
 export * from "./claims.js";
-export { findConfigurationFault, hasPool } from "./configurationRecords.js";
+export { findConfigurationFault, hasPool } from "./configuration-records.js";
 export * from "./model.js";
 export * from "./rendezvous.js";
 export {
@@ -14,6 +14,6 @@
     listHomedInstances,
     openSessionsOfZone,
 } from "./selectors.js";
-export { finishedStopCount, isFinished } from "./stopProgress.js";
+export { finishedStopCount, isFinished } from "./stop-progress.js";
 export * from "./storage.js";
 export * from "./verdict.js";
--- a/packages/fleet-state/src/instanceRecords.ts
+++ b/packages/fleet-state/src/instance-records.ts
@@ -5,7 +5,7 @@
 import * as change from "./change.js";
 import * as homes from "./homes.js";
 import * as model from "./model.js";
-import * as stopProgress from "./stopProgress.js";
+import * as stopProgress from "./stop-progress.js";
 import * as verdict from "./verdict.js";
 
 export const applyInstanceRegistered: change.Handler<schema.log.InstanceRegistered> = (state, record) => {
--- a/packages/fleet-state/src/model.ts
+++ b/packages/fleet-state/src/model.ts
@@ -3,8 +3,8 @@
  * planned stops. All parts are immutable; a record gives a new state that shares what it did not change.
  */
 import type * as schema from "@catkinwharf/schema";
-import * as idWindow from "./idWindow.js";
-import * as shardedMap from "./shardedMap.js";
+import * as idWindow from "./id-window.js";
+import * as shardedMap from "./sharded-map.js";
 
 /** A published value and the version that its publication gave it. */
 export interface Versioned<Value> {
--- a/packages/fleet-state/src/properties.test.ts
+++ b/packages/fleet-state/src/properties.test.ts
@@ -3,9 +3,9 @@
 import * as uvu from "uvu";
 import * as assert from "uvu/assert";
 import * as histories from "./histories.test.js";
-import * as idWindow from "./idWindow.js";
+import * as idWindow from "./id-window.js";
 import * as fleetState from "./index.js";
-import * as shardedMap from "./shardedMap.js";
+import * as shardedMap from "./sharded-map.js";
 
 const suite = uvu.suite("properties of the fold");
 
--- a/packages/fleet-state/src/sessionRecords.ts
+++ b/packages/fleet-state/src/session-records.ts
@@ -5,7 +5,7 @@
 import type * as schema from "@catkinwharf/schema";
 import * as change from "./change.js";
 import * as homes from "./homes.js";
-import * as idWindow from "./idWindow.js";
+import * as idWindow from "./id-window.js";
 import type * as model from "./model.js";
 import * as verdict from "./verdict.js";
 
--- a/packages/fleet-state/src/stopRecords.ts
+++ b/packages/fleet-state/src/stop-records.ts
@@ -5,7 +5,7 @@
 import * as change from "./change.js";
 import type * as model from "./model.js";
 import * as selectors from "./selectors.js";
-import * as stopProgress from "./stopProgress.js";
+import * as stopProgress from "./stop-progress.js";
 import * as verdict from "./verdict.js";
 
 export const applyStopAnnounced: change.Handler<schema.log.StopAnnounced> = (state, record, position) => {
--- a/packages/fleet-state/src/storage.ts
+++ b/packages/fleet-state/src/storage.ts
@@ -4,11 +4,11 @@
  */
 import * as schema from "@catkinwharf/schema";
 import * as crypto from "node:crypto";
-import * as canonicalJson from "./canonicalJson.js";
-import * as idWindow from "./idWindow.js";
+import * as canonicalJson from "./canonical-json.js";
+import * as idWindow from "./id-window.js";
 import * as model from "./model.js";
 import * as selectors from "./selectors.js";
-import * as shardedMap from "./shardedMap.js";
+import * as shardedMap from "./sharded-map.js";
 
 /** The state as plain JSON; lists are sorted by name. */
 export function storeState(state: model.FleetState): schema.log.Snapshot["state"] {
