Start no drain that a home can't hear of, and hand over only idle instances

Cause: three gaps of the coordinator. It forgot decisions whose append got no answer, though they may still take effect. It handed a released instance to the reboot although a home that was paused and then closed by another may have left requests running.

Weighed: for the first, membership (lags, and a zone may be cut off from the platform only) against renewals (platform time, compared with the newest renewal of any session, so no clocks are mixed): renewals, half the fence time.

Seen failing first: with isHomeReachable answering true, "no drain starts whose home would not hear of it" fails with drains of i5 and i4.

--- a/packages/entry/src/coordinator.ts
+++ b/packages/entry/src/coordinator.ts
@@ -4,13 +4,16 @@
  * One round at a time: observe, plan, append, wait for the verdicts. Each record carries the lease's epoch, so that a
  * holder that was paused changes nothing after another took over.
  */
+import * as errors from "@catkinwharf/errors";
 import * as fleetState from "@catkinwharf/fleet-state";
 import * as logger from "@catkinwharf/logger";
 import * as planner from "@catkinwharf/planner";
 import * as schema from "@catkinwharf/schema";
 import * as fleetView from "./fleet-view.js";
+import * as handOverGate from "./hand-over-gate.js";
 import * as leaseKeeper from "./lease-keeper.js";
 import * as metrics from "./metrics.js";
+import * as pendingDecisions from "./pending-decisions.js";
 import * as platformWatch from "./platform-watch.js";
 import * as records from "./records.js";
 import * as snapshotWriter from "./snapshot-writer.js";
@@ -31,6 +34,10 @@
     readonly logger: logger.Logger;
     readonly clock: () => number;
     readonly wallClock: () => number;
+    /** Longest time in ms that a request may run. */
+    readonly maxRequestMs: number;
+    /** Time in ms without a renewal after which a home is taken for unable to hear of a drain. */
+    readonly homeSilenceMs: number;
     /** Whether this session is open and in contact with the log. */
     isFresh(): boolean;
     readSession(): string;
@@ -43,6 +50,8 @@
 export class Coordinator {
     readonly #parts: CoordinatorParts;
     #observations = new planner.Observations();
+    readonly #pending = new pendingDecisions.PendingDecisions();
+    readonly #gate: handOverGate.HandOverGate;
     readonly #demand = new planner.DemandHistory();
     #epoch = 0;
     #waits: ReadonlyMap<string, stopStatus.StopWait> = new Map();
@@ -51,6 +60,10 @@
 
     constructor(parts: CoordinatorParts) {
         this.#parts = parts;
+        this.#gate = new handOverGate.HandOverGate({
+            maxWaitMs: parts.maxRequestMs,
+            onUnchecked: () => parts.metrics.count("decisions", "hand-over-unchecked"),
+        });
     }
 
     start(): void {
@@ -81,6 +94,7 @@
         this.#beginEpoch();
         await this.#parts.watch.refresh(this.#parts.view.state, this.#parts.clock());
         await this.#decide();
+        await this.#giveUpIfStuck();
         await this.#parts.snapshots.writeIfDue(this.#parts.view.state, this.#parts.clock());
     }
 
@@ -93,6 +107,15 @@
         }
     }
 
+    /** Ends the doubt about decisions that were not read back: under the next epoch they have no effect. */
+    async #giveUpIfStuck(): Promise<void> {
+        const now = this.#parts.clock();
+        if (this.#pending.isStuck(now)) {
+            this.#parts.metrics.count("lease_events", "given-up");
+            await this.#parts.lease.release(now);
+        }
+    }
+
     async #decide(): Promise<void> {
         const state = this.#parts.view.state;
         const now = this.#parts.wallClock();
@@ -107,6 +130,8 @@
             reboots: this.#parts.watch.reboots,
             demand: this.#demand,
             observations: this.#observations,
+            pending: this.#pending.list(state),
+            homeSilenceMs: this.#parts.homeSilenceMs,
             now,
             policy: planner.policies.chosen,
         };
@@ -116,7 +141,9 @@
             halted: wait.reason === planner.WaitReason.halted,
             detail: `${wait.reason}: ${wait.detail}`,
         }]));
-        await Promise.all(plan.decisions.map(draft => this.#append(draft, state.lease.epoch)));
+        const usage = this.#parts.watch.usage;
+        const decisions = this.#gate.filter(plan.decisions, state, usage, this.#parts.clock());
+        await Promise.all(decisions.map(draft => this.#append(draft, state.lease.epoch)));
     }
 
     async #append(draft: planner.DecisionDraft, epoch: number): Promise<void> {
@@ -128,6 +155,9 @@
         const deadline = this.#parts.clock() + decisionTimeoutMs;
         const settled = await this.#parts.view.propose(this.#parts.stream, record, deadline);
         if (settled.isErr()) {
+            if (settled.error.fault === errors.PlatformFault.unanswered) {
+                this.#pending.add(record.id, draft, epoch, this.#parts.clock());
+            }
             this.#parts.metrics.count("decisions", `${draft.kind}:${settled.error.fault}`);
             return;
         }
--- a/packages/entry/src/entry-process.ts
+++ b/packages/entry/src/entry-process.ts
@@ -87,6 +87,8 @@
         return new coordinator.Coordinator({
             ...shared,
             wallClock,
+            maxRequestMs: settings.requests.maxTimeoutMs,
+            homeSilenceMs: settings.session.fenceMs / 2,
             lease: new leaseKeeper.LeaseKeeper({ ...shared, times: settings.session, random }),
             watch: new platformWatch.PlatformWatch({
                 membership: new platform.MembershipClient(service(settings.platform.membership)),
--- a/packages/entry/src/platform-watch.ts
+++ b/packages/entry/src/platform-watch.ts
@@ -8,6 +8,8 @@
 
 /** Time in ms between readings of the membership list. */
 const membershipMs = 1_000;
+/** Time in ms between readings of the usage reports, while an instance waits for one. */
+const usageMs = 500;
 
 export interface WatchParts {
     readonly membership: platform.MembershipClient;
@@ -21,6 +23,8 @@
     #members: readonly schema.platform.Member[] = [];
     #membersReadAt = 0;
     #triedAt = Number.NEGATIVE_INFINITY;
+    #usage: readonly schema.platform.UsageReport[] = [];
+    #usageTriedAt = Number.NEGATIVE_INFINITY;
     #reboots = new Map<string, schema.platform.RebootAnswer>();
 
     constructor(parts: WatchParts) {
@@ -37,6 +41,11 @@
         return this.#membersReadAt;
     }
 
+    /** Newest usage reports; they are read while an instance is released. */
+    get usage(): readonly schema.platform.UsageReport[] {
+        return this.#usage;
+    }
+
     /** Newest answer for each reboot that was asked for, by drain. */
     get reboots(): ReadonlyMap<string, schema.platform.RebootAnswer> {
         return this.#reboots;
@@ -44,7 +53,20 @@
 
     /** Reads what is due, and asks for the reboot of each stopped instance. `now` is clock time in ms. */
     async refresh(state: fleetState.FleetState, now: number): Promise<void> {
-        await Promise.all([this.#readMembers(now), this.#rebootStopped(state)]);
+        await Promise.all([this.#readMembers(now), this.#readUsage(state, now), this.#rebootStopped(state)]);
+    }
+
+    async #readUsage(state: fleetState.FleetState, now: number): Promise<void> {
+        const isWanted = [...state.instances.values()].some(({ phase }) => phase === fleetState.Phase.released);
+        if (!isWanted || now - this.#usageTriedAt < usageMs) {
+            return;
+        }
+        this.#usageTriedAt = now;
+        const answer = await this.#parts.control.readUsage();
+        answer.match(
+            value => this.#usage = value.reports,
+            error => this.#parts.metrics.count("platform_events", `usage:${error.fault}`),
+        );
     }
 
     async #readMembers(now: number): Promise<void> {
--- a/packages/fleet-state/src/index.ts
+++ b/packages/fleet-state/src/index.ts
@@ -8,6 +8,7 @@
 export * from "./rendezvous.js";
 export {
     compareNames,
+    hasRecord,
     holdsLease,
     instancesOfPool,
     instancesOfZone,
--- a/packages/fleet-state/src/selectors.ts
+++ b/packages/fleet-state/src/selectors.ts
@@ -1,6 +1,7 @@
 /**
  * Questions to a fleet state. Lists are sorted by name, so that they don't depend on how the state came about.
  */
+import * as idWindow from "./id-window.js";
 import type * as model from "./model.js";
 
 /** Open sessions of an availability zone. */
@@ -47,3 +48,8 @@
     }
     return wanted.sort((left, right) => compareNames(left.instance.name, right.instance.name));
 }
+
+/** Whether a record with the id was read; renewals, and all but the newest 10 000 other records, are not remembered. */
+export function hasRecord(state: model.FleetState, id: string): boolean {
+    return idWindow.hasId(state.recentIds, id);
+}
--- a/packages/planner/src/context.ts
+++ b/packages/planner/src/context.ts
@@ -28,9 +28,16 @@
     /** Drafts of earlier plans whose verdict was not read back; they count as decided. */
     readonly pending?: readonly draft.DecisionDraft[];
     readonly policy: policies.Policy;
+    /**
+     * Platform time in ms that a home's newest renewal may lie behind the newest of any session; beyond it the home
+     * may not hear of a drain, so none is started. 3 s when absent.
+     */
+    readonly homeSilenceMs?: number;
     readonly now: number;
 }
 
+const defaultHomeSilenceMs = 3_000;
+
 /** Age of the membership list above which nothing is taken out, in ms. */
 const maxMembershipAgeMs = 60_000;
 
@@ -41,6 +48,8 @@
     readonly pools: ReadonlyMap<string, capacity.PoolView>;
     readonly #pending: ReadonlySet<string>;
     readonly #cutOffZones: ReadonlySet<string>;
+    /** Platform time in ms of the newest renewal of any session. */
+    readonly #newestRenewal: number;
     readonly #decided = new Set<string>();
     #drains = 0;
 
@@ -52,6 +61,7 @@
             input.state,
             name => input.observations.getAbsentSince(name) !== undefined,
         );
+        this.#newestRenewal = Math.max(0, ...[...input.state.sessions.values()].map(session => session.renewedAt));
         const leaving = new Set(
             (input.pending ?? []).filter(one => one.kind === "drain-started").map(draft.getSubject),
         );
@@ -112,10 +122,20 @@
             && this.observations.isLostFor(instance, balance.replaceAfterMs, this.now);
     }
 
-    /** Instances that this plan may take out: active, with no decision under way. */
+    /**
+     * Whether the instance's home, if it has one, would hear of a drain: it renews its session about as late as others.
+     * Both times are the platform's, so that no clocks are compared.
+     */
+    isHomeReachable(instance: fleetState.InstanceState): boolean {
+        const home = instance.home === undefined ? undefined : this.state.sessions.get(instance.home);
+        const silenceMs = this.input.homeSilenceMs ?? defaultHomeSilenceMs;
+        return home === undefined || this.#newestRenewal - home.renewedAt <= silenceMs;
+    }
+
+    /** Instances that this plan may take out: active, with a home that hears of it and no decision under way. */
     isFree(instance: capacity.InstanceView): boolean {
         const undecided = !this.isPending(instance.name) && !this.#decided.has(instance.name);
-        return instance.state.phase === "active" && undecided;
+        return instance.state.phase === "active" && undecided && this.isHomeReachable(instance.state);
     }
 
     /** Takes an instance out of its pool and drafts the drain. */
--- a/packages/planner/src/draft.ts
+++ b/packages/planner/src/draft.ts
@@ -38,6 +38,8 @@
     width: "width",
     /** The remaining instances are not live, so they can't be rebooted. */
     notLive: "not-live",
+    /** The homes of the remaining instances don't renew their sessions, so they would not hear of a drain. */
+    homeUnreachable: "home-unreachable",
     /** All remaining instances are on their way, or out for another reason. */
     inProgress: "in-progress",
     /** The bound on decisions in one plan was reached. */
--- a/packages/planner/src/fleet.test.ts
+++ b/packages/planner/src/fleet.test.ts
@@ -113,6 +113,10 @@
         return application.verdict;
     }
 
+    renew(session: string): void {
+        this.append({ kind: "session-renewed", session, appliedOffset: 0, configurationVersion: 1 }, session);
+    }
+
     plan(pending: readonly planner.DecisionDraft[] = []): planner.Plan {
         const sighting = {
             state: this.state,
--- a/packages/planner/src/plan.test.ts
+++ b/packages/planner/src/plan.test.ts
@@ -238,6 +238,19 @@
     assert.ok(quickMs < plainMs, `${quickMs} ${plainMs}`);
 });
 
+suite("no drain starts whose home would not hear of it, for a stop or a move", () => {
+    const fleet = testFleet.start(testFleet.basicShape);
+    fleet.announce({ availabilityZones: ["z2"] });
+    fleet.now += 3_001;
+    fleet.renew("s-z1");
+    fleet.renew("s-z3");
+    const cutOff = fleet.plan();
+    assert.equal(cutOff.decisions.filter(one => one.kind === "drain-started"), []);
+    assert.is(cutOff.waits[0]?.reason, planner.WaitReason.homeUnreachable);
+    fleet.renew("s-z2");
+    assert.ok(fleet.plan().decisions.some(one => one.kind === "drain-started"));
+});
+
 suite("nothing is decided without a configuration or with a stale membership list", () => {
     const fleet = testFleet.start(testFleet.basicShape);
     fleet.announce({ availabilityZones: testFleet.zones });
--- a/packages/planner/src/waves.ts
+++ b/packages/planner/src/waves.ts
@@ -1,6 +1,7 @@
 /**
  * Which instances are taken out next for the planned stops, and why none is where none is.
  */
+import type * as fleetState from "@catkinwharf/fleet-state";
 import * as capacity from "./capacity.js";
 import type * as context from "./context.js";
 import * as draft from "./draft.js";
@@ -194,12 +195,31 @@
     if (blocked.length > 0) {
         return { stop, reason: draft.WaitReason.budget, detail: `${blocked.join("; ")}; ${out}` };
     }
-    const absent = status.stop.remaining.filter(name =>
-        given.state.instances.get(name)?.phase === "active" && !given.observations.isLive(name, given.now)
-    );
-    return absent.length > 0
-        ? { stop, reason: draft.WaitReason.notLive, detail: `not live: ${absent.join(", ")}; ${out}` }
-        : { stop, reason: draft.WaitReason.inProgress, detail: out };
+    return { stop, ...explainLeftOut(given, status, out) };
+}
+
+/** Why none of the remaining instances is a candidate. */
+function explainLeftOut(
+    given: context.PlanContext,
+    status: stopStatus.StopStatus,
+    out: string,
+): Pick<draft.StopWait, "reason" | "detail"> {
+    const active = status.stop.remaining
+        .map(name => given.state.instances.get(name))
+        .filter(instance => instance !== undefined)
+        .filter(instance => instance.phase === "active");
+    const absent = listNames(active.filter(one => !given.observations.isLive(one.instance.name, given.now)));
+    if (absent !== "") {
+        return { reason: draft.WaitReason.notLive, detail: `not live: ${absent}; ${out}` };
+    }
+    const unheard = listNames(active.filter(one => !given.isHomeReachable(one)));
+    return unheard === ""
+        ? { reason: draft.WaitReason.inProgress, detail: out }
+        : { reason: draft.WaitReason.homeUnreachable, detail: `homes don't renew: ${unheard}; ${out}` };
+}
+
+function listNames(instances: readonly fleetState.InstanceState[]): string {
+    return instances.map(one => one.instance.name).join(", ");
 }
 
 function describe(pool: capacity.PoolView): string {
