Close two holes in the argument of the fence

Cause, found by reading: a blind session dispatches on when every other session of its zone promised not to close it, or is gone. 1. A peer answered heartbeats whatever it knew of the asker: also when it had closed the asker's session, or had appended a close whose outcome is unknown. The asker took the answer for a promise. 2. A process that was paused kept what it knew before: a peer whose port refused then (gone) may have restarted during the pause, opened a session that the paused one never heard of, closed it and taken its homes. The woken process was sheltered by nobody and dispatched what lay in its queue.

Change: the answer says whether the sender keeps the asker's session (keepsSession, a new field of heartbeat-answer), and only such answers shelter. A try to close counts until a newer renewal is read. After a pause of half the fence time or more only a renewal sent since the pause permits dispatching.

Ruled out: taking another session at a peer's address (strange) for unreachable; it would fence every survivor 45 s after a peer restarted in a platform outage.

--- a/packages/entry/src/control-plane.ts
+++ b/packages/entry/src/control-plane.ts
@@ -7,6 +7,7 @@
 import * as fence from "./fence.js";
 import * as fleetView from "./fleet-view.js";
 import * as logStreams from "./log-streams.js";
+import * as pauseDetector from "./pause-detector.js";
 import * as peerDirectory from "./peer-directory.js";
 import * as processContext from "./process-context.js";
 import * as recordRelay from "./record-relay.js";
@@ -41,6 +42,7 @@
     readonly peerLimits: peers.PeerLimits;
     readonly #context: processContext.ProcessContext;
     readonly #load: LoadSource;
+    readonly #pauses: pauseDetector.PauseDetector;
     readonly #relay: recordRelay.RecordRelay;
     #keeper: sessionKeeper.SessionKeeper | undefined;
     #closer: sessionCloser.SessionCloser | undefined;
@@ -51,6 +53,7 @@
         const { settings, metrics, clock } = context;
         this.#context = context;
         this.#load = load;
+        this.#pauses = new pauseDetector.PauseDetector(settings.session.fenceMs / 2, clock());
         this.identity = new OwnIdentity(settings.entry, settings.availabilityZone);
         this.peerLimits = createPeerLimits(settings);
         const streamParts = { settings, metrics, logger: context.createLogger("log"), clock };
@@ -159,6 +162,7 @@
 
     #decidePermission(): fence.Permission {
         const now = this.#context.clock();
+        this.#pauses.look(now);
         const contacts = zoneContacts.listContacts(
             this.view.state,
             this.directory,
@@ -168,11 +172,17 @@
         );
         return fence.decidePermission({
             confirmedAt: this.#keeper?.confirmedAt,
+            resumedAt: this.#pauses.resumedAt,
             zoneContacts: contacts,
             times: this.#context.settings.session,
         }, now);
     }
 
+    /** Whether nothing that was appended here can close the session, and nothing will for the fence time. */
+    keepsSession(session: string): boolean {
+        return this.#closer?.keeps(session) ?? false;
+    }
+
     /** Follows a change of the fleet state. */
     sync(): void {
         this.directory.sync(this.view.state, this.session);
--- a/packages/entry/src/entry-process.ts
+++ b/packages/entry/src/entry-process.ts
@@ -237,6 +237,7 @@
             makeStatus: () => this.#control.makeStatus(),
             readSession: () => this.#control.session,
             isStopping: () => this.#stopping,
+            keepsSession: session => this.#control.keepsSession(session),
             runTicket: (question, ticket) => this.#requests.keyService.run(question, ticket),
         });
     }
--- a/packages/entry/src/fence.test.ts
+++ b/packages/entry/src/fence.test.ts
@@ -1,7 +1,10 @@
 import * as fc from "fast-check";
+import * as neverthrow from "neverthrow";
 import * as uvu from "uvu";
 import * as assert from "uvu/assert";
 import * as fence from "./fence.js";
+import * as pauseDetector from "./pause-detector.js";
+import * as sessionCloser from "./session-closer.js";
 
 const seed = 996;
 const times = {
@@ -27,7 +30,7 @@
         [0, [Contact.answering, Contact.unreachable], 45_000, Permission.fenced],
     ] as const;
     for (const [confirmedAt, zoneContacts, now, expected] of table) {
-        assert.is(fence.decidePermission({ confirmedAt, zoneContacts, times }, now), expected);
+        assert.is(fence.decidePermission({ confirmedAt, resumedAt: undefined, zoneContacts, times }, now), expected);
     }
 });
 
@@ -49,6 +52,7 @@
             const holderContact = fence.classifyContact({ gone: false, answeredAt: heartbeatSentAt }, times, now);
             const holder = fence.decidePermission({
                 confirmedAt: renewalSentAt,
+                resumedAt: undefined,
                 zoneContacts: [holderContact],
                 times,
             }, now);
@@ -68,6 +72,41 @@
     );
 });
 
+suite("permits nothing after a long pause but on a renewal sent since, whatever was known before", () => {
+    const decide = (confirmedAt: number, resumedAt: number): fence.Permission =>
+        fence.decidePermission({ confirmedAt, resumedAt, zoneContacts: [Contact.gone], times }, 20_000);
+    assert.is(decide(0, 10_000), Permission.fenced);
+    assert.is(decide(10_001, 10_000), Permission.sheltered);
+    assert.is(decide(15_000, 16_000), Permission.fresh);
+    const pauses = new pauseDetector.PauseDetector(3_000, 0);
+    pauses.look(2_999);
+    assert.is(pauses.resumedAt, undefined);
+    pauses.look(6_000);
+    assert.is(pauses.resumedAt, 6_000);
+});
+
+suite("promises nothing to a session that a try to close may still end", async () => {
+    const sessions = new Map([["paused", { renewalOffset: 7, session: "paused", availabilityZone: "z1" }]]);
+    const state = { sessions };
+    const closer = new sessionCloser.SessionCloser({
+        view: { state, renewalReadAt: () => 0, propose: () => Promise.resolve(neverthrow.err({})) },
+        directory: { promisedAt: () => undefined, contact: () => Contact.unreachable },
+        times,
+        availabilityZone: "z1",
+        isFresh: () => true,
+        readSession: () => "own",
+    } as unknown as sessionCloser.CloserParts);
+    closer.look(46_999);
+    assert.ok(closer.keeps("paused"));
+    closer.look(47_000);
+    await Promise.resolve();
+    assert.not(closer.keeps("paused"));
+    sessions.set("paused", { renewalOffset: 8, session: "paused", availabilityZone: "z1" });
+    assert.ok(closer.keeps("paused"));
+    sessions.clear();
+    assert.not(closer.keeps("paused"));
+});
+
 suite("closes a lost session in the end", () => {
     const candidate = { session: "lost", renewalReadAt: 0, promisedAt: 1_000, contact: Contact.gone };
     const list = (now: number, contact: fence.Contact, fresh = true): number =>
--- a/packages/entry/src/fence.ts
+++ b/packages/entry/src/fence.ts
@@ -11,7 +11,7 @@
 
 /** What is known of another open session of the same availability zone. */
 export const Contact = {
-    /** It answered a heartbeat that was sent less than the fence time ago. */
+    /** It answered, with a promise where one is asked for, a heartbeat that was sent less than the fence time ago. */
     answering: "answering",
     /** Its process is gone: it said goodbye, its host refuses connections, or another process answers there. */
     gone: "gone",
@@ -38,12 +38,19 @@
 export interface PermissionInput {
     /** Clock time in ms at which the newest confirmed renewal was sent; undefined before the first. */
     readonly confirmedAt: number | undefined;
-    /** Contacts to the other open sessions of the availability zone. */
+    /** Clock time in ms at which this process went on after its newest long pause; undefined for none. */
+    readonly resumedAt: number | undefined;
+    /** What the other open sessions of the availability zone promise. */
     readonly zoneContacts: readonly Contact[];
     readonly times: schema.settings.SessionTimes;
 }
 
-/** Whether the session may dispatch at `now` (clock ms). */
+/**
+ * Whether the session may dispatch at `now` (clock ms).
+ *
+ * What was known of the others before a long pause says nothing afterwards: they took the silence for the end of this
+ * process. So only a renewal sent after the pause counts then.
+ */
 export function decidePermission(input: PermissionInput, now: number): Permission {
     if (input.confirmedAt === undefined) {
         return Permission.fenced;
@@ -52,6 +59,9 @@
     if (age < input.times.fenceMs) {
         return Permission.fresh;
     }
+    if (input.resumedAt !== undefined && input.confirmedAt < input.resumedAt) {
+        return Permission.fenced;
+    }
     if (input.zoneContacts.every(contact => contact !== Contact.unreachable)) {
         return Permission.sheltered;
     }
--- a/packages/entry/src/peer-directory.ts
+++ b/packages/entry/src/peer-directory.ts
@@ -42,6 +42,8 @@
     readonly link: peers.PeerLink;
     status: PeerStatus | undefined;
     statusAt: number;
+    /** Clock time in ms at which the newest heartbeat was sent whose answer promised to keep the own session. */
+    keptAt: number | undefined;
 }
 
 export class PeerDirectory {
@@ -79,6 +81,7 @@
             link: this.#createLink(session),
             status: undefined,
             statusAt: 0,
+            keptAt: undefined,
         };
         return record;
     }
@@ -100,10 +103,18 @@
             logger: parts.logger,
             localAddress: parts.sourceHost,
             makeHeartbeat: () => parts.makeStatus(),
-            onHeartbeatAnswer: (answer, _sentAt, receivedAt) => this.noteStatus(answer, receivedAt),
+            onHeartbeatAnswer: (answer, sentAt, receivedAt) => this.#noteAnswer(answer, sentAt, receivedAt),
         });
     }
 
+    #noteAnswer(answer: schema.peer.HeartbeatAnswer, sentAt: number, receivedAt: number): void {
+        this.noteStatus(answer, receivedAt);
+        const record = this.#peers.get(answer.session);
+        if (record !== undefined && answer.keepsSession) {
+            record.keptAt = sentAt;
+        }
+    }
+
     /** Closes all links, because this process goes on under a new session or ends. */
     closeAll(): void {
         for (const record of this.#peers.values()) {
@@ -143,14 +154,21 @@
         return [...this.#peers.values()];
     }
 
-    /** Contact to one session. */
+    /** Contact to one session: whether its process lives. */
     contact(session: string, now: number): fence.Contact {
-        const record = this.#peers.get(session);
-        if (record === undefined) {
-            return fence.Contact.unreachable;
-        }
-        const gone = this.#goodbyes.has(session) || record.link.state === "refused" || record.link.state === "strange";
-        return fence.classifyContact({ gone, answeredAt: record.link.lastAnsweredAt }, this.#parts.times, now);
+        return this.#classify(session, this.#peers.get(session)?.link.lastAnsweredAt, now);
+    }
+
+    /** Contact to one session as far as it promises not to close the own one. */
+    shelter(session: string, now: number): fence.Contact {
+        return this.#classify(session, this.#peers.get(session)?.keptAt, now);
+    }
+
+    #classify(session: string, answeredAt: number | undefined, now: number): fence.Contact {
+        const state = this.#peers.get(session)?.link.state;
+        const gone = this.#goodbyes.has(session) || state === "refused" || state === "strange";
+        const known = state !== undefined;
+        return fence.classifyContact({ gone: known && gone, answeredAt }, this.#parts.times, now);
     }
 
     /** Instances that peers report as ejected. */
--- a/packages/entry/src/peer-questions.ts
+++ b/packages/entry/src/peer-questions.ts
@@ -22,6 +22,8 @@
     makeStatus(): peerDirectory.PeerStatus;
     readSession(): string;
     isStopping(): boolean;
+    /** Whether this process has done nothing that may close the session. */
+    keepsSession(session: string): boolean;
     /** Runs a request under a ticket that this process issued. */
     runTicket(question: request.ServiceRequest, ticket: string): Promise<request.RequestResult>;
 }
@@ -49,7 +51,12 @@
         parts.directory.noteStatus(message, now);
         parts.directory.notePromise(from.session, now);
     }
-    return { ...parts.makeStatus(), kind: "heartbeat-answer", exchange: message.exchange };
+    return {
+        ...parts.makeStatus(),
+        kind: "heartbeat-answer",
+        exchange: message.exchange,
+        keepsSession: parts.keepsSession(from.session),
+    };
 }
 
 async function answerDispatch(
--- a/packages/entry/src/session-closer.ts
+++ b/packages/entry/src/session-closer.ts
@@ -26,11 +26,22 @@
 export class SessionCloser {
     readonly #parts: CloserParts;
     readonly #closing = new Set<string>();
+    /** Offset of the renewal that the newest try to close each session observed. */
+    readonly #tried = new Map<string, number>();
 
     constructor(parts: CloserParts) {
         this.#parts = parts;
     }
 
+    /**
+     * Whether nothing that was appended here can close the session. A try to close it whose outcome is unknown may
+     * take effect until a newer renewal is read.
+     */
+    keeps(session: string): boolean {
+        const state = this.#parts.view.state.sessions.get(session);
+        return state !== undefined && this.#tried.get(session) !== state.renewalOffset;
+    }
+
     /** Closes what may be closed. `now` is clock time in ms. */
     look(now: number): void {
         const closable = fence.listClosable({
@@ -63,6 +74,7 @@
             return;
         }
         this.#closing.add(session);
+        this.#tried.set(session, state.renewalOffset);
         const record: schema.log.SessionClosed = {
             ...records.createHeader(this.#parts.readSession()),
             kind: "session-closed",
@@ -72,6 +84,9 @@
         };
         const settled = await this.#parts.view.propose(this.#parts.stream, record, now + this.#parts.times.fenceMs);
         this.#closing.delete(session);
+        if (!this.#parts.view.state.sessions.has(session)) {
+            this.#tried.delete(session);
+        }
         if (settled.isOk() && settled.value.verdict.applied) {
             this.#parts.metrics.count("session_events", "closed-other");
             this.#parts.logger.warn(`Session ${session} was closed: no sign of it for too long.`);
--- a/packages/entry/src/zone-contacts.ts
+++ b/packages/entry/src/zone-contacts.ts
@@ -5,7 +5,7 @@
 import * as fence from "./fence.js";
 import * as peerDirectory from "./peer-directory.js";
 
-/** One contact for each open session of the zone but `own`. `now` is clock time in ms. */
+/** What each open session of the zone but `own` promises to `own`. `now` is clock time in ms. */
 export function listContacts(
     state: fleetState.FleetState,
     directory: peerDirectory.PeerDirectory,
@@ -15,5 +15,5 @@
 ): readonly fence.Contact[] {
     return fleetState.openSessionsOfZone(state, availabilityZone)
         .filter(session => session.session !== own)
-        .map(session => directory.contact(session.session, now));
+        .map(session => directory.shelter(session.session, now));
 }
--- a/packages/peers/src/link.test.ts
+++ b/packages/peers/src/link.test.ts
@@ -31,7 +31,13 @@
 }
 
 const echo: peers.PeerHandlers = {
-    "heartbeat": message => ({ ...load, kind: "heartbeat-answer", exchange: message.exchange, session: "session-b" }),
+    "heartbeat": ({ exchange }) => ({
+        ...load,
+        kind: "heartbeat-answer",
+        exchange,
+        session: "session-b",
+        keepsSession: true,
+    }),
     "dispatch": async message => ({ ...dispatchAnswer, exchange: message.exchange, body: message.body }),
     "key-query": async message => ({ ...keyAnswer, exchange: message.exchange }),
     "records-query": async message => ({
