Add control-cost, and count the bytes to peers and to the platform

Cause: what control costs at today's size was only computed from links alone. Weighed: reading the bytes from a fault proxy (misses unproxied runs, adds a process to each path) against counters in the process; the counters cost one addition for a frame. Bytes of callers and backend servers aren't counted.

--- /dev/null
+++ b/packages/bench/src/bin/control-cost.ts
@@ -0,0 +1,69 @@
+/**
+ * Reports what the entry processes of a deployment without callers spend on control: processor time, memory, bytes.
+ *
+ * Usage: node packages/bench/dist/bin/control-cost.js [--deployment NAME] [--seconds S] [--json]
+ */
+import * as settings from "@catkinwharf/settings";
+import * as util from "node:util";
+import * as controlCost from "../control-cost.js";
+import * as deploymentFile from "../deployment-file.js";
+import * as report from "../report.js";
+import * as benchSession from "../session.js";
+
+const bytesInMegabyte = 1024 * 1024;
+
+async function main(): Promise<number> {
+    const { values } = util.parseArgs({
+        options: {
+            deployment: { type: "string", default: "small" },
+            seconds: { type: "string", default: "30" },
+            json: { type: "boolean", default: false },
+        },
+    });
+    const deployment = deploymentFile.readNamedDeployment(values.deployment);
+    if (deployment.isErr()) {
+        process.stderr.write(`control-cost: ${settings.describeError(deployment.error)}\n`);
+        return 1;
+    }
+    const cost = await benchSession.runSession(
+        { launch: { deployment: deployment.value }, seed: 1 },
+        session => controlCost.measureControlCost(session.running, Number(values.seconds)),
+    );
+    if (values.json) {
+        report.print(JSON.stringify(cost));
+        return 0;
+    }
+    printCost(cost);
+    return 0;
+}
+
+function printCost(cost: controlCost.ControlCost): void {
+    const loads = cost.loadAverages.map(load => load.toFixed(2)).join(", ");
+    report.print(`Deployment ${cost.deployment}, idle for ${cost.seconds} s, load averages ${loads}.`);
+    for (const entry of cost.entries) {
+        const role = entry.coordinator ? " (coordinated)" : "";
+        report.print(
+            `${describeProcess(entry)}, heap ${(entry.heapBytes / bytesInMegabyte).toFixed(1)} MB, ${
+                entry.bytesPerSecond.toFixed(0)
+            } bytes/s${role}`,
+        );
+        for (const one of entry.traffic) {
+            report.print(
+                `    ${one.path}: ${one.receivedPerSecond.toFixed(0)} received, ${one.sentPerSecond.toFixed(0)} sent`,
+            );
+        }
+    }
+    cost.runtimes.forEach(runtime => report.print(describeProcess(runtime)));
+    report.print(
+        `The log took ${cost.appendsPerSecond.toFixed(1)} appends/s and ${
+            cost.readsPerSecond.toFixed(1)
+        } reads/s from all.`,
+    );
+}
+
+function describeProcess(cost: controlCost.ProcessCost): string {
+    const share = (cost.processorShare * 100).toFixed(2);
+    return `${cost.name}: ${share}% of a core, ${(cost.residentBytes / bytesInMegabyte).toFixed(1)} MB resident`;
+}
+
+process.exit(await main());
--- a/packages/entry/src/entry-process.ts
+++ b/packages/entry/src/entry-process.ts
@@ -83,7 +83,12 @@
             clock,
             readSession: () => control.session,
         };
-        const service = (url: string): platform.ServiceOptions => logStreams.createServiceOptions(settings, url);
+        const service = (url: string): platform.ServiceOptions =>
+            logStreams.createServiceOptions(
+                settings,
+                url,
+                (direction, bytes) => metrics.addBytes("coordinator", direction, bytes),
+            );
         return new coordinator.Coordinator({
             ...shared,
             wallClock,
@@ -216,7 +221,7 @@
             peerKey: settings.security.peerKey,
             handlers: this.#createHandlers(),
             limits: this.#control.peerLimits,
-            counters: metrics.createSink("peer_events"),
+            counters: metrics.createSink("peer_events", "peers"),
             logger: this.#context.createLogger("peers"),
         });
         const peerAddress = settings.advertised ?? { host: settings.peers.host, port: this.#listener.port };
--- a/packages/entry/src/log-streams.ts
+++ b/packages/entry/src/log-streams.ts
@@ -24,11 +24,16 @@
 }
 
 /** How the platform's services are reached. */
-export function createServiceOptions(settings: schema.settings.EntrySettings, url: string): platform.ServiceOptions {
+export function createServiceOptions(
+    settings: schema.settings.EntrySettings,
+    url: string,
+    onBytes?: platform.ServiceOptions["onBytes"],
+): platform.ServiceOptions {
     return {
         url,
         timeoutMs: settings.log.timeoutMs,
         ...(settings.sourceHost === undefined ? {} : { localAddress: settings.sourceHost }),
+        ...(onBytes === undefined ? {} : { onBytes }),
     };
 }
 
@@ -39,7 +44,7 @@
         limits: parts.settings.log,
         clock: parts.clock,
         logger: parts.logger,
-        counters: parts.metrics.createSink("platform_events"),
+        counters: parts.metrics.createSink("platform_events", stream),
     };
 }
 
--- a/packages/entry/src/metrics.ts
+++ b/packages/entry/src/metrics.ts
@@ -27,6 +27,12 @@
 
 const durationBucketsSeconds = [0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 5, 10, 30];
 
+/** Takes the counts of a lower layer. */
+export interface CounterSink {
+    count(event: string, reason: string): void;
+    addBytes(direction: string, bytes: number): void;
+}
+
 /** Gauges are read when they are collected. */
 export interface GaugeSource {
     readonly name: string;
@@ -38,6 +44,7 @@
     readonly #registry = new promClient.Registry();
     readonly #counters: ReadonlyMap<CounterName, promClient.Counter<"reason">>;
     readonly #durations: promClient.Histogram<"outcome">;
+    readonly #traffic: promClient.Counter<"path" | "direction">;
 
     constructor() {
         this.#counters = new Map(
@@ -58,6 +65,12 @@
             buckets: durationBucketsSeconds,
             registers: [this.#registry],
         });
+        this.#traffic = new promClient.Counter({
+            name: "catkinwharf_traffic_bytes_total",
+            help: "Bytes of connections to peers and to the platform, by direction.",
+            labelNames: ["path", "direction"],
+            registers: [this.#registry],
+        });
         promClient.collectDefaultMetrics({ register: this.#registry });
     }
 
@@ -65,9 +78,17 @@
         this.#counters.get(name)?.inc({ reason });
     }
 
-    /** A counter sink for a lower layer, whose names become part of the reason. */
-    createSink(name: CounterName): { count(event: string, reason: string): void; } {
-        return { count: (event, reason) => this.count(name, `${event}:${reason}`) };
+    /** Adds bytes that went to or came from `path`. */
+    addBytes(path: string, direction: string, bytes: number): void {
+        this.#traffic.inc({ path, direction }, bytes);
+    }
+
+    /** A counter sink for a lower layer, whose names become part of the reason; its bytes are counted under `path`. */
+    createSink(name: CounterName, path: string): CounterSink {
+        return {
+            count: (event, reason) => this.count(name, `${event}:${reason}`),
+            addBytes: (direction, bytes) => this.addBytes(path, direction, bytes),
+        };
     }
 
     observeDuration(outcome: string, milliseconds: number): void {
--- a/packages/entry/src/peer-directory.ts
+++ b/packages/entry/src/peer-directory.ts
@@ -99,7 +99,7 @@
             peerKey: parts.peerKey,
             limits: parts.limits,
             clock: parts.clock,
-            counters: parts.metrics.createSink("peer_events"),
+            counters: parts.metrics.createSink("peer_events", "peers"),
             logger: parts.logger,
             localAddress: parts.sourceHost,
             makeHeartbeat: () => parts.makeStatus(),
--- a/packages/peers/src/accepted-connection.ts
+++ b/packages/peers/src/accepted-connection.ts
@@ -5,6 +5,7 @@
 import type * as schema from "@catkinwharf/schema";
 import type * as net from "node:net";
 import * as channel from "./channel.js";
+import type * as counters from "./counters.js";
 import * as handshake from "./handshake.js";
 import type * as limits from "./limits.js";
 import type * as messages from "./messages.js";
@@ -34,6 +35,7 @@
     readonly limits: limits.PeerLimits;
     /** This side closes the connection. */
     onFault(reason: channel.CloseReason, detail: string): void;
+    onBytes(direction: counters.Direction, bytes: number): void;
     onClosed(): void;
 }
 
@@ -69,6 +71,7 @@
         this.channel = new channel.Channel(socket, bounds.maxFrameBytes, {
             onMessage: message => this.takeMessage(message),
             onFault: (reason, detail) => options.onFault(reason, detail),
+            onBytes: (direction, bytes) => options.onBytes(direction, bytes),
             onClosed: () => this.takeClose(),
         });
         this.handshakeTimer = setTimeout(
--- a/packages/peers/src/channel.ts
+++ b/packages/peers/src/channel.ts
@@ -4,6 +4,7 @@
 import type * as schema from "@catkinwharf/schema";
 import * as neverthrow from "neverthrow";
 import type * as net from "node:net";
+import * as counters from "./counters.js";
 import * as framing from "./framing.js";
 import * as limits from "./limits.js";
 import * as messages from "./messages.js";
@@ -37,6 +38,7 @@
     onMessage(message: schema.peer.PeerMessage): void;
     /** This side found a fault in what came and closes the connection. */
     onFault(reason: CloseReason, detail: string): void;
+    onBytes(direction: counters.Direction, bytes: number): void;
     /** The connection is over, whoever ended it. Called once. */
     onClosed(detail: string): void;
 }
@@ -86,6 +88,7 @@
             return neverthrow.err(SendFault.backlogFull);
         }
         this.socket.write(frame.value, () => onFlushed?.());
+        this.handlers.onBytes(counters.Direction.sent, frame.value.length);
         return neverthrow.ok();
     }
 
@@ -104,6 +107,7 @@
     }
 
     private takeBytes(chunk: Buffer): void {
+        this.handlers.onBytes(counters.Direction.received, chunk.length);
         this.decoder.push(chunk);
         while (!this.socket.destroyed) {
             const next = this.decoder.next();
--- a/packages/peers/src/dialed-connection.ts
+++ b/packages/peers/src/dialed-connection.ts
@@ -6,6 +6,7 @@
 import * as neverthrow from "neverthrow";
 import * as net from "node:net";
 import * as channel from "./channel.js";
+import type * as counters from "./counters.js";
 import * as handshake from "./handshake.js";
 import type * as limits from "./limits.js";
 import * as liveness from "./liveness.js";
@@ -51,6 +52,7 @@
     onEnd(end: ConnectionEnd, detail: string): void;
     /** Something was counted that doesn't end the connection. */
     onOddity(reason: string): void;
+    onBytes(direction: counters.Direction, bytes: number): void;
 }
 
 type KindHandlers = {
@@ -78,6 +80,7 @@
         this.channel = new channel.Channel(socket, bounds.maxFrameBytes, {
             onMessage: message => this.takeMessage(message),
             onFault: reason => options.onOddity(reason),
+            onBytes: (direction, bytes) => options.onBytes(direction, bytes),
             onClosed: detail => this.takeClose(detail),
         });
         this.dialTimer = setTimeout(
--- a/packages/peers/src/link.ts
+++ b/packages/peers/src/link.ts
@@ -25,7 +25,9 @@
 } as const;
 export type LinkState = (typeof LinkState)[keyof typeof LinkState];
 
-export interface PeerLinkOptions extends Omit<dialedConnection.DialOptions, "onReady" | "onEnd" | "onOddity"> {
+export interface PeerLinkOptions
+    extends Omit<dialedConnection.DialOptions, "onReady" | "onEnd" | "onOddity" | "onBytes">
+{
     readonly counters: counters.PeerCounters;
     readonly logger: logger.Logger;
 }
@@ -140,6 +142,7 @@
             onReady: () => this.currentState = LinkState.connected,
             onEnd: (end, detail) => this.takeEnd(end, detail),
             onOddity: reason => this.options.counters.count(counters.CounterName.linkFailed, reason),
+            onBytes: (direction, bytes) => this.options.counters.addBytes?.(direction, bytes),
         });
     }
 
--- a/packages/peers/src/listener.ts
+++ b/packages/peers/src/listener.ts
@@ -82,6 +82,7 @@
             ...this.options,
             socket,
             onFault: (reason, detail) => this.report(socket, reason, detail),
+            onBytes: (direction, bytes) => this.options.counters.addBytes?.(direction, bytes),
             onClosed: () => this.connections.delete(connection),
         });
         this.connections.add(connection);
--- a/packages/platform/src/connection.ts
+++ b/packages/platform/src/connection.ts
@@ -7,6 +7,7 @@
 import * as errors from "@catkinwharf/errors";
 import * as neverthrow from "neverthrow";
 import * as undici from "undici";
+import * as trafficMeter from "./traffic-meter.js";
 
 /** A question to a service. */
 export interface Question {
@@ -35,6 +36,8 @@
     readonly connectTimeoutMs: number;
     /** Source IP number. */
     readonly localAddress?: string;
+    /** Told of the connections' bytes after each question. */
+    readonly onBytes?: trafficMeter.TrafficListener;
 }
 
 /** Bytes of one answer; a larger one counts as unanswered. */
@@ -86,8 +89,10 @@
 export class Connection {
     private client: undici.Client | undefined;
     private readonly base: URL;
+    private readonly meter: trafficMeter.TrafficMeter;
 
     constructor(private readonly options: ConnectionOptions) {
+        this.meter = new trafficMeter.TrafficMeter(options.onBytes);
         this.base = new URL(options.url);
     }
 
@@ -97,6 +102,7 @@
             const client = this.connect();
             const exchange = new Exchange(outcome => {
                 clearTimeout(timer);
+                this.meter.read();
                 resolve(outcome);
             });
             const timer = setTimeout(() => {
@@ -117,7 +123,7 @@
     private connect(): undici.Client {
         this.client ??= new undici.Client(this.base.origin, {
             bodyTimeout: 0,
-            connect: { timeout: this.options.connectTimeoutMs },
+            connect: this.createConnector(),
             headersTimeout: 0,
             localAddress: this.options.localAddress,
             maxResponseSize: maxAnswerBytes,
@@ -126,6 +132,18 @@
         return this.client;
     }
 
+    private createConnector(): undici.buildConnector.connector {
+        const connect = undici.buildConnector({ timeout: this.options.connectTimeoutMs });
+        return (options, callback) =>
+            connect(options, (...outcome) => {
+                const [, socket] = outcome;
+                if (socket) {
+                    this.meter.follow(socket);
+                }
+                callback(...outcome);
+            });
+    }
+
     private createRequest(question: Question): undici.Dispatcher.DispatchOptions {
         const path = this.base.pathname.replace(/\/$/, "") + question.path;
         if (question.body === undefined) {
--- a/packages/platform/src/follower.ts
+++ b/packages/platform/src/follower.ts
@@ -79,6 +79,7 @@
             url: options.url,
             connectTimeoutMs: options.limits.timeoutMs,
             localAddress: options.localAddress,
+            onBytes: (direction, bytes) => options.counters.addBytes?.(direction, bytes),
         });
     }
 
--- a/packages/platform/src/service.ts
+++ b/packages/platform/src/service.ts
@@ -6,6 +6,7 @@
 import * as pQueue from "p-queue";
 import * as answers from "./answers.js";
 import * as connection from "./connection.js";
+import type * as trafficMeter from "./traffic-meter.js";
 
 export interface ServiceOptions {
     /** URL of the service. */
@@ -14,6 +15,8 @@
     readonly timeoutMs: number;
     /** Source IP number. */
     readonly localAddress?: string;
+    /** Told of the connection's bytes after each question. */
+    readonly onBytes?: trafficMeter.TrafficListener;
 }
 
 /** A question, and the check of its answer. */
--- a/packages/platform/src/stream.ts
+++ b/packages/platform/src/stream.ts
@@ -46,6 +46,7 @@
             url: options.url,
             connectTimeoutMs: options.limits.timeoutMs,
             localAddress: options.localAddress,
+            onBytes: (direction, bytes) => options.counters.addBytes?.(direction, bytes),
         });
         this.follower = new follower.Follower({
             ...options,
