Keys and operators: refuse at once without the log, release late claims, refuse crossed refusals

Real processes under faults showed five faults: - A keyed request and an operator's change waited out their deadline while the log was away, and the change was answered `invalid`. Both now look first whether reads of the log succeed (two failed in a row, or contact is lost), are refused without being sent, and the change's answer has the new status `unavailable` (503, exit code 4). - A release queued while the claim's append was unknown was never sent: when read entries settled the last unknown record, nothing woke the append queue. The key stayed `claim-unconfirmed` for as long as the entry instance made no other claim; the test ran into its limit of 100 s. Ruled out: backoff, rate budget, the fold (a trace of the queue showed one queued record, none unknown, no timer). The stream now goes on after entries too. - A key query about an abandoned claim waited for a newer claim of the same key; a retry could so wait for itself. - A repeat right after an `unknown` said `key-holder-lost` although the holder answered; it says `outcome-unknown`. - A refusal that belongs to another request (crossed answer) counted as `not-run`.

Seen failing first. at-most-once: before the fixes with `key-holder-lost`, then in the stalled release (100 s limit); with the comparison of the winning claim switched off, a raced key ran 2 times. platform-outage: with the look switched off in the key keeper it still waited at 20 s; switched off for operators, `unknown` in place of `unavailable`. key-keeper: with the look for abandoned claims switched off, `running` in place of `not-run`.

--- a/packages/bench/src/index.ts
+++ b/packages/bench/src/index.ts
@@ -5,6 +5,7 @@
 export * from "./call-record.js";
 export * from "./caller.js";
 export * from "./evidence-collector.js";
+export * from "./keyed-call.js";
 export * from "./load.js";
 export * from "./operator.js";
 export * from "./promise-checker.js";
--- a/packages/cli/src/change.ts
+++ b/packages/cli/src/change.ts
@@ -27,7 +27,7 @@
 export const changeTimeoutMs = 30_000;
 
 /** Statuses whose body is a change answer. */
-const answeredStatuses: ReadonlySet<number> = new Set([200, 202, 409, 422]);
+const answeredStatuses: ReadonlySet<number> = new Set([200, 202, 409, 422, 503]);
 
 const statusHandlers: Readonly<
     Record<
@@ -57,6 +57,15 @@
         );
     },
     unknown: (change, answer) => neverthrow.err(createUnknown(change, answer.reason, answer)),
+    unavailable: (change, answer) =>
+        neverthrow.err(
+            commandError.createError(
+                commandError.CommandFault.unreachable,
+                `${change.subject}: ${answer.reason}`,
+                "Run the command again when `catkinwharf status` shows contact with the log. Nothing was changed.",
+                answer,
+            ),
+        ),
 };
 
 /** Stops have no version, so that theirs is 0. */
--- a/packages/cli/src/command-line.test.ts
+++ b/packages/cli/src/command-line.test.ts
@@ -34,6 +34,11 @@
         code: exitCode.ExitCode.unknown,
         text: "no log",
     },
+    {
+        route: operatorPort.reply(operatorPort.createAnswer("unavailable", 0, "nothing was published"), 503),
+        code: exitCode.ExitCode.unreachable,
+        text: "nothing was published",
+    },
     { route: operatorPort.reply({ status: "maybe" }), code: exitCode.ExitCode.unknown, text: "can't be read" },
     { route: operatorPort.reply({}, 500), code: exitCode.ExitCode.unknown, text: "HTTP 500" },
     { route: operatorPort.reply({ detail: "not ready" }, 503), code: exitCode.ExitCode.unreachable, text: "not ready" },
--- a/packages/entry/src/backend-connection.ts
+++ b/packages/entry/src/backend-connection.ts
@@ -190,12 +190,12 @@
 
     #describeAnswer(): SendResult {
         const echoed = headers.readField(this.#fields, types.requestIdHeader);
-        if (headers.readField(this.#fields, refusedHeader) !== undefined) {
-            return { result: request.createNotRun(types.Reason.refusedByServer), fault: ServerFault.refused };
-        }
         if (echoed !== this.#question.requestId) {
             return unknown(types.Reason.answerMismatched, ServerFault.error);
         }
+        if (headers.readField(this.#fields, refusedHeader) !== undefined) {
+            return { result: request.createNotRun(types.Reason.refusedByServer), fault: ServerFault.refused };
+        }
         const result: request.Answered = {
             outcome: types.Outcome.answered,
             status: this.#status,
--- a/packages/entry/src/control-plane.ts
+++ b/packages/entry/src/control-plane.ts
@@ -155,6 +155,11 @@
         return this.#permission !== fence.Permission.fresh;
     }
 
+    /** Whether nothing that is appended now could be read back: reads fail, or contact is lost. */
+    get isLogOutOfReach(): boolean {
+        return this.isBlind || this.fleetStream.isOutOfReach || this.claimsStream.isOutOfReach;
+    }
+
     /** Whether this session may send a request to a backend server at this moment. */
     mayDispatch(): boolean {
         return this.#decidePermission() !== fence.Permission.fenced;
--- a/packages/entry/src/entry-process.ts
+++ b/packages/entry/src/entry-process.ts
@@ -145,6 +145,7 @@
                 stream: control.fleetStream,
                 clock,
                 readSession: () => control.session,
+                isLogInReach: () => !control.isLogOutOfReach,
             }),
             views: new operatorViews.OperatorViews({
                 view: control.view,
--- a/packages/entry/src/key-keeper.test.ts
+++ b/packages/entry/src/key-keeper.test.ts
@@ -16,10 +16,13 @@
 class FakeStream {
     readonly bodies: unknown[] = [];
     readonly readers: keyKeeper.KeyKeeper[] = [];
-    lose: "no" | "answer" | "record" = "no";
+    lose: "no" | "answer" | "record" | "never answered" = "no";
     platformTime = 0;
 
     append(record: { readonly id: string; }): Promise<AppendResult> {
+        if (this.lose === "never answered") {
+            return new Promise(() => {});
+        }
         const failed = neverthrow.err({
             layer: "platform" as const,
             fault: this.lose === "record" ? errors.PlatformFault.unreachable : errors.PlatformFault.unanswered,
@@ -71,6 +74,7 @@
         rememberMs,
         clock: () => performance.now(),
         wallClock: () => Date.now(),
+        isLogInReach: () => true,
         readSession: () => session,
         run: question => {
             runs.push(question);
@@ -128,6 +132,17 @@
     }
 });
 
+suite("says that an abandoned request was not run while another claims its key", async () => {
+    const { stream, left } = createPair();
+    const abandoned = createQuestion("a");
+    stream.lose = "answer";
+    await left.keeper.run(abandoned, "k");
+    stream.lose = "never answered";
+    void left.keeper.run(createQuestion("a"), "k");
+    const knowledge = await left.keeper.answerQuery("receipts/k", abandoned.requestId, 0);
+    assert.is(knowledge.state, "not-run");
+});
+
 suite("refuses another request under the same key", async () => {
     const { left, right } = createPair();
     await left.keeper.run(createQuestion("a"), "k");
--- a/packages/entry/src/key-keeper.ts
+++ b/packages/entry/src/key-keeper.ts
@@ -46,6 +46,8 @@
     /** Wall-clock time in ms since 1970, for keys that carry their time. */
     readonly wallClock: () => number;
     readSession(): string;
+    /** Whether a claim that is appended now could be read back. */
+    isLogInReach(): boolean;
     /** Runs a request that holds its key. */
     run(question: request.ServiceRequest): Promise<request.RequestResult>;
     /** Asks another session; undefined if it can't be reached. */
@@ -122,6 +124,10 @@
         if (claim !== undefined) {
             return this.#resolve(claim, fingerprint, question.deadline);
         }
+        if (!this.#parts.isLogInReach()) {
+            this.#parts.metrics.count("key_events", "claim-not-tried");
+            return request.createNotRun(types.Reason.platformUnavailable);
+        }
         return this.#hold(scoped, fingerprint, question);
     }
 
@@ -257,12 +263,15 @@
         if (kept !== undefined) {
             return { state: "answered", answer: kept };
         }
+        if (this.#abandoned.has(requestId)) {
+            return { state: "not-run", answer: undefined };
+        }
         const held = this.#held.get(scoped);
         if (held !== undefined) {
             const result = await waitUntil(held.result, this.#parts.clock() + waitMs, this.#parts.clock);
             return describeResult(result);
         }
-        return { state: this.#abandoned.has(requestId) ? "not-run" : "unknown", answer: undefined };
+        return { state: "unknown", answer: undefined };
     }
 
     /** What is known of a scoped key without waiting. */
@@ -299,12 +308,13 @@
     if (knowledge?.state === "not-run") {
         return request.createNotRun(types.Reason.claimUnconfirmed);
     }
-    return request.createUnknown(describeSettlement(claim));
+    return request.createUnknown(describeSettlement(claim, knowledge !== undefined));
 }
 
-function describeSettlement(claim: fleetState.ClaimState): types.Reason {
+/** A holder that answers, and no longer runs the request, is not lost; it knows no answer. */
+function describeSettlement(claim: fleetState.ClaimState, holderAnswers: boolean): types.Reason {
     if (claim.settled === undefined) {
-        return types.Reason.keyHolderLost;
+        return holderAnswers ? types.Reason.outcomeUnknown : types.Reason.keyHolderLost;
     }
     return claim.settled.outcome === types.Outcome.answered
         ? types.Reason.answerForgotten
--- a/packages/entry/src/log-streams.ts
+++ b/packages/entry/src/log-streams.ts
@@ -13,9 +13,6 @@
 /** Name of the stream of key claims. */
 export const claimsStream = "claims";
 
-/** Time in ms between tries to read a snapshot. */
-const snapshotRetryMs = 500;
-
 export interface StreamParts {
     readonly settings: schema.settings.EntrySettings;
     readonly metrics: metrics.Metrics;
@@ -74,25 +71,26 @@
     });
 }
 
-/** Loads the newest snapshot and answers where to read on. An older state than the one held is never taken. */
+/**
+ * Loads the newest snapshot and answers where to read on; rejects if none covers the oldest offset, and is then called
+ * again. An older state than the one held is never taken.
+ */
 async function loadSnapshot(
     parts: StreamParts,
     view: fleetView.FleetView,
     oldestOffset: number,
 ): Promise<number> {
-    const service = createServiceOptions(parts.settings, parts.settings.platform.log);
-    for (;;) {
-        const read = await platform.readLastSnapshot(service);
+    if (view.state.nextOffset < oldestOffset) {
+        const read = await platform.readLastSnapshot(createServiceOptions(parts.settings, parts.settings.platform.log));
         const snapshot = read.isOk() ? restoreSnapshot(read.value?.body) : undefined;
-        if (snapshot !== undefined && snapshot.nextOffset >= oldestOffset) {
-            view.loadState(snapshot, parts.clock());
-            parts.logger.info(`Read on from a snapshot at offset ${view.state.nextOffset}.`);
-            return view.state.nextOffset;
+        if (snapshot === undefined || snapshot.nextOffset < oldestOffset) {
+            parts.metrics.count("platform_events", "snapshot:missing");
+            throw new Error(`no snapshot covers offset ${oldestOffset}`);
         }
-        parts.metrics.count("platform_events", "snapshot:missing");
-        parts.logger.warn(`No snapshot covers offset ${oldestOffset}; trying again.`);
-        await new Promise(resolve => setTimeout(resolve, snapshotRetryMs));
+        view.loadState(snapshot, parts.clock());
     }
+    parts.logger.info(`Read on from a snapshot at offset ${view.state.nextOffset}.`);
+    return view.state.nextOffset;
 }
 
 /** Restores a snapshot whose state has the hash that it names; undefined otherwise. */
--- a/packages/entry/src/operator-changes.ts
+++ b/packages/entry/src/operator-changes.ts
@@ -15,6 +15,8 @@
     readonly stream: fleetView.RecordStream;
     readonly clock: () => number;
     readSession(): string;
+    /** Whether a record that is appended now could be read back. */
+    isLogInReach(): boolean;
 }
 
 /** Answer for input that was never appended. */
@@ -22,6 +24,11 @@
     return { status: "invalid", version: 0, offset: -1, reason };
 }
 
+/** Answer for a change that was never sent to the log. */
+function createUnavailable(reason: string): schema.operator.ChangeAnswer {
+    return { status: "unavailable", version: 0, offset: -1, reason };
+}
+
 export class OperatorChanges {
     readonly #parts: ChangeParts;
 
@@ -66,6 +73,9 @@
         if (!check(record)) {
             return createInvalid(schema.describeFailure(check.errors));
         }
+        if (!this.#parts.isLogInReach()) {
+            return createUnavailable(describeAbsence("it does not answer reads"));
+        }
         const deadline = this.#parts.clock() + changeTimeoutMs;
         const settled = await this.#parts.view.propose(this.#parts.stream, record, deadline);
         return settled.match(describeSettlement, describeError);
@@ -81,10 +91,23 @@
     return { status, version: verdict.version, offset, reason: verdict.ignored ?? "" };
 }
 
+const errorAnswers: Readonly<Record<errors.PlatformFault, (reason: string) => schema.operator.ChangeAnswer>> = {
+    [errors.PlatformFault.unanswered]: () => createUnknown("the log did not answer; look at the status"),
+    [errors.PlatformFault.malformed]: reason => createUnknown(`the log's answer can't be read (${reason})`),
+    [errors.PlatformFault.notRetained]: reason => createUnknown(`the record is no longer kept (${reason})`),
+    [errors.PlatformFault.unreachable]: reason => createUnavailable(describeAbsence(reason)),
+    [errors.PlatformFault.backlogFull]: reason => createUnavailable(describeAbsence(reason)),
+    [errors.PlatformFault.refused]: reason => createInvalid(`the log refused the record (${reason})`),
+};
+
 function describeError(error: errors.PlatformError): schema.operator.ChangeAnswer {
-    const sent = error.fault === errors.PlatformFault.unanswered;
-    if (sent) {
-        return { status: "unknown", version: 0, offset: -1, reason: "the log did not answer; look at the status" };
-    }
-    return createInvalid(`the log is out of reach (${error.reason}); nothing was published, try again`);
+    return errorAnswers[error.fault](error.reason);
+}
+
+function createUnknown(reason: string): schema.operator.ChangeAnswer {
+    return { status: "unknown", version: 0, offset: -1, reason };
+}
+
+function describeAbsence(reason: string): string {
+    return `the log is out of reach (${reason}); nothing was published`;
 }
--- a/packages/entry/src/operator-port.ts
+++ b/packages/entry/src/operator-port.ts
@@ -31,6 +31,7 @@
     conflict: 409,
     invalid: 422,
     unknown: 202,
+    unavailable: 503,
 };
 
 export class OperatorPort {
--- a/packages/entry/src/request-path.ts
+++ b/packages/entry/src/request-path.ts
@@ -88,6 +88,7 @@
             clock,
             wallClock,
             readSession,
+            isLogInReach: () => !this.#control.isLogOutOfReach,
             run: question => this.router.run(question, neverAborted),
             askHolder: (claim, waitMs) => this.keyService.askHolder(claim, waitMs),
         });
--- a/packages/platform/src/follower.ts
+++ b/packages/platform/src/follower.ts
@@ -96,6 +96,11 @@
         return this.fresh;
     }
 
+    /** Reads that failed since the last that succeeded. */
+    get failedReads(): number {
+        return this.failures;
+    }
+
     start(from: number): void {
         this.position = from;
         this.running = this.readUntilStopped();
--- a/packages/platform/src/stream.ts
+++ b/packages/platform/src/stream.ts
@@ -31,6 +31,9 @@
     readonly localAddress?: string;
 }
 
+/** Failed reads in a row after which the log counts as out of reach; one may be a connection that had gone stale. */
+const outOfReachReads = 2;
+
 /** One stream of the log, as this process reads and writes it. */
 export class Stream {
     private readonly queue: appendQueue.AppendQueue;
@@ -50,7 +53,7 @@
         });
         this.follower = new follower.Follower({
             ...options,
-            onObserved: entries => this.queue.observeEntries(entries),
+            onObserved: entries => this.takeEntries(entries),
             onHead: sentAt => this.takeHead(sentAt),
             onSkip: nextOffset => this.queue.observeSkip(nextOffset),
         });
@@ -71,6 +74,11 @@
         return this.follower.freshAt;
     }
 
+    /** Whether the newest reads failed one after the other, so that an append could not be read back now. */
+    get isOutOfReach(): boolean {
+        return this.follower.failedReads >= outOfReachReads;
+    }
+
     /** Starts following at this offset. */
     start(from: number): void {
         this.follower.start(from);
@@ -178,6 +186,12 @@
         }
     }
 
+    /** The entries may settle the last record whose append is unknown, for which queued records wait. */
+    private takeEntries(entries: readonly follower.LogEntry[]): void {
+        this.queue.observeEntries(entries);
+        this.continueAppends();
+    }
+
     private takeHead(sentAt: number): void {
         if (this.queue.observeHead(sentAt) > 0) {
             this.continueAppends();
