--- /dev/null
+++ b/packages/cli/bin/catkinwharf.js
@@ -0,0 +1,2 @@
+#!/usr/bin/env node
+import "../dist/bin/catkinwharf.js";
