Keep serving after malformed paths, and refuse malformed input clearly

Cause: a percent-encoding such as %ZZ in `GET /v1/requests/KEY` threw in an asynchronous handler, and the unhandled rejection ended the entry process; the operators' port had the same fault in names of stops and instances. Input that isn't HTTP was answered with 400 even while an earlier request of the same connection still ran, so its caller would have taken that for the answer. An oversized head got 400 instead of 431, and operators got no answer at all.

Weighed: a check of every path at the callers' port was ruled out, since a backend server's own paths may hold any escapes; only what is decoded here is checked. Rejections of these handlers are now answered as faults.

--- a/packages/entry/src/caller-port.ts
+++ b/packages/entry/src/caller-port.ts
@@ -19,6 +19,12 @@
 /** Methods that RFC 9110, section 9.2.2, calls idempotent. */
 const idempotentMethods: ReadonlySet<string> = new Set(["GET", "HEAD", "OPTIONS", "TRACE", "PUT", "DELETE"]);
 
+/** Header fields of the answer to input that is not HTTP. */
+const malformedFields = [
+    `${types.outcomeHeader}: ${types.Outcome.notRun}`,
+    `${types.reasonHeader}: ${types.Reason.badRequest}`,
+];
+
 /** What is known of a key's request. */
 export interface KnownOutcome {
     readonly service: string;
@@ -58,7 +64,11 @@
     constructor(parts: CallerPortParts) {
         this.#parts = parts;
         this.#server = http.createServer();
-        this.#server.on("clientError", (_error, socket) => this.#refuseGarbage(socket));
+        httpServer.refuseMalformed(
+            this.#server,
+            malformedFields,
+            () => this.#parts.metrics.count("bad_input", "callers"),
+        );
         const app = polka.default({
             server: this.#server,
             onError: (error, _question, response) => this.#fail(error, response as http.ServerResponse),
@@ -70,7 +80,8 @@
         app.get(
             "/v1/requests/:key",
             (message, response) =>
-                void this.#describeKey(String(message.params["key"] ?? ""), message.query["service"], response),
+                void this.#describeKey(String(message.params["key"] ?? ""), message.query["service"], response)
+                    .catch((error: unknown) => this.#fail(error, response)),
         );
         this.#server.on("request", app.handler as unknown as http.RequestListener);
     }
@@ -94,13 +105,6 @@
         return httpServer.closeServer(this.#server);
     }
 
-    #refuseGarbage(socket: import("node:stream").Duplex): void {
-        this.#parts.metrics.count("bad_input", "callers");
-        if (socket.writable) {
-            socket.end("HTTP/1.1 400 Bad Request\r\nconnection: close\r\ncontent-length: 0\r\n\r\n");
-        }
-    }
-
     #fail(error: unknown, response: http.ServerResponse): void {
         this.#parts.logger.error(`A request failed: ${errors.describeThrown(error)}.`);
         httpServer.sendProblem(response, types.Reason.badRequest);
@@ -245,9 +249,15 @@
         httpServer.sendJson(response, 201, { key: this.#parts.issueTicket() });
     }
 
-    async #describeKey(key: string, service: unknown, response: http.ServerResponse): Promise<void> {
+    async #describeKey(encoded: string, service: unknown, response: http.ServerResponse): Promise<void> {
+        const key = httpServer.decodePath(encoded);
+        if (key === undefined) {
+            this.#parts.metrics.count("bad_input", "callers");
+            httpServer.sendProblem(response, types.Reason.badRequest);
+            return;
+        }
         const wanted = typeof service === "string" ? service : undefined;
-        const outcomes = await this.#parts.describeKey(decodeURIComponent(key), wanted);
+        const outcomes = await this.#parts.describeKey(key, wanted);
         response.setHeader(types.outcomeHeader, types.Outcome.answered);
         httpServer.sendJson(response, outcomes.length === 0 ? 404 : 200, { key, outcomes });
     }
--- a/packages/entry/src/http-server.ts
+++ b/packages/entry/src/http-server.ts
@@ -5,6 +5,7 @@
 import * as types from "@catkinwharf/types";
 import * as http from "node:http";
 import type * as net from "node:net";
+import type * as stream from "node:stream";
 
 /** Listens and answers the port in use. */
 export function listen(server: http.Server, listener: schema.settings.Listener): Promise<number> {
@@ -17,6 +18,50 @@
     });
 }
 
+const defaultClientError = "400 Bad Request";
+
+/** Status lines for errors of Node.js's parser. */
+const clientErrorStatuses: Readonly<Record<string, string>> = {
+    HPE_HEADER_OVERFLOW: "431 Request Header Fields Too Large",
+    ERR_HTTP_REQUEST_TIMEOUT: "408 Request Timeout",
+};
+
+/**
+ * Answers input that is not HTTP, with the given header fields, and closes its connection.
+ * A connection on which a request still runs is closed without a word, since the answer would be taken for that
+ * request's.
+ */
+export function refuseMalformed(server: http.Server, fields: readonly string[], onRefused: () => void): void {
+    const running = new WeakMap<stream.Duplex, number>();
+    const addRunning = (socket: stream.Duplex, change: number): void => {
+        running.set(socket, (running.get(socket) ?? 0) + change);
+    };
+    server.on("request", (message, response) => {
+        const { socket } = message;
+        addRunning(socket, 1);
+        response.on("close", () => addRunning(socket, -1));
+    });
+    server.on("clientError", (error: NodeJS.ErrnoException, socket) => {
+        onRefused();
+        if (!socket.writable || (running.get(socket) ?? 0) > 0) {
+            socket.destroy();
+            return;
+        }
+        const status = clientErrorStatuses[error.code ?? ""] ?? defaultClientError;
+        socket.end([`HTTP/1.1 ${status}`, ...fields, "connection: close", "content-length: 0", "", ""].join("\r\n"));
+    });
+}
+
+/** Decodes a part of a path; undefined if its percent-encoding is malformed. */
+export function decodePath(text: string): string | undefined {
+    try {
+        return decodeURIComponent(text);
+    }
+    catch {
+        return undefined;
+    }
+}
+
 /** Stops accepting connections and waits until the open ones have ended. */
 export function closeServer(server: http.Server): Promise<void> {
     return new Promise(resolve => {
--- a/packages/entry/src/operator-port.ts
+++ b/packages/entry/src/operator-port.ts
@@ -41,16 +41,14 @@
     constructor(parts: OperatorPortParts) {
         this.#parts = parts;
         this.#server = http.createServer();
-        this.#server.on("clientError", (_error, socket) => {
-            this.#parts.metrics.count("bad_input", "operators");
-            socket.destroy();
-        });
+        httpServer.refuseMalformed(this.#server, [], () => this.#parts.metrics.count("bad_input", "operators"));
         const app = polka.default({
             server: this.#server,
             onError: (error, _question, response) => this.#fail(error, response as http.ServerResponse),
             onNoMatch: (_question, response) =>
                 httpServer.sendJson(response as unknown as http.ServerResponse, 404, { reason: "no such path" }),
         });
+        app.use((message, response, next) => this.#checkPath(message.path, response, next));
         this.#addOpenRoutes(app);
         this.#addViewRoutes(app);
         this.#addChangeRoutes(app);
@@ -66,6 +64,15 @@
         return httpServer.closeServer(this.#server);
     }
 
+    #checkPath(path: string, response: http.ServerResponse, next: () => void): void {
+        if (httpServer.decodePath(path) !== undefined) {
+            next();
+            return;
+        }
+        this.#parts.metrics.count("bad_input", "operators");
+        httpServer.sendJson(response, 400, { reason: "the path is malformed" });
+    }
+
     #addOpenRoutes(app: polka.Polka): void {
         app.get("/healthz", (_message, response) => httpServer.sendJson(response, 200, { status: "alive" }));
         app.get("/readyz", (_message, response) => {
@@ -98,7 +105,7 @@
                 document === undefined
                     ? httpServer.sendJson(response, 404, { reason: "no such subject" })
                     : httpServer.sendJson(response, 200, document)
-            );
+            ).catch((error: unknown) => this.#fail(error, response));
         });
     }
 
@@ -110,15 +117,19 @@
             "/operator/stops": document => changes.announceStop(document),
         };
         for (const [path, call] of Object.entries(routes)) {
-            app.post(path, (message, response) => void this.#serveChange(message, response, call));
+            app.post(path, (message, response) => this.#serveChange(message, response, call));
         }
         app.delete("/operator/stops/:name", (message, response) => {
             const name = readName(message as unknown as polka.Request);
-            void this.#serveChange(message, response, () => changes.cancelStop(name));
+            this.#serveChange(message, response, () => changes.cancelStop(name));
         });
     }
 
-    async #serveChange(message: http.IncomingMessage, response: http.ServerResponse, call: ChangeCall): Promise<void> {
+    #serveChange(message: http.IncomingMessage, response: http.ServerResponse, call: ChangeCall): void {
+        this.#change(message, response, call).catch((error: unknown) => this.#fail(error, response));
+    }
+
+    async #change(message: http.IncomingMessage, response: http.ServerResponse, call: ChangeCall): Promise<void> {
         if (!this.#authorize(message, response)) {
             return;
         }
@@ -156,7 +167,7 @@
 }
 
 function readName(message: polka.Request): string {
-    return decodeURIComponent(message.params["name"] ?? "");
+    return httpServer.decodePath(message.params["name"] ?? "") ?? "";
 }
 
 function parseJson(body: Buffer): unknown {
