Place retries elsewhere, retire all old connections after a silent one, keep places of running requests

Causes and mends: - The rank of a request wasn't given to the admission, so an urgent one was refused in a burst as if it went last. - A retry at the same home could go to the server that had just refused it, which as the fastest one was often the least loaded. The failure ledger already knows where a request failed; those servers are now tried last. - After a silent connection only those to the same server were replaced, so a retry could meet another silent connection, and a third. Now all that were open when the request was sent are. Retrying without the budget was ruled out: with a slow pool it would double the load. - Hanging up closed the connection and gave the slot away while the server went on; the server then refused others (503 refused-by-backend-server for callers who had done nothing). What runs now keeps its slot to its end. Holding the slot for the learnt run time was ruled out: it is a guess where the answer is exact. - Counts of requests handed to sessions that are gone are now dropped.

Left: requests that fail everywhere are recognised by each home on its own.

--- a/packages/entry/src/backend-connection.ts
+++ b/packages/entry/src/backend-connection.ts
@@ -30,7 +30,6 @@
     readonly timeoutMs: number;
     /** Checked immediately before the first byte is written. */
     mayDispatch(): boolean;
-    readonly signal: AbortSignal | undefined;
 }
 
 export interface ConnectionLimits {
@@ -41,6 +40,8 @@
 
 export class BackendConnection {
     #pool: undici.Pool;
+    /** Clock time in ms from which on the connections were opened. */
+    #openedSince = Number.NEGATIVE_INFINITY;
     readonly #origin: string;
     readonly #limits: ConnectionLimits;
 
@@ -65,11 +66,12 @@
         });
     }
 
-    /**
-     * Gives up the connections that are open now; requests on them still end.
-     * After one of them went silent the others, of the same age and path, are suspect.
-     */
-    retireConnections(): void {
+    /** Gives up connections that may be older than `before`; requests on them still end. Times are clock time in ms. */
+    retireConnections(before: number, now: number): void {
+        if (this.#openedSince >= before) {
+            return;
+        }
+        this.#openedSince = now;
         const retired = this.#pool;
         this.#pool = this.#createPool();
         void retired.close();
@@ -77,12 +79,7 @@
 
     send(question: request.ServiceRequest, options: SendOptions): Promise<SendResult> {
         return new Promise(resolve => {
-            const exchange = new Exchange(question, options, this.#limits.maxAnswerBytes, sent => {
-                if (needsNewConnections(sent)) {
-                    this.retireConnections();
-                }
-                resolve(sent);
-            });
+            const exchange = new Exchange(question, options, this.#limits.maxAnswerBytes, resolve);
             this.#pool.dispatch(
                 {
                     path: question.path,
@@ -100,10 +97,9 @@
     }
 }
 
-function needsNewConnections(sent: SendResult): boolean {
-    const mismatched = sent.result.outcome === types.Outcome.unknown
-        && sent.result.reason === types.Reason.answerMismatched;
-    return sent.fault === ServerFault.silent || mismatched;
+/** Whether another request's answer came, so that the server's other connections may be mixed up too. */
+export function isMismatched(sent: SendResult): boolean {
+    return sent.result.outcome === types.Outcome.unknown && sent.result.reason === types.Reason.answerMismatched;
 }
 
 function writeHeaders(question: request.ServiceRequest): string[] {
@@ -143,13 +139,8 @@
         this.#maxAnswerBytes = maxAnswerBytes;
         this.#settle = settle;
         this.#timer = setTimeout(() => this.#giveUp(this.#describeSilence()), options.timeoutMs);
-        options.signal?.addEventListener("abort", this.#onAbort, { once: true });
     }
 
-    readonly #onAbort = (): void => {
-        this.#giveUp(this.#started ? unknown(types.Reason.callerGone, undefined) : notRun(types.Reason.callerGone));
-    };
-
     createHandler(): undici.Dispatcher.DispatchHandler {
         return {
             onRequestStart: controller => this.#start(controller),
@@ -232,7 +223,6 @@
         }
         this.#settled = true;
         clearTimeout(this.#timer);
-        this.#options.signal?.removeEventListener("abort", this.#onAbort);
         this.#settle(sent);
     }
 }
--- a/packages/entry/src/entry-process.ts
+++ b/packages/entry/src/entry-process.ts
@@ -201,6 +201,11 @@
             help: "Requests that run on backend servers homed here.",
             read: () => this.#requests.homes.countInFlight(),
         });
+        metrics.addGauge({
+            name: "requests_queued",
+            help: "Requests that wait for a slot of a backend server homed here.",
+            read: () => this.#requests.dispatcher.countQueued(),
+        });
     }
 
     #isReady(): boolean {
--- a/packages/entry/src/home-directory.ts
+++ b/packages/entry/src/home-directory.ts
@@ -144,6 +144,13 @@
         }
     }
 
+    /** Gives up connections to all servers that may be older than `before`. Times are clock time in ms. */
+    retireConnections(before: number, now: number): void {
+        for (const record of this.#servers.values()) {
+            record.connection.retireConnections(before, now);
+        }
+    }
+
     /** Homes that the fold wants given up and that have no request left. */
     listReleasable(state: fleetState.FleetState, session: string): readonly ReleasableHome[] {
         return fleetState.listHomedInstances(state, session)
--- /dev/null
+++ b/packages/entry/src/integration/overload.test.ts
@@ -0,0 +1,78 @@
+/** Full queues: who waits, who is refused, and what callers that hang up give back, with real processes. */
+import * as bench from "@catkinwharf/bench";
+import * as testUtils from "@catkinwharf/test-utils";
+import * as undici from "undici";
+import * as uvu from "uvu";
+import * as assert from "uvu/assert";
+
+const seed = 1;
+const suite = uvu.suite(`overload (seed ${seed})`);
+const answered = ["answered 200"];
+
+/** One entry instance with two backend servers of four slots. */
+function runOverload(use: (session: bench.Session) => Promise<void>): Promise<void> {
+    const small = testUtils.createSmallDeployment(1);
+    const deployment = {
+        ...small,
+        availabilityZones: small.availabilityZones.slice(0, 1),
+        services: small.services.slice(0, 1),
+        spareInstances: 0,
+    };
+    return bench.runSession({ launch: { deployment }, seed, maxAttempts: 1 }, use);
+}
+
+suite("refuses early what would wait too long, and lets the urgent go first", () =>
+    runOverload(async session => {
+        await bench.callBatch(session, { count: 40, parallel: 8, serviceMs: 200 });
+        const filling = bench.callBatch(session, { count: 150, parallel: 150, serviceMs: 200, urgency: 6 });
+        await waitForQueue(session, 100);
+        const late = { count: 1, parallel: 1, serviceMs: 200, timeoutMs: 1_500 };
+        const urgent = bench.callBatch(session, { ...late, urgency: 1 });
+        const batch = await bench.callBatch(session, { ...late, urgency: 7 });
+        assert.equal(bench.describeFinals(batch), ["not-run deadline-too-short"]);
+        assert.equal(bench.describeFinals(await urgent), answered);
+        assert.equal(bench.describeFinals(await filling), answered);
+    }));
+
+suite("gives the places of callers that hang up to others", () =>
+    runOverload(async session => {
+        await bench.callBatch(session, { count: 100, parallel: 8 });
+        for (let wave = 0; wave < 2; wave++) {
+            await hangUp(session, 150);
+            await waitForQueue(session, 0);
+        }
+        assert.ok(await bench.readCounter(session.running, "requests", "not-run:caller-gone") > 0);
+        const calls = await bench.callBatch(session, { count: 32, parallel: 8, method: "POST" });
+        assert.equal(bench.describeFinals(calls), answered);
+        const status = await bench.createOperator(session.running).readStatus();
+        assert.is(status.pools[0]?.unhealthy, 0);
+    }));
+
+/** Waits until at least so many requests wait; for 0 until none does. */
+async function waitForQueue(session: bench.Session, count: number): Promise<void> {
+    for (;;) {
+        const samples = await bench.readSamples(session.running.entries[0]!);
+        const queued = bench.sumSamples(samples, "catkinwharf_requests_queued");
+        if (count === 0 ? queued === 0 : queued >= count) {
+            return;
+        }
+    }
+}
+
+/** Sends calls, waits until some of them queue, and closes all connections. */
+async function hangUp(session: bench.Session, count: number): Promise<void> {
+    const agent = new undici.Agent({ connections: count });
+    const url = `${session.running.entries[0]!.callerUrl}/v1/services/${session.service(0).name}/wave`;
+    const sent = Array.from(
+        { length: count },
+        () =>
+            undici.request(url, { dispatcher: agent, headers: { "stand-in-service-ms": "1000" } }).catch(() =>
+                undefined
+            ),
+    );
+    await waitForQueue(session, 50);
+    await agent.destroy();
+    await Promise.all(sent);
+}
+
+suite.run();
--- a/packages/entry/src/local-dispatcher.ts
+++ b/packages/entry/src/local-dispatcher.ts
@@ -84,7 +84,7 @@
             return known;
         }
         const created = new serviceQueue.ServiceQueue(
-            (question, signal) => this.#execute(question, signal),
+            question => this.#execute(question),
             this.#parts.clock,
         );
         this.#queues.set(service, created);
@@ -96,6 +96,11 @@
         return this.#outliers.listEjected(this.#parts.clock());
     }
 
+    /** Requests that wait here, over all services. */
+    countQueued(): number {
+        return [...this.#queues.values()].reduce((sum, queue) => sum + queue.queued, 0);
+    }
+
     /** Load of each configured service. */
     listDigests(): schema.peer.Digest[] {
         const services = this.#parts.readState().configuration?.value.services ?? [];
@@ -144,6 +149,7 @@
         const queue = this.#queueOf(service.name);
         const decision = placement.decideAdmission({
             queued: queue.queued,
+            ahead: queue.countAhead(question),
             maxQueued: service.maxQueued,
             slots,
             deadline: question.deadline,
@@ -160,9 +166,13 @@
         return queue.run(question, signal);
     }
 
-    async #execute(question: request.ServiceRequest, signal: AbortSignal): Promise<request.RequestResult> {
+    /**
+     * Runs a request that has got a place. It runs to its end even if its caller hangs up: a backend server may go on
+     * after its connection closed, and a place given away too early would overload it.
+     */
+    async #execute(question: request.ServiceRequest): Promise<request.RequestResult> {
         const service = this.#findService(question.service);
-        const server = service === undefined ? undefined : this.#chooseServer(service.pool);
+        const server = service === undefined ? undefined : this.#chooseServer(service.pool, question.requestId);
         if (server === undefined) {
             return request.createNotRun(types.Reason.noCapacity);
         }
@@ -171,9 +181,9 @@
         const sent = await server.connection.send(question, {
             timeoutMs: this.#chooseTimeout(question, startedAt),
             mayDispatch: () => this.#parts.mayDispatch(),
-            signal: question.idempotent ? signal : undefined,
         });
         this.#parts.homes.endRequest(server.instance);
+        this.#retireConnections(server, sent, startedAt);
         this.#learn(question, server.instance, sent, startedAt);
         if (service !== undefined) {
             this.#updateConcurrency(service);
@@ -181,7 +191,26 @@
         return sent.result;
     }
 
-    #chooseServer(pool: string): homeDirectory.HomedServer | undefined {
+    /**
+     * After a silent connection those to all servers are suspect that were open before: whatever lost track of one may
+     * have lost all. A repeated request thus finds a new connection wherever it goes.
+     */
+    #retireConnections(
+        server: homeDirectory.HomedServer,
+        sent: backendConnection.SendResult,
+        startedAt: number,
+    ): void {
+        const now = this.#parts.clock();
+        if (sent.fault === backendConnection.ServerFault.silent) {
+            this.#parts.homes.retireConnections(startedAt, now);
+        }
+        if (backendConnection.isMismatched(sent)) {
+            server.connection.retireConnections(startedAt, now);
+        }
+    }
+
+    /** Servers that the request has failed on come into question only when no other has a free slot. */
+    #chooseServer(pool: string, requestId: string): homeDirectory.HomedServer | undefined {
         const servers = this.#parts.homes.listServers(pool).filter(server => server.accepting);
         const candidates = servers.map(server => ({
             instance: server.instance,
@@ -189,7 +218,9 @@
             inFlight: server.inFlight,
             share: this.#outliers.share(server.instance, this.#parts.clock()),
         }));
-        const chosen = placement.chooseBackendServer(candidates, this.#parts.random());
+        const random = this.#parts.random();
+        const chosen = placement.chooseBackendServer(candidates, random, this.#outliers.listFailedOn(requestId))
+            ?? placement.chooseBackendServer(candidates, random);
         return servers.find(server => server.instance === chosen?.instance);
     }
 
--- a/packages/entry/src/request-path.ts
+++ b/packages/entry/src/request-path.ts
@@ -120,5 +120,6 @@
     expire(now: number): void {
         this.keys.expire(now);
         this.tickets.expire(now);
+        this.router.forgetGoneSessions();
     }
 }
--- a/packages/entry/src/router.ts
+++ b/packages/entry/src/router.ts
@@ -54,6 +54,15 @@
         return result;
     }
 
+    /** Forgets what was handed to sessions that are gone. */
+    forgetGoneSessions(): void {
+        for (const [key, count] of this.#handed) {
+            if (this.#parts.directory.get(count.session) === undefined) {
+                this.#handed.delete(key);
+            }
+        }
+    }
+
     #mayRetry(question: request.ServiceRequest, result: request.RequestResult, progress: Progress): boolean {
         const refusal = isMisrouted(result)
             ? this.#refuseReroute(question, progress)
@@ -149,7 +158,8 @@
 
     #noteHanded(peer: peerDirectory.KnownPeer, service: string): void {
         const key = handedKey(peer.session, service);
-        this.#handed.set(key, { since: peer.statusAt, requests: this.#readHanded(peer, service) + 1 });
+        const requests = this.#readHanded(peer, service) + 1;
+        this.#handed.set(key, { session: peer.session, since: peer.statusAt, requests });
     }
 
     async #handOver(
@@ -164,7 +174,8 @@
         this.#noteHanded(peer, question.service);
         const result = await sendToPeer(peer.link, question, signal, this.#parts.clock());
         if (isMisrouted(result)) {
-            this.#handed.set(handedKey(peer.session, question.service), { since: peer.statusAt, requests: Infinity });
+            const key = handedKey(peer.session, question.service);
+            this.#handed.set(key, { session: peer.session, since: peer.statusAt, requests: Infinity });
         }
         this.#parts.metrics.count("handovers", describeResult(result));
         return result;
@@ -191,6 +202,7 @@
 }
 
 interface HandedCount {
+    readonly session: string;
     readonly since: number;
     readonly requests: number;
 }
--- a/packages/entry/src/service-queue.ts
+++ b/packages/entry/src/service-queue.ts
@@ -9,7 +9,7 @@
 import * as request from "./request.js";
 
 /** Runs an admitted request; called when its turn has come. */
-export type Execute = (question: request.ServiceRequest, signal: AbortSignal) => Promise<request.RequestResult>;
+export type Execute = (question: request.ServiceRequest) => Promise<request.RequestResult>;
 
 interface Waiting {
     readonly timer: NodeJS.Timeout;
@@ -69,6 +69,11 @@
         return this.#order.peekWorst();
     }
 
+    /** How many waiting requests would go before this one. */
+    countAhead(question: request.ServiceRequest): number {
+        return this.#order.countAhead(question.urgency, question.deadline);
+    }
+
     /** Waits for a place and runs the request; the result tells if it was given up before. */
     run(question: request.ServiceRequest, signal: AbortSignal): Promise<request.RequestResult> {
         return new Promise(resolve => {
@@ -85,7 +90,7 @@
             const timer = setTimeout(() => giveUp(types.Reason.expired), remainingMs);
             this.#waiting.set(id, { timer, settle });
             signal.addEventListener("abort", onAbort, { once: true });
-            void this.#queue.add(() => this.#start(question, signal, settle), {
+            void this.#queue.add(() => this.#start(question, settle), {
                 id,
                 urgency: question.urgency,
                 deadline: question.deadline,
@@ -98,7 +103,6 @@
 
     async #start(
         question: request.ServiceRequest,
-        signal: AbortSignal,
         settle: (result: request.RequestResult) => void,
     ): Promise<void> {
         const waiting = this.#waiting.get(question.requestId);
@@ -107,7 +111,7 @@
         }
         clearTimeout(waiting.timer);
         this.#waiting.delete(question.requestId);
-        settle(await this.#execute(question, signal));
+        settle(await this.#execute(question));
     }
 
     /** Removes a waiting request and frees its place. */
--- a/packages/placement/src/failure-ledger.ts
+++ b/packages/placement/src/failure-ledger.ts
@@ -7,6 +7,8 @@
 /** Requests that are remembered; the oldest are forgotten first. */
 const maxRequests = 10_000;
 
+const noInstances: ReadonlySet<string> = new Set();
+
 interface FailedRequest {
     readonly instances: Set<string>;
     forgiven: boolean;
@@ -23,6 +25,11 @@
         return request.instances.size;
     }
 
+    /** Servers that the request has failed on; the set must not be kept, since it grows. */
+    list(requestId: string): ReadonlySet<string> {
+        return this.#requests.get(requestId)?.instances ?? noInstances;
+    }
+
     /** Marks the request as being at fault and returns the servers that were blamed for it. */
     forgive(requestId: string): readonly string[] {
         const request = this.#find(requestId);
--- a/packages/placement/src/outlier-detector.ts
+++ b/packages/placement/src/outlier-detector.ts
@@ -63,12 +63,13 @@
 
     /** Counts a failed attempt of a request. */
     recordFailure(instance: string, requestId: string, kind: FailureKind, now: number): void {
+        const failedOn = this.#ledger.add(requestId, instance);
         if (this.#ledger.isForgiven(requestId)) {
             return;
         }
         const server = this.#find(instance);
         serverHealth.addFailure(server, { requestId, weight: failureWeights[kind], at: now });
-        if (this.#ledger.add(requestId, instance) >= failureLedger.serversBeforeRequestIsAtFault) {
+        if (failedOn >= failureLedger.serversBeforeRequestIsAtFault) {
             this.forgive(requestId);
             return;
         }
@@ -77,6 +78,11 @@
         }
     }
 
+    /** Servers that a recent request has failed on. */
+    listFailedOn(requestId: string): ReadonlySet<string> {
+        return this.#ledger.list(requestId);
+    }
+
     /** Takes back the failures of a request that is at fault itself; later ones don't count. */
     forgive(requestId: string): void {
         for (const instance of this.#ledger.forgive(requestId)) {
