Prove that a woken entry instance sends nothing, and bind connections to servers

Cause of the fix: `connect.localAddress` of an undici pool is overwritten by the pool's own `localAddress`, so `sourceHost` never held for connections to backend servers. Operators could not choose that source, and no zone cut by the fault proxy ever cut an entry instance off from another zone's backend servers (each connection came from 127.0.0.1).

Added: the promise "only the home sends work", checked from the source of each execution against the home that the log shows (not through the proxy, which hides the source); reading the folded log in tests; the setting planning.shortPoolMs (60000 as before), so that a move need not be waited for.

The test: the lease holder is left alone in its zone and paused; its neighbour restarts, closes it, and a changed plan moves an instance; then the paused one wakes with 20 calls waiting at its port.

--- a/packages/bench/src/evidence-collector.ts
+++ b/packages/bench/src/evidence-collector.ts
@@ -53,6 +53,12 @@
             executions: lists.flat(),
             fleetEntries: await testUtils.readStream(this.#running.platform, "fleet"),
             versions: this.#versions,
+            sources: this.#listSources(),
         };
     }
+
+    #listSources(): ReadonlyMap<string, string> {
+        const entries = this.#running.proxy === undefined ? testUtils.planEntries(this.#running.deployment) : [];
+        return new Map(entries.map(entry => [entry.sourceHost, entry.name]));
+    }
 }
--- a/packages/bench/src/index.ts
+++ b/packages/bench/src/index.ts
@@ -6,6 +6,8 @@
 export * from "./call-record.js";
 export * from "./caller.js";
 export * from "./evidence-collector.js";
+export * from "./fleet-reader.js";
+export * from "./home-checker.js";
 export * from "./keyed-call.js";
 export * from "./load.js";
 export * from "./metrics-reader.js";
--- a/packages/bench/src/promise-checker.ts
+++ b/packages/bench/src/promise-checker.ts
@@ -6,6 +6,7 @@
 import * as testUtils from "@catkinwharf/test-utils";
 import * as types from "@catkinwharf/types";
 import * as callRecord from "./call-record.js";
+import * as homeChecker from "./home-checker.js";
 
 /** A promise that did not hold. */
 export interface Violation {
@@ -22,6 +23,8 @@
     readonly fleetEntries: readonly schema.platform.LogEntry[];
     /** Configuration versions in the order in which each entry instance showed them. */
     readonly versions: ReadonlyMap<string, readonly number[]>;
+    /** Entry instance of each source IP number; empty if the paths lead through the fault proxy. */
+    readonly sources: ReadonlyMap<string, string>;
 }
 
 /** Time in ms after the start of a drain from which no new work may arrive. */
@@ -35,6 +38,7 @@
         ...findMismatchedAnswers(evidence),
         ...findCutRequests(evidence),
         ...findWrongPlacements(evidence),
+        ...homeChecker.findForeignWork(evidence.executions, evidence.fleetEntries, evidence.sources),
         ...findRevertedVersions(evidence),
     ];
 }
--- a/packages/entry/src/backend-connection.ts
+++ b/packages/entry/src/backend-connection.ts
@@ -59,10 +59,8 @@
             keepAliveMaxTimeout: idleConnectionMs,
             headersTimeout: 0,
             bodyTimeout: 0,
-            connect: {
-                timeout: connectTimeoutMs,
-                ...(this.#limits.sourceHost === undefined ? {} : { localAddress: this.#limits.sourceHost }),
-            },
+            connect: { timeout: connectTimeoutMs },
+            ...(this.#limits.sourceHost === undefined ? {} : { localAddress: this.#limits.sourceHost }),
         });
     }
 
--- a/packages/entry/src/coordinator.ts
+++ b/packages/entry/src/coordinator.ts
@@ -34,6 +34,7 @@
     readonly logger: logger.Logger;
     readonly clock: () => number;
     readonly wallClock: () => number;
+    readonly policy: planner.Policy;
     /** Longest time in ms that a request may run. */
     readonly maxRequestMs: number;
     /** Time in ms without a renewal after which a home is taken for unable to hear of a drain. */
@@ -133,7 +134,7 @@
             pending: this.#pending.list(state),
             homeSilenceMs: this.#parts.homeSilenceMs,
             now,
-            policy: planner.policies.chosen,
+            policy: this.#parts.policy,
         };
         this.#observations.observe(input, now);
         const plan = planner.plan(input);
--- a/packages/entry/src/entry-process.ts
+++ b/packages/entry/src/entry-process.ts
@@ -92,6 +92,7 @@
         return new coordinator.Coordinator({
             ...shared,
             wallClock,
+            policy: { ...planner.policies.chosen, shortPoolMs: settings.planning.shortPoolMs },
             maxRequestMs: settings.requests.maxTimeoutMs,
             homeSilenceMs: settings.session.fenceMs / 2,
             lease: new leaseKeeper.LeaseKeeper({ ...shared, times: settings.session, random }),
--- a/packages/planner/src/moves.ts
+++ b/packages/planner/src/moves.ts
@@ -11,8 +11,6 @@
 import * as policies from "./policies.js";
 import * as registration from "./registration.js";
 
-/** Time for which a pool is short before an instance is moved there, in ms. */
-const shortHoldMs = 60_000;
 /** Time for which a pool has too many before one is given back, in ms. */
 const surplusHoldMs = 600_000;
 /** Least span over which demand has to last, in ms, and as a multiple of the learnt length of a move. */
@@ -61,7 +59,7 @@
         const base = planned + (planned > 0 ? given.input.policy.reservePerPool : 0);
         const wanted = Math.max(base, measureNeed(given, pool));
         wants.set(pool, wanted - effective - pendingMoves);
-        const lastsByPlan = given.observations.isShortFor(pool, shortHoldMs, given.now);
+        const lastsByPlan = given.observations.isShortFor(pool, given.input.policy.shortPoolMs, given.now);
         if (wanted === planned && wanted > effective && !lastsByPlan) {
             wants.set(pool, 0);
         }
--- a/packages/planner/src/policies.ts
+++ b/packages/planner/src/policies.ts
@@ -22,6 +22,8 @@
     readonly restoresPromise: boolean;
     /** Instances that each pool gets beyond its plan. */
     readonly reservePerPool: number;
+    /** Time for which a pool is below its plan before an instance is moved there, in ms. */
+    readonly shortPoolMs: number;
 }
 
 /** What a pool still has to do for a stop, and how long the whole stop takes. */
@@ -34,6 +36,7 @@
 
 /** Share of a pool that the fixed-fraction policy takes out at once. */
 const fixedFraction = 0.25;
+const shortPoolMs = 60_000;
 
 /** All policies by name. */
 export const policies = {
@@ -47,6 +50,7 @@
         followsDemand: true,
         restoresPromise: true,
         reservePerPool: 0,
+        shortPoolMs,
     },
     "one-at-a-time": {
         name: "one-at-a-time",
@@ -58,6 +62,7 @@
         followsDemand: false,
         restoresPromise: false,
         reservePerPool: 0,
+        shortPoolMs,
     },
     "fixed-fraction": {
         name: "fixed-fraction",
@@ -69,6 +74,7 @@
         followsDemand: false,
         restoresPromise: false,
         reservePerPool: 0,
+        shortPoolMs,
     },
     "budget-only": {
         name: "budget-only",
@@ -80,6 +86,7 @@
         followsDemand: false,
         restoresPromise: false,
         reservePerPool: 0,
+        shortPoolMs,
     },
     "static-n-plus-one": {
         name: "static-n-plus-one",
@@ -91,6 +98,7 @@
         followsDemand: false,
         restoresPromise: false,
         reservePerPool: 1,
+        shortPoolMs,
     },
 } as const satisfies Readonly<Record<string, Policy>>;
 
--- a/packages/test-utils/src/backend-server/backend-server-stand-in.ts
+++ b/packages/test-utils/src/backend-server/backend-server-stand-in.ts
@@ -147,6 +147,7 @@
             service: readHeader(request, serviceHeader) ?? this.options.service,
             method: request.method ?? "",
             path: request.url ?? "",
+            source: request.socket.remoteAddress ?? "",
             start: Date.now(),
             cut: false,
         };
--- a/packages/test-utils/src/backend-server/execution.ts
+++ b/packages/test-utils/src/backend-server/execution.ts
@@ -10,6 +10,8 @@
     readonly service?: string;
     readonly method: string;
     readonly path: string;
+    /** IP number that the request came from; the fault proxy's, if there is one. */
+    readonly source: string;
     readonly start: number;
     /** Absent while it runs. */
     end?: number;
