--- a/packages/planner/src/capacity.ts
+++ b/packages/planner/src/capacity.ts
@@ -1,8 +1,9 @@
 /**
  * What each pool has, what it must keep, and what one plan has taken out of it so far.
  *
- * An instance is available when it is active, live, not failing, and has held for a while after a reboot. The promise of a pool is the number that must
- * stay available: the strictest among the profiles of its services.
+ * An instance is available when it is active, live, not failing, has held for a while after a reboot, and has a home
+ * that other zones reach. The promise of a pool is the number that must stay available: the strictest among the profiles
+ * of its services.
  */
 import * as fleetState from "@catkinwharf/fleet-state";
 import type * as schema from "@catkinwharf/schema";
@@ -45,12 +46,12 @@
 /** Tolerance for shares that binary fractions don't hit exactly. */
 const shareTolerance = 1e-9;
 
-/** Views of all pools, the spare pool included, by name. */
+/** Views of all pools, the spare pool included, by name; `idle` names instances that serve nobody, or not everybody. */
 export function viewPools(
     state: fleetState.FleetState,
     configuration: schema.log.Configuration,
     seen: observations.Observations,
-    leaving: ReadonlySet<string>,
+    idle: ReadonlySet<string>,
     now: number,
 ): ReadonlyMap<string, PoolView> {
     const byPool = new Map<string, InstanceView[]>();
@@ -59,7 +60,7 @@
     }
     for (const [name, instance] of state.instances) {
         const views = byPool.get(instance.pool) ?? [];
-        views.push(viewInstance(name, instance, seen, leaving, now));
+        views.push(viewInstance(name, instance, seen, idle, now));
         byPool.set(instance.pool, views);
     }
     return new Map([...byPool].map(([pool, views]) => {
@@ -115,7 +116,7 @@
     name: string,
     instance: fleetState.InstanceState,
     seen: observations.Observations,
-    leaving: ReadonlySet<string>,
+    idle: ReadonlySet<string>,
     now: number,
 ): InstanceView {
     const serves = instance.phase === fleetState.Phase.active;
@@ -126,7 +127,7 @@
         availabilityZone: instance.instance.availabilityZone,
         state: instance,
         lost,
-        available: serves && !lost && !leaving.has(name) && !seen.isSettling(name, now),
+        available: serves && !lost && !idle.has(name) && !seen.isSettling(name, now),
     };
 }
 
--- a/packages/planner/src/context.ts
+++ b/packages/planner/src/context.ts
@@ -62,10 +62,20 @@
             name => input.observations.getAbsentSince(name) !== undefined,
         );
         this.#newestRenewal = Math.max(0, ...[...input.state.sessions.values()].map(session => session.renewedAt));
-        const leaving = new Set(
-            (input.pending ?? []).filter(one => one.kind === "drain-started").map(draft.getSubject),
-        );
-        this.pools = capacity.viewPools(input.state, configuration, input.observations, leaving, input.now);
+        const idle = new Set([...this.#listLeaving(), ...this.#listUnheard()]);
+        this.pools = capacity.viewPools(input.state, configuration, input.observations, idle, input.now);
+    }
+
+    /** Instances that a pending drain may have taken out. */
+    #listLeaving(): string[] {
+        return (this.input.pending ?? []).filter(one => one.kind === "drain-started").map(draft.getSubject);
+    }
+
+    /** Instances that serve at most the callers of a zone that is cut off. */
+    #listUnheard(): string[] {
+        return [...this.state.instances.values()]
+            .filter(instance => instance.home === undefined || !this.isHomeReachable(instance))
+            .map(({ instance }) => instance.name);
     }
 
     get state(): fleetState.FleetState {
--- a/packages/planner/src/plan.test.ts
+++ b/packages/planner/src/plan.test.ts
@@ -251,6 +251,19 @@
     assert.ok(fleet.plan().decisions.some(one => one.kind === "drain-started"));
 });
 
+suite("instances whose home is silent don't count towards a promise", () => {
+    const fleet = testFleet.start({ ...testFleet.basicShape, spares: 0 });
+    fleet.announce({ availabilityZones: ["z1"] });
+    fleet.now += 3_001;
+    fleet.renew("s-z1");
+    fleet.renew("s-z3");
+    const cutOff = fleet.plan();
+    assert.equal(cutOff.decisions.filter(one => one.kind === "drain-started"), []);
+    assert.is(cutOff.waits[0]?.reason, planner.WaitReason.budget);
+    fleet.renew("s-z2");
+    assert.ok(fleet.plan().decisions.some(one => one.kind === "drain-started"));
+});
+
 suite("nothing is decided without a configuration or with a stale membership list", () => {
     const fleet = testFleet.start(testFleet.basicShape);
     fleet.announce({ availabilityZones: testFleet.zones });
