--- a/packages/entry/src/control-plane.ts
+++ b/packages/entry/src/control-plane.ts
@@ -70,7 +70,7 @@
             metrics,
             logger: context.createLogger("peers"),
             clock,
-            makeStatus: () => this.makeStatus(),
+            makeSigns: () => this.makeSigns(),
         });
         this.#relay = new recordRelay.RecordRelay({
             directory: this.directory,
@@ -233,12 +233,19 @@
     }
 
     /** What heartbeats tell peers. */
-    makeStatus(): peerDirectory.PeerStatus {
+    makeSigns(): peerDirectory.PeerSigns {
         return {
             session: this.session,
             blind: this.isBlind,
             leaving: this.#load.isLeaving(),
             appliedOffset: this.view.state.nextOffset,
+        };
+    }
+
+    /** What the answers to heartbeats tell peers. */
+    makeStatus(): peerDirectory.PeerStatus {
+        return {
+            ...this.makeSigns(),
             digests: this.#load.listDigests(),
             ejected: [...this.#load.listEjected()],
         };
--- a/packages/entry/src/peer-directory.ts
+++ b/packages/entry/src/peer-directory.ts
@@ -8,8 +8,14 @@
 import * as fence from "./fence.js";
 import * as metrics from "./metrics.js";
 
-/** The part of a heartbeat that is not the exchange number. */
-export type PeerStatus = Omit<schema.peer.Heartbeat, "kind" | "exchange">;
+/** Heartbeats within an availability zone to one heartbeat to another zone, where fences don't rest on them. */
+const otherZoneIntervals = 2;
+
+/** What a heartbeat tells. */
+export type PeerSigns = Omit<schema.peer.Heartbeat, "kind" | "exchange">;
+
+/** What the answer to a heartbeat tells, but for its promise. */
+export type PeerStatus = Omit<schema.peer.HeartbeatAnswer, "kind" | "exchange" | "keepsSession">;
 
 /** A peer as this process sees it. */
 export interface KnownPeer {
@@ -32,7 +38,7 @@
     readonly metrics: metrics.Metrics;
     readonly logger: logger.Logger;
     readonly clock: () => number;
-    makeStatus(): PeerStatus;
+    makeSigns(): PeerSigns;
 }
 
 interface PeerRecord {
@@ -97,12 +103,12 @@
             },
             identity: parts.identity,
             peerKey: parts.peerKey,
-            limits: parts.limits,
+            limits: this.#createLimits(session.availabilityZone),
             clock: parts.clock,
             counters: parts.metrics.createSink("peer_events", "peers"),
             logger: parts.logger,
             localAddress: parts.sourceHost,
-            makeHeartbeat: () => parts.makeStatus(),
+            makeHeartbeat: () => parts.makeSigns(),
             onHeartbeatAnswer: (answer, sentAt, receivedAt) => this.#noteAnswer(answer, sentAt, receivedAt),
         });
     }
@@ -115,6 +121,12 @@
         }
     }
 
+    #createLimits(availabilityZone: string): peers.PeerLimits {
+        const { limits, identity } = this.#parts;
+        const intervals = availabilityZone === identity.availabilityZone ? 1 : otherZoneIntervals;
+        return { ...limits, heartbeatMs: limits.heartbeatMs * intervals };
+    }
+
     /** Closes all links, because this process goes on under a new session or ends. */
     closeAll(): void {
         for (const record of this.#peers.values()) {
@@ -123,7 +135,20 @@
         this.#peers.clear();
     }
 
-    /** Takes a status from a heartbeat or its answer. */
+    /** Takes what a heartbeat tells; the load stays as the newest answer told it. */
+    noteSigns(signs: PeerSigns): void {
+        const record = this.#peers.get(signs.session);
+        if (record?.status !== undefined) {
+            record.status = {
+                ...record.status,
+                blind: signs.blind,
+                leaving: signs.leaving,
+                appliedOffset: signs.appliedOffset,
+            };
+        }
+    }
+
+    /** Takes a status from the answer to a heartbeat. */
     noteStatus(status: PeerStatus, now: number): void {
         const record = this.#peers.get(status.session);
         if (record !== undefined) {
--- a/packages/entry/src/peer-questions.ts
+++ b/packages/entry/src/peer-questions.ts
@@ -50,7 +50,7 @@
 ): schema.peer.HeartbeatAnswer {
     const now = parts.clock();
     if (message.session === from.session) {
-        parts.directory.noteStatus(message, now);
+        parts.directory.noteSigns(message);
         parts.directory.notePromise(from.session, now);
     }
     return {
--- a/packages/entry/src/platform-watch.ts
+++ b/packages/entry/src/platform-watch.ts
@@ -7,7 +7,7 @@
 import * as metrics from "./metrics.js";
 
 /** Time in ms between readings of the membership list. */
-const membershipMs = 1_000;
+const membershipMs = 2_000;
 /** Time in ms between readings of the usage reports, while an instance waits for one. */
 const usageMs = 500;
 
--- a/packages/peers/scripts/measure-link.mjs
+++ b/packages/peers/scripts/measure-link.mjs
@@ -23,14 +23,22 @@
     free: 12,
     queued: 3,
 }));
-const load = { blind: false, leaving: false, appliedOffset: 123_456, digests, ejected: [] };
+const signs = { blind: false, leaving: false, appliedOffset: 123_456 };
 
 function createIdentity(number) {
     return { session: `session-${number}`, entry: `entry-${number}`, availabilityZone: "zone-a" };
 }
 
 const handlers = {
-    "heartbeat": () => ({ ...load, kind: "heartbeat-answer", exchange: 0, session: "session-0" }),
+    "heartbeat": () => ({
+        ...signs,
+        digests,
+        ejected: [],
+        keepsSession: true,
+        kind: "heartbeat-answer",
+        exchange: 0,
+        session: "session-0",
+    }),
     "dispatch": async message => ({
         kind: "dispatch-answer",
         exchange: 0,
@@ -73,7 +81,7 @@
         clock: () => performance.now(),
         counters,
         logger: logger.silentLogger,
-        makeHeartbeat: () => ({ ...load, session: identity.session }),
+        makeHeartbeat: () => ({ ...signs, session: identity.session }),
         onHeartbeatAnswer: () => undefined,
     });
     while (link.lastAnsweredAt === undefined) {
