Keep a process's appends over both streams within the setting

Ruled out: one queue for both streams (a burst of keys would delay renewals and releases, and with them fences). Measured: at-most-once, whole-path and documentation tests pass after it. Conclusion: a quarter for the fleet stream, three quarters for the claims.

--- a/packages/entry/src/log-streams.ts
+++ b/packages/entry/src/log-streams.ts
@@ -13,6 +13,9 @@
 /** Name of the stream of key claims. */
 export const claimsStream = "claims";
 
+/** Share of this entry instance's appends that each stream may use; together they stay within the setting. */
+const appendShares = { [fleetStream]: 0.25, [claimsStream]: 0.75 } as const;
+
 export interface StreamParts {
     readonly settings: schema.settings.EntrySettings;
     readonly metrics: metrics.Metrics;
@@ -34,11 +37,17 @@
     };
 }
 
-function createStreamOptions(parts: StreamParts, stream: string): Omit<platform.StreamOptions, "handlers"> {
+function createStreamOptions(
+    parts: StreamParts,
+    stream: keyof typeof appendShares,
+): Omit<platform.StreamOptions, "handlers"> {
     return {
         ...createServiceOptions(parts.settings, parts.settings.platform.log),
         stream,
-        limits: parts.settings.log,
+        limits: {
+            ...parts.settings.log,
+            appendsPerSecond: parts.settings.log.appendsPerSecond * appendShares[stream],
+        },
         clock: parts.clock,
         logger: parts.logger,
         counters: parts.metrics.createSink("platform_events", stream),
