--- a/packages/bench/src/call-record.ts
+++ b/packages/bench/src/call-record.ts
@@ -27,6 +27,8 @@
     readonly urgency: number;
     /** Time at which the schedule wanted the call, from which its latency counts. */
     readonly dueAt: number;
+    /** Run time in ms that the stand-in was asked for. */
+    readonly runMs?: number;
     readonly attempts: readonly Attempt[];
 }
 
--- a/packages/bench/src/caller.ts
+++ b/packages/bench/src/caller.ts
@@ -22,6 +22,8 @@
     /** Fields for the stand-ins. */
     readonly fields: Readonly<Record<string, string>>;
     readonly dueAt: number;
+    /** Run time in ms that the stand-in is asked for. */
+    readonly runMs?: number;
 }
 
 export interface CallerOptions {
@@ -62,6 +64,7 @@
             key: planned.key,
             urgency: planned.urgency,
             dueAt: planned.dueAt,
+            ...(planned.runMs === undefined ? {} : { runMs: planned.runMs }),
             attempts,
         };
     }
--- a/packages/bench/src/load.ts
+++ b/packages/bench/src/load.ts
@@ -16,6 +16,8 @@
     readonly burstFactor: number;
     /** Load between bursts, as a multiple of the mean. */
     readonly quietFactor: number;
+    /** Time in ms between two bursts in which no service bursts; 0 if absent. */
+    readonly gapMs?: number;
 }
 
 export const steadyShape: LoadShape = { meanUtilization: 0.3, burstMs: 0, burstFactor: 1, quietFactor: 1 };
@@ -34,7 +36,7 @@
 }
 
 /** Time in ms between looks at the schedule. */
-const stepMs = 5;
+const stepMs = 1;
 /** Urgencies of calls: urgent previews, ordinary work, overnight batches. */
 const urgencies = [1, 3, 3, 3, 6];
 
@@ -50,7 +52,7 @@
             while (stream.nextAt <= at) {
                 const dueAt = startedAt + stream.nextAt + wallOffset;
                 running.push(options.caller.call(planCall(options, stream.service, random, running.length, dueAt)));
-                stream.nextAt += drawGap(options, stream.service, stream.index, stream.nextAt, random);
+                stream.nextAt = drawNext(options, stream.service, stream.index, stream.nextAt, random);
             }
         }
         await new Promise(resolve => setTimeout(resolve, stepMs));
@@ -76,7 +78,8 @@
     return shape.burstMs === 0 ? 1 : (shape.burstFactor + shape.quietFactor * (services - 1)) / services;
 }
 
-function drawGap(
+/** Draws the time in ms of a service's next call. A gap that reaches beyond a change of the rate is drawn anew from there. */
+function drawNext(
     options: LoadOptions,
     service: schema.settings.DeploymentService,
     index: number,
@@ -86,8 +89,27 @@
     const { shape, deployment } = options;
     const slots = service.workers * deployment.worker.slots;
     const meanPerMs = (slots * shape.meanUtilization * options.scale) / service.meanServiceMs;
-    const factor = readFactor(shape, index, deployment.services.length, at);
-    return random.nextExponential(1 / (meanPerMs * factor));
+    let from = at;
+    for (;;) {
+        const factor = readFactor(shape, index, deployment.services.length, from);
+        const next = from + random.nextExponential(1 / (meanPerMs * factor));
+        const change = findChange(shape, from);
+        if (next < change) {
+            return next;
+        }
+        from = change;
+    }
+}
+
+/** Time in ms at which the rates change next. */
+function findChange(shape: LoadShape, at: number): number {
+    if (shape.burstMs === 0) {
+        return Number.POSITIVE_INFINITY;
+    }
+    const turnMs = shape.burstMs + (shape.gapMs ?? 0);
+    const turn = Math.floor(at / turnMs);
+    const burstEnd = turn * turnMs + shape.burstMs;
+    return at < burstEnd ? burstEnd : (turn + 1) * turnMs;
 }
 
 /** Services burst in turn. */
@@ -95,7 +117,16 @@
     if (shape.burstMs === 0) {
         return 1;
     }
-    return Math.floor(at / shape.burstMs) % services === index ? shape.burstFactor : shape.quietFactor;
+    return findBursting(shape, services, at) === index ? shape.burstFactor : shape.quietFactor;
+}
+
+/** Index of the service that bursts at a time; undefined between bursts. */
+export function findBursting(shape: LoadShape, services: number, at: number): number | undefined {
+    if (shape.burstMs === 0) {
+        return undefined;
+    }
+    const turnMs = shape.burstMs + (shape.gapMs ?? 0);
+    return at % turnMs < shape.burstMs ? Math.floor(at / turnMs) % services : undefined;
 }
 
 function planCall(
@@ -107,6 +138,7 @@
 ): caller.PlannedCall {
     const id = `${options.seed}-${sequence}`;
     const idempotent = random.next() < service.idempotentShare;
+    const runMs = Math.max(1, Math.round(random.nextExponential(service.meanServiceMs)));
     return {
         id,
         service: service.name,
@@ -114,9 +146,8 @@
         key: idempotent ? undefined : `key-${id}`,
         urgency: random.pick(urgencies),
         timeoutMs: options.timeoutMs,
-        fields: {
-            "stand-in-service-ms": String(Math.max(1, Math.round(random.nextExponential(service.meanServiceMs)))),
-        },
+        fields: { "stand-in-service-ms": String(runMs) },
+        runMs,
         dueAt,
     };
 }
