Keep the slot of a run until it ends, and start no run that can hardly end in time

When a request's deadline passed, its slot was given away while the backend server still ran it; the server then refused others for want of slots, the refusals and the deadlines (taken for silence) ejected it, and the pool lost half of its slots mid-burst.

Ruled out: learning from runs that deadlines cut off, since an estimate at the deadline would refuse everything from then on.

--- a/packages/entry/src/backend-connection.ts
+++ b/packages/entry/src/backend-connection.ts
@@ -25,9 +25,19 @@
     readonly fault: ServerFault | undefined;
 }
 
+/** A request on its way. */
+export interface Sending {
+    /** What its caller is told, at the latest after the time allowed. */
+    readonly told: Promise<SendResult>;
+    /** What became of it at the backend server, which may come later: until then it holds its slot there. */
+    readonly ended: Promise<SendResult>;
+}
+
 export interface SendOptions {
-    /** Time in ms after which a server that sent nothing counts as silent. */
+    /** Time in ms after which the caller is told that no answer came. */
     readonly timeoutMs: number;
+    /** Time in ms without an answer that speaks against the connection or its server, and not for a long run. */
+    readonly silentAfterMs: number;
     /** Checked immediately before the first byte is written. */
     mayDispatch(): boolean;
 }
@@ -75,19 +85,20 @@
         void retired.close();
     }
 
-    send(question: request.ServiceRequest, options: SendOptions): Promise<SendResult> {
-        return new Promise(resolve => {
-            const exchange = new Exchange(question, options, this.#limits.maxAnswerBytes, resolve);
-            this.#pool.dispatch(
-                {
-                    path: question.path,
-                    method: question.method as undici.Dispatcher.HttpMethod,
-                    headers: writeHeaders(question),
-                    body: question.body.byteLength === 0 ? undefined : Buffer.from(question.body),
-                },
-                exchange.createHandler(),
-            );
-        });
+    send(question: request.ServiceRequest, options: SendOptions): Sending {
+        const told = createDeferred<SendResult>();
+        const ended = createDeferred<SendResult>();
+        const exchange = new Exchange(question, options, this.#limits.maxAnswerBytes, told.resolve, ended.resolve);
+        this.#pool.dispatch(
+            {
+                path: question.path,
+                method: question.method as undici.Dispatcher.HttpMethod,
+                headers: writeHeaders(question),
+                body: question.body.byteLength === 0 ? undefined : Buffer.from(question.body),
+            },
+            exchange.createHandler(),
+        );
+        return { told: told.promise, ended: ended.promise };
     }
 
     async close(): Promise<void> {
@@ -100,6 +111,17 @@
     return sent.result.outcome === types.Outcome.unknown && sent.result.reason === types.Reason.answerMismatched;
 }
 
+interface Deferred<Value> {
+    readonly promise: Promise<Value>;
+    resolve(value: Value): void;
+}
+
+function createDeferred<Value>(): Deferred<Value> {
+    let resolve!: (value: Value) => void;
+    const promise = new Promise<Value>(settle => resolve = settle);
+    return { promise, resolve: value => resolve(value) };
+}
+
 function writeHeaders(question: request.ServiceRequest): string[] {
     return [
         ...question.headers.flatMap(field => [field.name, field.value]),
@@ -110,14 +132,15 @@
     ];
 }
 
-/** One request on its way: collects the answer and settles once. */
+/** One request on its way: collects the answer, tells its caller once, and ends once. */
 class Exchange {
     readonly #question: request.ServiceRequest;
     readonly #options: SendOptions;
     readonly #maxAnswerBytes: number;
-    readonly #settle: (sent: SendResult) => void;
-    readonly #timer: NodeJS.Timeout;
-    #settled = false;
+    readonly #tell: (sent: SendResult) => void;
+    readonly #end: (sent: SendResult) => void;
+    #timer: NodeJS.Timeout;
+    #ended = false;
     #started = false;
     #fenced = false;
     #abort: ((reason: Error) => void) | undefined;
@@ -130,13 +153,15 @@
         question: request.ServiceRequest,
         options: SendOptions,
         maxAnswerBytes: number,
-        settle: (sent: SendResult) => void,
+        tell: (sent: SendResult) => void,
+        end: (sent: SendResult) => void,
     ) {
         this.#question = question;
         this.#options = options;
         this.#maxAnswerBytes = maxAnswerBytes;
-        this.#settle = settle;
-        this.#timer = setTimeout(() => this.#giveUp(this.#describeSilence()), options.timeoutMs);
+        this.#tell = tell;
+        this.#end = end;
+        this.#timer = setTimeout(() => this.#onTimeout(), options.timeoutMs);
     }
 
     createHandler(): undici.Dispatcher.DispatchHandler {
@@ -151,7 +176,7 @@
 
     #start(controller: undici.Dispatcher.DispatchController): void {
         this.#abort = reason => controller.abort(reason);
-        if (this.#settled) {
+        if (this.#ended) {
             controller.abort(new Error("given up"));
             return;
         }
@@ -194,10 +219,20 @@
         return { result, fault: this.#status >= 500 ? ServerFault.error : undefined };
     }
 
-    #describeSilence(): SendResult {
-        return this.#started
-            ? unknown(types.Reason.serverSilent, ServerFault.silent)
-            : notRun(types.Reason.noCapacity, ServerFault.silent);
+    /** A run that may only be long goes on, since its slot is taken until it ends. */
+    #onTimeout(): void {
+        const { timeoutMs, silentAfterMs } = this.#options;
+        const silent = unknown(types.Reason.serverSilent, ServerFault.silent);
+        if (!this.#started) {
+            this.#giveUp(notRun(types.Reason.noCapacity, timeoutMs < silentAfterMs ? undefined : ServerFault.silent));
+            return;
+        }
+        if (timeoutMs >= silentAfterMs) {
+            this.#giveUp(silent);
+            return;
+        }
+        this.#tell(unknown(types.Reason.serverSilent, undefined));
+        this.#timer = setTimeout(() => this.#giveUp(silent), silentAfterMs - timeoutMs);
     }
 
     #describeError(): SendResult {
@@ -215,13 +250,15 @@
         this.#abort?.(new Error("given up"));
     }
 
+    /** The caller hears only the first thing that it is told. */
     #finish(sent: SendResult): void {
-        if (this.#settled) {
+        if (this.#ended) {
             return;
         }
-        this.#settled = true;
+        this.#ended = true;
         clearTimeout(this.#timer);
-        this.#settle(sent);
+        this.#tell(sent);
+        this.#end(sent);
     }
 }
 
--- a/packages/entry/src/integration/overload.test.ts
+++ b/packages/entry/src/integration/overload.test.ts
@@ -48,6 +48,20 @@
         assert.is(status.pools[0]?.unhealthy, 0);
     }));
 
+suite(
+    "blames no server for runs that deadlines ended, and starts nothing in their slots before they end",
+    () =>
+        runOverload(async session => {
+            await bench.callBatch(session, { count: 40, parallel: 8, serviceMs: 100 });
+            const late = { serviceMs: 700, timeoutMs: 400 };
+            const calls = await bench.callBatch(session, { count: 32, parallel: 8, method: "POST", ...late });
+            assert.ok(bench.describeFinals(calls).includes("unknown backend-server-silent"));
+            assert.is(await bench.readCounter(session.running, "server_faults", ""), 0);
+            const status = await bench.createOperator(session.running).readStatus();
+            assert.is(status.pools[0]?.unhealthy, 0);
+        }),
+);
+
 /** Waits until at least so many requests wait; for 0 until none does. */
 async function waitForQueue(session: bench.Session, count: number): Promise<void> {
     for (;;) {
--- a/packages/entry/src/local-dispatcher.ts
+++ b/packages/entry/src/local-dispatcher.ts
@@ -14,6 +14,9 @@
 /** A run that takes this many times as long as usual counts as silent, if the request may be repeated. */
 const silentRunFactor = 10;
 
+/** Least time in ms without an answer that counts as silence. */
+const minSilentMs = 500;
+
 export interface DispatcherParts {
     readonly homes: homeDirectory.HomeDirectory;
     readonly limits: schema.settings.RequestLimits;
@@ -147,6 +150,10 @@
         signal: AbortSignal,
     ): Promise<request.RequestResult> {
         const queue = this.#queueOf(service.name);
+        const now = this.#parts.clock();
+        const expectedRunMs = this.#estimator.estimate(service.name);
+        const longRunMs = this.#estimator.estimateLong(service.name);
+        const reserveMs = placement.computeRunReserve(expectedRunMs, longRunMs, question.deadline - now);
         const decision = placement.decideAdmission({
             queued: queue.queued,
             ahead: queue.countAhead(question),
@@ -154,41 +161,44 @@
             slots,
             deadline: question.deadline,
             urgency: question.urgency,
-            expectedRunMs: this.#estimator.estimate(service.name),
+            expectedRunMs,
+            reserveMs,
             worst: queue.worst,
-        }, this.#parts.clock());
+        }, now);
         if (decision.kind === "refuse") {
             return Promise.resolve(request.createNotRun(decision.reason));
         }
         if (decision.kind === "shed") {
             queue.giveUp(decision.id, types.Reason.shed);
         }
-        return queue.run(question, signal);
+        return queue.run(question, signal, question.deadline - reserveMs);
     }
 
     /**
      * Runs a request that has got a place. It runs to its end even if its caller hangs up: a backend server may go on
      * after its connection closed, and a place given away too early would overload it.
      */
-    async #execute(question: request.ServiceRequest): Promise<request.RequestResult> {
+    async #execute(question: request.ServiceRequest): Promise<serviceQueue.Execution> {
         const service = this.#findService(question.service);
         const server = service === undefined ? undefined : this.#chooseServer(service.pool, question.requestId);
-        if (server === undefined) {
-            return request.createNotRun(types.Reason.noCapacity);
+        if (service === undefined || server === undefined) {
+            return { result: request.createNotRun(types.Reason.noCapacity), ended: Promise.resolve() };
         }
         const startedAt = this.#parts.clock();
         this.#parts.homes.beginRequest(server.instance);
-        const sent = await server.connection.send(question, {
+        const sending = server.connection.send(question, {
             timeoutMs: this.#chooseTimeout(question, startedAt),
+            silentAfterMs: this.#computeSilentAfter(question.service),
             mayDispatch: () => this.#parts.mayDispatch(),
         });
-        this.#parts.homes.endRequest(server.instance);
-        this.#retireConnections(server, sent, startedAt);
-        this.#learn(question, server.instance, sent, startedAt);
-        if (service !== undefined) {
+        const ended = sending.ended.then(sent => {
+            this.#parts.homes.endRequest(server.instance);
+            this.#retireConnections(server, sent, startedAt);
+            this.#learn(question, server.instance, sent, startedAt);
             this.#updateConcurrency(service);
-        }
-        return sent.result;
+        });
+        const told = await sending.told;
+        return { result: told.result, ended };
     }
 
     /**
@@ -234,6 +244,14 @@
         return Math.min(remainingMs, Math.max(usualMs, this.#parts.limits.silentConnectionMs));
     }
 
+    /** A run of many times the usual length is taken for silence, a shorter one that a deadline ended is not. */
+    #computeSilentAfter(service: string): number {
+        const usualMs = this.#estimator.estimate(service);
+        return usualMs === 0
+            ? this.#parts.limits.silentConnectionMs
+            : Math.min(this.#parts.limits.silentConnectionMs, Math.max(usualMs * silentRunFactor, minSilentMs));
+    }
+
     #learn(
         question: request.ServiceRequest,
         instance: string,
@@ -249,6 +267,9 @@
             return;
         }
         this.#parts.metrics.count("server_faults", sent.fault);
+        if (!this.#parts.limits.ejection) {
+            return;
+        }
         this.#outliers.recordFailure(instance, question.requestId, sent.fault, now);
     }
 }
--- a/packages/entry/src/service-queue.ts
+++ b/packages/entry/src/service-queue.ts
@@ -8,8 +8,15 @@
 import * as pQueue from "p-queue";
 import * as request from "./request.js";
 
+/** A request that was run. */
+export interface Execution {
+    readonly result: request.RequestResult;
+    /** Resolves when it holds no slot any more, which may be after its caller was told the result. */
+    readonly ended: Promise<void>;
+}
+
 /** Runs an admitted request; called when its turn has come. */
-export type Execute = (question: request.ServiceRequest) => Promise<request.RequestResult>;
+export type Execute = (question: request.ServiceRequest) => Promise<Execution>;
 
 interface Waiting {
     readonly timer: NodeJS.Timeout;
@@ -74,8 +81,11 @@
         return this.#order.countAhead(question.urgency, question.deadline);
     }
 
-    /** Waits for a place and runs the request; the result tells if it was given up before. */
-    run(question: request.ServiceRequest, signal: AbortSignal): Promise<request.RequestResult> {
+    /**
+     * Waits for a place and runs the request; the result tells if it was given up before.
+     * `startBy` is the clock time in ms by which the run must start to be of use.
+     */
+    run(question: request.ServiceRequest, signal: AbortSignal, startBy: number): Promise<request.RequestResult> {
         return new Promise(resolve => {
             const id = question.requestId;
             const giveUp = (reason: types.Reason): void => this.giveUp(id, reason);
@@ -86,7 +96,7 @@
                 this.#waiting.delete(id);
                 resolve(result);
             };
-            const remainingMs = Math.max(0, question.deadline - this.#clock());
+            const remainingMs = Math.max(0, startBy - this.#clock());
             const timer = setTimeout(() => giveUp(types.Reason.expired), remainingMs);
             this.#waiting.set(id, { timer, settle });
             signal.addEventListener("abort", onAbort, { once: true });
@@ -111,7 +121,9 @@
         }
         clearTimeout(waiting.timer);
         this.#waiting.delete(question.requestId);
-        settle(await this.#execute(question));
+        const execution = await this.#execute(question);
+        settle(execution.result);
+        await execution.ended;
     }
 
     /** Removes a waiting request and frees its place. */
--- a/packages/placement/src/admission.ts
+++ b/packages/placement/src/admission.ts
@@ -23,6 +23,8 @@
     readonly urgency: number;
     /** Learnt run time of the service, in ms. */
     readonly expectedRunMs: number;
+    /** Time kept for the request's own run, in ms; the expected run time when absent. */
+    readonly reserveMs?: number;
     /** The waiting request that goes last. */
     readonly worst: { readonly urgency: number; readonly deadline: number; readonly id: string; } | undefined;
 }
@@ -53,5 +55,18 @@
 /** Clock time in ms at which the request should have run, when those ahead of it share the slots evenly. */
 function estimateEnd(input: AdmissionInput, now: number): number {
     const waitMs = (input.ahead ?? input.queued) / input.slots * input.expectedRunMs;
-    return now + waitMs + input.expectedRunMs;
+    return now + waitMs + (input.reserveMs ?? input.expectedRunMs);
+}
+
+/** Share of a request's time that may be kept for its run when long runs would need more. */
+const maxReserveShare = 0.5;
+
+/**
+ * Time in ms to keep for a request's run, of the `remainingMs` that it has.
+ *
+ * Under overload the order by deadline starts each request at the last moment. Starting it when only a usual run would
+ * fit wastes the slot on every run that is longer.
+ */
+export function computeRunReserve(expectedMs: number, longMs: number, remainingMs: number): number {
+    return Math.max(expectedMs, Math.min(longMs, remainingMs * maxReserveShare));
 }
--- a/packages/placement/src/placement.test.ts
+++ b/packages/placement/src/placement.test.ts
@@ -152,4 +152,10 @@
     assert.is(placement.ageDigest(peer, 60_000, 0).free, 0);
 });
 
+suite("keeps time for a long run, at most half of what a request has, and always for a usual run", () => {
+    assert.is(placement.computeRunReserve(100, 470, 3000), 470);
+    assert.is(placement.computeRunReserve(100, 470, 600), 300);
+    assert.is(placement.computeRunReserve(100, 470, 150), 100);
+});
+
 suite.run();
--- a/packages/placement/src/run-time-estimator.ts
+++ b/packages/placement/src/run-time-estimator.ts
@@ -17,6 +17,8 @@
 const gain = 0.05;
 /** Deviations above the mean at which an observation is limited. */
 const limitDeviations = 4;
+/** Deviations above the mean of a long run. */
+const longDeviations = 5;
 /** Least limit, as a multiple of the mean, so that a constant run time does not lock the estimate. */
 const minLimitFactor = 2;
 /** Time without an observation after which the next one weighs as much as the past, in ms. */
@@ -51,6 +53,12 @@
         return this.#estimates.get(service)?.meanMs ?? this.#initialMs;
     }
 
+    /** Run time in ms that few runs exceed; 0 when nothing is known. */
+    estimateLong(service: string): number {
+        const estimate = this.#estimates.get(service);
+        return estimate === undefined ? this.#initialMs : estimate.meanMs + longDeviations * estimate.deviationMs;
+    }
+
     /** Drops the services that the configuration no longer names. */
     retain(services: ReadonlySet<string>): void {
         for (const service of this.#estimates.keys()) {
