--- a/packages/entry/src/integration/platform-outage.test.ts
+++ b/packages/entry/src/integration/platform-outage.test.ts
@@ -92,17 +92,24 @@
             await waitForVersion(session, 2);
             const { controlPort } = session.running.platform;
             await testUtils.setFaults(controlPort, { down: true });
+            await waitForContact(session, false);
+            const lost = { id: "issuer-lost", key: await bench.requestTicket(left) };
+            assert.is((await bench.callOnce(right, lost)).outcome, types.Outcome.answered);
             await session.running.killEntry(left.name);
+            assert.is((await bench.callOnce(right, lost)).outcome, types.Outcome.unknown);
             const started = await session.running.startEntry(left.name);
             await session.running.waitReady();
             const status = await bench.createOperator(session.running).readStatus();
             assert.equal([status.configurationVersion, status.blind], [2, true]);
             const ticket = { id: "borrowed", key: await bench.requestTicket(started) };
+            assert.is((await bench.callOnce(right, ticket)).outcome, types.Outcome.unknown);
             assert.is((await bench.callOnce(started, ticket)).outcome, types.Outcome.answered);
             assert.is((await bench.callOnce(started, { id: "borrowed-key" })).reason, types.Reason.platformUnavailable);
             await testUtils.setFaults(controlPort, { down: false });
             await waitForContact(session, true);
             await bench.repeatUntilAnswered(started, { id: "borrowed-key" });
+            assert.is((await bench.callOnce(right, lost)).outcome, types.Outcome.unknown);
+            assert.is(await bench.countRuns(session.running, "issuer-lost"), 1);
             assert.equal(await session.check([]), []);
         }),
 );
