Ask seeds with the heartbeats of the new schema

Heartbeats no longer carry load (the schema forbids more than the signs), while the seed loader still sent a whole status: its peers closed the connection, and a process that started in an outage never got a state.

--- a/packages/entry/src/control-plane.ts
+++ b/packages/entry/src/control-plane.ts
@@ -90,7 +90,7 @@
             metrics,
             logger: context.createLogger("peers"),
             clock,
-            makeStatus: () => this.makeStatus(),
+            makeSigns: () => this.makeSigns(),
         });
     }
 
--- a/packages/entry/src/seed-loader.ts
+++ b/packages/entry/src/seed-loader.ts
@@ -29,7 +29,7 @@
     readonly metrics: metrics.Metrics;
     readonly logger: logger.Logger;
     readonly clock: () => number;
-    makeStatus(): peerDirectory.PeerStatus;
+    makeSigns(): peerDirectory.PeerSigns;
 }
 
 export class SeedLoader {
@@ -70,7 +70,7 @@
             counters: parts.metrics.createSink("peer_events", "peers"),
             logger: parts.logger,
             localAddress: parts.sourceHost,
-            makeHeartbeat: () => parts.makeStatus(),
+            makeHeartbeat: () => parts.makeSigns(),
             onHeartbeatAnswer: () => undefined,
         });
     }
