--- a/packages/entry/src/metrics.ts
+++ b/packages/entry/src/metrics.ts
@@ -5,7 +5,7 @@
 
 /** Name, help text and label of each counter; docs/operations/metrics.md holds the same table. */
 export const counterTable = {
-    requests: "Requests by outcome; the reason is empty for answered ones.",
+    requests: "Requests by outcome, with the reason where they were not answered.",
     retries: "Attempts after the first, by the reason of the attempt before.",
     retry_refusals: "Retries that were not made, by reason.",
     server_faults: "Faults of backend servers, by kind.",
