--- a/packages/bench/src/fleet-reader.ts
+++ b/packages/bench/src/fleet-reader.ts
@@ -53,3 +53,22 @@
     const home = state.instances.get(instance)?.home;
     return home === undefined ? undefined : state.sessions.get(home)?.entry;
 }
+
+/** Session of an entry instance, if one is open. */
+export function findSession(state: fleetState.FleetState, entry: string): string | undefined {
+    return [...state.sessions.values()].find(session => session.entry === entry)?.session;
+}
+
+/** Records that a session appended after its end and that had an effect all the same. */
+export async function listLateEffects(
+    running: testUtils.RunningDeployment,
+    session: string,
+): Promise<readonly JudgedRecord[]> {
+    let hasOpened = false;
+    return (await readJudgedRecords(running)).filter(({ application: { record, state, verdict } }) => {
+        const isOpen = state.sessions.has(session);
+        hasOpened ||= isOpen;
+        const isClosing = record?.kind === "session-closed" && record.session === session;
+        return hasOpened && !isOpen && !isClosing && record?.author === session && verdict.applied;
+    });
+}
--- a/packages/bench/src/set-up.ts
+++ b/packages/bench/src/set-up.ts
@@ -1,6 +1,7 @@
 /**
  * Brings a launched deployment to the point where callers are served.
  */
+import * as schema from "@catkinwharf/schema";
 import * as testUtils from "@catkinwharf/test-utils";
 import * as operator from "./operator.js";
 
@@ -47,3 +48,12 @@
         return out === 0 && homes === active && status.stops.every(stop => stop.total === stop.done);
     }, settleLimitMs);
 }
+
+/** The configuration with an instance more in the first pool and one less in the second. */
+export function shiftPlan(configuration: schema.log.Configuration): schema.log.Configuration {
+    const pools = configuration.pools.map((pool, index) => {
+        const shift = index === 0 ? 1 : index === 1 ? -1 : 0;
+        return { ...pool, instances: Math.max(1, pool.instances + shift) };
+    });
+    return { ...configuration, pools };
+}
--- a/packages/bench/src/soak-faults.ts
+++ b/packages/bench/src/soak-faults.ts
@@ -158,7 +158,7 @@
         return undefined;
     }
     const base = context.running.configuration();
-    const changed = context.random.next() < 0.5 ? base : shiftPlan(base);
+    const changed = context.random.next() < 0.5 ? base : setUp.shiftPlan(base);
     const answers = await Promise.all(
         [base, changed].map((configuration, index) =>
             operators[index]?.publishConfiguration(configuration, shown.configurationVersion).catch(() => undefined)
@@ -168,14 +168,6 @@
     return { subject: `version ${shown.configurationVersion}: ${statuses.join(", ")}`, durationMs: 0, end: nothing };
 }
 
-function shiftPlan(configuration: ReturnType<testUtils.RunningDeployment["configuration"]>): typeof configuration {
-    const pools = configuration.pools.map((pool, index) => {
-        const shift = index === 0 ? 1 : index === 1 ? -1 : 0;
-        return { ...pool, instances: Math.max(1, pool.instances + shift) };
-    });
-    return { ...configuration, pools };
-}
-
 /** Every fault by name. */
 export const soakFaults: Readonly<Record<string, Fault>> = {
     "kill-entry": killEntry,
--- a/packages/entry/src/integration/fences.test.ts
+++ b/packages/entry/src/integration/fences.test.ts
@@ -2,6 +2,7 @@
 import * as bench from "@catkinwharf/bench";
 import * as fleetState from "@catkinwharf/fleet-state";
 import * as testUtils from "@catkinwharf/test-utils";
+import * as types from "@catkinwharf/types";
 import * as uvu from "uvu";
 import * as assert from "uvu/assert";
 
@@ -16,10 +17,6 @@
     return { deployment, settingsOverrides: { session: bench.shortSessionTimes, planning: { shortPoolMs: 200 } } };
 }
 
-function findSession(state: fleetState.FleetState | undefined, entry: string): string | undefined {
-    return [...state?.sessions.values() ?? []].find(session => session.entry === entry)?.session;
-}
-
 /** Sends calls to one entry instance, once each. */
 function callThrough(session: bench.Session, entry: string, count: number, runMs: number): Promise<bench.Call[]> {
     const caller = new bench.Caller({
@@ -42,29 +39,6 @@
     return Promise.all(calls).finally(() => caller.close());
 }
 
-/** Records that a session appended after another closed it, and that had an effect. */
-async function listLateEffects(session: bench.Session, closed: string): Promise<readonly unknown[]> {
-    const records = await bench.readJudgedRecords(session.running);
-    const end = records.findIndex(({ application }) =>
-        application.record?.kind === "session-closed" && application.record.session === closed
-        && application.verdict.applied
-    );
-    assert.ok(end >= 0);
-    return records.slice(end + 1)
-        .filter(({ application }) => application.record?.author === closed && application.verdict.applied)
-        .map(({ entry }) => entry.body);
-}
-
-function shiftPlan(session: bench.Session): ReturnType<typeof session.running.configuration> {
-    const configuration = session.running.configuration();
-    const [first, second] = configuration.pools;
-    assert.ok(first !== undefined && second !== undefined);
-    return {
-        ...configuration,
-        pools: [{ ...first, instances: first.instances - 1 }, { ...second, instances: second.instances + 1 }],
-    };
-}
-
 suite("a paused coordinator whose neighbour restarted does nothing once it wakes", async () => {
     await bench.runSession({ launch: launch(), seed }, async session => {
         const { running } = session;
@@ -72,24 +46,50 @@
         await running.killEntry(neighbour);
         const alone = await bench.waitForFleet(
             running,
-            state => findSession(state, neighbour) === undefined && state.lease.session !== undefined,
+            state => bench.findSession(state, neighbour) === undefined && state.lease.session !== undefined,
             limitMs,
         );
-        const old = findSession(alone, paused);
+        const old = bench.findSession(alone, paused);
         assert.ok(old !== undefined);
         testUtils.signalProcess(running.findEntry(paused).handle, "SIGSTOP");
         const late = callThrough(session, paused, 20, 50);
         await running.startEntry(neighbour);
         await bench.waitForFleet(running, state => !state.sessions.has(old), limitMs);
         const operator = bench.createOperator(running, running.entries.findIndex(entry => entry.name === neighbour));
-        await operator.publishConfiguration(shiftPlan(session), 1);
+        await operator.publishConfiguration(bench.shiftPlan(running.configuration()), 1);
         await bench.waitForFleet(running, state => fleetState.instancesOfPool(state, "spare").length === 0, limitMs);
         const loading = session.runLoad(1_500, bench.steadyShape);
         testUtils.signalProcess(running.findEntry(paused).handle, "SIGCONT");
-        await bench.waitForFleet(running, state => findSession(state, paused) !== undefined, limitMs);
+        await bench.waitForFleet(running, state => bench.findSession(state, paused) !== undefined, limitMs);
         const calls = [...await loading, ...await late];
         assert.equal(await session.check(calls), []);
-        assert.equal(await listLateEffects(session, old), []);
+        assert.equal(await bench.listLateEffects(running, old), []);
+    });
+});
+
+suite("entry instances killed during a platform outage don't stop what is homed at the others", async () => {
+    await bench.runSession({ launch: launch(), seed }, async session => {
+        const { running } = session;
+        const state = await bench.waitForFleet(running, () => true, limitMs);
+        const homes = fleetState.instancesOfPool(state, "previews").map(({ instance }) =>
+            bench.readHomeEntry(state, instance.name)
+        );
+        const others = running.entries.filter(entry => homes.includes(entry.name));
+        assert.is(others.length, 2);
+        const killed = running.entries.filter(entry => !others.includes(entry)).map(entry => entry.name);
+        session.listTargets = () => others;
+        await testUtils.setFaults(running.platform.controlPort, { down: true });
+        const index = running.entries.indexOf(others[0] as testUtils.RunningEntry);
+        await Promise.all(killed.map(name => running.killEntry(name)));
+        await bench.waitForStatus(bench.createOperator(running, index), status => status.blind, limitMs);
+        const calls = await session.runLoad(bench.shortSessionTimes.secondLimitMs + 1_000, bench.steadyShape, 0.5);
+        const reads = calls.filter(call => call.key === undefined && call.service === "previews");
+        assert.equal(bench.countFinals(reads), [{ label: types.Outcome.answered, calls: reads.length }]);
+        await Promise.all(killed.map(name => running.startEntry(name)));
+        await testUtils.setFaults(running.platform.controlPort, { down: false });
+        await running.waitReady();
+        await bench.waitUntilFilled(bench.createOperator(running, index));
+        assert.equal(await session.check(calls), []);
     });
 });
 
