Let the checker count a drain from the end of a cut that hid it

The promise that no new work reaches a leaving server after 5 s holds in every zone that can be told. The checker now takes the times of zone cuts as evidence: a cut of the instance's zone that began before the 5 s were over puts the limit off to 5 s after its end. A later cut, one that ended before the drain, or one of another zone excuses nothing.

--- a/packages/bench/src/evidence-collector.ts
+++ b/packages/bench/src/evidence-collector.ts
@@ -54,6 +54,7 @@
             fleetEntries: await testUtils.readStream(this.#running.platform, "fleet"),
             versions: this.#versions,
             sources: this.#listSources(),
+            zoneCuts: this.#running.zoneCuts,
         };
     }
 
--- a/packages/bench/src/promise-checker.ts
+++ b/packages/bench/src/promise-checker.ts
@@ -25,6 +25,8 @@
     readonly versions: ReadonlyMap<string, readonly number[]>;
     /** Entry instance of each source IP number; empty if the paths lead through the fault proxy. */
     readonly sources: ReadonlyMap<string, string>;
+    /** Every cut of an availability zone, oldest first. */
+    readonly zoneCuts: readonly testUtils.ZoneCut[];
 }
 
 /** Time in ms after the start of a drain from which no new work may arrive. */
@@ -95,6 +97,7 @@
     readonly from: number;
     readonly pool: string;
     readonly leaving: boolean;
+    readonly availabilityZone: string;
 }
 
 function findWrongPlacements(evidence: Evidence): Violation[] {
@@ -110,12 +113,27 @@
         if (place.pool !== pool) {
             return [createPlacementViolation("one pool at any moment", run, `while it belonged to ${place.pool}`)];
         }
-        return place.leaving && run.start - place.from > leavingLimitMs
+        return place.leaving && run.start > computeLeavingLimit(place, evidence.zoneCuts)
             ? [createPlacementViolation("no new work to a leaving server", run, "after its drain began")]
             : [];
     });
 }
 
+/**
+ * Time from which no new work may arrive. A home in a zone that was cut off before this time could not be told; it has
+ * as long again from the end of the cut. A cut that began later excuses nothing.
+ */
+function computeLeavingLimit(place: Placement, zoneCuts: readonly testUtils.ZoneCut[]): number {
+    let limit = place.from + leavingLimitMs;
+    for (const cut of zoneCuts.filter(one => one.availabilityZone === place.availabilityZone)) {
+        const until = cut.until ?? Number.POSITIVE_INFINITY;
+        if (cut.from < limit && until > place.from) {
+            limit = Math.max(limit, until + leavingLimitMs);
+        }
+    }
+    return limit;
+}
+
 function createPlacementViolation(promise: string, run: testUtils.Execution, detail: string): Violation {
     return { promise, detail: `${run.path} of ${run.service} started on ${run.instance} ${detail}`, at: run.start };
 }
@@ -146,7 +164,8 @@
         const leaving = instance.phase !== fleetState.Phase.active;
         const last = history.at(-1);
         if (last === undefined || last.pool !== instance.pool || last.leaving !== leaving) {
-            history.push({ from: at, pool: instance.pool, leaving });
+            const { availabilityZone } = instance.instance;
+            history.push({ from: at, pool: instance.pool, leaving, availabilityZone });
             placements.set(name, history);
         }
     }
--- a/packages/test-utils/src/launcher/deployment.ts
+++ b/packages/test-utils/src/launcher/deployment.ts
@@ -57,6 +57,14 @@
     readonly advertisedPort: number;
 }
 
+/** A time for which an availability zone was cut off. Times are wall clock in ms. */
+export interface ZoneCut {
+    readonly availabilityZone: string;
+    readonly from: number;
+    /** Time at which it was healed; undefined while it lasts. */
+    readonly until: number | undefined;
+}
+
 const entryScript = path.resolve(import.meta.dirname, "../../../entry/dist/bin/catkinwharfd.js");
 const readyLimitMs = 30_000;
 const readyPollMs = 50;
@@ -69,6 +77,8 @@
     entries: readonly RunningEntry[] = [];
     /** Availability zones that are cut off. */
     readonly cutZones = new Set<string>();
+    /** Every cut so far, oldest first. */
+    zoneCuts: readonly ZoneCut[] = [];
     private readonly peerKey = crypto.randomBytes(16).toString("hex");
     private readonly places = new Map<string, EntryPlace>();
 
--- a/packages/test-utils/src/launcher/zone-cut.ts
+++ b/packages/test-utils/src/launcher/zone-cut.ts
@@ -11,6 +11,7 @@
     availabilityZone: string,
 ): Promise<void> {
     running.cutZones.add(availabilityZone);
+    running.zoneCuts = [...running.zoneCuts, { availabilityZone, from: Date.now(), until: undefined }];
     await applyCuts(running);
 }
 
@@ -21,6 +22,9 @@
 ): Promise<void> {
     running.cutZones.delete(availabilityZone);
     await applyCuts(running);
+    running.zoneCuts = running.zoneCuts.map(cut =>
+        cut.availabilityZone === availabilityZone && cut.until === undefined ? { ...cut, until: Date.now() } : cut
+    );
 }
 
 async function applyCuts(running: runningDeployment.RunningDeployment): Promise<void> {
