--- a/packages/bench/src/bin/control-cost.ts
+++ b/packages/bench/src/bin/control-cost.ts
@@ -1,15 +1,19 @@
 /**
- * Reports what the entry processes of a deployment without callers spend on control: processor time, memory, bytes.
+ * Reports what the entry processes of a deployment spend on control: processor time, memory, bytes. Without callers,
+ * unless a rate of calls is given.
  *
- * Usage: node packages/bench/dist/bin/control-cost.js [--deployment NAME] [--seconds S] [--json]
+ * Usage: node packages/bench/dist/bin/control-cost.js [--deployment NAME] [--seconds S] [--rate CALLS] [--json]
  */
 import * as settings from "@catkinwharf/settings";
 import * as util from "node:util";
 import * as controlCost from "../control-cost.js";
 import * as deploymentFile from "../deployment-file.js";
+import * as load from "../load.js";
 import * as report from "../report.js";
 import * as benchSession from "../session.js";
 
+/** Time in seconds that calls go on around the measurement. */
+const loadMarginSeconds = 10;
 const bytesInMegabyte = 1024 * 1024;
 
 async function main(): Promise<number> {
@@ -17,6 +21,7 @@
         options: {
             deployment: { type: "string", default: "small" },
             seconds: { type: "string", default: "30" },
+            rate: { type: "string", default: "0" },
             json: { type: "boolean", default: false },
         },
     });
@@ -27,7 +32,7 @@
     }
     const cost = await benchSession.runSession(
         { launch: { deployment: deployment.value }, seed: 1 },
-        session => controlCost.measureControlCost(session.running, Number(values.seconds)),
+        session => measure(session, Number(values.seconds), Number(values.rate)),
     );
     if (values.json) {
         report.print(JSON.stringify(cost));
@@ -37,9 +42,25 @@
     return 0;
 }
 
+/** @param rate mean calls a second over all services; they begin before the measurement and end after it */
+async function measure(
+    session: benchSession.Session,
+    seconds: number,
+    rate: number,
+): Promise<controlCost.ControlCost> {
+    const { deployment } = session.running;
+    const loadMs = (seconds + loadMarginSeconds) * 1000;
+    const loading = rate > 0
+        ? session.runLoad(loadMs, load.steadyShape, load.computeScale(deployment, load.steadyShape, rate))
+        : undefined;
+    const cost = await controlCost.measureControlCost(session.running, seconds);
+    await loading;
+    return cost;
+}
+
 function printCost(cost: controlCost.ControlCost): void {
     const loads = cost.loadAverages.map(load => load.toFixed(2)).join(", ");
-    report.print(`Deployment ${cost.deployment}, idle for ${cost.seconds} s, load averages ${loads}.`);
+    report.print(`Deployment ${cost.deployment}, measured for ${cost.seconds} s, load averages ${loads}.`);
     for (const entry of cost.entries) {
         const role = entry.coordinator ? " (coordinated)" : "";
         report.print(
--- a/packages/fleet-state/scripts/measure-fold.mjs
+++ b/packages/fleet-state/scripts/measure-fold.mjs
@@ -149,11 +149,21 @@
     const parts = Object.entries(JSON.parse(stored)).map(([key, part]) => `${key} ${JSON.stringify(part).length}`);
     console.log(`stored ${stored.length} bytes: ${parts.join(", ")}`);
     console.log(`store ${storeMs.toFixed(1)} ms, hash ${hashMs.toFixed(1)} ms, restore ${restoreMs.toFixed(1)} ms`);
+    console.log(`heap of the state: ${measureHeap(stored)} bytes`);
     if (fleetState.hashState(restored) !== fleetState.hashState(stream.state)) {
         throw new Error("the restored state differs");
     }
 }
 
+function measureHeap(stored) {
+    globalThis.gc?.();
+    const before = process.memoryUsage().heapUsed;
+    const state = fleetState.restoreState(JSON.parse(stored));
+    globalThis.gc?.();
+    const used = process.memoryUsage().heapUsed - before;
+    return state === undefined ? 0 : used;
+}
+
 function measureClaims() {
     globalThis.gc?.();
     const heapBefore = process.memoryUsage().heapUsed;
