--- a/packages/entry/src/integration/at-most-once.test.ts
+++ b/packages/entry/src/integration/at-most-once.test.ts
@@ -120,6 +120,12 @@
     await session.running.killEntry(left.name);
     assert.is((await first).outcome, "lost");
     assert.is((await bench.callOnce(right, call)).outcome, types.Outcome.unknown);
+    await testUtils.setFaults(session.running.platform.controlPort, { down: true });
+    const operator = bench.createOperator(session.running, 1);
+    await bench.waitForStatus(operator, status => status.blind, 15_000);
+    assert.is((await bench.callOnce(right, call)).outcome, types.Outcome.unknown);
+    await testUtils.setFaults(session.running.platform.controlPort, { down: false });
+    await bench.waitForStatus(operator, status => !status.blind, 15_000);
     await session.running.startEntry(left.name);
     await session.running.waitReady();
     const repeats = await Promise.all(session.running.entries.map(entry => bench.callOnce(entry, call)));
@@ -132,8 +138,8 @@
         await raceKeys(session);
         await spoilAnswers(session);
         await answerLate(session);
-        await loseClaimAnswers(session);
         await killHolder(session);
+        await loseClaimAnswers(session);
     }));
 
 suite.run();
