Look for the end of readiness until it shows, not once

Cause: the test of the whole path asked /readyz once, right after sending SIGTERM. Ruled out: a fault of the process (it turns not ready in the first step of its stop, before anything is closed). Seen failing: with the stop left out of the readiness, the new check fails. Conclusion: the check is as strict as before: the process must say 503 before it ends; only the moment of asking is no longer a guess.

--- a/packages/entry/src/integration/whole-path.test.ts
+++ b/packages/entry/src/integration/whole-path.test.ts
@@ -6,6 +6,9 @@
 import * as golden from "./golden-session.js";
 
 const seed = 1;
+/** Looks at the readiness after SIGTERM, and time in ms between them. */
+const maxLooks = 400;
+const lookMs = 5;
 const suite = uvu.suite(`whole path (seed ${seed})`);
 
 suite("serves, publishes, and stops without cutting anything off", async () => {
@@ -33,13 +36,25 @@
     assert.is(status.configurationVersion, 2);
 }
 
+/** Fails if the process ends, or goes on being ready, without ever having said that it is not ready. */
+async function waitUntilNotReady(stopped: testUtils.RunningEntry): Promise<void> {
+    for (let look = 0; look < maxLooks; look += 1) {
+        const ready = await undici.request(`${stopped.operatorUrl}/readyz`);
+        await ready.body.dump();
+        if (ready.statusCode === 503) {
+            return;
+        }
+        await new Promise(resolve => setTimeout(resolve, lookMs));
+    }
+    assert.unreachable("the process stayed ready after SIGTERM");
+}
+
 async function stopUnderLoad(session: bench.Session, stopped: testUtils.RunningEntry): Promise<void> {
     const loading = session.runLoad(3_000, bench.steadyShape);
     await new Promise(resolve => setTimeout(resolve, 1_000));
     testUtils.signalProcess(stopped.handle, "SIGTERM");
     session.listTargets = () => session.running.entries.filter(entry => entry.name !== stopped.name);
-    const ready = await undici.request(`${stopped.operatorUrl}/readyz`);
-    assert.is(ready.statusCode, 503);
+    await waitUntilNotReady(stopped);
     const exit = await stopped.handle.exited;
     assert.is(exit.code, 0, stopped.handle.readOutput());
     const calls = await loading;
