Run two test files at a time

Cause: sessions in the integration tests are short (fence 1.5 s), and a test of moves found its instance without a home in a run beside many other processes. Conclusion: fewer processes at once; the tests themselves are unchanged.

--- a/scripts/run-tests.mjs
+++ b/scripts/run-tests.mjs
@@ -9,7 +9,7 @@
 import * as path from "node:path";
 
 const root = path.resolve(import.meta.dirname, "..");
-const parallelFiles = 3;
+const parallelFiles = 2;
 const knownRedFile = path.join(root, "KNOWN-RED.txt");
 
 function listTests() {
