Release a given-up key again when it is asked for

Cause: the release of a claim that was never dispatched was tried for 60 s in the background and then dropped. After a longer outage each repeat of the key was told not-run until the claim expired (10 minutes). Ruled out: trying without end (records would pile up in an outage). Seen failing first: with the new call taken out, the third try of the new test was not answered. Measured: key-keeper, at-most-once and tickets tests pass.

--- a/packages/entry/src/key-keeper.test.ts
+++ b/packages/entry/src/key-keeper.test.ts
@@ -187,6 +187,23 @@
     assert.is(right.runs.length, 1);
 });
 
+suite("releases a key anew when it is asked for after the first release was lost", async () => {
+    const { stream, left, right } = createPair();
+    left.result = new Promise(resolve =>
+        setTimeout(() => {
+            stream.lose = "record";
+            resolve(request.createNotRun(types.Reason.queueFull));
+        }, 5)
+    );
+    await left.keeper.run(createQuestion("a"), "k");
+    stream.lose = "no";
+    const second = await right.keeper.run(createQuestion("a"), "k");
+    assert.is(second.outcome, types.Outcome.notRun);
+    const third = await right.keeper.run(createQuestion("a"), "k");
+    assert.is(third.outcome, types.Outcome.answered);
+    assert.is(right.runs.length, 1);
+});
+
 suite("says not-run while the log is out of reach", async () => {
     const { stream, left } = createPair();
     stream.lose = "record";
--- a/packages/entry/src/key-keeper.ts
+++ b/packages/entry/src/key-keeper.ts
@@ -9,13 +9,16 @@
 import * as platform from "@catkinwharf/platform";
 import * as schema from "@catkinwharf/schema";
 import * as types from "@catkinwharf/types";
+import * as abandonedClaims from "./abandoned-claims.js";
 import * as answerMemory from "./answer-memory.js";
 import * as fleetView from "./fleet-view.js";
 import * as forgottenKeys from "./forgotten-keys.js";
+import * as keyKnowledge from "./key-knowledge.js";
 import * as keyRules from "./key-rules.js";
 import * as metrics from "./metrics.js";
 import * as records from "./records.js";
 import * as request from "./request.js";
+import * as waitUntil from "./wait-until.js";
 
 /** Time in ms kept back from the deadline for running the request. */
 const runReserveMs = 50;
@@ -28,12 +31,6 @@
     readonly result: Promise<request.RequestResult>;
 }
 
-/** What the claimant answers to a peer's question. */
-export interface KeyKnowledge {
-    readonly state: schema.peer.KeyAnswer["state"];
-    readonly answer: request.Answered | undefined;
-}
-
 export interface KeyKeeperParts {
     readonly table: fleetState.ClaimTable;
     readonly stream: fleetView.RecordStream;
@@ -51,18 +48,18 @@
     /** Runs a request that holds its key. */
     run(question: request.ServiceRequest): Promise<request.RequestResult>;
     /** Asks another session; undefined if it can't be reached. */
-    askHolder(claim: fleetState.ClaimState, waitMs: number): Promise<KeyKnowledge | undefined>;
+    askHolder(claim: fleetState.ClaimState, waitMs: number): Promise<keyKnowledge.KeyKnowledge | undefined>;
 }
 
 export class KeyKeeper {
     readonly #parts: KeyKeeperParts;
     /** Requests that this process claims or runs, by scoped key. */
     readonly #held = new Map<string, HeldClaim>();
-    /** Requests whose claim was given up; they are never dispatched. */
-    readonly #abandoned = new Map<string, number>();
+    readonly #abandoned: abandonedClaims.AbandonedClaims;
 
     constructor(parts: KeyKeeperParts) {
         this.#parts = parts;
+        this.#abandoned = new abandonedClaims.AbandonedClaims(parts);
     }
 
     /** Applies entries of the claims stream; releases own claims that won after they had been given up. */
@@ -70,28 +67,11 @@
         for (const entry of entries) {
             const application = this.#parts.table.apply(entry);
             if (application.won && application.holder !== undefined) {
-                this.#releaseIfAbandoned(application.holder);
+                this.#abandoned.release(application.holder);
             }
         }
     }
 
-    #releaseIfAbandoned(claim: fleetState.ClaimState): void {
-        if (this.#abandoned.has(claim.requestId)) {
-            this.#release(claim.key, claim.session, claim.requestId);
-        }
-    }
-
-    #release(key: string, session: string, requestId: string): void {
-        this.#parts.metrics.count("key_events", "released");
-        this.#appendInBackground({
-            ...records.createHeader(session),
-            kind: "key-released",
-            key,
-            session,
-            requestId,
-        });
-    }
-
     #appendInBackground(record: schema.log.ClaimRecord): void {
         void this.#parts.stream.append(record, this.#parts.clock() + backgroundTimeoutMs);
     }
@@ -100,12 +80,7 @@
     expire(now: number): void {
         this.#parts.table.expire(Number.POSITIVE_INFINITY);
         this.#parts.answers.expire(now);
-        for (const [requestId, abandonedAt] of this.#abandoned) {
-            if (now - abandonedAt < this.#parts.rememberMs) {
-                break;
-            }
-            this.#abandoned.delete(requestId);
-        }
+        this.#abandoned.expire(now);
     }
 
     /** Runs a request under its key, or tells what became of the request that holds the key. */
@@ -187,13 +162,18 @@
     /** The request of an unconfirmed claim is never dispatched, so it was not run. */
     #abandon(scoped: string, requestId: string, error: errors.PlatformError): request.RequestResult {
         this.#parts.metrics.count("key_events", `claim-${error.fault}`);
-        this.#abandoned.set(requestId, this.#parts.clock());
+        this.#abandoned.add(requestId);
+        this.#releaseStanding(scoped, requestId);
+        const sent = error.fault === errors.PlatformFault.unanswered;
+        return request.createNotRun(sent ? types.Reason.claimUnconfirmed : types.Reason.platformUnavailable);
+    }
+
+    /** Releases the key if the given-up request still holds it in the log. */
+    #releaseStanding(scoped: string, requestId: string): void {
         const claim = this.#parts.table.get(scoped);
         if (claim?.requestId === requestId) {
-            this.#release(claim.key, claim.session, requestId);
+            this.#abandoned.release(claim);
         }
-        const sent = error.fault === errors.PlatformFault.unanswered;
-        return request.createNotRun(sent ? types.Reason.claimUnconfirmed : types.Reason.platformUnavailable);
     }
 
     async #runClaimed(
@@ -202,8 +182,8 @@
     ): Promise<request.RequestResult> {
         const result = await this.#parts.run(question);
         if (result.outcome === types.Outcome.notRun) {
-            this.#abandoned.set(claim.requestId, this.#parts.clock());
-            this.#release(claim.key, claim.session, claim.requestId);
+            this.#abandoned.add(claim.requestId);
+            this.#abandoned.release(claim);
             return result;
         }
         if (result.outcome === types.Outcome.answered) {
@@ -228,7 +208,7 @@
         }
         this.#parts.metrics.count("key_events", "joined");
         const running = request.createUnknown(types.Reason.keyRunning);
-        return await waitUntil(held.result, deadline, this.#parts.clock) ?? running;
+        return await waitUntil.waitUntil(held.result, deadline, this.#parts.clock) ?? running;
     }
 
     /** Tells a repeated request what became of the first. */
@@ -244,10 +224,10 @@
         const waitMs = Math.max(0, deadline - this.#parts.clock() - runReserveMs);
         const knowledge = await this.#learn(claim, waitMs);
         this.#parts.metrics.count("key_events", `repeat-${knowledge?.state ?? "holder-lost"}`);
-        return describeKnowledge(knowledge, claim);
+        return keyKnowledge.describeKnowledge(knowledge, claim);
     }
 
-    #learn(claim: fleetState.ClaimState, waitMs: number): Promise<KeyKnowledge | undefined> {
+    #learn(claim: fleetState.ClaimState, waitMs: number): Promise<keyKnowledge.KeyKnowledge | undefined> {
         return this.#isOwn(claim)
             ? this.answerQuery(claim.key, claim.requestId, waitMs)
             : this.#parts.askHolder(claim, waitMs);
@@ -258,24 +238,25 @@
     }
 
     /** What this process knows of a request that it claimed; waits up to `waitMs` while it runs. */
-    async answerQuery(scoped: string, requestId: string, waitMs: number): Promise<KeyKnowledge> {
+    async answerQuery(scoped: string, requestId: string, waitMs: number): Promise<keyKnowledge.KeyKnowledge> {
         const kept = this.#parts.answers.get(requestId);
         if (kept !== undefined) {
             return { state: "answered", answer: kept };
         }
         if (this.#abandoned.has(requestId)) {
+            this.#releaseStanding(scoped, requestId);
             return { state: "not-run", answer: undefined };
         }
         const held = this.#held.get(scoped);
         if (held !== undefined) {
-            const result = await waitUntil(held.result, this.#parts.clock() + waitMs, this.#parts.clock);
-            return describeResult(result);
+            const result = await waitUntil.waitUntil(held.result, this.#parts.clock() + waitMs, this.#parts.clock);
+            return keyKnowledge.describeResult(result);
         }
         return { state: "unknown", answer: undefined };
     }
 
     /** What is known of a scoped key without waiting. */
-    async describe(scoped: string): Promise<KeyKnowledge | undefined> {
+    async describe(scoped: string): Promise<keyKnowledge.KeyKnowledge | undefined> {
         const claim = this.#parts.table.get(scoped);
         if (claim === undefined) {
             return this.#held.has(scoped) ? { state: "running", answer: undefined } : undefined;
@@ -284,56 +265,3 @@
         return knowledge ?? { state: "unknown", answer: undefined };
     }
 }
-
-function describeResult(result: request.RequestResult | undefined): KeyKnowledge {
-    if (result === undefined) {
-        return { state: "running", answer: undefined };
-    }
-    if (result.outcome === types.Outcome.answered) {
-        return { state: "answered", answer: result };
-    }
-    return { state: result.outcome, answer: undefined };
-}
-
-function describeKnowledge(
-    knowledge: KeyKnowledge | undefined,
-    claim: fleetState.ClaimState,
-): request.RequestResult {
-    if (knowledge?.answer !== undefined) {
-        return knowledge.answer;
-    }
-    if (knowledge?.state === "running") {
-        return request.createUnknown(types.Reason.keyRunning);
-    }
-    if (knowledge?.state === "not-run") {
-        return request.createNotRun(types.Reason.claimUnconfirmed);
-    }
-    return request.createUnknown(describeSettlement(claim, knowledge !== undefined));
-}
-
-/** A holder that answers, and no longer runs the request, is not lost; it knows no answer. */
-function describeSettlement(claim: fleetState.ClaimState, holderAnswers: boolean): types.Reason {
-    if (claim.settled === undefined) {
-        return holderAnswers ? types.Reason.outcomeUnknown : types.Reason.keyHolderLost;
-    }
-    return claim.settled.outcome === types.Outcome.answered
-        ? types.Reason.answerForgotten
-        : types.Reason.outcomeUnknown;
-}
-
-async function waitUntil<Value>(
-    promise: Promise<Value>,
-    deadline: number,
-    clock: () => number,
-): Promise<Value | undefined> {
-    let timer: NodeJS.Timeout | undefined;
-    const timeout = new Promise<undefined>(resolve => {
-        timer = setTimeout(() => resolve(undefined), Math.max(0, deadline - clock()));
-    });
-    try {
-        return await Promise.race([promise, timeout]);
-    }
-    finally {
-        clearTimeout(timer);
-    }
-}
--- a/packages/entry/src/key-service.ts
+++ b/packages/entry/src/key-service.ts
@@ -5,6 +5,7 @@
 import * as types from "@catkinwharf/types";
 import * as callerPort from "./caller-port.js";
 import * as keyKeeper from "./key-keeper.js";
+import * as keyKnowledge from "./key-knowledge.js";
 import * as keyRules from "./key-rules.js";
 import * as peerDirectory from "./peer-directory.js";
 import * as request from "./request.js";
@@ -61,7 +62,7 @@
     }
 
     /** Asks the session that holds a claim what became of its request. */
-    async askHolder(claim: fleetState.ClaimState, waitMs: number): Promise<keyKeeper.KeyKnowledge | undefined> {
+    async askHolder(claim: fleetState.ClaimState, waitMs: number): Promise<keyKnowledge.KeyKnowledge | undefined> {
         const holder = this.#parts.directory.get(claim.session);
         if (holder === undefined) {
             return undefined;
--- /dev/null
+++ b/packages/entry/src/wait-until.ts
@@ -0,0 +1,21 @@
+/**
+ * Bounded waiting.
+ */
+
+/** The promise's value, or undefined if it has none by `deadline` (clock ms). */
+export async function waitUntil<Value>(
+    promise: Promise<Value>,
+    deadline: number,
+    clock: () => number,
+): Promise<Value | undefined> {
+    let timer: NodeJS.Timeout | undefined;
+    const timeout = new Promise<undefined>(resolve => {
+        timer = setTimeout(() => resolve(undefined), Math.max(0, deadline - clock()));
+    });
+    try {
+        return await Promise.race([promise, timeout]);
+    }
+    finally {
+        clearTimeout(timer);
+    }
+}
