Start an entry process on another port when its own was taken, and end hung tests

Cause: the launcher asks the kernel for a peer port, gives it back, and lets the entry process listen there. Between the two another connection may get the port; one entry process then ended with EADDRINUSE. The launch stopped, while other starts of the same launch went on and outlived it, which kept the test file from ending (fences and planned-stops hung so for 5 minutes in one of three runs). Ruled out: ports of a fixed range (two runs at once would share it). Seen failing first: with the retry off, the new test (port taken between two starts) failed with EADDRINUSE and hung until it was stopped. Conclusion: up to 5 starts, each with a new port; a stopped deployment starts nothing more and ends every process that it started; the runner ends a file after 300 s and counts it as failed.

--- a/packages/test-utils/src/launcher/deployment.ts
+++ b/packages/test-utils/src/launcher/deployment.ts
@@ -67,6 +67,8 @@
 
 const entryScript = path.resolve(import.meta.dirname, "../../../entry/dist/bin/catkinwharfd.js");
 const readyLimitMs = 30_000;
+/** Starts of one entry process, each with a new port. */
+const maxStarts = 5;
 const readyPollMs = 50;
 
 /** A deployment that runs until it is stopped. */
@@ -81,6 +83,9 @@
     zoneCuts: readonly ZoneCut[] = [];
     private readonly peerKey = crypto.randomBytes(16).toString("hex");
     private readonly places = new Map<string, EntryPlace>();
+    /** Every entry process that was started, also those that never listened. */
+    private readonly startedEntries = new Set<processes.ProcessHandle>();
+    private isStopped = false;
 
     constructor(
         readonly deployment: schema.settings.Deployment,
@@ -116,22 +121,46 @@
 
     /** Starts an entry process that does not run. Resolves when it listens, which is before it is ready. */
     async startEntry(name: string): Promise<RunningEntry> {
+        for (let start = 1;; start += 1) {
+            const place = this.findPlace(name);
+            try {
+                return await this.tryStartEntry(place);
+            }
+            catch (thrown) {
+                if (start === maxStarts || !String(thrown).includes("EADDRINUSE")) {
+                    throw thrown;
+                }
+                // Another process took the port between the kernel's choice and this start.
+                this.places.set(name, await this.placeEntry(place));
+            }
+        }
+    }
+
+    private findPlace(name: string): EntryPlace {
         const place = this.places.get(name);
         if (place === undefined) {
             throw new Error(`no entry instance ${name}`);
         }
+        return place;
+    }
+
+    private async tryStartEntry(place: EntryPlace): Promise<RunningEntry> {
+        if (this.isStopped) {
+            throw new Error("the deployment is stopped");
+        }
         const settingsFile = this.writeSettings(place);
         const handle = processes.startProcess(entryScript, "--settings", settingsFile);
+        this.startedEntries.add(handle);
         const ports = await handle.ready as EntryPorts;
         const entry = {
-            name,
+            name: place.name,
             availabilityZone: place.availabilityZone,
             callerUrl: `http://${standIn.loopbackHost}:${ports.callerPort}`,
             operatorUrl: `http://${standIn.loopbackHost}:${ports.operatorPort}`,
             handle,
             settingsFile,
         };
-        this.entries = [...this.entries.filter(other => other.name !== name), entry]
+        this.entries = [...this.entries.filter(other => other.name !== place.name), entry]
             .sort((left, right) => left.name.localeCompare(right.name));
         await this.registerEntry(place, "live");
         return entry;
@@ -165,7 +194,8 @@
     /** Kills all processes and removes the settings files. */
     async stop(): Promise<void> {
         const standIns = [this.platform, ...this.backendServers, ...this.proxy === undefined ? [] : [this.proxy]];
-        await processes.killProcesses([...this.entries, ...standIns].map(running => running.handle));
+        this.isStopped = true;
+        await processes.killProcesses([...this.startedEntries, ...standIns.map(running => running.handle)]);
         fs.rmSync(this.folder, { recursive: true, force: true });
     }
 
--- a/packages/test-utils/src/launcher/launch.test.ts
+++ b/packages/test-utils/src/launcher/launch.test.ts
@@ -1,5 +1,6 @@
 import * as settings from "@catkinwharf/settings";
 import * as fs from "node:fs";
+import * as net from "node:net";
 import * as path from "node:path";
 import * as uvu from "uvu";
 import * as assert from "uvu/assert";
@@ -39,4 +40,19 @@
     assert.is(exit.signal, "SIGKILL");
 });
 
+suite("starts an entry process on another port when its own was taken", async () => {
+    const deployment = testUtils.createSmallDeployment();
+    const running = await testUtils.launchDeployment({ deployment, startEntries: false });
+    const first = await running.startEntry("entry-zone-a-1");
+    const { peers } = JSON.parse(fs.readFileSync(first.settingsFile, "utf8")) as { peers: { port: number; }; };
+    await running.killEntry(first.name);
+    const occupier = net.createServer();
+    await new Promise<void>(resolve => occupier.listen(peers.port, "127.0.0.1", resolve));
+    const second = await running.startEntry(first.name);
+    assert.not(first.handle.pid === second.handle.pid);
+    occupier.close();
+    await running.stop();
+    await second.handle.exited;
+});
+
 suite.run();
--- a/scripts/run-tests.mjs
+++ b/scripts/run-tests.mjs
@@ -10,6 +10,8 @@
 
 const root = path.resolve(import.meta.dirname, "..");
 const parallelFiles = 2;
+/** Time in ms after which a file that doesn't end is taken to hang, and counts as failed. */
+const hangLimitMs = 300_000;
 const knownRedFile = path.join(root, "KNOWN-RED.txt");
 
 function listTests() {
@@ -41,7 +43,14 @@
         let output = "";
         child.stdout.on("data", data => output += data);
         child.stderr.on("data", data => output += data);
-        child.on("close", code => resolve(summarize(file, output, code)));
+        const guard = setTimeout(() => {
+            output += `did not end within ${hangLimitMs} ms`;
+            child.kill("SIGTERM");
+        }, hangLimitMs);
+        child.on("close", code => {
+            clearTimeout(guard);
+            resolve(summarize(file, output, code));
+        });
     });
 }
 
