Say unknown of a key that can't be looked up

Cause: an entry instance out of the log's reach refused every key it had not read with not-run, which was true of that sending only. If an earlier sending had run elsewhere, its caller was told that the request was not run, could go on with a ticket, and run it twice. The users' promise speaks of the request. Weighed: not-run of this sending (as before; first callers may change to a ticket at once) against unknown; the reason now says that this sending was not run, so that a first caller knows as much as before. The same holds for claims that were not confirmed in time, for keys that are too old, and for a process that is not ready. Conclusion: not-run speaks of the key. A key refused by a process that is not ready has no test of its own.

--- a/packages/entry/src/caller-port.ts
+++ b/packages/entry/src/caller-port.ts
@@ -133,7 +133,7 @@
     ): Promise<request.RequestResult> {
         const refusal = this.#parts.readRefusal();
         if (refusal !== undefined) {
-            return request.createNotRun(refusal);
+            return refuseUnread(message, refusal);
         }
         const read = await this.#readRequest(message, arrivedAt);
         if ("refusal" in read) {
@@ -263,6 +263,13 @@
     }
 }
 
+/** A key that was not looked up may have been used before. */
+function refuseUnread(message: http.IncomingMessage, refusal: types.Reason): request.RequestResult {
+    return headers.readField(message.headers, types.idempotencyKeyHeader) === undefined
+        ? request.createNotRun(refusal)
+        : request.createUnknown(types.Reason.claimUnconfirmed);
+}
+
 const bodyRefusals: Readonly<Record<httpServer.BodyFault, types.Reason>> = {
     [httpServer.BodyFault.tooLarge]: types.Reason.bodyTooLarge,
     [httpServer.BodyFault.cut]: types.Reason.callerGone,
--- a/packages/entry/src/key-keeper.ts
+++ b/packages/entry/src/key-keeper.ts
@@ -101,7 +101,7 @@
         }
         if (!this.#parts.isLogInReach()) {
             this.#parts.metrics.count("key_events", "claim-not-tried");
-            return request.createNotRun(types.Reason.platformUnavailable);
+            return request.createUnknown(types.Reason.platformUnavailable);
         }
         return this.#hold(scoped, fingerprint, question);
     }
@@ -114,7 +114,7 @@
             return undefined;
         }
         this.#parts.metrics.count("key_events", "expired");
-        return request.createNotRun(types.Reason.keyExpired);
+        return request.createUnknown(types.Reason.keyExpired);
     }
 
     async #hold(
@@ -152,7 +152,7 @@
         const claim = this.#parts.table.get(scoped);
         if (claim?.requestId !== question.requestId) {
             return claim === undefined
-                ? request.createNotRun(types.Reason.claimUnconfirmed)
+                ? request.createUnknown(types.Reason.claimUnconfirmed)
                 : this.#resolve(claim, fingerprint, question.deadline);
         }
         this.#parts.metrics.count("key_events", "claimed");
@@ -165,7 +165,7 @@
         this.#abandoned.add(requestId);
         this.#releaseStanding(scoped, requestId);
         const sent = error.fault === errors.PlatformFault.unanswered;
-        return request.createNotRun(sent ? types.Reason.claimUnconfirmed : types.Reason.platformUnavailable);
+        return request.createUnknown(sent ? types.Reason.claimUnconfirmed : types.Reason.platformUnavailable);
     }
 
     /** Releases the key if the given-up request still holds it in the log. */
--- a/packages/entry/src/key-knowledge.ts
+++ b/packages/entry/src/key-knowledge.ts
@@ -35,7 +35,7 @@
         return request.createUnknown(types.Reason.keyRunning);
     }
     if (knowledge?.state === "not-run") {
-        return request.createNotRun(types.Reason.claimUnconfirmed);
+        return request.createUnknown(types.Reason.claimUnconfirmed);
     }
     return request.createUnknown(describeSettlement(claim, knowledge !== undefined));
 }
--- a/packages/entry/src/ticket-office.ts
+++ b/packages/entry/src/ticket-office.ts
@@ -88,7 +88,7 @@
             return this.#repeat(use, fingerprint);
         }
         if (now - ticket.issuedAt >= this.#parts.rememberMs) {
-            return request.createNotRun(types.Reason.keyExpired);
+            return request.createUnknown(types.Reason.keyExpired);
         }
         return this.#use(question, key, fingerprint, now);
     }
--- a/packages/types/src/reason.ts
+++ b/packages/types/src/reason.ts
@@ -51,8 +51,8 @@
     return { outcome: outcome.Outcome.notRun, status, retryAfterSeconds, detail };
 }
 
-function unknown(status: number, detail: string): ReasonForm {
-    return { outcome: outcome.Outcome.unknown, status, retryAfterSeconds: undefined, detail };
+function unknown(status: number, detail: string, retryAfterSeconds?: number): ReasonForm {
+    return { outcome: outcome.Outcome.unknown, status, retryAfterSeconds, detail };
 }
 
 /** The form of each reason. */
@@ -60,15 +60,18 @@
     [Reason.badRequest]: notRun(400, undefined, "The request is malformed. Correct it before trying again."),
     [Reason.bodyTooLarge]: notRun(413, undefined, "The body is larger than the settings allow. Send less."),
     [Reason.callerGone]: notRun(499, undefined, "The caller closed its connection before the request ran."),
-    [Reason.claimUnconfirmed]: notRun(503, 1, "The key could not be claimed in time. Retry with the same key."),
+    [Reason.claimUnconfirmed]: unknown(
+        503,
+        "This sending was not run, but the log did not show in time whether an earlier one was. Retry with the same key.",
+        1,
+    ),
     [Reason.deadlineTooShort]: notRun(503, 1, "The deadline would pass before the request could run."),
     [Reason.expired]: notRun(503, 1, "The deadline passed while the request waited."),
     [Reason.fenced]: notRun(503, 1, "This entry instance may not dispatch now. Retry."),
     [Reason.keyConflict]: notRun(422, undefined, "The key was used for another request. Use a new key."),
-    [Reason.keyExpired]: notRun(
+    [Reason.keyExpired]: unknown(
         410,
-        undefined,
-        "The key is older than keys are remembered. Ask for its outcome elsewhere.",
+        "The key is older than keys are remembered. This sending was not run; ask elsewhere what became of earlier ones.",
     ),
     [Reason.keyHolderLost]: unknown(
         504,
@@ -78,10 +81,11 @@
     [Reason.keyRunning]: unknown(409, "The key's request is still running. Ask again with the same key."),
     [Reason.notReady]: notRun(503, 1, "This entry instance is not ready. Retry."),
     [Reason.noCapacity]: notRun(503, 1, "No backend server of the service can be reached now. Retry."),
-    [Reason.platformUnavailable]: notRun(
+    [Reason.platformUnavailable]: unknown(
         503,
+        "This sending was not run, but the log is out of reach, so an earlier one may have been. Retry with the same key; "
+            + "use a ticket only if this was the first.",
         2,
-        "The platform's log is out of reach, so the key can't be claimed. Retry, or use a ticket.",
     ),
     [Reason.queueFull]: notRun(503, 1, "Too many requests wait for the service. Retry later."),
     [Reason.refusedByServer]: notRun(503, 1, "The backend server refused the request before running it. Retry."),
