Build the links' and dispatchers' parts once; sum the fleet's demand in a module of its own

Cause, from reading the code as a newcomer: the seed loader and the directory of peers were given the same eight parts twice, and so were dispatcher and router; the sum of demand stood in the composition root. Measured: whole-path, moves and tickets tests pass after it.

--- a/packages/entry/src/control-plane.ts
+++ b/packages/entry/src/control-plane.ts
@@ -61,17 +61,17 @@
         const streamParts = { settings, metrics, logger: context.createLogger("log"), clock };
         this.fleetStream = logStreams.createFleetStream(streamParts, this.view);
         this.claimsStream = logStreams.createClaimsStream(streamParts, entries => load.applyClaims(entries));
-        this.directory = new peerDirectory.PeerDirectory({
+        const linkParts = {
             identity: this.identity,
             peerKey: settings.security.peerKey,
             limits: this.peerLimits,
             sourceHost: settings.sourceHost,
-            times: settings.session,
             metrics,
             logger: context.createLogger("peers"),
             clock,
             makeSigns: () => this.makeSigns(),
-        });
+        };
+        this.directory = new peerDirectory.PeerDirectory({ ...linkParts, times: settings.session });
         this.#relay = new recordRelay.RecordRelay({
             directory: this.directory,
             stream: this.fleetStream,
@@ -80,17 +80,10 @@
             clock,
         });
         this.#seeds = new seedLoader.SeedLoader({
+            ...linkParts,
             seeds: settings.seeds ?? [],
-            identity: this.identity,
-            peerKey: settings.security.peerKey,
-            limits: this.peerLimits,
-            sourceHost: settings.sourceHost,
             view: this.view,
             stream: this.fleetStream,
-            metrics,
-            logger: context.createLogger("peers"),
-            clock,
-            makeSigns: () => this.makeSigns(),
         });
     }
 
--- a/packages/entry/src/entry-process.ts
+++ b/packages/entry/src/entry-process.ts
@@ -8,6 +8,7 @@
 import * as callerPort from "./caller-port.js";
 import * as controlPlane from "./control-plane.js";
 import * as coordinator from "./coordinator.js";
+import * as fleetDemand from "./fleet-demand.js";
 import * as homeReleaser from "./home-releaser.js";
 import * as leaseKeeper from "./lease-keeper.js";
 import * as logStreams from "./log-streams.js";
@@ -120,18 +121,10 @@
     /** Load of all homes, from the own digests and those of the peers. */
     #listDemand(): planner.Demand[] {
         const remote = this.#control.directory.list().flatMap(peer => peer.status?.digests ?? []);
-        const observedAt = this.#context.wallClock();
-        const totals = new Map<string, planner.Demand>();
-        for (const digest of [...this.#requests.dispatcher.listDigests(), ...remote]) {
-            const total = totals.get(digest.service);
-            totals.set(digest.service, {
-                service: digest.service,
-                busySlots: (total?.busySlots ?? 0) + digest.slots - digest.free,
-                queued: (total?.queued ?? 0) + digest.queued,
-                observedAt,
-            });
-        }
-        return [...totals.values()];
+        return fleetDemand.sumDemand(
+            [...this.#requests.dispatcher.listDigests(), ...remote],
+            this.#context.wallClock(),
+        );
     }
 
     #createOperatorPort(): operatorPort.OperatorPort {
--- a/packages/entry/src/request-path.ts
+++ b/packages/entry/src/request-path.ts
@@ -34,26 +34,21 @@
         const answers = new answerMemory.AnswerMemory(settings.keys.maxAnswerMemoryBytes, settings.keys.rememberMs);
         const readSession = (): string => control.session;
         const readState = (): fleetState.FleetState => control.view.state;
+        const shared = { limits: settings.requests, metrics, clock, random };
         this.homes = new homeDirectory.HomeDirectory({
             maxAnswerBytes: settings.requests.maxAnswerBytes,
             sourceHost: settings.sourceHost,
         });
         this.dispatcher = new localDispatcher.LocalDispatcher({
+            ...shared,
             homes: this.homes,
-            limits: settings.requests,
-            metrics,
-            clock,
-            random,
             mayDispatch: () => control.mayDispatch(),
             readState,
         });
         this.router = new router.Router({
+            ...shared,
             dispatcher: this.dispatcher,
             directory: control.directory,
-            limits: settings.requests,
-            metrics,
-            clock,
-            random,
             availabilityZone: settings.availabilityZone,
             readSession,
         });
