--- a/packages/planner/src/policies.ts
+++ b/packages/planner/src/policies.ts
@@ -38,6 +38,18 @@
 const fixedFraction = 0.25;
 const shortPoolMs = 60_000;
 
+/** What the policies that the chosen one is compared with leave out. */
+const simple = {
+    maxOut: Number.POSITIVE_INFINITY,
+    startsSmall: false,
+    haltsOnFailures: false,
+    borrowsSpares: false,
+    followsDemand: false,
+    restoresPromise: false,
+    reservePerPool: 0,
+    shortPoolMs,
+} as const;
+
 /** All policies by name. */
 export const policies = {
     "chosen": {
@@ -52,53 +64,16 @@
         reservePerPool: 0,
         shortPoolMs,
     },
-    "one-at-a-time": {
-        name: "one-at-a-time",
-        mayTakeOut: () => true,
-        maxOut: 1,
-        startsSmall: false,
-        haltsOnFailures: false,
-        borrowsSpares: false,
-        followsDemand: false,
-        restoresPromise: false,
-        reservePerPool: 0,
-        shortPoolMs,
-    },
-    "fixed-fraction": {
-        name: "fixed-fraction",
-        mayTakeOut: keepsFraction,
-        maxOut: Number.POSITIVE_INFINITY,
-        startsSmall: false,
-        haltsOnFailures: false,
-        borrowsSpares: false,
-        followsDemand: false,
-        restoresPromise: false,
-        reservePerPool: 0,
-        shortPoolMs,
-    },
-    "budget-only": {
-        name: "budget-only",
-        mayTakeOut: keepsPromise,
-        maxOut: Number.POSITIVE_INFINITY,
-        startsSmall: false,
-        haltsOnFailures: false,
-        borrowsSpares: false,
-        followsDemand: false,
-        restoresPromise: false,
-        reservePerPool: 0,
-        shortPoolMs,
-    },
+    "one-at-a-time": { ...simple, name: "one-at-a-time", mayTakeOut: () => true, maxOut: 1 },
+    "fixed-fraction": { ...simple, name: "fixed-fraction", mayTakeOut: keepsFraction },
+    "budget-only": { ...simple, name: "budget-only", mayTakeOut: keepsPromise },
     "static-n-plus-one": {
+        ...simple,
         name: "static-n-plus-one",
         mayTakeOut: keepsPromise,
-        maxOut: Number.POSITIVE_INFINITY,
         startsSmall: true,
         haltsOnFailures: true,
-        borrowsSpares: false,
-        followsDemand: false,
-        restoresPromise: false,
         reservePerPool: 1,
-        shortPoolMs,
     },
 } as const satisfies Readonly<Record<string, Policy>>;
 
