Let a route of the fault proxy get its port back

A route stops listening while its target refuses; meanwhile an outgoing connection took the route's port, which the kernel had chosen from the same range. The route tried to listen for good, the peers found nobody at the restarted entry instance's address, and a zone cut waited for the route's answer without end. Found by asking each of the 53 routes: one, of a restarted entry, didn't answer. Ruled out: a fault of the entry processes (all were ready and served). Seen failing first: with ports that the kernel chooses, the new test failed (2 runs of 2). Measured: test-utils and zone-cut tests pass. Conclusion: routes take free ports below those of outgoing connections, with the kernel saying which are free; a call to a control port ends after 30 s.

--- a/packages/test-utils/src/launcher/control-client.ts
+++ b/packages/test-utils/src/launcher/control-client.ts
@@ -21,6 +21,9 @@
     readonly controlPort: number;
 }
 
+/** Time in ms after which a stand-in's control port counts as hanging. */
+const callLimitMs = 30_000;
+
 /** Sends a request to loopback and returns its JSON answer. Rejects on a status from 400 on. */
 export async function callControl(
     port: number,
@@ -31,6 +34,7 @@
     const answer = await undici.request(`http://${standIn.loopbackHost}:${port}${path}`, {
         method,
         body: body === undefined ? undefined : JSON.stringify(body),
+        signal: AbortSignal.timeout(callLimitMs),
     });
     const text = await answer.body.text();
     if (answer.statusCode >= 400) {
--- a/packages/test-utils/src/proxy/fault-proxy.test.ts
+++ b/packages/test-utils/src/proxy/fault-proxy.test.ts
@@ -72,6 +72,14 @@
     await waitEvent(echo, "listening");
 });
 
+suite("listens on ports that outgoing connections don't take, so that it can listen there again", async () => {
+    for (const index of [1, 2, 3]) {
+        const port = await addRoute(`reopenable-${index}`);
+        const outgoing = await connect(port);
+        assert.ok(port < (outgoing.localPort ?? 0), `${port} < ${outgoing.localPort}`);
+    }
+});
+
 suite("forwards in order with a delay", async () => {
     const socket = await connect(await addRoute("delayed", 2));
     const text = Array.from({ length: 500 }, (_, index) => index).join(" ");
--- a/packages/test-utils/src/proxy/route.ts
+++ b/packages/test-utils/src/proxy/route.ts
@@ -49,9 +49,9 @@
 
     constructor(private options: RouteOptions) {}
 
-    /** Listens on a port that the kernel chooses. */
+    /** Listens on a free port. */
     async start(): Promise<number> {
-        this.port = await standIn.listen(this.server, 0);
+        this.port = await standIn.listenReopenably(this.server);
         this.isListening = true;
         return this.port;
     }
--- a/packages/test-utils/src/stand-in.ts
+++ b/packages/test-utils/src/stand-in.ts
@@ -30,6 +30,25 @@
     });
 }
 
+/** Ports below those that the kernel gives to outgoing connections. */
+const reopenablePorts = { first: 12_000, count: 20_000 } as const;
+
+/**
+ * Listens on a free port that no outgoing connection can take while it is closed for a time. The kernel says whether it
+ * is free.
+ */
+export async function listenReopenably(server: net.Server): Promise<number> {
+    for (;;) {
+        const port = reopenablePorts.first + Math.floor(Math.random() * reopenablePorts.count);
+        try {
+            return await listen(server, port);
+        }
+        catch {
+            continue;
+        }
+    }
+}
+
 const relistenDelayMs = 50;
 
 /** Listens on a port that was held before, again and again until the kernel gives it back. */
