Look at one service's load to route a request, and drop what nothing calls

Cause, from reading the whole change: each attempt of a request computed the load of every service, with a decision on the fence for each, to use one of them; the callers' port counted open requests and the home directory listed names for nobody; a signal that never aborts was made in two modules. Ruled out: mending the code check of tickets, which is made by the key service and again by the ticket office; the second guards the office's own run. Measured: no figure taken. Conclusion: behaviour is the same; routing no longer grows with the number of services.

--- a/packages/entry/src/caller-port.ts
+++ b/packages/entry/src/caller-port.ts
@@ -58,7 +58,6 @@
 export class CallerPort {
     readonly #parts: CallerPortParts;
     readonly #server: http.Server;
-    #active = 0;
     #closing = false;
 
     constructor(parts: CallerPortParts) {
@@ -86,11 +85,6 @@
         this.#server.on("request", app.handler as unknown as http.RequestListener);
     }
 
-    /** Requests that are being answered. */
-    get active(): number {
-        return this.#active;
-    }
-
     listen(listener: schema.settings.Listener): Promise<number> {
         return httpServer.listen(this.#server, listener);
     }
@@ -112,7 +106,6 @@
 
     async #serve(message: http.IncomingMessage, response: http.ServerResponse): Promise<void> {
         const arrivedAt = this.#parts.clock();
-        this.#active += 1;
         try {
             const result = await this.#run(message, response, arrivedAt);
             this.#respond(response, result);
@@ -121,9 +114,6 @@
         catch (error) {
             this.#fail(error, response);
         }
-        finally {
-            this.#active -= 1;
-        }
     }
 
     async #run(
--- a/packages/entry/src/home-directory.ts
+++ b/packages/entry/src/home-directory.ts
@@ -121,11 +121,6 @@
         };
     }
 
-    /** Names of all servers homed here. */
-    listNames(): readonly string[] {
-        return [...this.#servers.keys()];
-    }
-
     countInFlight(): number {
         return [...this.#servers.values()].reduce((sum, record) => sum + record.inFlight, 0);
     }
--- a/packages/entry/src/key-service.ts
+++ b/packages/entry/src/key-service.ts
@@ -56,7 +56,7 @@
         key: string,
         issuer: peerDirectory.KnownPeer,
     ): Promise<request.RequestResult> {
-        const result = await router.sendToPeer(issuer.link, question, neverAborted, this.#parts.clock(), key);
+        const result = await router.sendToPeer(issuer.link, question, request.neverAborted, this.#parts.clock(), key);
         const unsent = result.outcome === types.Outcome.notRun && result.reason === types.Reason.noCapacity;
         return unsent && issuer.link.state !== "connected" ? request.createUnknown(types.Reason.keyHolderLost) : result;
     }
@@ -106,5 +106,3 @@
         return [{ service: use.service, key, state: use.result.outcome, status }];
     }
 }
-
-const neverAborted = new AbortController().signal;
--- a/packages/entry/src/local-dispatcher.ts
+++ b/packages/entry/src/local-dispatcher.ts
@@ -122,6 +122,12 @@
         return services.map(service => this.#digestService(service));
     }
 
+    /** Load of one service; undefined if it isn't configured. */
+    findDigest(name: string): schema.peer.Digest | undefined {
+        const service = this.#findService(name);
+        return service === undefined ? undefined : this.#digestService(service);
+    }
+
     #digestService(service: schema.log.Service): schema.peer.Digest {
         const servers = this.#parts.homes.listServers(service.pool).filter(server => server.accepting);
         const slots = this.#parts.mayDispatch() ? this.#countSlots(servers) : 0;
--- a/packages/entry/src/request-path.ts
+++ b/packages/entry/src/request-path.ts
@@ -12,11 +12,10 @@
 import * as keyService from "./key-service.js";
 import * as localDispatcher from "./local-dispatcher.js";
 import * as processContext from "./process-context.js";
+import * as request from "./request.js";
 import * as router from "./router.js";
 import * as ticketOffice from "./ticket-office.js";
 
-const neverAborted = new AbortController().signal;
-
 export class RequestPath {
     readonly homes: homeDirectory.HomeDirectory;
     readonly dispatcher: localDispatcher.LocalDispatcher;
@@ -57,7 +56,7 @@
             metrics,
             rememberMs: settings.keys.rememberMs,
             clock,
-            run: question => this.router.run(question, neverAborted),
+            run: question => this.router.run(question, request.neverAborted),
         });
         this.keys = this.#createKeyKeeper(answers, readSession);
         this.keyService = new keyService.KeyService({
@@ -84,7 +83,7 @@
             wallClock,
             readSession,
             isLogInReach: () => this.#control.canRecord(this.#control.claimsStream),
-            run: question => this.router.run(question, neverAborted),
+            run: question => this.router.run(question, request.neverAborted),
             askHolder: (claim, waitMs) => this.keyService.askHolder(claim, waitMs),
         });
     }
--- a/packages/entry/src/request.ts
+++ b/packages/entry/src/request.ts
@@ -43,6 +43,9 @@
 
 export type RequestResult = Answered | NotRun | Unknown;
 
+/** Signal of a request that goes on although its caller is gone. */
+export const neverAborted: AbortSignal = new AbortController().signal;
+
 export function createNotRun(reason: types.Reason): NotRun {
     return { outcome: types.Outcome.notRun, reason };
 }
--- a/packages/entry/src/router.ts
+++ b/packages/entry/src/router.ts
@@ -115,7 +115,7 @@
     }
 
     #listTargets(service: string): placement.Target[] {
-        const own = this.#parts.dispatcher.listDigests().find(digest => digest.service === service);
+        const own = this.#parts.dispatcher.findDigest(service);
         const local = own === undefined || own.slots === 0 ? [] : [this.#createLocalTarget(own)];
         const remote = this.#parts.directory.list().flatMap(peer => this.#createPeerTarget(peer, service));
         return [...local, ...remote];
