Run jobs on the users' platform: first whole path

One process on each entry instance: intake, followers of the store's topics, and one coordinator that claims epochs in the ledger, holds leases on backend servers, stores an intent before each start, and acknowledges ends once stored. platform/ translates the wire; packages/platform is now packages/log-service.

--- /dev/null
+++ b/packages/dispatch/src/context.ts
@@ -0,0 +1,38 @@
+/**
+ * What the parts of one coordinator share for as long as it coordinates.
+ */
+import type * as eventLog from "@catkinwharf/event-log";
+import type * as httpCalls from "@catkinwharf/http-calls";
+import type * as jobState from "@catkinwharf/job-state";
+import type * as platform from "@catkinwharf/platform";
+import type * as clocks from "./clocks.js";
+import type * as ledgerWriter from "./ledger-writer.js";
+
+export interface CoordinatorContext {
+    readonly node: string;
+    /** Also the fencing token of all its orders. */
+    readonly epoch: number;
+    /** On the steady clock. */
+    readonly claimedAt: number;
+    readonly settings: platform.settings.NodeSettings;
+    readonly clock: clocks.Clocks;
+    readonly log: eventLog.EventLog;
+    readonly calls: httpCalls.HttpCalls;
+    readonly writer: ledgerWriter.LedgerWriter;
+    readonly jobs: jobState.JobTable;
+    /** Newest configuration. */
+    readonly configuration: () => platform.operatorRecords.Configuration | undefined;
+    /** A newer coordinator has been seen. */
+    readonly stepDown: (reason: string) => void;
+    /** Something changed that may let tasks start. */
+    readonly wake: () => void;
+}
+
+/** Time in ms for an order to a backend server; they answer within a few. */
+export const orderTimeout = 700;
+/** Lease in ms: outlasts a change of coordinator, and brings back what a server that was cut off held. */
+export const leaseTime = 4500;
+
+export function findLeaseTime(settings: platform.settings.NodeSettings): number {
+    return Math.min(leaseTime, settings.bounds.maxLease);
+}
--- /dev/null
+++ b/packages/dispatch/src/coordinator.ts
@@ -0,0 +1,308 @@
+/**
+ * The process that coordinates: takes over from the one before, then starts what is ready, as servers have room.
+ */
+import type * as eventLog from "@catkinwharf/event-log";
+import type * as httpCalls from "@catkinwharf/http-calls";
+import * as jobState from "@catkinwharf/job-state";
+import * as platform from "@catkinwharf/platform";
+import * as scheduling from "@catkinwharf/scheduling";
+import * as storeClient from "@catkinwharf/store";
+import type * as clocks from "./clocks.js";
+import * as context from "./context.js";
+import * as fleet from "./fleet.js";
+import * as jobBoard from "./job-board.js";
+import * as leadership from "./leadership.js";
+import * as ledgerWriter from "./ledger-writer.js";
+import * as runs from "./runs.js";
+import type * as session from "./server-session.js";
+
+/** Time in ms between an event and the pass that reacts to it; gathers the events of one moment. */
+const passDelay = 3;
+/** Time in ms between two looks at everything that time alone changes. */
+const tickInterval = 100;
+/** Candidates that may fail to fit before a pass gives up on a service; bounds the work under a backlog. */
+const maxMisses = 16;
+/** Time in ms that a new coordinator waits for the servers' first answers before it starts anything. */
+const takeoverPatience = 600;
+/** Time in ms for which reads of the servers' topic gather records. */
+const serverReadPause = 150;
+
+export interface CoordinatorOptions {
+    readonly settings: platform.settings.NodeSettings;
+    readonly epoch: number;
+    readonly processStart: number;
+    readonly store: storeClient.StoreClient;
+    readonly calls: httpCalls.HttpCalls;
+    readonly jobs: jobState.JobTable;
+    readonly log: eventLog.EventLog;
+    readonly clock: clocks.Clocks;
+    readonly configuration: () => platform.operatorRecords.Configuration | undefined;
+    readonly onStepDown: (reason: string) => void;
+}
+
+export class Coordinator {
+    readonly board = new jobBoard.JobBoard();
+    readonly fleet: fleet.Fleet;
+    readonly #shared: context.CoordinatorContext;
+    readonly #runs: runs.Runs;
+    readonly #servers: storeClient.TopicFollower;
+    #timer: NodeJS.Timeout | undefined;
+    #passScheduled = false;
+    #stopped = false;
+    #ready = false;
+    #lastBeat = 0;
+
+    constructor(private readonly options: CoordinatorOptions) {
+        const { clock, store, epoch } = options;
+        const stepDown = (reason: string) => this.#stepDown(reason);
+        this.#shared = {
+            node: options.settings.node,
+            epoch,
+            claimedAt: clock.steady(),
+            settings: options.settings,
+            clock,
+            log: options.log,
+            calls: options.calls,
+            writer: new ledgerWriter.LedgerWriter(
+                store,
+                epoch,
+                0,
+                () => stepDown("the ledger refused this epoch"),
+                clock,
+            ),
+            jobs: options.jobs,
+            configuration: options.configuration,
+            stepDown,
+            wake: () => this.#wake(),
+        };
+        this.#runs = new runs.Runs({ shared: this.#shared, board: this.board, onEnd: () => undefined });
+        this.fleet = new fleet.Fleet(this.#shared, {
+            onLists: (server, lists, sentAt) => this.#runs.takeLists(server, lists, sentAt),
+            onGone: (server, how) => this.#runs.endAll(server, how),
+        });
+        this.#servers = new storeClient.TopicFollower(
+            store,
+            {
+                topic: platform.storeCalls.serversTopic,
+                handlers: {
+                    apply: record => this.fleet.applyRecord(record),
+                    reset: () => this.fleet.markAllUnlisted(),
+                },
+                wait: 1000,
+                pause: () => serverReadPause,
+            },
+            options.log,
+            () => clock.wall(),
+        );
+    }
+
+    /** Takes over: all jobs are known, the servers are asked, runs of earlier coordinators are taken in. */
+    async start(): Promise<void> {
+        this.#timer = setInterval(() => this.#tick(), tickInterval);
+        const configuration = this.options.configuration();
+        if (configuration !== undefined) {
+            this.applyConfiguration(configuration);
+        }
+        await this.#servers.catchUp();
+        this.#servers.start();
+        this.#inheritRuns();
+        const { clock } = this.#shared;
+        const patienceEnd = clock.steady() + takeoverPatience;
+        while (!this.#stopped && clock.steady() < patienceEnd && this.#hasUnasked()) {
+            await new Promise(resolve => setTimeout(resolve, 10));
+        }
+        this.#ready = true;
+        this.#shared.log.info("coordinating", {
+            epoch: this.options.epoch,
+            jobs: this.board.active.size,
+            servers: this.fleet.sessions.size,
+            took: clock.steady() - this.#shared.claimedAt,
+        });
+        this.#wake();
+    }
+
+    stop(): void {
+        this.#stopped = true;
+        clearInterval(this.#timer);
+        this.#servers.stop();
+        this.fleet.stop();
+        this.#shared.writer.stop();
+    }
+
+    /** Gives up coordination on purpose, so that another process claims it at once. */
+    async resign(): Promise<void> {
+        this.#shared.writer.add(this.#createBeat(true));
+        await this.#shared.writer.flush();
+        this.#stepDown("resigned");
+    }
+
+    applyConfiguration(configuration: platform.operatorRecords.Configuration): void {
+        this.board.applyConfiguration(configuration);
+        for (const entry of this.options.jobs.entries.values()) {
+            this.considerJob(entry);
+        }
+    }
+
+    /** A job was submitted or cancelled. */
+    considerJob(entry: jobState.JobEntry): void {
+        const active = this.board.consider(entry, this.#shared.clock.wall());
+        if (active === undefined) {
+            return;
+        }
+        if (entry.cancelledAt !== undefined) {
+            this.#cancel(active);
+        }
+        this.#wake();
+    }
+
+    #cancel(active: jobBoard.ActiveJob): void {
+        this.#runs.settle(active);
+        this.#stopRunsOf(active);
+    }
+
+    #stopRunsOf(active: jobBoard.ActiveJob): void {
+        for (const server of this.fleet.sessions.values()) {
+            for (const run of [...server.runs.values()]) {
+                if (run.entry === active.entry) {
+                    void this.#runs.stop(server, run);
+                }
+            }
+        }
+    }
+
+    #inheritRuns(): void {
+        for (const active of this.board.active.values()) {
+            for (const [number, occurrence] of active.progress.occurrences) {
+                for (const [task, history] of occurrence.histories) {
+                    history.runs.forEach(run => this.#inheritRun(active, number, task, run));
+                }
+            }
+            if (active.entry.cancelledAt !== undefined) {
+                this.#cancel(active);
+            }
+        }
+    }
+
+    #inheritRun(active: jobBoard.ActiveJob, occurrence: number, task: number, run: jobState.Run): void {
+        const id = run.server.slice(0, run.server.lastIndexOf("@"));
+        const server = this.fleet.sessions.get(id) ?? this.fleet.openUnlisted(id);
+        this.#runs.inherit(active, occurrence, task, run, server);
+    }
+
+    #hasUnasked(): boolean {
+        for (const server of this.fleet.sessions.values()) {
+            if (!server.unlisted && server.clockSample === undefined) {
+                return true;
+            }
+        }
+        return this.fleet.sessions.size === 0;
+    }
+
+    #wake(): void {
+        if (!this.#passScheduled && this.#ready && !this.#stopped) {
+            this.#passScheduled = true;
+            setTimeout(() => {
+                this.#passScheduled = false;
+                this.#pass();
+            }, passDelay);
+        }
+    }
+
+    #tick(): void {
+        const now = this.#shared.clock.steady();
+        if (now - this.#lastBeat >= leadership.beatInterval) {
+            this.#lastBeat = now;
+            this.#shared.writer.add(this.#createBeat(false));
+        }
+        for (const active of [...this.board.active.values()]) {
+            if (jobState.isSettled(active.progress.status)) {
+                this.#stopRunsOf(active);
+                this.#runs.settle(active);
+            }
+        }
+        this.#wake();
+    }
+
+    #createBeat(resigned: boolean): platform.storeCalls.KeyedRecord {
+        return jobState.encodeLeadership({
+            epoch: this.options.epoch,
+            node: this.options.settings.node,
+            writtenAt: this.#shared.clock.wall(),
+            processStart: this.options.processStart,
+            resigned,
+        });
+    }
+
+    /** Starts what is ready, service by service, in order, as far as there is room. */
+    #pass(): void {
+        if (this.#stopped) {
+            return;
+        }
+        this.fleet.refreshOpen();
+        const servers = this.fleet.listByService();
+        const planned: { server: session.ServerSession; run: session.ActiveRun; }[] = [];
+        for (const [service, candidates] of this.board.listCandidates(this.#shared.clock.wall())) {
+            this.#placeService(candidates, servers.get(service) ?? [], planned);
+        }
+        if (planned.length > 0) {
+            void this.#send(planned);
+        }
+    }
+
+    #placeService(
+        candidates: readonly jobBoard.Candidate[],
+        servers: readonly session.ServerSession[],
+        planned: { server: session.ServerSession; run: session.ActiveRun; }[],
+    ): void {
+        const open = servers.filter(server => server.load.open);
+        const byId = new Map(open.map(server => [server.entry.id, server]));
+        const loads = open.map(server => server.load);
+        let misses = 0;
+        for (const { active, ready } of candidates) {
+            if (misses >= maxMisses) {
+                return;
+            }
+            const step = active.job.steps[ready.step]!;
+            const stepKey = runs.nameStep(active.job.id, ready);
+            const placements = scheduling.placeStep(
+                { stepKey, step, tasks: ready.tasks, avoided: active.avoided },
+                loads,
+            );
+            if (placements.length === 0) {
+                misses += 1;
+                continue;
+            }
+            const gangRun = step.gang ? this.#nextGangRun(active, ready) : undefined;
+            for (const { task, server } of placements) {
+                const to = byId.get(server.id)!;
+                const number = gangRun ?? this.#nextRun(active, ready.occurrence, task);
+                planned.push({ server: to, run: this.#runs.plan(active, ready, task, number, to, stepKey) });
+            }
+        }
+    }
+
+    #nextRun(active: jobBoard.ActiveJob, occurrence: number, task: number): number {
+        return (active.progress.occurrences.get(occurrence)?.histories.get(task)?.lastRun ?? 0) + 1;
+    }
+
+    #nextGangRun(active: jobBoard.ActiveJob, ready: scheduling.ReadyStep): number {
+        return Math.max(...ready.tasks.map(task => this.#nextRun(active, ready.occurrence, task)));
+    }
+
+    async #send(planned: readonly { server: session.ServerSession; run: session.ActiveRun; }[]): Promise<void> {
+        if (!await this.#shared.writer.flush()) {
+            return;
+        }
+        for (const { server, run } of planned) {
+            void this.#runs.start(server, run);
+        }
+    }
+
+    #stepDown(reason: string): void {
+        if (!this.#stopped) {
+            this.stop();
+            this.#shared.log.warn("stepped-down", { epoch: this.options.epoch, reason });
+            this.options.onStepDown(reason);
+        }
+    }
+}
--- /dev/null
+++ b/packages/dispatch/src/index.ts
@@ -0,0 +1,6 @@
+/**
+ * Coordination of backend servers by one process at a time.
+ */
+export * from "./clocks.js";
+export * from "./coordinator.js";
+export * from "./leadership.js";
--- /dev/null
+++ b/packages/dispatch/src/job-board.ts
@@ -0,0 +1,113 @@
+/**
+ * Jobs that aren't settled, by the service whose servers run them, with what of them may start.
+ */
+import * as jobState from "@catkinwharf/job-state";
+import type * as platform from "@catkinwharf/platform";
+import * as scheduling from "@catkinwharf/scheduling";
+
+export interface ActiveJob {
+    readonly entry: jobState.JobEntry;
+    readonly job: jobState.Job;
+    readonly progress: jobState.Progress;
+    route: platform.operatorRecords.Route;
+    /** Longest chain of work in ms. */
+    readonly chain: number;
+    /** Servers on which one of its runs failed. */
+    readonly avoided: Set<string>;
+    /** What may start; `undefined` after a change. */
+    readiness: scheduling.Readiness | undefined;
+}
+
+/** A step with startable tasks, and its place in the order. */
+export interface Candidate {
+    readonly active: ActiveJob;
+    readonly ready: scheduling.ReadyStep;
+    readonly rank: scheduling.Rank;
+}
+
+export class JobBoard {
+    readonly active = new Map<string, ActiveJob>();
+    /** Routes by name, with those that were removed since: their jobs go on. */
+    readonly #routes = new Map<string, platform.operatorRecords.Route>();
+
+    applyConfiguration(configuration: platform.operatorRecords.Configuration): void {
+        for (const route of configuration.routes) {
+            this.#routes.set(route.name, route);
+        }
+        for (const active of this.active.values()) {
+            active.route = this.#routes.get(active.job.queue) ?? active.route;
+        }
+    }
+
+    /** Takes in a job, new or changed; `undefined` when there is nothing to do for it. */
+    consider(entry: jobState.JobEntry, now: number): ActiveJob | undefined {
+        const known = this.active.get(entry.id);
+        if (known !== undefined) {
+            return known;
+        }
+        const { job } = entry;
+        const route = job === undefined ? undefined : this.#routes.get(job.queue);
+        if (job === undefined || route === undefined) {
+            return undefined;
+        }
+        entry.progress ??= jobState.createProgress(now);
+        if (jobState.isSettled(entry.progress.status) && !hasRuns(entry.progress)) {
+            return undefined;
+        }
+        const active: ActiveJob = {
+            entry,
+            job,
+            progress: entry.progress,
+            route,
+            chain: scheduling.measureChain(job, 1),
+            avoided: new Set(),
+            readiness: undefined,
+        };
+        this.active.set(entry.id, active);
+        return active;
+    }
+
+    remove(id: string): void {
+        this.active.delete(id);
+    }
+
+    /** Candidates by service, each list in the order in which they should start. */
+    listCandidates(wall: number): Map<string, Candidate[]> {
+        const byService = new Map<string, Candidate[]>();
+        for (const active of this.active.values()) {
+            if (active.entry.cancelledAt !== undefined) {
+                continue;
+            }
+            const { readiness } = active;
+            if (readiness === undefined || (readiness.nextDue !== undefined && readiness.nextDue <= wall)) {
+                active.readiness = scheduling.listReady(active.job, active.progress, wall);
+            }
+            for (const ready of active.readiness!.steps) {
+                const list = byService.get(active.route.service) ?? [];
+                list.push({ active, ready, rank: this.#rank(active, ready, wall) });
+                byService.set(active.route.service, list);
+            }
+        }
+        for (const list of byService.values()) {
+            list.sort((a, b) => scheduling.compareRanks(a.rank, b.rank));
+        }
+        return byService;
+    }
+
+    #rank(active: ActiveJob, ready: scheduling.ReadyStep, wall: number): scheduling.Rank {
+        const objective = scheduling.findObjective(active.job, ready.occurrence, active.chain, active.route);
+        const step = active.job.steps[ready.step]!;
+        return scheduling.rank(objective, step.estimate, step.longRunning, active.route, wall);
+    }
+}
+
+function hasRuns(progress: jobState.Progress): boolean {
+    for (const occurrence of progress.occurrences.values()) {
+        for (const history of occurrence.histories.values()) {
+            if (history.runs.length > 0) {
+                return true;
+            }
+        }
+    }
+    return false;
+}
--- /dev/null
+++ b/packages/dispatch/src/leadership.ts
@@ -0,0 +1,147 @@
+/**
+ * Who coordinates. Every process follows the ledger; one whose coordinator has been silent claims the next epoch with
+ * an append that holds only if the ledger hasn't grown since. The store lets one claim through.
+ */
+import * as eventLog from "@catkinwharf/event-log";
+import * as jobState from "@catkinwharf/job-state";
+import * as storeClient from "@catkinwharf/store";
+import * as clocks from "./clocks.js";
+
+/** Time in ms between two signs of life of the coordinator. */
+export const beatInterval = 500;
+/** Silence in ms after which a coordinator is taken to be gone: three beats and a slow store's answer. */
+const takeoverSilence = 1800;
+/** Time in ms over which the processes' claims spread, so that they don't all come at once. */
+const claimSpread = 300;
+/** Time in ms between two looks. */
+const lookInterval = 100;
+
+/** What is known of the coordinator, and for how long it has been silent. */
+export interface Observation {
+    readonly leadership: jobState.Leadership | undefined;
+    /** Ms since the ledger last grew, counted only while it could be read. */
+    readonly silence: number;
+    /** Time in ms for which this process waits longer than others. */
+    readonly stagger: number;
+}
+
+/** Whether the process should claim the coordination now. */
+export function shouldClaim(seen: Observation, node: string, processStart: number): boolean {
+    if (seen.leadership === undefined || seen.leadership.resigned) {
+        return seen.silence >= seen.stagger;
+    }
+    const formerLife = seen.leadership.node === node && seen.leadership.processStart !== processStart;
+    return formerLife || seen.silence >= takeoverSilence + seen.stagger;
+}
+
+export class LeadershipWatch {
+    leadership: jobState.Leadership | undefined;
+    #lastSign: number;
+    #readable = false;
+    #stopped = false;
+    #claiming = false;
+    leading = false;
+
+    constructor(
+        private readonly options: {
+            readonly node: string;
+            readonly processStart: number;
+            readonly store: storeClient.StoreClient;
+            readonly ledger: storeClient.TopicFollower;
+            readonly log: eventLog.EventLog;
+            readonly clock: clocks.Clocks;
+            /** The process coordinates from now on, under this epoch. */
+            readonly onClaimed: (epoch: number) => void;
+            /** Tells whether the process knows enough to coordinate. */
+            readonly isPrepared: () => boolean;
+        },
+    ) {
+        this.#lastSign = options.clock.steady();
+    }
+
+    /** A record of the ledger was read. */
+    noteRecord(record: jobState.LedgerRecord | undefined): void {
+        this.#lastSign = this.options.clock.steady();
+        if (record?.kind === "leadership" && record.leadership.epoch >= (this.leadership?.epoch ?? 0)) {
+            if (record.leadership.epoch !== this.leadership?.epoch) {
+                this.options.log.info("coordinator-seen", {
+                    coordinator: record.leadership.node,
+                    epoch: record.leadership.epoch,
+                });
+            }
+            this.leadership = record.leadership;
+        }
+    }
+
+    start(): void {
+        const stagger = Math.random() * claimSpread;
+        const timer = setInterval(() => {
+            if (this.#stopped) {
+                clearInterval(timer);
+                return;
+            }
+            this.#look(stagger);
+        }, lookInterval);
+    }
+
+    stop(): void {
+        this.#stopped = true;
+    }
+
+    #look(stagger: number): void {
+        const { ledger, clock, options } = { ...this.options, options: this.options };
+        const now = clock.steady();
+        const readable = ledger.loaded && clock.wall() - ledger.currentAt < takeoverSilence;
+        if (!readable || !this.#readable) {
+            // Silence counts only from when the ledger can be read again.
+            this.#readable = readable;
+            this.#lastSign = Math.max(this.#lastSign, readable && this.leadership === undefined ? 0 : now);
+            return;
+        }
+        const seen = { leadership: this.leadership, silence: now - this.#lastSign, stagger };
+        if (
+            !this.leading && !this.#claiming && options.isPrepared()
+            && shouldClaim(seen, options.node, options.processStart)
+        ) {
+            this.#claiming = true;
+            void this.#claim().finally(() => this.#claiming = false);
+        }
+    }
+
+    async #claim(): Promise<void> {
+        const { store, ledger, log, clock, node, processStart } = this.options;
+        const before = this.leadership;
+        if (!await ledger.catchUp() || this.leadership?.epoch !== before?.epoch) {
+            return;
+        }
+        const epoch = (before?.epoch ?? 0) + 1;
+        const claim = jobState.encodeLeadership({
+            epoch,
+            node,
+            writtenAt: clock.wall(),
+            processStart,
+            resigned: false,
+        });
+        const answer = await store.append(jobState.ledgerTopic, [claim], {
+            end: ledger.end,
+            producer: { name: jobState.ledgerProducer, epoch, sequence: 0 },
+        });
+        if (answer.isErr()) {
+            // The claim may have been stored: then the ledger names this process, and the look after it says so.
+            await ledger.catchUp();
+            const named = this.leadership as jobState.Leadership | undefined;
+            if (named?.epoch !== epoch || named.node !== node || named.processStart !== processStart) {
+                log.warn("claim-failed", { epoch, reason: answer.error.reason });
+                return;
+            }
+        }
+        else if (answer.value.kind !== "stored") {
+            log.info("claim-refused", { epoch, outcome: answer.value.kind });
+            await ledger.catchUp();
+            return;
+        }
+        this.leading = true;
+        log.info("claimed", { epoch, after: before?.node });
+        this.options.onClaimed(epoch);
+    }
+}
--- a/packages/entry/src/control-plane.ts
+++ b/packages/entry/src/control-plane.ts
@@ -1,8 +1,8 @@
 /**
  * What this process agrees on with the others: the fleet state, its session and fence, and its links to peers.
  */
+import * as platform from "@catkinwharf/log-service";
 import * as peers from "@catkinwharf/peers";
-import * as platform from "@catkinwharf/platform";
 import * as schema from "@catkinwharf/schema";
 import * as fence from "./fence.js";
 import * as fleetView from "./fleet-view.js";
--- a/packages/entry/src/entry-process.ts
+++ b/packages/entry/src/entry-process.ts
@@ -1,9 +1,9 @@
 /**
  * The entry process: puts its parts together, and starts and stops them in order.
  */
+import * as platform from "@catkinwharf/log-service";
 import * as peers from "@catkinwharf/peers";
 import * as planner from "@catkinwharf/planner";
-import * as platform from "@catkinwharf/platform";
 import * as types from "@catkinwharf/types";
 import * as callerPort from "./caller-port.js";
 import * as controlPlane from "./control-plane.js";
--- a/packages/entry/src/fleet-view.ts
+++ b/packages/entry/src/fleet-view.ts
@@ -3,7 +3,7 @@
  */
 import * as errors from "@catkinwharf/errors";
 import * as fleetState from "@catkinwharf/fleet-state";
-import * as platform from "@catkinwharf/platform";
+import * as platform from "@catkinwharf/log-service";
 import * as schema from "@catkinwharf/schema";
 import * as neverthrow from "neverthrow";
 
--- a/packages/entry/src/home-releaser.ts
+++ b/packages/entry/src/home-releaser.ts
@@ -1,7 +1,7 @@
 /**
  * Gives up homes that the fold wants released, once no request of this process runs there.
  */
-import * as platform from "@catkinwharf/platform";
+import * as platform from "@catkinwharf/log-service";
 import * as fleetView from "./fleet-view.js";
 import * as homeDirectory from "./home-directory.js";
 import * as metrics from "./metrics.js";
--- a/packages/entry/src/key-keeper.ts
+++ b/packages/entry/src/key-keeper.ts
@@ -6,7 +6,7 @@
  */
 import * as errors from "@catkinwharf/errors";
 import * as fleetState from "@catkinwharf/fleet-state";
-import * as platform from "@catkinwharf/platform";
+import * as platform from "@catkinwharf/log-service";
 import * as schema from "@catkinwharf/schema";
 import * as types from "@catkinwharf/types";
 import * as abandonedClaims from "./abandoned-claims.js";
--- a/packages/entry/src/log-streams.ts
+++ b/packages/entry/src/log-streams.ts
@@ -2,8 +2,8 @@
  * The two streams that the entry process follows, and how each starts anew below the retained offset.
  */
 import * as fleetState from "@catkinwharf/fleet-state";
+import * as platform from "@catkinwharf/log-service";
 import * as logger from "@catkinwharf/logger";
-import * as platform from "@catkinwharf/platform";
 import * as schema from "@catkinwharf/schema";
 import * as fleetView from "./fleet-view.js";
 import * as metrics from "./metrics.js";
--- a/packages/entry/src/platform-watch.ts
+++ b/packages/entry/src/platform-watch.ts
@@ -2,7 +2,7 @@
  * Reads the platform's membership list, usage reports and reboots for the coordinator.
  */
 import * as fleetState from "@catkinwharf/fleet-state";
-import * as platform from "@catkinwharf/platform";
+import * as platform from "@catkinwharf/log-service";
 import * as schema from "@catkinwharf/schema";
 import * as metrics from "./metrics.js";
 
--- a/packages/entry/src/record-relay.ts
+++ b/packages/entry/src/record-relay.ts
@@ -1,8 +1,8 @@
 /**
  * Fetches log records from peers of the same availability zone when this process's own path to the log lags.
  */
+import * as platform from "@catkinwharf/log-service";
 import * as peers from "@catkinwharf/peers";
-import * as platform from "@catkinwharf/platform";
 import * as metrics from "./metrics.js";
 import * as peerDirectory from "./peer-directory.js";
 
--- a/packages/entry/src/seed-loader.ts
+++ b/packages/entry/src/seed-loader.ts
@@ -4,9 +4,9 @@
  * All seeds are asked, and the newest state that any of them shows is taken, so that a configuration older than theirs
  * is never in force here. Asking begins when reads of the log fail, and goes on until one has reached its head.
  */
+import * as platform from "@catkinwharf/log-service";
 import * as logger from "@catkinwharf/logger";
 import * as peers from "@catkinwharf/peers";
-import * as platform from "@catkinwharf/platform";
 import * as schema from "@catkinwharf/schema";
 import * as fleetView from "./fleet-view.js";
 import * as logStreams from "./log-streams.js";
--- a/packages/entry/src/snapshot-writer.ts
+++ b/packages/entry/src/snapshot-writer.ts
@@ -2,8 +2,8 @@
  * Writes snapshots of the fleet state, so that readers below the log's retention can start.
  */
 import * as fleetState from "@catkinwharf/fleet-state";
+import * as platform from "@catkinwharf/log-service";
 import * as logger from "@catkinwharf/logger";
-import * as platform from "@catkinwharf/platform";
 import * as schema from "@catkinwharf/schema";
 import * as metrics from "./metrics.js";
 import * as records from "./records.js";
--- /dev/null
+++ b/packages/intake/src/index.ts
@@ -0,0 +1,6 @@
+/**
+ * Callers' interface for jobs.
+ */
+export * from "./caller-port.js";
+export * from "./route-table.js";
+export * from "./submission-keeper.js";
--- /dev/null
+++ b/packages/job-state/src/progress.ts
@@ -0,0 +1,92 @@
+/**
+ * Progress of a job: which tasks are done, which runs were started where, how often a task has failed.
+ *
+ * Only the coordinator changes progress; everybody else folds the newest record of each job.
+ */
+import * as jobs from "./job.js";
+
+/** A run that was ordered: from before its start is sent until its end is known. */
+export interface Run {
+    readonly number: number;
+    /** Identity of the backend server's boot, see `ServerBoot`. */
+    readonly server: string;
+}
+
+/** One task that isn't done and has been started at least once. */
+export interface TaskHistory {
+    /** Highest number that a run of it ever had. */
+    lastRun: number;
+    /** Runs that ended as failed. */
+    failures: number;
+    /** Runs that may be under way; more than one only for speculative steps. */
+    runs: Run[];
+    /** Newest checkpoint, empty for none. */
+    checkpoint: string;
+}
+
+export interface Occurrence {
+    /** One flag for each task, 1 for done. */
+    readonly done: Uint8Array;
+    doneCount: number;
+    /** By index of the task over all steps. */
+    readonly histories: Map<number, TaskHistory>;
+}
+
+export interface Progress {
+    status: jobs.JobStatus;
+    /** Unix time in ms of the last change of the status. */
+    statusAt: number;
+    /** A task has been started at least once. */
+    begun: boolean;
+    /** By number; absent until something of it happened. Completed ones stay as a number below `settledBelow`. */
+    readonly occurrences: Map<number, Occurrence>;
+}
+
+export function createProgress(now: number): Progress {
+    return { status: jobs.JobStatus.queued, statusAt: now, begun: false, occurrences: new Map() };
+}
+
+export function findOccurrence(progress: Progress, job: jobs.Job, number: number): Occurrence {
+    let found = progress.occurrences.get(number);
+    if (found === undefined) {
+        found = { done: new Uint8Array(jobs.countTasks(job)), doneCount: 0, histories: new Map() };
+        progress.occurrences.set(number, found);
+    }
+    return found;
+}
+
+export function findHistory(occurrence: Occurrence, task: number): TaskHistory {
+    let found = occurrence.histories.get(task);
+    if (found === undefined) {
+        found = { lastRun: 0, failures: 0, runs: [], checkpoint: "" };
+        occurrence.histories.set(task, found);
+    }
+    return found;
+}
+
+/** Marks a task as done; its history is no longer needed but for runs that are still under way. */
+export function markDone(occurrence: Occurrence, task: number): void {
+    if (occurrence.done[task] === 1) {
+        return;
+    }
+    occurrence.done[task] = 1;
+    occurrence.doneCount += 1;
+}
+
+export function isSettled(status: jobs.JobStatus): boolean {
+    return status === jobs.JobStatus.completed || status === jobs.JobStatus.failed
+        || status === jobs.JobStatus.cancelled;
+}
+
+/** Whether all tasks of all occurrences are done. */
+export function isComplete(progress: Progress, job: jobs.Job): boolean {
+    const occurrences = jobs.countOccurrences(job);
+    const tasks = jobs.countTasks(job);
+    for (let number = 0; number < occurrences; number++) {
+        const occurrence = progress.occurrences.get(number);
+        if (occurrence === undefined || occurrence.doneCount < tasks) {
+            return false;
+        }
+    }
+    return true;
+}
--- /dev/null
+++ b/packages/job-state/src/records.ts
@@ -0,0 +1,231 @@
+/**
+ * Codec of the records that the system keeps in the store's keyed topics.
+ *
+ * The topic of submissions holds jobs and cancellations and is appended to by every entry instance. The ledger holds
+ * each job's progress and who coordinates; only the coordinator appends to it.
+ */
+import * as cbor from "cbor-x";
+import * as jobs from "./job.js";
+import * as progress from "./progress.js";
+
+export const submissionsTopic = "keyed.submissions";
+export const ledgerTopic = "keyed.ledger";
+/** Producer name under which coordinators append to the ledger; the store fences lower epochs. */
+export const ledgerProducer = "coordinator";
+
+const KeyPrefix = { job: "j:", cancellation: "c:", progress: "p:" } as const;
+const leaderKey = "leader";
+const nodePrefix = "n:";
+
+/** Who coordinates, in the ledger. */
+export interface Leadership {
+    readonly epoch: number;
+    readonly node: string;
+    /** Unix time in ms at which the record was written, by the writer's clock. */
+    readonly writtenAt: number;
+    /** Tells the process's lives apart. */
+    readonly processStart: number;
+    readonly resigned: boolean;
+}
+
+export type SubmissionRecord =
+    | { readonly kind: "job"; readonly job: jobs.Job; }
+    | { readonly kind: "cancellation"; readonly id: string; readonly cancelledAt: number; };
+
+export type LedgerRecord =
+    | { readonly kind: "leadership"; readonly leadership: Leadership; }
+    | { readonly kind: "progress"; readonly id: string; readonly progress: progress.Progress; };
+
+/** One record of a keyed topic. */
+export interface KeyedRecord {
+    readonly key: string;
+    readonly value: Uint8Array;
+}
+
+interface StoredTask {
+    readonly t: number;
+    readonly l: number;
+    readonly f: number;
+    readonly r: readonly [number, string][];
+    readonly c: string;
+}
+
+interface StoredOccurrence {
+    readonly k: number;
+    readonly n: number;
+    readonly d: Uint8Array;
+    readonly h: readonly StoredTask[];
+}
+
+interface StoredProgress {
+    readonly s: jobs.JobStatus;
+    readonly a: number;
+    readonly b: boolean;
+    readonly o: readonly StoredOccurrence[];
+}
+
+const encoder = new cbor.Encoder({ useRecords: false, tagUint8Array: false });
+
+export function encodeJob(job: jobs.Job): KeyedRecord {
+    return { key: KeyPrefix.job + job.id, value: encoder.encode(job) };
+}
+
+export function encodeCancellation(id: string, cancelledAt: number): KeyedRecord {
+    return { key: KeyPrefix.cancellation + id, value: encoder.encode({ cancelledAt }) };
+}
+
+export function encodeLeadership(leadership: Leadership): KeyedRecord {
+    return { key: leaderKey, value: encoder.encode(leadership) };
+}
+
+export function encodeProgress(id: string, current: progress.Progress): KeyedRecord {
+    const stored: StoredProgress = {
+        s: current.status,
+        a: current.statusAt,
+        b: current.begun,
+        o: progress.isSettled(current.status) && !hasRuns(current)
+            ? []
+            : [...current.occurrences].map(([number, occurrence]) => encodeOccurrence(number, occurrence)),
+    };
+    return { key: KeyPrefix.progress + id, value: encoder.encode(stored) };
+}
+
+function hasRuns(current: progress.Progress): boolean {
+    for (const occurrence of current.occurrences.values()) {
+        for (const history of occurrence.histories.values()) {
+            if (history.runs.length > 0) {
+                return true;
+            }
+        }
+    }
+    return false;
+}
+
+function encodeOccurrence(number: number, occurrence: progress.Occurrence): StoredOccurrence {
+    const histories: StoredTask[] = [];
+    for (const [task, history] of occurrence.histories) {
+        if (occurrence.done[task] !== 1 || history.runs.length > 0) {
+            histories.push({
+                t: task,
+                l: history.lastRun,
+                f: history.failures,
+                r: history.runs.map(run => [run.number, run.server]),
+                c: history.checkpoint,
+            });
+        }
+    }
+    return { k: number, n: occurrence.done.length, d: packFlags(occurrence.done), h: histories };
+}
+
+function packFlags(flags: Uint8Array): Uint8Array {
+    const packed = new Uint8Array(Math.ceil(flags.length / 8));
+    flags.forEach((flag, i) => {
+        packed[i >> 3]! |= flag << (i & 7);
+    });
+    return packed;
+}
+
+function unpackFlags(packed: Uint8Array, length: number): Uint8Array {
+    return Uint8Array.from({ length }, (_, i) => ((packed[i >> 3] ?? 0) >> (i & 7)) & 1);
+}
+
+/** Decodes a record of the submissions; `undefined` for one that isn't ours. */
+export function decodeSubmission(key: string, value: Uint8Array): SubmissionRecord | undefined {
+    const decoded = decode(value);
+    if (decoded === undefined) {
+        return undefined;
+    }
+    if (key.startsWith(KeyPrefix.job) && isJob(decoded)) {
+        return { kind: "job", job: decoded };
+    }
+    if (key.startsWith(KeyPrefix.cancellation) && isObject(decoded) && typeof decoded["cancelledAt"] === "number") {
+        return {
+            kind: "cancellation",
+            id: key.slice(KeyPrefix.cancellation.length),
+            cancelledAt: decoded["cancelledAt"],
+        };
+    }
+    return undefined;
+}
+
+/** Decodes a record of the ledger; `undefined` for one that isn't ours. */
+export function decodeLedger(key: string, value: Uint8Array): LedgerRecord | undefined {
+    const decoded = decode(value);
+    if (decoded === undefined) {
+        return undefined;
+    }
+    if (key === leaderKey && isLeadership(decoded)) {
+        return { kind: "leadership", leadership: decoded };
+    }
+    if (key.startsWith(KeyPrefix.progress) && isStoredProgress(decoded)) {
+        return { kind: "progress", id: key.slice(KeyPrefix.progress.length), progress: restoreProgress(decoded) };
+    }
+    return undefined;
+}
+
+function decode(value: Uint8Array): unknown {
+    try {
+        return encoder.decode(value);
+    }
+    catch {
+        return undefined; // The caller counts and logs records that can't be read.
+    }
+}
+
+function restoreProgress(stored: StoredProgress): progress.Progress {
+    const restored = progress.createProgress(stored.a);
+    restored.status = stored.s;
+    restored.begun = stored.b;
+    for (const one of stored.o) {
+        const done = unpackFlags(one.d, one.n);
+        const histories = new Map<number, progress.TaskHistory>();
+        for (const task of one.h) {
+            histories.set(task.t, {
+                lastRun: task.l,
+                failures: task.f,
+                runs: task.r.map(([number, server]) => ({ number, server })),
+                checkpoint: task.c,
+            });
+        }
+        restored.occurrences.set(one.k, { done, doneCount: done.reduce((sum, flag) => sum + flag, 0), histories });
+    }
+    return restored;
+}
+
+function isObject(value: unknown): value is Record<string, unknown> {
+    return typeof value === "object" && !!value;
+}
+
+function isJob(value: unknown): value is jobs.Job {
+    return isObject(value) && typeof value["id"] === "string" && typeof value["queue"] === "string"
+        && Array.isArray(value["steps"]) && typeof value["submittedAt"] === "number";
+}
+
+function isLeadership(value: unknown): value is Leadership {
+    return isObject(value) && typeof value["epoch"] === "number" && typeof value["node"] === "string";
+}
+
+function isStoredProgress(value: unknown): value is StoredProgress {
+    return isObject(value) && typeof value["s"] === "string" && Array.isArray(value["o"]);
+}
+
+/** Where a process can be reached by its peers. */
+export interface NodeAddress {
+    readonly node: string;
+    readonly address: string;
+}
+
+export function encodeNode(node: NodeAddress): KeyedRecord {
+    return { key: nodePrefix + node.node, value: encoder.encode({ address: node.address }) };
+}
+
+/** Decodes the address of a peer; `undefined` for any other record. */
+export function decodeNode(key: string, value: Uint8Array): NodeAddress | undefined {
+    if (!key.startsWith(nodePrefix)) {
+        return undefined;
+    }
+    const decoded = decode(value);
+    return isObject(decoded) && typeof decoded["address"] === "string"
+        ? { node: key.slice(nodePrefix.length), address: decoded["address"] }
+        : undefined;
+}
--- /dev/null
+++ b/packages/node/src/main.ts
@@ -0,0 +1,47 @@
+/**
+ * Entry point: reads the settings, starts the process, and ends it on SIGTERM.
+ */
+import * as eventLog from "@catkinwharf/event-log";
+import * as platform from "@catkinwharf/platform";
+import * as fs from "node:fs";
+import * as nodeProcess from "./process.js";
+
+/** Time in ms for the last log lines to be written. */
+const logFlushTime = 300;
+
+function readSettings(): platform.settings.NodeSettings {
+    const file = process.env[platform.settings.settingsVariable];
+    if (file === undefined) {
+        throw new Error(`the variable ${platform.settings.settingsVariable} names no settings file`);
+    }
+    const settings = platform.settings.decodeSettings(fs.readFileSync(file, "utf8"));
+    if ("missing" in settings) {
+        throw new Error(`${file}: ${settings.missing} is missing`);
+    }
+    return settings;
+}
+
+const settings = readSettings();
+const log = eventLog.createEventLog(settings.node);
+const running = new nodeProcess.NodeProcess(settings, log);
+
+process.on("SIGTERM", () => {
+    void running.end().finally(() => setTimeout(() => process.exit(0), logFlushTime));
+});
+process.on("SIGHUP", () => {
+    try {
+        readSettings();
+        log.info("settings-reloaded", {});
+    }
+    catch (error) {
+        log.warn("settings-rejected", { error: String(error) });
+    }
+});
+process.on("uncaughtException", error => {
+    log.warn("uncaught", { error: error.stack });
+    setTimeout(() => process.exit(1), logFlushTime);
+});
+process.on("unhandledRejection", error => {
+    log.warn("unhandled-rejection", { error: error instanceof Error ? error.stack : String(error) });
+});
+running.start();
--- /dev/null
+++ b/packages/node/src/metrics.ts
@@ -0,0 +1,44 @@
+/**
+ * Counters and histograms of a process, served as text.
+ */
+import type * as eventLog from "@catkinwharf/event-log";
+import * as http from "node:http";
+import * as promClient from "prom-client";
+
+/** Upper bounds in seconds of the answers' histogram. */
+const durationBuckets = [0.005, 0.01, 0.02, 0.05, 0.1, 0.25, 0.5, 1, 2, 4];
+
+export class Metrics {
+    readonly registry = new promClient.Registry();
+    readonly #requests = new promClient.Counter({
+        name: "catkinwharf_requests_total",
+        help: "Answered requests of callers.",
+        labelNames: ["method", "status"] as const,
+        registers: [this.registry],
+    });
+    readonly #durations = new promClient.Histogram({
+        name: "catkinwharf_request_duration_seconds",
+        help: "Time from a caller's request to its answer.",
+        labelNames: ["method"] as const,
+        buckets: durationBuckets,
+        registers: [this.registry],
+    });
+
+    /** @param duration in ms */
+    countRequest(method: string, status: string, duration: number): void {
+        this.#requests.inc({ method, status });
+        this.#durations.observe({ method }, duration / 1000);
+    }
+
+    serve(address: string, log: eventLog.EventLog): void {
+        const [host, port] = address.split(":");
+        const server = http.createServer((_message, response) => {
+            void this.registry.metrics().then(text => {
+                response.setHeader("content-type", this.registry.contentType);
+                response.end(text);
+            });
+        });
+        server.on("error", error => log.warn("metrics-unavailable", { address, error: String(error) }));
+        server.listen(Number(port), host);
+    }
+}
--- /dev/null
+++ b/packages/node/src/process.ts
@@ -0,0 +1,219 @@
+/**
+ * The process of an entry instance: follows the store, serves callers, and coordinates when it is its turn.
+ */
+import * as dispatch from "@catkinwharf/dispatch";
+import type * as eventLog from "@catkinwharf/event-log";
+import * as httpCalls from "@catkinwharf/http-calls";
+import * as intake from "@catkinwharf/intake";
+import * as jobState from "@catkinwharf/job-state";
+import * as platform from "@catkinwharf/platform";
+import * as storeClient from "@catkinwharf/store";
+import * as http from "node:http";
+import type * as net from "node:net";
+import * as metrics from "./metrics.js";
+
+/** Time in ms for which a read waits at the store; bounds how long a silent connection goes unnoticed. */
+const readWait = 1000;
+/** Time in ms for which reads gather records where nobody waits for them. */
+const followerPause = 150;
+/** The same for the coordinator's look at its own ledger. */
+const ownLedgerPause = 500;
+/** Time in ms without a good answer of the store after which submissions are refused at once. */
+const storeLostAfter = 1200;
+/** Time in ms without a good answer after which the process isn't ready; two reads' waits. */
+const unreadyAfter = 2500;
+/** Time in ms kept of the grace period for ending in order. */
+const endMargin = 1200;
+/** Time in ms for which callers may keep a connection idle; longer than they do themselves. */
+const keepAliveTimeout = 75_000;
+
+export class NodeProcess {
+    readonly #calls = new httpCalls.HttpCalls();
+    readonly #clock = dispatch.systemClocks;
+    readonly #jobs = new jobState.JobTable();
+    readonly #store: storeClient.StoreClient;
+    readonly #submissions: storeClient.TopicFollower;
+    readonly #ledger: storeClient.TopicFollower;
+    readonly #operator: storeClient.TopicFollower;
+    readonly #watch: dispatch.LeadershipWatch;
+    readonly #processStart = Date.now();
+    readonly #metrics = new metrics.Metrics();
+    readonly #servers: http.Server[] = [];
+    #configuration: platform.operatorRecords.Configuration | undefined;
+    #coordinator: dispatch.Coordinator | undefined;
+    #ending = false;
+    #activeRequests = 0;
+
+    constructor(private readonly settings: platform.settings.NodeSettings, private readonly log: eventLog.EventLog) {
+        const wall = () => this.#clock.wall();
+        this.#store = new storeClient.StoreClient(this.#calls, settings.storeAddress, log, wall);
+        this.#submissions = this.#createFollower(jobState.submissionsTopic, {
+            apply: record => this.#jobs.applySubmission(record.key, record.value),
+        }, () => this.#coordinator === undefined ? followerPause : 0);
+        this.#ledger = this.#createFollower(jobState.ledgerTopic, {
+            apply: record => this.#applyLedger(record),
+            reset: () => this.#forgetProgress(),
+        }, () => this.#coordinator === undefined ? followerPause : ownLedgerPause);
+        this.#operator = this.#createFollower(platform.storeCalls.operatorTopic, {
+            apply: record => this.#applyOperator(record),
+        }, () => 0);
+        this.#watch = new dispatch.LeadershipWatch({
+            node: settings.node,
+            processStart: this.#processStart,
+            store: this.#store,
+            ledger: this.#ledger,
+            log,
+            clock: this.#clock,
+            onClaimed: epoch => void this.#coordinate(epoch),
+            isPrepared: () => this.#configuration !== undefined && this.#submissions.loaded && !this.#ending,
+        });
+        this.#jobs.onSubmission = entry => this.#coordinator?.considerJob(entry);
+    }
+
+    start(): void {
+        this.log.info("started", { processStart: this.#processStart, store: this.settings.storeAddress });
+        const port = this.#createPort();
+        this.#listen(port, this.settings.callerAddress);
+        if (this.settings.readinessAddress !== this.settings.callerAddress) {
+            this.#listen(port, this.settings.readinessAddress);
+        }
+        this.#submissions.start();
+        this.#ledger.start();
+        this.#operator.start();
+        this.#watch.start();
+        this.#metrics.serve(`${this.settings.ip}:${this.settings.internalPorts[0]}`, this.log);
+    }
+
+    /** Ends in order: no new connections, requests in progress are answered, coordination is given up. */
+    async end(): Promise<void> {
+        if (this.#ending) {
+            return;
+        }
+        const began = this.#clock.steady();
+        this.#ending = true;
+        this.log.info("stopping", { coordinating: this.#coordinator !== undefined });
+        this.#watch.stop();
+        await this.#coordinator?.resign();
+        const limit = this.settings.bounds.grace - endMargin;
+        while (this.#clock.steady() - began < limit) {
+            await dispatch.delay(50);
+        }
+        this.#servers.forEach(server => server.close());
+        this.#servers.forEach(server => server.closeIdleConnections());
+        while (this.#activeRequests > 0 && this.#clock.steady() - began < limit + endMargin / 2) {
+            await dispatch.delay(20);
+        }
+        this.log.info("stopped", { requestsLeft: this.#activeRequests });
+    }
+
+    #createFollower(
+        topic: string,
+        handlers: storeClient.TopicHandlers,
+        pause: () => number,
+    ): storeClient.TopicFollower {
+        const options = { topic, handlers, wait: readWait, pause };
+        return new storeClient.TopicFollower(this.#store, options, this.log, () => this.#clock.wall());
+    }
+
+    #createPort(): intake.CallerPort {
+        return new intake.CallerPort({
+            jobs: this.#jobs,
+            keeper: new intake.SubmissionKeeper(this.#store, this.#jobs, () => this.#clock.steady()),
+            log: this.log,
+            steady: () => this.#clock.steady(),
+            wall: () => this.#clock.wall(),
+            configuration: () => this.#configuration,
+            refreshJobs: () => this.#submissions.catchUp(),
+            isStoreLost: () => this.#clock.wall() - this.#store.lastSuccess > storeLostAfter + readWait,
+            isReady: () => this.#isReady(),
+            isEnding: () => this.#ending,
+            count: (kind, outcome, duration) => this.#metrics.countRequest(kind, outcome, duration),
+        });
+    }
+
+    #isReady(): boolean {
+        return !this.#ending && this.#configuration !== undefined && this.#submissions.loaded && this.#ledger.loaded
+            && this.#clock.wall() - this.#store.lastSuccess < unreadyAfter;
+    }
+
+    #listen(port: intake.CallerPort, address: string): void {
+        const [host, number] = address.split(":");
+        const server = http.createServer((message, response) => {
+            this.#activeRequests += 1;
+            response.once("close", () => this.#activeRequests -= 1);
+            app.handler(message as never, response, undefined as never);
+        });
+        const app = port.createApp();
+        server.keepAliveTimeout = keepAliveTimeout;
+        server.on("error", error => {
+            this.log.warn("listen-failed", { address, error: String(error) });
+            process.exitCode = 1;
+            setTimeout(() => process.exit(), 100);
+        });
+        server.listen(Number(number), host, () => this.log.info("listening", { address: describe(server) }));
+        this.#servers.push(server);
+    }
+
+    #applyLedger(record: platform.storeCalls.KeyedRecord): void {
+        const decoded = jobState.decodeLedger(record.key, record.value);
+        this.#watch.noteRecord(decoded);
+        if (decoded?.kind === "progress" && this.#coordinator === undefined) {
+            this.#jobs.applyProgress(decoded.id, decoded.progress);
+        }
+    }
+
+    #forgetProgress(): void {
+        if (this.#coordinator === undefined) {
+            for (const entry of this.#jobs.entries.values()) {
+                entry.progress = undefined;
+            }
+        }
+    }
+
+    #applyOperator(record: platform.storeCalls.KeyedRecord): void {
+        const decoded = platform.operatorRecords.decodeOperatorRecord(record);
+        if (decoded === undefined) {
+            this.log.warn("operator-record-unreadable", { key: record.key });
+            return;
+        }
+        if (decoded.kind === "configuration" && decoded.configuration.version > (this.#configuration?.version ?? -1)) {
+            this.log.info("configuration-in-force", {
+                version: decoded.configuration.version,
+                before: this.#configuration?.version,
+                routes: decoded.configuration.routes.length,
+            });
+            this.#configuration = decoded.configuration;
+            this.#coordinator?.applyConfiguration(decoded.configuration);
+        }
+    }
+
+    async #coordinate(epoch: number): Promise<void> {
+        if (!await this.#submissions.catchUp()) {
+            this.log.warn("takeover-incomplete", { epoch, reason: "the submissions can't be read" });
+        }
+        this.#coordinator = new dispatch.Coordinator({
+            settings: this.settings,
+            epoch,
+            processStart: this.#processStart,
+            store: this.#store,
+            calls: this.#calls,
+            jobs: this.#jobs,
+            log: this.log,
+            clock: this.#clock,
+            configuration: () => this.#configuration,
+            onStepDown: () => this.#stepDown(),
+        });
+        await this.#coordinator.start();
+    }
+
+    #stepDown(): void {
+        this.#coordinator = undefined;
+        this.#watch.leading = false;
+        this.#ledger.reload();
+    }
+}
+
+function describe(server: http.Server): string {
+    const address = server.address() as net.AddressInfo;
+    return `${address.address}:${address.port}`;
+}
--- /dev/null
+++ b/packages/scheduling/src/index.ts
@@ -0,0 +1,6 @@
+/**
+ * Decisions on jobs. They take everything they need as arguments, the time included.
+ */
+export * from "./objective.js";
+export * from "./placing.js";
+export * from "./ready.js";
