--- a/packages/dispatch/src/coordinator.ts
+++ b/packages/dispatch/src/coordinator.ts
@@ -9,8 +9,10 @@
 import * as storeClient from "@catkinwharf/store";
 import type * as clocks from "./clocks.js";
 import * as context from "./context.js";
+import * as demand from "./demand.js";
 import * as fleet from "./fleet.js";
 import * as jobBoard from "./job-board.js";
+import * as keeper from "./keeper.js";
 import * as leadership from "./leadership.js";
 import * as ledgerWriter from "./ledger-writer.js";
 import * as runs from "./runs.js";
@@ -37,6 +39,9 @@
     readonly log: eventLog.EventLog;
     readonly clock: clocks.Clocks;
     readonly configuration: () => platform.operatorRecords.Configuration | undefined;
+    /** Waves that the operator has asked for, and how far earlier coordinators came with them. */
+    readonly waves: ReadonlyMap<number, platform.operatorRecords.Wave>;
+    readonly waveProgress: ReadonlyMap<number, jobState.WaveProgress>;
     readonly onStepDown: (reason: string) => void;
 }
 
@@ -46,6 +51,8 @@
     readonly #shared: context.CoordinatorContext;
     readonly #runs: runs.Runs;
     readonly #servers: storeClient.TopicFollower;
+    readonly #keeper: keeper.Keeper;
+    readonly #demand: demand.DemandMeter;
     #timer: NodeJS.Timeout | undefined;
     #passScheduled = false;
     #stopped = false;
@@ -80,6 +87,15 @@
             onLists: (server, lists, sentAt) => this.#runs.takeLists(server, lists, sentAt),
             onGone: (server, how) => this.#runs.endAll(server, how),
         });
+        this.#demand = new demand.DemandMeter(this.board, this.fleet);
+        this.#keeper = new keeper.Keeper({
+            shared: this.#shared,
+            fleet: this.fleet,
+            store,
+            listDemands: () => this.#demand.list(options.configuration(), clock.steady()),
+            vacate: server => this.#vacate(server),
+            isPinned: server => demand.isPinned(server),
+        });
         this.#servers = new storeClient.TopicFollower(
             store,
             {
@@ -103,6 +119,13 @@
         if (configuration !== undefined) {
             this.applyConfiguration(configuration);
         }
+        for (const [number, wave] of this.options.waves) {
+            this.#keeper.applyWave(wave);
+            const before = this.options.waveProgress.get(number);
+            if (before !== undefined) {
+                this.#keeper.restoreWave(number, before.begun, before.completed);
+            }
+        }
         await this.#servers.catchUp();
         this.#servers.start();
         this.#inheritRuns();
@@ -125,6 +148,7 @@
         this.#stopped = true;
         clearInterval(this.#timer);
         this.#servers.stop();
+        this.#keeper.stop();
         this.fleet.stop();
         this.#shared.writer.stop();
     }
@@ -143,12 +167,20 @@
         }
     }
 
+    applyWave(wave: platform.operatorRecords.Wave): void {
+        this.#keeper.applyWave(wave);
+    }
+
     /** A job was submitted or cancelled. */
     considerJob(entry: jobState.JobEntry): void {
+        const known = this.board.active.has(entry.id);
         const active = this.board.consider(entry, this.#shared.clock.wall());
         if (active === undefined) {
             return;
         }
+        if (!known && this.#ready) {
+            this.#demand.noteArrival(active, this.#shared.clock.steady());
+        }
         if (entry.cancelledAt !== undefined) {
             this.#cancel(active);
         }
@@ -214,6 +246,9 @@
             this.#lastBeat = now;
             this.#shared.writer.add(this.#createBeat(false));
         }
+        if (this.#ready) {
+            this.#keeper.tick();
+        }
         for (const active of [...this.board.active.values()]) {
             if (jobState.isSettled(active.progress.status)) {
                 this.#stopRunsOf(active);
@@ -298,6 +333,36 @@
         }
     }
 
+    /** Stops what a server has to be rid of, as far as the steps bear it and there is room elsewhere. */
+    #vacate(server: session.ServerSession): void {
+        const others = [...this.fleet.sessions.values()].filter(one =>
+            one !== server && one.load.open && one.entry.service === server.entry.service
+        );
+        for (const run of [...server.runs.values()]) {
+            const room = others.some(one => scheduling.fits(one.load, run.step, run.stepKey));
+            const away = this.#countAway(run);
+            if (run.step.longRunning && room && away < (run.step.maxUnavailable ?? Number.POSITIVE_INFINITY)) {
+                this.#shared.log.info("task-relocated", { step: run.stepKey, server: server.entry.id, away });
+                void this.#runs.stop(server, run);
+                return; // One at a time: the next look sees this one as away.
+            }
+        }
+    }
+
+    /** Tasks of the run's step, its own left out, that aren't fully at work. */
+    #countAway(run: session.ActiveRun): number {
+        let atWork = 0;
+        for (const server of this.fleet.sessions.values()) {
+            for (const other of server.runs.values()) {
+                const whole = other.phase === "running" && other.percent >= 100 && server.reachable;
+                if (other !== run && other.stepKey === run.stepKey && whole) {
+                    atWork += 1;
+                }
+            }
+        }
+        return run.step.taskCount - 1 - atWork;
+    }
+
     #stepDown(reason: string): void {
         if (!this.#stopped) {
             this.stop();
--- /dev/null
+++ b/packages/dispatch/src/keeper.ts
@@ -0,0 +1,386 @@
+/**
+ * Keeps the machines under the backend servers: moves empty ones between pools, and carries out maintenance waves.
+ *
+ * Every order is preceded by an append under the coordinator's epoch, so a coordinator that has been succeeded, or that
+ * slept, orders nothing. An order without an answer is repeated until it is answered; its machine stays reserved.
+ */
+import * as jobState from "@catkinwharf/job-state";
+import * as platform from "@catkinwharf/platform";
+import * as scheduling from "@catkinwharf/scheduling";
+import type * as storeClient from "@catkinwharf/store";
+import * as context from "./context.js";
+import type * as fleet from "./fleet.js";
+import type * as session from "./server-session.js";
+
+type Machine = platform.machineCalls.Machine;
+
+/** Time in ms between two readings of the list of machines. */
+const listInterval = 400;
+/** Time in ms for a call about machines. */
+const machineTimeout = 900;
+/** Longest time in ms between the confirmation of the epoch and the order that it covers. */
+const confirmationValidity = 250;
+/** Time in ms before an order that got no answer is repeated. */
+const orderRetryDelay = 300;
+/** Time in ms that a new coordinator adds to the span in which two holders may not order one machine. */
+const orderLeaseMargin = 300;
+
+export interface KeeperParts {
+    readonly shared: context.CoordinatorContext;
+    readonly fleet: fleet.Fleet;
+    readonly store: storeClient.StoreClient;
+    readonly listDemands: (machines: readonly KeptMachine[]) => scheduling.PoolDemand[];
+    /** Stops long-running tasks of a reserved server as far as their steps bear it. */
+    readonly vacate: (server: session.ServerSession) => void;
+    /** Runs there that may never be taken away. */
+    readonly isPinned: (server: session.ServerSession) => boolean;
+}
+
+export interface KeptMachine {
+    machine: Machine;
+    /** An order that is under way. */
+    ordered: "move" | "maintenance" | undefined;
+    /** On the steady clock: since when nothing runs there. */
+    emptySince: number | undefined;
+    /** Wave for which it is due, and not begun. */
+    due: boolean;
+}
+
+interface OpenWave {
+    readonly wave: platform.operatorRecords.Wave;
+    readonly begun: Set<string>;
+    /** Ordered and not seen back yet. */
+    readonly out: Map<string, number>;
+    status: "none" | "running" | "completed";
+}
+
+export class Keeper {
+    readonly machines = new Map<string, KeptMachine>();
+    readonly #waves = new Map<number, OpenWave>();
+    #lastList = Number.NEGATIVE_INFINITY;
+    #listing = false;
+    #listed = false;
+    #stopped = false;
+
+    constructor(private readonly parts: KeeperParts) {}
+
+    stop(): void {
+        this.#stopped = true;
+    }
+
+    applyWave(wave: platform.operatorRecords.Wave): void {
+        const known = this.#waves.get(wave.number);
+        if (known === undefined || known.wave.machines.join() !== wave.machines.join()) {
+            this.parts.shared.log.info("wave-seen", {
+                wave: wave.number,
+                machines: wave.machines.length,
+                maxOut: wave.maxOut,
+                duration: wave.duration,
+            });
+            this.#waves.set(wave.number, {
+                wave,
+                begun: known?.begun ?? new Set(),
+                out: known?.out ?? new Map(),
+                status: "none",
+            });
+        }
+    }
+
+    /** Takes over how far a wave was. */
+    restoreWave(number: number, begun: readonly string[], completed: boolean): void {
+        const open = this.#waves.get(number);
+        if (open !== undefined) {
+            begun.forEach(machine => open.begun.add(machine));
+            open.status = completed ? "completed" : "running";
+        }
+    }
+
+    tick(): void {
+        const { clock, settings } = this.parts.shared;
+        const now = clock.steady();
+        if (settings.machinesAddress === undefined) {
+            return;
+        }
+        if (now - this.#lastList >= listInterval && !this.#listing) {
+            this.#lastList = now;
+            this.#listing = true;
+            void this.#list().finally(() => this.#listing = false);
+        }
+        const mayOrder = now - this.parts.shared.claimedAt >= settings.bounds.orderLease + orderLeaseMargin;
+        if (!this.#listed) {
+            return;
+        }
+        this.#refresh(now);
+        this.#workOnWaves(mayOrder);
+        if (mayOrder) {
+            this.#workOnPools(now);
+        }
+    }
+
+    async #list(): Promise<void> {
+        const { calls, settings, log } = this.parts.shared;
+        const found: Machine[] = [];
+        let page: string | undefined;
+        do {
+            const answer = await calls.send(
+                settings.machinesAddress!,
+                platform.machineCalls.createList(page),
+                machineTimeout,
+            );
+            if (answer.isErr()) {
+                log.warn("machines-unread", { reason: answer.error.reason });
+                return;
+            }
+            const decoded = platform.machineCalls.decodeList(answer.value);
+            if (decoded.kind === "refused") {
+                log.warn("machines-unread", { status: decoded.status });
+                return;
+            }
+            found.push(...decoded.machines);
+            page = decoded.next;
+        }
+        while (page !== undefined && !this.#stopped);
+        this.#applyList(found);
+    }
+
+    #applyList(found: readonly Machine[]): void {
+        const ids = new Set(found.map(machine => machine.id));
+        for (const id of [...this.machines.keys()]) {
+            if (!ids.has(id)) {
+                this.machines.delete(id);
+            }
+        }
+        for (const machine of found) {
+            const known = this.machines.get(machine.id);
+            if (known === undefined) {
+                this.machines.set(machine.id, { machine, ordered: undefined, emptySince: undefined, due: false });
+            }
+            else if (known.ordered === undefined) {
+                known.machine = machine;
+            }
+        }
+        this.#listed = true;
+    }
+
+    #refresh(now: number): void {
+        for (const kept of this.machines.values()) {
+            const server = this.#findServer(kept);
+            const empty = server === undefined ? kept.machine.server === "" : server.runs.size === 0;
+            kept.emptySince = empty ? kept.emptySince ?? now : undefined;
+            kept.due = false;
+        }
+        for (const open of this.#waves.values()) {
+            for (const id of open.wave.machines) {
+                const kept = this.machines.get(id);
+                if (kept !== undefined && !open.begun.has(id)) {
+                    kept.due = true;
+                }
+            }
+        }
+    }
+
+    #findServer(kept: KeptMachine): session.ServerSession | undefined {
+        return kept.machine.server === "" ? undefined : this.parts.fleet.sessions.get(kept.machine.server);
+    }
+
+    /** Up, known to the fleet or off, and without an order under way. */
+    #isAvailable(kept: KeptMachine): boolean {
+        if (kept.ordered !== undefined || kept.machine.state !== platform.machineCalls.MachineState.up) {
+            return false;
+        }
+        const server = this.#findServer(kept);
+        return server === undefined
+            ? kept.machine.server === ""
+            : server.reachable && !server.entry.draining && !server.unlisted;
+    }
+
+    #workOnWaves(mayOrder: boolean): void {
+        for (const open of this.#waves.values()) {
+            if (open.status === "completed") {
+                continue;
+            }
+            if (open.status === "none") {
+                open.status = "running";
+                void this.#writeStatus(open, false);
+            }
+            const now = this.parts.shared.clock.steady();
+            this.#noteReturns(open, now);
+            const plan = scheduling.planWave(this.#describeWave(open), open.wave.maxOut);
+            for (const id of plan.reserve) {
+                const server = this.#findServer(this.machines.get(id)!);
+                if (server !== undefined) {
+                    server.reserved = true;
+                }
+            }
+            for (const id of open.wave.machines) {
+                const kept = this.machines.get(id);
+                const server = kept === undefined || open.begun.has(id) ? undefined : this.#findServer(kept);
+                if (server?.reserved === true && server.runs.size > 0) {
+                    this.parts.vacate(server);
+                }
+            }
+            if (mayOrder) {
+                plan.maintain.forEach(id => void this.#maintain(open, this.machines.get(id)!));
+            }
+            if (plan.complete && open.out.size === 0) {
+                open.status = "completed";
+                void this.#writeStatus(open, true);
+            }
+        }
+    }
+
+    /** Machines that are back from maintenance no longer count as out. */
+    #noteReturns(open: OpenWave, now: number): void {
+        for (const [id, orderedAt] of open.out) {
+            const kept = this.machines.get(id);
+            const back = kept === undefined
+                || (kept.ordered === undefined && kept.machine.state === platform.machineCalls.MachineState.up
+                    && now - orderedAt > this.parts.shared.settings.bounds.maintenance + listInterval);
+            if (back) {
+                open.out.delete(id);
+            }
+        }
+    }
+
+    #describeWave(open: OpenWave): scheduling.WaveInstance[] {
+        return open.wave.machines.flatMap(id => {
+            const kept = this.machines.get(id);
+            if (kept === undefined) {
+                return [];
+            }
+            const server = this.#findServer(kept);
+            return [{
+                id,
+                begun: open.begun.has(id),
+                out: open.out.has(id) || kept.machine.state === platform.machineCalls.MachineState.maintenance,
+                available: this.#isAvailable(kept),
+                runs: server?.runs.size ?? 0,
+                longRunningRuns: server?.load.longRunningTasks ?? 0,
+                reserved: server?.reserved ?? false,
+                pinned: server !== undefined && this.parts.isPinned(server),
+            }];
+        });
+    }
+
+    #workOnPools(now: number): void {
+        const demands = this.parts.listDemands([...this.machines.values()]);
+        const instances = [...this.machines.values()].map(kept => this.#describeInstance(kept));
+        for (const move of scheduling.planMoves(demands, instances, scheduling.defaultPoolPolicy, now)) {
+            void this.#move(this.machines.get(move.instance)!, move.to);
+        }
+    }
+
+    #describeInstance(kept: KeptMachine): scheduling.PoolInstance {
+        const server = this.#findServer(kept);
+        return {
+            id: kept.machine.id,
+            pool: kept.machine.pool,
+            available: this.#isAvailable(kept) && server?.reserved !== true,
+            arriving: kept.ordered === "move" || kept.machine.state === platform.machineCalls.MachineState.moving,
+            emptySince: kept.emptySince,
+            cores: kept.machine.cpu / 1000,
+            kind: kept.machine.labels[0] ?? "",
+            due: kept.due,
+        };
+    }
+
+    async #move(kept: KeptMachine, to: string): Promise<void> {
+        const from = kept.machine.pool;
+        const ordered = await this.#order(
+            kept,
+            "move",
+            holder => platform.machineCalls.createMove(kept.machine.id, to, holder),
+            { ...kept.machine, pool: to, state: platform.machineCalls.MachineState.moving, server: "" },
+        );
+        this.parts.shared.log.info("machine-moved", { machine: kept.machine.id, from, to, outcome: ordered });
+    }
+
+    async #maintain(open: OpenWave, kept: KeptMachine): Promise<void> {
+        open.out.set(kept.machine.id, this.parts.shared.clock.steady());
+        const ordered = await this.#order(
+            kept,
+            "maintenance",
+            holder => platform.machineCalls.createMaintenance(kept.machine.id, open.wave.number, holder),
+            { ...kept.machine, state: platform.machineCalls.MachineState.maintenance },
+        );
+        this.parts.shared.log.info("machine-maintained", {
+            machine: kept.machine.id,
+            wave: open.wave.number,
+            outcome: ordered,
+        });
+        if (ordered === "done" || ordered === "wave") {
+            open.begun.add(kept.machine.id);
+            open.out.set(kept.machine.id, this.parts.shared.clock.steady());
+            this.parts.shared.writer.add(
+                jobState.encodeWaveProgress(open.wave.number, { begun: [...open.begun], completed: false }),
+            );
+        }
+        else {
+            open.out.delete(kept.machine.id);
+        }
+    }
+
+    /** Gives an order until it is answered; returns what became of it. */
+    async #order(
+        kept: KeptMachine,
+        kind: "move" | "maintenance",
+        createCall: (holder: platform.machineCalls.Holder) => platform.Call,
+        after: Machine,
+    ): Promise<string> {
+        const { shared } = this.parts;
+        const server = this.#findServer(kept);
+        kept.ordered = kind;
+        const wasReserved = server?.reserved ?? false;
+        if (server !== undefined) {
+            server.reserved = true;
+            server.load.open = false;
+        }
+        let outcome = "superseded";
+        while (!this.#stopped) {
+            const before = shared.clock.wall();
+            if (!await shared.writer.flush() || (server !== undefined && server.runs.size > 0)) {
+                outcome = "not ordered";
+                break;
+            }
+            if (Math.abs(shared.clock.wall() - before) > confirmationValidity) {
+                continue; // Time has passed since the epoch was confirmed, perhaps in a suspended machine.
+            }
+            const call = createCall({ node: shared.node, fencingToken: shared.epoch });
+            const answer = await shared.calls.send(shared.settings.machinesAddress!, call, machineTimeout);
+            const decoded = answer.isOk() ? platform.machineCalls.decodeMachineOrder(answer.value) : undefined;
+            if (decoded?.kind === "done") {
+                kept.machine = after;
+                outcome = "done";
+                break;
+            }
+            if (decoded !== undefined && (decoded.status === 409 || decoded.status === 400)) {
+                outcome = decoded.reason === "" ? `status ${decoded.status}` : decoded.reason;
+                break;
+            }
+            await new Promise(resolve => setTimeout(resolve, orderRetryDelay));
+        }
+        kept.ordered = undefined;
+        if (outcome !== "done" && server !== undefined) {
+            server.reserved = wasReserved;
+        }
+        return outcome;
+    }
+
+    async #writeStatus(open: OpenWave, completed: boolean): Promise<void> {
+        const { shared, store } = this.parts;
+        shared.log.info("wave-status", { wave: open.wave.number, completed, begun: open.begun.size });
+        if (completed) {
+            shared.writer.add(
+                jobState.encodeWaveProgress(open.wave.number, { begun: [...open.begun], completed: true }),
+            );
+        }
+        const record = platform.operatorRecords.encodeWaveStatus(open.wave.number, completed);
+        while (!this.#stopped && await shared.writer.flush()) {
+            const answer = await store.append(platform.storeCalls.statusTopic, [record]);
+            if (answer.isOk()) {
+                return;
+            }
+            await new Promise(resolve => setTimeout(resolve, orderRetryDelay));
+        }
+    }
+}
--- a/packages/dispatch/src/leadership.ts
+++ b/packages/dispatch/src/leadership.ts
@@ -122,10 +122,8 @@
             processStart,
             resigned: false,
         });
-        const answer = await store.append(jobState.ledgerTopic, [claim], {
-            end: ledger.end,
-            producer: { name: jobState.ledgerProducer, epoch, sequence: 0 },
-        });
+        // No producer here: the store would take another process's claim of the same epoch for a repeat of this one.
+        const answer = await store.append(jobState.ledgerTopic, [claim], { end: ledger.end });
         if (answer.isErr()) {
             // The claim may have been stored: then the ledger names this process, and the look after it says so.
             await ledger.catchUp();
@@ -140,8 +138,33 @@
             await ledger.catchUp();
             return;
         }
+        await ledger.catchUp();
         this.leading = true;
         log.info("claimed", { epoch, after: before?.node });
-        this.options.onClaimed(epoch);
+        if (await this.#fenceEarlier(epoch)) {
+            this.options.onClaimed(epoch);
+        }
+        else {
+            this.leading = false;
+        }
+    }
+
+    /** From here on the store refuses earlier coordinators; then reads what they have stored until now. */
+    async #fenceEarlier(epoch: number): Promise<boolean> {
+        const { store, ledger, log } = this.options;
+        while (!this.#stopped && this.leadership?.epoch === epoch) {
+            const answer = await store.append(jobState.ledgerTopic, [], {
+                producer: { name: jobState.ledgerProducer, epoch, sequence: 0 },
+            });
+            if (answer.isOk() && answer.value.kind === "fenced") {
+                log.info("claim-refused", { epoch, outcome: "fenced" });
+                return false;
+            }
+            if (answer.isOk() && await ledger.catchUp()) {
+                return this.leadership?.epoch === epoch;
+            }
+            await clocks.delay(lookInterval);
+        }
+        return false;
     }
 }
--- a/packages/job-state/src/records.ts
+++ b/packages/job-state/src/records.ts
@@ -16,6 +16,7 @@
 const KeyPrefix = { job: "j:", cancellation: "c:", progress: "p:" } as const;
 const leaderKey = "leader";
 const nodePrefix = "n:";
+const wavePrefix = "w:";
 
 /** Who coordinates, in the ledger. */
 export interface Leadership {
@@ -34,7 +35,15 @@
 
 export type LedgerRecord =
     | { readonly kind: "leadership"; readonly leadership: Leadership; }
-    | { readonly kind: "progress"; readonly id: string; readonly progress: progress.Progress; };
+    | { readonly kind: "progress"; readonly id: string; readonly progress: progress.Progress; }
+    | { readonly kind: "wave"; readonly number: number; readonly wave: WaveProgress; };
+
+/** How far a maintenance wave is. */
+export interface WaveProgress {
+    /** Machines whose maintenance has been ordered. */
+    readonly begun: readonly string[];
+    readonly completed: boolean;
+}
 
 /** One record of a keyed topic. */
 export interface KeyedRecord {
@@ -78,6 +87,10 @@
     return { key: leaderKey, value: encoder.encode(leadership) };
 }
 
+export function encodeWaveProgress(number: number, wave: WaveProgress): KeyedRecord {
+    return { key: wavePrefix + number, value: encoder.encode(wave) };
+}
+
 export function encodeProgress(id: string, current: progress.Progress): KeyedRecord {
     const stored: StoredProgress = {
         s: current.status,
@@ -157,6 +170,13 @@
     if (key === leaderKey && isLeadership(decoded)) {
         return { kind: "leadership", leadership: decoded };
     }
+    if (key.startsWith(wavePrefix) && isObject(decoded) && Array.isArray(decoded["begun"])) {
+        return {
+            kind: "wave",
+            number: Number(key.slice(wavePrefix.length)),
+            wave: { begun: decoded["begun"].map(String), completed: decoded["completed"] === true },
+        };
+    }
     if (key.startsWith(KeyPrefix.progress) && isStoredProgress(decoded)) {
         return { kind: "progress", id: key.slice(KeyPrefix.progress.length), progress: restoreProgress(decoded) };
     }
--- a/packages/node/src/process.ts
+++ b/packages/node/src/process.ts
@@ -39,6 +39,8 @@
     readonly #processStart = Date.now();
     readonly #metrics = new metrics.Metrics();
     readonly #servers: http.Server[] = [];
+    readonly #waves = new Map<number, platform.operatorRecords.Wave>();
+    readonly #waveProgress = new Map<number, jobState.WaveProgress>();
     #configuration: platform.operatorRecords.Configuration | undefined;
     #coordinator: dispatch.Coordinator | undefined;
     #ending = false;
@@ -157,6 +159,9 @@
     #applyLedger(record: platform.storeCalls.KeyedRecord): void {
         const decoded = jobState.decodeLedger(record.key, record.value);
         this.#watch.noteRecord(decoded);
+        if (decoded?.kind === "wave") {
+            this.#waveProgress.set(decoded.number, decoded.wave);
+        }
         if (decoded?.kind === "progress" && this.#coordinator === undefined) {
             this.#jobs.applyProgress(decoded.id, decoded.progress);
         }
@@ -176,6 +181,10 @@
             this.log.warn("operator-record-unreadable", { key: record.key });
             return;
         }
+        if (decoded.kind === "wave") {
+            this.#waves.set(decoded.wave.number, decoded.wave);
+            this.#coordinator?.applyWave(decoded.wave);
+        }
         if (decoded.kind === "configuration" && decoded.configuration.version > (this.#configuration?.version ?? -1)) {
             this.log.info("configuration-in-force", {
                 version: decoded.configuration.version,
@@ -201,6 +210,8 @@
             log: this.log,
             clock: this.#clock,
             configuration: () => this.#configuration,
+            waves: this.#waves,
+            waveProgress: this.#waveProgress,
             onStepDown: () => this.#stepDown(),
         });
         await this.#coordinator.start();
--- a/packages/scheduling/src/index.ts
+++ b/packages/scheduling/src/index.ts
@@ -3,4 +3,6 @@
  */
 export * from "./objective.js";
 export * from "./placing.js";
+export * from "./pools.js";
 export * from "./ready.js";
+export * from "./waves.js";
--- /dev/null
+++ b/packages/scheduling/src/pools.ts
@@ -0,0 +1,128 @@
+/**
+ * How many instances each service's pool should hold, and which instances move.
+ *
+ * Load: queues whose demand comes in turns, each for some seconds several times what its pool can do while the others
+ * idle. Only empty instances move. An instance that nobody needs goes to the standby pool, where it costs nothing.
+ */
+
+/** What one pool has to do. */
+export interface PoolDemand {
+    readonly service: string;
+    readonly standby: boolean;
+    /** Processor time of the work that arrives, in cores, over the last seconds. */
+    readonly arriving: number;
+    /** Core-seconds of accepted work that hasn't ended. */
+    readonly backlog: number;
+    /** Instances that the pool needs whatever the work is: those that hold long-running tasks, and room to move these. */
+    readonly floor: number;
+}
+
+export interface PoolInstance {
+    readonly id: string;
+    readonly pool: string;
+    /** Up, and not about to be moved or maintained. */
+    readonly available: boolean;
+    /** On its way into `pool`. */
+    readonly arriving: boolean;
+    /** Nothing runs there, since this time on the steady clock, ms; `undefined` when something runs. */
+    readonly emptySince: number | undefined;
+    readonly cores: number;
+    /** Instances of one kind can replace each other. */
+    readonly kind: string;
+    /** Due for maintenance soon: moved last, so that it can be maintained where it is. */
+    readonly due: boolean;
+}
+
+export interface PoolPolicy {
+    /** Ms within which a backlog should be worked off. */
+    readonly clearance: number;
+    /** Ms for which an instance has been empty before it is switched off. */
+    readonly idleBeforeStandby: number;
+    /** Ms for which an instance has been empty before it is lent to another pool. */
+    readonly idleBeforeLending: number;
+    /** Share of an instance's cores that packing reaches. */
+    readonly fill: number;
+}
+
+/** Clearance in the order of a job's slack; waits shorter than what a move costs and takes. */
+export const defaultPoolPolicy: PoolPolicy = {
+    clearance: 1500,
+    idleBeforeStandby: 1200,
+    idleBeforeLending: 300,
+    fill: 0.85,
+};
+
+export interface Move {
+    readonly instance: string;
+    readonly to: string;
+}
+
+/** Instances that a pool should hold, given the cores of one. */
+export function countWanted(demand: PoolDemand, cores: number, policy: PoolPolicy): number {
+    const neededCores = demand.arriving + demand.backlog / (policy.clearance / 1000);
+    return Math.max(demand.floor, Math.ceil(neededCores / (cores * policy.fill)));
+}
+
+/** Plans moves at `now`, on the steady clock, ms. */
+export function planMoves(
+    demands: readonly PoolDemand[],
+    instances: readonly PoolInstance[],
+    policy: PoolPolicy,
+    now: number,
+): Move[] {
+    const byPool = groupByPool(instances);
+    const standby = demands.find(demand => demand.standby);
+    const gaps = demands.filter(demand => !demand.standby).map(demand => {
+        const held = byPool.get(demand.service) ?? [];
+        const usable = held.filter(instance => instance.available || instance.arriving);
+        const cores = measureCores(usable.length > 0 ? usable : instances);
+        return { demand, gap: countWanted(demand, cores, policy) - usable.length };
+    });
+    const spare = gaps.flatMap(({ demand, gap }) =>
+        gap < 0 ? listEmpty(byPool.get(demand.service) ?? [], now, policy.idleBeforeLending).slice(0, -gap) : []
+    );
+    const off = standby === undefined ? [] : listEmpty(byPool.get(standby.service) ?? [], now, 0);
+    const moves: Move[] = [];
+    const lacking = gaps.filter(({ gap }) => gap > 0).sort((a, b) => b.gap - a.gap);
+    for (const { demand, gap } of lacking) {
+        for (let i = 0; i < gap; i++) {
+            const taken = spare.shift() ?? off.shift();
+            if (taken === undefined) {
+                break;
+            }
+            moves.push({ instance: taken.id, to: demand.service });
+        }
+    }
+    if (standby !== undefined) {
+        for (const instance of spare) {
+            if (now - instance.emptySince! >= policy.idleBeforeStandby) {
+                moves.push({ instance: instance.id, to: standby.service });
+            }
+        }
+    }
+    return moves;
+}
+
+function groupByPool(instances: readonly PoolInstance[]): Map<string, PoolInstance[]> {
+    const byPool = new Map<string, PoolInstance[]>();
+    for (const instance of instances) {
+        const list = byPool.get(instance.pool) ?? [];
+        list.push(instance);
+        byPool.set(instance.pool, list);
+    }
+    return byPool;
+}
+
+function measureCores(instances: readonly PoolInstance[]): number {
+    const total = instances.reduce((sum, instance) => sum + instance.cores, 0);
+    return instances.length === 0 ? 1 : Math.max(1, total / instances.length);
+}
+
+/** Empty instances, those that aren't due for maintenance and those empty longest first. */
+function listEmpty(instances: readonly PoolInstance[], now: number, since: number): PoolInstance[] {
+    return instances
+        .filter(instance =>
+            instance.available && instance.emptySince !== undefined && now - instance.emptySince >= since
+        )
+        .sort((a, b) => Number(a.due) - Number(b.due) || a.emptySince! - b.emptySince!);
+}
