--- a/packages/dispatch/src/coordinator.ts
+++ b/packages/dispatch/src/coordinator.ts
@@ -92,7 +92,7 @@
             shared: this.#shared,
             fleet: this.fleet,
             store,
-            listDemands: () => this.#demand.list(options.configuration(), clock.steady()),
+            listDemands: () => this.#demand.seenWork ? this.#demand.list(options.configuration(), clock.steady()) : [],
             vacate: server => this.#vacate(server),
             isPinned: server => demand.isPinned(server),
         });
@@ -126,15 +126,19 @@
                 this.#keeper.restoreWave(number, before.begun, before.completed);
             }
         }
-        await this.#servers.catchUp();
-        this.#servers.start();
+        while (!this.#stopped && !await this.#servers.catchUp()) {
+            await new Promise(resolve => setTimeout(resolve, tickInterval));
+        }
         this.#inheritRuns();
+        this.fleet.begin();
+        this.#servers.start();
         const { clock } = this.#shared;
         const patienceEnd = clock.steady() + takeoverPatience;
         while (!this.#stopped && clock.steady() < patienceEnd && this.#hasUnasked()) {
             await new Promise(resolve => setTimeout(resolve, 10));
         }
         this.#ready = true;
+        this.#demand.seenWork = this.board.active.size > 0;
         this.#shared.log.info("coordinating", {
             epoch: this.options.epoch,
             jobs: this.board.active.size,
--- a/packages/dispatch/src/demand.ts
+++ b/packages/dispatch/src/demand.ts
@@ -8,17 +8,35 @@
 import type * as jobBoard from "./job-board.js";
 import type * as session from "./server-session.js";
 
-/** Time in ms over which arrivals are averaged; short against the seconds that a burst lasts. */
+/** Least time in ms over which arrivals are averaged; short against the seconds that a burst lasts. */
 const arrivalSpan = 1000;
+/** Share of an earlier burst at whose return the whole of it is expected. */
+const burstOnset = 0.3;
+/** Time in ms in which the memory of a burst fades by a factor of e. */
+const burstMemory = 60_000;
+/** Share of the remembered burst below which the burst is over. */
+const burstEnd = 0.15;
+/** Time in ms for which a burst that begins is expected to reach the one before; then the arrivals have shown it. */
+const burstRise = 1500;
 
+/** Arrivals of one service's queues. */
 interface Arrivals {
-    /** Core-seconds per second. */
+    /** Cores that the jobs which arrived keep busy over their span. */
     rate: number;
+    /** Ms over which the rate is averaged: the longer the jobs' chains, the longer. */
+    span: number;
     at: number;
+    /** Highest rate of the last burst. */
+    peak: number;
+    bursting: boolean;
+    /** On the steady clock: until then the last burst's peak is expected. */
+    expectedUntil: number;
 }
 
 export class DemandMeter {
     readonly #arrivals = new Map<string, Arrivals>();
+    /** Some work has arrived; before that nothing is known of the demand. */
+    seenWork = false;
 
     constructor(private readonly board: jobBoard.JobBoard, private readonly fleet: fleet.Fleet) {}
 
@@ -26,7 +44,13 @@
     noteArrival(active: jobBoard.ActiveJob, now: number): void {
         const arrivals = this.#find(active.route.service, now);
         decay(arrivals, now);
-        arrivals.rate += measureWork(active.job) / (arrivalSpan / 1000);
+        const work = measureWork(active.job);
+        if (work > 0) {
+            this.seenWork = true;
+            arrivals.span += (Math.max(arrivalSpan, active.chain) - arrivals.span) / 8;
+            arrivals.rate += work / (arrivals.span / 1000);
+            noteBurst(arrivals);
+        }
     }
 
     /** What every pool has to do at `now`, on the steady clock, ms. */
@@ -34,7 +58,7 @@
         configuration: platform.operatorRecords.Configuration | undefined,
         now: number,
     ): scheduling.PoolDemand[] {
-        const backlogs = this.#measureBacklogs();
+        const backlogs = this.#measureBacklogs(now);
         const floors = this.#countFloors();
         return (configuration?.services ?? []).map(service => {
             const arrivals = this.#find(service.name, now);
@@ -42,7 +66,7 @@
             return {
                 service: service.name,
                 standby: service.standby,
-                arriving: arrivals.rate,
+                arriving: now < arrivals.expectedUntil ? Math.max(arrivals.rate, arrivals.peak) : arrivals.rate,
                 backlog: backlogs.get(service.name) ?? 0,
                 floor: floors.get(service.name) ?? 0,
             };
@@ -52,15 +76,23 @@
     #find(service: string, now: number): Arrivals {
         let found = this.#arrivals.get(service);
         if (found === undefined) {
-            found = { rate: 0, at: now };
+            found = { rate: 0, span: arrivalSpan, at: now, peak: 0, bursting: false, expectedUntil: 0 };
             this.#arrivals.set(service, found);
         }
         return found;
     }
 
-    /** Core-seconds of tasks that could start now and don't run. */
-    #measureBacklogs(): Map<string, number> {
+    /** Core-seconds that are left of the tasks that run, and of those that could. */
+    #measureBacklogs(now: number): Map<string, number> {
         const backlogs = new Map<string, number>();
+        for (const server of this.fleet.sessions.values()) {
+            let left = 0;
+            for (const run of server.runs.values()) {
+                const share = 1 - Math.min(1, (now - run.orderedAt) / Math.max(1, run.step.estimate));
+                left += run.step.longRunning ? 0 : measureTask(run.step) * share;
+            }
+            backlogs.set(server.entry.service, (backlogs.get(server.entry.service) ?? 0) + left);
+        }
         for (const active of this.board.active.values()) {
             let work = 0;
             for (const ready of active.readiness?.steps ?? []) {
@@ -104,8 +136,22 @@
 }
 
 function decay(arrivals: Arrivals, now: number): void {
-    arrivals.rate *= Math.exp(-Math.max(0, now - arrivals.at) / arrivalSpan);
+    const passed = Math.max(0, now - arrivals.at);
+    arrivals.rate *= Math.exp(-passed / arrivals.span);
+    arrivals.peak *= Math.exp(-passed / burstMemory);
     arrivals.at = now;
+    if (arrivals.bursting && arrivals.rate < arrivals.peak * burstEnd) {
+        arrivals.bursting = false;
+    }
+}
+
+/** A rate that comes near that of an earlier burst is taken for the next one. */
+function noteBurst(arrivals: Arrivals): void {
+    if (!arrivals.bursting && arrivals.peak > 0 && arrivals.rate >= arrivals.peak * burstOnset) {
+        arrivals.bursting = true;
+        arrivals.expectedUntil = arrivals.at + burstRise;
+    }
+    arrivals.peak = Math.max(arrivals.peak, arrivals.rate);
 }
 
 function measureTask(step: jobState.Step): number {
--- a/packages/dispatch/src/fleet.ts
+++ b/packages/dispatch/src/fleet.ts
@@ -31,6 +31,7 @@
 export class Fleet {
     readonly sessions = new Map<string, session.ServerSession>();
     #stopped = false;
+    #begun = false;
 
     constructor(
         private readonly shared: context.CoordinatorContext,
@@ -41,6 +42,14 @@
         this.#stopped = true;
     }
 
+    /** Begins to call the servers. Runs of earlier coordinators have to be known by then, lest they be taken for strays. */
+    begin(): void {
+        this.#begun = true;
+        for (const server of this.sessions.values()) {
+            void this.#hold(server);
+        }
+    }
+
     /** Applies a server's record; without a value the server is no longer listed. */
     applyRecord(record: platform.storeCalls.KeyedRecord): void {
         if (record.value.length === 0) {
@@ -128,7 +137,9 @@
         );
         opened.lastAnswer = this.shared.clock.steady();
         this.sessions.set(entry.id, opened);
-        void this.#hold(opened);
+        if (this.#begun) {
+            void this.#hold(opened);
+        }
         return opened;
     }
 
--- a/packages/node/src/process.ts
+++ b/packages/node/src/process.ts
@@ -22,6 +22,8 @@
 const storeLostAfter = 1200;
 /** Time in ms without a good answer after which the process isn't ready; two reads' waits. */
 const unreadyAfter = 2500;
+/** Time in ms between two tries of a new coordinator to read the submissions. */
+const takeoverRetryDelay = 100;
 /** Time in ms kept of the grace period for ending in order. */
 const endMargin = 1200;
 /** Time in ms for which callers may keep a connection idle; longer than they do themselves. */
@@ -197,8 +199,13 @@
     }
 
     async #coordinate(epoch: number): Promise<void> {
-        if (!await this.#submissions.catchUp()) {
-            this.log.warn("takeover-incomplete", { epoch, reason: "the submissions can't be read" });
+        while (!await this.#submissions.catchUp()) {
+            if (this.#ending || this.#watch.leadership?.epoch !== epoch) {
+                this.log.warn("takeover-abandoned", { epoch, reason: "the submissions can't be read" });
+                this.#watch.leading = false;
+                return;
+            }
+            await dispatch.delay(takeoverRetryDelay);
         }
         this.#coordinator = new dispatch.Coordinator({
             settings: this.settings,
--- a/packages/scheduling/src/pools.ts
+++ b/packages/scheduling/src/pools.ts
@@ -9,9 +9,9 @@
 export interface PoolDemand {
     readonly service: string;
     readonly standby: boolean;
-    /** Processor time of the work that arrives, in cores, over the last seconds. */
+    /** Processor time that the work which arrives needs, in cores. */
     readonly arriving: number;
-    /** Core-seconds of accepted work that hasn't ended. */
+    /** Core-seconds that are left of tasks that run or could run. */
     readonly backlog: number;
     /** Instances that the pool needs whatever the work is: those that hold long-running tasks, and room to move these. */
     readonly floor: number;
@@ -34,6 +34,8 @@
 }
 
 export interface PoolPolicy {
+    /** Ms until an instance that is moved can work. */
+    readonly moveTime: number;
     /** Ms within which a backlog should be worked off. */
     readonly clearance: number;
     /** Ms for which an instance has been empty before it is switched off. */
@@ -44,10 +46,14 @@
     readonly fill: number;
 }
 
-/** Clearance in the order of a job's slack; waits shorter than what a move costs and takes. */
+/**
+ * Clearance is in the order of the slack of short jobs. Two moves, out and back, cost what an idle instance costs in
+ * some 2.3 s; one that stays idle for longer is switched off.
+ */
 export const defaultPoolPolicy: PoolPolicy = {
-    clearance: 1500,
-    idleBeforeStandby: 1200,
+    moveTime: 1500,
+    clearance: 1000,
+    idleBeforeStandby: 2300,
     idleBeforeLending: 300,
     fill: 0.85,
 };
@@ -57,10 +63,18 @@
     readonly to: string;
 }
 
-/** Instances that a pool should hold, given the cores of one. */
-export function countWanted(demand: PoolDemand, cores: number, policy: PoolPolicy): number {
-    const neededCores = demand.arriving + demand.backlog / (policy.clearance / 1000);
-    return Math.max(demand.floor, Math.ceil(neededCores / (cores * policy.fill)));
+/**
+ * Instances that a pool should hold: enough for what arrives, and for what will still wait when an instance that is
+ * moved now can work.
+ *
+ * @param capacity cores of the instances that the pool has or is about to get
+ * @param cores of one instance
+ */
+export function countWanted(demand: PoolDemand, capacity: number, cores: number, policy: PoolPolicy): number {
+    const usable = capacity * policy.fill;
+    const waiting = Math.max(0, demand.backlog + (demand.arriving - usable) * policy.moveTime / 1000);
+    const needed = demand.arriving + waiting / (policy.clearance / 1000);
+    return Math.max(demand.floor, Math.ceil(needed / (cores * policy.fill)));
 }
 
 /** Plans moves at `now`, on the steady clock, ms. */
@@ -76,7 +90,7 @@
         const held = byPool.get(demand.service) ?? [];
         const usable = held.filter(instance => instance.available || instance.arriving);
         const cores = measureCores(usable.length > 0 ? usable : instances);
-        return { demand, gap: countWanted(demand, cores, policy) - usable.length };
+        return { demand, gap: countWanted(demand, cores * usable.length, cores, policy) - usable.length };
     });
     const spare = gaps.flatMap(({ demand, gap }) =>
         gap < 0 ? listEmpty(byPool.get(demand.service) ?? [], now, policy.idleBeforeLending).slice(0, -gap) : []
