Give up a connection that isn't made within 600 ms

Cause: a connection begun during a partition was left to the system, which sent its opening packet again after 1, 2, 4 and 8 s: a process was without the store for 5 s after a cut had ended, and answered by an old configuration (CONFIG 2).

--- a/packages/http-calls/src/index.ts
+++ b/packages/http-calls/src/index.ts
@@ -24,6 +24,11 @@
 const maxConnections = 12;
 /** Time in ms that a connection may be idle; longer than a calm stretch, since new connections are dear to servers. */
 const idleTimeout = 60_000;
+/**
+ * Time in ms for a connection to be made. Left to the system, a connection begun during a partition is tried again ever
+ * more rarely, and long after its end.
+ */
+const connectTimeout = 600;
 /** Errors that show that nothing was sent. */
 const unsentCodes: ReadonlySet<string> = new Set([
     "ECONNREFUSED",
@@ -87,7 +92,7 @@
                 pipelining: 1,
                 keepAliveTimeout: idleTimeout,
                 keepAliveMaxTimeout: idleTimeout,
-                connect: { timeout: 0 },
+                connect: { timeout: connectTimeout },
             });
             this.#pools.set(address, pool);
         }
