--- a/packages/dispatch/src/fleet.ts
+++ b/packages/dispatch/src/fleet.ts
@@ -192,7 +192,7 @@
             return;
         }
         if (answer.isErr()) {
-            this.#noteUnreachable(server, answer.error.fault, answer.error.reason);
+            this.#noteUnreachable(server, answer.error.reason);
             await clocks.delay(unreachableDelay);
             return;
         }
@@ -265,17 +265,21 @@
         this.handlers.onGone(server, "lost");
     }
 
-    #noteUnreachable(server: session.ServerSession, fault: string, reason: string): void {
+    /** Nothing is concluded on what runs there: a partition can refuse and reset connections too. */
+    #noteUnreachable(server: session.ServerSession, reason: string): void {
         if (server.reachable) {
             server.reachable = false;
             this.#updateOpen(server);
             this.shared.log.warn("server-unreachable", { server: server.entry.id, reason, runs: server.runs.size });
         }
-        if (fault === "unsent" && reason === "ECONNREFUSED") {
-            // No process listens there: whatever ran in it is gone.
+    }
+
+    /** The platform says that another life has begun on the server's machine, or that the machine is out. */
+    noteEnded(id: string, evidence: string): void {
+        const server = this.sessions.get(id);
+        if (server !== undefined && !server.reachable && server.runs.size > 0) {
+            this.shared.log.info("server-ended", { server: id, evidence, runs: server.runs.size });
             this.handlers.onGone(server, "lost");
-            server.clockSample = undefined;
-            server.leaseEndSent = 0;
         }
     }
 
--- a/packages/dispatch/src/keeper.ts
+++ b/packages/dispatch/src/keeper.ts
@@ -18,6 +18,8 @@
 const listInterval = 400;
 /** Time in ms for a call about machines. */
 const machineTimeout = 900;
+/** Time in ms between two lines on the pools. */
+const reportInterval = 1000;
 /** Longest time in ms between the confirmation of the epoch and the order that it covers. */
 const confirmationValidity = 250;
 /** Time in ms before an order that got no answer is repeated. */
@@ -57,6 +59,7 @@
 export class Keeper {
     readonly machines = new Map<string, KeptMachine>();
     readonly #waves = new Map<number, OpenWave>();
+    #lastReport = Number.NEGATIVE_INFINITY;
     #lastList = Number.NEGATIVE_INFINITY;
     #listing = false;
     #listed = false;
@@ -156,6 +159,9 @@
                 this.machines.set(machine.id, { machine, ordered: undefined, emptySince: undefined, due: false });
             }
             else if (known.ordered === undefined) {
+                if (known.machine.server !== "" && machine.server !== known.machine.server) {
+                    this.parts.fleet.noteEnded(known.machine.server, `machine ${machine.id} is ${machine.state}`);
+                }
                 known.machine = machine;
             }
         }
@@ -265,11 +271,32 @@
     #workOnPools(now: number): void {
         const demands = this.parts.listDemands([...this.machines.values()]);
         const instances = [...this.machines.values()].map(kept => this.#describeInstance(kept));
+        if (now - this.#lastReport >= reportInterval) {
+            this.#lastReport = now;
+            this.#report(demands, instances);
+        }
         for (const move of scheduling.planMoves(demands, instances, scheduling.defaultPoolPolicy, now)) {
             void this.#move(this.machines.get(move.instance)!, move.to);
         }
     }
 
+    /** Says what the moves are decided by. */
+    #report(demands: readonly scheduling.PoolDemand[], instances: readonly scheduling.PoolInstance[]): void {
+        for (const demand of demands) {
+            const held = instances.filter(instance => instance.pool === demand.service);
+            this.parts.shared.log.info("pool", {
+                service: demand.service,
+                held: held.length,
+                available: held.filter(instance => instance.available).length,
+                arriving: held.filter(instance => instance.arriving).length,
+                empty: held.filter(instance => instance.emptySince !== undefined).length,
+                demand: Math.round(demand.arriving),
+                backlog: Math.round(demand.backlog),
+                floor: demand.floor,
+            });
+        }
+    }
+
     #describeInstance(kept: KeptMachine): scheduling.PoolInstance {
         const server = this.#findServer(kept);
         return {
