--- a/packages/dispatch/src/coordinator.ts
+++ b/packages/dispatch/src/coordinator.ts
@@ -92,7 +92,8 @@
             shared: this.#shared,
             fleet: this.fleet,
             store,
-            listDemands: () => this.#demand.seenWork ? this.#demand.list(options.configuration(), clock.steady()) : [],
+            listDemands: () => this.#demand.list(options.configuration(), clock.steady()),
+            knownSince: () => this.#demand.firstWorkAt,
             vacate: server => this.#vacate(server),
             isPinned: server => demand.isPinned(server),
         });
@@ -138,7 +139,7 @@
             await new Promise(resolve => setTimeout(resolve, 10));
         }
         this.#ready = true;
-        this.#demand.seenWork = this.board.active.size > 0;
+        this.#demand.firstWorkAt = this.board.active.size > 0 ? clock.steady() : undefined;
         this.#shared.log.info("coordinating", {
             epoch: this.options.epoch,
             jobs: this.board.active.size,
--- a/packages/dispatch/src/demand.ts
+++ b/packages/dispatch/src/demand.ts
@@ -10,6 +10,14 @@
 
 /** Least time in ms over which arrivals are averaged; short against the seconds that a burst lasts. */
 const arrivalSpan = 1000;
+/** How much faster the fast average follows. */
+const fastFactor = 3;
+/** The fast average counts when it is this many times the slow one. */
+const fastLead = 1.4;
+/** Share of the fast average that counts; it overshoots. */
+const fastTrust = 0.8;
+/** Least time in ms within which a backlog should be worked off. */
+const minClearance = 800;
 /** Share of an earlier burst at whose return the whole of it is expected. */
 const burstOnset = 0.3;
 /** Time in ms in which the memory of a burst fades by a factor of e. */
@@ -23,6 +31,10 @@
 interface Arrivals {
     /** Cores that the jobs which arrived keep busy over their span. */
     rate: number;
+    /** The same over a third of the span: shows a burst sooner. */
+    fastRate: number;
+    /** Ms that jobs can usually wait and still meet their objective. */
+    slack: number;
     /** Ms over which the rate is averaged: the longer the jobs' chains, the longer. */
     span: number;
     at: number;
@@ -35,8 +47,8 @@
 
 export class DemandMeter {
     readonly #arrivals = new Map<string, Arrivals>();
-    /** Some work has arrived; before that nothing is known of the demand. */
-    seenWork = false;
+    /** On the steady clock: when work was first seen; before that nothing is known of the demand. */
+    firstWorkAt: number | undefined;
 
     constructor(private readonly board: jobBoard.JobBoard, private readonly fleet: fleet.Fleet) {}
 
@@ -46,9 +58,12 @@
         decay(arrivals, now);
         const work = measureWork(active.job);
         if (work > 0) {
-            this.seenWork = true;
+            this.firstWorkAt ??= now;
             arrivals.span += (Math.max(arrivalSpan, active.chain) - arrivals.span) / 8;
             arrivals.rate += work / (arrivals.span / 1000);
+            arrivals.fastRate += fastFactor * work / (arrivals.span / 1000);
+            const slack = (active.route.slackFactor - 1) * active.chain + active.route.latencyTarget;
+            arrivals.slack += (slack - arrivals.slack) / 8;
             noteBurst(arrivals);
         }
     }
@@ -66,7 +81,10 @@
             return {
                 service: service.name,
                 standby: service.standby,
-                arriving: now < arrivals.expectedUntil ? Math.max(arrivals.rate, arrivals.peak) : arrivals.rate,
+                clearance: Math.max(minClearance, arrivals.slack),
+                arriving: now < arrivals.expectedUntil
+                    ? Math.max(arrivals.rate, arrivals.peak)
+                    : estimateRate(arrivals),
                 backlog: backlogs.get(service.name) ?? 0,
                 floor: floors.get(service.name) ?? 0,
             };
@@ -76,7 +94,16 @@
     #find(service: string, now: number): Arrivals {
         let found = this.#arrivals.get(service);
         if (found === undefined) {
-            found = { rate: 0, span: arrivalSpan, at: now, peak: 0, bursting: false, expectedUntil: 0 };
+            found = {
+                rate: 0,
+                fastRate: 0,
+                slack: minClearance,
+                span: arrivalSpan,
+                at: now,
+                peak: 0,
+                bursting: false,
+                expectedUntil: 0,
+            };
             this.#arrivals.set(service, found);
         }
         return found;
@@ -138,6 +165,7 @@
 function decay(arrivals: Arrivals, now: number): void {
     const passed = Math.max(0, now - arrivals.at);
     arrivals.rate *= Math.exp(-passed / arrivals.span);
+    arrivals.fastRate *= Math.exp(-fastFactor * passed / arrivals.span);
     arrivals.peak *= Math.exp(-passed / burstMemory);
     arrivals.at = now;
     if (arrivals.bursting && arrivals.rate < arrivals.peak * burstEnd) {
@@ -145,6 +173,13 @@
     }
 }
 
+/** Cores that the arriving work needs; rising sooner than the average, and falling with it. */
+function estimateRate(arrivals: Arrivals): number {
+    return arrivals.fastRate > arrivals.rate * fastLead
+        ? Math.max(arrivals.rate, arrivals.fastRate * fastTrust)
+        : arrivals.rate;
+}
+
 /** A rate that comes near that of an earlier burst is taken for the next one. */
 function noteBurst(arrivals: Arrivals): void {
     if (!arrivals.bursting && arrivals.peak > 0 && arrivals.rate >= arrivals.peak * burstOnset) {
--- a/packages/dispatch/src/job-board.ts
+++ b/packages/dispatch/src/job-board.ts
@@ -12,6 +12,8 @@
     route: platform.operatorRecords.Route;
     /** Longest chain of work in ms. */
     readonly chain: number;
+    /** From the beginning of each step to the end of the job, in ms. */
+    readonly remaining: readonly number[];
     /** Servers on which one of its runs failed. */
     readonly avoided: Set<string>;
     /** What may start; `undefined` after a change. */
@@ -60,6 +62,7 @@
             progress: entry.progress,
             route,
             chain: scheduling.measureChain(job, 1),
+            remaining: scheduling.measureRemaining(job),
             avoided: new Set(),
             readiness: undefined,
         };
@@ -97,7 +100,8 @@
     #rank(active: ActiveJob, ready: scheduling.ReadyStep, wall: number): scheduling.Rank {
         const objective = scheduling.findObjective(active.job, ready.occurrence, active.chain, active.route);
         const step = active.job.steps[ready.step]!;
-        return scheduling.rank(objective, step.estimate, step.longRunning, active.route, wall);
+        const remaining = active.remaining[ready.step]!;
+        return scheduling.rank(objective, remaining, step.longRunning, active.progress.begun, active.route, wall);
     }
 }
 
--- a/packages/dispatch/src/keeper.ts
+++ b/packages/dispatch/src/keeper.ts
@@ -31,7 +31,9 @@
     readonly shared: context.CoordinatorContext;
     readonly fleet: fleet.Fleet;
     readonly store: storeClient.StoreClient;
-    readonly listDemands: (machines: readonly KeptMachine[]) => scheduling.PoolDemand[];
+    readonly listDemands: () => scheduling.PoolDemand[];
+    /** On the steady clock: since when the demand is known; `undefined` before the first job. */
+    readonly knownSince: () => number | undefined;
     /** Stops long-running tasks of a reserved server as far as their steps bear it. */
     readonly vacate: (server: session.ServerSession) => void;
     /** Runs there that may never be taken away. */
@@ -54,11 +56,15 @@
     /** Ordered and not seen back yet. */
     readonly out: Map<string, number>;
     status: "none" | "running" | "completed";
+    /** On the steady clock: when it was seen, at the latest. */
+    readonly seenAt: number;
 }
 
 export class Keeper {
     readonly machines = new Map<string, KeptMachine>();
     readonly #waves = new Map<number, OpenWave>();
+    /** Empty machines that no pool needs, by the last plan of the pools. */
+    #surplus: ReadonlySet<string> = new Set();
     #lastReport = Number.NEGATIVE_INFINITY;
     #lastList = Number.NEGATIVE_INFINITY;
     #listing = false;
@@ -85,6 +91,7 @@
                 begun: known?.begun ?? new Set(),
                 out: known?.out ?? new Map(),
                 status: "none",
+                seenAt: known?.seenAt ?? this.parts.shared.clock.steady(),
             });
         }
     }
@@ -114,10 +121,10 @@
             return;
         }
         this.#refresh(now);
-        this.#workOnWaves(mayOrder);
         if (mayOrder) {
             this.#workOnPools(now);
         }
+        this.#workOnWaves(mayOrder);
     }
 
     async #list(): Promise<void> {
@@ -211,7 +218,11 @@
             }
             const now = this.parts.shared.clock.steady();
             this.#noteReturns(open, now);
-            const plan = scheduling.planWave(this.#describeWave(open), open.wave.maxOut);
+            const plan = scheduling.planWave(this.#describeWave(open), {
+                maxOut: open.wave.maxOut,
+                left: open.seenAt + open.wave.duration - now,
+                maintenance: this.parts.shared.settings.bounds.maintenance,
+            });
             for (const id of plan.reserve) {
                 const server = this.#findServer(this.machines.get(id)!);
                 if (server !== undefined) {
@@ -264,18 +275,24 @@
                 longRunningRuns: server?.load.longRunningTasks ?? 0,
                 reserved: server?.reserved ?? false,
                 pinned: server !== undefined && this.parts.isPinned(server),
+                idle: this.#surplus.has(id),
             }];
         });
     }
 
     #workOnPools(now: number): void {
-        const demands = this.parts.listDemands([...this.machines.values()]);
+        if (this.parts.knownSince() === undefined) {
+            return; // Pools stay as the operator laid them until something is known of the demand.
+        }
+        const demands = this.parts.listDemands();
         const instances = [...this.machines.values()].map(kept => this.#describeInstance(kept));
         if (now - this.#lastReport >= reportInterval) {
             this.#lastReport = now;
             this.#report(demands, instances);
         }
-        for (const move of scheduling.planMoves(demands, instances, scheduling.defaultPoolPolicy, now)) {
+        const plan = scheduling.planMoves(demands, instances, scheduling.defaultPoolPolicy, now);
+        this.#surplus = new Set(plan.surplus);
+        for (const move of plan.moves) {
             void this.#move(this.machines.get(move.instance)!, move.to);
         }
     }
@@ -304,7 +321,9 @@
             pool: kept.machine.pool,
             available: this.#isAvailable(kept) && server?.reserved !== true,
             arriving: kept.ordered === "move" || kept.machine.state === platform.machineCalls.MachineState.moving,
-            emptySince: kept.emptySince,
+            emptySince: kept.emptySince === undefined
+                ? undefined
+                : Math.max(kept.emptySince, this.parts.knownSince() ?? 0),
             cores: kept.machine.cpu / 1000,
             kind: kept.machine.labels[0] ?? "",
             due: kept.due,
--- a/packages/scheduling/src/objective.ts
+++ b/packages/scheduling/src/objective.ts
@@ -24,6 +24,20 @@
     return Math.max(0, ...ends);
 }
 
+/** Time in ms of the longest chain of work from the beginning of each step to the end of the job. */
+export function measureRemaining(job: jobState.Job): number[] {
+    const after = job.steps.map(() => 0);
+    const remaining = job.steps.map(() => 0);
+    for (let i = job.steps.length - 1; i >= 0; i--) {
+        const step = job.steps[i]!;
+        remaining[i] = step.estimate + after[i]!;
+        for (const earlier of step.dependsOn) {
+            after[earlier] = Math.max(after[earlier] ?? 0, remaining[i]!);
+        }
+    }
+    return remaining;
+}
+
 /** Unix time in ms until which the occurrence has to be complete. */
 export function findObjective(job: jobState.Job, occurrence: number, chain: number, policy: QueuePolicy): number {
     return jobState.findDueTime(job, occurrence) + policy.slackFactor * chain + policy.latencyTarget;
@@ -35,6 +49,8 @@
     readonly priority: number;
     /** The objective can't be met any more. */
     readonly hopeless: boolean;
+    /** Some of the job is done or runs. Finishing it comes before beginning another, lest both be late. */
+    readonly begun: boolean;
     /** Ms that the candidate can still wait and meet its objective. */
     readonly slack: number;
 }
@@ -46,7 +62,7 @@
     if (a.hopeless !== b.hopeless) {
         return a.hopeless ? 1 : -1;
     }
-    return a.priority - b.priority || a.slack - b.slack;
+    return a.priority - b.priority || Number(b.begun) - Number(a.begun) || a.slack - b.slack;
 }
 
 /** Ranks what remains of an occurrence at `now`, Unix time in ms. */
@@ -54,9 +70,10 @@
     objective: number,
     remainingChain: number,
     longRunning: boolean,
+    begun: boolean,
     policy: QueuePolicy,
     now: number,
 ): Rank {
     const slack = objective - now - remainingChain;
-    return { longRunning, priority: policy.priority, hopeless: !longRunning && slack < 0, slack };
+    return { longRunning, priority: policy.priority, hopeless: !longRunning && slack < 0, begun, slack };
 }
--- a/packages/scheduling/src/pools.ts
+++ b/packages/scheduling/src/pools.ts
@@ -13,6 +13,8 @@
     readonly arriving: number;
     /** Core-seconds that are left of tasks that run or could run. */
     readonly backlog: number;
+    /** Ms that its jobs can usually wait and still meet their objective: a backlog should be worked off within it. */
+    readonly clearance: number;
     /** Instances that the pool needs whatever the work is: those that hold long-running tasks, and room to move these. */
     readonly floor: number;
 }
@@ -36,8 +38,6 @@
 export interface PoolPolicy {
     /** Ms until an instance that is moved can work. */
     readonly moveTime: number;
-    /** Ms within which a backlog should be worked off. */
-    readonly clearance: number;
     /** Ms for which an instance has been empty before it is switched off. */
     readonly idleBeforeStandby: number;
     /** Ms for which an instance has been empty before it is lent to another pool. */
@@ -47,17 +47,22 @@
 }
 
 /**
- * Clearance is in the order of the slack of short jobs. Two moves, out and back, cost what an idle instance costs in
+ * Two moves, out and back, cost what an idle instance costs in
  * some 2.3 s; one that stays idle for longer is switched off.
  */
 export const defaultPoolPolicy: PoolPolicy = {
     moveTime: 1500,
-    clearance: 1000,
     idleBeforeStandby: 2300,
     idleBeforeLending: 300,
     fill: 0.85,
 };
 
+export interface PoolPlan {
+    readonly moves: readonly Move[];
+    /** Empty instances that no pool needs. */
+    readonly surplus: readonly string[];
+}
+
 export interface Move {
     readonly instance: string;
     readonly to: string;
@@ -73,7 +78,7 @@
 export function countWanted(demand: PoolDemand, capacity: number, cores: number, policy: PoolPolicy): number {
     const usable = capacity * policy.fill;
     const waiting = Math.max(0, demand.backlog + (demand.arriving - usable) * policy.moveTime / 1000);
-    const needed = demand.arriving + waiting / (policy.clearance / 1000);
+    const needed = demand.arriving + waiting / (demand.clearance / 1000);
     return Math.max(demand.floor, Math.ceil(needed / (cores * policy.fill)));
 }
 
@@ -83,7 +88,7 @@
     instances: readonly PoolInstance[],
     policy: PoolPolicy,
     now: number,
-): Move[] {
+): PoolPlan {
     const byPool = groupByPool(instances);
     const standby = demands.find(demand => demand.standby);
     const gaps = demands.filter(demand => !demand.standby).map(demand => {
@@ -114,7 +119,7 @@
             }
         }
     }
-    return moves;
+    return { moves, surplus: lacking.length > 0 ? [] : [...spare, ...off].map(instance => instance.id) };
 }
 
 function groupByPool(instances: readonly PoolInstance[]): Map<string, PoolInstance[]> {
--- a/packages/scheduling/src/waves.ts
+++ b/packages/scheduling/src/waves.ts
@@ -19,6 +19,17 @@
     readonly reserved: boolean;
     /** What runs there may never be taken away. */
     readonly pinned: boolean;
+    /** No pool needs it now. */
+    readonly idle: boolean;
+}
+
+/** What bounds a wave. */
+export interface WaveBounds {
+    readonly maxOut: number;
+    /** Ms until the wave has to be over. */
+    readonly left: number;
+    /** Ms for which one instance is out. */
+    readonly maintenance: number;
 }
 
 export interface WavePlan {
@@ -31,18 +42,41 @@
 
 /** Instances emptied beyond those that may be out, so that the next one is ready when one returns. */
 const reserveAhead = 1;
+/** Ms of a wave kept for instances that take long to empty. */
+const waveMargin = 6000;
+/** Ms that pass between the return of one instance and the order for the next. */
+const turnaround = 700;
 
-export function planWave(instances: readonly WaveInstance[], maxOut: number): WavePlan {
+/**
+ * Plans one look at a wave. Instances that no pool needs go at once; beyond those only as many are out as it takes to
+ * end in time, so that bursts keep their capacity.
+ */
+export function planWave(instances: readonly WaveInstance[], bounds: WaveBounds): WavePlan {
     const open = instances.filter(instance => !instance.begun);
     const out = instances.filter(instance => instance.out).length;
-    const empty = open.filter(instance => instance.available && instance.runs === 0);
-    const maintain = empty.slice(0, Math.max(0, maxOut - out)).map(instance => instance.id);
+    const paced = countPaced(open.length, bounds);
+    const empty = open
+        .filter(instance => instance.available && instance.runs === 0)
+        .sort((a, b) => Number(b.reserved) - Number(a.reserved) || Number(b.idle) - Number(a.idle));
+    const maintain: string[] = [];
+    for (const instance of empty) {
+        const nowOut = out + maintain.length;
+        if (nowOut < bounds.maxOut && (instance.idle || nowOut < paced)) {
+            maintain.push(instance.id);
+        }
+    }
     const reserved = open.filter(instance => instance.reserved && instance.runs > 0).length;
-    const room = Math.max(0, maxOut - out - maintain.length + reserveAhead - reserved);
+    const room = Math.max(0, Math.min(paced, bounds.maxOut) - out - maintain.length + reserveAhead - reserved);
     const reserve = open
         .filter(instance => instance.available && instance.runs > 0 && !instance.reserved && !instance.pinned)
         .sort((a, b) => a.longRunningRuns - b.longRunningRuns || a.runs - b.runs)
-        .slice(0, room)
+        .slice(0, empty.length > maintain.length ? 0 : room)
         .map(instance => instance.id);
     return { maintain, reserve, complete: open.length === 0 };
 }
+
+/** Instances that have to be out at once for the wave to end in time. */
+function countPaced(open: number, bounds: WaveBounds): number {
+    const rounds = Math.max(1, Math.floor((bounds.left - waveMargin) / (bounds.maintenance + turnaround)));
+    return Math.max(1, Math.ceil(open / rounds));
+}
