--- a/packages/dispatch/src/coordinator.ts
+++ b/packages/dispatch/src/coordinator.ts
@@ -42,6 +42,8 @@
     /** Waves that the operator has asked for, and how far earlier coordinators came with them. */
     readonly waves: ReadonlyMap<number, platform.operatorRecords.Wave>;
     readonly waveProgress: ReadonlyMap<number, jobState.WaveProgress>;
+    /** On the steady clock: when earlier coordinators' orders for machines were read. */
+    readonly machineOrders: ReadonlyMap<string, number>;
     readonly onStepDown: (reason: string) => void;
 }
 
@@ -93,6 +95,7 @@
             fleet: this.fleet,
             store,
             listDemands: () => this.#demand.list(options.configuration(), clock.steady()),
+            earlierOrders: options.machineOrders,
             knownSince: () => this.#demand.firstWorkAt,
             vacate: server => this.#vacate(server),
             isPinned: server => demand.isPinned(server),
--- a/packages/dispatch/src/demand.ts
+++ b/packages/dispatch/src/demand.ts
@@ -56,7 +56,7 @@
     noteArrival(active: jobBoard.ActiveJob, now: number): void {
         const arrivals = this.#find(active.route.service, now);
         decay(arrivals, now);
-        const work = measureWork(active.job);
+        const work = measureWork(active.job, this.#findShape());
         if (work > 0) {
             this.firstWorkAt ??= now;
             arrivals.span += (Math.max(arrivalSpan, active.chain) - arrivals.span) / 8;
@@ -91,6 +91,15 @@
         });
     }
 
+    #findShape(): Shape {
+        for (const server of this.fleet.sessions.values()) {
+            if (server.entry.cpu > 0) {
+                return Math.max(1, server.entry.memory / server.entry.cpu);
+            }
+        }
+        return Number.POSITIVE_INFINITY;
+    }
+
     #find(service: string, now: number): Arrivals {
         let found = this.#arrivals.get(service);
         if (found === undefined) {
@@ -112,11 +121,12 @@
     /** Core-seconds that are left of the tasks that run, and of those that could. */
     #measureBacklogs(now: number): Map<string, number> {
         const backlogs = new Map<string, number>();
+        const shape = this.#findShape();
         for (const server of this.fleet.sessions.values()) {
             let left = 0;
             for (const run of server.runs.values()) {
                 const share = 1 - Math.min(1, (now - run.orderedAt) / Math.max(1, run.step.estimate));
-                left += run.step.longRunning ? 0 : measureTask(run.step) * share;
+                left += run.step.longRunning ? 0 : measureTask(run.step, shape) * share;
             }
             backlogs.set(server.entry.service, (backlogs.get(server.entry.service) ?? 0) + left);
         }
@@ -124,7 +134,7 @@
             let work = 0;
             for (const ready of active.readiness?.steps ?? []) {
                 const step = active.job.steps[ready.step]!;
-                work += step.longRunning ? 0 : ready.tasks.length * measureTask(step);
+                work += step.longRunning ? 0 : ready.tasks.length * measureTask(step, shape);
             }
             backlogs.set(active.route.service, (backlogs.get(active.route.service) ?? 0) + work);
         }
@@ -189,14 +199,21 @@
     arrivals.peak = Math.max(arrivals.peak, arrivals.rate);
 }
 
-function measureTask(step: jobState.Step): number {
-    return step.filler ? 0 : step.demand.cpu / 1000 * (step.estimate / 1000);
+/** Megabytes for each thousandth of a core, on the servers at hand. */
+type Shape = number;
+
+/**
+ * Core-seconds of one task by its caller's estimate. A task that takes more of a server's memory than of its cores counts
+ * with the cores that it keeps from others.
+ */
+function measureTask(step: jobState.Step, shape: Shape): number {
+    return step.filler ? 0 : Math.max(step.demand.cpu, step.demand.memory / shape) / 1000 * (step.estimate / 1000);
 }
 
-/** Core-seconds of a job by its caller's estimates; long-running tasks count as none. */
-function measureWork(job: jobState.Job): number {
+/** Core-seconds of a job; long-running tasks count as none. */
+function measureWork(job: jobState.Job, shape: Shape): number {
     return job.steps.reduce(
-        (sum, step) => sum + (step.longRunning ? 0 : step.taskCount * measureTask(step)),
+        (sum, step) => sum + (step.longRunning ? 0 : step.taskCount * measureTask(step, shape)),
         0,
     );
 }
--- a/packages/dispatch/src/keeper.ts
+++ b/packages/dispatch/src/keeper.ts
@@ -26,12 +26,16 @@
 const orderRetryDelay = 300;
 /** Time in ms that a new coordinator adds to the span in which two holders may not order one machine. */
 const orderLeaseMargin = 300;
+/** Time in ms before a new coordinator orders machines; by then it knows what runs on them. */
+const orderPatience = 700;
 
 export interface KeeperParts {
     readonly shared: context.CoordinatorContext;
     readonly fleet: fleet.Fleet;
     readonly store: storeClient.StoreClient;
     readonly listDemands: () => scheduling.PoolDemand[];
+    /** On the steady clock: when earlier coordinators' orders for machines were read. */
+    readonly earlierOrders: ReadonlyMap<string, number>;
     /** On the steady clock: since when the demand is known; `undefined` before the first job. */
     readonly knownSince: () => number | undefined;
     /** Stops long-running tasks of a reserved server as far as their steps bear it. */
@@ -106,7 +110,7 @@
     }
 
     tick(): void {
-        const { clock, settings } = this.parts.shared;
+        const { clock, settings, claimedAt } = this.parts.shared;
         const now = clock.steady();
         if (settings.machinesAddress === undefined) {
             return;
@@ -116,7 +120,7 @@
             this.#listing = true;
             void this.#list().finally(() => this.#listing = false);
         }
-        const mayOrder = now - this.parts.shared.claimedAt >= settings.bounds.orderLease + orderLeaseMargin;
+        const mayOrder = now - claimedAt >= orderPatience;
         if (!this.#listed) {
             return;
         }
@@ -196,9 +200,19 @@
         return kept.machine.server === "" ? undefined : this.parts.fleet.sessions.get(kept.machine.server);
     }
 
+    /** Another coordinator may have ordered the machine so lately that a second order would come too soon. */
+    #isHeld(machine: string): boolean {
+        const { clock, settings } = this.parts.shared;
+        const read = this.parts.earlierOrders.get(machine);
+        return read !== undefined && clock.steady() - read < settings.bounds.orderLease + orderLeaseMargin;
+    }
+
     /** Up, known to the fleet or off, and without an order under way. */
     #isAvailable(kept: KeptMachine): boolean {
-        if (kept.ordered !== undefined || kept.machine.state !== platform.machineCalls.MachineState.up) {
+        if (
+            kept.ordered !== undefined || this.#isHeld(kept.machine.id)
+            || kept.machine.state !== platform.machineCalls.MachineState.up
+        ) {
             return false;
         }
         const server = this.#findServer(kept);
@@ -384,6 +398,7 @@
         let outcome = "superseded";
         while (!this.#stopped) {
             const before = shared.clock.wall();
+            shared.writer.add(jobState.encodeMachineOrder(kept.machine.id, shared.epoch));
             if (!await shared.writer.flush() || (server !== undefined && server.runs.size > 0)) {
                 outcome = "not ordered";
                 break;
--- a/packages/job-state/src/records.ts
+++ b/packages/job-state/src/records.ts
@@ -17,6 +17,7 @@
 const leaderKey = "leader";
 const nodePrefix = "n:";
 const wavePrefix = "w:";
+const machinePrefix = "m:";
 
 /** Who coordinates, in the ledger. */
 export interface Leadership {
@@ -36,6 +37,8 @@
 export type LedgerRecord =
     | { readonly kind: "leadership"; readonly leadership: Leadership; }
     | { readonly kind: "progress"; readonly id: string; readonly progress: progress.Progress; }
+    /** A machine was about to be ordered by the coordinator of the epoch. */
+    | { readonly kind: "machine"; readonly id: string; readonly epoch: number; }
     | { readonly kind: "wave"; readonly number: number; readonly wave: WaveProgress; };
 
 /** How far a maintenance wave is. */
@@ -91,6 +94,10 @@
     return { key: wavePrefix + number, value: encoder.encode(wave) };
 }
 
+export function encodeMachineOrder(id: string, epoch: number): KeyedRecord {
+    return { key: machinePrefix + id, value: encoder.encode({ epoch }) };
+}
+
 export function encodeProgress(id: string, current: progress.Progress): KeyedRecord {
     const stored: StoredProgress = {
         s: current.status,
@@ -170,6 +177,9 @@
     if (key === leaderKey && isLeadership(decoded)) {
         return { kind: "leadership", leadership: decoded };
     }
+    if (key.startsWith(machinePrefix) && isObject(decoded) && typeof decoded["epoch"] === "number") {
+        return { kind: "machine", id: key.slice(machinePrefix.length), epoch: decoded["epoch"] };
+    }
     if (key.startsWith(wavePrefix) && isObject(decoded) && Array.isArray(decoded["begun"])) {
         return {
             kind: "wave",
--- a/packages/node/src/process.ts
+++ b/packages/node/src/process.ts
@@ -18,10 +18,6 @@
 const followerPause = 150;
 /** The same for the coordinator's look at its own ledger. */
 const ownLedgerPause = 500;
-/** Time in ms without a good answer of the store after which submissions are refused at once. */
-const storeLostAfter = 1200;
-/** Time in ms without a good answer after which the process isn't ready; two reads' waits. */
-const unreadyAfter = 2500;
 /** Time in ms between two tries of a new coordinator to read the submissions. */
 const takeoverRetryDelay = 100;
 /** Time in ms kept of the grace period for ending in order. */
@@ -42,6 +38,8 @@
     readonly #metrics = new metrics.Metrics();
     readonly #servers: http.Server[] = [];
     readonly #waves = new Map<number, platform.operatorRecords.Wave>();
+    /** On the steady clock: when it was read that a coordinator was about to order the machine. */
+    readonly #machineOrders = new Map<string, number>();
     readonly #waveProgress = new Map<number, jobState.WaveProgress>();
     #configuration: platform.operatorRecords.Configuration | undefined;
     #coordinator: dispatch.Coordinator | undefined;
@@ -128,7 +126,7 @@
             wall: () => this.#clock.wall(),
             configuration: () => this.#configuration,
             refreshJobs: () => this.#submissions.catchUp(),
-            isStoreLost: () => this.#clock.wall() - this.#store.lastSuccess > storeLostAfter + readWait,
+            isStoreLost: () => this.#store.isOut(this.#clock.wall()),
             isReady: () => this.#isReady(),
             isEnding: () => this.#ending,
             count: (kind, outcome, duration) => this.#metrics.countRequest(kind, outcome, duration),
@@ -137,7 +135,7 @@
 
     #isReady(): boolean {
         return !this.#ending && this.#configuration !== undefined && this.#submissions.loaded && this.#ledger.loaded
-            && this.#clock.wall() - this.#store.lastSuccess < unreadyAfter;
+            && !this.#store.isOut(this.#clock.wall());
     }
 
     #listen(port: intake.CallerPort, address: string): void {
@@ -161,6 +159,9 @@
     #applyLedger(record: platform.storeCalls.KeyedRecord): void {
         const decoded = jobState.decodeLedger(record.key, record.value);
         this.#watch.noteRecord(decoded);
+        if (decoded?.kind === "machine") {
+            this.#machineOrders.set(decoded.id, this.#clock.steady());
+        }
         if (decoded?.kind === "wave") {
             this.#waveProgress.set(decoded.number, decoded.wave);
         }
@@ -219,6 +220,7 @@
             configuration: () => this.#configuration,
             waves: this.#waves,
             waveProgress: this.#waveProgress,
+            machineOrders: new Map(this.#machineOrders),
             onStepDown: () => this.#stepDown(),
         });
         await this.#coordinator.start();
--- a/packages/store/src/store-client.ts
+++ b/packages/store/src/store-client.ts
@@ -27,6 +27,11 @@
 /** Longest time in ms for a call that doesn't wait for anything; the store answers in 4 ms, slow in up to 300. */
 export const callTimeout = 900;
 
+/** Time in ms since the last success after which failing calls mean that the store is out of reach. */
+const lostPatience = 400;
+/** The same when no call has failed yet: longer than the reads of all followers wait. */
+const silencePatience = 1500;
+
 export class StoreClient {
     /** Unix time in ms of the last answer that did what was asked. */
     lastSuccess = 0;
@@ -39,6 +44,11 @@
         private readonly now: () => number,
     ) {}
 
+    /** The store can't be used from here, as far as the last calls tell; `now` is Unix time in ms. */
+    isOut(now: number): boolean {
+        return now - this.lastSuccess > (this.#lost ? lostPatience : silencePatience);
+    }
+
     async append(
         topic: string,
         records: readonly platform.storeCalls.KeyedRecord[],
