--- /dev/null
+++ b/packages/job-state/src/records.test.ts
@@ -0,0 +1,108 @@
+/** What is stored comes back, and what others store is skipped. */
+import * as fastCheck from "fast-check";
+import * as uvu from "uvu";
+import * as assert from "uvu/assert";
+import * as jobState from "./index.js";
+
+const seed = 20_261_205;
+const suite = uvu.suite(`records (seed ${seed})`);
+
+const job: jobState.Job = {
+    id: "00000000000000aa",
+    queue: "quotes",
+    payload: "text",
+    steps: [{
+        taskCount: 11,
+        demand: { cpu: 1000, memory: 100, accelerators: 0 },
+        estimate: 1000,
+        dependsOn: [],
+        checkpointed: true,
+        gang: false,
+        sameRack: false,
+        requiredLabel: undefined,
+        dataRack: undefined,
+        maxPerServer: 0,
+        speculative: false,
+        longRunning: false,
+        image: undefined,
+        tailTarget: 0,
+        filler: false,
+        maxUnavailable: undefined,
+    }],
+    repetition: undefined,
+    submittedAt: 5,
+};
+
+suite("progress survives the ledger: done tasks, runs under way, failures, checkpoints", () => {
+    const progress = jobState.createProgress(7);
+    progress.begun = true;
+    progress.status = jobState.JobStatus.running;
+    const occurrence = jobState.findOccurrence(progress, job, 0);
+    jobState.markDone(occurrence, 0);
+    jobState.markDone(occurrence, 9);
+    const history = jobState.findHistory(occurrence, 10);
+    Object.assign(history, { lastRun: 3, failures: 2, checkpoint: "00ab", runs: [{ number: 3, server: "i-1@9" }] });
+    const record = jobState.encodeProgress(job.id, progress);
+    const decoded = jobState.decodeLedger(record.key, record.value);
+    assert.ok(decoded?.kind === "progress" && decoded.id === job.id);
+    const restored = decoded.progress.occurrences.get(0)!;
+    assert.is(restored.doneCount, 2);
+    assert.equal([...restored.done], [...occurrence.done]);
+    assert.equal(restored.histories.get(10), history);
+    assert.ok(decoded.progress.begun);
+});
+
+suite("the first record of a job wins, a cancellation before it counts", () => {
+    const table = new jobState.JobTable();
+    const cancellation = jobState.encodeCancellation(job.id, 9);
+    table.applySubmission(cancellation.key, cancellation.value);
+    assert.is(table.findStatus(job.id), undefined);
+    for (const submittedAt of [5, 6]) {
+        const record = jobState.encodeJob({ ...job, submittedAt });
+        table.applySubmission(record.key, record.value);
+    }
+    assert.is(table.entries.get(job.id)?.job?.submittedAt, 5);
+    assert.is(table.findStatus(job.id), jobState.JobStatus.cancelled);
+});
+
+suite("pending counts jobs that nobody cancelled and that haven't begun", () => {
+    const table = new jobState.JobTable();
+    for (const id of ["00000000000000aa", "00000000000000ab", "00000000000000ac"]) {
+        const record = jobState.encodeJob({ ...job, id });
+        table.applySubmission(record.key, record.value);
+    }
+    const begun = jobState.createProgress(0);
+    begun.begun = true;
+    table.applyProgress("00000000000000ab", begun);
+    assert.is(table.countPending("quotes"), 2);
+    assert.is(table.countPending("other"), 0);
+});
+
+suite("bytes of other writers are no records, and raise nothing", () => {
+    fastCheck.assert(
+        fastCheck.property(
+            fastCheck.constantFrom("leader", "j:x", "c:x", "p:x", "w:1", "m:a", "n:a", "?"),
+            fastCheck.uint8Array({ maxLength: 200 }),
+            (key, value) => {
+                jobState.decodeSubmission(key, value);
+                jobState.decodeLedger(key, value);
+                jobState.decodeNode(key, value);
+            },
+        ),
+        { seed, numRuns: 2000 },
+    );
+});
+
+suite("leadership and wave progress survive the ledger", () => {
+    const leadership = { epoch: 4, node: "n1", writtenAt: 1, processStart: 2, resigned: false };
+    const record = jobState.encodeLeadership(leadership);
+    assert.equal(jobState.decodeLedger(record.key, record.value), { kind: "leadership", leadership });
+    const wave = jobState.encodeWaveProgress(3, { begun: ["m-1"], completed: false });
+    assert.equal(jobState.decodeLedger(wave.key, wave.value), {
+        kind: "wave",
+        number: 3,
+        wave: { begun: ["m-1"], completed: false },
+    });
+});
+
+suite.run();
--- /dev/null
+++ b/packages/scheduling/src/placing.test.ts
@@ -0,0 +1,89 @@
+/** Placing: never above capacity, on as few servers as it takes, gangs whole or not at all. */
+import * as fastCheck from "fast-check";
+import * as uvu from "uvu";
+import * as assert from "uvu/assert";
+import * as scheduling from "./index.js";
+import * as fixtures from "./testing/fixtures.js";
+
+const seed = 20_261_204;
+const suite = uvu.suite(`placing (seed ${seed})`);
+const nobody: ReadonlySet<string> = new Set();
+
+function place(
+    step: Parameters<typeof fixtures.createStep>[0],
+    servers: readonly scheduling.ServerLoad[],
+): scheduling.Placement[] {
+    const whole = fixtures.createStep(step);
+    const tasks = Array.from({ length: whole.taskCount }, (_, i) => i);
+    return scheduling.placeStep({ stepKey: "job.0.0", step: whole, tasks, avoided: nobody }, servers);
+}
+
+suite("no server gets more than it has room for, whatever the demands", () => {
+    fastCheck.assert(
+        fastCheck.property(
+            fastCheck.array(
+                fastCheck.record({
+                    cpu: fastCheck.integer({ min: 0, max: 5000 }),
+                    memory: fastCheck.integer({ min: 0, max: 5000 }),
+                    tasks: fastCheck.integer({ min: 1, max: 6 }),
+                    gang: fastCheck.boolean(),
+                }),
+                { maxLength: 12 },
+            ),
+            steps => {
+                const servers = ["a", "b", "c"].map(id => fixtures.createLoad(id));
+                for (const { cpu, memory, tasks, gang } of steps) {
+                    place({ taskCount: tasks, gang, demand: { cpu, memory, accelerators: 0 } }, servers);
+                }
+                return servers.every(server => server.freeCpu >= 0 && server.freeMemory >= 0);
+            },
+        ),
+        { seed, numRuns: 300 },
+    );
+});
+
+suite("tasks share a server while it has room, so that others stay empty", () => {
+    const servers = [fixtures.createLoad("a"), fixtures.createLoad("b", { freeCpu: 3000, tasks: 1 })];
+    assert.equal(place({ taskCount: 3 }, servers).map(one => one.server.id), ["b", "b", "b"]);
+});
+
+suite("a gang is placed whole or not at all, and gives back what it took", () => {
+    const servers = [fixtures.createLoad("a")];
+    assert.equal(place({ taskCount: 5, gang: true }, servers), []);
+    assert.is(servers[0]!.freeCpu, 4000);
+    assert.is(place({ taskCount: 4, gang: true }, servers).length, 4);
+});
+
+suite("a gang that has to share a rack does", () => {
+    const servers = [
+        fixtures.createLoad("a", { rack: "r1", freeCpu: 1000 }),
+        fixtures.createLoad("b", { rack: "r2" }),
+        fixtures.createLoad("c", { rack: "r1" }),
+    ];
+    const racks = place({ taskCount: 5, gang: true, sameRack: true }, servers).map(one => one.server.rack);
+    assert.equal(new Set(racks), new Set(["r1"]));
+});
+
+suite("labels and the limit of tasks on one server hold", () => {
+    const servers = [fixtures.createLoad("a"), fixtures.createLoad("b", { labels: ["fast"] })];
+    assert.equal(place({ taskCount: 3, requiredLabel: "fast", maxPerServer: 2 }, servers).map(one => one.server.id), [
+        "b",
+        "b",
+    ]);
+});
+
+suite("a filler takes memory but no processor time", () => {
+    const servers = [fixtures.createLoad("a", { freeCpu: 0 })];
+    assert.is(place({ filler: true }, servers).length, 1);
+    assert.is(servers[0]!.freeCpu, 0);
+    assert.is(servers[0]!.freeMemory, 3900);
+});
+
+suite("a server on which the step failed comes last", () => {
+    const servers = [fixtures.createLoad("a", { tasks: 1 }), fixtures.createLoad("b")];
+    const step = fixtures.createStep();
+    const placed = scheduling.placeStep({ stepKey: "k", step, tasks: [0], avoided: new Set(["a"]) }, servers);
+    assert.is(placed[0]?.server.id, "b");
+});
+
+suite.run();
--- /dev/null
+++ b/packages/scheduling/src/pools.test.ts
@@ -0,0 +1,70 @@
+/** Pools under bursts that come in turns: what moves, and what callers' jobs wait for. */
+import * as uvu from "uvu";
+import * as assert from "uvu/assert";
+import * as scheduling from "./index.js";
+import * as fixtures from "./testing/fixtures.js";
+
+const suite = uvu.suite("pools");
+const policy = scheduling.defaultPoolPolicy;
+const spare = fixtures.createDemand("off", { standby: true });
+
+function listMoves(
+    demands: readonly scheduling.PoolDemand[],
+    instances: readonly scheduling.PoolInstance[],
+    now: number,
+): string[] {
+    return scheduling.planMoves(demands, instances, policy, now).moves.map(move => `${move.instance}>${move.to}`);
+}
+
+suite("a burst takes empty instances from pools whose turn is over, then from those that are off", () => {
+    const instances = [
+        fixtures.createInstance("a1", "a"),
+        fixtures.createInstance("b1", "b", { emptySince: 0 }),
+        fixtures.createInstance("b2", "b"),
+        fixtures.createInstance("o1", "off", { emptySince: 0 }),
+    ];
+    const demands = [fixtures.createDemand("a", { arriving: 24 }), fixtures.createDemand("b"), spare];
+    assert.equal(listMoves(demands, instances, 1000), ["b1>a", "o1>a"]);
+});
+
+suite("an instance that runs something never moves", () => {
+    const instances = [fixtures.createInstance("a1", "a"), fixtures.createInstance("b1", "b")];
+    const demands = [fixtures.createDemand("a", { arriving: 100 }), fixtures.createDemand("b"), spare];
+    assert.equal(listMoves(demands, instances, 60_000), []);
+});
+
+suite("instances that are on their way count, so a burst isn't answered twice", () => {
+    const instances = [
+        fixtures.createInstance("a1", "a"),
+        fixtures.createInstance("a2", "a", { available: false, arriving: true }),
+        fixtures.createInstance("o1", "off", { emptySince: 0 }),
+    ];
+    assert.equal(listMoves([fixtures.createDemand("a", { arriving: 16 }), spare], instances, 1000), []);
+});
+
+suite("an instance that nobody needs is switched off after its idle time, not before", () => {
+    const instances = [fixtures.createInstance("a1", "a", { emptySince: 0 })];
+    const demands = [fixtures.createDemand("a"), spare];
+    assert.equal(listMoves(demands, instances, policy.idleBeforeStandby - 1), []);
+    assert.equal(listMoves(demands, instances, policy.idleBeforeStandby), ["a1>off"]);
+});
+
+suite("the floor keeps instances for long-running tasks", () => {
+    const instances = [fixtures.createInstance("a1", "a", { emptySince: 0 })];
+    assert.equal(listMoves([fixtures.createDemand("a", { floor: 1 }), spare], instances, 60_000), []);
+});
+
+suite("a backlog of jobs that can wait long asks for fewer instances than one of jobs that can't", () => {
+    const patient = fixtures.createDemand("a", { backlog: 60, clearance: 3000 });
+    const urgent = fixtures.createDemand("a", { backlog: 60, clearance: 1000 });
+    assert.ok(
+        scheduling.countWanted(patient, 10, 10, policy) < scheduling.countWanted(urgent, 10, 10, policy),
+    );
+});
+
+suite("what the pool will have worked off by itself moves nothing", () => {
+    const demand = fixtures.createDemand("a", { backlog: 10 });
+    assert.is(scheduling.countWanted(demand, 20, 10, policy), 0);
+});
+
+suite.run();
--- /dev/null
+++ b/packages/scheduling/src/ready.test.ts
@@ -0,0 +1,54 @@
+/** What may start, by dependencies, time and runs under way. */
+import * as jobState from "@catkinwharf/job-state";
+import * as uvu from "uvu";
+import * as assert from "uvu/assert";
+import * as scheduling from "./index.js";
+import * as fixtures from "./testing/fixtures.js";
+
+const suite = uvu.suite("ready");
+
+suite("a step starts when all tasks of the steps it depends on are done", () => {
+    const job = fixtures.createJob({
+        steps: [fixtures.createStep({ taskCount: 2 }), fixtures.createStep({ dependsOn: [0] })],
+    });
+    const progress = jobState.createProgress(0);
+    assert.equal(scheduling.listReady(job, progress, 0).steps, [{ occurrence: 0, step: 0, tasks: [0, 1] }]);
+    const occurrence = jobState.findOccurrence(progress, job, 0);
+    jobState.markDone(occurrence, 0);
+    assert.equal(scheduling.listReady(job, progress, 0).steps, [{ occurrence: 0, step: 0, tasks: [1] }]);
+    jobState.markDone(occurrence, 1);
+    assert.equal(scheduling.listReady(job, progress, 0).steps, [{ occurrence: 0, step: 1, tasks: [2] }]);
+});
+
+suite("a task with a run under way isn't started again", () => {
+    const job = fixtures.createJob({ steps: [fixtures.createStep({ taskCount: 2 })] });
+    const progress = jobState.createProgress(0);
+    jobState.findHistory(jobState.findOccurrence(progress, job, 0), 1).runs.push({ number: 1, server: "a@1" });
+    assert.equal(scheduling.listReady(job, progress, 0).steps, [{ occurrence: 0, step: 0, tasks: [0] }]);
+});
+
+suite("occurrences start at their time, and not before", () => {
+    const job = fixtures.createJob({ repetition: { count: 3, firstAt: 1000, interval: 500 } });
+    const progress = jobState.createProgress(0);
+    assert.equal(scheduling.listReady(job, progress, 999), { steps: [], nextDue: 1000 });
+    const later = scheduling.listReady(job, progress, 1500);
+    assert.equal(later.steps.map(step => step.occurrence), [0, 1]);
+    assert.is(later.nextDue, 2000);
+});
+
+suite("members of a gang are ready together or not at all", () => {
+    const job = fixtures.createJob({ steps: [fixtures.createStep({ taskCount: 3, gang: true })] });
+    const progress = jobState.createProgress(0);
+    assert.is(scheduling.listReady(job, progress, 0).steps[0]?.tasks.length, 3);
+    jobState.findHistory(jobState.findOccurrence(progress, job, 0), 1).runs.push({ number: 1, server: "a@1" });
+    assert.equal(scheduling.listReady(job, progress, 0).steps, []);
+});
+
+suite("nothing of a settled job is ready", () => {
+    const job = fixtures.createJob({});
+    const progress = jobState.createProgress(0);
+    progress.status = jobState.JobStatus.failed;
+    assert.equal(scheduling.listReady(job, progress, 0).steps, []);
+});
+
+suite.run();
--- /dev/null
+++ b/packages/scheduling/src/testing/fixtures.ts
@@ -0,0 +1,94 @@
+/** Jobs, steps, servers and pools for the tests of this package. */
+import type * as jobState from "@catkinwharf/job-state";
+import type * as scheduling from "../index.js";
+
+export function createStep(changes: Partial<jobState.Step> = {}): jobState.Step {
+    return {
+        taskCount: 1,
+        demand: { cpu: 1000, memory: 100, accelerators: 0 },
+        estimate: 1000,
+        dependsOn: [],
+        checkpointed: false,
+        gang: false,
+        sameRack: false,
+        requiredLabel: undefined,
+        dataRack: undefined,
+        maxPerServer: 0,
+        speculative: false,
+        longRunning: false,
+        image: undefined,
+        tailTarget: 0,
+        filler: false,
+        maxUnavailable: undefined,
+        ...changes,
+    };
+}
+
+export function createJob(changes: Partial<jobState.Job> = {}): jobState.Job {
+    return {
+        id: "00000000000000aa",
+        queue: "quotes",
+        payload: "",
+        steps: [createStep()],
+        repetition: undefined,
+        submittedAt: 0,
+        ...changes,
+    };
+}
+
+export function createLoad(id: string, changes: Partial<scheduling.ServerLoad> = {}): scheduling.ServerLoad {
+    return {
+        id,
+        rack: "r1",
+        labels: ["r1"],
+        freeCpu: 4000,
+        freeMemory: 4000,
+        freeAccelerators: 0,
+        open: true,
+        penalty: 0,
+        tasks: 0,
+        longRunningTasks: 0,
+        perStep: new Map(),
+        ...changes,
+    };
+}
+
+export function createInstance(
+    id: string,
+    pool: string,
+    changes: Partial<scheduling.PoolInstance> = {},
+): scheduling.PoolInstance {
+    return {
+        id,
+        pool,
+        available: true,
+        arriving: false,
+        emptySince: undefined,
+        cores: 10,
+        kind: "a",
+        due: false,
+        ...changes,
+    };
+}
+
+export function createDemand(service: string, changes: Partial<scheduling.PoolDemand> = {}): scheduling.PoolDemand {
+    return { service, standby: false, arriving: 0, backlog: 0, clearance: 1000, floor: 0, ...changes };
+}
+
+export function createWaveInstance(
+    id: string,
+    changes: Partial<scheduling.WaveInstance> = {},
+): scheduling.WaveInstance {
+    return {
+        id,
+        begun: false,
+        out: false,
+        available: true,
+        runs: 0,
+        longRunningRuns: 0,
+        reserved: false,
+        pinned: false,
+        idle: false,
+        ...changes,
+    };
+}
--- /dev/null
+++ b/packages/scheduling/src/waves.test.ts
@@ -0,0 +1,42 @@
+/** Waves: in time, within the operator's bound, and no more capacity out than it takes. */
+import * as uvu from "uvu";
+import * as assert from "uvu/assert";
+import * as scheduling from "./index.js";
+import * as fixtures from "./testing/fixtures.js";
+
+const suite = uvu.suite("waves");
+const bounds: scheduling.WaveBounds = { maxOut: 3, left: 60_000, maintenance: 2000 };
+
+suite("never more instances are out than the operator allows", () => {
+    const instances = ["a", "b", "c", "d"].map(id => fixtures.createWaveInstance(id, { idle: true }));
+    assert.is(scheduling.planWave(instances, bounds).maintain.length, 3);
+    const out = [fixtures.createWaveInstance("x", { begun: true, out: true }), ...instances];
+    assert.is(scheduling.planWave(out, bounds).maintain.length, 2);
+});
+
+suite("while pools need their instances, only as many are out as the deadline asks for", () => {
+    const instances = ["a", "b", "c", "d"].map(id => fixtures.createWaveInstance(id));
+    assert.is(scheduling.planWave(instances, bounds).maintain.length, 1);
+    assert.is(scheduling.planWave(instances, { ...bounds, left: 9000 }).maintain.length, 3);
+});
+
+suite("an instance with tasks is emptied first, the one with fewest long-running ones before others", () => {
+    const instances = [
+        fixtures.createWaveInstance("a", { runs: 5, longRunningRuns: 2 }),
+        fixtures.createWaveInstance("b", { runs: 9 }),
+    ];
+    const plan = scheduling.planWave(instances, bounds);
+    assert.equal(plan.maintain, []);
+    assert.is(plan.reserve[0], "b");
+});
+
+suite("an instance whose tasks may never be taken away isn't emptied, and the wave isn't complete", () => {
+    const plan = scheduling.planWave([fixtures.createWaveInstance("a", { runs: 1, pinned: true })], bounds);
+    assert.equal(plan, { maintain: [], reserve: [], complete: false });
+});
+
+suite("a wave is complete when every instance's maintenance has begun", () => {
+    assert.ok(scheduling.planWave([fixtures.createWaveInstance("a", { begun: true })], bounds).complete);
+});
+
+suite.run();
--- a/scripts/run-tests.mjs
+++ b/scripts/run-tests.mjs
@@ -16,9 +16,11 @@
 
 function listTests() {
     const wanted = process.argv.slice(2);
-    return fs.readdirSync(path.join(root, "packages"))
+    return [...fs.readdirSync(path.join(root, "packages")), "platform"]
         .flatMap(name => {
-            const dist = path.join(root, "packages", name, "dist");
+            const dist = name === "platform"
+                ? path.join(root, name, "dist")
+                : path.join(root, "packages", name, "dist");
             return fs.existsSync(dist)
                 ? fs.readdirSync(dist, { recursive: true }).map(file => path.join(dist, String(file)))
                 : [];
