--- a/packages/dispatch/src/fleet.ts
+++ b/packages/dispatch/src/fleet.ts
@@ -171,7 +171,10 @@
         const { clock, calls, settings, epoch } = this.shared;
         const sentAt = clock.steady();
         const serverClock = server.readClock(sentAt);
-        const leaseEnd = serverClock === undefined ? undefined : serverClock + context.findLeaseTime(settings);
+        // A server out of reach gets no new lease: what runs there has to lapse some time, to be started elsewhere.
+        const leaseEnd = serverClock === undefined || !server.reachable
+            ? undefined
+            : serverClock + context.findLeaseTime(settings);
         const unstored = server.takenIn > server.acknowledged;
         const wait = serverClock === undefined || unstored || !server.reachable
             ? 0
