Answer a submission of unknown outcome at once when the store is out of reach

Cause: it was held until the caller's deadline; 504 at once lets the caller repeat it at another entry instance.

--- a/packages/intake/src/submission-keeper.ts
+++ b/packages/intake/src/submission-keeper.ts
@@ -2,7 +2,7 @@
  * Stores submissions and cancellations, and says truthfully what became of each.
  *
  * An append without an answer may have been carried out. Until one is answered the job can't be refused, so the append
- * is repeated for as long as the caller waits; the fold takes the first record of a job and drops the others.
+ * is repeated while the store can be used and the caller waits; the fold takes the first record of a job and drops the others.
  */
 import * as jobState from "@catkinwharf/job-state";
 import type * as platform from "@catkinwharf/platform";
@@ -27,6 +27,8 @@
         private readonly store: Pick<storeClient.StoreClient, "append">,
         private readonly jobs: jobState.JobTable,
         private readonly steady: () => number,
+        /** The store can't be used from here: a caller who hears so at once can try another entry instance. */
+        private readonly isStoreOut: () => boolean,
     ) {}
 
     /**
@@ -54,6 +56,9 @@
             }
             if (answer.error.fault === storeClient.StoreFault.unknown) {
                 unknown = true;
+                if (this.isStoreOut()) {
+                    return Stored.unknown;
+                }
             }
             else {
                 refusals += 1;
--- a/packages/node/src/process.ts
+++ b/packages/node/src/process.ts
@@ -120,7 +120,12 @@
     #createPort(): intake.CallerPort {
         return new intake.CallerPort({
             jobs: this.#jobs,
-            keeper: new intake.SubmissionKeeper(this.#store, this.#jobs, () => this.#clock.steady()),
+            keeper: new intake.SubmissionKeeper(
+                this.#store,
+                this.#jobs,
+                () => this.#clock.steady(),
+                () => this.#store.isOut(this.#clock.wall()),
+            ),
             log: this.log,
             steady: () => this.#clock.steady(),
             wall: () => this.#clock.wall(),
