--- a/packages/scheduling/src/pools.ts
+++ b/packages/scheduling/src/pools.ts
@@ -44,6 +44,8 @@
     readonly idleBeforeLending: number;
     /** Share of an instance's cores that packing reaches. */
     readonly fill: number;
+    /** Instances that every pool keeps: a burst has to start somewhere, also when no machine can be moved. */
+    readonly reserve: number;
 }
 
 /**
@@ -55,6 +57,7 @@
     idleBeforeStandby: 2300,
     idleBeforeLending: 300,
     fill: 0.85,
+    reserve: 2,
 };
 
 export interface PoolPlan {
@@ -79,7 +82,7 @@
     const usable = capacity * policy.fill;
     const waiting = Math.max(0, demand.backlog + (demand.arriving - usable) * policy.moveTime / 1000);
     const needed = demand.arriving + waiting / (demand.clearance / 1000);
-    return Math.max(demand.floor, Math.ceil(needed / (cores * policy.fill)));
+    return Math.max(demand.floor, policy.reserve, Math.ceil(needed / (cores * policy.fill)));
 }
 
 /** Plans moves at `now`, on the steady clock, ms. */
