Call the store through a peer while it turns this process away; append submissions in batches

Causes: a store that serves some processes only made the others unready or cost the coordinator its office; a slow store got an append for each submission, more than it could take, and calls ran out of a fixed 900 ms.

--- a/packages/intake/src/submission-keeper.ts
+++ b/packages/intake/src/submission-keeper.ts
@@ -1,8 +1,10 @@
 /**
  * Stores submissions and cancellations, and says truthfully what became of each.
  *
- * An append without an answer may have been carried out. Until one is answered the job can't be refused, so the append
- * is repeated while the store can be used and the caller waits; the fold takes the first record of a job and drops the others.
+ * One append is under way at a time; what arrives meanwhile goes into the next. A store that is slow to append, or that
+ * has many writers, then gets few appends of many records. An append without an answer may have been carried out: until
+ * one is answered its records can't be refused, so it is repeated while the store can be used and the caller waits; the
+ * fold takes the first record of a job and drops the others.
  */
 import * as jobState from "@catkinwharf/job-state";
 import type * as platform from "@catkinwharf/platform";
@@ -21,52 +23,87 @@
 const retryDelay = 80;
 /** Tries that the store may refuse before the caller is refused, while none is unanswered. */
 const maxRefusals = 3;
+/** Most records in one append; far below the store's limit for one call. */
+const maxRecordsPerAppend = 200;
+
+interface Waiting {
+    readonly record: platform.storeCalls.KeyedRecord;
+    /** On the steady clock, ms: when the caller stops waiting. */
+    readonly deadline: number;
+    readonly settle: (outcome: Stored) => void;
+    unknown: boolean;
+    refusals: number;
+}
+
+export interface KeeperParts {
+    readonly store: Pick<storeClient.StoreClient, "append">;
+    readonly jobs: jobState.JobTable;
+    /** Steady clock, ms. */
+    readonly steady: () => number;
+    /** The store can't be used from here: a caller who hears so at once can try another entry instance. */
+    readonly isStoreOut: () => boolean;
+}
 
 export class SubmissionKeeper {
-    constructor(
-        private readonly store: Pick<storeClient.StoreClient, "append">,
-        private readonly jobs: jobState.JobTable,
-        private readonly steady: () => number,
-        /** The store can't be used from here: a caller who hears so at once can try another entry instance. */
-        private readonly isStoreOut: () => boolean,
-    ) {}
+    #waiting: Waiting[] = [];
+    #appending = false;
+
+    constructor(private readonly parts: KeeperParts) {}
 
     /**
      * Stores one record.
      *
      * @param deadline on the steady clock, ms: when the caller stops waiting
      */
-    async keep(record: platform.storeCalls.KeyedRecord, deadline: number): Promise<Stored> {
-        let unknown = false;
-        let refusals = 0;
-        for (;;) {
-            const left = deadline - this.steady();
-            if (left <= 0) {
-                return unknown ? Stored.unknown : Stored.refused;
+    keep(record: platform.storeCalls.KeyedRecord, deadline: number): Promise<Stored> {
+        return new Promise(settle => {
+            this.#waiting.push({ record, deadline, settle, unknown: false, refusals: 0 });
+            if (!this.#appending) {
+                this.#appending = true;
+                void this.#run().finally(() => this.#appending = false);
             }
-            const answer = await this.store.append(
+        });
+    }
+
+    async #run(): Promise<void> {
+        while (this.#waiting.length > 0) {
+            const batch = this.#waiting.splice(0, maxRecordsPerAppend);
+            const answer = await this.parts.store.append(
                 jobState.submissionsTopic,
-                [record],
-                {},
-                Math.min(left, storeClient.callTimeout),
+                batch.map(waiting => waiting.record),
             );
             if (answer.isOk()) {
-                this.jobs.applySubmission(record.key, record.value);
-                return Stored.stored;
-            }
-            if (answer.error.fault === storeClient.StoreFault.unknown) {
-                unknown = true;
-                if (this.isStoreOut()) {
-                    return Stored.unknown;
-                }
-            }
-            else {
-                refusals += 1;
-                if (!unknown && refusals >= maxRefusals) {
-                    return Stored.refused;
-                }
+                batch.forEach(waiting => this.#settleStored(waiting));
+                continue;
             }
+            const unknown = answer.error.fault === storeClient.StoreFault.unknown;
+            const left = batch.filter(waiting => !this.#settleFailed(waiting, unknown));
+            this.#waiting.unshift(...left);
             await new Promise(resolve => setTimeout(resolve, retryDelay));
         }
     }
+
+    #settleStored(waiting: Waiting): void {
+        this.parts.jobs.applySubmission(waiting.record.key, waiting.record.value);
+        waiting.settle(Stored.stored);
+    }
+
+    /** Tells the caller when there is no use in another try; false when there is. */
+    #settleFailed(waiting: Waiting, unknown: boolean): boolean {
+        waiting.unknown ||= unknown;
+        waiting.refusals += unknown ? 0 : 1;
+        const late = this.parts.steady() >= waiting.deadline;
+        if (waiting.unknown) {
+            if (late || this.parts.isStoreOut()) {
+                waiting.settle(Stored.unknown);
+                return true;
+            }
+            return false;
+        }
+        if (late || waiting.refusals >= maxRefusals) {
+            waiting.settle(Stored.refused);
+            return true;
+        }
+        return false;
+    }
 }
--- a/packages/node/src/process.ts
+++ b/packages/node/src/process.ts
@@ -20,6 +20,8 @@
 const ownLedgerPause = 500;
 /** Time in ms between two tries of a new coordinator to read the submissions. */
 const takeoverRetryDelay = 100;
+/** Time in ms between two tries of a process to tell its peers where it is. */
+const announceRetryDelay = 500;
 /** Time in ms kept of the grace period for ending in order. */
 const endMargin = 1200;
 /** Time in ms for which callers may keep a connection idle; longer than they do themselves. */
@@ -30,6 +32,9 @@
     readonly #clock = dispatch.systemClocks;
     readonly #jobs = new jobState.JobTable();
     readonly #store: storeClient.StoreClient;
+    readonly #routes: storeClient.StoreRoutes;
+    /** Addresses of the peers' relays, by process. */
+    readonly #peers = new Map<string, string>();
     readonly #submissions: storeClient.TopicFollower;
     readonly #ledger: storeClient.TopicFollower;
     readonly #operator: storeClient.TopicFollower;
@@ -48,9 +53,10 @@
 
     constructor(private readonly settings: platform.settings.NodeSettings, private readonly log: eventLog.EventLog) {
         const wall = () => this.#clock.wall();
-        this.#store = new storeClient.StoreClient(this.#calls, settings.storeAddress, log, wall);
+        this.#routes = new storeClient.StoreRoutes(settings.storeAddress);
+        this.#store = new storeClient.StoreClient(this.#calls, this.#routes, log, wall);
         this.#submissions = this.#createFollower(jobState.submissionsTopic, {
-            apply: record => this.#jobs.applySubmission(record.key, record.value),
+            apply: record => this.#applySubmission(record),
         }, () => this.#coordinator === undefined ? followerPause : 0);
         this.#ledger = this.#createFollower(jobState.ledgerTopic, {
             apply: record => this.#applyLedger(record),
@@ -83,6 +89,7 @@
         this.#ledger.start();
         this.#operator.start();
         this.#watch.start();
+        void this.#offerRelay();
         this.#metrics.serve(`${this.settings.ip}:${this.settings.internalPorts[0]}`, this.log);
     }
 
@@ -120,12 +127,12 @@
     #createPort(): intake.CallerPort {
         return new intake.CallerPort({
             jobs: this.#jobs,
-            keeper: new intake.SubmissionKeeper(
-                this.#store,
-                this.#jobs,
-                () => this.#clock.steady(),
-                () => this.#store.isOut(this.#clock.wall()),
-            ),
+            keeper: new intake.SubmissionKeeper({
+                store: this.#store,
+                jobs: this.#jobs,
+                steady: () => this.#clock.steady(),
+                isStoreOut: () => this.#store.isOut(this.#clock.wall()),
+            }),
             log: this.log,
             steady: () => this.#clock.steady(),
             wall: () => this.#clock.wall(),
@@ -161,6 +168,37 @@
         this.#servers.push(server);
     }
 
+    #applySubmission(record: platform.storeCalls.KeyedRecord): void {
+        const node = jobState.decodeNode(record.key, record.value);
+        if (node === undefined) {
+            this.#jobs.applySubmission(record.key, record.value);
+            return;
+        }
+        if (node.node !== this.settings.node) {
+            this.#peers.set(node.node, node.address);
+            this.#routes.setPeers([...this.#peers.values()]);
+        }
+    }
+
+    /** Lets peers call the store through this process, and tells them where. */
+    async #offerRelay(): Promise<void> {
+        const relay = storeClient.createRelay({
+            storeAddress: this.settings.storeAddress,
+            calls: this.#calls,
+            routes: this.#routes,
+            log: this.log,
+            now: () => this.#clock.wall(),
+        });
+        const port = this.settings.internalPorts[1];
+        relay.on("error", error => this.log.warn("relay-unavailable", { port, error: String(error) }));
+        relay.keepAliveTimeout = keepAliveTimeout;
+        relay.listen(port, this.settings.ip);
+        const record = jobState.encodeNode({ node: this.settings.node, address: `${this.settings.ip}:${port}` });
+        while (!this.#ending && (await this.#store.append(jobState.submissionsTopic, [record])).isErr()) {
+            await dispatch.delay(announceRetryDelay);
+        }
+    }
+
     #applyLedger(record: platform.storeCalls.KeyedRecord): void {
         const decoded = jobState.decodeLedger(record.key, record.value);
         this.#watch.noteRecord(decoded);
--- a/packages/store/src/index.ts
+++ b/packages/store/src/index.ts
@@ -2,4 +2,6 @@
  * Client of the log store.
  */
 export * from "./store-client.js";
+export * from "./store-relay.js";
+export * from "./store-routes.js";
 export * from "./topic-follower.js";
--- a/packages/store/src/store-client.ts
+++ b/packages/store/src/store-client.ts
@@ -5,6 +5,8 @@
 import * as httpCalls from "@catkinwharf/http-calls";
 import * as platform from "@catkinwharf/platform";
 import * as neverthrow from "neverthrow";
+import * as storeRelay from "./store-relay.js";
+import type * as storeRoutes from "./store-routes.js";
 
 export const StoreFault = {
     /** Nothing was done. */
@@ -24,8 +26,14 @@
 export type Read = Exclude<platform.storeCalls.ReadAnswer, { readonly kind: "refused"; }>;
 export type Newest = Exclude<platform.storeCalls.NewestAnswer, { readonly kind: "refused"; }>;
 
-/** Longest time in ms for a call that doesn't wait for anything; the store answers in 4 ms, slow in up to 300. */
-export const callTimeout = 900;
+/** Least time in ms for a call that doesn't wait for anything; a store in order answers in 4 ms. */
+const minTimeout = 900;
+/** Most time in ms for such a call: the store queues appends for 2 s before it refuses them. */
+const maxTimeout = 2500;
+/** How many times its usual answer a call may take, for a store that is slow. */
+const slowFactor = 4;
+/** Weight of the newest answer in the estimate of the usual one. */
+const latencyWeight = 0.2;
 
 /** Time in ms since the last success after which failing calls mean that the store is out of reach. */
 const lostPatience = 400;
@@ -36,10 +44,12 @@
     /** Unix time in ms of the last answer that did what was asked. */
     lastSuccess = 0;
     #lost = false;
+    /** Usual time in ms of an answer. */
+    #latency = 0;
 
     constructor(
         private readonly calls: httpCalls.HttpCalls,
-        private readonly address: string,
+        private readonly routes: storeRoutes.StoreRoutes,
         private readonly log: eventLog.EventLog,
         private readonly now: () => number,
     ) {}
@@ -53,9 +63,8 @@
         topic: string,
         records: readonly platform.storeCalls.KeyedRecord[],
         conditions: platform.storeCalls.AppendConditions = {},
-        timeout: number = callTimeout,
     ): Promise<neverthrow.Result<Append, StoreError>> {
-        const answer = await this.#send(platform.storeCalls.createAppend(topic, records, conditions), timeout);
+        const answer = await this.#send(platform.storeCalls.createAppend(topic, records, conditions), 0);
         return answer.andThen(whole => {
             const decoded = platform.storeCalls.decodeAppend(whole);
             return decoded.kind === "refused" ? this.#refuse<Append>(decoded.status) : this.#succeed<Append>(decoded);
@@ -64,7 +73,7 @@
 
     /** Reads from an offset on; the answer comes when there is a record, or after `wait` ms. */
     async read(topic: string, from: number, wait: number): Promise<neverthrow.Result<Read, StoreError>> {
-        const answer = await this.#send(platform.storeCalls.createRead(topic, from, wait), wait + callTimeout);
+        const answer = await this.#send(platform.storeCalls.createRead(topic, from, wait), wait);
         return answer.andThen(whole => {
             const decoded = platform.storeCalls.decodeRead(whole, from);
             return decoded.kind === "refused" ? this.#refuse<Read>(decoded.status) : this.#succeed<Read>(decoded);
@@ -72,46 +81,73 @@
     }
 
     async readNewest(topic: string, after: string | undefined): Promise<neverthrow.Result<Newest, StoreError>> {
-        const answer = await this.#send(platform.storeCalls.createNewest(topic, after), callTimeout);
+        const answer = await this.#send(platform.storeCalls.createNewest(topic, after), 0);
         return answer.andThen(whole => {
             const decoded = platform.storeCalls.decodeNewest(whole);
             return decoded.kind === "refused" ? this.#refuse<Newest>(decoded.status) : this.#succeed<Newest>(decoded);
         });
     }
 
+    /** @param wait Ms for which the store may keep the answer back */
     async #send(
         call: platform.Call,
-        timeout: number,
+        wait: number,
     ): Promise<neverthrow.Result<platform.Answer, StoreError>> {
-        const answer = await this.calls.send(this.address, call, timeout);
-        return answer.mapErr(error => {
-            this.#noteLoss(error.reason);
-            return {
-                layer: "store",
-                fault: error.fault === httpCalls.CallFault.unsent ? StoreFault.refused : StoreFault.unknown,
-                reason: error.reason,
-            };
-        });
+        const way = this.routes.choose(this.now());
+        const sentAt = this.now();
+        const patience = Math.min(maxTimeout, Math.max(minTimeout, this.#latency * slowFactor));
+        const answer = await this.calls.send(way.address, call, wait + patience);
+        if (wait === 0) {
+            const taken = Math.max(0, this.now() - sentAt);
+            this.#latency += (Math.min(taken, maxTimeout) - this.#latency) * latencyWeight;
+        }
+        const failure = answer.isErr() ? describeError(answer.error) : describeStatus(answer.value.status);
+        if (failure === undefined) {
+            this.routes.noteSuccess(way);
+            return neverthrow.ok(answer._unsafeUnwrap());
+        }
+        this.routes.noteFailure(way, this.now());
+        this.#noteLoss(way, failure.reason);
+        return neverthrow.err(failure);
     }
 
     #succeed<Value>(value: Value): neverthrow.Result<Value, StoreError> {
         if (this.#lost) {
             this.#lost = false;
-            this.log.info("store-regained", { address: this.address, lostFor: this.now() - this.lastSuccess });
+            this.log.info("store-regained", { lostFor: this.now() - this.lastSuccess });
         }
         this.lastSuccess = this.now();
         return neverthrow.ok(value);
     }
 
+    /** The store understood the call and doesn't do it. */
     #refuse<Value>(status: number): neverthrow.Result<Value, StoreError> {
-        this.#noteLoss(`status ${status}`);
+        this.log.warn("store-call-rejected", { status });
         return neverthrow.err({ layer: "store", fault: StoreFault.refused, reason: `status ${status}` });
     }
 
-    #noteLoss(reason: string): void {
+    #noteLoss(way: storeRoutes.Way, reason: string): void {
         if (!this.#lost) {
             this.#lost = true;
-            this.log.warn("store-lost", { address: this.address, reason, lastSuccess: this.lastSuccess });
+            this.log.warn("store-lost", { ...way, reason, lastSuccess: this.lastSuccess });
         }
     }
 }
+
+function describeError(error: httpCalls.CallError): StoreError {
+    const fault = error.fault === httpCalls.CallFault.unsent ? StoreFault.refused : StoreFault.unknown;
+    return { layer: "store", fault, reason: error.reason };
+}
+
+/** Statuses with which the store turns a process away; nothing was done. */
+const turnedAway: ReadonlySet<number> = new Set([429, 502, 503, storeRelay.notPassedStatus]);
+
+/** Why the way to the store failed; `undefined` when the store has dealt with the call. */
+function describeStatus(status: number): StoreError | undefined {
+    if (turnedAway.has(status)) {
+        return { layer: "store", fault: StoreFault.refused, reason: `status ${status}` };
+    }
+    return status === storeRelay.unansweredStatus
+        ? { layer: "store", fault: StoreFault.unknown, reason: "the relay got no answer" }
+        : undefined;
+}
--- /dev/null
+++ b/packages/store/src/store-relay.ts
@@ -0,0 +1,74 @@
+/**
+ * Passes store calls of peers on, for those that the store turns away while it serves this process.
+ */
+import type * as eventLog from "@catkinwharf/event-log";
+import type * as httpCalls from "@catkinwharf/http-calls";
+import type * as platform from "@catkinwharf/platform";
+import * as http from "node:http";
+import type * as storeRoutes from "./store-routes.js";
+
+/** Header that marks an answer as the store's own. */
+export const storeAnswerHeader = "catkinwharf-store-answer";
+/** Status with which a relay says that nothing was passed on. */
+export const notPassedStatus = 521;
+/** Status with which a relay says that it passed the call on and got no answer. */
+export const unansweredStatus = 522;
+
+/** Largest body in bytes that is passed on; the store takes no larger one. */
+const maxBodyBytes = 2_097_152;
+/** Time in ms for a passed call that doesn't wait. */
+const relayTimeout = 800;
+
+export interface RelayParts {
+    readonly storeAddress: string;
+    readonly calls: httpCalls.HttpCalls;
+    readonly routes: storeRoutes.StoreRoutes;
+    readonly log: eventLog.EventLog;
+    /** Unix time in ms. */
+    readonly now: () => number;
+}
+
+/** Creates the server of the relay; the caller lets it listen. */
+export function createRelay(parts: RelayParts): http.Server {
+    return http.createServer((message, response) => {
+        void passOn(parts, message).then(({ status, body }) => {
+            response.writeHead(status, { [storeAnswerHeader]: "1" }).end(body);
+        }).catch((error: unknown) => {
+            parts.log.warn("relay-broken", { error: String(error) });
+            response.writeHead(unansweredStatus).end();
+        });
+    });
+}
+
+async function passOn(
+    parts: RelayParts,
+    message: http.IncomingMessage,
+): Promise<{ readonly status: number; readonly body: Uint8Array; }> {
+    const nothing = new Uint8Array();
+    const chunks: Buffer[] = [];
+    let bytes = 0;
+    for await (const chunk of message) {
+        bytes += (chunk as Buffer).length;
+        if (bytes > maxBodyBytes) {
+            return { status: notPassedStatus, body: nothing };
+        }
+        chunks.push(chunk as Buffer);
+    }
+    if (!parts.routes.isDirectFresh(parts.now()) || !(message.url ?? "").startsWith("/-/log-")) {
+        return { status: notPassedStatus, body: nothing };
+    }
+    const call: platform.Call = {
+        method: message.method === "POST" ? "POST" : "GET",
+        path: message.url!,
+        headers: message.method === "POST" ? { "content-type": "application/octet-stream" } : {},
+        body: message.method === "POST" ? Buffer.concat(chunks) : undefined,
+    };
+    const wait = Number(/[?&]WaitMs=(\d+)/.exec(call.path)?.[1] ?? 0);
+    const answer = await parts.calls.send(parts.storeAddress, call, wait + relayTimeout);
+    if (answer.isErr()) {
+        parts.routes.noteFailure({ address: parts.storeAddress, relayed: false }, parts.now());
+        const status = answer.error.fault === "unsent" ? notPassedStatus : unansweredStatus;
+        return { status, body: nothing };
+    }
+    return answer.value;
+}
