Run waves a little ahead of their deadline, count it on after a takeover, and tell a dropped history from a dead coordinator

Causes: a new coordinator gave a wave its whole time again; machines with long-running tasks were emptied last and one after the other; with a limit of 1 s (tried) a store that drops its history cost the coordinator its office. Silence is 1.5 s now, more at a slow store; work that is of no use to its caller any more moves few machines.

--- a/packages/dispatch/src/coordinator.ts
+++ b/packages/dispatch/src/coordinator.ts
@@ -25,7 +25,7 @@
 /** Candidates that may fail to fit before a pass gives up on a service; bounds the work under a backlog. */
 const maxMisses = 16;
 /** Time in ms that a new coordinator waits for the servers' first answers before it starts anything. */
-const takeoverPatience = 600;
+const takeoverPatience = 300;
 /** Time in ms for which reads of the servers' topic gather records. */
 const serverReadPause = 150;
 
@@ -94,7 +94,7 @@
             shared: this.#shared,
             fleet: this.fleet,
             store,
-            listDemands: () => this.#demand.list(options.configuration(), clock.steady()),
+            listDemands: () => this.#demand.list(options.configuration(), clock.steady(), clock.wall()),
             earlierOrders: options.machineOrders,
             knownSince: () => this.#demand.firstWorkAt,
             vacate: server => this.#vacate(server),
@@ -127,7 +127,7 @@
             this.#keeper.applyWave(wave);
             const before = this.options.waveProgress.get(number);
             if (before !== undefined) {
-                this.#keeper.restoreWave(number, before.begun, before.completed);
+                this.#keeper.restoreWave(number, before);
             }
         }
         while (!this.#stopped && !await this.#servers.catchUp()) {
--- a/packages/dispatch/src/demand.ts
+++ b/packages/dispatch/src/demand.ts
@@ -16,6 +16,10 @@
 const fastLead = 1.4;
 /** Share of the fast average that counts; it overshoots. */
 const fastTrust = 0.8;
+/** A job that takes this many times its objective is of no use to its caller any more. */
+const uselessAfter = 3;
+/** Share with which work of such jobs counts: it is done with what others leave, and moves few machines. */
+const worthlessWeight = 0.2;
 /** Least time in ms within which a backlog should be worked off. */
 const minClearance = 800;
 /** Share of an earlier burst at whose return the whole of it is expected. */
@@ -68,12 +72,13 @@
         }
     }
 
-    /** What every pool has to do at `now`, on the steady clock, ms. */
+    /** What every pool has to do at `now`, on the steady clock, ms; `wall` is Unix time in ms. */
     list(
         configuration: platform.operatorRecords.Configuration | undefined,
         now: number,
+        wall: number,
     ): scheduling.PoolDemand[] {
-        const backlogs = this.#measureBacklogs(now);
+        const backlogs = this.#measureBacklogs(now, wall);
         const floors = this.#countFloors();
         return (configuration?.services ?? []).map(service => {
             const arrivals = this.#find(service.name, now);
@@ -119,7 +124,7 @@
     }
 
     /** Core-seconds that are left of the tasks that run, and of those that could. */
-    #measureBacklogs(now: number): Map<string, number> {
+    #measureBacklogs(now: number, wall: number): Map<string, number> {
         const backlogs = new Map<string, number>();
         const shape = this.#findShape();
         for (const server of this.fleet.sessions.values()) {
@@ -136,6 +141,7 @@
                 const step = active.job.steps[ready.step]!;
                 work += step.longRunning ? 0 : ready.tasks.length * measureTask(step, shape);
             }
+            work *= isWorthless(active, wall) ? worthlessWeight : 1;
             backlogs.set(active.route.service, (backlogs.get(active.route.service) ?? 0) + work);
         }
         return backlogs;
@@ -167,6 +173,11 @@
     }
 }
 
+function isWorthless(active: jobBoard.ActiveJob, wall: number): boolean {
+    const objective = active.route.slackFactor * active.chain + active.route.latencyTarget;
+    return active.job.repetition === undefined && wall - active.job.submittedAt > uselessAfter * objective;
+}
+
 /** Whether something runs there that may never be taken away. */
 export function isPinned(server: session.ServerSession): boolean {
     return [...server.runs.values()].some(run => run.step.longRunning && run.step.maxUnavailable === 0);
--- a/packages/dispatch/src/keeper.ts
+++ b/packages/dispatch/src/keeper.ts
@@ -61,7 +61,7 @@
     readonly out: Map<string, number>;
     status: "none" | "running" | "completed";
     /** On the steady clock: when it was seen, at the latest. */
-    readonly seenAt: number;
+    seenAt: number;
 }
 
 export class Keeper {
@@ -101,11 +101,14 @@
     }
 
     /** Takes over how far a wave was. */
-    restoreWave(number: number, begun: readonly string[], completed: boolean): void {
+    restoreWave(number: number, before: jobState.WaveProgress): void {
         const open = this.#waves.get(number);
         if (open !== undefined) {
-            begun.forEach(machine => open.begun.add(machine));
-            open.status = completed ? "completed" : "running";
+            const { clock } = this.parts.shared;
+            before.begun.forEach(machine => open.begun.add(machine));
+            open.status = before.completed ? "completed" : "running";
+            const passed = Math.min(open.wave.duration, Math.max(0, clock.wall() - before.seenAt));
+            open.seenAt = clock.steady() - passed;
         }
     }
 
@@ -372,7 +375,7 @@
             open.begun.add(kept.machine.id);
             open.out.set(kept.machine.id, this.parts.shared.clock.steady());
             this.parts.shared.writer.add(
-                jobState.encodeWaveProgress(open.wave.number, { begun: [...open.begun], completed: false }),
+                this.#encodeProgress(open, false),
             );
         }
         else {
@@ -427,14 +430,19 @@
         return outcome;
     }
 
+    #encodeProgress(open: OpenWave, completed: boolean): jobState.KeyedRecord {
+        const { clock } = this.parts.shared;
+        return jobState.encodeWaveProgress(open.wave.number, {
+            begun: [...open.begun],
+            completed,
+            seenAt: clock.wall() - (clock.steady() - open.seenAt),
+        });
+    }
+
     async #writeStatus(open: OpenWave, completed: boolean): Promise<void> {
         const { shared, store } = this.parts;
         shared.log.info("wave-status", { wave: open.wave.number, completed, begun: open.begun.size });
-        if (completed) {
-            shared.writer.add(
-                jobState.encodeWaveProgress(open.wave.number, { begun: [...open.begun], completed: true }),
-            );
-        }
+        shared.writer.add(this.#encodeProgress(open, completed));
         const record = platform.operatorRecords.encodeWaveStatus(open.wave.number, completed);
         while (!this.#stopped && await shared.writer.flush()) {
             const answer = await store.append(platform.storeCalls.statusTopic, [record]);
--- /dev/null
+++ b/packages/dispatch/src/leadership.test.ts
@@ -0,0 +1,32 @@
+/** When a process claims the coordination. */
+import * as uvu from "uvu";
+import * as assert from "uvu/assert";
+import * as leadership from "./leadership.js";
+
+const suite = uvu.suite("leadership");
+const seen: leadership.Observation = {
+    leadership: { epoch: 3, node: "a", writtenAt: 0, processStart: 1, resigned: false },
+    silence: 0,
+    stagger: 0,
+    latency: 0,
+};
+
+suite("a coordinator that shows signs of life is left alone, one that is silent is succeeded", () => {
+    assert.is(leadership.shouldClaim({ ...seen, silence: 1400 }, "b", 1), false);
+    assert.ok(leadership.shouldClaim({ ...seen, silence: 1500 }, "b", 1));
+    assert.is(leadership.shouldClaim({ ...seen, silence: 1500, stagger: 100 }, "b", 1), false);
+});
+
+suite("a slow store gives a coordinator more time", () => {
+    assert.is(leadership.shouldClaim({ ...seen, silence: 2000, latency: 240 }, "b", 1), false);
+    assert.ok(leadership.shouldClaim({ ...seen, silence: 2500, latency: 240 }, "b", 1));
+});
+
+suite("one that resigned, or is a former life of this process, is succeeded at once", () => {
+    assert.ok(leadership.shouldClaim({ ...seen, leadership: { ...seen.leadership!, resigned: true } }, "b", 1));
+    assert.ok(leadership.shouldClaim(seen, "a", 2));
+    assert.is(leadership.shouldClaim(seen, "a", 1), false);
+    assert.ok(leadership.shouldClaim({ ...seen, leadership: undefined }, "b", 1));
+});
+
+suite.run();
--- a/packages/dispatch/src/leadership.ts
+++ b/packages/dispatch/src/leadership.ts
@@ -8,9 +8,16 @@
 import * as clocks from "./clocks.js";
 
 /** Time in ms between two signs of life of the coordinator. */
-export const beatInterval = 500;
-/** Silence in ms after which a coordinator is taken to be gone: three beats and a slow store's answer. */
-const takeoverSilence = 1800;
+export const beatInterval = 300;
+/**
+ * Silence in ms after which a coordinator is taken to be gone, at a store that answers at once: some beats, and the second
+ * for which a store that drops its history tells followers nothing.
+ */
+const takeoverSilence = 1500;
+/** Answers of a slow store that a sign of life may take on top: its append, and the reads that bring it. */
+const slowAnswers = 4;
+/** Time in ms after which a ledger whose end wasn't seen can't be judged: a read waits for 1 s at most. */
+const readablePatience = 1800;
 /** Time in ms over which the processes' claims spread, so that they don't all come at once. */
 const claimSpread = 300;
 /** Time in ms between two looks. */
@@ -23,6 +30,8 @@
     readonly silence: number;
     /** Time in ms for which this process waits longer than others. */
     readonly stagger: number;
+    /** Usual time in ms of the store's answers. */
+    readonly latency: number;
 }
 
 /** Whether the process should claim the coordination now. */
@@ -31,7 +40,7 @@
         return seen.silence >= seen.stagger;
     }
     const formerLife = seen.leadership.node === node && seen.leadership.processStart !== processStart;
-    return formerLife || seen.silence >= takeoverSilence + seen.stagger;
+    return formerLife || seen.silence >= takeoverSilence + slowAnswers * seen.latency + seen.stagger;
 }
 
 export class LeadershipWatch {
@@ -91,14 +100,19 @@
     #look(stagger: number): void {
         const { ledger, clock, options } = { ...this.options, options: this.options };
         const now = clock.steady();
-        const readable = ledger.loaded && clock.wall() - ledger.currentAt < takeoverSilence;
+        const readable = ledger.loaded && clock.wall() - ledger.currentAt < readablePatience;
         if (!readable || !this.#readable) {
             // Silence counts only from when the ledger can be read again.
             this.#readable = readable;
             this.#lastSign = Math.max(this.#lastSign, readable && this.leadership === undefined ? 0 : now);
             return;
         }
-        const seen = { leadership: this.leadership, silence: now - this.#lastSign, stagger };
+        const seen = {
+            leadership: this.leadership,
+            silence: now - this.#lastSign,
+            stagger,
+            latency: options.store.latency,
+        };
         if (
             !this.leading && !this.#claiming && options.isPrepared()
             && shouldClaim(seen, options.node, options.processStart)
--- a/packages/job-state/src/records.ts
+++ b/packages/job-state/src/records.ts
@@ -46,6 +46,8 @@
     /** Machines whose maintenance has been ordered. */
     readonly begun: readonly string[];
     readonly completed: boolean;
+    /** Unix time in ms at which a coordinator saw it first. */
+    readonly seenAt: number;
 }
 
 /** One record of a keyed topic. */
@@ -184,7 +186,11 @@
         return {
             kind: "wave",
             number: Number(key.slice(wavePrefix.length)),
-            wave: { begun: decoded["begun"].map(String), completed: decoded["completed"] === true },
+            wave: {
+                begun: decoded["begun"].map(String),
+                completed: decoded["completed"] === true,
+                seenAt: Number(decoded["seenAt"] ?? 0),
+            },
         };
     }
     if (key.startsWith(KeyPrefix.progress) && isStoredProgress(decoded)) {
--- a/packages/scheduling/src/waves.ts
+++ b/packages/scheduling/src/waves.ts
@@ -43,7 +43,11 @@
 /** Instances emptied beyond those that may be out, so that the next one is ready when one returns. */
 const reserveAhead = 1;
 /** Ms of a wave kept for instances that take long to empty. */
-const waveMargin = 6000;
+const waveMargin = 8000;
+/** How much faster than needed a wave goes while all is well; outages that may come take the rest. */
+const paceLead = 1.5;
+/** Instances with long-running tasks that are emptied at a time from the beginning: each takes seconds. */
+const emptiedEarly = 1;
 /** Ms that pass between the return of one instance and the order for the next. */
 const turnaround = 700;
 
@@ -65,18 +69,25 @@
             maintain.push(instance.id);
         }
     }
-    const reserved = open.filter(instance => instance.reserved && instance.runs > 0).length;
-    const room = Math.max(0, Math.min(paced, bounds.maxOut) - out - maintain.length + reserveAhead - reserved);
-    const reserve = open
-        .filter(instance => instance.available && instance.runs > 0 && !instance.reserved && !instance.pinned)
+    const full = open.filter(instance => instance.available && instance.runs > 0);
+    const reservable = full.filter(instance => !instance.reserved && !instance.pinned);
+    const emptying = full.filter(instance => instance.reserved);
+    const emptyingSlowly = emptying.filter(instance => instance.longRunningRuns > 0).length;
+    const slow = reservable
+        .filter(instance => instance.longRunningRuns > 0)
+        .sort((a, b) => a.longRunningRuns - b.longRunningRuns)
+        .slice(0, Math.max(0, emptiedEarly - emptyingSlowly));
+    const room = Math.min(paced, bounds.maxOut) - out - maintain.length + reserveAhead - emptying.length - slow.length;
+    const quick = reservable
+        .filter(instance => !slow.includes(instance))
         .sort((a, b) => a.longRunningRuns - b.longRunningRuns || a.runs - b.runs)
-        .slice(0, empty.length > maintain.length ? 0 : room)
-        .map(instance => instance.id);
+        .slice(0, empty.length > maintain.length ? 0 : Math.max(0, room));
+    const reserve = [...slow, ...quick].map(instance => instance.id);
     return { maintain, reserve, complete: open.length === 0 };
 }
 
 /** Instances that have to be out at once for the wave to end in time. */
 function countPaced(open: number, bounds: WaveBounds): number {
     const rounds = Math.max(1, Math.floor((bounds.left - waveMargin) / (bounds.maintenance + turnaround)));
-    return Math.max(1, Math.ceil(open / rounds));
+    return Math.max(1, Math.ceil(paceLead * open / rounds));
 }
--- a/packages/store/src/store-client.ts
+++ b/packages/store/src/store-client.ts
@@ -45,7 +45,7 @@
     lastSuccess = 0;
     #lost = false;
     /** Usual time in ms of an answer. */
-    #latency = 0;
+    latency = 0;
 
     constructor(
         private readonly calls: httpCalls.HttpCalls,
@@ -95,11 +95,11 @@
     ): Promise<neverthrow.Result<platform.Answer, StoreError>> {
         const way = this.routes.choose(this.now());
         const sentAt = this.now();
-        const patience = Math.min(maxTimeout, Math.max(minTimeout, this.#latency * slowFactor));
+        const patience = Math.min(maxTimeout, Math.max(minTimeout, this.latency * slowFactor));
         const answer = await this.calls.send(way.address, call, wait + patience);
         if (wait === 0) {
             const taken = Math.max(0, this.now() - sentAt);
-            this.#latency += (Math.min(taken, maxTimeout) - this.#latency) * latencyWeight;
+            this.latency += (Math.min(taken, maxTimeout) - this.latency) * latencyWeight;
         }
         const failure = answer.isErr() ? describeError(answer.error) : describeStatus(answer.value.status);
         if (failure === undefined) {
