Shun servers that fail their runs, stop runs that stand still, forget settled jobs after their time

Causes: a server that fails all it starts is free at once and drew tasks by best fit; a run on a hanging server held its job until the server returned.

--- a/packages/dispatch/src/coordinator.ts
+++ b/packages/dispatch/src/coordinator.ts
@@ -26,6 +26,12 @@
 const maxMisses = 16;
 /** Time in ms that a new coordinator waits for the servers' first answers before it starts anything. */
 const takeoverPatience = 300;
+/** Time in ms between two looks for jobs that can be forgotten. */
+const sweepInterval = 5000;
+/** How many times the time for which a status has to be told a job is kept after its end. */
+const statusFactor = 1.5;
+/** Most records in one append that forgets jobs. */
+const maxForgottenPerAppend = 400;
 /** Time in ms for which reads of the servers' topic gather records. */
 const serverReadPause = 150;
 
@@ -47,6 +53,21 @@
     readonly onStepDown: (reason: string) => void;
 }
 
+/** Ends that say something of the server; the others follow from orders or from other members of a gang. */
+const tellingEnds: ReadonlyMap<jobState.RunEnd, boolean> = new Map([
+    [jobState.RunEnd.done, true],
+    [jobState.RunEnd.failed, false],
+]);
+
+function noteHealth(clock: clocks.Clocks): runs.RunsOptions["onEnd"] {
+    return (server, run, how) => {
+        const good = tellingEnds.get(how);
+        if (good !== undefined && !run.step.longRunning) {
+            server.health.note(good, clock.steady());
+        }
+    };
+}
+
 export class Coordinator {
     readonly board = new jobBoard.JobBoard();
     readonly fleet: fleet.Fleet;
@@ -60,6 +81,7 @@
     #stopped = false;
     #ready = false;
     #lastBeat = 0;
+    #lastSweep = 0;
 
     constructor(private readonly options: CoordinatorOptions) {
         const { clock, store, epoch } = options;
@@ -84,7 +106,7 @@
             stepDown,
             wake: () => this.#wake(),
         };
-        this.#runs = new runs.Runs({ shared: this.#shared, board: this.board, onEnd: () => undefined });
+        this.#runs = new runs.Runs({ shared: this.#shared, board: this.board, onEnd: noteHealth(clock) });
         this.fleet = new fleet.Fleet(this.#shared, {
             onLists: (server, lists, sentAt) => this.#runs.takeLists(server, lists, sentAt),
             onGone: (server, how) => this.#runs.endAll(server, how),
@@ -263,9 +285,60 @@
                 this.#runs.settle(active);
             }
         }
+        if (now - this.#lastSweep >= sweepInterval) {
+            this.#lastSweep = now;
+            void this.#dropOldJobs();
+        }
+        this.#stopStalled();
         this.#wake();
     }
 
+    /** Forgets jobs whose callers have been told their end for long enough, here and in the store. */
+    async #dropOldJobs(): Promise<void> {
+        const { jobs, settings, store } = this.options;
+        const dropped = jobs.dropSettledBefore(this.#shared.clock.wall() - statusFactor * settings.bounds.status);
+        if (dropped.length === 0) {
+            return;
+        }
+        this.#shared.log.info("jobs-forgotten", { jobs: dropped.length });
+        for (const id of dropped) {
+            this.#shared.writer.add(jobState.encodeForgottenProgress(id));
+        }
+        const records = dropped.flatMap(id => jobState.encodeForgottenJob(id));
+        for (let i = 0; i < records.length; i += maxForgottenPerAppend) {
+            const answer = await store.append(
+                jobState.submissionsTopic,
+                records.slice(i, i + maxForgottenPerAppend),
+            );
+            if (answer.isErr()) {
+                this.#shared.log.warn("jobs-not-forgotten", { reason: answer.error.reason });
+            }
+        }
+    }
+
+    /** Stops runs that stand still, so that their tasks start elsewhere. */
+    #stopStalled(): void {
+        for (const server of this.fleet.sessions.values()) {
+            for (const run of server.runs.values()) {
+                const sample = { percent: run.percent, changedAt: run.percentChangedAt };
+                if (
+                    run.phase === "running" && !run.step.longRunning && !run.step.gang && server.reachable
+                    && scheduling.isStalled(sample, server.lastAnswer)
+                ) {
+                    this.#shared.log.info("run-stalled", {
+                        task: `${run.stepKey}.${run.position.index}/${run.number}`,
+                        server: server.entry.id,
+                        percent: run.percent,
+                        since: Math.round(server.lastAnswer - run.percentChangedAt),
+                    });
+                    server.health.note(false, server.lastAnswer);
+                    this.board.active.get(run.entry.id)?.avoided.add(server.entry.id);
+                    void this.#runs.stop(server, run);
+                }
+            }
+        }
+    }
+
     #createBeat(resigned: boolean): platform.storeCalls.KeyedRecord {
         return jobState.encodeLeadership({
             epoch: this.options.epoch,
@@ -349,7 +422,10 @@
         for (const run of [...server.runs.values()]) {
             const room = others.some(one => scheduling.fits(one.load, run.step, run.stepKey));
             const away = this.#countAway(run);
-            if (run.step.longRunning && room && away < (run.step.maxUnavailable ?? Number.POSITIVE_INFINITY)) {
+            if (
+                run.step.longRunning && run.phase === "running" && room
+                && away < (run.step.maxUnavailable ?? Number.POSITIVE_INFINITY)
+            ) {
                 this.#shared.log.info("task-relocated", { step: run.stepKey, server: server.entry.id, away });
                 void this.#runs.stop(server, run);
                 return; // One at a time: the next look sees this one as away.
--- a/packages/dispatch/src/fleet.ts
+++ b/packages/dispatch/src/fleet.ts
@@ -150,8 +150,10 @@
     }
 
     refreshOpen(): void {
+        const now = this.shared.clock.steady();
         for (const server of this.sessions.values()) {
             this.#updateOpen(server);
+            server.load.penalty = server.health.measurePenalty(now);
         }
     }
 
--- a/packages/dispatch/src/runs.ts
+++ b/packages/dispatch/src/runs.ts
@@ -70,6 +70,7 @@
             orderedAt: this.options.shared.clock.steady(),
             checkpoint: history.checkpoint,
             percent: 0,
+            percentChangedAt: this.options.shared.clock.steady(),
             usage: undefined,
             pace: 100,
         };
@@ -102,6 +103,7 @@
             orderedAt: this.options.shared.clock.steady(),
             checkpoint: "",
             percent: 0,
+            percentChangedAt: this.options.shared.clock.steady(),
             usage: undefined,
             pace: 100,
         };
@@ -270,7 +272,10 @@
             run.listableFrom = this.options.shared.clock.steady();
         }
         run.checkpoint = row.checkpoint === "" ? run.checkpoint : row.checkpoint;
-        run.percent = row.percent;
+        if (run.percent !== row.percent) {
+            run.percent = row.percent;
+            run.percentChangedAt = this.options.shared.clock.steady();
+        }
         run.usage = row.usage;
     }
 
--- a/packages/dispatch/src/server-session.ts
+++ b/packages/dispatch/src/server-session.ts
@@ -3,7 +3,7 @@
  */
 import type * as jobState from "@catkinwharf/job-state";
 import type * as platform from "@catkinwharf/platform";
-import type * as scheduling from "@catkinwharf/scheduling";
+import * as scheduling from "@catkinwharf/scheduling";
 
 /** Where a run stands, from its coordinator's view. */
 export const RunPhase = {
@@ -37,8 +37,10 @@
     /** On the steady clock: when the start was sent. */
     orderedAt: number;
     checkpoint: string;
-    /** How much of its share it works at, by the server's last list. */
+    /** By the server's last list: how much of its work is done, for a long-running task whether it is at work, in percent. */
     percent: number;
+    /** On the steady clock: when the percentage was seen to change last. */
+    percentChangedAt: number;
     usage: number | undefined;
     /** Share in percent that it was told to work at. */
     pace: number;
@@ -70,6 +72,7 @@
     closed = false;
     /** On the steady clock: no starts before. */
     restUntil = 0;
+    readonly health = new scheduling.ServerHealth();
     /** It is to be emptied, for maintenance or a move. */
     reserved = false;
 
--- a/packages/job-state/src/job-table.ts
+++ b/packages/job-state/src/job-table.ts
@@ -25,6 +25,14 @@
 
     /** Folds a record of the submissions. The first record of a job wins. */
     applySubmission(key: string, value: Uint8Array): void {
+        const forgotten = records.decodeForgottenJob(key, value);
+        if (forgotten !== undefined) {
+            this.entries.delete(forgotten);
+            return;
+        }
+        if (value.length === 0) {
+            return; // The key of a cancellation is dropped with its job.
+        }
         const record = records.decodeSubmission(key, value);
         if (record === undefined) {
             this.unreadable += 1;
--- a/packages/job-state/src/records.test.ts
+++ b/packages/job-state/src/records.test.ts
@@ -78,6 +78,24 @@
     assert.is(table.countPending("other"), 0);
 });
 
+suite("a settled job is forgotten after its time, and by those who read that it was", () => {
+    const table = new jobState.JobTable();
+    const record = jobState.encodeJob(job);
+    table.applySubmission(record.key, record.value);
+    const progress = jobState.createProgress(100);
+    progress.status = jobState.JobStatus.completed;
+    table.applyProgress(job.id, progress);
+    assert.equal(table.dropSettledBefore(100), []);
+    const reader = new jobState.JobTable();
+    reader.applySubmission(record.key, record.value);
+    assert.equal(table.dropSettledBefore(101), [job.id]);
+    for (const forgotten of jobState.encodeForgottenJob(job.id)) {
+        reader.applySubmission(forgotten.key, forgotten.value);
+    }
+    assert.is(reader.entries.size, 0);
+    assert.is(reader.unreadable, 0);
+});
+
 suite("bytes of other writers are no records, and raise nothing", () => {
     fastCheck.assert(
         fastCheck.property(
--- a/packages/job-state/src/records.ts
+++ b/packages/job-state/src/records.ts
@@ -88,6 +88,20 @@
     return { key: KeyPrefix.cancellation + id, value: encoder.encode({ cancelledAt }) };
 }
 
+/** Records without a value: the store drops their keys. */
+export function encodeForgottenJob(id: string): KeyedRecord[] {
+    return [KeyPrefix.job + id, KeyPrefix.cancellation + id].map(key => ({ key, value: new Uint8Array() }));
+}
+
+export function encodeForgottenProgress(id: string): KeyedRecord {
+    return { key: KeyPrefix.progress + id, value: new Uint8Array() };
+}
+
+/** The job that a record without a value forgets; `undefined` for any other record. */
+export function decodeForgottenJob(key: string, value: Uint8Array): string | undefined {
+    return value.length === 0 && key.startsWith(KeyPrefix.job) ? key.slice(KeyPrefix.job.length) : undefined;
+}
+
 export function encodeLeadership(leadership: Leadership): KeyedRecord {
     return { key: leaderKey, value: encoder.encode(leadership) };
 }
--- a/packages/scheduling/src/index.ts
+++ b/packages/scheduling/src/index.ts
@@ -1,6 +1,7 @@
 /**
  * Decisions on jobs. They take everything they need as arguments, the time included.
  */
+export * from "./health.js";
 export * from "./objective.js";
 export * from "./placing.js";
 export * from "./pools.js";
