Start advised tasks with tickets, and pace fillers by the tails beside them

Decisions in scheduling/pacing and dispatch/advice-desk; tests of both on real processes with stand-ins.

--- a/packages/dispatch/src/coordinator.ts
+++ b/packages/dispatch/src/coordinator.ts
@@ -7,6 +7,7 @@
 import * as platform from "@catkinwharf/platform";
 import * as scheduling from "@catkinwharf/scheduling";
 import * as storeClient from "@catkinwharf/store";
+import * as adviceDesk from "./advice-desk.js";
 import type * as clocks from "./clocks.js";
 import * as context from "./context.js";
 import * as demand from "./demand.js";
@@ -76,6 +77,7 @@
     readonly #servers: storeClient.TopicFollower;
     readonly #keeper: keeper.Keeper;
     readonly #demand: demand.DemandMeter;
+    readonly #advice: adviceDesk.AdviceDesk;
     #timer: NodeJS.Timeout | undefined;
     #passScheduled = false;
     #stopped = false;
@@ -108,9 +110,13 @@
         };
         this.#runs = new runs.Runs({ shared: this.#shared, board: this.board, onEnd: noteHealth(clock) });
         this.fleet = new fleet.Fleet(this.#shared, {
-            onLists: (server, lists, sentAt) => this.#runs.takeLists(server, lists, sentAt),
+            onLists: (server, lists, sentAt) => {
+                this.#runs.takeLists(server, lists, sentAt);
+                this.#paceFillers(server);
+            },
             onGone: (server, how) => this.#runs.endAll(server, how),
         });
+        this.#advice = new adviceDesk.AdviceDesk(this.#shared);
         this.#demand = new demand.DemandMeter(this.board, this.fleet);
         this.#keeper = new keeper.Keeper({
             shared: this.#shared,
@@ -288,6 +294,7 @@
         if (now - this.#lastSweep >= sweepInterval) {
             this.#lastSweep = now;
             void this.#dropOldJobs();
+            this.#advice.forget(stepKey => !this.board.active.has(stepKey.slice(0, stepKey.indexOf("."))));
         }
         this.#stopStalled();
         this.#wake();
@@ -322,7 +329,8 @@
             for (const run of server.runs.values()) {
                 const sample = { percent: run.percent, changedAt: run.percentChangedAt };
                 if (
-                    run.phase === "running" && !run.step.longRunning && !run.step.gang && server.reachable
+                    run.phase === "running" && !run.step.longRunning && !run.step.gang && !run.step.filler
+                    && server.reachable
                     && scheduling.isStalled(sample, server.lastAnswer)
                 ) {
                     this.#shared.log.info("run-stalled", {
@@ -374,15 +382,18 @@
         const byId = new Map(open.map(server => [server.entry.id, server]));
         const loads = open.map(server => server.load);
         let misses = 0;
-        for (const { active, ready } of candidates) {
+        for (const candidate of candidates) {
             if (misses >= maxMisses) {
                 return;
             }
+            const { active, ready } = candidate;
             const step = active.job.steps[ready.step]!;
             const stepKey = runs.nameStep(active.job.id, ready);
+            const advised = active.route.advice !== undefined;
+            const allowed = advised ? this.#listAdvised(candidate, stepKey, open) : loads;
             const placements = scheduling.placeStep(
                 { stepKey, step, tasks: ready.tasks, avoided: active.avoided },
-                loads,
+                allowed,
             );
             if (placements.length === 0) {
                 misses += 1;
@@ -392,7 +403,49 @@
             for (const { task, server } of placements) {
                 const to = byId.get(server.id)!;
                 const number = gangRun ?? this.#nextRun(active, ready.occurrence, task);
-                planned.push({ server: to, run: this.#runs.plan(active, ready, task, number, to, stepKey) });
+                const ticket = advised ? this.#advice.find(stepKey, to) : undefined;
+                const run = this.#runs.plan(active, ready, task, number, to, stepKey, ticket);
+                planned.push({ server: to, run });
+            }
+        }
+    }
+
+    /** Servers for which there are tickets; more are asked for when these can't take the whole step. */
+    #listAdvised(
+        candidate: jobBoard.Candidate,
+        stepKey: string,
+        open: readonly session.ServerSession[],
+    ): scheduling.ServerLoad[] {
+        const step = candidate.active.job.steps[candidate.ready.step]!;
+        const allowed = open.filter(server => this.#advice.find(stepKey, server) !== undefined);
+        const room = allowed.filter(server => scheduling.fits(server.load, step, stepKey)).length;
+        if (room < candidate.ready.tasks.length) {
+            this.#advice.request(candidate, stepKey, open.filter(one => scheduling.fits(one.load, step, stepKey)));
+        }
+        return allowed.map(server => server.load);
+    }
+
+    /** Slows fillers beside serving tasks whose tails near their targets, and lets them go again. */
+    #paceFillers(server: session.ServerSession): void {
+        const all = [...server.runs.values()].filter(run => run.phase === "running");
+        const fillers = all.filter(run => run.step.filler);
+        if (fillers.length === 0) {
+            return;
+        }
+        const serving = all
+            .filter(run => run.step.tailTarget > 0)
+            .map(run => ({ tail: run.usage, target: run.step.tailTarget }));
+        for (const filler of fillers) {
+            const pace = scheduling.decidePace(serving, filler.pace);
+            if (pace !== filler.pace) {
+                this.#shared.log.info("filler-paced", {
+                    server: server.entry.id,
+                    step: filler.stepKey,
+                    from: filler.pace,
+                    to: pace,
+                    serving,
+                });
+                void this.#runs.pace(server, filler, pace);
             }
         }
     }
--- a/packages/dispatch/src/fleet.ts
+++ b/packages/dispatch/src/fleet.ts
@@ -21,6 +21,8 @@
 
 /** Time in ms for which a server with runs may keep an answer back while it has nothing to tell. */
 const busyWait = 1000;
+/** The same for a server with fillers, whose neighbours' response times are watched. */
+const pacedWait = 400;
 /** The same for a server without runs. */
 const idleWait = 2000;
 /** Time in ms between two calls to a server that doesn't answer. */
@@ -180,9 +182,11 @@
         const unstored = server.takenIn > server.acknowledged;
         const wait = serverClock === undefined || unstored || !server.reachable
             ? 0
-            : server.runs.size > 0
-            ? busyWait
-            : idleWait;
+            : server.runs.size === 0
+            ? idleWait
+            : server.hasFillers()
+            ? pacedWait
+            : busyWait;
         if (leaseEnd !== undefined) {
             server.leaseEndSent = Math.max(server.leaseEndSent, leaseEnd);
         }
--- a/packages/dispatch/src/runs.ts
+++ b/packages/dispatch/src/runs.ts
@@ -40,6 +40,7 @@
         number: number,
         server: session.ServerSession,
         stepKey: string,
+        ticket: string | undefined,
     ): session.ActiveRun {
         const { job, progress } = active;
         const occurrence = jobState.findOccurrence(progress, job, ready.occurrence);
@@ -73,6 +74,7 @@
             percentChangedAt: this.options.shared.clock.steady(),
             usage: undefined,
             pace: 100,
+            ticket,
         };
         server.runs.set(nameRun({ jobId: active.job.id, ...position }, number), run);
         this.options.shared.writer.mark(active.entry);
@@ -106,6 +108,7 @@
             percentChangedAt: this.options.shared.clock.steady(),
             usage: undefined,
             pace: 100,
+            ticket: undefined,
         };
         server.runs.set(nameRun({ jobId: active.job.id, ...position }, stored.number), run);
         scheduling.occupy(server.load, run.step, stepKey);
@@ -134,7 +137,7 @@
             leaseEnd,
             fencingToken: shared.epoch,
             checkpoint: run.checkpoint,
-            ticket: undefined,
+            ticket: run.ticket,
         });
         const answer = await shared.calls.send(server.entry.address, call, context.orderTimeout);
         if (!this.#isCurrent(server, run)) {
@@ -217,6 +220,24 @@
         }
     }
 
+    /** Tells a filler at which share it may work; an order without an answer is repeated with the next list. */
+    async pace(server: session.ServerSession, run: session.ActiveRun, percent: number): Promise<void> {
+        const { shared } = this.options;
+        const before = run.pace;
+        run.pace = percent;
+        const call = platform.serverCalls.createPace(server.entry.id, {
+            task: { jobId: run.entry.id, ...run.position },
+            run: run.number,
+            percent,
+            fencingToken: shared.epoch,
+        });
+        const answer = await shared.calls.send(server.entry.address, call, context.orderTimeout);
+        if (answer.isErr() || platform.serverCalls.decodeOrder(answer.value).kind !== "done") {
+            run.pace = before;
+            shared.log.warn("pace-unanswered", { server: server.entry.id, step: run.stepKey, percent });
+        }
+    }
+
     /** Takes in what a server lists; `sentAt` is when it was asked, on the steady clock. */
     takeLists(
         server: session.ServerSession,
--- a/packages/dispatch/src/server-session.ts
+++ b/packages/dispatch/src/server-session.ts
@@ -44,6 +44,8 @@
     usage: number | undefined;
     /** Share in percent that it was told to work at. */
     pace: number;
+    /** Where its queue's policy asks for one. */
+    readonly ticket: string | undefined;
 }
 
 /** Servers' clocks may run this much slower than ours. */
@@ -85,6 +87,15 @@
         this.lastAnswer = claimedAt;
     }
 
+    hasFillers(): boolean {
+        for (const run of this.runs.values()) {
+            if (run.step.filler) {
+                return true;
+            }
+        }
+        return false;
+    }
+
     get boot(): string {
         return nameBoot(this.entry.id, this.bootedAt);
     }
--- a/packages/node/src/integration/jobs.test.ts
+++ b/packages/node/src/integration/jobs.test.ts
@@ -206,6 +206,28 @@
     assert.equal(deployment.findDoubleRuns(), []);
 });
 
+suite("tasks of a queue with a policy start with a ticket, on the servers that it allows", async () => {
+    deployment = new platformStandIns.UsersDeployment([{ name: "quotes", service: "dispatch", advised: true }]);
+    await deployment.start(1, { dispatch: 4 });
+    for (const machine of deployment.machines.machines.values()) {
+        machine.server!.tickets = deployment.advice.tickets;
+    }
+    await waitForStatus(await submit(describeJob({ duration: 30 }, { Count: 4 })), "completed");
+    const used = new Set(deployment.machines.history.map(seen => Number(seen.server.slice(2)) % 2));
+    assert.equal([...used], [0]);
+});
+
+suite("a filler is slowed until the serving task beside it keeps its target", async () => {
+    await deployment.start(1, { dispatch: 1 });
+    await submit(describeJob({ tail: 200 }, { Count: 1, LongRunning: true, TargetMs: 100 }));
+    await submit(describeJob({}, { Count: 1, LongRunning: true, Fills: true }));
+    const server = [...deployment.machines.machines.values()][0]!.server!;
+    await deployment.waitFor("the filler is slowed to half", () => (server.paces.at(-1)?.percent ?? 100) <= 50);
+    await deployment.waitFor("it is let go again in steps", () => {
+        return server.paces.some((order, i) => i > 0 && order.percent > server.paces[i - 1]!.percent);
+    });
+});
+
 suite("foreign records in the store change nothing", async () => {
     await deployment.start(1, { dispatch: 1 });
     for (const topic of ["keyed.submissions", "keyed.ledger", "keyed.servers", "keyed.op"]) {
--- a/packages/scheduling/src/index.ts
+++ b/packages/scheduling/src/index.ts
@@ -3,6 +3,7 @@
  */
 export * from "./health.js";
 export * from "./objective.js";
+export * from "./pacing.js";
 export * from "./placing.js";
 export * from "./pools.js";
 export * from "./ready.js";
