Log placements and the ends of runs, count events on the metrics address

One line for each step that is placed (job, tasks, servers, slack, age) and for each run that doesn't end as done; counters of all events, also of those whose lines were dropped.

--- a/packages/dispatch/src/coordinator.ts
+++ b/packages/dispatch/src/coordinator.ts
@@ -399,6 +399,7 @@
                 misses += 1;
                 continue;
             }
+            this.#logPlaced(candidate, placements);
             const gangRun = step.gang ? this.#nextGangRun(active, ready) : undefined;
             for (const { task, server } of placements) {
                 const to = byId.get(server.id)!;
@@ -410,6 +411,20 @@
         }
     }
 
+    #logPlaced(candidate: jobBoard.Candidate, placements: readonly scheduling.Placement[]): void {
+        const { active, ready, rank } = candidate;
+        this.#shared.log.info("step-placed", {
+            job: active.job.id,
+            step: ready.step,
+            occurrence: ready.occurrence,
+            tasks: placements.length,
+            of: ready.tasks.length,
+            servers: [...new Set(placements.map(one => one.server.id))],
+            slack: Math.round(rank.slack),
+            age: this.#shared.clock.wall() - active.job.submittedAt,
+        });
+    }
+
     /** Servers for which there are tickets; more are asked for when these can't take the whole step. */
     #listAdvised(
         candidate: jobBoard.Candidate,
--- a/packages/dispatch/src/runs.ts
+++ b/packages/dispatch/src/runs.ts
@@ -367,6 +367,15 @@
         else if (how === jobState.RunEnd.failed) {
             this.#countFailure(active, run, history, server);
         }
+        if (how !== jobState.RunEnd.done) {
+            shared.log.info("run-ended", {
+                task: nameRun({ jobId: run.entry.id, ...run.position }, run.number),
+                server: server.entry.id,
+                how,
+                failures: history.failures,
+                after: Math.round(shared.clock.steady() - run.orderedAt),
+            });
+        }
         this.options.onEnd(server, run, how);
         active.readiness = undefined;
         shared.writer.mark(active.entry);
--- a/packages/event-log/src/index.ts
+++ b/packages/event-log/src/index.ts
@@ -10,6 +10,8 @@
 export type Fields = Readonly<Record<string, unknown>>;
 
 export interface EventLog {
+    /** Events so far by name, with those whose lines were dropped. */
+    readonly counts: ReadonlyMap<string, number>;
     /** Something that an operator should look at. */
     warn(event: string, fields: Fields): void;
     info(event: string, fields: Fields): void;
@@ -36,7 +38,9 @@
     now: () => number,
 ): EventLog {
     const budgets = new Map<string, Budget>();
+    const counts = new Map<string, number>();
     function log(level: "info" | "warn", event: string, fields: Fields): void {
+        counts.set(event, (counts.get(event) ?? 0) + 1);
         const second = Math.floor(now() / 1000);
         let budget = budgets.get(event);
         if (budget === undefined) {
@@ -59,6 +63,7 @@
         write(level, event, fields);
     }
     return {
+        counts,
         warn: (event, fields) => log("warn", event, fields),
         info: (event, fields) => log("info", event, fields),
     };
@@ -79,4 +84,4 @@
 }
 
 /** A log that drops everything, for tests. */
-export const silentEventLog: EventLog = { warn: () => undefined, info: () => undefined };
+export const silentEventLog: EventLog = { counts: new Map(), warn: () => undefined, info: () => undefined };
--- a/packages/node/src/metrics.ts
+++ b/packages/node/src/metrics.ts
@@ -24,6 +24,20 @@
         registers: [this.registry],
     });
 
+    /** Also serves how often each event of the log happened, with those whose lines were dropped. */
+    watchEvents(log: eventLog.EventLog): void {
+        const events = new promClient.Counter({
+            name: "catkinwharf_events_total",
+            help: "Decisions and changes of belief, by the name of their log line.",
+            labelNames: ["event"] as const,
+            registers: [this.registry],
+            collect: () => {
+                events.reset();
+                log.counts.forEach((count, event) => events.inc({ event }, count));
+            },
+        });
+    }
+
     /** @param duration in ms */
     countRequest(method: string, status: string, duration: number): void {
         this.#requests.inc({ method, status });
--- a/packages/node/src/process.ts
+++ b/packages/node/src/process.ts
@@ -90,6 +90,7 @@
         this.#operator.start();
         this.#watch.start();
         void this.#offerRelay();
+        this.#metrics.watchEvents(this.log);
         this.#metrics.serve(`${this.settings.ip}:${this.settings.internalPorts[0]}`, this.log);
     }
 
