--- a/packages/dispatch/src/coordinator.ts
+++ b/packages/dispatch/src/coordinator.ts
@@ -191,6 +191,7 @@
 
     /** Gives up coordination on purpose, so that another process claims it at once. */
     async resign(): Promise<void> {
+        clearInterval(this.#timer); // A later sign of life would take the resignation back.
         this.#shared.writer.add(this.#createBeat(true));
         await this.#shared.writer.flush();
         this.#stepDown("resigned");
--- a/packages/node/src/integration/jobs.test.ts
+++ b/packages/node/src/integration/jobs.test.ts
@@ -1,4 +1,5 @@
 /** Jobs from submission to their end, on real entry processes, through losses of processes, servers and the store. */
+import * as jobState from "@catkinwharf/job-state";
 import * as platformStandIns from "@catkinwharf/platform-stand-ins";
 import * as uvu from "uvu";
 import * as assert from "uvu/assert";
@@ -190,6 +191,19 @@
     assert.ok(first.lines.some(line => line.includes('"event":"stopped"')));
 });
 
+suite("a coordinator that resigns gives no sign of life afterwards, however slow the store is", async () => {
+    await deployment.start(2, { dispatch: 1 });
+    const first = deployment.findCoordinator()!;
+    deployment.store.delay = 350;
+    await deployment.signal(first, "SIGTERM");
+    const signs = deployment.store.listValues(jobState.ledgerTopic, "leader").flatMap(value => {
+        const record = jobState.decodeLedger("leader", value);
+        return record?.kind === "leadership" && record.leadership.node === first.name ? [record.leadership] : [];
+    });
+    assert.ok(signs.at(-1)?.resigned);
+    assert.is(signs.filter(sign => sign.resigned).length, 1);
+});
+
 suite("a wave maintains every machine once, and takes no more of a step away than it bears", async () => {
     await deployment.start(1, { dispatch: 4 });
     await submit(describeJob({}, { LongRunning: true, Count: 3, MayMiss: 1, AntiAffinity: 1 }));
