--- a/packages/dispatch/src/job-board.ts
+++ b/packages/dispatch/src/job-board.ts
@@ -53,7 +53,7 @@
             return undefined;
         }
         entry.progress ??= jobState.createProgress(now);
-        if (jobState.isSettled(entry.progress.status) && !hasRuns(entry.progress)) {
+        if (jobState.isSettled(entry.progress.status) && !jobState.hasRuns(entry.progress)) {
             return undefined;
         }
         const active: ActiveJob = {
@@ -104,14 +104,3 @@
         return scheduling.rank(objective, remaining, step.longRunning, active.progress.begun, active.route, wall);
     }
 }
-
-function hasRuns(progress: jobState.Progress): boolean {
-    for (const occurrence of progress.occurrences.values()) {
-        for (const history of occurrence.histories.values()) {
-            if (history.runs.length > 0) {
-                return true;
-            }
-        }
-    }
-    return false;
-}
--- a/packages/dispatch/src/runs.ts
+++ b/packages/dispatch/src/runs.ts
@@ -432,13 +432,7 @@
         if (!jobState.isSettled(active.progress.status)) {
             return;
         }
-        let left = 0;
-        for (const occurrence of active.progress.occurrences.values()) {
-            for (const history of occurrence.histories.values()) {
-                left += history.runs.length;
-            }
-        }
-        if (left === 0) {
+        if (!jobState.hasRuns(active.progress)) {
             this.options.board.remove(active.job.id);
         }
     }
--- a/packages/job-state/src/progress.ts
+++ b/packages/job-state/src/progress.ts
@@ -90,3 +90,15 @@
     }
     return true;
 }
+
+/** Whether any run of the job may be under way. */
+export function hasRuns(progress: Progress): boolean {
+    for (const occurrence of progress.occurrences.values()) {
+        for (const history of occurrence.histories.values()) {
+            if (history.runs.length > 0) {
+                return true;
+            }
+        }
+    }
+    return false;
+}
--- a/packages/job-state/src/records.ts
+++ b/packages/job-state/src/records.ts
@@ -119,24 +119,13 @@
         s: current.status,
         a: current.statusAt,
         b: current.begun,
-        o: progress.isSettled(current.status) && !hasRuns(current)
+        o: progress.isSettled(current.status) && !progress.hasRuns(current)
             ? []
             : [...current.occurrences].map(([number, occurrence]) => encodeOccurrence(number, occurrence)),
     };
     return { key: KeyPrefix.progress + id, value: encoder.encode(stored) };
 }
 
-function hasRuns(current: progress.Progress): boolean {
-    for (const occurrence of current.occurrences.values()) {
-        for (const history of occurrence.histories.values()) {
-            if (history.runs.length > 0) {
-                return true;
-            }
-        }
-    }
-    return false;
-}
-
 function encodeOccurrence(number: number, occurrence: progress.Occurrence): StoredOccurrence {
     const histories: StoredTask[] = [];
     for (const [task, history] of occurrence.histories) {
--- a/packages/node/src/demo.ts
+++ b/packages/node/src/demo.ts
@@ -25,10 +25,7 @@
     for (let i = 0; i < jobs; i++) {
         const queue = queues[Math.floor(i / 10) % queues.length]!.name;
         const target = `/${queue}/${(i + 1).toString(16).padStart(16, "0")}`;
-        const body = {
-            Spec: JSON.stringify({ duration: 300 }),
-            Steps: [{ Count: 4, Cpu: 700, MemMb: 50, EstimateMs: 300 }],
-        };
+        const body = platformStandIns.createJobBody({ duration: 300 }, { tasks: 4, cpu: 700 });
         const node = deployment.nodes.filter(one => one.child !== undefined)[i % 2]!;
         const answer = await deployment.ask(node, "POST", target, body);
         if (answer?.status === 200) {
@@ -46,7 +43,7 @@
 async function interfere(deployment: platformStandIns.UsersDeployment, job: number): Promise<void> {
     if (job === waveAfterJob) {
         const machines = [...deployment.machines.machines.keys()];
-        deployment.store.put("keyed.op", "wave/1", { Wave: 1, Machines: machines, DurationS: 10, MaxCount: 2 });
+        deployment.publishWave(1, machines, 10_000, 2);
         print(`a wave over ${machines.length} machines begins`);
     }
     if (job === killAfterJob) {
@@ -70,10 +67,7 @@
                 return (await deployment.ask(node, "GET", target))?.body.State === "completed";
             });
         }
-        await deployment.waitFor("the wave is complete", () => {
-            const status = deployment.store.readValue("keyed.status", "wave/1") as { State?: string; } | undefined;
-            return status?.State === "completed";
-        });
+        await deployment.waitFor("the wave is complete", () => deployment.isWaveComplete(1));
         const doubled = deployment.findDoubleRuns();
         const moves = deployment.machines.orders.filter(order => order.kind === "move").length;
         print(`${jobs} jobs submitted, ${accepted.length} accepted, all of these completed`);
--- a/packages/node/src/integration/jobs.test.ts
+++ b/packages/node/src/integration/jobs.test.ts
@@ -18,9 +18,7 @@
     return `/quotes/${count.toString(16).padStart(16, "0")}`;
 }
 
-function describeJob(script: platformStandIns.RunScript, step: object = {}): object {
-    return { Spec: JSON.stringify(script), Steps: [{ Count: 2, Cpu: 500, MemMb: 10, EstimateMs: 100, ...step }] };
-}
+const describeJob = platformStandIns.createJobBody;
 
 async function submit(body: object, node = deployment.nodes[0]!): Promise<string> {
     const target = nameJob();
@@ -38,10 +36,7 @@
 
 suite("a job of two steps runs in order, once, and every process tells its state", async () => {
     await deployment.start(2, { dispatch: 2 });
-    const target = await submit({
-        Spec: JSON.stringify({ duration: 50 }),
-        Steps: [{ Count: 3, Cpu: 500, MemMb: 10 }, { Count: 2, Cpu: 500, MemMb: 10, DependsOn: [0] }],
-    });
+    const target = await submit(describeJob({ duration: 50 }, { tasks: 3 }, { dependsOn: [0] }));
     await waitForStatus(target, "completed", deployment.nodes[1]);
     const { history } = deployment.machines;
     assert.is(history.length, 5);
@@ -67,7 +62,7 @@
 
 suite("a cancelled job's runs are stopped, and none starts any more", async () => {
     await deployment.start(1, { dispatch: 1 });
-    const target = await submit(describeJob({}, { LongRunning: true }));
+    const target = await submit(describeJob({}, { longRunning: true }));
     await deployment.waitFor("both tasks run", () => deployment.machines.history.length === 2);
     assert.is((await deployment.ask(deployment.nodes[0]!, "DELETE", target))?.status, 200);
     await deployment.waitFor("both are stopped", () => {
@@ -79,14 +74,14 @@
 
 suite("a task that fails as often as its queue allows fails its job, and isn't started again", async () => {
     await deployment.start(1, { dispatch: 2 });
-    const target = await submit(describeJob({ duration: 20, fails: true }, { Count: 1 }));
+    const target = await submit(describeJob({ duration: 20, fails: true }, { tasks: 1 }));
     await waitForStatus(target, "failed");
     assert.equal(deployment.machines.history.map(seen => seen.run), [1, 2]);
 });
 
 suite("when the coordinator is killed, another takes over: nothing is lost, nothing runs twice", async () => {
     await deployment.start(3, { dispatch: 3 });
-    const longRunning = await submit(describeJob({}, { LongRunning: true }));
+    const longRunning = await submit(describeJob({}, { longRunning: true }));
     await deployment.waitFor("both tasks run", () => deployment.machines.history.length === 2);
     const first = deployment.findCoordinator()!;
     const other = deployment.nodes.find(node => node !== first)!;
@@ -158,7 +153,7 @@
 
 suite("tasks of a silent server start elsewhere, once their lease there has lapsed", async () => {
     await deployment.start(1, { dispatch: 2 });
-    await submit(describeJob({}, { LongRunning: true, Count: 1 }));
+    await submit(describeJob({}, { longRunning: true, tasks: 1 }));
     await deployment.waitFor("the task runs", () => deployment.machines.history.length === 1);
     const holder = [...deployment.machines.machines.values()]
         .find(machine => machine.server?.runningTasks.length === 1)!;
@@ -173,7 +168,7 @@
     for (const machine of deployment.machines.machines.values()) {
         machine.server!.mode = platformStandIns.ServerMode.muteStarts;
     }
-    await submit(describeJob({ duration: 5000 }, { Count: 1 }));
+    await submit(describeJob({ duration: 5000 }, { tasks: 1 }));
     await deployment.waitFor("it was started twice", () => deployment.machines.history.length >= 2);
     assert.equal(deployment.findDoubleRuns(), []);
     assert.is(deployment.machines.history[0]!.how, "stopped");
@@ -206,14 +201,11 @@
 
 suite("a wave maintains every machine once, and takes no more of a step away than it bears", async () => {
     await deployment.start(1, { dispatch: 4 });
-    await submit(describeJob({}, { LongRunning: true, Count: 3, MayMiss: 1, AntiAffinity: 1 }));
+    await submit(describeJob({}, { longRunning: true, tasks: 3, maxUnavailable: 1, maxPerServer: 1 }));
     await deployment.waitFor("all tasks run", () => deployment.machines.history.length === 3);
     const machines = [...deployment.machines.machines.keys()];
-    deployment.store.put("keyed.op", "wave/1", { Wave: 1, Machines: machines, DurationS: 20, MaxCount: 2 });
-    await deployment.waitFor("the wave is complete", () => {
-        const status = deployment.store.readValue("keyed.status", "wave/1") as { State?: string; } | undefined;
-        return status?.State === "completed";
-    });
+    deployment.publishWave(1, machines, 20_000, 2);
+    await deployment.waitFor("the wave is complete", () => deployment.isWaveComplete(1));
     const maintained = deployment.machines.orders.filter(order => order.kind === "upkeep");
     assert.equal(maintained.map(order => order.machine).sort(), machines.sort());
     assert.equal(maintained.flatMap(order => order.interrupted), []);
@@ -226,15 +218,15 @@
     for (const machine of deployment.machines.machines.values()) {
         machine.server!.tickets = deployment.advice.tickets;
     }
-    await waitForStatus(await submit(describeJob({ duration: 30 }, { Count: 4 })), "completed");
+    await waitForStatus(await submit(describeJob({ duration: 30 }, { tasks: 4 })), "completed");
     const used = new Set(deployment.machines.history.map(seen => Number(seen.server.slice(2)) % 2));
     assert.equal([...used], [0]);
 });
 
 suite("a filler is slowed until the serving task beside it keeps its target", async () => {
     await deployment.start(1, { dispatch: 1 });
-    await submit(describeJob({ tail: 200 }, { Count: 1, LongRunning: true, TargetMs: 100 }));
-    await submit(describeJob({}, { Count: 1, LongRunning: true, Fills: true }));
+    await submit(describeJob({ tail: 200 }, { tasks: 1, longRunning: true, tailTarget: 100 }));
+    await submit(describeJob({}, { tasks: 1, longRunning: true, filler: true }));
     const server = [...deployment.machines.machines.values()][0]!.server!;
     await deployment.waitFor("the filler is slowed to half", () => (server.paces.at(-1)?.percent ?? 100) <= 50);
     await deployment.waitFor("it is let go again in steps", () => {
