--- a/packages/dispatch/src/coordinator.ts
+++ b/packages/dispatch/src/coordinator.ts
@@ -13,26 +13,23 @@
 import * as demand from "./demand.js";
 import * as fleet from "./fleet.js";
 import * as jobBoard from "./job-board.js";
+import * as jobSweeper from "./job-sweeper.js";
 import * as keeper from "./keeper.js";
 import * as leadership from "./leadership.js";
 import * as ledgerWriter from "./ledger-writer.js";
+import * as placer from "./placer.js";
+import * as relocation from "./relocation.js";
 import * as runs from "./runs.js";
-import type * as session from "./server-session.js";
+import * as session from "./server-session.js";
 
 /** Time in ms between an event and the pass that reacts to it; gathers the events of one moment. */
 const passDelay = 3;
 /** Time in ms between two looks at everything that time alone changes. */
 const tickInterval = 100;
-/** Candidates that may fail to fit before a pass gives up on a service; bounds the work under a backlog. */
-const maxMisses = 16;
 /** Time in ms that a new coordinator waits for the servers' first answers before it starts anything. */
 const takeoverPatience = 300;
 /** Time in ms between two looks for jobs that can be forgotten. */
 const sweepInterval = 5000;
-/** How many times the time for which a status has to be told a job is kept after its end. */
-const statusFactor = 1.5;
-/** Most records in one append that forgets jobs. */
-const maxForgottenPerAppend = 400;
 /** Time in ms for which reads of the servers' topic gather records. */
 const serverReadPause = 150;
 
@@ -78,6 +75,8 @@
     readonly #keeper: keeper.Keeper;
     readonly #demand: demand.DemandMeter;
     readonly #advice: adviceDesk.AdviceDesk;
+    readonly #sweeper: jobSweeper.JobSweeper;
+    readonly #placer: placer.Placer;
     #timer: NodeJS.Timeout | undefined;
     #passScheduled = false;
     #stopped = false;
@@ -117,6 +116,8 @@
             onGone: (server, how) => this.#runs.endAll(server, how),
         });
         this.#advice = new adviceDesk.AdviceDesk(this.#shared);
+        this.#sweeper = new jobSweeper.JobSweeper(this.#shared, store);
+        this.#placer = new placer.Placer(this.#shared, this.#runs, this.#advice);
         this.#demand = new demand.DemandMeter(this.board, this.fleet);
         this.#keeper = new keeper.Keeper({
             shared: this.#shared,
@@ -253,7 +254,7 @@
     }
 
     #inheritRun(active: jobBoard.ActiveJob, occurrence: number, task: number, run: jobState.Run): void {
-        const id = run.server.slice(0, run.server.lastIndexOf("@"));
+        const id = session.parseBootServer(run.server);
         const server = this.fleet.sessions.get(id) ?? this.fleet.openUnlisted(id);
         this.#runs.inherit(active, occurrence, task, run, server);
     }
@@ -294,56 +295,26 @@
         }
         if (now - this.#lastSweep >= sweepInterval) {
             this.#lastSweep = now;
-            void this.#dropOldJobs();
+            void this.#sweeper.sweep();
             this.#advice.forget(stepKey => !this.board.active.has(stepKey.slice(0, stepKey.indexOf("."))));
         }
         this.#stopStalled();
         this.#wake();
     }
 
-    /** Forgets jobs whose callers have been told their end for long enough, here and in the store. */
-    async #dropOldJobs(): Promise<void> {
-        const { jobs, settings, store } = this.options;
-        const dropped = jobs.dropSettledBefore(this.#shared.clock.wall() - statusFactor * settings.bounds.status);
-        if (dropped.length === 0) {
-            return;
-        }
-        this.#shared.log.info("jobs-forgotten", { jobs: dropped.length });
-        for (const id of dropped) {
-            this.#shared.writer.add(jobState.encodeForgottenProgress(id));
-        }
-        const records = dropped.flatMap(id => jobState.encodeForgottenJob(id));
-        for (let i = 0; i < records.length; i += maxForgottenPerAppend) {
-            const answer = await store.append(
-                jobState.submissionsTopic,
-                records.slice(i, i + maxForgottenPerAppend),
-            );
-            if (answer.isErr()) {
-                this.#shared.log.warn("jobs-not-forgotten", { reason: answer.error.reason });
-            }
-        }
-    }
-
     /** Stops runs that stand still, so that their tasks start elsewhere. */
     #stopStalled(): void {
         for (const server of this.fleet.sessions.values()) {
-            for (const run of server.runs.values()) {
-                const sample = { percent: run.percent, changedAt: run.percentChangedAt };
-                if (
-                    run.phase === "running" && !run.step.longRunning && !run.step.gang && !run.step.filler
-                    && server.reachable
-                    && scheduling.isStalled(sample, server.lastAnswer)
-                ) {
-                    this.#shared.log.info("run-stalled", {
-                        task: `${run.stepKey}.${run.position.index}/${run.number}`,
-                        server: server.entry.id,
-                        percent: run.percent,
-                        since: Math.round(server.lastAnswer - run.percentChangedAt),
-                    });
-                    server.health.note(false, server.lastAnswer);
-                    this.board.active.get(run.entry.id)?.avoided.add(server.entry.id);
-                    void this.#runs.stop(server, run);
-                }
+            for (const run of server.listStalled()) {
+                this.#shared.log.info("run-stalled", {
+                    task: `${run.stepKey}.${run.position.index}/${run.number}`,
+                    server: server.entry.id,
+                    percent: run.percent,
+                    since: Math.round(server.lastAnswer - run.percentChangedAt),
+                });
+                server.health.note(false, server.lastAnswer);
+                this.board.active.get(run.entry.id)?.avoided.add(server.entry.id);
+                void this.#runs.stop(server, run);
             }
         }
     }
@@ -365,82 +336,15 @@
         }
         this.fleet.refreshOpen();
         const servers = this.fleet.listByService();
-        const planned: { server: session.ServerSession; run: session.ActiveRun; }[] = [];
+        const planned: placer.PlannedRun[] = [];
         for (const [service, candidates] of this.board.listCandidates(this.#shared.clock.wall())) {
-            this.#placeService(candidates, servers.get(service) ?? [], planned);
+            planned.push(...this.#placer.place(candidates, servers.get(service) ?? []));
         }
         if (planned.length > 0) {
             void this.#send(planned);
         }
     }
 
-    #placeService(
-        candidates: readonly jobBoard.Candidate[],
-        servers: readonly session.ServerSession[],
-        planned: { server: session.ServerSession; run: session.ActiveRun; }[],
-    ): void {
-        const open = servers.filter(server => server.load.open);
-        const byId = new Map(open.map(server => [server.entry.id, server]));
-        const loads = open.map(server => server.load);
-        let misses = 0;
-        for (const candidate of candidates) {
-            if (misses >= maxMisses) {
-                return;
-            }
-            const { active, ready } = candidate;
-            const step = active.job.steps[ready.step]!;
-            const stepKey = runs.nameStep(active.job.id, ready);
-            const advised = active.route.advice !== undefined;
-            const allowed = advised ? this.#listAdvised(candidate, stepKey, open) : loads;
-            const placements = scheduling.placeStep(
-                { stepKey, step, tasks: ready.tasks, avoided: active.avoided },
-                allowed,
-            );
-            if (placements.length === 0) {
-                misses += 1;
-                continue;
-            }
-            this.#logPlaced(candidate, placements);
-            const gangRun = step.gang ? this.#nextGangRun(active, ready) : undefined;
-            for (const { task, server } of placements) {
-                const to = byId.get(server.id)!;
-                const number = gangRun ?? this.#nextRun(active, ready.occurrence, task);
-                const ticket = advised ? this.#advice.find(stepKey, to) : undefined;
-                const run = this.#runs.plan(active, ready, task, number, to, stepKey, ticket);
-                planned.push({ server: to, run });
-            }
-        }
-    }
-
-    #logPlaced(candidate: jobBoard.Candidate, placements: readonly scheduling.Placement[]): void {
-        const { active, ready, rank } = candidate;
-        this.#shared.log.info("step-placed", {
-            job: active.job.id,
-            step: ready.step,
-            occurrence: ready.occurrence,
-            tasks: placements.length,
-            of: ready.tasks.length,
-            servers: [...new Set(placements.map(one => one.server.id))],
-            slack: Math.round(rank.slack),
-            age: this.#shared.clock.wall() - active.job.submittedAt,
-        });
-    }
-
-    /** Servers for which there are tickets; more are asked for when these can't take the whole step. */
-    #listAdvised(
-        candidate: jobBoard.Candidate,
-        stepKey: string,
-        open: readonly session.ServerSession[],
-    ): scheduling.ServerLoad[] {
-        const step = candidate.active.job.steps[candidate.ready.step]!;
-        const allowed = open.filter(server => this.#advice.find(stepKey, server) !== undefined);
-        const room = allowed.filter(server => scheduling.fits(server.load, step, stepKey)).length;
-        if (room < candidate.ready.tasks.length) {
-            this.#advice.request(candidate, stepKey, open.filter(one => scheduling.fits(one.load, step, stepKey)));
-        }
-        return allowed.map(server => server.load);
-    }
-
     /** Slows fillers beside serving tasks whose tails near their targets, and lets them go again. */
     #paceFillers(server: session.ServerSession): void {
         const all = [...server.runs.values()].filter(run => run.phase === "running");
@@ -466,15 +370,7 @@
         }
     }
 
-    #nextRun(active: jobBoard.ActiveJob, occurrence: number, task: number): number {
-        return (active.progress.occurrences.get(occurrence)?.histories.get(task)?.lastRun ?? 0) + 1;
-    }
-
-    #nextGangRun(active: jobBoard.ActiveJob, ready: scheduling.ReadyStep): number {
-        return Math.max(...ready.tasks.map(task => this.#nextRun(active, ready.occurrence, task)));
-    }
-
-    async #send(planned: readonly { server: session.ServerSession; run: session.ActiveRun; }[]): Promise<void> {
+    async #send(planned: readonly placer.PlannedRun[]): Promise<void> {
         if (!await this.#shared.writer.flush()) {
             return;
         }
@@ -483,37 +379,13 @@
         }
     }
 
-    /** Stops what a server has to be rid of, as far as the steps bear it and there is room elsewhere. */
+    /** Stops one task that a server has to be rid of; the next look sees it as away. */
     #vacate(server: session.ServerSession): void {
-        const others = [...this.fleet.sessions.values()].filter(one =>
-            one !== server && one.load.open && one.entry.service === server.entry.service
-        );
-        for (const run of [...server.runs.values()]) {
-            const room = others.some(one => scheduling.fits(one.load, run.step, run.stepKey));
-            const away = this.#countAway(run);
-            if (
-                run.step.longRunning && run.phase === "running" && room
-                && away < (run.step.maxUnavailable ?? Number.POSITIVE_INFINITY)
-            ) {
-                this.#shared.log.info("task-relocated", { step: run.stepKey, server: server.entry.id, away });
-                void this.#runs.stop(server, run);
-                return; // One at a time: the next look sees this one as away.
-            }
-        }
-    }
-
-    /** Tasks of the run's step, its own left out, that aren't fully at work. */
-    #countAway(run: session.ActiveRun): number {
-        let atWork = 0;
-        for (const server of this.fleet.sessions.values()) {
-            for (const other of server.runs.values()) {
-                const whole = other.phase === "running" && other.percent >= 100 && server.reachable;
-                if (other !== run && other.stepKey === run.stepKey && whole) {
-                    atWork += 1;
-                }
-            }
+        const run = relocation.chooseRelocation(server, [...this.fleet.sessions.values()]);
+        if (run !== undefined) {
+            this.#shared.log.info("task-relocated", { step: run.stepKey, server: server.entry.id });
+            void this.#runs.stop(server, run);
         }
-        return run.step.taskCount - 1 - atWork;
     }
 
     #stepDown(reason: string): void {
--- /dev/null
+++ b/packages/dispatch/src/job-sweeper.ts
@@ -0,0 +1,40 @@
+/**
+ * Forgets jobs whose callers have been told their end for long enough, here and in the store.
+ */
+import * as jobState from "@catkinwharf/job-state";
+import type * as storeClient from "@catkinwharf/store";
+import type * as context from "./context.js";
+
+/** How many times the time for which a status has to be told a job is kept after its end. */
+const statusFactor = 1.5;
+/** Most records in one append that forgets jobs. */
+const maxRecordsPerAppend = 400;
+
+export class JobSweeper {
+    constructor(
+        private readonly shared: context.CoordinatorContext,
+        private readonly store: storeClient.StoreClient,
+    ) {}
+
+    async sweep(): Promise<void> {
+        const { jobs, settings, clock, log, writer } = this.shared;
+        const dropped = jobs.dropSettledBefore(clock.wall() - statusFactor * settings.bounds.status);
+        if (dropped.length === 0) {
+            return;
+        }
+        log.info("jobs-forgotten", { jobs: dropped.length });
+        for (const id of dropped) {
+            writer.add(jobState.encodeForgottenProgress(id));
+        }
+        const records = dropped.flatMap(id => jobState.encodeForgottenJob(id));
+        for (let i = 0; i < records.length; i += maxRecordsPerAppend) {
+            const answer = await this.store.append(
+                jobState.submissionsTopic,
+                records.slice(i, i + maxRecordsPerAppend),
+            );
+            if (answer.isErr()) {
+                log.warn("jobs-not-forgotten", { reason: answer.error.reason });
+            }
+        }
+    }
+}
--- /dev/null
+++ b/packages/dispatch/src/relocation.test.ts
@@ -0,0 +1,114 @@
+/** Emptying a server takes no more of a step away than it bears. */
+import type * as jobState from "@catkinwharf/job-state";
+import type * as scheduling from "@catkinwharf/scheduling";
+import * as uvu from "uvu";
+import * as assert from "uvu/assert";
+import * as relocation from "./relocation.js";
+import * as session from "./server-session.js";
+
+const suite = uvu.suite("relocation");
+
+function createServer(id: string, room: boolean): session.ServerSession {
+    const load: scheduling.ServerLoad = {
+        id,
+        rack: "r1",
+        labels: [],
+        freeCpu: room ? 4000 : 0,
+        freeMemory: 4000,
+        freeAccelerators: 0,
+        open: true,
+        penalty: 0,
+        tasks: 0,
+        longRunningTasks: 0,
+        perStep: new Map(),
+    };
+    const created = new session.ServerSession(
+        {
+            id,
+            service: "dispatch",
+            address: "",
+            availabilityZone: "a",
+            draining: false,
+            remaining: undefined,
+            cpu: 4000,
+            memory: 4000,
+            accelerators: 0,
+            labels: [],
+            bootedAt: 1,
+        },
+        load,
+        0,
+        1000,
+    );
+    created.reachable = true;
+    return created;
+}
+
+const step: jobState.Step = {
+    taskCount: 3,
+    demand: { cpu: 1000, memory: 10, accelerators: 0 },
+    estimate: 0,
+    dependsOn: [],
+    checkpointed: false,
+    gang: false,
+    sameRack: false,
+    requiredLabel: undefined,
+    dataRack: undefined,
+    maxPerServer: 0,
+    speculative: false,
+    longRunning: true,
+    image: undefined,
+    tailTarget: 0,
+    filler: false,
+    maxUnavailable: 1,
+};
+
+function addRun(server: session.ServerSession, index: number, percent: number): session.ActiveRun {
+    const run: session.ActiveRun = {
+        entry: { id: "a", job: undefined, cancelledAt: undefined, progress: undefined },
+        position: { occurrence: 0, step: 0, index },
+        task: index,
+        step,
+        stepKey: "a.0.0",
+        number: 1,
+        server: server.boot,
+        phase: session.RunPhase.running,
+        listableFrom: 0,
+        orderedAt: 0,
+        checkpoint: "",
+        percent,
+        percentChangedAt: 0,
+        usage: undefined,
+        pace: 100,
+        ticket: undefined,
+    };
+    server.runs.set(String(index), run);
+    return run;
+}
+
+suite("a task leaves while the others of its step are at work, and none while one is away", () => {
+    const [from, other] = [createServer("from", false), createServer("other", true)];
+    const first = addRun(from, 0, 100);
+    addRun(from, 1, 100);
+    const third = addRun(other, 2, 100);
+    assert.is(relocation.chooseRelocation(from, [from, other]), first);
+    third.percent = 60;
+    assert.is(relocation.chooseRelocation(from, [from, other]), undefined);
+    third.percent = 100;
+    first.phase = session.RunPhase.stopping;
+    assert.is(relocation.chooseRelocation(from, [from, other]), undefined);
+});
+
+suite("no task leaves for want of room elsewhere, or while a server of the step is out of reach", () => {
+    const [from, full] = [createServer("from", false), createServer("full", false)];
+    addRun(from, 0, 100);
+    addRun(from, 1, 100);
+    addRun(full, 2, 100);
+    assert.is(relocation.chooseRelocation(from, [from, full]), undefined);
+    const empty = createServer("empty", true);
+    assert.ok(relocation.chooseRelocation(from, [from, full, empty]));
+    full.reachable = false;
+    assert.is(relocation.chooseRelocation(from, [from, full, empty]), undefined);
+});
+
+suite.run();
--- a/packages/dispatch/src/server-session.ts
+++ b/packages/dispatch/src/server-session.ts
@@ -96,6 +96,17 @@
         return false;
     }
 
+    /** Runs that make no progress, though the server answers. Fillers may have been told to stand still. */
+    listStalled(): ActiveRun[] {
+        return this.reachable ? [...this.runs.values()].filter(run => this.#isStalled(run)) : [];
+    }
+
+    #isStalled(run: ActiveRun): boolean {
+        const ordinary = !run.step.longRunning && !run.step.gang && !run.step.filler;
+        const sample = { percent: run.percent, changedAt: run.percentChangedAt };
+        return ordinary && run.phase === RunPhase.running && scheduling.isStalled(sample, this.lastAnswer);
+    }
+
     get boot(): string {
         return nameBoot(this.entry.id, this.bootedAt);
     }
