Let long-running tasks leave servers that drain

Cause: they stayed until the server ended, and came back only when its lease had lapsed, some 5 s later. One at a time of a step, as in a wave. The test failed before.

--- a/packages/dispatch/src/coordinator.ts
+++ b/packages/dispatch/src/coordinator.ts
@@ -299,6 +299,7 @@
             this.#advice.forget(stepKey => !this.board.active.has(stepKey.slice(0, stepKey.indexOf("."))));
         }
         this.#stopStalled();
+        this.#vacateDraining();
         this.#wake();
     }
 
@@ -379,6 +380,15 @@
         }
     }
 
+    /** Long-running tasks leave servers that will end soon, while others go on. */
+    #vacateDraining(): void {
+        for (const server of this.fleet.sessions.values()) {
+            if (server.entry.draining && server.reachable && server.load.longRunningTasks > 0) {
+                this.#vacate(server);
+            }
+        }
+    }
+
     /** Stops one task that a server has to be rid of; the next look sees it as away. */
     #vacate(server: session.ServerSession): void {
         const run = relocation.chooseRelocation(server, [...this.fleet.sessions.values()]);
--- a/packages/node/src/integration/jobs.test.ts
+++ b/packages/node/src/integration/jobs.test.ts
@@ -163,6 +163,20 @@
     assert.equal(deployment.findDoubleRuns(), []);
 });
 
+suite("a long-running task leaves a server that drains, and new tasks start elsewhere", async () => {
+    await deployment.start(1, { dispatch: 2 });
+    await submit(describeJob({}, { longRunning: true, tasks: 1 }));
+    await deployment.waitFor("the task runs", () => deployment.machines.history.length === 1);
+    const holder = [...deployment.machines.machines.values()]
+        .find(machine => machine.server?.runningTasks.length === 1)!;
+    deployment.machines.drain(holder);
+    await deployment.waitFor("it runs elsewhere", () => deployment.machines.history.length === 2);
+    await waitForStatus(await submit(describeJob({ duration: 20 })), "completed");
+    assert.is(deployment.machines.history[0]!.how, "stopped");
+    assert.ok(deployment.machines.history.slice(1).every(seen => seen.server !== holder.server!.id));
+    assert.equal(deployment.findDoubleRuns(), []);
+});
+
 suite("a start without an answer is stopped before the task starts elsewhere", async () => {
     await deployment.start(1, { dispatch: 2 });
     for (const machine of deployment.machines.machines.values()) {
