--- a/packages/dispatch/src/context.ts
+++ b/packages/dispatch/src/context.ts
@@ -31,7 +31,7 @@
 /** Time in ms for an order to a backend server; they answer within a few. */
 export const orderTimeout = 700;
 /** Lease in ms: outlasts a change of coordinator, and brings back what a server that was cut off held. */
-export const leaseTime = 4500;
+const leaseTime = 4500;
 
 export function findLeaseTime(settings: platform.settings.NodeSettings): number {
     return Math.min(leaseTime, settings.bounds.maxLease);
--- a/packages/dispatch/src/coordinator.ts
+++ b/packages/dispatch/src/coordinator.ts
@@ -8,7 +8,7 @@
 import * as scheduling from "@catkinwharf/scheduling";
 import * as storeClient from "@catkinwharf/store";
 import * as adviceDesk from "./advice-desk.js";
-import type * as clocks from "./clocks.js";
+import * as clocks from "./clocks.js";
 import * as context from "./context.js";
 import * as demand from "./demand.js";
 import * as fleet from "./fleet.js";
@@ -28,6 +28,8 @@
 const tickInterval = 100;
 /** Time in ms that a new coordinator waits for the servers' first answers before it starts anything. */
 const takeoverPatience = 300;
+/** Time in ms between two looks whether they have answered. */
+const takeoverLook = 10;
 /** Time in ms between two looks for jobs that can be forgotten. */
 const sweepInterval = 5000;
 /** Time in ms for which reads of the servers' topic gather records. */
@@ -98,9 +100,7 @@
             writer: new ledgerWriter.LedgerWriter(
                 store,
                 epoch,
-                0,
                 () => stepDown("the ledger refused this epoch"),
-                clock,
             ),
             jobs: options.jobs,
             configuration: options.configuration,
@@ -127,7 +127,7 @@
             earlierOrders: options.machineOrders,
             knownSince: () => this.#demand.firstWorkAt,
             vacate: server => this.#vacate(server),
-            isPinned: server => demand.isPinned(server),
+            isPinned: server => relocation.isPinned(server),
         });
         this.#servers = new storeClient.TopicFollower(
             store,
@@ -160,7 +160,7 @@
             }
         }
         while (!this.#stopped && !await this.#servers.catchUp()) {
-            await new Promise(resolve => setTimeout(resolve, tickInterval));
+            await clocks.delay(tickInterval);
         }
         this.#inheritRuns();
         this.fleet.begin();
@@ -168,7 +168,7 @@
         const { clock } = this.#shared;
         const patienceEnd = clock.steady() + takeoverPatience;
         while (!this.#stopped && clock.steady() < patienceEnd && this.#hasUnasked()) {
-            await new Promise(resolve => setTimeout(resolve, 10));
+            await clocks.delay(takeoverLook);
         }
         this.#ready = true;
         this.#demand.firstWorkAt = this.board.active.size > 0 ? clock.steady() : undefined;
@@ -308,7 +308,7 @@
         for (const server of this.fleet.sessions.values()) {
             for (const run of server.listStalled()) {
                 this.#shared.log.info("run-stalled", {
-                    task: `${run.stepKey}.${run.position.index}/${run.number}`,
+                    task: run.name,
                     server: server.entry.id,
                     percent: run.percent,
                     since: Math.round(server.lastAnswer - run.percentChangedAt),
@@ -348,7 +348,7 @@
 
     /** Slows fillers beside serving tasks whose tails near their targets, and lets them go again. */
     #paceFillers(server: session.ServerSession): void {
-        const all = [...server.runs.values()].filter(run => run.phase === "running");
+        const all = [...server.runs.values()].filter(run => run.phase === session.RunPhase.running);
         const fillers = all.filter(run => run.step.filler);
         if (fillers.length === 0) {
             return;
--- a/packages/dispatch/src/demand.ts
+++ b/packages/dispatch/src/demand.ts
@@ -6,7 +6,6 @@
 import type * as scheduling from "@catkinwharf/scheduling";
 import type * as fleet from "./fleet.js";
 import type * as jobBoard from "./job-board.js";
-import type * as session from "./server-session.js";
 
 /** Least time in ms over which arrivals are averaged; short against the seconds that a burst lasts. */
 const arrivalSpan = 1000;
@@ -178,11 +177,6 @@
     return active.job.repetition === undefined && wall - active.job.submittedAt > uselessAfter * objective;
 }
 
-/** Whether something runs there that may never be taken away. */
-export function isPinned(server: session.ServerSession): boolean {
-    return [...server.runs.values()].some(run => run.step.longRunning && run.step.maxUnavailable === 0);
-}
-
 function decay(arrivals: Arrivals, now: number): void {
     const passed = Math.max(0, now - arrivals.at);
     arrivals.rate *= Math.exp(-passed / arrivals.span);
--- a/packages/dispatch/src/fleet.ts
+++ b/packages/dispatch/src/fleet.ts
@@ -101,6 +101,7 @@
             memory: 0,
             accelerators: 0,
             labels: [],
+            rack: "",
             bootedAt: undefined,
         });
         opened.unlisted = true;
@@ -120,7 +121,7 @@
     #open(entry: platform.operatorRecords.ServerEntry): session.ServerSession {
         const load: scheduling.ServerLoad = {
             id: entry.id,
-            rack: entry.labels.find(label => /^r\d/.test(label)) ?? "",
+            rack: entry.rack,
             labels: entry.labels,
             freeCpu: entry.cpu,
             freeMemory: entry.memory,
--- a/packages/dispatch/src/job-board.ts
+++ b/packages/dispatch/src/job-board.ts
@@ -61,7 +61,7 @@
             job,
             progress: entry.progress,
             route,
-            chain: scheduling.measureChain(job, 1),
+            chain: scheduling.measureChain(job),
             remaining: scheduling.measureRemaining(job),
             avoided: new Set(),
             readiness: undefined,
--- a/packages/dispatch/src/keeper.ts
+++ b/packages/dispatch/src/keeper.ts
@@ -8,7 +8,8 @@
 import * as platform from "@catkinwharf/platform";
 import * as scheduling from "@catkinwharf/scheduling";
 import type * as storeClient from "@catkinwharf/store";
-import * as context from "./context.js";
+import * as clocks from "./clocks.js";
+import type * as context from "./context.js";
 import type * as fleet from "./fleet.js";
 import type * as session from "./server-session.js";
 
@@ -342,7 +343,6 @@
                 ? undefined
                 : Math.max(kept.emptySince, this.parts.knownSince() ?? 0),
             cores: kept.machine.cpu / 1000,
-            kind: kept.machine.labels[0] ?? "",
             due: kept.due,
         };
     }
@@ -371,7 +371,7 @@
             wave: open.wave.number,
             outcome: ordered,
         });
-        if (ordered === "done" || ordered === "wave") {
+        if (ordered === "done" || ordered === platform.machineCalls.MachineRefusal.notOfWave) {
             open.begun.add(kept.machine.id);
             open.out.set(kept.machine.id, this.parts.shared.clock.steady());
             this.parts.shared.writer.add(
@@ -421,7 +421,7 @@
                 outcome = decoded.reason === "" ? `status ${decoded.status}` : decoded.reason;
                 break;
             }
-            await new Promise(resolve => setTimeout(resolve, orderRetryDelay));
+            await clocks.delay(orderRetryDelay);
         }
         kept.ordered = undefined;
         if (outcome !== "done" && server !== undefined) {
@@ -449,7 +449,7 @@
             if (answer.isOk()) {
                 return;
             }
-            await new Promise(resolve => setTimeout(resolve, orderRetryDelay));
+            await clocks.delay(orderRetryDelay);
         }
     }
 }
--- a/packages/dispatch/src/leadership.ts
+++ b/packages/dispatch/src/leadership.ts
@@ -98,7 +98,7 @@
     }
 
     #look(stagger: number): void {
-        const { ledger, clock, options } = { ...this.options, options: this.options };
+        const { ledger, clock, store, node, processStart, isPrepared } = this.options;
         const now = clock.steady();
         const readable = ledger.loaded && clock.wall() - ledger.currentAt < readablePatience;
         if (!readable || !this.#readable) {
@@ -111,11 +111,11 @@
             leadership: this.leadership,
             silence: now - this.#lastSign,
             stagger,
-            latency: options.store.latency,
+            latency: store.latency,
         };
         if (
-            !this.leading && !this.#claiming && options.isPrepared()
-            && shouldClaim(seen, options.node, options.processStart)
+            !this.leading && !this.#claiming && isPrepared()
+            && shouldClaim(seen, node, processStart)
         ) {
             this.#claiming = true;
             void this.#claim().finally(() => this.#claiming = false);
--- a/packages/dispatch/src/ledger-writer.ts
+++ b/packages/dispatch/src/ledger-writer.ts
@@ -22,22 +22,14 @@
     #waiters: ((stored: boolean) => void)[] = [];
     #writing = false;
     #stopped = false;
-    /** On the steady clock, ms: when a batch was stored last. */
-    lastStored: number;
+    /** Number of the last append; setting the epoch was number 0. */
+    #sequence = 0;
 
     constructor(
         private readonly store: storeClient.StoreClient,
         private readonly epoch: number,
-        private sequence: number,
         private readonly onSucceeded: () => void,
-        private readonly clock: clocks.Clocks,
-    ) {
-        this.lastStored = clock.steady();
-    }
-
-    get backlog(): number {
-        return this.#dirty.size;
-    }
+    ) {}
 
     /** The progress of a job has changed. */
     mark(entry: jobState.JobEntry): void {
@@ -102,24 +94,23 @@
     }
 
     async #append(batch: readonly platform.storeCalls.KeyedRecord[]): Promise<boolean> {
-        this.sequence += 1;
+        this.#sequence += 1;
         while (!this.#stopped) {
             const answer = await this.store.append(jobState.ledgerTopic, batch, {
-                producer: { name: jobState.ledgerProducer, epoch: this.epoch, sequence: this.sequence },
+                producer: { name: jobState.ledgerProducer, epoch: this.epoch, sequence: this.#sequence },
             });
             if (answer.isErr()) {
                 await clocks.delay(retryDelay);
                 continue;
             }
-            if (answer.value.kind === "sequence" && answer.value.expected <= this.sequence) {
-                this.sequence = answer.value.expected;
+            if (answer.value.kind === "sequence" && answer.value.expected <= this.#sequence) {
+                this.#sequence = answer.value.expected;
                 continue;
             }
             if (answer.value.kind === "fenced" || answer.value.kind === "moved") {
                 this.onSucceeded();
                 return false;
             }
-            this.lastStored = this.clock.steady();
             return true;
         }
         return false;
--- a/packages/dispatch/src/placer.ts
+++ b/packages/dispatch/src/placer.ts
@@ -58,7 +58,7 @@
                 const to = byId.get(server.id)!;
                 const number = gangRun ?? this.#nextRun(active, ready.occurrence, task);
                 const ticket = advised ? this.advice.find(stepKey, to) : undefined;
-                const run = this.runs.plan(active, ready, task, number, to, stepKey, ticket);
+                const run = this.runs.plan(active, ready, task, number, to, ticket);
                 planned.push({ server: to, run });
             }
         }
--- a/packages/dispatch/src/relocation.ts
+++ b/packages/dispatch/src/relocation.ts
@@ -39,3 +39,8 @@
     }
     return run.step.taskCount - 1 - present;
 }
+
+/** Whether something runs there that may never be taken away. */
+export function isPinned(server: session.ServerSession): boolean {
+    return [...server.runs.values()].some(run => run.step.longRunning && run.step.maxUnavailable === 0);
+}
--- a/packages/dispatch/src/runs.ts
+++ b/packages/dispatch/src/runs.ts
@@ -39,7 +39,6 @@
         task: number,
         number: number,
         server: session.ServerSession,
-        stepKey: string,
         ticket: string | undefined,
     ): session.ActiveRun {
         const { job, progress } = active;
@@ -53,30 +52,13 @@
             progress.statusAt = this.options.shared.clock.wall();
         }
         active.readiness = undefined;
-        const position = {
-            occurrence: ready.occurrence,
-            step: ready.step,
-            index: task - jobState.findFirstTask(job, ready.step),
-        };
-        const run: session.ActiveRun = {
-            entry: active.entry,
-            position,
-            task,
-            step: job.steps[ready.step]!,
-            stepKey,
-            number,
-            server: server.boot,
+        const run = this.#create(active, ready.occurrence, task, { number, server: server.boot }, {
             phase: session.RunPhase.planned,
             listableFrom: undefined,
-            orderedAt: this.options.shared.clock.steady(),
             checkpoint: history.checkpoint,
-            percent: 0,
-            percentChangedAt: this.options.shared.clock.steady(),
-            usage: undefined,
-            pace: 100,
             ticket,
-        };
-        server.runs.set(nameRun({ jobId: active.job.id, ...position }, number), run);
+        });
+        server.runs.set(run.name, run);
         this.options.shared.writer.mark(active.entry);
         return run;
     }
@@ -89,29 +71,42 @@
         stored: jobState.Run,
         server: session.ServerSession,
     ): void {
+        const run = this.#create(active, occurrence, task, stored, {
+            phase: session.RunPhase.inherited,
+            listableFrom: 0,
+            checkpoint: "",
+            ticket: undefined,
+        });
+        server.runs.set(run.name, run);
+        scheduling.occupy(server.load, run.step, run.stepKey);
+    }
+
+    #create(
+        active: jobBoard.ActiveJob,
+        occurrence: number,
+        task: number,
+        intended: jobState.Run,
+        origin: Pick<session.ActiveRun, "phase" | "listableFrom" | "checkpoint" | "ticket">,
+    ): session.ActiveRun {
+        const now = this.options.shared.clock.steady();
         const step = findStep(active.job, task);
         const position = { occurrence, step, index: task - jobState.findFirstTask(active.job, step) };
-        const stepKey = nameStep(active.job.id, position);
-        const run: session.ActiveRun = {
+        return {
             entry: active.entry,
             position,
             task,
             step: active.job.steps[step]!,
-            stepKey,
-            number: stored.number,
-            server: stored.server,
-            phase: session.RunPhase.inherited,
-            listableFrom: 0,
-            orderedAt: this.options.shared.clock.steady(),
-            checkpoint: "",
+            stepKey: nameStep(active.job.id, position),
+            name: nameRun({ jobId: active.job.id, ...position }, intended.number),
+            number: intended.number,
+            server: intended.server,
+            orderedAt: now,
             percent: 0,
-            percentChangedAt: this.options.shared.clock.steady(),
+            percentChangedAt: now,
             usage: undefined,
             pace: 100,
-            ticket: undefined,
+            ...origin,
         };
-        server.runs.set(nameRun({ jobId: active.job.id, ...position }, stored.number), run);
-        scheduling.occupy(server.load, run.step, stepKey);
     }
 
     /** Sends the start of a run whose intent is stored. */
@@ -150,7 +145,7 @@
                 return;
             }
             shared.log.warn("start-unanswered", {
-                task: nameRun({ jobId: run.entry.id, ...run.position }, run.number),
+                task: run.name,
             });
             run.phase = session.RunPhase.uncertain;
             server.restUntil = shared.clock.steady() + refusalRest;
@@ -178,7 +173,7 @@
             return;
         }
         shared.log.info("start-refused", {
-            task: nameRun({ jobId: run.entry.id, ...run.position }, run.number),
+            task: run.name,
             server: server.entry.id,
             answer,
         });
@@ -369,7 +364,7 @@
         }
         if (how !== jobState.RunEnd.done) {
             shared.log.info("run-ended", {
-                task: nameRun({ jobId: run.entry.id, ...run.position }, run.number),
+                task: run.name,
                 server: server.entry.id,
                 how,
                 failures: history.failures,
@@ -440,7 +435,7 @@
     /** The run was not started and never will be. */
     #drop(server: session.ServerSession, run: session.ActiveRun, reason: string): void {
         this.options.shared.log.info("start-dropped", {
-            task: nameRun({ jobId: run.entry.id, ...run.position }, run.number),
+            task: run.name,
             server: server.entry.id,
             reason,
         });
@@ -455,7 +450,7 @@
     }
 
     #forget(server: session.ServerSession, run: session.ActiveRun): void {
-        server.runs.delete(nameRun({ jobId: run.entry.id, ...run.position }, run.number));
+        server.runs.delete(run.name);
         scheduling.release(server.load, run.step, run.stepKey);
         const occurrence = run.entry.progress?.occurrences.get(run.position.occurrence);
         const history = occurrence?.histories.get(run.task);
@@ -465,7 +460,7 @@
     }
 
     #isCurrent(server: session.ServerSession, run: session.ActiveRun): boolean {
-        return server.runs.get(nameRun({ jobId: run.entry.id, ...run.position }, run.number)) === run;
+        return server.runs.get(run.name) === run;
     }
 }
 
--- a/packages/dispatch/src/server-session.ts
+++ b/packages/dispatch/src/server-session.ts
@@ -29,6 +29,8 @@
     readonly task: number;
     readonly step: jobState.Step;
     readonly stepKey: string;
+    /** Task and number of the run. */
+    readonly name: string;
     readonly number: number;
     readonly server: string;
     phase: RunPhase;
--- a/packages/http-calls/src/index.ts
+++ b/packages/http-calls/src/index.ts
@@ -39,8 +39,6 @@
 
 export class HttpCalls {
     readonly #pools = new Map<string, undici.Pool>();
-    /** Calls made so far, by address. */
-    readonly counts = new Map<string, number>();
 
     /**
      * Sends a call and reads its whole answer.
@@ -52,7 +50,6 @@
         call: platform.Call,
         timeout: number,
     ): Promise<neverthrow.Result<platform.Answer, CallError>> {
-        this.counts.set(address, (this.counts.get(address) ?? 0) + 1);
         const abort = new AbortController();
         const timer = setTimeout(() => abort.abort(), timeout);
         try {
@@ -80,7 +77,6 @@
     forget(address: string): void {
         const pool = this.#pools.get(address);
         this.#pools.delete(address);
-        this.counts.delete(address);
         void pool?.destroy();
     }
 
--- a/packages/node/src/process.ts
+++ b/packages/node/src/process.ts
@@ -132,23 +132,27 @@
                 store: this.#store,
                 jobs: this.#jobs,
                 steady: () => this.#clock.steady(),
-                isStoreOut: () => this.#store.isOut(this.#clock.wall()),
+                isStoreOut: () => this.#isStoreOut(),
             }),
             log: this.log,
             steady: () => this.#clock.steady(),
             wall: () => this.#clock.wall(),
             configuration: () => this.#configuration,
             refreshJobs: () => this.#submissions.catchUp(),
-            isStoreLost: () => this.#store.isOut(this.#clock.wall()),
+            isStoreLost: () => this.#isStoreOut(),
             isReady: () => this.#isReady(),
             isEnding: () => this.#ending,
             count: (kind, outcome, duration) => this.#metrics.countRequest(kind, outcome, duration),
         });
     }
 
+    #isStoreOut(): boolean {
+        return this.#store.isOut(this.#clock.wall());
+    }
+
     #isReady(): boolean {
         return !this.#ending && this.#configuration !== undefined && this.#submissions.loaded && this.#ledger.loaded
-            && !this.#store.isOut(this.#clock.wall());
+            && !this.#isStoreOut();
     }
 
     #listen(port: intake.CallerPort, address: string): void {
--- a/packages/scheduling/src/objective.test.ts
+++ b/packages/scheduling/src/objective.test.ts
@@ -15,7 +15,7 @@
             fixtures.createStep({ estimate: 50, dependsOn: [0, 1] }),
         ],
     });
-    assert.is(scheduling.measureChain(job, 1), 950);
+    assert.is(scheduling.measureChain(job), 950);
     assert.equal(scheduling.measureRemaining(job), [150, 950, 50]);
     assert.is(scheduling.findObjective(job, 0, 950, policy), 2400);
 });
--- a/packages/scheduling/src/objective.ts
+++ b/packages/scheduling/src/objective.ts
@@ -14,14 +14,9 @@
     readonly latencyTarget: number;
 }
 
-/** Time in ms of the longest chain of dependent steps, by the caller's estimates and a learnt correction. */
-export function measureChain(job: jobState.Job, correction: number): number {
-    const ends: number[] = [];
-    for (const step of job.steps) {
-        const begin = Math.max(0, ...step.dependsOn.map(earlier => ends[earlier] ?? 0));
-        ends.push(begin + step.estimate * correction);
-    }
-    return Math.max(0, ...ends);
+/** Time in ms of the longest chain of dependent steps, by the caller's estimates. */
+export function measureChain(job: jobState.Job): number {
+    return Math.max(0, ...measureRemaining(job));
 }
 
 /** Time in ms of the longest chain of work from the beginning of each step to the end of the job. */
--- a/packages/scheduling/src/pools.ts
+++ b/packages/scheduling/src/pools.ts
@@ -29,8 +29,6 @@
     /** Nothing runs there, since this time on the steady clock, ms; `undefined` when something runs. */
     readonly emptySince: number | undefined;
     readonly cores: number;
-    /** Instances of one kind can replace each other. */
-    readonly kind: string;
     /** Due for maintenance soon: moved last, so that it can be maintained where it is. */
     readonly due: boolean;
 }
--- a/packages/scheduling/src/testing/fixtures.ts
+++ b/packages/scheduling/src/testing/fixtures.ts
@@ -65,7 +65,6 @@
         arriving: false,
         emptySince: undefined,
         cores: 10,
-        kind: "a",
         due: false,
         ...changes,
     };
--- a/packages/store/src/store-relay.ts
+++ b/packages/store/src/store-relay.ts
@@ -2,13 +2,11 @@
  * Passes store calls of peers on, for those that the store turns away while it serves this process.
  */
 import type * as eventLog from "@catkinwharf/event-log";
-import type * as httpCalls from "@catkinwharf/http-calls";
-import type * as platform from "@catkinwharf/platform";
+import * as httpCalls from "@catkinwharf/http-calls";
+import * as platform from "@catkinwharf/platform";
 import * as http from "node:http";
 import type * as storeRoutes from "./store-routes.js";
 
-/** Header that marks an answer as the store's own. */
-export const storeAnswerHeader = "catkinwharf-store-answer";
 /** Status with which a relay says that nothing was passed on. */
 export const notPassedStatus = 521;
 /** Status with which a relay says that it passed the call on and got no answer. */
@@ -32,7 +30,7 @@
 export function createRelay(parts: RelayParts): http.Server {
     return http.createServer((message, response) => {
         void passOn(parts, message).then(({ status, body }) => {
-            response.writeHead(status, { [storeAnswerHeader]: "1" }).end(body);
+            response.writeHead(status).end(body);
         }).catch((error: unknown) => {
             parts.log.warn("relay-broken", { error: String(error) });
             response.writeHead(unansweredStatus).end();
@@ -54,20 +52,15 @@
         }
         chunks.push(chunk as Buffer);
     }
-    if (!parts.routes.isDirectFresh(parts.now()) || !(message.url ?? "").startsWith("/-/log-")) {
+    const call = platform.storeCalls.restoreCall(message.method, message.url ?? "", Buffer.concat(chunks));
+    if (call === undefined || !parts.routes.isDirectFresh(parts.now())) {
         return { status: notPassedStatus, body: nothing };
     }
-    const call: platform.Call = {
-        method: message.method === "POST" ? "POST" : "GET",
-        path: message.url!,
-        headers: message.method === "POST" ? { "content-type": "application/octet-stream" } : {},
-        body: message.method === "POST" ? Buffer.concat(chunks) : undefined,
-    };
-    const wait = Number(/[?&]WaitMs=(\d+)/.exec(call.path)?.[1] ?? 0);
+    const wait = platform.storeCalls.findWait(call);
     const answer = await parts.calls.send(parts.storeAddress, call, wait + relayTimeout);
     if (answer.isErr()) {
         parts.routes.noteFailure({ address: parts.storeAddress, relayed: false }, parts.now());
-        const status = answer.error.fault === "unsent" ? notPassedStatus : unansweredStatus;
+        const status = answer.error.fault === httpCalls.CallFault.unsent ? notPassedStatus : unansweredStatus;
         return { status, body: nothing };
     }
     return answer.value;
