--- a/packages/test-utils/src/index.ts
+++ b/packages/test-utils/src/index.ts
@@ -13,3 +13,4 @@
 export * from "./platform/platform-stand-in.js";
 export * from "./proxy/fault-proxy.js";
 export * from "./proxy/route.js";
+export * from "./stand-in.js";
