Let objectives follow the times that a job's tasks were seen to take

Change: the longest time that a task of a step was seen to take replaces the step's estimate, up to three times it.

--- a/packages/dispatch/src/job-board.ts
+++ b/packages/dispatch/src/job-board.ts
@@ -10,10 +10,12 @@
     readonly job: jobState.Job;
     readonly progress: jobState.Progress;
     route: platform.operatorRecords.Route;
-    /** Longest chain of work in ms. */
-    readonly chain: number;
+    /** Longest chain of work in ms, as far as its tasks' times are known. */
+    chain: number;
     /** From the beginning of each step to the end of the job, in ms. */
-    readonly remaining: readonly number[];
+    remaining: readonly number[];
+    /** Longest time in ms that a task of each step was seen to take. */
+    readonly seenTimes: Map<number, number>;
     /** Servers on which one of its runs failed. */
     readonly avoided: Set<string>;
     /** What may start; `undefined` after a change. */
@@ -56,13 +58,15 @@
         if (jobState.isSettled(entry.progress.status) && !jobState.hasRuns(entry.progress)) {
             return undefined;
         }
+        const estimates = scheduling.expectStepTimes(job, new Map());
         const active: ActiveJob = {
             entry,
             job,
             progress: entry.progress,
             route,
-            chain: scheduling.measureChain(job),
-            remaining: scheduling.measureRemaining(job),
+            chain: scheduling.measureChain(job, estimates),
+            remaining: scheduling.measureRemaining(job, estimates),
+            seenTimes: new Map(),
             avoided: new Set(),
             readiness: undefined,
         };
@@ -70,6 +74,16 @@
         return active;
     }
 
+    /** A task of the step took `time` ms from its start to its end. */
+    noteTime(active: ActiveJob, step: number, time: number): void {
+        if (time > (active.seenTimes.get(step) ?? 0)) {
+            active.seenTimes.set(step, time);
+            const times = scheduling.expectStepTimes(active.job, active.seenTimes);
+            active.chain = scheduling.measureChain(active.job, times);
+            active.remaining = scheduling.measureRemaining(active.job, times);
+        }
+    }
+
     remove(id: string): void {
         this.active.delete(id);
     }
--- a/packages/dispatch/src/relocation.test.ts
+++ b/packages/dispatch/src/relocation.test.ts
@@ -83,6 +83,7 @@
         usage: undefined,
         pace: 100,
         ticket: undefined,
+        timed: true,
     };
     server.runs.set(String(index), run);
     return run;
--- a/packages/dispatch/src/runs.ts
+++ b/packages/dispatch/src/runs.ts
@@ -57,6 +57,7 @@
             listableFrom: undefined,
             checkpoint: history.checkpoint,
             ticket,
+            timed: history.checkpoint === "",
         });
         server.runs.set(run.name, run);
         this.options.shared.writer.mark(active.entry);
@@ -76,6 +77,7 @@
             listableFrom: 0,
             checkpoint: "",
             ticket: undefined,
+            timed: false,
         });
         server.runs.set(run.name, run);
         scheduling.occupy(server.load, run.step, run.stepKey);
@@ -86,7 +88,7 @@
         occurrence: number,
         task: number,
         intended: jobState.Run,
-        origin: Pick<session.ActiveRun, "phase" | "listableFrom" | "checkpoint" | "ticket">,
+        origin: Pick<session.ActiveRun, "phase" | "listableFrom" | "checkpoint" | "ticket" | "timed">,
     ): session.ActiveRun {
         const now = this.options.shared.clock.steady();
         const step = findStep(active.job, task);
@@ -357,6 +359,9 @@
             history.checkpoint = checkpoint !== "" ? checkpoint : run.checkpoint;
         }
         if (how === jobState.RunEnd.done && !run.step.longRunning) {
+            if (run.timed) {
+                board.noteTime(active, run.position.step, shared.clock.steady() - run.orderedAt);
+            }
             this.#markDone(active, run.position.occurrence, run.task, run.step);
         }
         else if (how === jobState.RunEnd.failed) {
--- a/packages/dispatch/src/server-session.ts
+++ b/packages/dispatch/src/server-session.ts
@@ -38,6 +38,8 @@
     listableFrom: number | undefined;
     /** On the steady clock: when the start was sent. */
     orderedAt: number;
+    /** Started from the beginning by this coordinator, so its end tells how long the task takes. */
+    readonly timed: boolean;
     checkpoint: string;
     /** By the server's last list: how much of its work is done, for a long-running task whether it is at work, in percent. */
     percent: number;
--- a/packages/scheduling/src/objective.ts
+++ b/packages/scheduling/src/objective.ts
@@ -14,18 +14,29 @@
     readonly latencyTarget: number;
 }
 
-/** Time in ms of the longest chain of dependent steps, by the caller's estimates. */
-export function measureChain(job: jobState.Job): number {
-    return Math.max(0, ...measureRemaining(job));
+/** Most times its estimate that a step's time is believed to be; what takes longer ran on a slow server. */
+const maxOverrun = 3;
+
+/**
+ * Expected time in ms of each step: the longest that one of its tasks was seen to take, else the caller's estimate.
+ * Estimates are rough, and the objective goes by the real times: a job whose first step took long has more time, too.
+ */
+export function expectStepTimes(job: jobState.Job, seen: ReadonlyMap<number, number>): number[] {
+    return job.steps.map((step, i) => Math.min(seen.get(i) ?? step.estimate, maxOverrun * step.estimate));
+}
+
+/** Time in ms of the longest chain of dependent steps, by the expected time of each. */
+export function measureChain(job: jobState.Job, times: readonly number[]): number {
+    return Math.max(0, ...measureRemaining(job, times));
 }
 
 /** Time in ms of the longest chain of work from the beginning of each step to the end of the job. */
-export function measureRemaining(job: jobState.Job): number[] {
+export function measureRemaining(job: jobState.Job, times: readonly number[]): number[] {
     const after = job.steps.map(() => 0);
     const remaining = job.steps.map(() => 0);
     for (let i = job.steps.length - 1; i >= 0; i--) {
         const step = job.steps[i]!;
-        remaining[i] = step.estimate + after[i]!;
+        remaining[i] = times[i]! + after[i]!;
         for (const earlier of step.dependsOn) {
             after[earlier] = Math.max(after[earlier] ?? 0, remaining[i]!);
         }
