Begin jobs with some slack, go on with those that are behind by little, and do useless ones last

Cause: in bursts beyond the pools, jobs begin at the last moment (slack 0.01 to 0.1 s) and their next step, a few ms late by a rough estimate, was put behind everything for 6 s; what it had done was of no use. Among the jobs that can't meet their objective those that nobody waits for any more went first, as the oldest.

Change: a job begins with a slack of at least 0.15 of what remains; one that has begun goes on until it is behind by 0.3 of it. Steps are expected to take 1.2 times their estimate (median of 276 steps). Late jobs that are still of use go before useless ones.

--- a/packages/dispatch/src/demand.ts
+++ b/packages/dispatch/src/demand.ts
@@ -3,7 +3,7 @@
  */
 import type * as jobState from "@catkinwharf/job-state";
 import type * as platform from "@catkinwharf/platform";
-import type * as scheduling from "@catkinwharf/scheduling";
+import * as scheduling from "@catkinwharf/scheduling";
 import type * as fleet from "./fleet.js";
 import type * as jobBoard from "./job-board.js";
 
@@ -15,10 +15,8 @@
 const fastLead = 1.4;
 /** Share of the fast average that counts; it overshoots. */
 const fastTrust = 0.8;
-/** A job that takes this many times its objective is of no use to its caller any more. */
-const uselessAfter = 3;
 /** Share with which work of such jobs counts: it is done with what others leave, and moves few machines. */
-const worthlessWeight = 0.2;
+const uselessWeight = 0.2;
 /** Least time in ms within which a backlog should be worked off. */
 const minClearance = 800;
 /** Share of an earlier burst at whose return the whole of it is expected. */
@@ -140,7 +138,7 @@
                 const step = active.job.steps[ready.step]!;
                 work += step.longRunning ? 0 : ready.tasks.length * measureTask(step, shape);
             }
-            work *= isWorthless(active, wall) ? worthlessWeight : 1;
+            work *= isUseless(active, wall) ? uselessWeight : 1;
             backlogs.set(active.route.service, (backlogs.get(active.route.service) ?? 0) + work);
         }
         return backlogs;
@@ -172,9 +170,9 @@
     }
 }
 
-function isWorthless(active: jobBoard.ActiveJob, wall: number): boolean {
+function isUseless(active: jobBoard.ActiveJob, wall: number): boolean {
     const objective = active.route.slackFactor * active.chain + active.route.latencyTarget;
-    return active.job.repetition === undefined && wall - active.job.submittedAt > uselessAfter * objective;
+    return active.job.repetition === undefined && wall - active.job.submittedAt > scheduling.uselessAfter * objective;
 }
 
 function decay(arrivals: Arrivals, now: number): void {
--- a/packages/dispatch/src/job-board.ts
+++ b/packages/dispatch/src/job-board.ts
@@ -112,9 +112,13 @@
     }
 
     #rank(active: ActiveJob, ready: scheduling.ReadyStep, wall: number): scheduling.Rank {
-        const objective = scheduling.findObjective(active.job, ready.occurrence, active.chain, active.route);
-        const step = active.job.steps[ready.step]!;
-        const remaining = active.remaining[ready.step]!;
-        return scheduling.rank(objective, remaining, step.longRunning, active.progress.begun, active.route, wall);
+        const left = {
+            due: jobState.findDueTime(active.job, ready.occurrence),
+            objective: scheduling.findObjective(active.job, ready.occurrence, active.chain, active.route),
+            chain: active.remaining[ready.step]!,
+            longRunning: active.job.steps[ready.step]!.longRunning,
+            begun: active.progress.begun,
+        };
+        return scheduling.rank(left, active.route, wall);
     }
 }
--- a/packages/scheduling/src/objective.ts
+++ b/packages/scheduling/src/objective.ts
@@ -14,15 +14,25 @@
     readonly latencyTarget: number;
 }
 
+/** Times its estimate that a step usually takes: its longest task counts. Median of 276 steps of a day with trouble. */
+const usualOverrun = 1.2;
 /** Most times its estimate that a step's time is believed to be; what takes longer ran on a slow server. */
 const maxOverrun = 3;
+/** Share of what remains by which a job that has begun may be behind: estimates are rough, and what is done would be lost. */
+const begunTolerance = 0.3;
+/** Share of what remains that a job needs as slack to begin at all, lest its last step miss by little. */
+const beginMargin = 0.15;
+/** A job that takes this many times its objective is of no use to its caller any more. */
+export const uselessAfter = 3;
 
 /**
  * Expected time in ms of each step: the longest that one of its tasks was seen to take, else the caller's estimate.
  * Estimates are rough, and the objective goes by the real times: a job whose first step took long has more time, too.
  */
 export function expectStepTimes(job: jobState.Job, seen: ReadonlyMap<number, number>): number[] {
-    return job.steps.map((step, i) => Math.min(seen.get(i) ?? step.estimate, maxOverrun * step.estimate));
+    return job.steps.map((step, i) =>
+        Math.min(seen.get(i) ?? usualOverrun * step.estimate, maxOverrun * step.estimate)
+    );
 }
 
 /** Time in ms of the longest chain of dependent steps, by the expected time of each. */
@@ -49,12 +59,22 @@
     return jobState.findDueTime(job, occurrence) + policy.slackFactor * chain + policy.latencyTarget;
 }
 
+/** What a job that starts now is still worth to its caller; smaller goes first. */
+export const Prospect = {
+    /** It can meet its objective. */
+    inTime: 0,
+    /** It will be late, but of use. */
+    late: 1,
+    /** Its caller has no use for it any more. */
+    useless: 2,
+} as const;
+export type Prospect = (typeof Prospect)[keyof typeof Prospect];
+
 /** Order of two candidates; smaller goes first. */
 export interface Rank {
     readonly longRunning: boolean;
     readonly priority: number;
-    /** The objective can't be met any more. */
-    readonly hopeless: boolean;
+    readonly prospect: Prospect;
     /** Some of the job is done or runs. Finishing it comes before beginning another, lest both be late. */
     readonly begun: boolean;
     /** Ms that the candidate can still wait and meet its objective. */
@@ -65,21 +85,34 @@
     if (a.longRunning !== b.longRunning) {
         return a.longRunning ? -1 : 1;
     }
-    if (a.hopeless !== b.hopeless) {
-        return a.hopeless ? 1 : -1;
-    }
-    return a.priority - b.priority || Number(b.begun) - Number(a.begun) || a.slack - b.slack;
+    return a.prospect - b.prospect || a.priority - b.priority || Number(b.begun) - Number(a.begun)
+        || a.slack - b.slack;
+}
+
+/** What is left of an occurrence, as times in ms. */
+export interface Remainder {
+    /** Unix time at which its caller began to wait. */
+    readonly due: number;
+    /** Unix time until which it has to be complete. */
+    readonly objective: number;
+    /** Longest chain of work that is left. */
+    readonly chain: number;
+    readonly longRunning: boolean;
+    readonly begun: boolean;
 }
 
 /** Ranks what remains of an occurrence at `now`, Unix time in ms. */
-export function rank(
-    objective: number,
-    remainingChain: number,
-    longRunning: boolean,
-    begun: boolean,
-    policy: QueuePolicy,
-    now: number,
-): Rank {
-    const slack = objective - now - remainingChain;
-    return { longRunning, priority: policy.priority, hopeless: !longRunning && slack < 0, begun, slack };
+export function rank(left: Remainder, policy: QueuePolicy, now: number): Rank {
+    const { longRunning, begun } = left;
+    const slack = left.objective - now - left.chain;
+    return { longRunning, priority: policy.priority, prospect: judge(left, slack, now), begun, slack };
+}
+
+function judge(left: Remainder, slack: number, now: number): Prospect {
+    const needed = left.begun ? -begunTolerance * left.chain : beginMargin * left.chain;
+    if (left.longRunning || slack >= needed) {
+        return Prospect.inTime;
+    }
+    const lastUse = left.due + uselessAfter * (left.objective - left.due);
+    return now + left.chain <= lastUse ? Prospect.late : Prospect.useless;
 }
