--- a/packages/dispatch/src/ledger-writer.ts
+++ b/packages/dispatch/src/ledger-writer.ts
@@ -11,8 +11,9 @@
 
 /** Time in ms during which records are gathered into one append; spares calls at little delay. */
 const gatherTime = 4;
-/** Time in ms before a batch without an answer is sent again. */
-const retryDelay = 120;
+/** Time in ms before a batch without an answer is sent again: at first over another way at once, then more rarely. */
+const firstRetryDelay = 10;
+const longestRetryDelay = 120;
 /** Most jobs in one append; keeps a batch far below the store's limit for one call. */
 const maxJobsPerBatch = 400;
 
@@ -95,12 +96,14 @@
 
     async #append(batch: readonly platform.storeCalls.KeyedRecord[]): Promise<boolean> {
         this.#sequence += 1;
+        let retryDelay = firstRetryDelay;
         while (!this.#stopped) {
             const answer = await this.store.append(jobState.ledgerTopic, batch, {
                 producer: { name: jobState.ledgerProducer, epoch: this.epoch, sequence: this.#sequence },
             });
             if (answer.isErr()) {
                 await clocks.delay(retryDelay);
+                retryDelay = Math.min(longestRetryDelay, 2 * retryDelay);
                 continue;
             }
             if (answer.value.kind === "sequence" && answer.value.expected <= this.#sequence) {
--- a/packages/http-calls/src/index.ts
+++ b/packages/http-calls/src/index.ts
@@ -17,6 +17,8 @@
 export interface CallError {
     readonly layer: "http-calls";
     readonly fault: CallFault;
+    /** The time limit passed; otherwise the other side or the network refused or broke off. */
+    readonly timedOut: boolean;
     readonly reason: string;
 }
 
@@ -29,12 +31,13 @@
  * more rarely, and long after its end.
  */
 const connectTimeout = 600;
+const connectTimeoutCode = "UND_ERR_CONNECT_TIMEOUT";
 /** Errors that show that nothing was sent. */
 const unsentCodes: ReadonlySet<string> = new Set([
     "ECONNREFUSED",
     "EHOSTUNREACH",
     "ENETUNREACH",
-    "UND_ERR_CONNECT_TIMEOUT",
+    connectTimeoutCode,
 ]);
 
 export class HttpCalls {
@@ -101,6 +104,7 @@
     return {
         layer: "http-calls",
         fault: unsentCodes.has(code) ? CallFault.unsent : CallFault.unanswered,
+        timedOut: timedOut || code === connectTimeoutCode,
         reason: timedOut ? "timed out" : code !== "" ? code : String(error),
     };
 }
--- a/packages/store/src/store-client.ts
+++ b/packages/store/src/store-client.ts
@@ -28,6 +28,8 @@
 
 /** Least time in ms for a call that doesn't wait for anything; a store in order answers in 4 ms. */
 const minTimeout = 900;
+/** The same through a peer: one that is out of reach stays silent, one that can't help says so at once. */
+const minRelayedTimeout = 450;
 /** Most time in ms for such a call: the store queues appends for 2 s before it refuses them. */
 const maxTimeout = 2500;
 /** How many times its usual answer a call may take, for a store that is slow. */
@@ -93,24 +95,48 @@
         call: platform.Call,
         wait: number,
     ): Promise<neverthrow.Result<platform.Answer, StoreError>> {
+        this.#probe();
         const way = this.routes.choose(this.now());
         const sentAt = this.now();
-        const patience = Math.min(maxTimeout, Math.max(minTimeout, this.latency * slowFactor));
+        const least = way.relayed ? minRelayedTimeout : minTimeout;
+        const patience = Math.min(maxTimeout, Math.max(least, this.latency * slowFactor));
         const answer = await this.calls.send(way.address, call, wait + patience);
         if (wait === 0) {
             const taken = Math.max(0, this.now() - sentAt);
             this.latency += (Math.min(taken, maxTimeout) - this.latency) * latencyWeight;
         }
-        const failure = answer.isErr() ? describeError(answer.error) : describeStatus(answer.value.status);
+        const failure = this.#judge(way, answer);
         if (failure === undefined) {
-            this.routes.noteSuccess(way);
             return neverthrow.ok(answer._unsafeUnwrap());
         }
-        this.routes.noteFailure(way, this.now());
         this.#noteLoss(way, failure.reason);
         return neverthrow.err(failure);
     }
 
+    /** Tries a direct way that stayed silent with a call that nobody waits for. */
+    #probe(): void {
+        const way = this.routes.takeProbe(this.now());
+        if (way !== undefined) {
+            const call = platform.storeCalls.createRead(platform.storeCalls.statusTopic, 0, 0);
+            void this.calls.send(way.address, call, minTimeout).then(answer => this.#judge(way, answer));
+        }
+    }
+
+    /** Notes whether the way works; returns why it doesn't. */
+    #judge(
+        way: storeRoutes.Way,
+        answer: neverthrow.Result<platform.Answer, httpCalls.CallError>,
+    ): StoreError | undefined {
+        const failure = answer.isErr() ? describeError(answer.error) : describeStatus(answer.value.status);
+        if (failure === undefined) {
+            this.routes.noteSuccess(way);
+        }
+        else {
+            this.routes.noteFailure(way, this.now(), answer.isErr() && answer.error.timedOut);
+        }
+        return failure;
+    }
+
     #succeed<Value>(value: Value): neverthrow.Result<Value, StoreError> {
         if (this.#lost) {
             this.#lost = false;
--- a/packages/store/src/store-relay.ts
+++ b/packages/store/src/store-relay.ts
@@ -59,7 +59,7 @@
     const wait = platform.storeCalls.findWait(call);
     const answer = await parts.calls.send(parts.storeAddress, call, wait + relayTimeout);
     if (answer.isErr()) {
-        parts.routes.noteFailure({ address: parts.storeAddress, relayed: false }, parts.now());
+        parts.routes.noteFailure({ address: parts.storeAddress, relayed: false }, parts.now(), answer.error.timedOut);
         const status = answer.error.fault === httpCalls.CallFault.unsent ? notPassedStatus : unansweredStatus;
         return { status, body: nothing };
     }
