Share instances out by need, leave cut zones for last, and drop moves that couldn't be sent

Change: the next instance goes to the pool that has the smallest share of what it wants; instances of a zone of which most servers are out of reach move last; an order that couldn't be sent within 0.6 s is dropped and planned anew, and idle times count from then.

--- a/packages/dispatch/src/keeper.ts
+++ b/packages/dispatch/src/keeper.ts
@@ -2,7 +2,8 @@
  * Keeps the machines under the backend servers: moves empty ones between pools, and carries out maintenance waves.
  *
  * Every order is preceded by an append under the coordinator's epoch, so a coordinator that has been succeeded, or that
- * slept, orders nothing. An order without an answer is repeated until it is answered; its machine stays reserved.
+ * slept, orders nothing. An order without an answer is repeated until it is answered; its machine stays reserved. One that
+ * couldn't be sent soon, because the store was out, is dropped: what it was decided by no longer holds.
  */
 import * as jobState from "@catkinwharf/job-state";
 import * as platform from "@catkinwharf/platform";
@@ -23,6 +24,8 @@
 const reportInterval = 1000;
 /** Longest time in ms between the confirmation of the epoch and the order that it covers. */
 const confirmationValidity = 250;
+/** Time in ms after which a decision that couldn't be confirmed is dropped, and taken anew by what is known then. */
+const decisionValidity = 600;
 /** Time in ms before an order that got no answer is repeated. */
 const orderRetryDelay = 300;
 /** Time in ms that a new coordinator adds to the span in which two holders may not order one machine. */
@@ -70,6 +73,8 @@
     readonly #waves = new Map<number, OpenWave>();
     /** Empty machines that no pool needs, by the last plan of the pools. */
     #surplus: ReadonlySet<string> = new Set();
+    /** On the steady clock: until then nothing could be stored, and callers couldn't submit. Idle times count from here. */
+    #blindUntil = Number.NEGATIVE_INFINITY;
     #lastReport = Number.NEGATIVE_INFINITY;
     #lastList = Number.NEGATIVE_INFINITY;
     #listing = false;
@@ -303,7 +308,8 @@
             return; // Pools stay as the operator laid them until something is known of the demand.
         }
         const demands = this.parts.listDemands();
-        const instances = [...this.machines.values()].map(kept => this.#describeInstance(kept));
+        const doubtful = this.#listDoubtfulZones();
+        const instances = [...this.machines.values()].map(kept => this.#describeInstance(kept, doubtful));
         if (now - this.#lastReport >= reportInterval) {
             this.#lastReport = now;
             this.#report(demands, instances);
@@ -332,7 +338,22 @@
         }
     }
 
-    #describeInstance(kept: KeptMachine): scheduling.PoolInstance {
+    /** Availability zones of which most servers that should be up are out of reach. */
+    #listDoubtfulZones(): Set<string> {
+        const balances = new Map<string, number>();
+        for (const kept of this.machines.values()) {
+            const { availabilityZone, server, state } = kept.machine;
+            if (server !== "" && state === platform.machineCalls.MachineState.up && kept.ordered === undefined) {
+                const reached = this.#findServer(kept)?.reachable === true;
+                balances.set(availabilityZone, (balances.get(availabilityZone) ?? 0) + (reached ? 1 : -1));
+            }
+        }
+        return new Set(
+            [...balances].filter(([, balance]) => balance < 0).map(([availabilityZone]) => availabilityZone),
+        );
+    }
+
+    #describeInstance(kept: KeptMachine, doubtfulZones: ReadonlySet<string>): scheduling.PoolInstance {
         const server = this.#findServer(kept);
         return {
             id: kept.machine.id,
@@ -341,9 +362,10 @@
             arriving: kept.ordered === "move" || kept.machine.state === platform.machineCalls.MachineState.moving,
             emptySince: kept.emptySince === undefined
                 ? undefined
-                : Math.max(kept.emptySince, this.parts.knownSince() ?? 0),
+                : Math.max(kept.emptySince, this.parts.knownSince() ?? 0, this.#blindUntil),
             cores: kept.machine.cpu / 1000,
             due: kept.due,
+            doubtful: doubtfulZones.has(kept.machine.availabilityZone),
         };
     }
 
@@ -399,6 +421,8 @@
             server.load.open = false;
         }
         let outcome = "superseded";
+        const decidedAt = shared.clock.steady();
+        let sent = false;
         while (!this.#stopped) {
             const before = shared.clock.wall();
             shared.writer.add(jobState.encodeMachineOrder(kept.machine.id, shared.epoch));
@@ -406,10 +430,16 @@
                 outcome = "not ordered";
                 break;
             }
+            if (!sent && shared.clock.steady() - decidedAt > decisionValidity) {
+                outcome = "outdated";
+                this.#blindUntil = shared.clock.steady();
+                break;
+            }
             if (Math.abs(shared.clock.wall() - before) > confirmationValidity) {
                 continue; // Time has passed since the epoch was confirmed, perhaps in a suspended machine.
             }
             const call = createCall({ node: shared.node, fencingToken: shared.epoch });
+            sent = true;
             const answer = await shared.calls.send(shared.settings.machinesAddress!, call, machineTimeout);
             const decoded = answer.isOk() ? platform.machineCalls.decodeMachineOrder(answer.value) : undefined;
             if (decoded?.kind === "done") {
--- a/packages/scheduling/src/pools.test.ts
+++ b/packages/scheduling/src/pools.test.ts
@@ -73,4 +73,25 @@
     assert.equal(listMoves([fixtures.createDemand("a"), spare], instances, 60_000), ["a1>off"]);
 });
 
+suite("a small pool that can do nothing gets an instance though another's burst asks for all", () => {
+    const instances = [
+        fixtures.createInstance("a1", "a", { available: false }),
+        ...["b1", "b2", "b3"].map(id => fixtures.createInstance(id, "b")),
+        ...["o1", "o2", "o3"].map(id => fixtures.createInstance(id, "off", { emptySince: 0 })),
+    ];
+    const demands = [fixtures.createDemand("b", { arriving: 300 }), fixtures.createDemand("a", { backlog: 5 }), spare];
+    const moves = scheduling.planMoves(demands, instances, policy, 1000).moves;
+    assert.is(moves.filter(move => move.to === "a").length, 1);
+    assert.is(moves.filter(move => move.to === "b").length, 2);
+});
+
+suite("instances of an availability zone that is out of reach are moved last", () => {
+    const instances = [
+        fixtures.createInstance("a1", "a"),
+        fixtures.createInstance("o1", "off", { emptySince: 0, doubtful: true }),
+        fixtures.createInstance("o2", "off", { emptySince: 500 }),
+    ];
+    assert.equal(listMoves([fixtures.createDemand("a", { arriving: 10 }), spare], instances, 1000), ["o2>a"]);
+});
+
 suite.run();
--- a/packages/scheduling/src/pools.ts
+++ b/packages/scheduling/src/pools.ts
@@ -31,6 +31,8 @@
     readonly cores: number;
     /** Due for maintenance soon: moved last, so that it can be maintained where it is. */
     readonly due: boolean;
+    /** Most servers of its availability zone are out of reach: moved last, since it would be of no use at once. */
+    readonly doubtful: boolean;
 }
 
 export interface PoolPolicy {
@@ -92,27 +94,22 @@
 ): PoolPlan {
     const byPool = groupByPool(instances);
     const standby = demands.find(demand => demand.standby);
-    const gaps = demands.filter(demand => !demand.standby).map(demand => {
+    const needs = demands.filter(demand => !demand.standby).map(demand => {
         const held = byPool.get(demand.service) ?? [];
         const usable = held.filter(instance => instance.available || instance.arriving);
         const cores = measureCores(usable.length > 0 ? usable : instances);
-        return { demand, gap: countWanted(demand, cores * usable.length, cores, policy) - usable.length };
+        const wanted = countWanted(demand, cores * usable.length, cores, policy);
+        return { demand, wanted, usable: usable.length };
     });
-    const spare = gaps.flatMap(({ demand, gap }) =>
-        gap < 0 ? listEmpty(byPool.get(demand.service) ?? [], now, policy.idleBeforeLending).slice(0, -gap) : []
+    const spare = needs.flatMap(({ demand, wanted, usable }) =>
+        usable > wanted
+            ? listEmpty(byPool.get(demand.service) ?? [], now, policy.idleBeforeLending).slice(0, usable - wanted)
+            : []
     );
     const off = standby === undefined ? [] : listEmpty(byPool.get(standby.service) ?? [], now, 0);
-    const moves: Move[] = [];
-    const lacking = gaps.filter(({ gap }) => gap > 0).sort((a, b) => b.gap - a.gap);
-    for (const { demand, gap } of lacking) {
-        for (let i = 0; i < gap; i++) {
-            const taken = spare.shift() ?? off.shift();
-            if (taken === undefined) {
-                break;
-            }
-            moves.push({ instance: taken.id, to: demand.service });
-        }
-    }
+    const lacking = needs.filter(({ wanted, usable }) => wanted > usable);
+    const receivers = shareOut(lacking, spare.length + off.length);
+    const moves: Move[] = receivers.map(to => ({ instance: (spare.shift() ?? off.shift())!.id, to }));
     if (standby !== undefined) {
         for (const instance of spare) {
             if (now - instance.emptySince! >= policy.idleBeforeStandby) {
@@ -123,6 +120,33 @@
     return { moves, surplus: lacking.length > 0 ? [] : [...spare, ...off].map(instance => instance.id) };
 }
 
+/** What a pool wants and can use, in instances. */
+interface Need {
+    readonly demand: PoolDemand;
+    readonly wanted: number;
+    readonly usable: number;
+}
+
+/** Pools that get the next instances: each goes where the smallest share of what is wanted is there. */
+function shareOut(lacking: readonly Need[], count: number): string[] {
+    const open = lacking.map(need => ({ to: need.demand.service, wanted: need.wanted, held: need.usable }));
+    const receivers: string[] = [];
+    while (receivers.length < count) {
+        const next = open
+            .filter(need => need.held < need.wanted)
+            .reduce<(typeof open)[number] | undefined>(
+                (best, need) => best === undefined || need.held / need.wanted < best.held / best.wanted ? need : best,
+                undefined,
+            );
+        if (next === undefined) {
+            break;
+        }
+        next.held += 1;
+        receivers.push(next.to);
+    }
+    return receivers;
+}
+
 function groupByPool(instances: readonly PoolInstance[]): Map<string, PoolInstance[]> {
     const byPool = new Map<string, PoolInstance[]>();
     for (const instance of instances) {
@@ -138,11 +162,13 @@
     return instances.length === 0 ? 1 : Math.max(1, total / instances.length);
 }
 
-/** Empty instances, those that aren't due for maintenance and those empty longest first. */
+/** Empty instances: first those that can be reached, then those that aren't due for maintenance, empty longest first. */
 function listEmpty(instances: readonly PoolInstance[], now: number, since: number): PoolInstance[] {
     return instances
         .filter(instance =>
             instance.available && instance.emptySince !== undefined && now - instance.emptySince >= since
         )
-        .sort((a, b) => Number(a.due) - Number(b.due) || a.emptySince! - b.emptySince!);
+        .sort((a, b) =>
+            Number(a.doubtful) - Number(b.doubtful) || Number(a.due) - Number(b.due) || a.emptySince! - b.emptySince!
+        );
 }
--- a/packages/scheduling/src/testing/fixtures.ts
+++ b/packages/scheduling/src/testing/fixtures.ts
@@ -66,6 +66,7 @@
         emptySince: undefined,
         cores: 10,
         due: false,
+        doubtful: false,
         ...changes,
     };
 }
