Trace the proxy's test that failed once: a connection that the proxy hadn't accepted was refused with the new ones

Cause: the kernel answers a connect before the proxy accepts. The test set the refusal right after its connect; when the proxy finds the request for it first, the connection counts as new.

Change: the test exchanges something over the connection before the refusal; what it then asks is as before.

--- a/packages/dispatch/src/keeper.ts
+++ b/packages/dispatch/src/keeper.ts
@@ -331,6 +331,7 @@
                 available: held.filter(instance => instance.available).length,
                 arriving: held.filter(instance => instance.arriving).length,
                 empty: held.filter(instance => instance.emptySince !== undefined).length,
+                free: Math.round(this.#measureFreeCores(demand.service)),
                 demand: Math.round(demand.arriving),
                 backlog: Math.round(demand.backlog),
                 floor: demand.floor,
@@ -338,6 +339,15 @@
         }
     }
 
+    /** Cores that servers which may get tasks have left. */
+    #measureFreeCores(service: string): number {
+        let free = 0;
+        for (const { entry, load } of this.parts.fleet.sessions.values()) {
+            free += entry.service === service && load.open ? load.freeCpu / 1000 : 0;
+        }
+        return free;
+    }
+
     /** Availability zones of which most servers that should be up are out of reach. */
     #listDoubtfulZones(): Set<string> {
         const balances = new Map<string, number>();
--- a/packages/test-utils/src/proxy/fault-proxy.test.ts
+++ b/packages/test-utils/src/proxy/fault-proxy.test.ts
@@ -119,6 +119,8 @@
 suite("refuses new connections and cuts open ones", async () => {
     const port = await addRoute("refused");
     const open = await connect(port);
+    // The kernel connects before the proxy accepts; one that it hasn't accepted yet is refused with the new ones.
+    assert.is(await exchange(open, "accepted"), "accepted");
     await setFaults({ route: "refused", refuse: true });
     assert.is(await exchange(open, "still"), "still");
     const refusal = await connect(port).then(() => undefined, (error: NodeJS.ErrnoException) => error.code);
