Ask a silent coordinator whether it coordinates before it is succeeded

Change: after 450 ms of silence the coordinator is asked, over the port that passes store calls on. One that doesn't answer, or that says that it doesn't coordinate, is succeeded after 700 ms; one that says it does, after 3.5 s; without a way to ask, after 1.5 s as before. A slow store still adds to all three.

--- a/packages/dispatch/src/leadership.test.ts
+++ b/packages/dispatch/src/leadership.test.ts
@@ -9,6 +9,7 @@
     silence: 0,
     stagger: 0,
     latency: 0,
+    answer: undefined,
 };
 
 suite("a coordinator that shows signs of life is left alone, one that is silent is succeeded", () => {
@@ -17,6 +18,19 @@
     assert.is(leadership.shouldClaim({ ...seen, silence: 1500, stagger: 100 }, "b", 1), false);
 });
 
+suite("a silent coordinator that doesn't answer its peers either is succeeded sooner", () => {
+    const denied = { ...seen, answer: false };
+    assert.is(leadership.shouldClaim({ ...denied, silence: 650 }, "b", 1), false);
+    assert.ok(leadership.shouldClaim({ ...denied, silence: 700 }, "b", 1));
+    assert.is(leadership.shouldClaim({ ...denied, silence: 1500, latency: 240 }, "b", 1), false);
+});
+
+suite("one that says it coordinates is left alone while the ledger's followers are deaf, not for ever", () => {
+    const affirmed = { ...seen, answer: true };
+    assert.is(leadership.shouldClaim({ ...affirmed, silence: 2500 }, "b", 1), false);
+    assert.ok(leadership.shouldClaim({ ...affirmed, silence: 3500 }, "b", 1));
+});
+
 suite("a slow store gives a coordinator more time", () => {
     assert.is(leadership.shouldClaim({ ...seen, silence: 2000, latency: 240 }, "b", 1), false);
     assert.ok(leadership.shouldClaim({ ...seen, silence: 2500, latency: 240 }, "b", 1));
--- a/packages/dispatch/src/leadership.ts
+++ b/packages/dispatch/src/leadership.ts
@@ -14,6 +14,14 @@
  * for which a store that drops its history tells followers nothing.
  */
 const takeoverSilence = 1500;
+/** The same for a coordinator that, asked, doesn't answer or says that it can't coordinate: some beats. */
+const deniedSilence = 700;
+/** The same for one that says it coordinates, so the ledger's followers are deaf, as while a store drops its history. */
+const affirmedSilence = 3500;
+/** Silence in ms after which the coordinator is asked; a beat may be late by as much. */
+const askAfter = 450;
+/** Time in ms between two questions to it. */
+const askInterval = 200;
 /** Answers of a slow store that a sign of life may take on top: its append, and the reads that bring it. */
 const slowAnswers = 4;
 /** Time in ms after which a ledger whose end wasn't seen can't be judged: a read waits for 1 s at most. */
@@ -32,6 +40,16 @@
     readonly stagger: number;
     /** Usual time in ms of the store's answers. */
     readonly latency: number;
+    /** What the coordinator says when it is asked: whether it coordinates. `undefined` before it was asked. */
+    readonly answer: boolean | undefined;
+}
+
+/** Silence in ms after which a coordinator is succeeded, by what it answers. */
+function findPatience(answer: boolean | undefined): number {
+    if (answer === undefined) {
+        return takeoverSilence;
+    }
+    return answer ? affirmedSilence : deniedSilence;
 }
 
 /** Whether the process should claim the coordination now. */
@@ -40,7 +58,7 @@
         return seen.silence >= seen.stagger;
     }
     const formerLife = seen.leadership.node === node && seen.leadership.processStart !== processStart;
-    return formerLife || seen.silence >= takeoverSilence + slowAnswers * seen.latency + seen.stagger;
+    return formerLife || seen.silence >= findPatience(seen.answer) + slowAnswers * seen.latency + seen.stagger;
 }
 
 export class LeadershipWatch {
@@ -49,6 +67,9 @@
     #readable = false;
     #stopped = false;
     #claiming = false;
+    #asking = false;
+    #askedAt = Number.NEGATIVE_INFINITY;
+    #answer: boolean | undefined;
     leading = false;
 
     constructor(
@@ -61,6 +82,8 @@
             readonly clock: clocks.Clocks;
             /** The process coordinates from now on, under this epoch. */
             readonly onClaimed: (epoch: number) => void;
+            /** Asks another process whether it coordinates; false without an answer, `undefined` when it can't be asked. */
+            readonly ask: (node: string) => Promise<boolean | undefined>;
             /** Tells whether the process knows enough to coordinate. */
             readonly isPrepared: () => boolean;
         },
@@ -71,6 +94,7 @@
     /** A record of the ledger was read. */
     noteRecord(record: jobState.LedgerRecord | undefined): void {
         this.#lastSign = this.options.clock.steady();
+        this.#answer = undefined;
         if (record?.kind === "leadership" && record.leadership.epoch >= (this.leadership?.epoch ?? 0)) {
             if (record.leadership.epoch !== this.leadership?.epoch) {
                 this.options.log.info("coordinator-seen", {
@@ -112,7 +136,9 @@
             silence: now - this.#lastSign,
             stagger,
             latency: store.latency,
+            answer: this.#answer,
         };
+        this.#askCoordinator(seen, now);
         if (
             !this.leading && !this.#claiming && isPrepared()
             && shouldClaim(seen, node, processStart)
@@ -122,6 +148,31 @@
         }
     }
 
+    /** Asks a coordinator that has been silent for a while; a store that drops its history makes followers deaf, too. */
+    #askCoordinator(seen: Observation, now: number): void {
+        const { ask, node, log } = this.options;
+        const coordinator = seen.leadership;
+        const due = seen.silence >= askAfter + slowAnswers * seen.latency && now - this.#askedAt >= askInterval;
+        if (this.leading || this.#asking || !due || coordinator === undefined || coordinator.node === node) {
+            return;
+        }
+        this.#asking = true;
+        this.#askedAt = now;
+        void ask(coordinator.node).then(answer => {
+            this.#asking = false;
+            if (this.options.clock.steady() - this.#lastSign < askAfter) {
+                return; // A sign of life came meanwhile.
+            }
+            if (answer === false && this.#answer !== false) {
+                log.info("coordinator-unanswered", {
+                    coordinator: coordinator.node,
+                    silence: Math.round(seen.silence),
+                });
+            }
+            this.#answer = answer;
+        });
+    }
+
     async #claim(): Promise<void> {
         const { store, ledger, log, clock, node, processStart } = this.options;
         const before = this.leadership;
--- a/packages/node/src/process.ts
+++ b/packages/node/src/process.ts
@@ -72,6 +72,7 @@
             ledger: this.#ledger,
             log,
             clock: this.#clock,
+            ask: node => this.#askPeer(node),
             onClaimed: epoch => void this.#coordinate(epoch),
             isPrepared: () => this.#configuration !== undefined && this.#submissions.loaded && !this.#ending,
         });
@@ -185,6 +186,11 @@
         }
     }
 
+    async #askPeer(node: string): Promise<boolean | undefined> {
+        const address = this.#peers.get(node);
+        return address === undefined ? undefined : storeClient.askCoordinating(this.#calls, address);
+    }
+
     /** Lets peers call the store through this process, and tells them where. */
     async #offerRelay(): Promise<void> {
         const relay = storeClient.createRelay({
@@ -193,6 +199,7 @@
             routes: this.#routes,
             log: this.log,
             now: () => this.#clock.wall(),
+            isCoordinating: () => this.#watch.leading && !this.#isStoreOut(),
         });
         const port = this.settings.internalPorts[1];
         relay.on("error", error => this.log.warn("relay-unavailable", { port, error: String(error) }));
