Tell how old earlier orders for machines are by their coordinators' signs of life

Cause: two coordinators may not order one machine within a lease, so a new one left every machine alone for 3.3 s that an earlier one had ordered, counted from when it read the order.

Change: orders and signs of life carry how long their writer had coordinated, on its steady clock; the difference is the least age of an order, without trusting a time of day. The margin grows from 300 to 600 ms.

--- a/packages/dispatch/src/coordinator.ts
+++ b/packages/dispatch/src/coordinator.ts
@@ -48,7 +48,7 @@
     /** Waves that the operator has asked for, and how far earlier coordinators came with them. */
     readonly waves: ReadonlyMap<number, platform.operatorRecords.Wave>;
     readonly waveProgress: ReadonlyMap<number, jobState.WaveProgress>;
-    /** On the steady clock: when earlier coordinators' orders for machines were read. */
+    /** On the steady clock: when earlier coordinators ordered machines, at the latest. */
     readonly machineOrders: ReadonlyMap<string, number>;
     readonly onStepDown: (reason: string) => void;
 }
@@ -327,6 +327,7 @@
             writtenAt: this.#shared.clock.wall(),
             processStart: this.options.processStart,
             resigned,
+            tenure: this.#shared.clock.steady() - this.#shared.claimedAt,
         });
     }
 
--- /dev/null
+++ b/packages/dispatch/src/earlier-orders.test.ts
@@ -0,0 +1,24 @@
+/** How long a new coordinator leaves machines alone that an earlier one ordered. */
+import * as uvu from "uvu";
+import * as assert from "uvu/assert";
+import * as earlierOrders from "./earlier-orders.js";
+
+const suite = uvu.suite("earlier orders");
+const last = { epoch: 4, node: "a", writtenAt: 0, processStart: 1, resigned: false, tenure: 20_000 };
+
+suite("a process that has just read everything knows how long ago an order was given", () => {
+    const order = { epoch: 4, tenure: 12_000, readAt: 500 };
+    assert.is(earlierOrders.findOrderTime(order, last, 600), 600 - 8000);
+    assert.is(earlierOrders.findOrderTime({ ...order, tenure: 19_950 }, last, 600), 500);
+});
+
+suite("an order of an epoch before is as old as the last coordinator's whole time at least", () => {
+    assert.is(earlierOrders.findOrderTime({ epoch: 3, tenure: 90_000, readAt: 500 }, last, 600), 600 - 20_000);
+});
+
+suite("without a sign of life after it, an order counts as given when it was read", () => {
+    assert.is(earlierOrders.findOrderTime({ epoch: 5, tenure: 0, readAt: 500 }, last, 600), 500);
+    assert.is(earlierOrders.findOrderTime({ epoch: 5, tenure: 0, readAt: 500 }, undefined, 600), 500);
+});
+
+suite.run();
--- a/packages/dispatch/src/index.ts
+++ b/packages/dispatch/src/index.ts
@@ -3,4 +3,5 @@
  */
 export * from "./clocks.js";
 export * from "./coordinator.js";
+export * from "./earlier-orders.js";
 export * from "./leadership.js";
--- a/packages/dispatch/src/keeper.ts
+++ b/packages/dispatch/src/keeper.ts
@@ -29,7 +29,7 @@
 /** Time in ms before an order that got no answer is repeated. */
 const orderRetryDelay = 300;
 /** Time in ms that a new coordinator adds to the span in which two holders may not order one machine. */
-const orderLeaseMargin = 300;
+const orderLeaseMargin = 600;
 /** Time in ms before a new coordinator orders machines; by then it knows what runs on them. */
 const orderPatience = 700;
 
@@ -38,7 +38,7 @@
     readonly fleet: fleet.Fleet;
     readonly store: storeClient.StoreClient;
     readonly listDemands: () => scheduling.PoolDemand[];
-    /** On the steady clock: when earlier coordinators' orders for machines were read. */
+    /** On the steady clock: when earlier coordinators ordered machines, at the latest. */
     readonly earlierOrders: ReadonlyMap<string, number>;
     /** On the steady clock: since when the demand is known; `undefined` before the first job. */
     readonly knownSince: () => number | undefined;
@@ -212,8 +212,8 @@
     /** Another coordinator may have ordered the machine so lately that a second order would come too soon. */
     #isHeld(machine: string): boolean {
         const { clock, settings } = this.parts.shared;
-        const read = this.parts.earlierOrders.get(machine);
-        return read !== undefined && clock.steady() - read < settings.bounds.orderLease + orderLeaseMargin;
+        const orderedAt = this.parts.earlierOrders.get(machine);
+        return orderedAt !== undefined && clock.steady() - orderedAt < settings.bounds.orderLease + orderLeaseMargin;
     }
 
     /** Up, known to the fleet or off, and without an order under way. */
@@ -435,7 +435,11 @@
         let sent = false;
         while (!this.#stopped) {
             const before = shared.clock.wall();
-            shared.writer.add(jobState.encodeMachineOrder(kept.machine.id, shared.epoch));
+            shared.writer.add(jobState.encodeMachineOrder(
+                kept.machine.id,
+                shared.epoch,
+                shared.clock.steady() - shared.claimedAt,
+            ));
             if (!await shared.writer.flush() || (server !== undefined && server.runs.size > 0)) {
                 outcome = "not ordered";
                 break;
--- a/packages/dispatch/src/leadership.ts
+++ b/packages/dispatch/src/leadership.ts
@@ -80,8 +80,8 @@
             readonly ledger: storeClient.TopicFollower;
             readonly log: eventLog.EventLog;
             readonly clock: clocks.Clocks;
-            /** The process coordinates from now on, under this epoch. */
-            readonly onClaimed: (epoch: number) => void;
+            /** The process coordinates from now on, under this epoch; `before` is the last sign of life before it. */
+            readonly onClaimed: (epoch: number, before: jobState.Leadership | undefined) => void;
             /** Asks another process whether it coordinates; false without an answer, `undefined` when it can't be asked. */
             readonly ask: (node: string) => Promise<boolean | undefined>;
             /** Tells whether the process knows enough to coordinate. */
@@ -179,6 +179,7 @@
         if (!await ledger.catchUp() || this.leadership?.epoch !== before?.epoch) {
             return;
         }
+        const last = this.leadership;
         const epoch = (before?.epoch ?? 0) + 1;
         const claim = jobState.encodeLeadership({
             epoch,
@@ -186,6 +187,7 @@
             writtenAt: clock.wall(),
             processStart,
             resigned: false,
+            tenure: 0,
         });
         // No producer here: the store would take another process's claim of the same epoch for a repeat of this one.
         const answer = await store.append(jobState.ledgerTopic, [claim], { end: ledger.end });
@@ -207,7 +209,7 @@
         this.leading = true;
         log.info("claimed", { epoch, after: before?.node });
         if (await this.#fenceEarlier(epoch)) {
-            this.options.onClaimed(epoch);
+            this.options.onClaimed(epoch, last);
         }
         else {
             this.leading = false;
--- a/packages/job-state/src/records.ts
+++ b/packages/job-state/src/records.ts
@@ -28,6 +28,8 @@
     /** Tells the process's lives apart. */
     readonly processStart: number;
     readonly resigned: boolean;
+    /** Ms for which the writer had coordinated, on its steady clock. */
+    readonly tenure: number;
 }
 
 export type SubmissionRecord =
@@ -37,8 +39,8 @@
 export type LedgerRecord =
     | { readonly kind: "leadership"; readonly leadership: Leadership; }
     | { readonly kind: "progress"; readonly id: string; readonly progress: progress.Progress; }
-    /** A machine was about to be ordered by the coordinator of the epoch. */
-    | { readonly kind: "machine"; readonly id: string; readonly epoch: number; }
+    /** A machine was about to be ordered by the coordinator of the epoch, when it had coordinated for `tenure` ms. */
+    | { readonly kind: "machine"; readonly id: string; readonly epoch: number; readonly tenure: number; }
     | { readonly kind: "wave"; readonly number: number; readonly wave: WaveProgress; };
 
 /** How far a maintenance wave is. */
@@ -110,8 +112,8 @@
     return { key: wavePrefix + number, value: encoder.encode(wave) };
 }
 
-export function encodeMachineOrder(id: string, epoch: number): KeyedRecord {
-    return { key: machinePrefix + id, value: encoder.encode({ epoch }) };
+export function encodeMachineOrder(id: string, epoch: number, tenure: number): KeyedRecord {
+    return { key: machinePrefix + id, value: encoder.encode({ epoch, tenure }) };
 }
 
 export function encodeProgress(id: string, current: progress.Progress): KeyedRecord {
@@ -180,10 +182,11 @@
         return undefined;
     }
     if (key === leaderKey && isLeadership(decoded)) {
-        return { kind: "leadership", leadership: decoded };
+        return { kind: "leadership", leadership: { ...decoded, tenure: Number(decoded.tenure ?? 0) } };
     }
     if (key.startsWith(machinePrefix) && isObject(decoded) && typeof decoded["epoch"] === "number") {
-        return { kind: "machine", id: key.slice(machinePrefix.length), epoch: decoded["epoch"] };
+        const tenure = Number(decoded["tenure"] ?? 0);
+        return { kind: "machine", id: key.slice(machinePrefix.length), epoch: decoded["epoch"], tenure };
     }
     if (key.startsWith(wavePrefix) && isObject(decoded) && Array.isArray(decoded["begun"])) {
         return {
--- a/packages/node/src/process.ts
+++ b/packages/node/src/process.ts
@@ -43,8 +43,7 @@
     readonly #metrics = new metrics.Metrics();
     readonly #servers: http.Server[] = [];
     readonly #waves = new Map<number, platform.operatorRecords.Wave>();
-    /** On the steady clock: when it was read that a coordinator was about to order the machine. */
-    readonly #machineOrders = new Map<string, number>();
+    readonly #machineOrders = new Map<string, dispatch.EarlierOrder>();
     readonly #waveProgress = new Map<number, jobState.WaveProgress>();
     #configuration: platform.operatorRecords.Configuration | undefined;
     #coordinator: dispatch.Coordinator | undefined;
@@ -73,7 +72,7 @@
             log,
             clock: this.#clock,
             ask: node => this.#askPeer(node),
-            onClaimed: epoch => void this.#coordinate(epoch),
+            onClaimed: (epoch, before) => void this.#coordinate(epoch, before),
             isPrepared: () => this.#configuration !== undefined && this.#submissions.loaded && !this.#ending,
         });
         this.#jobs.onSubmission = entry => this.#coordinator?.considerJob(entry);
@@ -215,7 +214,8 @@
         const decoded = jobState.decodeLedger(record.key, record.value);
         this.#watch.noteRecord(decoded);
         if (decoded?.kind === "machine") {
-            this.#machineOrders.set(decoded.id, this.#clock.steady());
+            const { epoch, tenure } = decoded;
+            this.#machineOrders.set(decoded.id, { epoch, tenure, readAt: this.#clock.steady() });
         }
         if (decoded?.kind === "wave") {
             this.#waveProgress.set(decoded.number, decoded.wave);
@@ -254,7 +254,7 @@
         }
     }
 
-    async #coordinate(epoch: number): Promise<void> {
+    async #coordinate(epoch: number, before: jobState.Leadership | undefined): Promise<void> {
         while (!await this.#submissions.catchUp()) {
             if (this.#ending || this.#watch.leadership?.epoch !== epoch) {
                 this.log.warn("takeover-abandoned", { epoch, reason: "the submissions can't be read" });
@@ -275,12 +275,19 @@
             configuration: () => this.#configuration,
             waves: this.#waves,
             waveProgress: this.#waveProgress,
-            machineOrders: new Map(this.#machineOrders),
+            machineOrders: this.#findOrderTimes(before),
             onStepDown: () => this.#stepDown(),
         });
         await this.#coordinator.start();
     }
 
+    #findOrderTimes(before: jobState.Leadership | undefined): Map<string, number> {
+        const now = this.#clock.steady();
+        return new Map(
+            [...this.#machineOrders].map(([machine, order]) => [machine, dispatch.findOrderTime(order, before, now)]),
+        );
+    }
+
     #stepDown(): void {
         this.#coordinator = undefined;
         this.#watch.leading = false;
