Share scarce instances out by load and priority, and empty some for a burst beside a pool that is busy

Cause: only empty instances moved.

Change: when all instances aren't enough, pools get shares by what arrives and waits and by their queues' priority (each later one counts half). A pool above its share gives no new tasks to those of its instances that are soonest empty, when another lacks three or more; they move as soon as they are empty. Instances with long-running tasks stay.

--- a/packages/dispatch/src/demand.ts
+++ b/packages/dispatch/src/demand.ts
@@ -44,6 +44,8 @@
     bursting: boolean;
     /** On the steady clock: until then the last burst's peak is expected. */
     expectedUntil: number;
+    /** Priority of the queue whose job arrived last; 0 comes first. */
+    priority: number;
 }
 
 export class DemandMeter {
@@ -65,6 +67,7 @@
             arrivals.fastRate += fastFactor * work / (arrivals.span / 1000);
             const slack = (active.route.slackFactor - 1) * active.chain + active.route.latencyTarget;
             arrivals.slack += (slack - arrivals.slack) / 8;
+            arrivals.priority = active.route.priority;
             noteBurst(arrivals);
         }
     }
@@ -89,6 +92,7 @@
                     : estimateRate(arrivals),
                 backlog: backlogs.get(service.name) ?? 0,
                 floor: floors.get(service.name) ?? 0,
+                priority: arrivals.priority,
             };
         });
     }
@@ -114,6 +118,7 @@
                 peak: 0,
                 bursting: false,
                 expectedUntil: 0,
+                priority: 0,
             };
             this.#arrivals.set(service, found);
         }
--- a/packages/dispatch/src/fleet.ts
+++ b/packages/dispatch/src/fleet.ts
@@ -149,6 +149,7 @@
     /** Decides whether a server may get new tasks. */
     #updateOpen(server: session.ServerSession): void {
         server.load.open = server.reachable && !server.unlisted && !server.entry.draining && !server.reserved
+            && !server.released
             && !server.closed && this.shared.clock.steady() >= server.restUntil;
     }
 
--- a/packages/dispatch/src/keeper.ts
+++ b/packages/dispatch/src/keeper.ts
@@ -316,11 +316,21 @@
         }
         const plan = scheduling.planMoves(demands, instances, scheduling.defaultPoolPolicy, now);
         this.#surplus = new Set(plan.surplus);
+        this.#release(new Set(plan.release));
         for (const move of plan.moves) {
             void this.#move(this.machines.get(move.instance)!, move.to);
         }
     }
 
+    #release(machines: ReadonlySet<string>): void {
+        for (const kept of this.machines.values()) {
+            const server = this.#findServer(kept);
+            if (server !== undefined) {
+                server.released = machines.has(kept.machine.id);
+            }
+        }
+    }
+
     /** Says what the moves are decided by. */
     #report(demands: readonly scheduling.PoolDemand[], instances: readonly scheduling.PoolInstance[]): void {
         for (const demand of demands) {
@@ -373,6 +383,7 @@
             emptySince: kept.emptySince === undefined
                 ? undefined
                 : Math.max(kept.emptySince, this.parts.knownSince() ?? 0, this.#blindUntil),
+            busyFor: server?.estimateBusyTime(this.parts.shared.clock.steady()) ?? 0,
             cores: kept.machine.cpu / 1000,
             due: kept.due,
             doubtful: doubtfulZones.has(kept.machine.availabilityZone),
--- a/packages/dispatch/src/server-session.ts
+++ b/packages/dispatch/src/server-session.ts
@@ -81,6 +81,8 @@
     readonly health = new scheduling.ServerHealth();
     /** It is to be emptied, for maintenance or a move. */
     reserved = false;
+    /** It gets no new tasks, so that another pool can have it when it is empty. */
+    released = false;
 
     constructor(
         public entry: platform.operatorRecords.ServerEntry,
@@ -91,6 +93,16 @@
         this.lastAnswer = claimedAt;
     }
 
+    /** Ms until the tasks that run there should have ended, at `now` on the steady clock; infinite with long-running ones. */
+    estimateBusyTime(now: number): number {
+        let busy = 0;
+        for (const run of this.runs.values()) {
+            const left = run.step.longRunning ? Number.POSITIVE_INFINITY : run.orderedAt + run.step.estimate - now;
+            busy = Math.max(busy, left);
+        }
+        return busy;
+    }
+
     hasFillers(): boolean {
         for (const run of this.runs.values()) {
             if (run.step.filler) {
--- a/packages/scheduling/src/pools.test.ts
+++ b/packages/scheduling/src/pools.test.ts
@@ -80,7 +80,7 @@
         ...["o1", "o2", "o3"].map(id => fixtures.createInstance(id, "off", { emptySince: 0 })),
     ];
     const demands = [fixtures.createDemand("b", { arriving: 300 }), fixtures.createDemand("a", { backlog: 5 }), spare];
-    const moves = scheduling.planMoves(demands, instances, policy, 1000).moves;
+    const moves = scheduling.planMoves(demands, instances, { ...policy, reserve: 1 }, 1000).moves;
     assert.is(moves.filter(move => move.to === "a").length, 1);
     assert.is(moves.filter(move => move.to === "b").length, 2);
 });
@@ -94,4 +94,44 @@
     assert.equal(listMoves([fixtures.createDemand("a", { arriving: 10 }), spare], instances, 1000), ["o2>a"]);
 });
 
+/** Ten busy instances in `a`, whose turn is over and left much; two in `b`, whose burst begins. */
+function createOverlap(): scheduling.PoolInstance[] {
+    return [
+        ...Array.from({ length: 10 }, (_, i) => fixtures.createInstance(`a${i}`, "a", { busyFor: 1000 - 100 * i })),
+        ...["b1", "b2"].map(id => fixtures.createInstance(id, "b")),
+    ];
+}
+
+function listReleased(
+    instances: readonly scheduling.PoolInstance[],
+    arriving: number,
+    priority = 0,
+): readonly string[] {
+    const demands = [
+        fixtures.createDemand("a", { arriving: 80, priority }),
+        fixtures.createDemand("b", { arriving }),
+        spare,
+    ];
+    return scheduling.planMoves(demands, instances, policy, 10_000).release;
+}
+
+suite("a pool whose turn is over empties instances for a burst beside it, those soonest done first", () => {
+    assert.equal(listReleased(createOverlap(), 80), ["a9", "a8", "a7", "a6"]);
+    assert.is(listReleased(createOverlap(), 80, 1).length, 6, "a less urgent pool empties more");
+});
+
+suite("nothing is emptied for a small shortage, or when there are enough instances off", () => {
+    assert.equal(listReleased(createOverlap(), 24), []);
+    const off = Array.from({ length: 8 }, (_, i) => fixtures.createInstance(`o${i}`, "off", { emptySince: 0 }));
+    assert.equal(listReleased([...createOverlap(), ...off], 80), []);
+});
+
+suite("an instance with long-running tasks is never emptied for a burst, and an emptied one moves at once", () => {
+    const pinned = createOverlap().map(one => one.id === "a9" ? { ...one, busyFor: Number.POSITIVE_INFINITY } : one);
+    assert.not(listReleased(pinned, 80).includes("a9"));
+    const emptied = createOverlap().map(one => one.id === "a9" ? { ...one, emptySince: 10_000 } : one);
+    const demands = [fixtures.createDemand("a", { arriving: 80 }), fixtures.createDemand("b", { arriving: 80 }), spare];
+    assert.equal(listMoves(demands, emptied, 10_000), ["a9>b"]);
+});
+
 suite.run();
--- a/packages/scheduling/src/pools.ts
+++ b/packages/scheduling/src/pools.ts
@@ -2,7 +2,9 @@
  * How many instances each service's pool should hold, and which instances move.
  *
  * Load: queues whose demand comes in turns, each for some seconds several times what its pool can do while the others
- * idle. Only empty instances move. An instance that nobody needs goes to the standby pool, where it costs nothing.
+ * idle, or work off what an earlier turn left. Only empty instances move. When all that there are aren't enough, each pool
+ * gets a share by what it wants and how urgent its queues are, and pools above theirs stop filling some instances, so that
+ * these are soon empty. An instance that nobody needs goes to the standby pool, where it costs nothing.
  */
 
 /** What one pool has to do. */
@@ -17,6 +19,8 @@
     readonly clearance: number;
     /** Instances that the pool needs whatever the work is: those that hold long-running tasks, and room to move these. */
     readonly floor: number;
+    /** Priority of the queue whose work came last; 0 comes first. */
+    readonly priority: number;
 }
 
 export interface PoolInstance {
@@ -28,6 +32,8 @@
     readonly arriving: boolean;
     /** Nothing runs there, since this time on the steady clock, ms; `undefined` when something runs. */
     readonly emptySince: number | undefined;
+    /** Ms until the tasks that run there should have ended; infinite with long-running ones. */
+    readonly busyFor: number;
     readonly cores: number;
     /** Due for maintenance soon: moved last, so that it can be maintained where it is. */
     readonly due: boolean;
@@ -46,6 +52,8 @@
     readonly fill: number;
     /** Instances that every pool keeps: a burst has to start somewhere, also when no machine can be moved. */
     readonly reserve: number;
+    /** Instances that a pool has to lack before another one empties some for it: emptying and moving take seconds. */
+    readonly minShortage: number;
 }
 
 /**
@@ -58,12 +66,15 @@
     idleBeforeLending: 300,
     fill: 0.85,
     reserve: 2,
+    minShortage: 3,
 };
 
 export interface PoolPlan {
     readonly moves: readonly Move[];
     /** Empty instances that no pool needs. */
     readonly surplus: readonly string[];
+    /** Busy instances that should get no new tasks, so that they can move when they are empty. */
+    readonly release: readonly string[];
 }
 
 export interface Move {
@@ -94,22 +105,38 @@
 ): PoolPlan {
     const byPool = groupByPool(instances);
     const standby = demands.find(demand => demand.standby);
-    const needs = demands.filter(demand => !demand.standby).map(demand => {
-        const held = byPool.get(demand.service) ?? [];
-        const usable = held.filter(instance => instance.available || instance.arriving);
-        const cores = measureCores(usable.length > 0 ? usable : instances);
-        const wanted = countWanted(demand, cores * usable.length, cores, policy);
-        return { demand, wanted, usable: usable.length };
-    });
-    const spare = needs.flatMap(({ demand, wanted, usable }) =>
-        usable > wanted
-            ? listEmpty(byPool.get(demand.service) ?? [], now, policy.idleBeforeLending).slice(0, usable - wanted)
+    const off = standby === undefined ? [] : listEmpty(byPool.get(standby.service) ?? [], now, 0);
+    const needs = findShares(
+        demands.filter(demand => !demand.standby).map(demand => {
+            const held = byPool.get(demand.service) ?? [];
+            const usable = held.filter(instance => instance.available || instance.arriving);
+            const cores = measureCores(usable.length > 0 ? usable : instances);
+            const wanted = countWanted(demand, cores * usable.length, cores, policy);
+            return { demand, wanted, usable: usable.length };
+        }),
+        off.length,
+        policy,
+    );
+    const scarce = needs.some(need => need.share < need.wanted);
+    const spare = needs.flatMap(({ demand, share, usable }) =>
+        usable > share
+            ? listEmpty(byPool.get(demand.service) ?? [], now, scarce ? 0 : policy.idleBeforeLending)
+                .slice(0, usable - share)
             : []
     );
-    const off = standby === undefined ? [] : listEmpty(byPool.get(standby.service) ?? [], now, 0);
-    const lacking = needs.filter(({ wanted, usable }) => wanted > usable);
-    const receivers = shareOut(lacking, spare.length + off.length);
+    const spareIds = new Set(spare.map(instance => instance.id));
+    const lacking = needs.filter(({ share, usable }) => share > usable);
+    const receivers = fillUp(
+        lacking.map(need => ({ ...need, held: need.usable, limit: need.share })),
+        spare.length + off.length,
+    );
     const moves: Move[] = receivers.map(to => ({ instance: (spare.shift() ?? off.shift())!.id, to }));
+    const shortage = lacking.reduce((sum, need) => sum + need.share - need.usable, 0) - receivers.length;
+    const release = shortage < policy.minShortage ? [] : needs.flatMap(({ demand, share, usable }) => {
+        const held = byPool.get(demand.service) ?? [];
+        const moving = held.filter(instance => spareIds.has(instance.id)).length;
+        return usable - moving > share ? listSoonEmpty(held).slice(0, usable - moving - share) : [];
+    });
     if (standby !== undefined) {
         for (const instance of spare) {
             if (now - instance.emptySince! >= policy.idleBeforeStandby) {
@@ -117,7 +144,11 @@
             }
         }
     }
-    return { moves, surplus: lacking.length > 0 ? [] : [...spare, ...off].map(instance => instance.id) };
+    return {
+        moves,
+        surplus: lacking.length > 0 ? [] : [...spare, ...off].map(instance => instance.id),
+        release: release.slice(0, shortage),
+    };
 }
 
 /** What a pool wants and can use, in instances. */
@@ -127,15 +158,50 @@
     readonly usable: number;
 }
 
-/** Pools that get the next instances: each goes where the smallest share of what is wanted is there. */
-function shareOut(lacking: readonly Need[], count: number): string[] {
-    const open = lacking.map(need => ({ to: need.demand.service, wanted: need.wanted, held: need.usable }));
+/** The same, with what it gets of all that there are. */
+interface SharedNeed extends Need {
+    readonly share: number;
+}
+
+/** How much more a pool counts than one whose queues come one priority later. */
+const priorityFactor = 2;
+/** Seconds within which a backlog counts as worked off when instances are scarce; emptying and moving take that long. */
+const scarceClearance = 3;
+
+/** What a pool has to do, in cores, by how urgent it is: instances that are scarce go by it. */
+function weigh(demand: PoolDemand): number {
+    return Math.max(1, demand.arriving + demand.backlog / scarceClearance) / priorityFactor ** demand.priority;
+}
+
+/** Shares all usable instances out: first what pools keep in any case, then by what they want and how urgent it is. */
+function findShares(needs: readonly Need[], off: number, policy: PoolPolicy): SharedNeed[] {
+    const kept = needs.map(need => Math.min(need.wanted, Math.max(need.demand.floor, policy.reserve)));
+    const total = needs.reduce((sum, need) => sum + need.usable, off);
+    const free = total - kept.reduce((sum, count) => sum + count, 0);
+    const given = fillUp(needs.map((need, i) => ({ ...need, held: kept[i]!, limit: need.wanted })), free);
+    return needs.map((need, i) => ({
+        ...need,
+        share: kept[i]! + given.filter(service => service === need.demand.service).length,
+    }));
+}
+
+/** Pools that get the next instances: each goes where there are fewest for what is to be done. */
+function fillUp(
+    pools: readonly (Need & { readonly held: number; readonly limit: number; })[],
+    count: number,
+): string[] {
+    const open = pools.map(({ demand, held, limit }) => ({
+        to: demand.service,
+        weight: weigh(demand),
+        held,
+        limit,
+    }));
     const receivers: string[] = [];
     while (receivers.length < count) {
         const next = open
-            .filter(need => need.held < need.wanted)
+            .filter(pool => pool.held < pool.limit)
             .reduce<(typeof open)[number] | undefined>(
-                (best, need) => best === undefined || need.held / need.wanted < best.held / best.wanted ? need : best,
+                (best, pool) => best === undefined || pool.held / pool.weight < best.held / best.weight ? pool : best,
                 undefined,
             );
         if (next === undefined) {
@@ -147,6 +213,16 @@
     return receivers;
 }
 
+/** Busy instances without long-running tasks, those that will be empty first. */
+function listSoonEmpty(instances: readonly PoolInstance[]): string[] {
+    return instances
+        .filter(instance =>
+            instance.available && instance.emptySince === undefined && Number.isFinite(instance.busyFor)
+        )
+        .sort((a, b) => a.busyFor - b.busyFor)
+        .map(instance => instance.id);
+}
+
 function groupByPool(instances: readonly PoolInstance[]): Map<string, PoolInstance[]> {
     const byPool = new Map<string, PoolInstance[]>();
     for (const instance of instances) {
--- a/packages/scheduling/src/testing/fixtures.ts
+++ b/packages/scheduling/src/testing/fixtures.ts
@@ -64,6 +64,7 @@
         available: true,
         arriving: false,
         emptySince: undefined,
+        busyFor: 1000,
         cores: 10,
         due: false,
         doubtful: false,
@@ -72,7 +73,7 @@
 }
 
 export function createDemand(service: string, changes: Partial<scheduling.PoolDemand> = {}): scheduling.PoolDemand {
-    return { service, standby: false, arriving: 0, backlog: 0, clearance: 1000, floor: 0, ...changes };
+    return { service, standby: false, arriving: 0, backlog: 0, clearance: 1000, floor: 0, priority: 0, ...changes };
 }
 
 export function createWaveInstance(
