--- a/packages/node/src/process.ts
+++ b/packages/node/src/process.ts
@@ -22,6 +22,8 @@
 const takeoverRetryDelay = 100;
 /** Time in ms between two tries of a process to tell its peers where it is. */
 const announceRetryDelay = 500;
+/** Time in ms since the store's last answer for which a coordinator tells its peers that it coordinates. */
+const coordinatorPatience = 1200;
 /** Time in ms kept of the grace period for ending in order. */
 const endMargin = 1200;
 /** Time in ms for which callers may keep a connection idle; longer than they do themselves. */
@@ -198,7 +200,8 @@
             routes: this.#routes,
             log: this.log,
             now: () => this.#clock.wall(),
-            isCoordinating: () => this.#watch.leading && !this.#isStoreOut(),
+            isCoordinating: () =>
+                this.#watch.leading && this.#clock.wall() - this.#store.lastSuccess < coordinatorPatience,
         });
         const port = this.settings.internalPorts[1];
         relay.on("error", error => this.log.warn("relay-unavailable", { port, error: String(error) }));
