Be current once the newest records are read, and hand machines over at once with a resignation

Causes: (1) after a loss of all power the coordinator before, back again, claimed only 1.2 s after it had read the ledger: a follower counted as current after its first read to the end, which waits 1 s when nobody writes. (2) After an ordered handover the successor left machines alone for a lease, though its predecessor gave no orders any more.

Change: (1) a follower is current as of when it asked for the newest records; (2) a coordinator that ends waits up to 0.5 s for answers to its orders and says in its resignation that there are none left; (3) the margin is the sum of the two and 150 ms. A new coordinator orders machines 0.4 s after its claim (0.7 s before).

--- a/packages/dispatch/src/coordinator.ts
+++ b/packages/dispatch/src/coordinator.ts
@@ -30,6 +30,8 @@
 const takeoverPatience = 300;
 /** Time in ms between two looks whether they have answered. */
 const takeoverLook = 10;
+/** Time in ms for which a coordinator that resigns waits for answers to its orders for machines. */
+const orderSettlement = 500;
 /** Time in ms between two looks for jobs that can be forgotten. */
 const sweepInterval = 5000;
 /** Time in ms for which reads of the servers' topic gather records. */
@@ -192,8 +194,9 @@
 
     /** Gives up coordination on purpose, so that another process claims it at once. */
     async resign(): Promise<void> {
+        const ordersSettled = await this.#keeper.close(orderSettlement);
         clearInterval(this.#timer); // A later sign of life would take the resignation back.
-        this.#shared.writer.add(this.#createBeat(true));
+        this.#shared.writer.add(this.#createBeat(true, ordersSettled));
         await this.#shared.writer.flush();
         this.#stepDown("resigned");
     }
@@ -282,7 +285,7 @@
         const now = this.#shared.clock.steady();
         if (now - this.#lastBeat >= leadership.beatInterval) {
             this.#lastBeat = now;
-            this.#shared.writer.add(this.#createBeat(false));
+            this.#shared.writer.add(this.#createBeat(false, false));
         }
         if (this.#ready) {
             this.#keeper.tick();
@@ -320,13 +323,14 @@
         }
     }
 
-    #createBeat(resigned: boolean): platform.storeCalls.KeyedRecord {
+    #createBeat(resigned: boolean, ordersSettled: boolean): platform.storeCalls.KeyedRecord {
         return jobState.encodeLeadership({
             epoch: this.options.epoch,
             node: this.options.settings.node,
             writtenAt: this.#shared.clock.wall(),
             processStart: this.options.processStart,
             resigned,
+            ordersSettled,
             tenure: this.#shared.clock.steady() - this.#shared.claimedAt,
         });
     }
--- a/packages/dispatch/src/earlier-orders.test.ts
+++ b/packages/dispatch/src/earlier-orders.test.ts
@@ -4,7 +4,15 @@
 import * as earlierOrders from "./earlier-orders.js";
 
 const suite = uvu.suite("earlier orders");
-const last = { epoch: 4, node: "a", writtenAt: 0, processStart: 1, resigned: false, tenure: 20_000 };
+const last = {
+    epoch: 4,
+    node: "a",
+    writtenAt: 0,
+    processStart: 1,
+    resigned: false,
+    ordersSettled: false,
+    tenure: 20_000,
+};
 
 suite("a process that has just read everything knows how long ago an order was given", () => {
     const order = { epoch: 4, tenure: 12_000, readAt: 500 };
@@ -21,4 +29,13 @@
     assert.is(earlierOrders.findOrderTime({ epoch: 5, tenure: 0, readAt: 500 }, undefined, 600), 500);
 });
 
+suite("one that resigned after its orders were answered leaves its machines to its successor at once", () => {
+    const order = { epoch: 4, tenure: 19_990, readAt: 500 };
+    const resigned = { ...last, resigned: true, ordersSettled: true };
+    assert.is(earlierOrders.findOrderTime(order, resigned, 600), Number.NEGATIVE_INFINITY);
+    assert.is(earlierOrders.findOrderTime(order, { ...resigned, ordersSettled: false }, 600), 500);
+    assert.is(earlierOrders.findOrderTime({ ...order, epoch: 5 }, resigned, 600), 500);
+    assert.is(earlierOrders.findOrderTime({ ...order, epoch: 3 }, { ...resigned, tenure: 50 }, 600), 500);
+});
+
 suite.run();
--- a/packages/dispatch/src/earlier-orders.ts
+++ b/packages/dispatch/src/earlier-orders.ts
@@ -3,7 +3,8 @@
  *
  * Two coordinators may not order one machine within a lease. Orders and signs of life carry how long their writer had
  * coordinated, on its steady clock. So a process that has just started, and reads everything at once, knows how long ago
- * an order was given at least, without trusting anybody's time of day.
+ * an order was given at least, without trusting anybody's time of day. One that resigned after all its orders were answered
+ * gives none any more.
  */
 import type * as jobState from "@catkinwharf/job-state";
 
@@ -21,6 +22,9 @@
     if (last === undefined || order.epoch > last.epoch) {
         return order.readAt;
     }
+    if (last.resigned && last.ordersSettled && order.epoch === last.epoch) {
+        return Number.NEGATIVE_INFINITY;
+    }
     const age = order.epoch === last.epoch ? last.tenure - order.tenure : last.tenure;
     return Math.min(order.readAt, now - Math.max(0, age));
 }
--- a/packages/dispatch/src/keeper.ts
+++ b/packages/dispatch/src/keeper.ts
@@ -28,10 +28,15 @@
 const decisionValidity = 600;
 /** Time in ms before an order that got no answer is repeated. */
 const orderRetryDelay = 300;
-/** Time in ms that a new coordinator adds to the span in which two holders may not order one machine. */
-const orderLeaseMargin = 600;
+/** Time in ms between two looks whether all orders have been answered. */
+const closeLook = 10;
+/**
+ * Time in ms that a new coordinator adds to the span in which two holders may not order one machine: an order may leave as
+ * long after its record as its confirmation holds, and after a wait for a connection within its time limit; and its way.
+ */
+const orderLeaseMargin = confirmationValidity + machineTimeout + 150;
 /** Time in ms before a new coordinator orders machines; by then it knows what runs on them. */
-const orderPatience = 700;
+const orderPatience = 400;
 
 export interface KeeperParts {
     readonly shared: context.CoordinatorContext;
@@ -80,6 +85,9 @@
     #listing = false;
     #listed = false;
     #stopped = false;
+    /** Gives no more orders; those under way are waited for. */
+    #closing = false;
+    #ordersUnderWay = 0;
 
     constructor(private readonly parts: KeeperParts) {}
 
@@ -87,6 +95,17 @@
         this.#stopped = true;
     }
 
+    /** Gives no more orders. Returns whether all that were given have been answered within `patience` ms. */
+    async close(patience: number): Promise<boolean> {
+        this.#closing = true;
+        const { clock } = this.parts.shared;
+        const began = clock.steady();
+        while (this.#ordersUnderWay > 0 && clock.steady() - began < patience) {
+            await clocks.delay(closeLook);
+        }
+        return this.#ordersUnderWay === 0;
+    }
+
     applyWave(wave: platform.operatorRecords.Wave): void {
         const known = this.#waves.get(wave.number);
         if (known === undefined || known.wave.machines.join() !== wave.machines.join()) {
@@ -129,7 +148,7 @@
             this.#listing = true;
             void this.#list().finally(() => this.#listing = false);
         }
-        const mayOrder = now - claimedAt >= orderPatience;
+        const mayOrder = !this.#closing && now - claimedAt >= orderPatience;
         if (!this.#listed) {
             return;
         }
@@ -444,6 +463,7 @@
         let outcome = "superseded";
         const decidedAt = shared.clock.steady();
         let sent = false;
+        this.#ordersUnderWay += 1;
         while (!this.#stopped) {
             const before = shared.clock.wall();
             shared.writer.add(jobState.encodeMachineOrder(
@@ -455,7 +475,7 @@
                 outcome = "not ordered";
                 break;
             }
-            if (!sent && shared.clock.steady() - decidedAt > decisionValidity) {
+            if (!sent && (this.#closing || shared.clock.steady() - decidedAt > decisionValidity)) {
                 outcome = "outdated";
                 this.#blindUntil = shared.clock.steady();
                 break;
@@ -478,6 +498,7 @@
             }
             await clocks.delay(orderRetryDelay);
         }
+        this.#ordersUnderWay -= 1;
         kept.ordered = undefined;
         if (outcome !== "done" && server !== undefined) {
             server.reserved = wasReserved;
--- a/packages/dispatch/src/leadership.test.ts
+++ b/packages/dispatch/src/leadership.test.ts
@@ -5,7 +5,15 @@
 
 const suite = uvu.suite("leadership");
 const seen: leadership.Observation = {
-    leadership: { epoch: 3, node: "a", writtenAt: 0, processStart: 1, resigned: false, tenure: 0 },
+    leadership: {
+        epoch: 3,
+        node: "a",
+        writtenAt: 0,
+        processStart: 1,
+        resigned: false,
+        ordersSettled: false,
+        tenure: 0,
+    },
     silence: 0,
     stagger: 0,
     latency: 0,
--- a/packages/dispatch/src/leadership.ts
+++ b/packages/dispatch/src/leadership.ts
@@ -187,6 +187,7 @@
             writtenAt: clock.wall(),
             processStart,
             resigned: false,
+            ordersSettled: false,
             tenure: 0,
         });
         // No producer here: the store would take another process's claim of the same epoch for a repeat of this one.
--- a/packages/job-state/src/records.test.ts
+++ b/packages/job-state/src/records.test.ts
@@ -112,7 +112,15 @@
 });
 
 suite("leadership and wave progress survive the ledger", () => {
-    const leadership = { epoch: 4, node: "n1", writtenAt: 1, processStart: 2, resigned: false, tenure: 0 };
+    const leadership = {
+        epoch: 4,
+        node: "n1",
+        writtenAt: 1,
+        processStart: 2,
+        resigned: false,
+        ordersSettled: false,
+        tenure: 0,
+    };
     const record = jobState.encodeLeadership(leadership);
     assert.equal(jobState.decodeLedger(record.key, record.value), { kind: "leadership", leadership });
     const wave = jobState.encodeWaveProgress(3, { begun: ["m-1"], completed: false, seenAt: 5 });
--- a/packages/job-state/src/records.ts
+++ b/packages/job-state/src/records.ts
@@ -28,6 +28,8 @@
     /** Tells the process's lives apart. */
     readonly processStart: number;
     readonly resigned: boolean;
+    /** With a resignation: all its orders for machines were answered, so its successor may order these at once. */
+    readonly ordersSettled: boolean;
     /** Ms for which the writer had coordinated, on its steady clock. */
     readonly tenure: number;
 }
@@ -182,7 +184,8 @@
         return undefined;
     }
     if (key === leaderKey && isLeadership(decoded)) {
-        return { kind: "leadership", leadership: { ...decoded, tenure: Number(decoded.tenure ?? 0) } };
+        const ordersSettled = decoded.ordersSettled === true;
+        return { kind: "leadership", leadership: { ...decoded, ordersSettled, tenure: Number(decoded.tenure ?? 0) } };
     }
     if (key.startsWith(machinePrefix) && isObject(decoded) && typeof decoded["epoch"] === "number") {
         const tenure = Number(decoded["tenure"] ?? 0);
--- /dev/null
+++ b/packages/store/src/topic-follower.test.ts
@@ -0,0 +1,55 @@
+/** What a follower of a keyed topic knows, and since when. */
+import * as eventLog from "@catkinwharf/event-log";
+import * as neverthrow from "neverthrow";
+import * as uvu from "uvu";
+import * as assert from "uvu/assert";
+import * as store from "./index.js";
+
+const suite = uvu.suite("topic follower");
+const log = eventLog.createBoundedLog(() => {}, () => 0);
+const value = new Uint8Array([1]);
+const page: store.Newest = {
+    kind: "page",
+    records: [{ offset: 4, record: { key: "b", value } }, { offset: 2, record: { key: "a", value } }],
+    more: false,
+    end: 5,
+    last: "b",
+};
+
+function createFollower(reads: store.Read[], now: () => number) {
+    const applied: string[] = [];
+    const source: Pick<store.StoreClient, "read" | "readNewest"> = {
+        readNewest: () => Promise.resolve(neverthrow.ok(page)),
+        read: () => {
+            const answer = reads.shift();
+            return answer === undefined ? new Promise(() => {}) : Promise.resolve(neverthrow.ok(answer));
+        },
+    };
+    const handlers = { apply: (record: { readonly key: string; }) => void applied.push(record.key) };
+    const options = { topic: "t", handlers, wait: 1000, pause: () => 0 };
+    return { applied, follower: new store.TopicFollower(source, options, log, now) };
+}
+
+suite("one that has read the newest records is current, though nobody writes", async () => {
+    const { applied, follower } = createFollower([], () => 700);
+    follower.start();
+    await new Promise(resolve => setTimeout(resolve, 10));
+    follower.stop();
+    assert.equal(applied, ["a", "b"]);
+    assert.equal([follower.loaded, follower.end, follower.currentAt], [true, 5, 700]);
+});
+
+suite("records that come again are applied once, and a dropped history is read anew", async () => {
+    const records = [4, 5].map(offset => ({ offset, record: { key: `k${offset}`, value } }));
+    const { applied, follower } = createFollower([
+        { kind: "records", records, end: 6 },
+        { kind: "expired" },
+        { kind: "records", records: [], end: 5 },
+    ], () => 0);
+    assert.is(await follower.catchUp(), true);
+    assert.equal(applied, ["a", "b", "k5"]);
+    assert.is(await follower.catchUp(), true);
+    assert.equal(applied, ["a", "b", "k5", "a", "b"]);
+});
+
+suite.run();
--- a/packages/store/src/topic-follower.ts
+++ b/packages/store/src/topic-follower.ts
@@ -35,7 +35,7 @@
     #reloading: Promise<boolean> | undefined;
 
     constructor(
-        private readonly store: client.StoreClient,
+        private readonly store: Pick<client.StoreClient, "read" | "readNewest">,
         private readonly options: FollowerOptions,
         private readonly log: eventLog.EventLog,
         private readonly now: () => number,
@@ -141,6 +141,7 @@
         const gathered: platform.storeCalls.StoredRecord[] = [];
         let end: number | undefined;
         let after: string | undefined;
+        const askedAt = this.now();
         for (;;) {
             const page = await this.store.readNewest(this.options.topic, after);
             if (page.isErr()) {
@@ -163,6 +164,7 @@
             }
         }
         this.#next = end;
+        this.currentAt = askedAt;
         return true;
     }
 }
