--- a/packages/dispatch/src/keeper.ts
+++ b/packages/dispatch/src/keeper.ts
@@ -341,11 +341,19 @@
         }
     }
 
+    /** Servers on these machines get no new tasks, until they are empty and move or a later plan wants them again. */
     #release(machines: ReadonlySet<string>): void {
         for (const kept of this.machines.values()) {
             const server = this.#findServer(kept);
-            if (server !== undefined) {
-                server.released = machines.has(kept.machine.id);
+            const released = machines.has(kept.machine.id);
+            if (server !== undefined && server.released !== released) {
+                server.released = released;
+                this.parts.shared.log.info("server-released", {
+                    server: server.entry.id,
+                    service: server.entry.service,
+                    released,
+                    runs: server.runs.size,
+                });
             }
         }
     }
