--- a/packages/scheduling/src/pools.ts
+++ b/packages/scheduling/src/pools.ts
@@ -104,25 +104,18 @@
     now: number,
 ): PoolPlan {
     const byPool = groupByPool(instances);
+    const listHeld = (demand: PoolDemand | undefined) => byPool.get(demand?.service ?? "") ?? [];
     const standby = demands.find(demand => demand.standby);
-    const off = standby === undefined ? [] : listEmpty(byPool.get(standby.service) ?? [], now, 0);
+    const off = listEmpty(listHeld(standby), now, 0);
     const needs = findShares(
-        demands.filter(demand => !demand.standby).map(demand => {
-            const held = byPool.get(demand.service) ?? [];
-            const usable = held.filter(instance => instance.available || instance.arriving);
-            const cores = measureCores(usable.length > 0 ? usable : instances);
-            const wanted = countWanted(demand, cores * usable.length, cores, policy);
-            return { demand, wanted, usable: usable.length };
-        }),
+        demands.filter(demand => !demand.standby).map(demand => findNeed(demand, listHeld(demand), instances, policy)),
         off.length,
         policy,
     );
     const scarce = needs.some(need => need.share < need.wanted);
-    const spare = needs.flatMap(({ demand, share, usable }) =>
-        usable > share
-            ? listEmpty(byPool.get(demand.service) ?? [], now, scarce ? 0 : policy.idleBeforeLending)
-                .slice(0, usable - share)
-            : []
+    const spare = needs.flatMap(need =>
+        listEmpty(listHeld(need.demand), now, scarce ? 0 : policy.idleBeforeLending)
+            .slice(0, Math.max(0, need.usable - need.share))
     );
     const spareIds = new Set(spare.map(instance => instance.id));
     const lacking = needs.filter(({ share, usable }) => share > usable);
@@ -131,26 +124,34 @@
         spare.length + off.length,
     );
     const moves: Move[] = receivers.map(to => ({ instance: (spare.shift() ?? off.shift())!.id, to }));
-    const shortage = lacking.reduce((sum, need) => sum + need.share - need.usable, 0) - receivers.length;
-    const release = shortage < policy.minShortage ? [] : needs.flatMap(({ demand, share, usable }) => {
-        const held = byPool.get(demand.service) ?? [];
-        const moving = held.filter(instance => spareIds.has(instance.id)).length;
-        return usable - moving > share ? listSoonEmpty(held).slice(0, usable - moving - share) : [];
-    });
     if (standby !== undefined) {
-        for (const instance of spare) {
-            if (now - instance.emptySince! >= policy.idleBeforeStandby) {
-                moves.push({ instance: instance.id, to: standby.service });
-            }
-        }
+        const idle = spare.filter(instance => now - instance.emptySince! >= policy.idleBeforeStandby);
+        moves.push(...idle.map(instance => ({ instance: instance.id, to: standby.service })));
     }
+    const shortage = lacking.reduce((sum, need) => sum + need.share - need.usable, 0) - receivers.length;
+    const soonSpare = needs.flatMap(need => {
+        const held = listHeld(need.demand);
+        const staying = need.usable - held.filter(instance => spareIds.has(instance.id)).length;
+        return listSoonEmpty(held).slice(0, Math.max(0, staying - need.share));
+    });
     return {
         moves,
         surplus: lacking.length > 0 ? [] : [...spare, ...off].map(instance => instance.id),
-        release: release.slice(0, shortage),
+        release: shortage < policy.minShortage ? [] : soonSpare.slice(0, shortage),
     };
 }
 
+function findNeed(
+    demand: PoolDemand,
+    held: readonly PoolInstance[],
+    all: readonly PoolInstance[],
+    policy: PoolPolicy,
+): Need {
+    const usable = held.filter(instance => instance.available || instance.arriving);
+    const cores = measureCores(usable.length > 0 ? usable : all);
+    return { demand, wanted: countWanted(demand, cores * usable.length, cores, policy), usable: usable.length };
+}
+
 /** What a pool wants and can use, in instances. */
 interface Need {
     readonly demand: PoolDemand;
