Split the keeper of machines: orders, the list, waves, and pools

No change of behaviour: the tests of real processes (wave, resignation, takeovers) pass as they are.

--- a/packages/dispatch/src/coordinator.ts
+++ b/packages/dispatch/src/coordinator.ts
@@ -155,10 +155,10 @@
             this.applyConfiguration(configuration);
         }
         for (const [number, wave] of this.options.waves) {
-            this.#keeper.applyWave(wave);
+            this.#keeper.waves.apply(wave);
             const before = this.options.waveProgress.get(number);
             if (before !== undefined) {
-                this.#keeper.restoreWave(number, before);
+                this.#keeper.waves.restore(number, before);
             }
         }
         while (!this.#stopped && !await this.#servers.catchUp()) {
@@ -209,7 +209,7 @@
     }
 
     applyWave(wave: platform.operatorRecords.Wave): void {
-        this.#keeper.applyWave(wave);
+        this.#keeper.waves.apply(wave);
     }
 
     /** A job was submitted or cancelled. */
