Use one piece for what the jobs' path wrote twice, and drop what nobody reads

- stepping down at a server's higher fencing token: one function for holds, starts and stops
- when a caller has no use for a job any more: one judgement for the order and for the demand
- the step of a task stands beside its twin, the first task of a step
- pools count the spare instances of each pool once, without a set of their names

No change of behaviour; tests as they were.

--- a/packages/dispatch/src/context.ts
+++ b/packages/dispatch/src/context.ts
@@ -4,7 +4,7 @@
 import type * as eventLog from "@catkinwharf/event-log";
 import type * as httpCalls from "@catkinwharf/http-calls";
 import type * as jobState from "@catkinwharf/job-state";
-import type * as platform from "@catkinwharf/platform";
+import * as platform from "@catkinwharf/platform";
 import type * as clocks from "./clocks.js";
 import type * as ledgerWriter from "./ledger-writer.js";
 
@@ -28,6 +28,19 @@
     readonly wake: () => void;
 }
 
+/** Steps down when a server's answer shows that a newer coordinator has ordered it; returns whether it does. */
+export function stepDownIfFenced(
+    shared: CoordinatorContext,
+    server: string,
+    answer: platform.serverCalls.OrderAnswer | platform.serverCalls.HoldAnswer,
+): boolean {
+    const fenced = answer.kind === "refused" && answer.reason === platform.serverCalls.Refusal.fenced;
+    if (fenced) {
+        shared.stepDown(`server ${server} has seen a higher fencing token`);
+    }
+    return fenced;
+}
+
 /** Time in ms for an order to a backend server; they answer within a few. */
 export const orderTimeout = 700;
 /** Lease in ms: outlasts a change of coordinator, and brings back what a server that was cut off held. */
--- a/packages/dispatch/src/demand.ts
+++ b/packages/dispatch/src/demand.ts
@@ -176,8 +176,8 @@
 }
 
 function isUseless(active: jobBoard.ActiveJob, wall: number): boolean {
-    const objective = active.route.slackFactor * active.chain + active.route.latencyTarget;
-    return active.job.repetition === undefined && wall - active.job.submittedAt > scheduling.uselessAfter * objective;
+    const objective = scheduling.findObjective(active.job, 0, active.chain, active.route);
+    return active.job.repetition === undefined && wall > scheduling.findLastUse(active.job.submittedAt, objective);
 }
 
 function decay(arrivals: Arrivals, now: number): void {
--- a/packages/dispatch/src/fleet.ts
+++ b/packages/dispatch/src/fleet.ts
@@ -149,8 +149,7 @@
     /** Decides whether a server may get new tasks. */
     #updateOpen(server: session.ServerSession): void {
         server.load.open = server.reachable && !server.unlisted && !server.entry.draining && !server.reserved
-            && !server.released
-            && !server.closed && this.shared.clock.steady() >= server.restUntil;
+            && !server.released && !server.closed && this.shared.clock.steady() >= server.restUntil;
     }
 
     refreshOpen(): void {
@@ -222,8 +221,7 @@
             await clocks.delay(unreachableDelay);
             return;
         }
-        if (answer.kind === "refused" && answer.reason === platform.serverCalls.Refusal.fenced) {
-            this.shared.stepDown(`server ${server.entry.id} has seen a higher fencing token`);
+        if (context.stepDownIfFenced(this.shared, server.entry.id, answer)) {
             return;
         }
         if (answer.kind !== "lists") {
--- a/packages/dispatch/src/runs.ts
+++ b/packages/dispatch/src/runs.ts
@@ -91,7 +91,7 @@
         origin: Pick<session.ActiveRun, "phase" | "listableFrom" | "checkpoint" | "ticket" | "timed">,
     ): session.ActiveRun {
         const now = this.options.shared.clock.steady();
-        const step = findStep(active.job, task);
+        const step = jobState.findStep(active.job, task);
         const position = { occurrence, step, index: task - jobState.findFirstTask(active.job, step) };
         return {
             entry: active.entry,
@@ -170,8 +170,7 @@
             }
             return;
         }
-        if (answer.kind === "refused" && answer.reason === platform.serverCalls.Refusal.fenced) {
-            shared.stepDown(`server ${server.entry.id} has seen a higher fencing token`);
+        if (context.stepDownIfFenced(shared, server.entry.id, answer)) {
             return;
         }
         shared.log.info("start-refused", {
@@ -208,8 +207,7 @@
                     run.listableFrom = shared.clock.steady();
                     return;
                 }
-                if (decoded.kind === "refused" && decoded.reason === platform.serverCalls.Refusal.fenced) {
-                    shared.stepDown(`server ${server.entry.id} has seen a higher fencing token`);
+                if (context.stepDownIfFenced(shared, server.entry.id, decoded)) {
                     return;
                 }
             }
@@ -472,14 +470,3 @@
 export function nameStep(jobId: string, position: { readonly occurrence: number; readonly step: number; }): string {
     return `${jobId}.${position.occurrence}.${position.step}`;
 }
-
-function findStep(job: jobState.Job, task: number): number {
-    let first = 0;
-    for (let step = 0; step < job.steps.length; step++) {
-        first += job.steps[step]!.taskCount;
-        if (task < first) {
-            return step;
-        }
-    }
-    return job.steps.length - 1;
-}
--- a/packages/job-state/src/job.ts
+++ b/packages/job-state/src/job.ts
@@ -122,3 +122,15 @@
     }
     return first;
 }
+
+/** Step of a task, by its index over all steps of the job. */
+export function findStep(job: Job, task: number): number {
+    let first = 0;
+    for (let step = 0; step < job.steps.length; step++) {
+        first += job.steps[step]!.taskCount;
+        if (task < first) {
+            return step;
+        }
+    }
+    return job.steps.length - 1;
+}
--- a/packages/job-state/src/progress.ts
+++ b/packages/job-state/src/progress.ts
@@ -8,7 +8,7 @@
 /** A run that was ordered: from before its start is sent until its end is known. */
 export interface Run {
     readonly number: number;
-    /** Identity of the backend server's boot, see `ServerBoot`. */
+    /** Backend server and its boot, as the coordinator names them. */
     readonly server: string;
 }
 
@@ -38,7 +38,7 @@
     statusAt: number;
     /** A task has been started at least once. */
     begun: boolean;
-    /** By number; absent until something of it happened. Completed ones stay as a number below `settledBelow`. */
+    /** By number; absent until something of it happened. */
     readonly occurrences: Map<number, Occurrence>;
 }
 
--- a/packages/job-state/src/records.ts
+++ b/packages/job-state/src/records.ts
@@ -57,6 +57,7 @@
 /** One record of a keyed topic. */
 export interface KeyedRecord {
     readonly key: string;
+    /** Empty: the key is dropped. */
     readonly value: Uint8Array;
 }
 
--- a/packages/scheduling/src/objective.ts
+++ b/packages/scheduling/src/objective.ts
@@ -23,7 +23,7 @@
 /** Share of what remains that a job needs as slack to begin at all, lest its last step miss by little. */
 const beginMargin = 0.15;
 /** A job that takes this many times its objective is of no use to its caller any more. */
-export const uselessAfter = 3;
+const uselessAfter = 3;
 
 /**
  * Expected time in ms of each step: the longest that one of its tasks was seen to take, else the caller's estimate.
@@ -113,6 +113,10 @@
     if (left.longRunning || slack >= needed) {
         return Prospect.inTime;
     }
-    const lastUse = left.due + uselessAfter * (left.objective - left.due);
-    return now + left.chain <= lastUse ? Prospect.late : Prospect.useless;
+    return now + left.chain <= findLastUse(left.due, left.objective) ? Prospect.late : Prospect.useless;
+}
+
+/** Unix time in ms after which a caller that began to wait at `due` has no use for the job any more. */
+export function findLastUse(due: number, objective: number): number {
+    return due + uselessAfter * (objective - due);
 }
--- a/packages/scheduling/src/pools.ts
+++ b/packages/scheduling/src/pools.ts
@@ -113,11 +113,11 @@
         policy,
     );
     const scarce = needs.some(need => need.share < need.wanted);
-    const spare = needs.flatMap(need =>
+    const spareByNeed = needs.map(need =>
         listEmpty(listHeld(need.demand), now, scarce ? 0 : policy.idleBeforeLending)
             .slice(0, Math.max(0, need.usable - need.share))
     );
-    const spareIds = new Set(spare.map(instance => instance.id));
+    const spare = spareByNeed.flat();
     const lacking = needs.filter(({ share, usable }) => share > usable);
     const receivers = fillUp(
         lacking.map(need => ({ ...need, held: need.usable, limit: need.share })),
@@ -129,10 +129,9 @@
         moves.push(...idle.map(instance => ({ instance: instance.id, to: standby.service })));
     }
     const shortage = lacking.reduce((sum, need) => sum + need.share - need.usable, 0) - receivers.length;
-    const soonSpare = needs.flatMap(need => {
-        const held = listHeld(need.demand);
-        const staying = need.usable - held.filter(instance => spareIds.has(instance.id)).length;
-        return listSoonEmpty(held).slice(0, Math.max(0, staying - need.share));
+    const soonSpare = needs.flatMap((need, i) => {
+        const staying = need.usable - spareByNeed[i]!.length;
+        return listSoonEmpty(listHeld(need.demand)).slice(0, Math.max(0, staying - need.share));
     });
     return {
         moves,
