Wait with the platform's own timers, and drop the time of day from the coordinator's signs of life

Four places of the jobs' path wrote the same promise around a timer; node:timers/promises is it, as elsewhere in the project. Nobody read when a sign of life was written. No change of behaviour.

--- a/packages/dispatch/src/clocks.ts
+++ b/packages/dispatch/src/clocks.ts
@@ -10,7 +10,3 @@
 }
 
 export const systemClocks: Clocks = { steady: () => performance.now(), wall: () => Date.now() };
-
-export function delay(time: number): Promise<void> {
-    return new Promise(resolve => setTimeout(resolve, time));
-}
--- a/packages/dispatch/src/coordinator.ts
+++ b/packages/dispatch/src/coordinator.ts
@@ -7,8 +7,9 @@
 import * as platform from "@catkinwharf/platform";
 import * as scheduling from "@catkinwharf/scheduling";
 import * as storeClient from "@catkinwharf/store";
+import * as timers from "node:timers/promises";
 import * as adviceDesk from "./advice-desk.js";
-import * as clocks from "./clocks.js";
+import type * as clocks from "./clocks.js";
 import * as context from "./context.js";
 import * as demand from "./demand.js";
 import * as fleet from "./fleet.js";
@@ -162,7 +163,7 @@
             }
         }
         while (!this.#stopped && !await this.#servers.catchUp()) {
-            await clocks.delay(tickInterval);
+            await timers.setTimeout(tickInterval);
         }
         this.#inheritRuns();
         this.fleet.begin();
@@ -170,7 +171,7 @@
         const { clock } = this.#shared;
         const patienceEnd = clock.steady() + takeoverPatience;
         while (!this.#stopped && clock.steady() < patienceEnd && this.#hasUnasked()) {
-            await clocks.delay(takeoverLook);
+            await timers.setTimeout(takeoverLook);
         }
         this.#ready = true;
         this.#demand.firstWorkAt = this.board.active.size > 0 ? clock.steady() : undefined;
@@ -327,7 +328,6 @@
         return jobState.encodeLeadership({
             epoch: this.options.epoch,
             node: this.options.settings.node,
-            writtenAt: this.#shared.clock.wall(),
             processStart: this.options.processStart,
             resigned,
             ordersSettled,
--- a/packages/dispatch/src/earlier-orders.test.ts
+++ b/packages/dispatch/src/earlier-orders.test.ts
@@ -7,7 +7,6 @@
 const last = {
     epoch: 4,
     node: "a",
-    writtenAt: 0,
     processStart: 1,
     resigned: false,
     ordersSettled: false,
--- a/packages/dispatch/src/fleet.ts
+++ b/packages/dispatch/src/fleet.ts
@@ -4,7 +4,7 @@
 import type * as jobState from "@catkinwharf/job-state";
 import * as platform from "@catkinwharf/platform";
 import type * as scheduling from "@catkinwharf/scheduling";
-import * as clocks from "./clocks.js";
+import * as timers from "node:timers/promises";
 import * as context from "./context.js";
 import * as session from "./server-session.js";
 
@@ -166,7 +166,7 @@
                 await this.#holdOnce(server);
             }
             else {
-                await clocks.delay(unreachableDelay);
+                await timers.setTimeout(unreachableDelay);
             }
             this.#closeWhenOver(server);
         }
@@ -203,7 +203,7 @@
         }
         if (answer.isErr()) {
             this.#noteUnreachable(server, answer.error.reason);
-            await clocks.delay(unreachableDelay);
+            await timers.setTimeout(unreachableDelay);
             return;
         }
         await this.#takeIn(server, platform.serverCalls.decodeHold(answer.value), sentAt);
@@ -218,7 +218,7 @@
             this.#noteNewBoot(server, undefined);
             server.reachable = false;
             this.#updateOpen(server);
-            await clocks.delay(unreachableDelay);
+            await timers.setTimeout(unreachableDelay);
             return;
         }
         if (context.stepDownIfFenced(this.shared, server.entry.id, answer)) {
@@ -226,7 +226,7 @@
         }
         if (answer.kind !== "lists") {
             this.shared.log.warn("hold-refused", { server: server.entry.id, answer });
-            await clocks.delay(unreachableDelay);
+            await timers.setTimeout(unreachableDelay);
             return;
         }
         if (answer.bootedAt !== server.bootedAt) {
@@ -256,7 +256,7 @@
                 server.acknowledged = Math.max(server.acknowledged, takenIn);
             }
         });
-        await Promise.race([stored, clocks.delay(unstoredDelay)]);
+        await Promise.race([stored, timers.setTimeout(unstoredDelay)]);
     }
 
     /** Another boot than the one that was known answers: nothing that ran before is there. */
--- a/packages/dispatch/src/leadership.test.ts
+++ b/packages/dispatch/src/leadership.test.ts
@@ -8,7 +8,6 @@
     leadership: {
         epoch: 3,
         node: "a",
-        writtenAt: 0,
         processStart: 1,
         resigned: false,
         ordersSettled: false,
--- a/packages/dispatch/src/leadership.ts
+++ b/packages/dispatch/src/leadership.ts
@@ -5,7 +5,8 @@
 import * as eventLog from "@catkinwharf/event-log";
 import * as jobState from "@catkinwharf/job-state";
 import * as storeClient from "@catkinwharf/store";
-import * as clocks from "./clocks.js";
+import * as timers from "node:timers/promises";
+import type * as clocks from "./clocks.js";
 
 /** Time in ms between two signs of life of the coordinator. */
 export const beatInterval = 300;
@@ -174,7 +175,7 @@
     }
 
     async #claim(): Promise<void> {
-        const { store, ledger, log, clock, node, processStart } = this.options;
+        const { store, ledger, log, node, processStart } = this.options;
         const before = this.leadership;
         if (!await ledger.catchUp() || this.leadership?.epoch !== before?.epoch) {
             return;
@@ -184,7 +185,6 @@
         const claim = jobState.encodeLeadership({
             epoch,
             node,
-            writtenAt: clock.wall(),
             processStart,
             resigned: false,
             ordersSettled: false,
@@ -231,7 +231,7 @@
             if (answer.isOk() && await ledger.catchUp()) {
                 return this.leadership?.epoch === epoch;
             }
-            await clocks.delay(lookInterval);
+            await timers.setTimeout(lookInterval);
         }
         return false;
     }
--- a/packages/dispatch/src/ledger-writer.ts
+++ b/packages/dispatch/src/ledger-writer.ts
@@ -7,7 +7,7 @@
 import * as jobState from "@catkinwharf/job-state";
 import type * as platform from "@catkinwharf/platform";
 import type * as storeClient from "@catkinwharf/store";
-import * as clocks from "./clocks.js";
+import * as timers from "node:timers/promises";
 
 /** Time in ms during which records are gathered into one append; spares calls at little delay. */
 const gatherTime = 4;
@@ -67,7 +67,7 @@
     }
 
     async #run(): Promise<void> {
-        await clocks.delay(gatherTime);
+        await timers.setTimeout(gatherTime);
         while (!this.#stopped && (this.#dirty.size > 0 || this.#extra.length > 0 || this.#waiters.length > 0)) {
             const waiters = this.#dirty.size <= maxJobsPerBatch ? this.#waiters.splice(0) : [];
             const batch = this.#takeBatch();
@@ -102,7 +102,7 @@
                 producer: { name: jobState.ledgerProducer, epoch: this.epoch, sequence: this.#sequence },
             });
             if (answer.isErr()) {
-                await clocks.delay(retryDelay);
+                await timers.setTimeout(retryDelay);
                 retryDelay = Math.min(longestRetryDelay, 2 * retryDelay);
                 continue;
             }
--- a/packages/dispatch/src/machine-orders.ts
+++ b/packages/dispatch/src/machine-orders.ts
@@ -7,7 +7,7 @@
  */
 import * as jobState from "@catkinwharf/job-state";
 import * as platform from "@catkinwharf/platform";
-import * as clocks from "./clocks.js";
+import * as timers from "node:timers/promises";
 import type * as context from "./context.js";
 
 /** Time in ms for a call about machines. */
@@ -71,7 +71,7 @@
         const { clock } = this.shared;
         const began = clock.steady();
         while (this.#underWay > 0 && clock.steady() - began < patience) {
-            await clocks.delay(closeLook);
+            await timers.setTimeout(closeLook);
         }
         return this.#underWay === 0;
     }
@@ -122,7 +122,7 @@
             if (decoded !== undefined && (decoded.status === 409 || decoded.status === 400)) {
                 return decoded.reason === "" ? `status ${decoded.status}` : decoded.reason;
             }
-            await clocks.delay(orderRetryDelay);
+            await timers.setTimeout(orderRetryDelay);
         }
         return OrderOutcome.superseded;
     }
--- a/packages/dispatch/src/runs.ts
+++ b/packages/dispatch/src/runs.ts
@@ -8,7 +8,7 @@
 import * as jobState from "@catkinwharf/job-state";
 import * as platform from "@catkinwharf/platform";
 import * as scheduling from "@catkinwharf/scheduling";
-import * as clocks from "./clocks.js";
+import * as timers from "node:timers/promises";
 import * as context from "./context.js";
 import type * as jobBoard from "./job-board.js";
 import * as session from "./server-session.js";
@@ -211,7 +211,7 @@
                     return;
                 }
             }
-            await clocks.delay(stopRetryDelay);
+            await timers.setTimeout(stopRetryDelay);
         }
     }
 
--- a/packages/dispatch/src/wave-keeper.ts
+++ b/packages/dispatch/src/wave-keeper.ts
@@ -5,7 +5,7 @@
 import * as platform from "@catkinwharf/platform";
 import * as scheduling from "@catkinwharf/scheduling";
 import type * as storeClient from "@catkinwharf/store";
-import * as clocks from "./clocks.js";
+import * as timers from "node:timers/promises";
 import type * as context from "./context.js";
 import * as machineOrders from "./machine-orders.js";
 import * as machinePark from "./machine-park.js";
@@ -205,7 +205,7 @@
             if (answer.isOk()) {
                 return;
             }
-            await clocks.delay(statusRetryDelay);
+            await timers.setTimeout(statusRetryDelay);
         }
     }
 }
--- a/packages/intake/src/submission-keeper.ts
+++ b/packages/intake/src/submission-keeper.ts
@@ -9,6 +9,7 @@
 import * as jobState from "@catkinwharf/job-state";
 import type * as platform from "@catkinwharf/platform";
 import * as storeClient from "@catkinwharf/store";
+import * as timers from "node:timers/promises";
 
 export const Stored = {
     stored: "stored",
@@ -79,7 +80,7 @@
             const unknown = answer.error.fault === storeClient.StoreFault.unknown;
             const left = batch.filter(waiting => !this.#settleFailed(waiting, unknown));
             this.#waiting.unshift(...left);
-            await new Promise(resolve => setTimeout(resolve, retryDelay));
+            await timers.setTimeout(retryDelay);
         }
     }
 
--- a/packages/job-state/src/records.test.ts
+++ b/packages/job-state/src/records.test.ts
@@ -115,7 +115,6 @@
     const leadership = {
         epoch: 4,
         node: "n1",
-        writtenAt: 1,
         processStart: 2,
         resigned: false,
         ordersSettled: false,
--- a/packages/job-state/src/records.ts
+++ b/packages/job-state/src/records.ts
@@ -23,8 +23,6 @@
 export interface Leadership {
     readonly epoch: number;
     readonly node: string;
-    /** Unix time in ms at which the record was written, by the writer's clock. */
-    readonly writtenAt: number;
     /** Tells the process's lives apart. */
     readonly processStart: number;
     readonly resigned: boolean;
--- a/packages/node/src/demo.ts
+++ b/packages/node/src/demo.ts
@@ -3,6 +3,7 @@
  * coordinator in the middle. Prints what became of every job and fails when a task ran twice.
  */
 import * as platformStandIns from "@catkinwharf/platform-stand-ins";
+import * as timers from "node:timers/promises";
 
 const entryNodes = 3;
 const jobs = 40;
@@ -35,7 +36,7 @@
             print(`${target}: ${answer?.status ?? "connection broken"}`);
         }
         await interfere(deployment, i);
-        await new Promise(resolve => setTimeout(resolve, submissionInterval));
+        await timers.setTimeout(submissionInterval);
     }
     return accepted;
 }
--- a/packages/node/src/process.ts
+++ b/packages/node/src/process.ts
@@ -10,6 +10,7 @@
 import * as storeClient from "@catkinwharf/store";
 import * as http from "node:http";
 import type * as net from "node:net";
+import * as timers from "node:timers/promises";
 import * as metrics from "./metrics.js";
 
 /** Time in ms for which a read waits at the store; bounds how long a silent connection goes unnoticed. */
@@ -108,12 +109,12 @@
         await this.#coordinator?.resign();
         const limit = this.settings.bounds.grace - endMargin;
         while (this.#clock.steady() - began < limit) {
-            await dispatch.delay(50);
+            await timers.setTimeout(50);
         }
         this.#servers.forEach(server => server.close());
         this.#servers.forEach(server => server.closeIdleConnections());
         while (this.#activeRequests > 0 && this.#clock.steady() - began < limit + endMargin / 2) {
-            await dispatch.delay(20);
+            await timers.setTimeout(20);
         }
         this.log.info("stopped", { requestsLeft: this.#activeRequests });
     }
@@ -209,7 +210,7 @@
         relay.listen(port, this.settings.ip);
         const record = jobState.encodeNode({ node: this.settings.node, address: `${this.settings.ip}:${port}` });
         while (!this.#ending && (await this.#store.append(jobState.submissionsTopic, [record])).isErr()) {
-            await dispatch.delay(announceRetryDelay);
+            await timers.setTimeout(announceRetryDelay);
         }
     }
 
@@ -264,7 +265,7 @@
                 this.#watch.leading = false;
                 return;
             }
-            await dispatch.delay(takeoverRetryDelay);
+            await timers.setTimeout(takeoverRetryDelay);
         }
         this.#coordinator = new dispatch.Coordinator({
             settings: this.settings,
--- a/packages/store/src/topic-follower.ts
+++ b/packages/store/src/topic-follower.ts
@@ -5,6 +5,7 @@
  */
 import * as eventLog from "@catkinwharf/event-log";
 import * as platform from "@catkinwharf/platform";
+import * as timers from "node:timers/promises";
 import * as client from "./store-client.js";
 
 export interface TopicHandlers {
@@ -83,19 +84,19 @@
         while (this.#running) {
             if (this.#next === undefined) {
                 if (!await this.#reload()) {
-                    await delay(retryDelay);
+                    await timers.setTimeout(retryDelay);
                 }
                 continue;
             }
             const before = this.#next;
             const outcome = await this.#readOnce(this.options.wait);
             if (outcome === "failed") {
-                await delay(retryDelay);
+                await timers.setTimeout(retryDelay);
             }
             else if (this.#next !== before) {
                 const pause = this.options.pause();
                 if (pause > 0) {
-                    await delay(pause);
+                    await timers.setTimeout(pause);
                 }
             }
         }
@@ -168,7 +169,3 @@
         return true;
     }
 }
-
-function delay(time: number): Promise<void> {
-    return new Promise(resolve => setTimeout(resolve, time));
-}
