Read request bodies by the entry process's reader everywhere

The port for jobs and the relay of store calls each had a loop of their own for what the first product's port had already: a body up to a limit, told from one that was cut off. The reader moves to a package, request-body, that all three use. A cut body still ends in the same line of the log; a body that is too large no longer ends with the stream destroyed before its 413 is sent.

--- a/packages/entry/src/caller-port.ts
+++ b/packages/entry/src/caller-port.ts
@@ -4,6 +4,7 @@
 import * as errors from "@catkinwharf/errors";
 import * as fleetState from "@catkinwharf/fleet-state";
 import * as logger from "@catkinwharf/logger";
+import * as requestBody from "@catkinwharf/request-body";
 import * as schema from "@catkinwharf/schema";
 import * as types from "@catkinwharf/types";
 import * as crypto from "node:crypto";
@@ -152,7 +153,7 @@
         if (timeoutMs === undefined) {
             return { refusal: types.Reason.badRequest };
         }
-        const body = await httpServer.readBody(message, this.#parts.limits.maxBodyBytes);
+        const body = await requestBody.readBody(message, this.#parts.limits.maxBodyBytes);
         if (typeof body === "string") {
             return { refusal: bodyRefusals[body] };
         }
@@ -260,9 +261,9 @@
         : request.createUnknown(types.Reason.claimUnconfirmed);
 }
 
-const bodyRefusals: Readonly<Record<httpServer.BodyFault, types.Reason>> = {
-    [httpServer.BodyFault.tooLarge]: types.Reason.bodyTooLarge,
-    [httpServer.BodyFault.cut]: types.Reason.callerGone,
+const bodyRefusals: Readonly<Record<requestBody.BodyFault, types.Reason>> = {
+    [requestBody.BodyFault.tooLarge]: types.Reason.bodyTooLarge,
+    [requestBody.BodyFault.cut]: types.Reason.callerGone,
 };
 
 function isDeclaredIdempotent(service: schema.log.Service, method: string, path: string): boolean {
--- a/packages/entry/src/http-server.ts
+++ b/packages/entry/src/http-server.ts
@@ -70,33 +70,6 @@
     });
 }
 
-/** Why a body could not be read. */
-export const BodyFault = { tooLarge: "too-large", cut: "cut" } as const;
-export type BodyFault = (typeof BodyFault)[keyof typeof BodyFault];
-
-/** Reads a whole body of at most `maxBytes`. */
-export function readBody(message: http.IncomingMessage, maxBytes: number): Promise<Buffer | BodyFault> {
-    if (Number(message.headers["content-length"] ?? 0) > maxBytes) {
-        return Promise.resolve(BodyFault.tooLarge);
-    }
-    return new Promise(resolve => {
-        const chunks: Buffer[] = [];
-        let bytes = 0;
-        message.on("data", (chunk: Buffer) => {
-            bytes += chunk.byteLength;
-            if (bytes > maxBytes) {
-                message.pause();
-                resolve(BodyFault.tooLarge);
-                return;
-            }
-            chunks.push(chunk);
-        });
-        message.on("end", () => resolve(message.complete ? Buffer.concat(chunks) : BodyFault.cut));
-        message.on("close", () => resolve(BodyFault.cut));
-        message.on("error", () => resolve(BodyFault.cut));
-    });
-}
-
 export function sendJson(response: http.ServerResponse, status: number, document: unknown): void {
     sendText(response, status, "application/json", JSON.stringify(document));
 }
--- a/packages/entry/src/operator-port.ts
+++ b/packages/entry/src/operator-port.ts
@@ -3,6 +3,7 @@
  */
 import * as errors from "@catkinwharf/errors";
 import * as logger from "@catkinwharf/logger";
+import * as requestBody from "@catkinwharf/request-body";
 import * as schema from "@catkinwharf/schema";
 import * as crypto from "node:crypto";
 import * as http from "node:http";
@@ -133,7 +134,7 @@
         if (!this.#authorize(message, response)) {
             return;
         }
-        const body = await httpServer.readBody(message, maxBodyBytes);
+        const body = await requestBody.readBody(message, maxBodyBytes);
         const document = typeof body === "string" ? undefined : parseJson(body);
         if (document === undefined) {
             this.#parts.metrics.count("bad_input", "operators");
--- a/packages/intake/src/caller-port.ts
+++ b/packages/intake/src/caller-port.ts
@@ -4,6 +4,7 @@
 import type * as eventLog from "@catkinwharf/event-log";
 import * as jobState from "@catkinwharf/job-state";
 import * as platform from "@catkinwharf/platform";
+import * as requestBody from "@catkinwharf/request-body";
 import type * as http from "node:http";
 import * as polka from "polka";
 import * as routeTable from "./route-table.js";
@@ -166,10 +167,13 @@
 
     /** Accepts a job once it is stored. */
     async submit(question: Question): Promise<Reply> {
-        const body = await readBody(question.message, question.maxBodyBytes);
-        if (body === undefined) {
+        const body = await requestBody.readBody(question.message, question.maxBodyBytes);
+        if (body === requestBody.BodyFault.tooLarge) {
             return { status: 413, body: "", reason: "the body is too large" };
         }
+        if (body === requestBody.BodyFault.cut) {
+            throw new Error("the body was cut");
+        }
         const submission = platform.callerBodies.decodeSubmission(body);
         if (typeof submission === "string") {
             return { status: 400, body: "", reason: submission };
@@ -237,16 +241,3 @@
         return entry?.job?.queue === question.route.name ? entry : undefined;
     }
 }
-
-async function readBody(message: http.IncomingMessage, maxBytes: number): Promise<Uint8Array | undefined> {
-    const parts: Buffer[] = [];
-    let bytes = 0;
-    for await (const part of message) {
-        bytes += (part as Buffer).length;
-        if (bytes > maxBytes) {
-            return undefined;
-        }
-        parts.push(part as Buffer);
-    }
-    return Buffer.concat(parts);
-}
--- a/packages/store/src/store-relay.ts
+++ b/packages/store/src/store-relay.ts
@@ -5,6 +5,7 @@
 import type * as eventLog from "@catkinwharf/event-log";
 import * as httpCalls from "@catkinwharf/http-calls";
 import * as platform from "@catkinwharf/platform";
+import * as requestBody from "@catkinwharf/request-body";
 import * as http from "node:http";
 import type * as storeRoutes from "./store-routes.js";
 
@@ -62,16 +63,14 @@
     message: http.IncomingMessage,
 ): Promise<{ readonly status: number; readonly body: Uint8Array; }> {
     const nothing = new Uint8Array();
-    const chunks: Buffer[] = [];
-    let bytes = 0;
-    for await (const chunk of message) {
-        bytes += (chunk as Buffer).length;
-        if (bytes > maxBodyBytes) {
-            return { status: notPassedStatus, body: nothing };
-        }
-        chunks.push(chunk as Buffer);
+    const body = await requestBody.readBody(message, maxBodyBytes);
+    if (body === requestBody.BodyFault.tooLarge) {
+        return { status: notPassedStatus, body: nothing };
+    }
+    if (body === requestBody.BodyFault.cut) {
+        throw new Error("the body was cut");
     }
-    const call = platform.storeCalls.restoreCall(message.method, message.url ?? "", Buffer.concat(chunks));
+    const call = platform.storeCalls.restoreCall(message.method, message.url ?? "", body);
     if (call === undefined || !parts.routes.isDirectFresh(parts.now())) {
         return { status: notPassedStatus, body: nothing };
     }
