--- a/packages/dispatch/src/relocation.test.ts
+++ b/packages/dispatch/src/relocation.test.ts
@@ -1,5 +1,5 @@
 /** Emptying a server takes no more of a step away than it bears. */
-import type * as jobState from "@catkinwharf/job-state";
+import * as testing from "@catkinwharf/job-state/testing";
 import type * as scheduling from "@catkinwharf/scheduling";
 import * as uvu from "uvu";
 import * as assert from "uvu/assert";
@@ -45,24 +45,13 @@
     return created;
 }
 
-const step: jobState.Step = {
+const step = testing.createStep({
     taskCount: 3,
     demand: { cpu: 1000, memory: 10, accelerators: 0 },
     estimate: 0,
-    dependsOn: [],
-    checkpointed: false,
-    gang: false,
-    sameRack: false,
-    requiredLabel: undefined,
-    dataRack: undefined,
-    maxPerServer: 0,
-    speculative: false,
     longRunning: true,
-    image: undefined,
-    tailTarget: 0,
-    filler: false,
     maxUnavailable: 1,
-};
+});
 
 function addRun(server: session.ServerSession, index: number, percent: number): session.ActiveRun {
     const run: session.ActiveRun = {
--- a/packages/job-state/src/records.test.ts
+++ b/packages/job-state/src/records.test.ts
@@ -3,35 +3,16 @@
 import * as uvu from "uvu";
 import * as assert from "uvu/assert";
 import * as jobState from "./index.js";
+import * as testing from "./testing/index.js";
 
 const seed = 20_261_205;
 const suite = uvu.suite(`records (seed ${seed})`);
 
-const job: jobState.Job = {
-    id: "00000000000000aa",
-    queue: "quotes",
+const job = testing.createJob({
     payload: "text",
-    steps: [{
-        taskCount: 11,
-        demand: { cpu: 1000, memory: 100, accelerators: 0 },
-        estimate: 1000,
-        dependsOn: [],
-        checkpointed: true,
-        gang: false,
-        sameRack: false,
-        requiredLabel: undefined,
-        dataRack: undefined,
-        maxPerServer: 0,
-        speculative: false,
-        longRunning: false,
-        image: undefined,
-        tailTarget: 0,
-        filler: false,
-        maxUnavailable: undefined,
-    }],
-    repetition: undefined,
+    steps: [testing.createStep({ taskCount: 11, checkpointed: true })],
     submittedAt: 5,
-};
+});
 
 suite("progress survives the ledger: done tasks, runs under way, failures, checkpoints", () => {
     const progress = jobState.createProgress(7);
--- a/packages/scheduling/src/testing/fixtures.ts
+++ b/packages/scheduling/src/testing/fixtures.ts
@@ -1,40 +1,7 @@
-/** Jobs, steps, servers and pools for the tests of this package. */
-import type * as jobState from "@catkinwharf/job-state";
+/** Servers, pools and waves for the tests of this package; jobs and steps come from `job-state`. */
 import type * as scheduling from "../index.js";
 
-export function createStep(changes: Partial<jobState.Step> = {}): jobState.Step {
-    return {
-        taskCount: 1,
-        demand: { cpu: 1000, memory: 100, accelerators: 0 },
-        estimate: 1000,
-        dependsOn: [],
-        checkpointed: false,
-        gang: false,
-        sameRack: false,
-        requiredLabel: undefined,
-        dataRack: undefined,
-        maxPerServer: 0,
-        speculative: false,
-        longRunning: false,
-        image: undefined,
-        tailTarget: 0,
-        filler: false,
-        maxUnavailable: undefined,
-        ...changes,
-    };
-}
-
-export function createJob(changes: Partial<jobState.Job> = {}): jobState.Job {
-    return {
-        id: "00000000000000aa",
-        queue: "quotes",
-        payload: "",
-        steps: [createStep()],
-        repetition: undefined,
-        submittedAt: 0,
-        ...changes,
-    };
-}
+export * from "@catkinwharf/job-state/testing";
 
 export function createLoad(id: string, changes: Partial<scheduling.ServerLoad> = {}): scheduling.ServerLoad {
     return {
