--- a/packages/dispatch/src/coordinator.ts
+++ b/packages/dispatch/src/coordinator.ts
@@ -16,6 +16,7 @@
 import * as jobSweeper from "./job-sweeper.js";
 import * as leaderElection from "./leader-election.js";
 import * as ledgerWriter from "./ledger-writer.js";
+import * as loadMeter from "./load-meter.js";
 import * as machineManager from "./machine-manager.js";
 import * as placer from "./placer.js";
 import * as relocation from "./relocation.js";
@@ -61,6 +62,8 @@
      */
     readonly earlierOrderTimes: ReadonlyMap<string, number>;
     readonly onStepDown: (reason: string) => void;
+    /** Receives the times in ms that the coordinator's activities take, for metrics. */
+    readonly observeDuration: (activity: loadMeter.Activity, duration: number) => void;
 }
 
 /**
@@ -92,6 +95,7 @@
     readonly #tickets: ticketCache.TicketCache;
     readonly #sweeper: jobSweeper.JobSweeper;
     readonly #placer: placer.Placer;
+    readonly #load: loadMeter.LoadMeter;
     #timer: NodeJS.Timeout | undefined;
     #passScheduled = false;
     #stopped = false;
@@ -103,6 +107,7 @@
     constructor(private readonly options: CoordinatorOptions) {
         const { clock, store, epoch } = options;
         const stepDown = (reason: string) => this.#stepDown(reason);
+        this.#load = new loadMeter.LoadMeter(options.log, options.observeDuration, clock.monotonic());
         this.#shared = {
             node: options.settings.node,
             epoch,
@@ -125,6 +130,7 @@
             shared: this.#shared,
             registry: this.registry,
             onEnd: createHealthRecorder(clock),
+            onStartAnswered: duration => this.#load.record(loadMeter.Activity.start, duration),
         });
         this.fleet = new fleet.Fleet(this.#shared, {
             onLists: (server, lists, sentAt) => {
@@ -193,6 +199,7 @@
         this.#demand.demandKnownSince = this.registry.active.size > 0 ? clock.monotonic() : undefined;
         this.#shared.log.info("coordinating", {
             epoch: this.options.epoch,
+            capacity: this.options.settings.capacity,
             jobs: this.registry.active.size,
             servers: this.fleet.sessions.size,
             took: clock.monotonic() - this.#shared.termStartedAt,
@@ -300,6 +307,8 @@
 
     #tick(): void {
         const now = this.#shared.clock.monotonic();
+        this.#load.recordTimer(now, tickInterval);
+        this.#load.report(now, () => this.#describeWork());
         if (now - this.#lastHeartbeatAt >= leaderElection.heartbeatInterval) {
             this.#lastHeartbeatAt = now;
             this.#shared.writer.add(this.#encodeLeadership(false, false));
@@ -363,17 +372,35 @@
         if (this.#stopped) {
             return;
         }
+        const startedAt = this.#shared.clock.monotonic();
         this.fleet.refreshLoads();
         const servers = this.fleet.listByService();
         const planned: placer.PlannedRun[] = [];
         for (const [service, candidates] of this.registry.listCandidates(this.#shared.clock.wall())) {
             planned.push(...this.#placer.place(candidates, servers.get(service) ?? []));
         }
+        this.#load.record(loadMeter.Activity.pass, this.#shared.clock.monotonic() - startedAt);
         if (planned.length > 0) {
             void this.#startPlanned(planned);
         }
     }
 
+    #describeWork(): loadMeter.WorkState {
+        const servers = [...this.fleet.sessions.values()];
+        let readyTasks = 0;
+        for (const active of this.registry.active.values()) {
+            for (const ready of active.readiness?.steps ?? []) {
+                readyTasks += ready.tasks.length;
+            }
+        }
+        return {
+            activeJobs: this.registry.active.size,
+            readyTasks,
+            runs: servers.reduce((sum, server) => sum + server.runs.size, 0),
+            reachableServers: servers.filter(server => server.reachable).length,
+        };
+    }
+
     /**
      * Paces fillers, which run in the processor time that other tasks leave unused: slows them while the tail latency
      * of a serving task on the same server is near its target, and speeds them up again when it is well below.
@@ -404,9 +431,11 @@
     }
 
     async #startPlanned(planned: readonly placer.PlannedRun[]): Promise<void> {
+        const plannedAt = this.#shared.clock.monotonic();
         if (!await this.#shared.writer.flush()) {
             return;
         }
+        this.#load.record(loadMeter.Activity.intent, this.#shared.clock.monotonic() - plannedAt);
         for (const { server, run } of planned) {
             void this.#runManager.start(server, run);
         }
--- /dev/null
+++ b/packages/dispatch/src/load-meter.ts
@@ -0,0 +1,113 @@
+/**
+ * Measures how well the coordinator keeps up with its work, and logs the figures once a second.
+ *
+ * A backlog of ready tasks has several causes that look alike to callers: servers without free capacity, a process that
+ * lacks processor time, a link that delays the calls to the servers, a slow ledger, or passes that take longer as the
+ * backlog grows. Each has a figure of its own here.
+ */
+import type * as eventLog from "@catkinwharf/event-log";
+
+/** Time in ms between two reports. */
+const reportInterval = 1000;
+
+/** Values of one kind, in ms, since the last report. */
+class Sample {
+    #count = 0;
+    #sum = 0;
+    #max = 0;
+
+    add(value: number): void {
+        this.#count += 1;
+        this.#sum += value;
+        this.#max = Math.max(this.#max, value);
+    }
+
+    summarize(): Summary {
+        const mean = this.#count === 0 ? 0 : this.#sum / this.#count;
+        return { count: this.#count, mean: Math.round(mean * 10) / 10, max: Math.round(this.#max) };
+    }
+}
+
+interface Summary {
+    readonly count: number;
+    /** Ms. */
+    readonly mean: number;
+    /** Ms. */
+    readonly max: number;
+}
+
+/** What the coordinator does that takes time; each kind is measured separately. */
+export const Activity = {
+    /** Delay of a timer behind its due time: the process had no processor time or was busy with other events. */
+    timerDelay: "timerDelay",
+    /** One placement pass. */
+    pass: "pass",
+    /** From planning runs until their intents were stored. */
+    intent: "intent",
+    /** From sending a start until its response. */
+    start: "start",
+} as const;
+export type Activity = (typeof Activity)[keyof typeof Activity];
+
+/** State of the work at the time of a report. */
+export interface WorkState {
+    readonly activeJobs: number;
+    /** Tasks that could start if a server had room. */
+    readonly readyTasks: number;
+    readonly runs: number;
+    readonly reachableServers: number;
+}
+
+export class LoadMeter {
+    #samples = createSamples();
+    #reportedAt: number;
+    #timerDueAt: number | undefined;
+
+    /**
+     * @param observe receives every measured time in ms, for histograms
+     * @param now on the monotonic clock, ms
+     */
+    constructor(
+        private readonly log: eventLog.EventLog,
+        private readonly observe: (activity: Activity, duration: number) => void,
+        now: number,
+    ) {
+        this.#reportedAt = now;
+    }
+
+    /** @param duration ms */
+    record(activity: Activity, duration: number): void {
+        this.#samples[activity].add(duration);
+        this.observe(activity, duration);
+    }
+
+    /** Records the delay of a periodic timer that fires at `now`, and expects it again after `interval` ms. */
+    recordTimer(now: number, interval: number): void {
+        if (this.#timerDueAt !== undefined) {
+            this.record(Activity.timerDelay, Math.max(0, now - this.#timerDueAt));
+        }
+        this.#timerDueAt = now + interval;
+    }
+
+    /** Logs a report when one is due. */
+    report(now: number, describe: () => WorkState): void {
+        if (now - this.#reportedAt < reportInterval) {
+            return;
+        }
+        const samples = this.#samples;
+        this.#samples = createSamples();
+        this.log.info("coordinator-load", {
+            span: Math.round(now - this.#reportedAt),
+            ...describe(),
+            timerDelay: samples.timerDelay.summarize(),
+            pass: samples.pass.summarize(),
+            intent: samples.intent.summarize(),
+            start: samples.start.summarize(),
+        });
+        this.#reportedAt = now;
+    }
+}
+
+function createSamples(): Record<Activity, Sample> {
+    return { timerDelay: new Sample(), pass: new Sample(), intent: new Sample(), start: new Sample() };
+}
--- a/packages/dispatch/src/run-manager.ts
+++ b/packages/dispatch/src/run-manager.ts
@@ -23,6 +23,8 @@
     readonly registry: jobRegistry.JobRegistry;
     /** A run ended; reported for the health record of its server. */
     readonly onEnd: (server: session.ServerSession, run: session.ActiveRun, how: jobState.RunEnd) => void;
+    /** A start got a response or failed, `duration` ms after it was sent. */
+    readonly onStartAnswered: (duration: number) => void;
 }
 
 export function formatRunName(name: platform.TaskName, run: number): string {
@@ -141,6 +143,7 @@
             ticket: run.ticket,
         });
         const answer = await shared.calls.send(server.entry.address, call, context.serverCallTimeout);
+        this.options.onStartAnswered(shared.clock.monotonic() - now);
         if (!this.#isCurrent(server, run)) {
             return;
         }
--- a/packages/job-state/src/records.ts
+++ b/packages/job-state/src/records.ts
@@ -301,6 +301,14 @@
     return isObject(value) && typeof value["s"] === "string" && Array.isArray(value["o"]);
 }
 
+/** What the machine of a process can do; a figure is undefined when it isn't known. */
+export interface ProcessCapacity {
+    /** Processor time per second that the process can use, in seconds of a core at normal speed. */
+    readonly cores: number | undefined;
+    /** Bandwidth of the machine's link in Mbit/s. */
+    readonly linkRate: number | undefined;
+}
+
 /** Address of a process, at which its peers reach it. */
 export interface NodeAddress {
     /** Name of the process. */
--- a/packages/node/src/entry-instance.ts
+++ b/packages/node/src/entry-instance.ts
@@ -93,7 +93,8 @@
     }
 
     start(): void {
-        this.log.info("started", { processStart: this.#processStart, store: this.settings.storeAddress });
+        const { capacity, storeAddress } = this.settings;
+        this.log.info("started", { processStart: this.#processStart, store: storeAddress, capacity });
         const api = this.#createJobApi();
         this.#listen(api, this.settings.callerAddress);
         if (this.settings.readinessAddress !== this.settings.callerAddress) {
@@ -306,6 +307,7 @@
             waveProgress: this.#waveProgress,
             earlierOrderTimes: this.#findOrderTimes(previous),
             onStepDown: () => this.#stepDown(),
+            observeDuration: (activity, duration) => this.#metrics.observeCoordinator(activity, duration),
         });
         await this.#coordinator.start();
     }
--- a/packages/node/src/metrics.ts
+++ b/packages/node/src/metrics.ts
@@ -24,6 +24,14 @@
         registers: [this.registry],
     });
 
+    readonly #coordinatorDurations = new promClient.Histogram({
+        name: "catkinwharf_coordinator_duration_seconds",
+        help: "Time that the coordinator's activities take: timer delays, placement passes, storing intents, starts.",
+        labelNames: ["activity"] as const,
+        buckets: durationBuckets,
+        registers: [this.registry],
+    });
+
     /** Exposes the number of log events by name, including events whose lines were dropped. */
     watchEvents(log: eventLog.EventLog): void {
         const events = new promClient.Counter({
@@ -44,6 +52,11 @@
         this.#durations.observe({ method }, duration / 1000);
     }
 
+    /** @param duration time in ms that the coordinator's activity took */
+    observeCoordinator(activity: string, duration: number): void {
+        this.#coordinatorDurations.observe({ activity }, duration / 1000);
+    }
+
     /** Serves the metrics over HTTP in the Prometheus text format. */
     serve(address: string, log: eventLog.EventLog): void {
         const [host, port] = address.split(":");
