Leave coordination to processes on large machines

Whoever claimed first coordinated: after a cut of the coordinator's zone or its loss a random delay decided, so that nearly always a small process succeeded.

Processes now publish with their address what their machine can do. One that has less than half of the largest known capacity, by the resource in which it compares worst, claims 1.15 s later, so that a large one comes first when there is one; where all machines are alike nothing changes.

--- a/packages/dispatch/src/leader-election.test.ts
+++ b/packages/dispatch/src/leader-election.test.ts
@@ -15,6 +15,7 @@
     },
     silence: 0,
     jitter: 0,
+    small: false,
     latency: 0,
     probeResult: undefined,
 };
@@ -50,4 +51,16 @@
     assert.ok(leaderElection.shouldClaim({ ...seen, leadership: undefined }, "b", 1));
 });
 
+suite("a small process leaves the claim to a large one, but claims in the end", () => {
+    const resigned = { ...seen.leadership!, resigned: true };
+    for (const situation of [{ probeResult: false }, { leadership: resigned }, { leadership: undefined }]) {
+        const latestLargeClaim = { ...seen, ...situation, jitter: 300, silence: 1000 };
+        assert.ok(leaderElection.shouldClaim(latestLargeClaim, "b", 1));
+        assert.not(leaderElection.shouldClaim({ ...latestLargeClaim, small: true, jitter: 0 }, "b", 1));
+        assert.ok(leaderElection.shouldClaim({ ...latestLargeClaim, small: true, silence: 2500 }, "b", 1));
+    }
+    // Not even after its own restart, which shows at once that the coordinator is gone.
+    assert.not(leaderElection.shouldClaim({ ...seen, small: true, silence: 1000 }, "a", 2));
+});
+
 suite.run();
--- a/packages/dispatch/src/leader-election.ts
+++ b/packages/dispatch/src/leader-election.ts
@@ -37,6 +37,12 @@
 const maxLedgerStaleness = 1800;
 /** Longest random delay in ms of a process's claim, so that processes don't all claim at once. */
 const maxClaimJitter = 300;
+/**
+ * Time in ms by which a small process claims later than a large one would. A small process that restarts after it
+ * coordinated may claim without waiting for silence; a large one then needs the timeout for a coordinator that denies
+ * to coordinate, the longest random delay, and some time to claim.
+ */
+const smallProcessDelay = deniedTakeoverTimeout + maxClaimJitter + 150;
 /**
  * Time in ms between two checks of the coordinator, and before a failed attempt to fence its predecessors is repeated.
  */
@@ -50,6 +56,8 @@
     readonly silence: number;
     /** Random delay in ms that this process adds to every timeout. */
     readonly jitter: number;
+    /** Whether this process is too small to coordinate while a larger one can. */
+    readonly small: boolean;
     /** Average latency in ms of the store. */
     readonly latency: number;
     /**
@@ -69,12 +77,13 @@
 
 /** Whether the process should claim the next epoch now. */
 export function shouldClaim(seen: Observation, node: string, processStart: number): boolean {
+    const delay = seen.small ? smallProcessDelay : 0;
     if (seen.leadership === undefined || seen.leadership.resigned) {
-        return seen.silence >= seen.jitter;
+        return seen.silence >= delay + seen.jitter;
     }
     const isPreviousIncarnation = seen.leadership.node === node && seen.leadership.processStart !== processStart;
-    return isPreviousIncarnation
-        || seen.silence >= findTakeoverTimeout(seen.probeResult) + latencyAllowance * seen.latency + seen.jitter;
+    const timeout = findTakeoverTimeout(seen.probeResult) + latencyAllowance * seen.latency + seen.jitter;
+    return seen.silence >= delay + (isPreviousIncarnation ? 0 : timeout);
 }
 
 export class LeaderElection {
@@ -105,6 +114,8 @@
             readonly onClaimed: (epoch: number, before: jobState.Leadership | undefined) => void;
             /** Asks a peer whether it coordinates; false without a response, `undefined` if its address is unknown. */
             readonly probeCoordinator: (node: string) => Promise<boolean | undefined>;
+            /** Whether this process is too small to coordinate while a larger one can. */
+            readonly isSmall: () => boolean;
             /** Whether the process has read what it needs to coordinate. */
             readonly isPrepared: () => boolean;
         },
@@ -156,6 +167,7 @@
             leadership: this.newestLeadership,
             silence: now - this.#lastHeardAt,
             jitter,
+            small: this.options.isSmall(),
             latency: store.latency,
             probeResult: this.#probeResult,
         };
--- a/packages/job-state/src/records.ts
+++ b/packages/job-state/src/records.ts
@@ -315,10 +315,11 @@
     readonly node: string;
     /** Host and port, separated by a colon. */
     readonly address: string;
+    readonly capacity: ProcessCapacity;
 }
 
-export function encodeNode(node: NodeAddress): KeyedRecord {
-    return { key: nodePrefix + node.node, value: cborCodec.encode({ address: node.address }) };
+export function encodeNode({ node, address, capacity }: NodeAddress): KeyedRecord {
+    return { key: nodePrefix + node, value: cborCodec.encode({ address, capacity }) };
 }
 
 /** Decodes the address of a process from the submissions topic; `undefined` for any other record. */
@@ -328,6 +329,18 @@
     }
     const decoded = decode(value);
     return isObject(decoded) && typeof decoded["address"] === "string"
-        ? { node: key.slice(nodePrefix.length), address: decoded["address"] }
+        ? {
+            node: key.slice(nodePrefix.length),
+            address: decoded["address"],
+            // Records of earlier versions lack it.
+            capacity: restoreCapacity(isObject(decoded["capacity"]) ? decoded["capacity"] : {}),
+        }
         : undefined;
 }
+
+function restoreCapacity({ cores, linkRate }: Record<string, unknown>): ProcessCapacity {
+    return {
+        cores: typeof cores === "number" ? cores : undefined,
+        linkRate: typeof linkRate === "number" ? linkRate : undefined,
+    };
+}
--- a/packages/node/src/entry-instance.ts
+++ b/packages/node/src/entry-instance.ts
@@ -7,6 +7,7 @@
 import * as intake from "@catkinwharf/intake";
 import * as jobState from "@catkinwharf/job-state";
 import * as platform from "@catkinwharf/platform";
+import * as scheduling from "@catkinwharf/scheduling";
 import * as store from "@catkinwharf/store";
 import * as http from "node:http";
 import type * as net from "node:net";
@@ -39,8 +40,8 @@
     readonly #jobs = new jobState.JobTable();
     readonly #store: store.StoreClient;
     readonly #storeRoutes: store.StoreRoutes;
-    /** Addresses of the peers' relays by node name. */
-    readonly #peers = new Map<string, string>();
+    /** Addresses of the peers' relays and the peers' capacities, by node name. */
+    readonly #peers = new Map<string, jobState.NodeAddress>();
     readonly #submissions: store.TopicFollower;
     /** Follows the ledger, in which the coordinator records leadership, progress of jobs, machine orders and waves. */
     readonly #ledger: store.TopicFollower;
@@ -86,6 +87,7 @@
             log,
             clock: this.#clock,
             probeCoordinator: node => this.#isPeerCoordinating(node),
+            isSmall: () => !scheduling.isLargeProcess(settings.capacity, this.#listPeerCapacities()),
             onClaimed: (epoch, previous) => void this.#takeOver(epoch, previous),
             isPrepared: () => this.#configuration !== undefined && this.#submissions.loaded && !this.#shuttingDown,
         });
@@ -200,15 +202,19 @@
             return;
         }
         if (peer.node !== this.settings.node) {
-            this.#peers.set(peer.node, peer.address);
-            this.#storeRoutes.setPeers([...this.#peers.values()]);
+            this.#peers.set(peer.node, peer);
+            this.#storeRoutes.setPeers([...this.#peers.values()].map(({ address }) => address));
         }
     }
 
+    #listPeerCapacities(): jobState.ProcessCapacity[] {
+        return [...this.#peers.values()].map(({ capacity }) => capacity);
+    }
+
     /** Asks a peer whether it coordinates; `undefined` when its address isn't known. */
     async #isPeerCoordinating(node: string): Promise<boolean | undefined> {
-        const address = this.#peers.get(node);
-        return address === undefined ? undefined : store.isPeerCoordinating(this.#httpClient, address);
+        const peer = this.#peers.get(node);
+        return peer === undefined ? undefined : store.isPeerCoordinating(this.#httpClient, peer.address);
     }
 
     /** Serves the relay for peers, and publishes its address to them. */
@@ -227,7 +233,11 @@
         relay.on("error", error => this.log.warn("relay-unavailable", { port, error: String(error) }));
         relay.keepAliveTimeout = keepAliveTimeout;
         relay.listen(port, this.settings.ip);
-        const record = jobState.encodeNode({ node: this.settings.node, address: `${this.settings.ip}:${port}` });
+        const record = jobState.encodeNode({
+            node: this.settings.node,
+            address: `${this.settings.ip}:${port}`,
+            capacity: this.settings.capacity,
+        });
         while (!this.#shuttingDown && (await this.#store.append(jobState.submissionsTopic, [record])).isErr()) {
             await timers.setTimeout(announceRetryDelay);
         }
--- a/packages/scheduling/src/index.ts
+++ b/packages/scheduling/src/index.ts
@@ -10,5 +10,6 @@
 export * from "./pacing.js";
 export * from "./placing.js";
 export * from "./pools.js";
+export * from "./process-capacity.js";
 export * from "./ready.js";
 export * from "./waves.js";
