Relay a coordinator's calls to the store through large peers

A process that coordinates now prefers large peers while one is available. The others take any, which spreads their calls. The new test of the routes doesn't hold with the preference switched off.

--- a/packages/node/src/entry-instance.ts
+++ b/packages/node/src/entry-instance.ts
@@ -203,10 +203,18 @@
         }
         if (peer.node !== this.settings.node) {
             this.#peers.set(peer.node, peer);
-            this.#storeRoutes.setPeers([...this.#peers.values()].map(({ address }) => address));
+            this.#updateRelayPeers();
         }
     }
 
+    #updateRelayPeers(): void {
+        const capacities = this.#listPeerCapacities();
+        this.#storeRoutes.setPeers([...this.#peers.values()].map(({ address, capacity }) => ({
+            address,
+            large: scheduling.isLargeProcess(capacity, capacities),
+        })));
+    }
+
     #listPeerCapacities(): jobState.ProcessCapacity[] {
         return [...this.#peers.values()].map(({ capacity }) => capacity);
     }
@@ -303,6 +311,7 @@
             }
             await timers.setTimeout(takeoverRetryDelay);
         }
+        this.#storeRoutes.prefersLargePeers = true;
         this.#coordinator = new dispatch.Coordinator({
             settings: this.settings,
             epoch,
@@ -334,6 +343,7 @@
 
     #stepDown(): void {
         this.#coordinator = undefined;
+        this.#storeRoutes.prefersLargePeers = false;
         this.#leaderElection.leading = false;
         // Reads the progress records that were ignored while this process coordinated.
         this.#ledger.requestReload();
--- a/packages/store/src/store-relay.test.ts
+++ b/packages/store/src/store-relay.test.ts
@@ -49,7 +49,7 @@
 /** Creates a client whose direct route has timed out. */
 function createClient(): store.StoreClient {
     const routes = new store.StoreRoutes("127.0.0.1:1");
-    routes.setPeers([relayAddress]);
+    routes.setPeers([{ address: relayAddress, large: false }]);
     routes.recordFailure({ address: "127.0.0.1:1", relayed: false }, 1000, true);
     return new store.StoreClient(httpClient, routes, log, () => 1001);
 }
--- a/packages/store/src/store-routes.test.ts
+++ b/packages/store/src/store-routes.test.ts
@@ -8,7 +8,7 @@
 
 const suite = uvu.suite("store routes");
 const direct = "store:1";
-const peers = ["peer-a:1", "peer-b:1"];
+const peers = [{ address: "peer-a:1", large: false }, { address: "peer-b:1", large: false }];
 
 function createRoutes(): store.StoreRoutes {
     const routes = new store.StoreRoutes(direct);
@@ -72,8 +72,23 @@
 suite("tries the direct route when no route is available", () => {
     const routes = createRoutes();
     routes.recordFailure({ address: direct, relayed: false }, 0, true);
-    peers.forEach(address => routes.recordFailure({ address, relayed: true }, 0, true));
+    peers.forEach(({ address }) => routes.recordFailure({ address, relayed: true }, 0, true));
     assert.equal(routes.choose(10), { address: direct, relayed: false });
 });
 
+suite("the records of a coordinator pass through a small peer although a large one is available", () => {
+    const routes = createRoutes();
+    routes.setPeers([...peers, { address: "peer-c:1", large: true }]);
+    routes.recordFailure({ address: direct, relayed: false }, 0, true);
+    // Chosen while this process had few calls; the time is the index of the peer.
+    assert.equal(routes.choose(3), { address: "peer-a:1", relayed: true });
+    routes.prefersLargePeers = true;
+    for (let now = 10; now < 20; now++) {
+        assert.equal(routes.choose(now), { address: "peer-c:1", relayed: true });
+    }
+    routes.recordFailure({ address: "peer-c:1", relayed: true }, 20, true);
+    assert.is(routes.choose(21).address === "peer-c:1", false);
+    assert.equal(routes.choose(3000), { address: "peer-c:1", relayed: true });
+});
+
 suite.run();
--- a/packages/store/src/store-routes.ts
+++ b/packages/store/src/store-routes.ts
@@ -6,6 +6,9 @@
  * call over a route that times out costs a full timeout. After a timeout, the direct route is therefore used only for
  * probes while calls go through peers, and a peer that timed out is avoided for longer than after an error. A peer that
  * can't reach the store itself says so at once; that counts as a failure of its route.
+ *
+ * A process that writes much, as the coordinator does in bursts, needs a relay with bandwidth and processor time to
+ * spare, so it prefers peers on large machines. The others take any peer, which spreads their calls.
  */
 
 /**
@@ -26,6 +29,14 @@
     readonly relayed: boolean;
 }
 
+/** A peer that relays calls to the store. */
+export interface RelayPeer {
+    /** Host and port of its relay. */
+    readonly address: string;
+    /** Whether its machine can carry the calls of a process that calls the store much. */
+    readonly large: boolean;
+}
+
 /** Failures of a route since its last success. */
 interface FailureHistory {
     readonly failureCount: number;
@@ -38,16 +49,18 @@
 export class StoreRoutes {
     /** By address of the route; routes whose last call succeeded have no entry. */
     readonly #failures = new Map<string, FailureHistory>();
-    #peers: readonly string[] = [];
+    /** Whether this process prefers the relays of large peers, because it calls the store much. */
+    prefersLargePeers = false;
+    #peers: readonly RelayPeer[] = [];
     /** The peer chosen last; kept while it is available. */
     #preferredPeer: string | undefined;
     #probedAt = Number.NEGATIVE_INFINITY;
 
     constructor(private readonly direct: string) {}
 
-    /** Sets the addresses of the peers' relays, without that of this process. */
-    setPeers(addresses: readonly string[]): void {
-        this.#peers = addresses;
+    /** Sets the peers that relay calls, without this process. */
+    setPeers(peers: readonly RelayPeer[]): void {
+        this.#peers = peers;
     }
 
     /**
@@ -93,15 +106,21 @@
     }
 
     #choosePeer(now: number): string | undefined {
-        const preferred = this.#preferredPeer;
-        if (preferred === undefined || !this.#peers.includes(preferred) || !this.#isAvailable(preferred, now)) {
-            const available = this.#peers.filter(peer => this.#isAvailable(peer, now));
+        const candidates = this.#listCandidates(now);
+        if (this.#preferredPeer === undefined || !candidates.includes(this.#preferredPeer)) {
             // The time serves as an arbitrary index, so that processes don't all choose the first peer.
-            this.#preferredPeer = available[Math.floor(now) % Math.max(1, available.length)];
+            this.#preferredPeer = candidates[Math.floor(now) % Math.max(1, candidates.length)];
         }
         return this.#preferredPeer;
     }
 
+    /** Addresses of the available peers; only of the large ones while this process prefers them and one is available. */
+    #listCandidates(now: number): string[] {
+        const available = this.#peers.filter(peer => this.#isAvailable(peer.address, now));
+        const large = available.filter(peer => this.prefersLargePeers && peer.large);
+        return (large.length > 0 ? large : available).map(peer => peer.address);
+    }
+
     #hasDirectTimedOut(): boolean {
         return this.#failures.get(this.direct)?.timedOut ?? false;
     }
