Keep in service what the last bursts needed

Empty instances moved to standby after 2.3 s, all at once, whatever the fleet had needed shortly before. A machine on its way to standby can't be used for 1.5 s, and its way back takes as long.

The largest need of all pools together in the last 15 s now stays in service; until a whole window has been observed, all of it. The new test plays alternating bursts; without the reserve machines leave 2.3 s after each burst.

--- a/packages/dispatch/src/machine-manager.ts
+++ b/packages/dispatch/src/machine-manager.ts
@@ -40,6 +40,7 @@
     readonly #inventory: machineInventory.MachineInventory;
     /** Empty machines that no pool needs, by the last plan of the pools. */
     #surplus: ReadonlySet<string> = new Set();
+    readonly #peakNeed = new scheduling.PeakNeed(scheduling.defaultPoolPolicy.peakWindow);
     #lastReport = Number.NEGATIVE_INFINITY;
 
     constructor(private readonly parts: MachineManagerParts) {
@@ -94,11 +95,16 @@
         const instances = [...this.#inventory.machines.values()].map(managed =>
             this.#describeInstance(managed, unreachableZones)
         );
+        const reserve = this.#peakNeed.find(now);
+        const plan = scheduling.planMoves(demands, instances, scheduling.defaultPoolPolicy, reserve, now);
+        this.#peakNeed.record(plan.needed, now);
         if (now - this.#lastReport >= reportInterval) {
             this.#lastReport = now;
             this.#logPools(demands, instances);
+            // Without a reserve nothing moves to standby yet, as the need of a whole window isn't known.
+            const known = Number.isFinite(reserve) ? reserve : undefined;
+            this.parts.shared.log.info("pools-planned", { needed: plan.needed, reserve: known });
         }
-        const plan = scheduling.planMoves(demands, instances, scheduling.defaultPoolPolicy, now);
         this.#surplus = new Set(plan.surplus);
         this.#updateReleased(new Set(plan.toDrain));
         for (const move of plan.moves) {
--- a/packages/scheduling/src/index.ts
+++ b/packages/scheduling/src/index.ts
@@ -8,6 +8,7 @@
 export * from "./health.js";
 export * from "./objective.js";
 export * from "./pacing.js";
+export * from "./peak-need.js";
 export * from "./placing.js";
 export * from "./pools.js";
 export * from "./process-capacity.js";
--- a/packages/scheduling/src/pools.test.ts
+++ b/packages/scheduling/src/pools.test.ts
@@ -17,8 +17,11 @@
     demands: readonly scheduling.PoolDemand[],
     instances: readonly scheduling.PoolInstance[],
     now: number,
+    reserve = 0,
 ): string[] {
-    return scheduling.planMoves(demands, instances, policy, now).moves.map(move => `${move.instance}>${move.to}`);
+    return scheduling.planMoves(demands, instances, policy, reserve, now).moves.map(move =>
+        `${move.instance}>${move.to}`
+    );
 }
 
 suite("a burst takes empty instances from pools without work, then from the standby pool", () => {
@@ -57,6 +60,35 @@
     assert.equal(listMoves(demands, instances, policy.emptyTimeBeforeStandby), ["a1>standby"]);
 });
 
+suite("a burst finds the instances on their way to standby that were idle shortly before it", () => {
+    const instances = ["a1", "a2", "a3", "a4", "b1", "b2", "b3", "b4"]
+        .map(id => fixtures.createInstance(id, id.slice(0, 1), { emptySince: 0 }));
+    const idle = [fixtures.createDemand("a"), fixtures.createDemand("b"), standbyDemand];
+    const burst = [fixtures.createDemand("a", { arrivingCores: 60 }), fixtures.createDemand("b"), standbyDemand];
+    const peakNeed = new scheduling.PeakNeed(policy.peakWindow);
+    const toStandby: number[] = [];
+    // Every eighth second brings a burst of `a` that needs all instances.
+    for (let now = 0; now < 50_000; now += 100) {
+        const demands = now >= 8000 && now < 32_000 && now % 8000 < 1000 ? burst : idle;
+        const reserve = peakNeed.find(now);
+        const plan = scheduling.planMoves(demands, instances, policy, reserve, now);
+        peakNeed.record(plan.needed, now);
+        if (plan.moves.some(move => move.to === standbyDemand.service)) {
+            toStandby.push(now);
+        }
+    }
+    // The last burst ends just before 25 s.
+    assert.ok(toStandby.length > 0);
+    assert.ok(toStandby[0]! >= 24_900 + policy.peakWindow, `moved to standby at ${toStandby[0]}`);
+});
+
+suite("instances beyond the largest recent need move to standby", () => {
+    const instances = ["a1", "a2", "a3", "a4", "a5"].map(id => fixtures.createInstance(id, "a", { emptySince: 0 }));
+    const demands = [fixtures.createDemand("a"), standbyDemand];
+    assert.equal(listMoves(demands, instances, 60_000, 4), ["a1>standby"]);
+    assert.equal(listMoves(demands, instances, 60_000, Number.POSITIVE_INFINITY), []);
+});
+
 suite("the floor keeps empty instances that long-running tasks need", () => {
     const instances = ["a1", "a2", "a3"].map(id => fixtures.createInstance(id, "a", { emptySince: 0 }));
     assert.equal(listMoves([fixtures.createDemand("a", { floor: 3 }), standbyDemand], instances, 60_000), []);
@@ -91,7 +123,7 @@
         fixtures.createDemand("a", { backlog: 5 }),
         standbyDemand,
     ];
-    const moves = scheduling.planMoves(demands, instances, { ...policy, minInstances: 1 }, 1000).moves;
+    const moves = scheduling.planMoves(demands, instances, { ...policy, minInstances: 1 }, 0, 1000).moves;
     assert.is(moves.filter(move => move.to === "a").length, 1);
     assert.is(moves.filter(move => move.to === "b").length, 2);
 });
@@ -127,7 +159,7 @@
         fixtures.createDemand("b", { arrivingCores: arrivingAtB }),
         standbyDemand,
     ];
-    return scheduling.planMoves(demands, instances, policy, 10_000).toDrain;
+    return scheduling.planMoves(demands, instances, policy, 0, 10_000).toDrain;
 }
 
 suite("of two pools with equal work, the larger one drains down to its share, soonest empty instances first", () => {
--- a/packages/scheduling/src/pools.ts
+++ b/packages/scheduling/src/pools.ts
@@ -8,7 +8,7 @@
  * the others are idle or work off the backlog of an earlier burst. Only empty instances move. When there are too few
  * instances for all pools, each pool gets a share in proportion to its work and priority, and pools above their share
  * drain some instances: these get no new tasks, so that they are soon empty. An instance that no pool needs moves to
- * the standby pool, where it costs nothing.
+ * the standby pool, where it costs nothing, as long as enough remain for a burst like the last ones.
  */
 
 /** Demand for the capacity of one pool. */
@@ -58,6 +58,11 @@
     readonly moveTime: number;
     /** Ms for which an instance has to be empty before it is moved to the standby pool. */
     readonly emptyTimeBeforeStandby: number;
+    /**
+     * Ms for which the largest need of all pools together is kept in service; longer than the bursts of two queues that
+     * follow one another.
+     */
+    readonly peakWindow: number;
     /**
      * Ms for which an instance has to be empty before it moves to another service's pool. When instances are scarce, it
      * moves at once.
@@ -78,6 +83,7 @@
     moveTime: 1500,
     // Two moves, to the standby pool and back, cost as much as an empty instance does in about 2.3 s.
     emptyTimeBeforeStandby: 2300,
+    peakWindow: 15_000,
     emptyTimeBeforeMove: 300,
     packingEfficiency: 0.85,
     minInstances: 2,
@@ -88,6 +94,8 @@
     readonly moves: readonly Move[];
     /** Empty instances, also those on standby, that may be out of service now; none while a pool is below its share. */
     readonly surplus: readonly string[];
+    /** Instances that all pools together need, by their target sizes. */
+    readonly needed: number;
     /** Busy instances to drain: they get no new tasks, so that they can move once they are empty. */
     readonly toDrain: readonly string[];
 }
@@ -129,13 +137,15 @@
  *
  * 1. Computes each pool's target size, and its share of the instances that are usable or on standby.
  * 2. Moves empty instances from pools above their share, then from standby, to pools below theirs.
- * 3. Moves the remaining empty instances above a pool's share to standby if they have been empty for long.
+ * 3. Moves the remaining empty instances above a pool's share to standby if they have been empty for long, and more than
+ *    `reserve` instances remain usable in the other pools.
  * 4. Drains busy instances above a pool's share for what other pools still lack.
  */
 export function planMoves(
     demands: readonly PoolDemand[],
     instances: readonly PoolInstance[],
     policy: PoolPolicy,
+    reserve: number,
     now: number,
 ): PoolPlan {
     const byPool = groupByPool(instances);
@@ -161,9 +171,12 @@
         spare.length + standbyInstances.length,
     );
     // Takes the instances out of `spare` and `standbyInstances`, which hold only the remaining ones from here on.
+    const standbyCount = standbyInstances.length;
     const moves: Move[] = receivers.map(to => ({ instance: (spare.shift() ?? standbyInstances.shift())!.id, to }));
     if (standby !== undefined) {
-        const longEmpty = spare.filter(instance => now - instance.emptySince! >= policy.emptyTimeBeforeStandby);
+        const inService = needs.reduce((sum, need) => sum + need.usableCount, standbyCount - standbyInstances.length);
+        const longEmpty = spare.filter(instance => now - instance.emptySince! >= policy.emptyTimeBeforeStandby)
+            .slice(0, Math.max(0, inService - reserve));
         moves.push(...longEmpty.map(instance => ({ instance: instance.id, to: standby.service })));
     }
     const shortage = undersized.reduce((sum, need) => sum + need.share - need.usableCount, 0) - receivers.length;
@@ -173,6 +186,7 @@
     });
     return {
         moves,
+        needed: needs.reduce((sum, need) => sum + need.targetSize, 0),
         surplus: undersized.length > 0 ? [] : [...spare, ...standbyInstances].map(instance => instance.id),
         toDrain: shortage < policy.minShortage ? [] : drainable.slice(0, shortage),
     };
