Relay every process's calls to the store through large peers

Only a coordinator preferred large relays; all others still read the store's topics through arbitrary peers, mostly small ones, whose links carry each byte twice.

All processes now prefer large peers.

--- a/packages/node/src/entry-instance.ts
+++ b/packages/node/src/entry-instance.ts
@@ -311,7 +311,6 @@
             }
             await timers.setTimeout(takeoverRetryDelay);
         }
-        this.#storeRoutes.prefersLargePeers = true;
         this.#coordinator = new dispatch.Coordinator({
             settings: this.settings,
             epoch,
@@ -343,7 +342,6 @@
 
     #stepDown(): void {
         this.#coordinator = undefined;
-        this.#storeRoutes.prefersLargePeers = false;
         this.#leaderElection.leading = false;
         // Reads the progress records that were ignored while this process coordinated.
         this.#ledger.requestReload();
--- a/packages/store/src/store-routes.test.ts
+++ b/packages/store/src/store-routes.test.ts
@@ -76,13 +76,11 @@
     assert.equal(routes.choose(10), { address: direct, relayed: false });
 });
 
-suite("the records of a coordinator pass through a small peer although a large one is available", () => {
+suite("calls pass through a small peer although a large one is available", () => {
     const routes = createRoutes();
-    routes.setPeers([...peers, { address: "peer-c:1", large: true }]);
     routes.recordFailure({ address: direct, relayed: false }, 0, true);
-    // Chosen while this process had few calls; the time is the index of the peer.
-    assert.equal(routes.choose(3), { address: "peer-a:1", relayed: true });
-    routes.prefersLargePeers = true;
+    assert.equal(routes.choose(2), { address: "peer-a:1", relayed: true });
+    routes.setPeers([...peers, { address: "peer-c:1", large: true }]);
     for (let now = 10; now < 20; now++) {
         assert.equal(routes.choose(now), { address: "peer-c:1", relayed: true });
     }
--- a/packages/store/src/store-routes.ts
+++ b/packages/store/src/store-routes.ts
@@ -7,8 +7,8 @@
  * probes while calls go through peers, and a peer that timed out is avoided for longer than after an error. A peer that
  * can't reach the store itself says so at once; that counts as a failure of its route.
  *
- * A process that writes much, as the coordinator does in bursts, needs a relay with bandwidth and processor time to
- * spare, so it prefers peers on large machines. The others take any peer, which spreads their calls.
+ * Peers on large machines are preferred: in a burst each process reads several hundred kilobytes per second from the
+ * store, and the coordinator appends as much, which all crosses a relay's link twice.
  */
 
 /**
@@ -33,7 +33,7 @@
 export interface RelayPeer {
     /** Host and port of its relay. */
     readonly address: string;
-    /** Whether its machine can carry the calls of a process that calls the store much. */
+    /** Whether its machine can carry the calls of several processes beside its own. */
     readonly large: boolean;
 }
 
@@ -49,8 +49,6 @@
 export class StoreRoutes {
     /** By address of the route; routes whose last call succeeded have no entry. */
     readonly #failures = new Map<string, FailureHistory>();
-    /** Whether this process prefers the relays of large peers, because it calls the store much. */
-    prefersLargePeers = false;
     #peers: readonly RelayPeer[] = [];
     /** The peer chosen last; kept while it is available. */
     #preferredPeer: string | undefined;
@@ -114,10 +112,10 @@
         return this.#preferredPeer;
     }
 
-    /** Addresses of the available peers; only of the large ones while this process prefers them and one is available. */
+    /** Addresses of the available peers; only of the large ones while one of them is available. */
     #listCandidates(now: number): string[] {
         const available = this.#peers.filter(peer => this.#isAvailable(peer.address, now));
-        const large = available.filter(peer => this.prefersLargePeers && peer.large);
+        const large = available.filter(peer => peer.large);
         return (large.length > 0 ? large : available).map(peer => peer.address);
     }
 
