Decode only the newest record of each key of the ledger in a read

Every process follows the ledger, in which a job's progress is stored at each change, so several times between two reads in a burst, and decoded each record of it; a coordinator also decoded its own. That is work of every process, the smallest included, which grows with the starts of the whole fleet.

Followers of the ledger now skip what a later record of the same read replaces, and a coordinator skips progress. The new test shows both ways of following.

--- a/packages/job-state/src/records.ts
+++ b/packages/job-state/src/records.ts
@@ -219,6 +219,11 @@
     return undefined;
 }
 
+/** Whether a record of the ledger holds the progress of a job, by its key. */
+export function isProgressKey(key: string): boolean {
+    return key.startsWith(KeyPrefix.progress);
+}
+
 /** Decodes a record of the ledger; `undefined` for one that is malformed, of an unknown kind or a tombstone. */
 export function decodeLedger(key: string, value: Uint8Array): LedgerRecord | undefined {
     const decoded = decode(value);
@@ -245,7 +250,7 @@
             },
         };
     }
-    if (key.startsWith(KeyPrefix.progress) && isStoredProgress(decoded)) {
+    if (isProgressKey(key) && isStoredProgress(decoded)) {
         return { kind: "progress", id: key.slice(KeyPrefix.progress.length), progress: restoreProgress(decoded) };
     }
     return undefined;
--- a/packages/node/src/entry-instance.ts
+++ b/packages/node/src/entry-instance.ts
@@ -72,10 +72,15 @@
         this.#submissions = this.#createFollower(jobState.submissionsTopic, {
             apply: record => this.#applySubmission(record),
         }, () => this.#coordinator === undefined ? nonCoordinatorReadDelay : 0);
-        this.#ledger = this.#createFollower(jobState.ledgerTopic, {
-            apply: record => this.#applyLedger(record),
-            reset: () => this.#clearProgress(),
-        }, () => this.#coordinator === undefined ? nonCoordinatorReadDelay : coordinatorLedgerReadDelay);
+        this.#ledger = this.#createFollower(
+            jobState.ledgerTopic,
+            {
+                apply: record => this.#applyLedger(record),
+                reset: () => this.#clearProgress(),
+            },
+            () => this.#coordinator === undefined ? nonCoordinatorReadDelay : coordinatorLedgerReadDelay,
+            true,
+        );
         this.#operatorRecords = this.#createFollower(platform.storeCalls.operatorTopic, {
             apply: record => this.#applyOperator(record),
         }, () => 0);
@@ -141,8 +146,9 @@
         topic: string,
         handlers: store.TopicHandlers,
         pause: () => number,
+        newestOnly = false,
     ): store.TopicFollower {
-        const options = { topic, handlers, wait: longPollTimeout, pause };
+        const options = { topic, handlers, wait: longPollTimeout, pause, newestOnly };
         return new store.TopicFollower(this.#store, options, this.log, () => this.#clock.wall());
     }
 
@@ -252,7 +258,9 @@
     }
 
     #applyLedger(record: platform.storeCalls.KeyedRecord): void {
-        const decoded = jobState.decodeLedger(record.key, record.value);
+        // A coordinator applies progress itself, before it writes it to the ledger.
+        const isOwnProgress = this.#coordinator !== undefined && jobState.isProgressKey(record.key);
+        const decoded = isOwnProgress ? undefined : jobState.decodeLedger(record.key, record.value);
         this.#leaderElection.applyRecord(decoded);
         if (decoded?.kind === "machine") {
             // `tenure`: time in ms for which the coordinator of the epoch had coordinated when it gave the order.
@@ -262,8 +270,7 @@
         if (decoded?.kind === "wave") {
             this.#waveProgress.set(decoded.number, decoded.wave);
         }
-        // A coordinator applies progress itself, before it writes it to the ledger.
-        if (decoded?.kind === "progress" && this.#coordinator === undefined) {
+        if (decoded?.kind === "progress") {
             this.#jobs.applyProgress(decoded.id, decoded.progress);
         }
     }
--- a/packages/store/src/topic-follower.test.ts
+++ b/packages/store/src/topic-follower.test.ts
@@ -19,7 +19,7 @@
     last: "b",
 };
 
-function createFollower(reads: store.ReadResult[], now: () => number) {
+function createFollower(reads: store.ReadResult[], now: () => number, newestOnly = false) {
     const applied: string[] = [];
     const source: Pick<store.StoreClient, "read" | "readNewest"> = {
         readNewest: () => Promise.resolve(neverthrow.ok(page)),
@@ -29,7 +29,7 @@
         },
     };
     const handlers = { apply: (record: { readonly key: string; }) => void applied.push(record.key) };
-    const options = { topic: "t", handlers, wait: 1000, pause: () => 0 };
+    const options = { topic: "t", handlers, wait: 1000, pause: () => 0, newestOnly };
     return { applied, follower: new store.TopicFollower(source, options, log, now) };
 }
 
@@ -56,4 +56,16 @@
     assert.equal(applied, ["a", "b", "k5", "a", "b"]);
 });
 
+suite("a follower of newest records applies records that a later one of the same read replaces", async () => {
+    const records = ["c", "d", "c", "e"].map((key, i) => ({ offset: 5 + i, record: { key, value } }));
+    const reads = (): store.ReadResult[] => [{ kind: "records", records, end: 9 }];
+    const everything = createFollower(reads(), () => 0);
+    assert.is(await everything.follower.catchUp(), true);
+    assert.equal(everything.applied.slice(2), ["c", "d", "c", "e"]);
+    const newest = createFollower(reads(), () => 0, true);
+    assert.is(await newest.follower.catchUp(), true);
+    assert.equal(newest.applied.slice(2), ["d", "c", "e"]);
+    assert.is(newest.follower.nextOffset, 9);
+});
+
 suite.run();
--- a/packages/store/src/topic-follower.ts
+++ b/packages/store/src/topic-follower.ts
@@ -20,6 +20,11 @@
     readonly handlers: TopicHandlers;
     /** Time in ms for which the store may delay a read until there is a record (long polling). */
     readonly wait: number;
+    /**
+     * Only the newest record of each key matters, so records that a later one of the same read replaces are skipped:
+     * in a burst a job's progress is stored several times between two reads.
+     */
+    readonly newestOnly?: boolean;
     /** Delay in ms after a read that returned records; batches records where latency doesn't matter. */
     readonly pause: () => number;
 }
@@ -115,11 +120,15 @@
             this.log.warn("topic-reloaded", { topic: this.options.topic, from });
             return await this.#reload() ? "more" : "failed";
         }
+        const newest = this.options.newestOnly === true ? findNewestOffsets(result.value.records) : undefined;
         for (const { offset, record } of result.value.records) {
             if (offset !== this.#nextOffset) {
                 continue; // Already applied by a concurrent read, or a reload was requested.
             }
             this.#nextOffset = offset + 1;
+            if (record !== undefined && newest !== undefined && newest.get(record.key) !== offset) {
+                continue;
+            }
             if (record === undefined) {
                 this.log.warn("record-unreadable", { topic: this.options.topic, offset });
                 continue;
@@ -171,3 +180,13 @@
         return true;
     }
 }
+
+function findNewestOffsets(records: readonly platform.storeCalls.StoredRecord[]): Map<string, number> {
+    const newest = new Map<string, number>();
+    for (const { offset, record } of records) {
+        if (record !== undefined) {
+            newest.set(record.key, offset);
+        }
+    }
+    return newest;
+}
