End long polls over a store route on which another call has timed out

When a process's way to the store goes silent, its appends time out after 0.9 s and go through a peer, but its long polls wait 1 s longer.

A time-out of a call over the direct route now ends the long polls over it. The new test fails with the mechanism switched off.

--- a/packages/http-calls/src/index.ts
+++ b/packages/http-calls/src/index.ts
@@ -52,13 +52,14 @@
      * Sends a call and reads the complete response.
      *
      * @param timeout in ms, from the start of the call to the end of the response
+     * @param abort ends the call early when it is aborted; the call then counts as timed out
      */
     async send(
         address: string,
         call: platform.Call,
         timeout: number,
+        abort = new AbortController(),
     ): Promise<neverthrow.Result<platform.HttpResponse, CallError>> {
-        const abort = new AbortController();
         const timer = setTimeout(() => abort.abort(), timeout);
         try {
             const response = await this.#findPool(address).request({
--- a/packages/store/src/store-client.ts
+++ b/packages/store/src/store-client.ts
@@ -63,9 +63,11 @@
     #failing = false;
     /** Moving average in ms of the latency of calls without long polling. */
     latency = 0;
+    /** Long polls over the direct route that have no response yet. */
+    readonly #directPolls = new Set<AbortController>();
 
     constructor(
-        private readonly httpClient: httpCalls.HttpClient,
+        private readonly httpClient: Pick<httpCalls.HttpClient, "send">,
         private readonly routes: storeRoutes.StoreRoutes,
         private readonly log: eventLog.EventLog,
         private readonly now: () => number,
@@ -122,7 +124,12 @@
         const sentAt = this.now();
         const minimum = route.relayed ? minRelayedTimeout : minTimeout;
         const timeout = Math.min(maxTimeout, Math.max(minimum, this.latency * timeoutFactor));
-        const result = await this.httpClient.send(route.address, call, wait + timeout);
+        const abort = new AbortController();
+        if (wait > 0 && !route.relayed) {
+            this.#directPolls.add(abort);
+        }
+        const result = await this.httpClient.send(route.address, call, wait + timeout, abort);
+        this.#directPolls.delete(abort);
         if (wait === 0) {
             const latency = Math.max(0, this.now() - sentAt);
             this.latency += (Math.min(latency, maxTimeout) - this.latency) * latencyWeight;
@@ -159,11 +166,24 @@
             this.routes.recordSuccess(route);
         }
         else {
-            this.routes.recordFailure(route, this.now(), result.isErr() && result.error.timedOut);
+            const timedOut = result.isErr() && result.error.timedOut;
+            this.routes.recordFailure(route, this.now(), timedOut);
+            if (timedOut && !route.relayed) {
+                this.#abortDirectPolls();
+            }
         }
         return error;
     }
 
+    /**
+     * Ends the long polls over a direct route on which another call has timed out, so that they are sent again through
+     * a peer. They would notice the same only after the time of the long poll as well.
+     */
+    #abortDirectPolls(): void {
+        this.#directPolls.forEach(abort => abort.abort());
+        this.#directPolls.clear();
+    }
+
     #succeed<Value>(value: Value): neverthrow.Result<Value, StoreError> {
         if (this.#failing) {
             this.#failing = false;
