Log what a pending count was based on

A GET of a queue was answered without a trace: neither the count nor how old the process's view of the jobs was could be told afterwards, so a count taken from late records and one taken from a wrong meaning of "begun" looked alike.

Each such answer now logs pending-counted with the count, the begun jobs of which no task is done yet, and the ages of the submissions and of the progress that the process had read. The count itself is unchanged.

--- a/packages/intake/src/job-api.ts
+++ b/packages/intake/src/job-api.ts
@@ -23,6 +23,8 @@
     readonly refreshJobs: () => Promise<boolean>;
     /** Whether the store counts as unavailable, by the last calls; submissions are then refused at once. */
     readonly isStoreUnavailable: () => boolean;
+    /** Ages in ms of what this process has read of the jobs and their progress; logged with the counts of a queue. */
+    readonly describeDataAge: () => { readonly submissionsAge: number; readonly progressAge: number; };
     /** Whether the process is ready to serve callers; reported to the readiness check. */
     readonly isReady: () => boolean;
     /** Whether the process is shutting down; callers should then connect to another entry instance. */
@@ -157,10 +159,7 @@
         }
         // The name of a route is that of its queue.
         if (match.rest === "" && message.method === "GET") {
-            return {
-                status: 200,
-                body: platform.callerBodies.encodePendingJobs(this.options.jobs.countPending(match.route.name)),
-            };
+            return this.#countPending(match.route.name);
         }
         const handler = handlers[message.method ?? ""];
         if (handler === undefined) {
@@ -179,6 +178,12 @@
         });
     }
 
+    #countPending(queue: string): JobResponse {
+        const counts = this.options.jobs.countUnfinished(queue);
+        this.options.log.info("pending-counted", { queue, ...counts, ...this.options.describeDataAge() });
+        return { status: 200, body: platform.callerBodies.encodePendingJobs(counts.pending) };
+    }
+
     /** Submits a job; it is accepted only once the store has confirmed it. */
     async submit(request: JobRequest): Promise<JobResponse> {
         const body = await requestBody.readBody(request.message, request.maxBodyBytes);
--- a/packages/job-state/src/job-table.ts
+++ b/packages/job-state/src/job-table.ts
@@ -17,6 +17,14 @@
 
 export type JobListener = (entry: JobEntry) => void;
 
+/** Jobs of a queue that are neither cancelled nor settled, by how far they are known to have come. */
+export interface QueueCounts {
+    /** Jobs that wait for their first task to start. */
+    readonly pending: number;
+    /** Begun jobs without a task that is done. */
+    readonly begunWithoutResult: number;
+}
+
 export class JobTable {
     readonly entries = new Map<string, JobEntry>();
     /** Called after each job or cancellation record, also when an earlier record of the same job has won. */
@@ -70,18 +78,24 @@
         return entry.progress?.status ?? jobs.JobStatus.queued;
     }
 
-    /** Number of the queue's jobs that wait for their first task to start; cancelled and settled ones don't count. */
-    countPending(queue: string): number {
+    countUnfinished(queue: string): QueueCounts {
         let pending = 0;
+        let begunWithoutResult = 0;
         for (const entry of this.entries.values()) {
             if (
-                entry.job?.queue === queue && entry.cancelledAt === undefined && entry.progress?.begun !== true
-                && (entry.progress === undefined || !progress.isSettled(entry.progress.status))
+                entry.job?.queue !== queue || entry.cancelledAt !== undefined
+                || (entry.progress !== undefined && progress.isSettled(entry.progress.status))
             ) {
+                continue;
+            }
+            if (entry.progress?.begun !== true) {
                 pending += 1;
             }
+            else if (!progress.hasResults(entry.progress)) {
+                begunWithoutResult += 1;
+            }
         }
-        return pending;
+        return { pending, begunWithoutResult };
     }
 
     /** Drops jobs that were settled before `limit`, Unix time in ms, and returns their ids. */
--- a/packages/job-state/src/progress.ts
+++ b/packages/job-state/src/progress.ts
@@ -102,6 +102,16 @@
     return true;
 }
 
+/** Whether any task of the job is done. */
+export function hasResults(progress: Progress): boolean {
+    for (const occurrence of progress.occurrences.values()) {
+        if (occurrence.doneCount > 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
 /** Whether any run of the job may be under way. */
 export function hasRuns(progress: Progress): boolean {
     for (const occurrence of progress.occurrences.values()) {
--- a/packages/job-state/src/records.test.ts
+++ b/packages/job-state/src/records.test.ts
@@ -55,8 +55,9 @@
     const begun = jobState.createProgress(0);
     begun.begun = true;
     table.applyProgress("00000000000000ab", begun);
-    assert.is(table.countPending("quotes"), 2); // The queue of `createJob`.
-    assert.is(table.countPending("other"), 0);
+    // The queue of `createJob`.
+    assert.equal(table.countUnfinished("quotes"), { pending: 2, begunWithoutResult: 1 });
+    assert.equal(table.countUnfinished("other"), { pending: 0, begunWithoutResult: 0 });
 });
 
 suite("jobs settled before the limit are dropped, and so are those whose tombstones a table reads", () => {
--- a/packages/node/src/entry-instance.ts
+++ b/packages/node/src/entry-instance.ts
@@ -167,6 +167,10 @@
             configuration: () => this.#configuration,
             refreshJobs: () => this.#submissions.catchUp(),
             isStoreUnavailable: () => this.#isStoreUnavailable(),
+            describeDataAge: () => ({
+                submissionsAge: this.#clock.wall() - this.#submissions.caughtUpAt,
+                progressAge: this.#clock.wall() - this.#ledger.caughtUpAt,
+            }),
             isReady: () => this.#isReady(),
             isShuttingDown: () => this.#shuttingDown,
             count: (method, status, duration) => this.#metrics.countRequest(method, status, duration),
