Add a failing test of the pending count of jobs that no server has started

The test sends a job to a deployment whose only server accepts connections and answers nothing. Once the start has gone unanswered, both processes have to count the job as pending and show it as queued.

--- a/packages/node/src/integration/jobs.test.ts
+++ b/packages/node/src/integration/jobs.test.ts
@@ -194,6 +194,24 @@
     assert.equal(deployment.findDuplicateRuns(), []);
 });
 
+suite("a job whose start no server has confirmed still counts as pending", async () => {
+    await deployment.start(2, { dispatch: 1 });
+    await waitForStatus(await submit(createJobBody({ duration: 20 })), "completed");
+    const { server } = [...deployment.machines.machines.values()][0]!;
+    server!.mode = platformStandIns.ServerMode.silent;
+    const jobPath = await submit(createJobBody({ duration: 20 }));
+    await deployment.waitFor("a start got no response", () => {
+        return deployment.processes.some(node => node.lines.some(line => line.includes('"event":"start-unanswered"')));
+    });
+    for (const node of deployment.processes) {
+        assert.is((await deployment.sendRequest(node, "GET", "/quotes/"))?.body.Pending, 1);
+        assert.is((await deployment.sendRequest(node, "GET", jobPath))?.body.State, "queued");
+    }
+    server!.mode = platformStandIns.ServerMode.up;
+    await waitForStatus(jobPath, "completed");
+    assert.is((await deployment.sendRequest(deployment.processes[0]!, "GET", "/quotes/"))?.body.Pending, 0);
+});
+
 suite("a run whose start got no response is stopped before the task starts on another server", async () => {
     await deployment.start(1, { dispatch: 2 });
     for (const machine of deployment.machines.machines.values()) {
