Say how much of a response had arrived when a call failed

A read of the store that timed out was logged as "timed out", whether nothing came back or a megabyte was on its way over a slow link. No call behaves differently.

--- a/packages/http-calls/src/index.ts
+++ b/packages/http-calls/src/index.ts
@@ -61,6 +61,7 @@
         abort = new AbortController(),
     ): Promise<neverthrow.Result<platform.HttpResponse, CallError>> {
         const timer = setTimeout(() => abort.abort(), timeout);
+        const received: Uint8Array[] = [];
         try {
             const response = await this.#findPool(address).request({
                 method: call.method,
@@ -71,11 +72,13 @@
                 headersTimeout: 0,
                 bodyTimeout: 0,
             });
-            const body = new Uint8Array(await response.body.arrayBuffer());
-            return neverthrow.ok({ status: response.statusCode, body });
+            for await (const part of response.body as AsyncIterable<Uint8Array>) {
+                received.push(part);
+            }
+            return neverthrow.ok({ status: response.statusCode, body: new Uint8Array(Buffer.concat(received)) });
         }
         catch (error) {
-            return neverthrow.err(toCallError(error, abort.signal.aborted));
+            return neverthrow.err(toCallError(error, abort.signal.aborted, countBytes(received)));
         }
         finally {
             clearTimeout(timer);
@@ -105,13 +108,24 @@
     }
 }
 
-/** @param aborted whether the timeout of the whole call has expired */
-function toCallError(error: unknown, aborted: boolean): CallError {
+function countBytes(parts: readonly Uint8Array[]): number {
+    return parts.reduce((sum, part) => sum + part.byteLength, 0);
+}
+
+/**
+ * @param aborted whether the timeout of the whole call has expired
+ * @param received bytes of the response's body that had arrived
+ */
+function toCallError(error: unknown, aborted: boolean, received: number): CallError {
     const code = typeof error === "object" && !!error && "code" in error ? String(error.code) : "";
     return {
         layer: "http-calls",
         fault: unsentErrorCodes.has(code) ? CallFault.unsent : CallFault.unanswered,
         timedOut: aborted || code === connectTimeoutCode,
-        reason: aborted ? "timed out" : code !== "" ? code : String(error),
+        reason: formatReason(aborted ? "timed out" : code !== "" ? code : String(error), received),
     };
 }
+
+function formatReason(cause: string, received: number): string {
+    return received === 0 ? cause : `${cause} after ${received} bytes of the response`;
+}
