--- /dev/null
+++ b/packages/http-calls/src/index.test.ts
@@ -0,0 +1,70 @@
+/** Guards against responses that are discarded while they arrive, and against calls that wait for one that has stopped. */
+import * as testUtils from "@catkinwharf/test-utils";
+import * as http from "node:http";
+import * as uvu from "uvu";
+import * as assert from "uvu/assert";
+import * as httpCalls from "./index.js";
+
+const suite = uvu.suite("http client");
+const call = { method: "GET" as const, path: "/", headers: {}, body: undefined };
+/** Parts of the response that the server sends, and the time in ms between two of them. */
+const partCount = 6;
+const partInterval = 150;
+/** Timeout in ms of a call: longer than the time between two parts, shorter than the whole response takes. */
+const timeout = 600;
+
+async function withServer(
+    partsSent: number,
+    use: (address: string, client: httpCalls.HttpClient) => Promise<void>,
+): Promise<void> {
+    const server = http.createServer((_message, response) => {
+        let sent = 0;
+        response.writeHead(200, { "content-length": String(partCount) });
+        const timer = setInterval(() => {
+            response.write("x");
+            sent += 1;
+            if (sent === partsSent) {
+                clearInterval(timer);
+            }
+        }, partInterval);
+    });
+    const port = await testUtils.listen(server, 0);
+    const address = `${testUtils.loopbackHost}:${port}`;
+    const client = new httpCalls.HttpClient();
+    try {
+        await use(address, client);
+    }
+    finally {
+        client.closeConnections(address);
+        server.close();
+        server.closeAllConnections();
+    }
+}
+
+suite("a response that arrives over a slow link isn't discarded at the timeout", async () => {
+    await withServer(partCount, async (address, client) => {
+        const result = await client.send(address, call, timeout);
+        assert.is(result.isOk() && result.value.body.byteLength, partCount);
+    });
+});
+
+suite("a response that stops arriving times out", async () => {
+    await withServer(2, async (address, client) => {
+        const result = await client.send(address, call, timeout);
+        assert.ok(result.isErr() && result.error.timedOut);
+        assert.match(result.isErr() ? result.error.reason : "", "after 2 bytes");
+    });
+});
+
+suite("a call that is aborted early keeps a response that has begun to arrive, and ends without one", async () => {
+    await withServer(partCount, async (address, client) => {
+        const abort = new AbortController();
+        setTimeout(() => abort.abort(), 2 * partInterval);
+        assert.ok((await client.send(address, call, timeout, abort)).isOk());
+        const earlier = new AbortController();
+        setTimeout(() => earlier.abort(), partInterval / 4);
+        assert.ok((await client.send(address, call, timeout, earlier)).isErr());
+    });
+});
+
+suite.run();
--- /dev/null
+++ b/packages/intake/src/job-api.test.ts
@@ -0,0 +1,121 @@
+/** Guards against answers to callers that come from an outdated view of the jobs, or that come too late. */
+import * as eventLog from "@catkinwharf/event-log";
+import * as jobState from "@catkinwharf/job-state";
+import * as jobStateTesting from "@catkinwharf/job-state/testing";
+import * as testUtils from "@catkinwharf/test-utils";
+import * as http from "node:http";
+import * as uvu from "uvu";
+import * as assert from "uvu/assert";
+import * as intake from "./index.js";
+
+const suite = uvu.suite("job api");
+const route = {
+    name: "quotes",
+    host: "queues.test",
+    pathPrefix: "/quotes/",
+    service: "dispatch",
+    priority: 0,
+    maxAttempts: 1,
+    slackFactor: 1,
+    latencyAllowance: 0,
+    timeout: 400,
+    advice: undefined,
+};
+
+interface View {
+    /** Ms since the process last knew all submissions and all progress. */
+    age: number;
+    /** Reads the topics to their ends. */
+    refresh: () => Promise<boolean>;
+}
+
+/** Sends a GET to an API whose job table is `jobs`. */
+async function get(
+    path: string,
+    jobs: jobState.JobTable,
+    view: View,
+): Promise<{ status: number; body: string; retryAfter: string | undefined; }> {
+    const api = new intake.JobApi({
+        jobs,
+        writer: undefined as never,
+        log: eventLog.silentEventLog,
+        monotonicNow: () => performance.now(),
+        now: () => Date.now(),
+        configuration: () => ({ version: 1, routes: [route], services: [], maxBodyBytes: 1000 }),
+        refreshJobs: () => view.refresh(),
+        isStoreUnavailable: () => false,
+        describeDataAge: () => ({ submissionsAge: view.age, progressAge: view.age }),
+        isReady: () => true,
+        isShuttingDown: () => false,
+        count: () => {},
+    });
+    const app = api.createApp();
+    const server = http.createServer((message, response) =>
+        app.handler(message as never, response, undefined as never)
+    );
+    const port = await testUtils.listen(server, 0);
+    try {
+        return await new Promise((resolve, reject) => {
+            const request = http.get(
+                { host: testUtils.loopbackHost, port, path, headers: { host: route.host } },
+                response => {
+                    let body = "";
+                    response.on("data", data => body += data);
+                    response.on(
+                        "end",
+                        () =>
+                            resolve({
+                                status: response.statusCode!,
+                                body,
+                                retryAfter: response.headers["retry-after"],
+                            }),
+                    );
+                },
+            );
+            request.on("error", reject);
+        });
+    }
+    finally {
+        server.close();
+        server.closeAllConnections();
+    }
+}
+
+function submit(jobs: jobState.JobTable, id: string): void {
+    const record = jobState.encodeJob(jobStateTesting.createJob({ id, queue: route.name }));
+    jobs.applySubmission(record.key, record.value);
+}
+
+suite("a pending count isn't taken from a view that is seconds old", async () => {
+    const jobs = new jobState.JobTable();
+    const view: View = {
+        age: 5000,
+        refresh: () => {
+            submit(jobs, "00000000000000aa");
+            view.age = 0;
+            return Promise.resolve(true);
+        },
+    };
+    assert.equal(JSON.parse((await get(route.pathPrefix, jobs, view)).body), { Pending: 1 });
+    const behind = await get(route.pathPrefix, jobs, { age: 5000, refresh: () => Promise.resolve(false) });
+    assert.is(behind.status, 503);
+    assert.ok(Number(behind.retryAfter) >= 1);
+});
+
+suite("a caller isn't kept waiting beyond its time limit for a process that is behind", async () => {
+    const jobs = new jobState.JobTable();
+    for (const path of [route.pathPrefix, `${route.pathPrefix}00000000000000ab`]) {
+        let caughtUp = false;
+        const refresh = async () => {
+            await new Promise(resolve => setTimeout(resolve, 3 * route.timeout));
+            caughtUp = true;
+            return true;
+        };
+        const response = await get(path, jobs, { age: 5000, refresh });
+        assert.is(response.status, 503);
+        assert.ok(Number(response.retryAfter) >= 1);
+        assert.not(caughtUp);
+    }
+});
+
+suite.run();
--- a/packages/store/src/topic-follower.test.ts
+++ b/packages/store/src/topic-follower.test.ts
@@ -68,4 +68,52 @@
     assert.is(newest.follower.nextOffset, 9);
 });
 
+suite("catch-ups at the same time don't each read the backlog", async () => {
+    let readCount = 0;
+    const backlog = Array.from({ length: 40 }, (_, i) => ({ offset: 5 + i, record: { key: "k", value } }));
+    const source: Pick<store.StoreClient, "read" | "readNewest"> = {
+        readNewest: () => Promise.resolve(neverthrow.ok(page)),
+        read: async (_topic, from) => {
+            readCount += 1;
+            await new Promise(resolve => setTimeout(resolve, 5));
+            const records = backlog.filter(({ offset }) => offset >= from).slice(0, 10);
+            return neverthrow.ok({ kind: "records", records, end: 45 });
+        },
+    };
+    const options = { topic: "t", handlers: { apply: () => {} }, wait: 1000, pause: () => 0 };
+    const follower = new store.TopicFollower(source, options, log, () => 0);
+    assert.ok(await follower.catchUp());
+    const readsOfOne = readCount;
+    follower.requestReload();
+    readCount = 0;
+    const results = await Promise.all(Array.from({ length: 8 }, () => follower.catchUp()));
+    assert.ok(results.every(Boolean));
+    // A read that had begun before a call may miss what was stored in between, so the later calls share a second one.
+    assert.ok(readCount <= readsOfOne + 1, `${readCount} reads, ${readsOfOne} for one catch-up`);
+});
+
+suite("a catch-up reads what was stored while an earlier one was under way", async () => {
+    let end = 6;
+    const source: Pick<store.StoreClient, "read" | "readNewest"> = {
+        readNewest: () => Promise.resolve(neverthrow.ok(page)),
+        read: async (_topic, from) => {
+            const records = Array.from({ length: end - from }, (_, i) => ({
+                offset: from + i,
+                record: { key: `k${from + i}`, value },
+            }));
+            const result: store.ReadResult = { kind: "records", records, end };
+            await new Promise(resolve => setTimeout(resolve, 5));
+            return neverthrow.ok(result);
+        },
+    };
+    const options = { topic: "t", handlers: { apply: () => {} }, wait: 1000, pause: () => 0 };
+    const follower = new store.TopicFollower(source, options, log, () => 0);
+    const first = follower.catchUp();
+    await new Promise(resolve => setTimeout(resolve, 2));
+    end = 7;
+    assert.ok(await follower.catchUp());
+    assert.is(follower.nextOffset, 7);
+    assert.ok(await first);
+});
+
 suite.run();
