Count a job as begun once a server has confirmed a start

begun and the status running are now set when a server confirms a start, by its response or by listing the run or its end. The class of fault: an intention recorded as a fact. The order of candidates is unchanged: a start under way counts there.

--- a/packages/dispatch/src/job-registry.ts
+++ b/packages/dispatch/src/job-registry.ts
@@ -124,7 +124,8 @@
             objective: scheduling.computeObjective(active.job, ready.occurrence, active.criticalPath, active.route),
             criticalPath: active.remainingPaths[ready.step]!,
             longRunning: active.job.steps[ready.step]!.longRunning,
-            begun: active.progress.begun,
+            // A start that is under way counts, so that a job isn't passed over until its server confirms it.
+            begun: active.progress.begun || jobState.hasRuns(active.progress),
         };
         return scheduling.rank(work, active.route, wall);
     }
--- a/packages/dispatch/src/ledger-writer.ts
+++ b/packages/dispatch/src/ledger-writer.ts
@@ -39,6 +39,11 @@
         this.#startWriting();
     }
 
+    /** Adds the job's changed progress to the next batch, which another change or the next heartbeat begins. */
+    addToNextBatch(entry: jobState.JobEntry): void {
+        this.#dirtyJobs.set(entry.id, entry);
+    }
+
     add(record: platform.storeCalls.KeyedRecord): void {
         this.#pendingRecords.push(record);
         this.#startWriting();
--- a/packages/dispatch/src/run-manager.ts
+++ b/packages/dispatch/src/run-manager.ts
@@ -48,11 +48,6 @@
         const history = jobState.getOrCreateHistory(occurrence, taskIndex);
         history.lastRun = runNumber;
         history.runs.push({ number: runNumber, server: server.bootId });
-        if (!progress.begun) {
-            progress.begun = true;
-            progress.status = jobState.JobStatus.running;
-            progress.statusAt = this.options.shared.clock.wall();
-        }
         active.readiness = undefined;
         const run = this.#create(active, ready.occurrence, taskIndex, { number: runNumber, server: server.bootId }, {
             phase: session.RunPhase.planned,
@@ -164,6 +159,20 @@
         this.#handleStartAnswer(server, run, platform.serverCalls.decodeOrderResult(answer.value));
     }
 
+    /** Records that a server confirmed a start of the job, by its response or by listing a run or its end. */
+    #recordBegun(entry: jobState.JobEntry): void {
+        const { progress } = entry;
+        if (progress === undefined || progress.begun) {
+            return;
+        }
+        progress.begun = true;
+        if (progress.status === jobState.JobStatus.queued) {
+            progress.status = jobState.JobStatus.running;
+            progress.statusAt = this.options.shared.clock.wall();
+        }
+        this.options.shared.writer.addToNextBatch(entry);
+    }
+
     #handleStartAnswer(
         server: session.ServerSession,
         run: session.ActiveRun,
@@ -171,6 +180,7 @@
     ): void {
         const { shared } = this.options;
         if (answer.kind === "done") {
+            this.#recordBegun(run.entry);
             run.expectedInListsFrom ??= shared.clock.monotonic();
             if (run.phase === session.RunPhase.ordered) {
                 run.phase = session.RunPhase.running;
@@ -306,6 +316,7 @@
             run.phase = session.RunPhase.running;
             run.expectedInListsFrom = this.options.shared.clock.monotonic();
         }
+        this.#recordBegun(run.entry);
         run.checkpoint = row.checkpoint === "" ? run.checkpoint : row.checkpoint;
         if (run.percent !== row.percent) {
             run.percent = row.percent;
@@ -356,11 +367,15 @@
 
     #applyEnd(server: session.ServerSession, row: platform.serverCalls.EndedRun): void {
         const run = server.runs.get(formatRunName(row.task, row.run));
+        const active = this.options.registry.active.get(row.task.jobId);
+        const entry = run?.entry ?? active?.entry;
+        if (entry !== undefined) {
+            this.#recordBegun(entry);
+        }
         if (run !== undefined) {
             this.#endRun(server, run, row.how, row.checkpoint);
             return;
         }
-        const active = this.options.registry.active.get(row.task.jobId);
         const step = active?.job.steps[row.task.step];
         if (active !== undefined && step !== undefined && row.how === jobState.RunEnd.done && !step.longRunning) {
             const taskIndex = jobState.findFirstTask(active.job, row.task.step) + row.task.index;
--- a/packages/job-state/src/progress.ts
+++ b/packages/job-state/src/progress.ts
@@ -46,7 +46,10 @@
     status: jobs.JobStatus;
     /** Unix time in ms of the last status change. */
     statusAt: number;
-    /** A task has been started at least once. */
+    /**
+     * A server has confirmed that a task of the job was started. A stored intent doesn't count: its start may reach no
+     * server.
+     */
     begun: boolean;
     /** By occurrence number; an occurrence is absent until its first change. */
     readonly occurrences: Map<number, OccurrenceProgress>;
