Let catch-ups of a topic share their reads

Each GET of a job that a process didn't know read the whole backlog of the submissions for itself.

A catch-up that comes while one is under way waits for the one after it, which all of them share, and the follower's own reads wait for it too. The class of fault: work repeated for each caller that waits for it, most of all when it is slow.

--- a/packages/store/src/topic-follower.ts
+++ b/packages/store/src/topic-follower.ts
@@ -39,6 +39,10 @@
     caughtUpAt = 0;
     #running = true;
     #reloading: Promise<boolean> | undefined;
+    /** The catch-up that is under way. */
+    #catchingUp: Promise<boolean> | undefined;
+    /** The catch-up that begins after that one, shared by all calls that came meanwhile. */
+    #nextCatchUp: Promise<boolean> | undefined;
 
     constructor(
         private readonly store: Pick<storeClient.StoreClient, "read" | "readNewest">,
@@ -69,8 +73,24 @@
         this.#nextOffset = undefined;
     }
 
-    /** Reads up to the current end of the topic; false when the store could not be read. */
-    async catchUp(): Promise<boolean> {
+    /**
+     * Reads up to the current end of the topic; false when the store could not be read. Calls share their reads: a
+     * process that is behind would otherwise read the same backlog for each of them.
+     */
+    catchUp(): Promise<boolean> {
+        if (this.#catchingUp === undefined) {
+            this.#catchingUp = this.#readToEnd().finally(() => this.#catchingUp = undefined);
+            return this.#catchingUp;
+        }
+        // The reads under way may miss records stored after they were sent, so this call needs later ones.
+        this.#nextCatchUp ??= this.#catchingUp.then(() => {
+            this.#nextCatchUp = undefined;
+            return this.catchUp();
+        });
+        return this.#nextCatchUp;
+    }
+
+    async #readToEnd(): Promise<boolean> {
         if (this.#nextOffset === undefined && !await this.#reload()) {
             return false;
         }
@@ -93,6 +113,10 @@
                 }
                 continue;
             }
+            if (this.#catchingUp !== undefined) {
+                await this.#catchingUp;
+                continue;
+            }
             const previousOffset = this.#nextOffset;
             const outcome = await this.#readOnce(this.options.wait);
             if (outcome === "failed") {
