Time calls out by the time without progress

A call to the store timed out a fixed time after it was sent, 0.9 to 2.5 s. A read may return a megabyte, which alone takes 1.2 s over a link of 7 Mbit/s, and longer beside others; it was discarded while it arrived, repeated whole, and a time-out also aborted the long polls whose responses were arriving.

The timeout now counts until the response begins and then between two parts of it, with a total for responses that trickle; an early abort keeps a response that has begun.

--- a/packages/http-calls/src/index.ts
+++ b/packages/http-calls/src/index.ts
@@ -1,6 +1,6 @@
 /**
- * HTTP client with a connection pool for each address. Every call has a timeout. The connection of a call that timed
- * out is closed, because a connection that stopped responding doesn't recover.
+ * HTTP client with a connection pool for each address. Every call has a timeout, which counts the time without progress.
+ * The connection of a call that timed out is closed, because a connection that stopped responding doesn't recover.
  */
 import type * as platform from "@catkinwharf/platform";
 import * as neverthrow from "neverthrow";
@@ -35,6 +35,11 @@
  * during a network partition at growing intervals, and the attempt outlasts the partition by a long time.
  */
 const connectTimeout = 600;
+/**
+ * Longest time in ms that a response may take to arrive after the timeout of its call, so that one that trickles doesn't
+ * hold its caller for good: the store's largest response, 1 MB, over a link of a tenth of the slowest one known.
+ */
+const maxTransferTime = 12_000;
 const connectTimeoutCode = "UND_ERR_CONNECT_TIMEOUT";
 /** Codes of errors that occur before anything is sent. */
 const unsentErrorCodes: ReadonlySet<string> = new Set([
@@ -51,8 +56,10 @@
     /**
      * Sends a call and reads the complete response.
      *
-     * @param timeout in ms, from the start of the call to the end of the response
-     * @param abort ends the call early when it is aborted; the call then counts as timed out
+     * @param timeout in ms, until the response begins to arrive, and then between any two parts of it: a large response
+     * may take longer over a slow link, and repeating the call would only add to what the link has to carry
+     * @param abort ends the call when it is aborted before the response begins to arrive; the call then counts as timed
+     * out
      */
     async send(
         address: string,
@@ -60,28 +67,39 @@
         timeout: number,
         abort = new AbortController(),
     ): Promise<neverthrow.Result<platform.HttpResponse, CallError>> {
-        const timer = setTimeout(() => abort.abort(), timeout);
+        const ended = new AbortController();
         const received: Uint8Array[] = [];
+        const timer = setTimeout(() => ended.abort(), timeout);
+        const total = setTimeout(() => ended.abort(), timeout + maxTransferTime);
+        const abortEarly = () => {
+            if (received.length === 0) {
+                ended.abort();
+            }
+        };
+        abort.signal.addEventListener("abort", abortEarly);
         try {
             const response = await this.#findPool(address).request({
                 method: call.method,
                 path: call.path,
                 headers: call.headers,
                 body: call.body,
-                signal: abort.signal,
+                signal: ended.signal,
                 headersTimeout: 0,
                 bodyTimeout: 0,
             });
             for await (const part of response.body as AsyncIterable<Uint8Array>) {
                 received.push(part);
+                timer.refresh();
             }
             return neverthrow.ok({ status: response.statusCode, body: new Uint8Array(Buffer.concat(received)) });
         }
         catch (error) {
-            return neverthrow.err(toCallError(error, abort.signal.aborted, countBytes(received)));
+            return neverthrow.err(toCallError(error, ended.signal.aborted, countBytes(received)));
         }
         finally {
             clearTimeout(timer);
+            clearTimeout(total);
+            abort.signal.removeEventListener("abort", abortEarly);
         }
     }
 
@@ -113,7 +131,7 @@
 }
 
 /**
- * @param aborted whether the timeout of the whole call has expired
+ * @param aborted whether a timeout has expired or the call was aborted
  * @param received bytes of the response's body that had arrived
  */
 function toCallError(error: unknown, aborted: boolean, received: number): CallError {
