Give no pending count from a view that is seconds old

A count is now taken from a view of at most 2 s, the age that the platform's protocol allows; a process that is behind reads the store first. What it can't read by the caller's time limit it rejects with 503 and Retry-After, as it does for a job that it doesn't know, so that the caller asks another process in time. The class of fault: an answer that doesn't depend on the age of what it was taken from.

--- a/packages/intake/src/job-api.test.ts
+++ b/packages/intake/src/job-api.test.ts
@@ -43,6 +43,7 @@
         now: () => Date.now(),
         configuration: () => ({ version: 1, routes: [route], services: [], maxBodyBytes: 1000 }),
         refreshJobs: () => view.refresh(),
+        refreshProgress: () => view.refresh(),
         isStoreUnavailable: () => false,
         describeDataAge: () => ({ submissionsAge: view.age, progressAge: view.age }),
         isReady: () => true,
--- a/packages/intake/src/job-api.ts
+++ b/packages/intake/src/job-api.ts
@@ -6,6 +6,7 @@
 import * as platform from "@catkinwharf/platform";
 import * as requestBody from "@catkinwharf/request-body";
 import type * as http from "node:http";
+import * as timers from "node:timers/promises";
 import * as polka from "polka";
 import * as routeTable from "./route-table.js";
 import * as submissionWriter from "./submission-writer.js";
@@ -21,6 +22,8 @@
     readonly configuration: () => platform.operatorRecords.Configuration | undefined;
     /** Reads all submissions stored so far; false when the store could not be read. */
     readonly refreshJobs: () => Promise<boolean>;
+    /** Reads the progress of all jobs stored so far; false when the store could not be read. */
+    readonly refreshProgress: () => Promise<boolean>;
     /** Whether the store counts as unavailable, by the last calls; submissions are then refused at once. */
     readonly isStoreUnavailable: () => boolean;
     /** Ages in ms of what this process has read of the jobs and their progress; logged with the counts of a queue. */
@@ -61,12 +64,24 @@
 
 const queueNotFound: JobResponse = { status: 404, body: "", reason: "no such queue" };
 const noConfiguration: JobResponse = { status: 503, body: "", retryAfter: 1, reason: "no configuration yet" };
+/**
+ * Age in ms up to which this process's view of the jobs is good enough for a queue's pending count, by the platform's
+ * protocol.
+ */
+const maxCountAge = 2000;
+
 const storeUnavailable: JobResponse = {
     status: 503,
     body: "",
     retryAfter: outageRetryAfter,
     reason: "the store is out of reach",
 };
+const behindStore: JobResponse = {
+    status: 503,
+    body: "",
+    retryAfter: outageRetryAfter,
+    reason: "this process is behind the store",
+};
 const unknownOutcome: JobResponse = { status: 504, body: "", reason: "the store gave no answer" };
 /** Status 410, because 404 stands for an unknown queue. */
 const jobNotFound: JobResponse = { status: 410, body: "", reason: "no such job" };
@@ -157,9 +172,11 @@
         if (match === undefined) {
             return queueNotFound;
         }
+        const timeout = Number(message.headers[platform.callerBodies.timeoutHeader] ?? match.route.timeout);
+        const deadline = startedAt + (Number.isFinite(timeout) ? timeout : match.route.timeout) - responseMargin;
         // The name of a route is that of its queue.
         if (match.rest === "" && message.method === "GET") {
-            return this.#countPending(match.route.name);
+            return this.#countPending(match.route.name, deadline);
         }
         const handler = handlers[message.method ?? ""];
         if (handler === undefined) {
@@ -168,17 +185,29 @@
         if (!platform.callerBodies.isJobId(match.rest)) {
             return { status: 400, body: "", reason: "malformed job id" };
         }
-        const timeout = Number(message.headers[platform.callerBodies.timeoutHeader] ?? match.route.timeout);
         return handler(this, {
             id: match.rest,
             route: match.route,
             message,
-            deadline: startedAt + (Number.isFinite(timeout) ? timeout : match.route.timeout) - responseMargin,
+            deadline,
             maxBodyBytes: configuration.maxBodyBytes,
         });
     }
 
-    #countPending(queue: string): JobResponse {
+    /** Counts from a view that is fresh enough, which takes reading the store while this process is behind. */
+    async #countPending(queue: string, deadline: number): Promise<JobResponse> {
+        const { submissionsAge, progressAge } = this.options.describeDataAge();
+        const behind = [
+            ...submissionsAge > maxCountAge ? [this.options.refreshJobs()] : [],
+            ...progressAge > maxCountAge ? [this.options.refreshProgress()] : [],
+        ];
+        if (behind.length > 0 && this.options.isStoreUnavailable()) {
+            return storeUnavailable;
+        }
+        const refreshed = await this.#waitUntil(deadline, Promise.all(behind));
+        if (refreshed?.every(Boolean) !== true) {
+            return behindStore;
+        }
         const counts = this.options.jobs.countUnfinished(queue);
         this.options.log.info("pending-counted", { queue, ...counts, ...this.options.describeDataAge() });
         return { status: 200, body: platform.callerBodies.encodePendingJobs(counts.pending) };
@@ -214,8 +243,8 @@
 
     async cancel(request: JobRequest): Promise<JobResponse> {
         const entry = await this.#findEntry(request);
-        if (entry === "store-unavailable") {
-            return storeUnavailable;
+        if (entry === "behind-store") {
+            return behindStore;
         }
         if (entry === undefined) {
             return jobNotFound;
@@ -232,8 +261,8 @@
 
     async getStatus(request: JobRequest): Promise<JobResponse> {
         const entry = await this.#findEntry(request);
-        if (entry === "store-unavailable") {
-            return storeUnavailable;
+        if (entry === "behind-store") {
+            return behindStore;
         }
         const status = entry === undefined ? undefined : this.options.jobs.findStatus(request.id);
         return status === undefined ? jobNotFound : { status: 200, body: platform.callerBodies.encodeStatus(status) };
@@ -253,16 +282,30 @@
      * another entry instance may just have accepted it. An entry without a job holds a cancellation or progress that
      * was read before the submission.
      *
-     * @returns "store-unavailable" when the store could not be read
+     * @returns "behind-store" when the store could not be read in time
      */
-    async #findEntry(request: JobRequest): Promise<jobState.JobEntry | undefined | "store-unavailable"> {
+    async #findEntry(request: JobRequest): Promise<jobState.JobEntry | undefined | "behind-store"> {
         let entry = this.options.jobs.entries.get(request.id);
         if (entry?.job === undefined) {
-            if (!await this.options.refreshJobs()) {
-                return "store-unavailable";
+            if (await this.#waitUntil(request.deadline, this.options.refreshJobs()) !== true) {
+                return "behind-store";
             }
             entry = this.options.jobs.entries.get(request.id);
         }
         return entry?.job?.queue === request.route.name ? entry : undefined;
     }
+
+    /** The result of `work`; `undefined` if it isn't there by the deadline, a monotonic time in ms. */
+    async #waitUntil<Result>(deadline: number, work: Promise<Result>): Promise<Result | undefined> {
+        const timeout = new AbortController();
+        const expired = timers.setTimeout(Math.max(0, deadline - this.options.monotonicNow()), undefined, {
+            signal: timeout.signal,
+        }).catch(() => undefined);
+        try {
+            return await Promise.race([work, expired]);
+        }
+        finally {
+            timeout.abort();
+        }
+    }
 }
--- a/packages/node/src/entry-instance.ts
+++ b/packages/node/src/entry-instance.ts
@@ -166,6 +166,7 @@
             now: () => this.#clock.wall(),
             configuration: () => this.#configuration,
             refreshJobs: () => this.#submissions.catchUp(),
+            refreshProgress: () => this.#ledger.catchUp(),
             isStoreUnavailable: () => this.#isStoreUnavailable(),
             describeDataAge: () => ({
                 submissionsAge: this.#clock.wall() - this.#submissions.caughtUpAt,
