Log acknowledged ends with their boot, ends without effect, and reread topics

The causes that came into question left the same lines. They differ now:

- an end acknowledged that this boot of the server hadn't listed: `end-acknowledged-unread`, with the boot and both numbers
- an end of a job that isn't tracked: `end-of-untracked-job`
- a run that is missing from a list: `run-ended` with `evidence`, which counts the rows of the list, or names the other boot
- a coordinator that starts from older progress: `newest-records-read` and `taking-over`, with offsets

--- a/packages/dispatch/src/fleet.ts
+++ b/packages/dispatch/src/fleet.ts
@@ -202,9 +202,10 @@
         if (leaseEnd !== undefined) {
             server.latestLeaseEnd = Math.max(server.latestLeaseEnd, leaseEnd);
         }
+        const acknowledgedEnd = server.lastStoredEnd;
         const call = platform.serverCalls.createLeaseRenewalCall(server.entry.id, {
             fencingToken: epoch,
-            acknowledgedEnd: server.lastStoredEnd,
+            acknowledgedEnd,
             leaseEnd,
             wait,
         });
@@ -217,13 +218,17 @@
             await timers.setTimeout(unreachableRetryDelay);
             return;
         }
-        await this.#applyAnswer(server, platform.serverCalls.decodeLeaseRenewal(answer.value), sentAt);
+        await this.#applyAnswer(
+            server,
+            platform.serverCalls.decodeLeaseRenewal(answer.value),
+            { sentAt, acknowledgedEnd },
+        );
     }
 
     async #applyAnswer(
         server: session.ServerSession,
         answer: platform.serverCalls.LeaseRenewalResult,
-        sentAt: number,
+        sent: { readonly sentAt: number; readonly acknowledgedEnd: number; },
     ): Promise<void> {
         if (answer.kind === "another-boot") {
             this.#handleReboot(server, undefined);
@@ -244,6 +249,7 @@
         if (answer.bootedAt !== server.bootedAt) {
             this.#handleReboot(server, answer.bootedAt);
         }
+        this.#recordAcknowledgement(server, sent.acknowledgedEnd);
         const now = this.shared.clock.monotonic();
         server.clockSample = { server: answer.clock, received: now };
         server.lastAnswerAt = now;
@@ -253,7 +259,7 @@
             this.shared.log.info("server-reached", { server: server.entry.id, service: server.entry.service });
             this.shared.schedulePass();
         }
-        this.handlers.onLists(server, answer, sentAt);
+        this.handlers.onLists(server, answer, sent.sentAt);
         await this.#waitUntilEndsStored(server);
     }
 
@@ -274,16 +280,40 @@
         await Promise.race([stored, timers.setTimeout(unstoredRetryDelay)]);
     }
 
+    /** The boot that responded has received the acknowledgement, so it no longer lists the ends up to it. */
+    #recordAcknowledgement(server: session.ServerSession, end: number): void {
+        if (end <= server.lastAcknowledgedEnd) {
+            return;
+        }
+        server.lastAcknowledgedEnd = end;
+        const fields = { server: server.entry.id, bootedAt: server.bootedAt, end, processed: server.lastProcessedEnd };
+        if (end > server.lastProcessedEnd) {
+            this.shared.log.warn("end-acknowledged-unread", fields);
+        }
+        else {
+            this.shared.log.info("end-acknowledged", fields);
+        }
+    }
+
     /** Handles a response from another boot of the server: nothing that ran before it still runs. */
     #handleReboot(server: session.ServerSession, bootedAt: number | undefined): void {
         const isFirstAnswer = server.bootedAt === undefined && server.clockSample === undefined;
+        const before = server.bootedAt;
         server.bootedAt = bootedAt;
         if (isFirstAnswer) {
             return;
         }
-        this.shared.log.info("server-rebooted", { server: server.entry.id, bootedAt, runs: server.runs.size });
+        this.shared.log.info("server-rebooted", {
+            server: server.entry.id,
+            bootedAt,
+            before,
+            runs: server.runs.size,
+            processed: server.lastProcessedEnd,
+            stored: server.lastStoredEnd,
+        });
         server.lastProcessedEnd = 0;
         server.lastStoredEnd = 0;
+        server.lastAcknowledgedEnd = 0;
         server.clockSample = undefined;
         server.latestLeaseEnd = 0;
         this.handlers.onRunsLost(server, "lost");
--- a/packages/dispatch/src/run-manager.ts
+++ b/packages/dispatch/src/run-manager.ts
@@ -281,10 +281,11 @@
         }
         for (const [name, run] of server.runs) {
             if (run.expectedInListsFrom !== undefined && run.expectedInListsFrom < sentAt && !seen.has(name)) {
-                this.#endRun(server, run, jobState.RunEnd.lost, "");
+                const listed = { running: lists.running.length, ended: lists.ended.length };
+                this.#endRun(server, run, jobState.RunEnd.lost, "", { listed, processed: server.lastProcessedEnd });
             }
             else if (run.bootId !== server.bootId && run.phase === session.RunPhase.inherited) {
-                this.#endRun(server, run, jobState.RunEnd.lost, "");
+                this.#endRun(server, run, jobState.RunEnd.lost, "", { bootedAt: server.bootedAt });
             }
         }
     }
@@ -381,10 +382,39 @@
             const taskIndex = jobState.findFirstTask(active.job, row.task.step) + row.task.index;
             this.#markDone(active, row.task.occurrence, taskIndex, step);
         }
+        if (active === undefined) {
+            this.#reportUntrackedEnd(server, row);
+        }
+    }
+
+    /** Logs an end that has no effect, although its job isn't known to be settled. */
+    #reportUntrackedEnd(server: session.ServerSession, row: platform.serverCalls.EndedRun): void {
+        const entry = this.options.shared.jobs.entries.get(row.task.jobId);
+        const status = entry?.progress?.status;
+        if (status === undefined || !jobState.isSettled(status)) {
+            this.options.shared.log.warn("end-of-untracked-job", {
+                task: formatRunName(row.task, row.run),
+                server: server.bootId,
+                end: row.number,
+                how: row.how,
+                queue: entry?.job?.queue,
+                status,
+            });
+        }
     }
 
-    /** Applies the end of a run to its task and job. */
-    #endRun(server: session.ServerSession, run: session.ActiveRun, how: jobState.RunEnd, checkpoint: string): void {
+    /**
+     * Applies the end of a run to its task and job.
+     *
+     * @param evidence what shows the end of a run that the server didn't list as ended, for the log
+     */
+    #endRun(
+        server: session.ServerSession,
+        run: session.ActiveRun,
+        how: jobState.RunEnd,
+        checkpoint: string,
+        evidence?: object,
+    ): void {
         const { registry, shared } = this.options;
         this.#removeRun(server, run);
         const active = registry.active.get(run.entry.id);
@@ -413,6 +443,8 @@
                 failures: history.failures,
                 // Ms since the start was sent, or since this coordinator took the run over.
                 after: Math.round(shared.clock.monotonic() - run.startSentAt),
+                boot: run.bootId,
+                evidence,
             });
         }
         this.options.onEnd(server, run, how);
--- a/packages/dispatch/src/server-session.ts
+++ b/packages/dispatch/src/server-session.ts
@@ -78,6 +78,8 @@
     lastProcessedEnd = 0;
     /** Number of the last run end that is stored; sent to the server as the acknowledgement. */
     lastStoredEnd = 0;
+    /** Number of the last run end whose acknowledgement the server has received. */
+    lastAcknowledgedEnd = 0;
     /** Set when the server lists its runs, cleared when a poll fails or another server responds. */
     reachable = false;
     /** On the monotonic clock: when the server last responded, at first when the session was created. */
--- a/packages/node/src/entry-instance.ts
+++ b/packages/node/src/entry-instance.ts
@@ -312,6 +312,7 @@
 
     /** Starts coordinating after a won election, once all submissions have been read. */
     async #takeOver(epoch: number, previous: jobState.Leadership | undefined): Promise<void> {
+        const claimedAt = this.#ledger.nextOffset;
         while (!await this.#submissions.catchUp()) {
             if (this.#shuttingDown || this.#leaderElection.newestLeadership?.epoch !== epoch) {
                 this.log.warn("takeover-abandoned", {
@@ -323,6 +324,7 @@
             }
             await timers.setTimeout(takeoverRetryDelay);
         }
+        this.log.info("taking-over", { epoch, claimedAt, ledger: this.#ledger.nextOffset });
         this.#coordinator = new dispatch.Coordinator({
             settings: this.settings,
             epoch,
--- a/packages/store/src/topic-follower.ts
+++ b/packages/store/src/topic-follower.ts
@@ -199,6 +199,12 @@
                 this.options.handlers.apply(record, offset);
             }
         }
+        this.log.info("newest-records-read", {
+            topic: this.options.topic,
+            records: records.length,
+            end,
+            reached: this.#nextOffset,
+        });
         this.#nextOffset = end;
         this.caughtUpAt = startedAt;
         return true;
