Keep the progress of a server's ends with the boot that numbered them

What callers saw: a task started again after its end had been acknowledged (TWICE).

Cause: state of one incarnation written into the next by a late continuation. A server numbers its ends from 1 in each boot. The wait until ends are stored gives up after 400 ms, but what it does once they are stored remained pending. If the server had restarted under its ID by then, its counters were at 0, and the late result set them to a number of the boot before. From then on each renewal acknowledged ends of the new boot that it had not listed yet; those between two renewals were lost, their runs counted as lost, and their tasks started again. It takes a store that is slow for 400 ms while a server with runs restarts.

The numbers are now one object for each boot, replaced at a reboot; a late result changes the old object.

Evidence: "a task runs twice after a reboot because an end of the boot before was stored late" failed three times of three before (5 to 6 of 8 tasks ran twice), and passes four times of four.

--- a/packages/dispatch/src/fleet.ts
+++ b/packages/dispatch/src/fleet.ts
@@ -191,7 +191,7 @@
         const leaseEnd = serverClock === undefined || !server.reachable
             ? undefined
             : serverClock + context.computeLeaseDuration(settings);
-        const unstored = server.lastProcessedEnd > server.lastStoredEnd;
+        const unstored = server.ends.lastProcessed > server.ends.lastStored;
         const wait = serverClock === undefined || unstored || !server.reachable
             ? 0
             : server.runs.size === 0
@@ -202,7 +202,7 @@
         if (leaseEnd !== undefined) {
             server.latestLeaseEnd = Math.max(server.latestLeaseEnd, leaseEnd);
         }
-        const acknowledgedEnd = server.lastStoredEnd;
+        const acknowledgedEnd = server.ends.lastStored;
         const call = platform.serverCalls.createLeaseRenewalCall(server.entry.id, {
             fencingToken: epoch,
             acknowledgedEnd,
@@ -268,13 +268,15 @@
      * server those that are.
      */
     async #waitUntilEndsStored(server: session.ServerSession): Promise<void> {
-        if (server.lastProcessedEnd <= server.lastStoredEnd) {
+        // The server may have rebooted by the time they are stored.
+        const { ends } = server;
+        const { lastProcessed } = ends;
+        if (lastProcessed <= ends.lastStored) {
             return;
         }
-        const { lastProcessedEnd } = server;
         const stored = this.shared.writer.flush().then(ok => {
             if (ok) {
-                server.lastStoredEnd = Math.max(server.lastStoredEnd, lastProcessedEnd);
+                ends.lastStored = Math.max(ends.lastStored, lastProcessed);
             }
         });
         await Promise.race([stored, timers.setTimeout(unstoredRetryDelay)]);
@@ -282,12 +284,17 @@
 
     /** The boot that responded has received the acknowledgement, so it no longer lists the ends up to it. */
     #recordAcknowledgement(server: session.ServerSession, end: number): void {
-        if (end <= server.lastAcknowledgedEnd) {
+        if (end <= server.ends.lastAcknowledged) {
             return;
         }
-        server.lastAcknowledgedEnd = end;
-        const fields = { server: server.entry.id, bootedAt: server.bootedAt, end, processed: server.lastProcessedEnd };
-        if (end > server.lastProcessedEnd) {
+        server.ends.lastAcknowledged = end;
+        const fields = {
+            server: server.entry.id,
+            bootedAt: server.bootedAt,
+            end,
+            processed: server.ends.lastProcessed,
+        };
+        if (end > server.ends.lastProcessed) {
             this.shared.log.warn("end-acknowledged-unread", fields);
         }
         else {
@@ -308,12 +315,10 @@
             bootedAt,
             before,
             runs: server.runs.size,
-            processed: server.lastProcessedEnd,
-            stored: server.lastStoredEnd,
+            processed: server.ends.lastProcessed,
+            stored: server.ends.lastStored,
         });
-        server.lastProcessedEnd = 0;
-        server.lastStoredEnd = 0;
-        server.lastAcknowledgedEnd = 0;
+        server.ends = session.createEndProgress();
         server.clockSample = undefined;
         server.latestLeaseEnd = 0;
         this.handlers.onRunsLost(server, "lost");
--- a/packages/dispatch/src/run-manager.ts
+++ b/packages/dispatch/src/run-manager.ts
@@ -274,15 +274,15 @@
         }
         for (const row of lists.ended) {
             seen.add(formatRunName(row.task, row.run));
-            if (row.number > server.lastProcessedEnd) {
-                server.lastProcessedEnd = row.number;
+            if (row.number > server.ends.lastProcessed) {
+                server.ends.lastProcessed = row.number;
                 this.#applyEnd(server, row);
             }
         }
         for (const [name, run] of server.runs) {
             if (run.expectedInListsFrom !== undefined && run.expectedInListsFrom < sentAt && !seen.has(name)) {
                 const listed = { running: lists.running.length, ended: lists.ended.length };
-                this.#endRun(server, run, jobState.RunEnd.lost, "", { listed, processed: server.lastProcessedEnd });
+                this.#endRun(server, run, jobState.RunEnd.lost, "", { listed, processed: server.ends.lastProcessed });
             }
             else if (run.bootId !== server.bootId && run.phase === session.RunPhase.inherited) {
                 this.#endRun(server, run, jobState.RunEnd.lost, "", { bootedAt: server.bootedAt });
--- a/packages/dispatch/src/server-session.ts
+++ b/packages/dispatch/src/server-session.ts
@@ -61,6 +61,20 @@
     readonly ticket: string | undefined;
 }
 
+/** How far the run ends of one boot of a server, which it numbers from 1, have been handled. */
+export interface EndProgress {
+    /** Number of the last end that was applied. */
+    lastProcessed: number;
+    /** Number of the last end that is stored; sent to the server as the acknowledgement. */
+    lastStored: number;
+    /** Number of the last end whose acknowledgement the server has received. */
+    lastAcknowledged: number;
+}
+
+export function createEndProgress(): EndProgress {
+    return { lastProcessed: 0, lastStored: 0, lastAcknowledged: 0 };
+}
+
 /** Lowest rate at which a server's clock may run, relative to this process's clock. */
 const minClockRate = 0.98;
 /** Ms after the end of a lease before the runs under it are considered gone. */
@@ -74,12 +88,8 @@
     clockSample: { readonly server: number; readonly received: number; } | undefined;
     /** Latest lease end ever sent to the server, on the server's clock. */
     latestLeaseEnd = 0;
-    /** Run ends, which the server numbers: number of the last one that was applied. */
-    lastProcessedEnd = 0;
-    /** Number of the last run end that is stored; sent to the server as the acknowledgement. */
-    lastStoredEnd = 0;
-    /** Number of the last run end whose acknowledgement the server has received. */
-    lastAcknowledgedEnd = 0;
+    /** Replaced when the server reboots: what belongs to the boot before must not be taken for the new one's. */
+    ends = createEndProgress();
     /** Set when the server lists its runs, cleared when a poll fails or another server responds. */
     reachable = false;
     /** On the monotonic clock: when the server last responded, at first when the session was created. */
