Acknowledge an end only to the boot that listed it

What callers saw: none is shown for this alone; a task can start again after its end had been acknowledged (TWICE).

Every renewal carried the last acknowledged number, also the first one after calls had failed. A server that had restarted under its ID took it for a number of its own and forgot the ends that it had by then.

An acknowledgement is sent only to a server that responded to the last call, and only until a response shows that it was received; other renewals acknowledge nothing. A number is never lowered at the server by that: ends up to an earlier acknowledgement are forgotten already.

--- a/packages/dispatch/src/fleet.ts
+++ b/packages/dispatch/src/fleet.ts
@@ -35,6 +35,16 @@
  */
 const unstoredRetryDelay = 400;
 
+/** A lease renewal as it was sent. */
+interface SentRenewal {
+    /** On the monotonic clock. */
+    readonly sentAt: number;
+    /** 0 if it acknowledges none. */
+    readonly acknowledgedEnd: number;
+    /** Ends of the boot to which the acknowledgement applies. */
+    readonly ends: session.EndProgress;
+}
+
 export class Fleet {
     readonly sessions = new Map<string, session.ServerSession>();
     #stopped = false;
@@ -202,7 +212,10 @@
         if (leaseEnd !== undefined) {
             server.latestLeaseEnd = Math.max(server.latestLeaseEnd, leaseEnd);
         }
-        const acknowledgedEnd = server.ends.lastStored;
+        const { ends } = server;
+        // A server that didn't respond may have rebooted, and one that does may reboot before it receives this call. It
+        // would take a number of the boot before for one of its own ends, so none is sent without need.
+        const acknowledgedEnd = server.reachable && ends.lastStored > ends.lastAcknowledged ? ends.lastStored : 0;
         const call = platform.serverCalls.createLeaseRenewalCall(server.entry.id, {
             fencingToken: epoch,
             acknowledgedEnd,
@@ -221,14 +234,14 @@
         await this.#applyAnswer(
             server,
             platform.serverCalls.decodeLeaseRenewal(answer.value),
-            { sentAt, acknowledgedEnd },
+            { sentAt, acknowledgedEnd, ends },
         );
     }
 
     async #applyAnswer(
         server: session.ServerSession,
         answer: platform.serverCalls.LeaseRenewalResult,
-        sent: { readonly sentAt: number; readonly acknowledgedEnd: number; },
+        sent: SentRenewal,
     ): Promise<void> {
         if (answer.kind === "another-boot") {
             this.#handleReboot(server, undefined);
@@ -249,7 +262,7 @@
         if (answer.bootedAt !== server.bootedAt) {
             this.#handleReboot(server, answer.bootedAt);
         }
-        this.#recordAcknowledgement(server, sent.acknowledgedEnd);
+        this.#recordAcknowledgement(server, sent);
         const now = this.shared.clock.monotonic();
         server.clockSample = { server: answer.clock, received: now };
         server.lastAnswerAt = now;
@@ -282,23 +295,23 @@
         await Promise.race([stored, timers.setTimeout(unstoredRetryDelay)]);
     }
 
-    /** The boot that responded has received the acknowledgement, so it no longer lists the ends up to it. */
-    #recordAcknowledgement(server: session.ServerSession, end: number): void {
-        if (end <= server.ends.lastAcknowledged) {
+    /** The server has received the acknowledgement, so it no longer lists the ends up to it. */
+    #recordAcknowledgement(server: session.ServerSession, { acknowledgedEnd, ends }: SentRenewal): void {
+        if (acknowledgedEnd === 0) {
             return;
         }
-        server.ends.lastAcknowledged = end;
         const fields = {
             server: server.entry.id,
             bootedAt: server.bootedAt,
-            end,
+            end: acknowledgedEnd,
             processed: server.ends.lastProcessed,
         };
-        if (end > server.ends.lastProcessed) {
-            this.shared.log.warn("end-acknowledged-unread", fields);
+        if (server.ends === ends) {
+            ends.lastAcknowledged = acknowledgedEnd;
+            this.shared.log.info("end-acknowledged", fields);
         }
         else {
-            this.shared.log.info("end-acknowledged", fields);
+            this.shared.log.warn("end-acknowledged-unread", fields);
         }
     }
 
--- a/packages/node/src/integration/server-reboots.test.ts
+++ b/packages/node/src/integration/server-reboots.test.ts
@@ -49,6 +49,7 @@
     deployment.store.delay = 0;
     await waitForCompletion(await submit(200, 8)); // The first end answers a renewal; the others come before the next.
     assert.equal(deployment.findDuplicateRuns(), []);
+    assert.equal(machine.server!.prematureAcknowledgements, []);
 });
 
 suite("the first renewal after a reboot acknowledges ends of the boot before", async () => {
