--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -23,7 +23,7 @@
 ];
 
 export default tseslint.config(
-    { ignores: ["**/dist/", "**/generated/", "**/node_modules/"] },
+    { ignores: ["**/dist/", "target/", "**/generated/", "**/node_modules/"] },
     ...tseslint.configs.recommended,
     {
         rules: {
