--- a/packages/store/src/topic-follower.test.ts
+++ b/packages/store/src/topic-follower.test.ts
@@ -116,4 +116,108 @@
     assert.ok(await first);
 });
 
+/** A store whose answers a test gives one by one, in any order. */
+function createManualStore() {
+    const newest: ((result: store.NewestResult) => void)[] = [];
+    const reads: {
+        readonly from: number;
+        readonly wait: number;
+        readonly answer: (result: store.ReadResult) => void;
+    }[] = [];
+    const source: Pick<store.StoreClient, "read" | "readNewest"> = {
+        readNewest: () => new Promise(resolve => newest.push(result => resolve(neverthrow.ok(result)))),
+        read: (_topic, from, wait) =>
+            new Promise(resolve => reads.push({ from, wait, answer: result => resolve(neverthrow.ok(result)) })),
+    };
+    async function waitForCall<Call>(calls: Call[], matches: (call: Call) => boolean = () => true): Promise<Call> {
+        for (;;) {
+            const index = calls.findIndex(matches);
+            if (index >= 0) {
+                return calls.splice(index, 1)[0]!;
+            }
+            await new Promise(resolve => setImmediate(resolve));
+        }
+    }
+    return {
+        source,
+        newest,
+        answerNewest: async (records: readonly number[], end: number) =>
+            (await waitForCall(newest))({ ...page, records: records.map(createRecord), end }),
+        takeRead: (from: number, wait: number) => waitForCall(reads, read => read.from === from && read.wait === wait),
+    };
+}
+
+/** A record of the only key "a". */
+function createRecord(offset: number) {
+    return { offset, record: { key: "a", value } };
+}
+
+function createRecords(from: number, end: number): store.ReadResult {
+    return { kind: "records", records: Array.from({ length: end - from }, (_, i) => createRecord(from + i)), end };
+}
+
+/** A follower that has read the newest records up to offset 5, and whose long poll from there has no answer yet. */
+async function startFollower() {
+    const manual = createManualStore();
+    /** Offset of the record that the follower's owner holds. */
+    const state: { offset: number | undefined; } = { offset: undefined };
+    const handlers = {
+        apply: (_record: object, offset: number) => void (state.offset = offset),
+        reset: () => void (state.offset = undefined),
+    };
+    const options = { topic: "t", handlers, wait: 1000, pause: () => 0 };
+    const follower = new store.TopicFollower(manual.source, options, log, () => 0);
+    follower.start();
+    await manual.answerNewest([4], 5);
+    return { manual, state, follower, poll: await manual.takeRead(5, 1000) };
+}
+
+/** Lets everything run that waits for no further answer. */
+async function settle(): Promise<void> {
+    for (let i = 0; i < 10; i++) {
+        await new Promise(resolve => setImmediate(resolve));
+    }
+}
+
+suite("a late answer that records have expired sends a follower back behind what it has read", async () => {
+    const { manual, state, follower, poll } = await startFollower();
+    const caughtUp = follower.catchUp();
+    (await manual.takeRead(5, 0)).answer({ kind: "expired" });
+    await manual.answerNewest([7], 8);
+    const lastRead = await manual.takeRead(8, 0);
+    poll.answer({ kind: "expired" });
+    await settle();
+    const reload = manual.newest.shift(); // Its page is read before the record at offset 8 is stored.
+    lastRead.answer(createRecords(8, 10));
+    assert.is(await caughtUp, true);
+    reload?.({ ...page, records: [createRecord(7)], end: 8 });
+    await settle();
+    follower.stop();
+    assert.equal([follower.nextOffset, state.offset], [10, 9]);
+    assert.is(reload, undefined);
+});
+
+suite("a reload that ends behind what was read meanwhile sends a follower back", async () => {
+    const { manual, state, follower, poll } = await startFollower();
+    const caughtUp = follower.catchUp();
+    (await manual.takeRead(5, 0)).answer({ kind: "expired" });
+    poll.answer(createRecords(5, 9)); // Sent before the records expired, but received later.
+    await settle();
+    await manual.answerNewest([6], 7);
+    await settle();
+    assert.equal([follower.nextOffset, state.offset], [9, 8]);
+    (await manual.takeRead(9, 0)).answer(createRecords(9, 9));
+    assert.is(await caughtUp, true);
+    follower.stop();
+});
+
+suite("a reload that ends beyond what was read drops keys that no longer exist", async () => {
+    const { manual, state, follower, poll } = await startFollower();
+    poll.answer({ kind: "expired" });
+    await manual.answerNewest([], 9);
+    await settle();
+    follower.stop();
+    assert.equal([follower.nextOffset, state.offset], [9, undefined]);
+});
+
 suite.run();
