Keep a reload from sending a follower back behind what it has read

Cause: a follower can have two reads under way, its long poll and a catch-up. When the store had dropped records, each answer "expired" started a reload, also a late one of which the follower had already gone beyond the records. A process that had won the election, and waited for the submissions, could so fall back behind the fence of its predecessors. A coordinator ignores progress in the ledger from its creation on, so it would have kept the older one.

An answer "expired" counts only while the follower is still at the offset that was read. The result of a reload is dropped if every record up to its end has been read since it began: nothing in it is newer, and dropped keys have been read as tombstones. A new coordinator also reads the ledger to its end after the submissions, the last await before it is created, and isn't created if that shows a newer epoch or the process is shutting down.

The order of reads in the takeover has no test of its own.

--- a/packages/node/src/entry-instance.ts
+++ b/packages/node/src/entry-instance.ts
@@ -20,7 +20,7 @@
 const nonCoordinatorReadDelay = 150;
 /** The same for the ledger while this process coordinates: it wrote the records itself. */
 const coordinatorLedgerReadDelay = 500;
-/** Time in ms before a new coordinator retries to read the submissions. */
+/** Time in ms before a new coordinator retries to read the submissions and the ledger. */
 const takeoverRetryDelay = 100;
 /** Time in ms before a process retries to publish its relay's address to its peers. */
 const announceRetryDelay = 500;
@@ -310,20 +310,19 @@
         }
     }
 
-    /** Starts coordinating after a won election, once all submissions have been read. */
+    /** Starts coordinating after a won election, once all submissions and the whole ledger have been read. */
     async #takeOver(epoch: number, previous: jobState.Leadership | undefined): Promise<void> {
         const claimedAt = this.#ledger.nextOffset;
-        while (!await this.#submissions.catchUp()) {
-            if (this.#shuttingDown || this.#leaderElection.newestLeadership?.epoch !== epoch) {
-                this.log.warn("takeover-abandoned", {
-                    epoch,
-                    reason: "shutting down or superseded before the submissions could be read",
-                });
-                this.#leaderElection.leading = false;
+        // The coordinator ignores the ledger's progress from its creation on, so nothing is awaited after the ledger.
+        while (!await this.#submissions.catchUp() || !await this.#ledger.catchUp()) {
+            if (this.#isTakeoverAbandoned(epoch)) {
                 return;
             }
             await timers.setTimeout(takeoverRetryDelay);
         }
+        if (this.#isTakeoverAbandoned(epoch)) {
+            return;
+        }
         this.log.info("taking-over", { epoch, claimedAt, ledger: this.#ledger.nextOffset });
         this.#coordinator = new dispatch.Coordinator({
             settings: this.settings,
@@ -344,6 +343,18 @@
         await this.#coordinator.start();
     }
 
+    #isTakeoverAbandoned(epoch: number): boolean {
+        const abandoned = this.#shuttingDown || this.#leaderElection.newestLeadership?.epoch !== epoch;
+        if (abandoned) {
+            this.log.warn("takeover-abandoned", {
+                epoch,
+                reason: "shutting down or superseded before the coordinator was created",
+            });
+            this.#leaderElection.leading = false;
+        }
+        return abandoned;
+    }
+
     /** Latest monotonic time in ms at which each machine can have been ordered by an earlier coordinator. */
     #findOrderTimes(previous: jobState.Leadership | undefined): Map<string, number> {
         const now = this.#clock.monotonic();
--- a/packages/store/src/topic-follower.ts
+++ b/packages/store/src/topic-follower.ts
@@ -1,7 +1,8 @@
 /**
  * Follows a keyed topic: reads the newest record of each key, then every later record in order.
  *
- * When the store has dropped records that this follower has not read yet, it starts again with the newest records.
+ * When the store has dropped records that this follower has not read yet, it starts again with the newest records. It
+ * never goes back behind what it has read.
  */
 import * as eventLog from "@catkinwharf/event-log";
 import * as platform from "@catkinwharf/platform";
@@ -141,6 +142,9 @@
             return "failed";
         }
         if (result.value.kind === "expired") {
+            if (this.#nextOffset !== from) {
+                return "more"; // A concurrent read or reload has gone beyond these records.
+            }
             this.log.warn("topic-reloaded", { topic: this.options.topic, from });
             return await this.#reload() ? "more" : "failed";
         }
@@ -174,6 +178,7 @@
 
     async #readNewest(): Promise<boolean> {
         const records: platform.storeCalls.StoredRecord[] = [];
+        const from = this.#nextOffset;
         let end: number | undefined;
         let after: string | undefined;
         const startedAt = this.now();
@@ -190,6 +195,11 @@
             }
             after = page.value.last;
         }
+        if (this.#nextOffset !== undefined && this.#nextOffset !== from && this.#nextOffset >= end) {
+            // A concurrent read has meanwhile applied every record up to `end` and beyond, some newer than these.
+            this.log.info("newest-records-dropped", { topic: this.options.topic, end, reached: this.#nextOffset });
+            return true;
+        }
         this.options.handlers.reset?.();
         for (const { offset, record } of records.sort((a, b) => a.offset - b.offset)) {
             if (record === undefined) {
