Show callers only a status that is stored

Cause: the coordinator answered callers from its own progress, which is ahead of the ledger. If it was lost before the append was stored, and the end of the run could no longer be read from the server, its successor ran the task again: rightly by what is stored, wrongly by what had been shown.

Each entry of the job table keeps the status that its newest stored record holds. The ledger writer sets it once a batch is stored, followers set it with the record, and callers are shown only this one; until then, a job whose last task has ended is shown as running. No request waits for it. A writer that has been stopped doesn't set it, since the ledger is then read anew and may hold more.

Evidence: "a job is shown as completed before that is stored, and runs again under the next coordinator" failed three times of three before and passes three times of three. npm test -- job-state dispatch/ intake topic-follower unstored-progress integration/jobs server-reboots succession: 47 passed.

The test now waits until the job is shown as running before the store refuses calls: since a job counts as begun only when a server has confirmed a start, that status is stored with the next batch. What it requires is the same.

--- a/packages/dispatch/src/ledger-writer.ts
+++ b/packages/dispatch/src/ledger-writer.ts
@@ -18,6 +18,12 @@
 /** Most jobs in one append; keeps a batch far below the store's size limit for one call. */
 const maxJobsPerBatch = 400;
 
+interface Batch {
+    readonly records: platform.storeCalls.KeyedRecord[];
+    /** Jobs whose progress is among the records, and its status there. */
+    readonly statuses: [jobState.JobEntry, jobState.JobStatus][];
+}
+
 export class LedgerWriter {
     readonly #dirtyJobs = new Map<string, jobState.JobEntry>();
     #pendingRecords: platform.storeCalls.KeyedRecord[] = [];
@@ -79,14 +85,18 @@
         ) {
             const waiters = this.#dirtyJobs.size <= maxJobsPerBatch ? this.#waiters.splice(0) : [];
             const batch = this.#takeBatch();
-            const stored = batch.length === 0 || await this.#append(batch);
+            const stored = batch.records.length === 0 || await this.#append(batch.records);
+            // Once stopped, the ledger is read instead, which a later coordinator may have changed.
+            if (stored && !this.#stopped) {
+                batch.statuses.forEach(([entry, status]) => entry.storedStatus = status);
+            }
             this.#resolveWaiters(waiters, stored);
         }
         this.#writing = false;
     }
 
-    #takeBatch(): platform.storeCalls.KeyedRecord[] {
-        const batch = this.#pendingRecords;
+    #takeBatch(): Batch {
+        const batch: Batch = { records: this.#pendingRecords, statuses: [] };
         this.#pendingRecords = [];
         let taken = 0;
         for (const [id, entry] of this.#dirtyJobs) {
@@ -96,7 +106,8 @@
             taken += 1;
             this.#dirtyJobs.delete(id);
             if (entry.progress !== undefined) {
-                batch.push(jobState.encodeProgress(id, entry.progress));
+                batch.records.push(jobState.encodeProgress(id, entry.progress));
+                batch.statuses.push([entry, entry.progress.status]);
             }
         }
         return batch;
--- a/packages/job-state/src/job-table.ts
+++ b/packages/job-state/src/job-table.ts
@@ -13,6 +13,11 @@
     /** Unix time in ms of the first cancellation; `undefined` if the job hasn't been cancelled. */
     cancelledAt: number | undefined;
     progress: progress.Progress | undefined;
+    /**
+     * Status in the newest progress record known to be stored; the coordinator's own progress is ahead of it. Callers
+     * are shown only this one, because the next coordinator may not learn of anything else.
+     */
+    storedStatus: jobs.JobStatus | undefined;
 }
 
 export type JobListener = (entry: JobEntry) => void;
@@ -60,7 +65,17 @@
 
     /** Applies a progress record of the ledger, which replaces the job's earlier progress. */
     applyProgress(id: string, current: progress.Progress): void {
-        this.#getOrCreate(id).progress = current;
+        const entry = this.#getOrCreate(id);
+        entry.progress = current;
+        entry.storedStatus = current.status;
+    }
+
+    /** Clears what was read from the ledger, before it is read anew. */
+    clearProgress(): void {
+        for (const entry of this.entries.values()) {
+            entry.progress = undefined;
+            entry.storedStatus = undefined;
+        }
     }
 
     /** Status that is shown to the job's caller; `undefined` for an unknown job. */
@@ -69,13 +84,8 @@
         if (entry?.job === undefined) {
             return undefined;
         }
-        if (entry.progress !== undefined && progress.isSettled(entry.progress.status)) {
-            return entry.progress.status;
-        }
-        if (entry.cancelledAt !== undefined) {
-            return jobs.JobStatus.cancelled;
-        }
-        return entry.progress?.status ?? jobs.JobStatus.queued;
+        const status = entry.storedStatus ?? jobs.JobStatus.queued;
+        return entry.cancelledAt !== undefined && !progress.isSettled(status) ? jobs.JobStatus.cancelled : status;
     }
 
     countUnfinished(queue: string): QueueCounts {
@@ -116,7 +126,7 @@
     #getOrCreate(id: string): JobEntry {
         let entry = this.entries.get(id);
         if (entry === undefined) {
-            entry = { id, job: undefined, cancelledAt: undefined, progress: undefined };
+            entry = { id, job: undefined, cancelledAt: undefined, progress: undefined, storedStatus: undefined };
             this.entries.set(id, entry);
         }
         return entry;
--- a/packages/node/src/entry-instance.ts
+++ b/packages/node/src/entry-instance.ts
@@ -283,9 +283,7 @@
     /** Clears the progress read from the ledger; a coordinator keeps its own, which is newer. */
     #clearProgress(): void {
         if (this.#coordinator === undefined) {
-            for (const entry of this.#jobs.entries.values()) {
-                entry.progress = undefined;
-            }
+            this.#jobs.clearProgress();
         }
     }
 
