Date a process's view of a topic from when its read was sent

A count could be given from an old view as if it were fresh, on just the processes for which the age was introduced.

The view is now as old as the read that brought its records, and fresh after a response without records, which is small. The test showed an age of 0 for records that took 3 s to arrive (expected 1000, actual 4000) and passes now.

--- a/packages/store/src/topic-follower.test.ts
+++ b/packages/store/src/topic-follower.test.ts
@@ -220,4 +220,20 @@
     assert.equal([follower.nextOffset, state.offset], [9, undefined]);
 });
 
+suite("records that took long to arrive make the view look as fresh as the store's answer", async () => {
+    let now = 1000;
+    const records = [{ offset: 5, record: { key: "k", value } }];
+    const source: Pick<store.StoreClient, "read" | "readNewest"> = {
+        readNewest: () => Promise.resolve(neverthrow.ok(page)),
+        read: () => {
+            now += 3000; // The time of the transfer.
+            return Promise.resolve(neverthrow.ok({ kind: "records", records, end: 6 }));
+        },
+    };
+    const options = { topic: "t", handlers: { apply: () => {} }, wait: 1000, pause: () => 0 };
+    const follower = new store.TopicFollower(source, options, log, () => now);
+    assert.ok(await follower.catchUp());
+    assert.is(follower.caughtUpAt, 1000);
+});
+
 suite.run();
--- a/packages/store/src/topic-follower.ts
+++ b/packages/store/src/topic-follower.ts
@@ -137,6 +137,7 @@
         if (from === undefined) {
             return await this.#reload() ? "more" : "failed";
         }
+        const sentAt = this.now();
         const result = await this.store.read(this.options.topic, from, wait);
         if (result.isErr()) {
             return "failed";
@@ -164,7 +165,8 @@
             this.options.handlers.apply(record, offset);
         }
         if (this.#nextOffset !== undefined && this.#nextOffset >= result.value.end) {
-            this.caughtUpAt = this.now();
+            // Records may have taken long to arrive; a response without any is small.
+            this.caughtUpAt = result.value.records.length === 0 ? this.now() : sentAt;
             return "end";
         }
         return "more";
