Keep the pages that a reload has read when a later page fails

A process with a link of 7 Mbit/s needs 8 s and more for the 6 to 7 MB that each process reads after a restart, so it could begin again and again, with the link full and nothing loaded.

A failed page after the first is read again, up to five times. The class of fault is that of the timeouts: under congestion, finished work is thrown away and done again. The test failed before (the first page was read twice) and passes now.

--- a/packages/store/src/topic-follower.test.ts
+++ b/packages/store/src/topic-follower.test.ts
@@ -236,4 +236,22 @@
     assert.is(follower.caughtUpAt, 1000);
 });
 
+suite("a page that fails once makes a reload begin with the first page again", async () => {
+    const asked: (string | undefined)[] = [];
+    const source: Pick<store.StoreClient, "read" | "readNewest"> = {
+        readNewest: (_topic, after) => {
+            asked.push(after);
+            if (asked.length === 2) {
+                return Promise.resolve(neverthrow.err({ layer: "store", fault: store.StoreFault.unknown, reason: "" }));
+            }
+            return Promise.resolve(neverthrow.ok({ ...page, more: after === undefined }));
+        },
+        read: () => Promise.resolve(neverthrow.ok({ kind: "records", records: [], end: 5 })),
+    };
+    const options = { topic: "t", handlers: { apply: () => {} }, wait: 1000, pause: () => 0 };
+    const follower = new store.TopicFollower(source, options, log, () => 0);
+    assert.ok(await follower.catchUp());
+    assert.equal(asked, [undefined, "b", "b"]);
+});
+
 suite.run();
--- a/packages/store/src/topic-follower.ts
+++ b/packages/store/src/topic-follower.ts
@@ -32,6 +32,8 @@
 
 /** Time in ms before a failed read is retried. */
 const retryDelay = 150;
+/** Attempts to read a page of the newest records before the reload is given up: about the length of a short outage. */
+const maxPageAttempts = 5;
 
 export class TopicFollower {
     /** Offset of the next record to apply; `undefined` until the newest records have been read. */
@@ -178,6 +180,21 @@
         return this.#reloading;
     }
 
+    /** Reads a page of the newest records, so that one failed call doesn't cost the pages before it. */
+    async #readPage(after: string | undefined): Promise<storeClient.NewestResult | undefined> {
+        for (let attempt = 1; attempt <= maxPageAttempts; attempt++) {
+            const page = await this.store.readNewest(this.options.topic, after);
+            if (page.isOk()) {
+                return page.value;
+            }
+            if (after === undefined) {
+                return undefined; // Nothing would be lost; the caller decides when to begin again.
+            }
+            await timers.setTimeout(retryDelay);
+        }
+        return undefined;
+    }
+
     async #readNewest(): Promise<boolean> {
         const records: platform.storeCalls.StoredRecord[] = [];
         const from = this.#nextOffset;
@@ -185,17 +202,17 @@
         let after: string | undefined;
         const startedAt = this.now();
         for (;;) {
-            const page = await this.store.readNewest(this.options.topic, after);
-            if (page.isErr()) {
+            const page = await this.#readPage(after);
+            if (page === undefined) {
                 return false;
             }
             // Records stored after the first page was read are read again by offset, so that none is missed.
-            end ??= page.value.end;
-            records.push(...page.value.records);
-            if (!page.value.more || page.value.last === undefined) {
+            end ??= page.end;
+            records.push(...page.records);
+            if (!page.more || page.last === undefined) {
                 break;
             }
-            after = page.value.last;
+            after = page.last;
         }
         if (this.#nextOffset !== undefined && this.#nextOffset !== from && this.#nextOffset >= end) {
             // A concurrent read has meanwhile applied every record up to `end` and beyond, some newer than these.
