Let catch-ups go on after one that was broken off

Found in the review of the shared catch-ups: when a record couldn't be applied, the catch-up that waited for the failed one was kept for good, and every later one that came at the same time failed with it. The test had one of two catch-ups rejected after the cause was gone, and has both fulfilled now.

--- a/packages/store/src/topic-follower.test.ts
+++ b/packages/store/src/topic-follower.test.ts
@@ -254,4 +254,23 @@
     assert.equal(asked, [undefined, "b", "b"]);
 });
 
+suite("after a record that couldn't be applied, catch-ups at the same time fail for good", async () => {
+    let broken = true;
+    const apply = () => {
+        if (broken) {
+            throw new Error("not applicable");
+        }
+    };
+    const source: Pick<store.StoreClient, "read" | "readNewest"> = {
+        readNewest: () => Promise.resolve(neverthrow.ok(page)),
+        read: () => Promise.resolve(neverthrow.ok({ kind: "records", records: [], end: 5 })),
+    };
+    const options = { topic: "t", handlers: { apply }, wait: 1000, pause: () => 0 };
+    const follower = new store.TopicFollower(source, options, log, () => 0);
+    const catchUpTwice = () => Promise.allSettled([follower.catchUp(), follower.catchUp()]);
+    await catchUpTwice();
+    broken = false;
+    assert.equal((await catchUpTwice()).map(result => result.status), ["fulfilled", "fulfilled"]);
+});
+
 suite.run();
--- a/packages/store/src/topic-follower.ts
+++ b/packages/store/src/topic-follower.ts
@@ -86,7 +86,7 @@
             return this.#catchingUp;
         }
         // The reads under way may miss records stored after they were sent, so this call needs later ones.
-        this.#nextCatchUp ??= this.#catchingUp.then(() => {
+        this.#nextCatchUp ??= this.#catchingUp.catch(() => false).then(() => {
             this.#nextCatchUp = undefined;
             return this.catchUp();
         });
@@ -117,7 +117,7 @@
                 continue;
             }
             if (this.#catchingUp !== undefined) {
-                await this.#catchingUp;
+                await this.#catchingUp.catch(() => false); // Reported to the callers of the catch-up.
                 continue;
             }
             const previousOffset = this.#nextOffset;
