Let only reads of the store take longer over a slow link

A lease renewal whose response trickles would have held the one poll loop of its server for up to 12 s, beyond the lease, and a relayed call would go on long after its peer has given up.

The allowance is now an argument that the reads of the store pass; all other calls end at their timeout as before.

--- a/packages/http-calls/src/index.test.ts
+++ b/packages/http-calls/src/index.test.ts
@@ -12,6 +12,8 @@
 const partInterval = 150;
 /** Timeout in ms of a call: longer than the time between two parts, shorter than the whole response takes. */
 const timeout = 600;
+/** Time in ms that a response may take in addition while it keeps arriving. */
+const transferTime = 10_000;
 
 async function withServer(
     partsSent: number,
@@ -43,24 +45,31 @@
 
 suite("a response that arrives over a slow link isn't discarded at the timeout", async () => {
     await withServer(partCount, async (address, client) => {
-        const result = await client.send(address, call, timeout);
+        const result = await client.send(address, call, timeout, undefined, transferTime);
         assert.is(result.isOk() && result.value.body.byteLength, partCount);
     });
 });
 
 suite("a response that stops arriving times out", async () => {
     await withServer(2, async (address, client) => {
-        const result = await client.send(address, call, timeout);
+        const result = await client.send(address, call, timeout, undefined, transferTime);
         assert.ok(result.isErr() && result.error.timedOut);
         assert.match(result.isErr() ? result.error.reason : "", "after 2 bytes");
     });
 });
 
+suite("a call without an allowance for slow links waits for a response that trickles", async () => {
+    await withServer(partCount, async (address, client) => {
+        const result = await client.send(address, call, timeout);
+        assert.ok(result.isErr() && result.error.timedOut);
+    });
+});
+
 suite("a call that is aborted early keeps a response that has begun to arrive, and ends without one", async () => {
     await withServer(partCount, async (address, client) => {
         const abort = new AbortController();
         setTimeout(() => abort.abort(), 2 * partInterval);
-        assert.ok((await client.send(address, call, timeout, abort)).isOk());
+        assert.ok((await client.send(address, call, timeout, abort, transferTime)).isOk());
         const earlier = new AbortController();
         setTimeout(() => earlier.abort(), partInterval / 4);
         assert.ok((await client.send(address, call, timeout, earlier)).isErr());
--- a/packages/http-calls/src/index.ts
+++ b/packages/http-calls/src/index.ts
@@ -35,11 +35,6 @@
  * during a network partition at growing intervals, and the attempt outlasts the partition by a long time.
  */
 const connectTimeout = 600;
-/**
- * Longest time in ms that a response may take to arrive after the timeout of its call, so that one that trickles doesn't
- * hold its caller for good: the store's largest response, 1 MB, over a link of a tenth of the slowest one known.
- */
-const maxTransferTime = 12_000;
 const connectTimeoutCode = "UND_ERR_CONNECT_TIMEOUT";
 /** Codes of errors that occur before anything is sent. */
 const unsentErrorCodes: ReadonlySet<string> = new Set([
@@ -56,9 +51,11 @@
     /**
      * Sends a call and reads the complete response.
      *
-     * @param timeout in ms, until the response begins to arrive, and then between any two parts of it: a large response
-     * may take longer over a slow link, and repeating the call would only add to what the link has to carry
-     * @param abort ends the call when it is aborted before the response begins to arrive; the call then counts as timed
+     * @param timeout in ms, from the start of the call to the end of the response; with `transferTime`, until the body
+     * of the response begins to arrive, and then between any two parts of it
+     * @param transferTime longest time in ms that a large response may take in addition while it keeps arriving:
+     * repeating the call would only add to what a slow link has to carry
+     * @param abort ends the call when it is aborted before the body of the response begins to arrive; the call then counts as timed
      * out
      */
     async send(
@@ -66,11 +63,12 @@
         call: platform.Call,
         timeout: number,
         abort = new AbortController(),
+        transferTime = 0,
     ): Promise<neverthrow.Result<platform.HttpResponse, CallError>> {
         const ended = new AbortController();
         const received: Uint8Array[] = [];
         const timer = setTimeout(() => ended.abort(), timeout);
-        const total = setTimeout(() => ended.abort(), timeout + maxTransferTime);
+        const total = setTimeout(() => ended.abort(), timeout + transferTime);
         const abortEarly = () => {
             if (received.length === 0) {
                 ended.abort();
--- a/packages/store/src/store-client.ts
+++ b/packages/store/src/store-client.ts
@@ -49,6 +49,11 @@
 const maxTimeout = 2500;
 /** Timeout as a multiple of the average latency, so that calls to a slow store don't time out. */
 const timeoutFactor = 4;
+/**
+ * Longest time in ms for which the response to a read may keep arriving after the timeout: the store's largest one, 1 MB
+ * and a third more in base64, over a link of a tenth of the slowest one known (7 Mbit/s), rounded.
+ */
+const readTransferTime = 15_000;
 /** Weight of the latest sample in the moving average of the latency. */
 const latencyWeight = 0.2;
 
@@ -94,7 +99,7 @@
 
     /** Reads records from an offset on; the store responds once there is a record, at the latest after `wait` ms. */
     async read(topic: string, from: number, wait: number): Promise<neverthrow.Result<ReadResult, StoreError>> {
-        const result = await this.#send(platform.storeCalls.createReadCall(topic, from, wait), wait);
+        const result = await this.#send(platform.storeCalls.createReadCall(topic, from, wait), wait, readTransferTime);
         return result.andThen(response => {
             const decoded = platform.storeCalls.decodeRead(response, from);
             return decoded.kind === "refused"
@@ -105,7 +110,7 @@
 
     /** Reads a page of the newest record of each key; `after` is the last key of the previous page. */
     async readNewest(topic: string, after: string | undefined): Promise<neverthrow.Result<NewestResult, StoreError>> {
-        const result = await this.#send(platform.storeCalls.createNewestCall(topic, after), 0);
+        const result = await this.#send(platform.storeCalls.createNewestCall(topic, after), 0, readTransferTime);
         return result.andThen(response => {
             const decoded = platform.storeCalls.decodeNewest(response);
             return decoded.kind === "refused"
@@ -114,10 +119,14 @@
         });
     }
 
-    /** @param wait time in ms for which the store may delay its response (long polling) */
+    /**
+     * @param wait time in ms for which the store may delay its response (long polling)
+     * @param transferTime see `HttpClient.send`
+     */
     async #send(
         call: platform.Call,
         wait: number,
+        transferTime = 0,
     ): Promise<neverthrow.Result<platform.HttpResponse, StoreError>> {
         this.#probe();
         const route = this.routes.choose(this.now());
@@ -128,7 +137,7 @@
         if (wait > 0 && !route.relayed) {
             this.#directPolls.add(abort);
         }
-        const result = await this.httpClient.send(route.address, call, wait + timeout, abort);
+        const result = await this.httpClient.send(route.address, call, wait + timeout, abort, transferTime);
         this.#directPolls.delete(abort);
         if (wait === 0) {
             const latency = Math.max(0, this.now() - sentAt);
