Count on a lease that was meant for a server's earlier boot

A lease's end is a time on the server's clock, which starts anew with each boot. A start or a renewal that was on its way while the server restarted under its ID gives the new boot a lease far ahead, which it shortens to the longest one allowed (10 s); the coordinator took the lease of the new boot to be its own of 4.5 s. If the server was then cut off, its tasks started elsewhere seconds before they ended there.

From the moment at which a reboot is noticed the longest lease counts. The test failed before and passes now.

--- a/packages/dispatch/src/fleet.ts
+++ b/packages/dispatch/src/fleet.ts
@@ -17,7 +17,9 @@
         lists: Extract<platform.serverCalls.LeaseRenewalResult, { readonly kind: "lists"; }>,
         sentAt: number,
     ) => void;
-    /** No run on the server can be running any more: it rebooted, its machine ended, or its lease expired. */
+    /** A server answered from another boot under the same ID. */
+    readonly onRebooted: (server: session.ServerSession) => void;
+    /** No run on the server can be running any more: another one has its address, its machine ended, or its lease expired. */
     readonly onRunsLost: (server: session.ServerSession, how: jobState.RunEnd) => void;
 }
 
@@ -334,7 +336,13 @@
         server.ends = session.createEndProgress();
         server.clockSample = undefined;
         server.latestLeaseEnd = 0;
-        this.handlers.onRunsLost(server, "lost");
+        if (bootedAt === undefined) {
+            this.handlers.onRunsLost(server, "lost");
+        }
+        else {
+            server.leaseOfEarlierBoot = this.shared.clock.monotonic() + this.shared.settings.bounds.maxLease;
+            this.handlers.onRebooted(server);
+        }
     }
 
     /** Marks the server as unreachable. Keeps its runs: even a refused connection may come from a partition. */
--- /dev/null
+++ b/packages/dispatch/src/server-boots.test.ts
@@ -0,0 +1,65 @@
+/** Guards against tasks that run twice because a server's new boot is taken for the one before. */
+import * as platform from "@catkinwharf/platform";
+import * as neverthrow from "neverthrow";
+import * as uvu from "uvu";
+import * as assert from "uvu/assert";
+import type * as context from "./context.js";
+import * as fleet from "./fleet.js";
+
+const suite = uvu.suite("server boots");
+const maxLease = 10_000;
+const ignore = () => undefined;
+
+interface Response {
+    readonly ClockMs: number;
+    readonly born: number;
+}
+
+/** Creates a fleet with one server, whose calls get these responses and then none. */
+function createFleet(responses: Response[], now: () => number, onRebooted: fleet.FleetHandlers["onRebooted"]) {
+    const shared = {
+        termStartedAt: 0,
+        settings: { bounds: { maxLease } },
+        clock: { monotonic: now, wall: now },
+        log: { info: ignore, warn: ignore },
+        schedulePass: ignore,
+        calls: {
+            send: () => {
+                const response = responses.shift();
+                return response === undefined
+                    ? new Promise(() => {})
+                    : Promise.resolve(neverthrow.ok({ status: 200, body: Buffer.from(JSON.stringify(response)) }));
+            },
+        },
+    };
+    const created = new fleet.Fleet(shared as unknown as context.CoordinatorContext, {
+        onLists: ignore,
+        onRebooted,
+        onRunsLost: ignore,
+    });
+    const registration = {
+        Service: "dispatch",
+        Address: "127.0.0.1:1",
+        State: "ready",
+        Capacity: { Cpu: 4000, MemMb: 1000 },
+        born: 7,
+    };
+    created.applyRecord(
+        { key: "i-1", value: Buffer.from(JSON.stringify(registration)) } as platform.storeCalls.KeyedRecord,
+    );
+    return created;
+}
+
+suite("a lease that the boot before was given ends on the new boot later than the coordinator believes", async () => {
+    let now = 500;
+    const created = createFleet([{ ClockMs: 90_000, born: 7 }, { ClockMs: 40, born: 8 }], () => now += 10, ignore);
+    created.start();
+    await new Promise(resolve => setTimeout(resolve, 20));
+    created.stop();
+    const server = created.sessions.get("i-1")!;
+    assert.is(server.bootedAt, 8);
+    // A call with a lease end on the clock of the boot before may have reached the new one, which shortens it.
+    assert.ok(server.computeLeaseExpiry() >= server.lastAnswerAt + maxLease);
+});
+
+suite.run();
--- a/packages/dispatch/src/server-session.ts
+++ b/packages/dispatch/src/server-session.ts
@@ -88,6 +88,11 @@
     clockSample: { readonly server: number; readonly received: number; } | undefined;
     /** Latest lease end ever sent to the server, on the server's clock. */
     latestLeaseEnd = 0;
+    /**
+     * On the monotonic clock: until then, a lease that was meant for an earlier boot may apply. Its end is a time on that
+     * boot's clock, so the new one grants the longest lease allowed.
+     */
+    leaseOfEarlierBoot = Number.NEGATIVE_INFINITY;
     /** Replaced when the server reboots: what belongs to the boot before must not be taken for the new one's. */
     ends = createEndProgress();
     /** Set when the server lists its runs, cleared when a poll fails or another server responds. */
@@ -165,8 +170,9 @@
             // An earlier coordinator may have renewed the lease until one lease duration after this one's term began.
             return this.termStartedAt + 2 * this.leaseDuration / minClockRate + leaseExpiryMargin;
         }
-        const left = Math.max(0, this.latestLeaseEnd - this.clockSample.server);
-        return this.clockSample.received + left / minClockRate + leaseExpiryMargin;
+        const { server, received } = this.clockSample;
+        const left = Math.max(0, this.latestLeaseEnd - server, this.leaseOfEarlierBoot - received);
+        return received + left / minClockRate + leaseExpiryMargin;
     }
 }
 
