Keep unconfirmed starts when a server reboots until one is answered

When a coordinator saw another boot of a server, all its runs counted as lost at once, also those whose start had got no response yet. Such a start may be carried out seconds later, by the new boot, since calls name the server and not its boot; meanwhile the task had started elsewhere.

--- a/packages/dispatch/src/coordinator.ts
+++ b/packages/dispatch/src/coordinator.ts
@@ -137,7 +137,7 @@
                 this.#runManager.applyLists(server, lists, sentAt);
                 this.#paceFillers(server);
             },
-            onRebooted: server => this.#runManager.endAll(server, "lost"),
+            onRebooted: server => this.#runManager.endEarlierBoot(server),
             onRunsLost: (server, how) => this.#runManager.endAll(server, how),
         });
         this.#tickets = new ticketCache.TicketCache(this.#shared);
--- a/packages/dispatch/src/run-manager.ts
+++ b/packages/dispatch/src/run-manager.ts
@@ -18,6 +18,13 @@
 /** Time in ms for which a server gets no starts after one that failed or was refused. */
 const refusalBackoff = 300;
 
+/** Phases of a run whose start may be on its way to the server. */
+const unconfirmedPhases: ReadonlySet<session.RunPhase> = new Set([
+    session.RunPhase.ordered,
+    session.RunPhase.uncertain,
+    session.RunPhase.stopping,
+]);
+
 export interface RunManagerOptions {
     readonly shared: context.CoordinatorContext;
     readonly registry: jobRegistry.JobRegistry;
@@ -290,9 +297,23 @@
         }
     }
 
+    /**
+     * Ends the runs that were on the boot before of a server. A start that wasn't confirmed, and of which no stop was,
+     * may still reach the new boot, so it is kept until one of them is answered.
+     */
+    endEarlierBoot(server: session.ServerSession): void {
+        const isUnconfirmed = (run: session.ActiveRun) =>
+            unconfirmedPhases.has(run.phase) && run.expectedInListsFrom === undefined;
+        this.#endRuns(server, [...server.runs.values()].filter(run => !isUnconfirmed(run)), jobState.RunEnd.lost);
+    }
+
     /** Ends all runs of a server on which none can be running any more. */
     endAll(server: session.ServerSession, how: jobState.RunEnd): void {
-        for (const run of [...server.runs.values()]) {
+        this.#endRuns(server, [...server.runs.values()], how);
+    }
+
+    #endRuns(server: session.ServerSession, runs: readonly session.ActiveRun[], how: jobState.RunEnd): void {
+        for (const run of runs) {
             if (run.phase === session.RunPhase.planned) {
                 this.#dropRun(server, run, "server gone before the start was sent");
             }
--- a/packages/dispatch/src/server-boots.test.ts
+++ b/packages/dispatch/src/server-boots.test.ts
@@ -5,6 +5,8 @@
 import * as assert from "uvu/assert";
 import type * as context from "./context.js";
 import * as fleet from "./fleet.js";
+import * as runManager from "./run-manager.js";
+import * as session from "./server-session.js";
 
 const suite = uvu.suite("server boots");
 const maxLease = 10_000;
@@ -62,4 +64,36 @@
     assert.ok(server.computeLeaseExpiry() >= server.lastAnswerAt + maxLease);
 });
 
+suite("a start without a confirmation runs on the new boot while its task runs elsewhere", async () => {
+    const shared = { log: { info: ignore, warn: ignore }, schedulePass: ignore, writer: { markDirty: ignore } };
+    const runs = new runManager.RunManager({
+        shared,
+        registry: { active: new Map() },
+    } as unknown as runManager.RunManagerOptions);
+    const created = createFleet(
+        [{ ClockMs: 90_000, born: 7 }, { ClockMs: 40, born: 8 }],
+        () => 500,
+        rebooted => runs.endEarlierBoot(rebooted),
+    );
+    const server = created.sessions.get("i-1")!;
+    const { ordered, stopping, running } = session.RunPhase;
+    const phases = { ordered, stopping, confirmed: stopping, running };
+    for (const [name, phase] of Object.entries(phases)) {
+        const expectedInListsFrom = name === "ordered" || name === "stopping" ? undefined : 1;
+        server.runs.set(name, {
+            name,
+            phase,
+            expectedInListsFrom,
+            step: { demand: { cpu: 1, memory: 1, accelerators: 0 } },
+            entry: { id: "a", progress: undefined },
+            position: {},
+        } as unknown as session.ActiveRun);
+    }
+    created.start();
+    await new Promise(resolve => setTimeout(resolve, 20));
+    created.stop();
+    assert.is(server.bootedAt, 8);
+    assert.equal([...server.runs.keys()], ["ordered", "stopping"]);
+});
+
 suite.run();
