Handle no request by a configuration that is older than allowed

A process with a full link may learn of a configuration seconds late, answers by removed routes, or 404 for new ones.

A process reads the newest configuration first when its view is older than the platform's bound for applying one. What it can't read within the caller's time limit it rejects with 503 and Retry-After. While the store is unavailable to it, it goes on by the last known configuration, as before. The pending count now tests for an outage before it reads.

--- a/packages/intake/src/job-api.test.ts
+++ b/packages/intake/src/job-api.test.ts
@@ -27,6 +27,10 @@
     age: number;
     /** Reads the topics to their ends. */
     refresh: () => Promise<boolean>;
+    /** Ms since the process last knew the newest configuration, which has no routes; 0 by default. */
+    configurationAge?: number;
+    refreshConfiguration?: () => Promise<boolean>;
+    storeUnavailable?: boolean;
 }
 
 /** Sends a GET to an API whose job table is `jobs`. */
@@ -35,17 +39,27 @@
     jobs: jobState.JobTable,
     view: View,
 ): Promise<{ status: number; body: string; retryAfter: string | undefined; }> {
+    let routes = [route];
     const api = new intake.JobApi({
         jobs,
         writer: undefined as never,
         log: eventLog.silentEventLog,
         monotonicNow: () => performance.now(),
         now: () => Date.now(),
-        configuration: () => ({ version: 1, routes: [route], services: [], maxBodyBytes: 1000 }),
+        configuration: () => ({ version: 2 - routes.length, routes, services: [], maxBodyBytes: 1000 }),
         refreshJobs: () => view.refresh(),
         refreshProgress: () => view.refresh(),
-        isStoreUnavailable: () => false,
-        describeDataAge: () => ({ submissionsAge: view.age, progressAge: view.age }),
+        refreshConfiguration: view.refreshConfiguration ?? (() => {
+            routes = [];
+            return Promise.resolve(true);
+        }),
+        maxConfigurationAge: 2000,
+        isStoreUnavailable: () => view.storeUnavailable === true,
+        describeDataAge: () => ({
+            submissionsAge: view.age,
+            progressAge: view.age,
+            configurationAge: view.configurationAge ?? 0,
+        }),
         isReady: () => true,
         isShuttingDown: () => false,
         count: () => {},
@@ -119,4 +133,14 @@
     }
 });
 
+suite("a request is handled by a configuration that is older than allowed", async () => {
+    const jobs = new jobState.JobTable();
+    const behind: View = { age: 0, refresh: () => Promise.resolve(true), configurationAge: 5000 };
+    assert.is((await get(route.pathPrefix, jobs, behind)).status, 404); // The newest configuration has no routes.
+    const unreadable = { ...behind, refreshConfiguration: () => Promise.resolve(false) };
+    assert.is((await get(route.pathPrefix, jobs, unreadable)).status, 503);
+    const outage = { ...unreadable, storeUnavailable: true };
+    assert.is((await get(route.pathPrefix, jobs, outage)).status, 200);
+});
+
 suite.run();
--- a/packages/intake/src/job-api.ts
+++ b/packages/intake/src/job-api.ts
@@ -24,10 +24,18 @@
     readonly refreshJobs: () => Promise<boolean>;
     /** Reads the progress of all jobs stored so far; false when the store could not be read. */
     readonly refreshProgress: () => Promise<boolean>;
+    /** Reads the newest configuration; false when the store could not be read. */
+    readonly refreshConfiguration: () => Promise<boolean>;
+    /** Age in ms up to which a process's view of the configuration may decide on a request. */
+    readonly maxConfigurationAge: number;
     /** Whether the store counts as unavailable, by the last calls; submissions are then refused at once. */
     readonly isStoreUnavailable: () => boolean;
-    /** Ages in ms of what this process has read of the jobs and their progress; logged with the counts of a queue. */
-    readonly describeDataAge: () => { readonly submissionsAge: number; readonly progressAge: number; };
+    /** Ages in ms of what this process has read of the jobs, their progress and the configuration. */
+    readonly describeDataAge: () => {
+        readonly submissionsAge: number;
+        readonly progressAge: number;
+        readonly configurationAge: number;
+    };
     /** Whether the process is ready to serve callers; reported to the readiness check. */
     readonly isReady: () => boolean;
     /** Whether the process is shutting down; callers should then connect to another entry instance. */
@@ -56,6 +64,8 @@
 
 /** Time in ms reserved, out of the caller's timeout, for the response to reach the caller. */
 const responseMargin = 60;
+/** Time in ms for which a caller that names no timeout waits, before its route is known. */
+const defaultTimeout = 3000;
 /**
  * Value of Retry-After in seconds while the store is unavailable. By then, the store has probably recovered; if not,
  * the retry may reach another entry instance.
@@ -87,6 +97,12 @@
 const jobNotFound: JobResponse = { status: 410, body: "", reason: "no such job" };
 const accepted: JobResponse = { status: 200, body: "{}" };
 
+/** Monotonic time in ms by which the response has to be sent; `timeout` in ms holds if the caller names none. */
+function computeDeadline(message: http.IncomingMessage, startedAt: number, timeout: number): number {
+    const named = Number(message.headers[platform.callerBodies.timeoutHeader] ?? timeout);
+    return startedAt + (Number.isFinite(named) ? named : timeout) - responseMargin;
+}
+
 type Handler = (api: JobApi, request: JobRequest) => Promise<JobResponse>;
 
 const handlers: Readonly<Record<string, Handler>> = {
@@ -157,6 +173,9 @@
 
     /** Returns the response to a request: the pending count of a queue, or what the handler of the method returns. */
     async #respond(message: http.IncomingMessage, startedAt: number): Promise<JobResponse> {
+        if (!await this.#refreshConfiguration(message, startedAt)) {
+            return behindStore;
+        }
         const configuration = this.options.configuration();
         if (configuration === undefined) {
             return noConfiguration;
@@ -172,8 +191,7 @@
         if (match === undefined) {
             return queueNotFound;
         }
-        const timeout = Number(message.headers[platform.callerBodies.timeoutHeader] ?? match.route.timeout);
-        const deadline = startedAt + (Number.isFinite(timeout) ? timeout : match.route.timeout) - responseMargin;
+        const deadline = computeDeadline(message, startedAt, match.route.timeout);
         // The name of a route is that of its queue.
         if (match.rest === "" && message.method === "GET") {
             return this.#countPending(match.route.name, deadline);
@@ -194,19 +212,33 @@
         });
     }
 
+    /**
+     * Reads the newest configuration if this process is behind; while the store is unavailable to it, the last known one
+     * has to do.
+     *
+     * @returns whether the configuration may decide on the request
+     */
+    async #refreshConfiguration(message: http.IncomingMessage, startedAt: number): Promise<boolean> {
+        const { configuration, describeDataAge, isStoreUnavailable, maxConfigurationAge } = this.options;
+        const isFresh = configuration() === undefined || describeDataAge().configurationAge <= maxConfigurationAge;
+        if (isFresh || isStoreUnavailable()) {
+            return true;
+        }
+        const deadline = computeDeadline(message, startedAt, defaultTimeout);
+        return await this.#waitUntil(deadline, this.options.refreshConfiguration()) === true;
+    }
+
     /** Counts from a view that is fresh enough, which takes reading the store while this process is behind. */
     async #countPending(queue: string, deadline: number): Promise<JobResponse> {
         const { submissionsAge, progressAge } = this.options.describeDataAge();
-        const behind = [
-            ...submissionsAge > maxCountAge ? [this.options.refreshJobs()] : [],
-            ...progressAge > maxCountAge ? [this.options.refreshProgress()] : [],
-        ];
-        if (behind.length > 0 && this.options.isStoreUnavailable()) {
-            return storeUnavailable;
-        }
-        const refreshed = await this.#waitUntil(deadline, Promise.all(behind));
-        if (refreshed?.every(Boolean) !== true) {
-            return behindStore;
+        if (Math.max(submissionsAge, progressAge) > maxCountAge) {
+            if (this.options.isStoreUnavailable()) {
+                return storeUnavailable;
+            }
+            const reads = Promise.all([this.options.refreshJobs(), this.options.refreshProgress()]);
+            if ((await this.#waitUntil(deadline, reads))?.every(Boolean) !== true) {
+                return behindStore;
+            }
         }
         const counts = this.options.jobs.countUnfinished(queue);
         this.options.log.info("pending-counted", { queue, ...counts, ...this.options.describeDataAge() });
--- a/packages/node/src/entry-instance.ts
+++ b/packages/node/src/entry-instance.ts
@@ -167,10 +167,13 @@
             configuration: () => this.#configuration,
             refreshJobs: () => this.#submissions.catchUp(),
             refreshProgress: () => this.#ledger.catchUp(),
+            refreshConfiguration: () => this.#operatorRecords.catchUp(),
+            maxConfigurationAge: this.settings.bounds.configurationDelay,
             isStoreUnavailable: () => this.#isStoreUnavailable(),
             describeDataAge: () => ({
                 submissionsAge: this.#clock.wall() - this.#submissions.caughtUpAt,
                 progressAge: this.#clock.wall() - this.#ledger.caughtUpAt,
+                configurationAge: this.#clock.wall() - this.#operatorRecords.caughtUpAt,
             }),
             isReady: () => this.#isReady(),
             isShuttingDown: () => this.#shuttingDown,
