Count a machine as gone only after several reads without it

What callers may see: a wave is shown as completed while a machine of it has not begun its maintenance (MIXED, suspected), and more machines are out than the wave allows (LIMIT, suspected).

Cause: a machine that a read of the list omitted was deleted at once. The plan of its wave then left it out, so the others alone, or none, made the wave completed, for good; and a machine that was out counted as returned. A new coordinator treated the machines that its first read omitted alike.

A read is complete if it has all pages and each row could be read; the decoder counts the rows that it leaves out. A machine counts as gone once five complete reads in a row have omitted it, and not while an order for it is in flight. Until then it counts in its wave as not begun, and as out if it was. One that this coordinator hasn't seen listed counts as out, since an earlier one may have ordered its maintenance. A machine that the newest complete read omits gets no order.

While a row can't be read, no machine counts as gone, so a wave with one that has left stays running; `machines-incomplete` in the log says so.

--- a/packages/dispatch/src/machine-inventory.ts
+++ b/packages/dispatch/src/machine-inventory.ts
@@ -11,6 +11,11 @@
 
 /** Time in ms between two reads of the list of machines. */
 export const refreshInterval = 400;
+/**
+ * Complete reads in a row that omit a machine until it counts as gone. One alone proves nothing: the list comes in
+ * pages, and a row that moves to another page between two calls is missed.
+ */
+const missedReadsUntilGone = 5;
 
 export interface ManagedMachine {
     machine: Machine;
@@ -18,12 +23,17 @@
     pendingOrder: "move" | "maintenance" | undefined;
     /** On the monotonic clock: since when no task runs there; `undefined` while one does. */
     emptySince: number | undefined;
+    /** Number of complete reads in a row that omitted the machine, up to the newest one. */
+    missedReads: number;
 }
 
 export class MachineInventory {
+    /** Those listed at least once that aren't gone. */
     readonly machines = new Map<string, ManagedMachine>();
     /** Whether the list has been read at least once. */
     loaded = false;
+    /** Reads of all pages in which every row could be read. */
+    #completeReads = 0;
     #lastRefreshAt = Number.NEGATIVE_INFINITY;
     #refreshing = false;
     #stopped = false;
@@ -60,14 +70,20 @@
         return managed.machine.server === "" ? undefined : this.fleet.sessions.get(managed.machine.server);
     }
 
+    /** Whether the machine is known to have left; one that hasn't been listed yet may still be. */
+    isGone(id: string): boolean {
+        return !this.machines.has(id) && this.#completeReads >= missedReadsUntilGone;
+    }
+
     /**
-     * Whether a move or maintenance of the machine can be ordered: it is up, no order for it is in flight, an earlier
-     * coordinator's order is old enough, and it has either no server or one that is listed, reachable and not draining.
+     * Whether a move or maintenance of the machine can be ordered: it is listed as up, no order for it is in flight, an
+     * earlier coordinator's order is old enough, and it has either no server or one that is listed, reachable and not
+     * draining.
      */
     canBeOrdered(managed: ManagedMachine): boolean {
         if (
             managed.pendingOrder !== undefined || this.orders.isWithinOrderSeparation(managed.machine.id)
-            || managed.machine.state !== platform.machineCalls.MachineState.up
+            || managed.machine.state !== platform.machineCalls.MachineState.up || managed.missedReads > 0
         ) {
             return false;
         }
@@ -114,6 +130,7 @@
     async #fetchMachines(): Promise<void> {
         const { calls, settings, log } = this.shared;
         const found: Machine[] = [];
+        let unreadableCount = 0;
         let page: string | undefined;
         do {
             const answer = await calls.send(
@@ -131,25 +148,35 @@
                 return;
             }
             found.push(...decoded.machines);
+            unreadableCount += decoded.unreadableCount;
             page = decoded.next;
         }
         while (page !== undefined && !this.#stopped);
-        this.#applyMachines(found);
+        const complete = page === undefined && unreadableCount === 0;
+        if (!complete) {
+            log.warn("machines-incomplete", { found: found.length, unreadable: unreadableCount });
+        }
+        this.#applyMachines(found, complete);
     }
 
-    #applyMachines(found: readonly Machine[]): void {
-        const ids = new Set(found.map(machine => machine.id));
-        for (const id of [...this.machines.keys()]) {
-            if (!ids.has(id)) {
-                this.machines.delete(id);
-            }
+    #applyMachines(found: readonly Machine[], complete: boolean): void {
+        if (complete) {
+            this.#completeReads += 1;
+            this.#countMissedReads(new Set(found.map(machine => machine.id)));
         }
         for (const machine of found) {
             const known = this.machines.get(machine.id);
             if (known === undefined) {
-                this.machines.set(machine.id, { machine, pendingOrder: undefined, emptySince: undefined });
+                this.machines.set(machine.id, {
+                    machine,
+                    pendingOrder: undefined,
+                    emptySince: undefined,
+                    missedReads: 0,
+                });
+                continue;
             }
-            else if (known.pendingOrder === undefined) {
+            known.missedReads = 0;
+            if (known.pendingOrder === undefined) {
                 if (known.machine.server !== "" && machine.server !== known.machine.server) {
                     this.fleet.handleServerEnded(known.machine.server, `machine ${machine.id} is ${machine.state}`);
                 }
@@ -158,4 +185,18 @@
         }
         this.loaded = true;
     }
+
+    /** Removes the machines that are gone; one for which an order is in flight is kept until its outcome is known. */
+    #countMissedReads(listed: ReadonlySet<string>): void {
+        for (const [id, managed] of this.machines) {
+            if (listed.has(id)) {
+                continue;
+            }
+            managed.missedReads += 1;
+            if (managed.missedReads >= missedReadsUntilGone && managed.pendingOrder === undefined) {
+                this.machines.delete(id);
+                this.shared.log.info("machine-gone", { machine: id, pool: managed.machine.pool });
+            }
+        }
+    }
 }
--- a/packages/dispatch/src/wave-executor.ts
+++ b/packages/dispatch/src/wave-executor.ts
@@ -141,8 +141,8 @@
     #recordReturns(tracked: TrackedWave, now: number): void {
         for (const [id, orderedAt] of tracked.out) {
             const managed = this.parts.inventory.machines.get(id);
-            const hasReturned = managed === undefined
-                || (managed.pendingOrder === undefined
+            const hasReturned = this.parts.inventory.isGone(id)
+                || (managed !== undefined && managed.pendingOrder === undefined && managed.missedReads === 0
                     && managed.machine.state === platform.machineCalls.MachineState.up
                     && now - orderedAt
                         > this.parts.shared.settings.bounds.maintenance + machineInventory.refreshInterval);
@@ -153,13 +153,13 @@
     }
 
     #describeWave(tracked: TrackedWave): scheduling.WaveInstance[] {
-        return tracked.wave.machines.flatMap(id => {
+        return tracked.wave.machines.filter(id => !this.parts.inventory.isGone(id)).map(id => {
             const managed = this.parts.inventory.machines.get(id);
             if (managed === undefined) {
-                return [];
+                return describeUnlisted(id, tracked.begun.has(id));
             }
             const server = this.parts.inventory.findServer(managed);
-            return [{
+            return {
                 id,
                 begun: tracked.begun.has(id),
                 out: tracked.out.has(id) || managed.machine.state === platform.machineCalls.MachineState.maintenance,
@@ -169,7 +169,7 @@
                 beingDrained: server?.reservedForOrder ?? false,
                 pinned: server !== undefined && this.parts.isPinned(server),
                 surplus: this.parts.surplus().has(id),
-            }];
+            };
         });
     }
 
@@ -221,3 +221,18 @@
         }
     }
 }
+
+/** A machine that no read has listed yet: an earlier coordinator may have ordered its maintenance. */
+function describeUnlisted(id: string, begun: boolean): scheduling.WaveInstance {
+    return {
+        id,
+        begun,
+        out: true,
+        available: false,
+        runs: 0,
+        longRunningRuns: 0,
+        beingDrained: false,
+        pinned: false,
+        surplus: false,
+    };
+}
