--- /dev/null
+++ b/packages/dispatch/src/testing/context.ts
@@ -0,0 +1,44 @@
+/** Builder of a coordinator's context for the tests of this package. */
+import * as eventLog from "@catkinwharf/event-log";
+import type * as httpCalls from "@catkinwharf/http-calls";
+import * as jobState from "@catkinwharf/job-state";
+import type * as platform from "@catkinwharf/platform";
+import type * as storeClient from "@catkinwharf/store";
+import type * as context from "../context.js";
+import * as ledgerWriter from "../ledger-writer.js";
+
+const settings: platform.settings.ProcessSettings = {
+    node: "a",
+    capacity: { cores: undefined, linkRate: undefined },
+    availabilityZone: "a",
+    ip: "",
+    callerAddress: "",
+    readinessAddress: "",
+    internalPorts: [1, 2],
+    storeAddress: "store:1",
+    machinesAddress: "machines:1",
+    adviceAddress: undefined,
+    bounds: { grace: 6000, maxLease: 6000, orderSeparation: 3000, maintenance: 2000, status: 120_000 },
+};
+
+/** Context of a coordinator of epoch 1, both of whose clocks show `now()`. */
+export function createContext(
+    calls: httpCalls.HttpClient,
+    store: storeClient.StoreClient,
+    now: () => number,
+): context.CoordinatorContext {
+    return {
+        node: settings.node,
+        epoch: 1,
+        termStartedAt: now(),
+        settings,
+        clock: { monotonic: now, wall: now },
+        log: eventLog.silentEventLog,
+        calls,
+        writer: new ledgerWriter.LedgerWriter(store, 1, () => undefined),
+        jobs: new jobState.JobTable(),
+        configuration: () => undefined,
+        stepDown: () => undefined,
+        schedulePass: () => undefined,
+    };
+}
--- a/packages/dispatch/src/wave-executor.test.ts
+++ b/packages/dispatch/src/wave-executor.test.ts
@@ -1,7 +1,6 @@
 /** A machine that a read of the machine list omits still belongs to its wave. */
 import * as eventLog from "@catkinwharf/event-log";
 import * as httpCalls from "@catkinwharf/http-calls";
-import * as jobState from "@catkinwharf/job-state";
 import * as platform from "@catkinwharf/platform";
 import * as platformTesting from "@catkinwharf/platform/testing";
 import * as storeClient from "@catkinwharf/store";
@@ -9,11 +8,10 @@
 import * as timers from "node:timers/promises";
 import * as uvu from "uvu";
 import * as assert from "uvu/assert";
-import type * as context from "./context.js";
 import * as fleet from "./fleet.js";
-import * as ledgerWriter from "./ledger-writer.js";
 import * as machineInventory from "./machine-inventory.js";
 import * as machineOrders from "./machine-orders.js";
+import * as testing from "./testing/context.js";
 import * as waveExecutor from "./wave-executor.js";
 
 const suite = uvu.suite("wave executor");
@@ -63,20 +61,7 @@
     constructor(machines: readonly string[], maxOut: number) {
         const routes = new storeClient.StoreRoutes("store:1");
         this.#store = new StatusStore(this.calls, routes, eventLog.silentEventLog, () => this.#now);
-        const shared: context.CoordinatorContext = {
-            node: "a",
-            epoch: 1,
-            termStartedAt: 0,
-            settings: createSettings(),
-            clock: { monotonic: () => this.#now, wall: () => this.#now },
-            log: eventLog.silentEventLog,
-            calls: this.calls,
-            writer: new ledgerWriter.LedgerWriter(this.#store, 1, () => undefined),
-            jobs: new jobState.JobTable(),
-            configuration: () => undefined,
-            stepDown: () => undefined,
-            schedulePass: () => undefined,
-        };
+        const shared = testing.createContext(this.calls, this.#store, () => this.#now);
         const servers = new fleet.Fleet(shared, { onLists: () => undefined, onRunsLost: () => undefined });
         const orders = new machineOrders.MachineOrders(shared, new Map());
         this.#inventory = new machineInventory.MachineInventory(shared, servers, orders);
@@ -109,22 +94,6 @@
     }
 }
 
-function createSettings(): platform.settings.ProcessSettings {
-    return {
-        node: "a",
-        capacity: { cores: undefined, linkRate: undefined },
-        availabilityZone: "a",
-        ip: "",
-        callerAddress: "",
-        readinessAddress: "",
-        internalPorts: [1, 2],
-        storeAddress: "store:1",
-        machinesAddress: "machines:1",
-        adviceAddress: undefined,
-        bounds: { grace: 6000, maxLease: 6000, orderSeparation: 3000, maintenance: 2000, status: 120_000 },
-    };
-}
-
 suite("a wave is completed without a machine that one read of the list omits", async () => {
     const other = { id: "m2", state: up };
     for (const before of [[], [[{ id: "m1", state: maintenance }, other]]]) {
