Take no run for lost that incomplete lists omit

Cause: a server lists at most 500 ends at a time, and the decoder leaves out rows that can't be read. Every run that was expected in the lists and wasn't there was lost, whatever the lists left out.

The decoded lists say whether they are complete: each row could be read, and there are fewer than 500 ends. A run is lost only if complete lists omit it. A full list is followed by the rest once its ends are acknowledged, so this waits only for that. A boot other than the run's still ends it at once, as does the end of the lease. `lists-incomplete` in the log names the server.

Known hole: an end that can't be read is acknowledged with the next one that can, and isn't listed after that; its run then counts as lost, however it ended. Until then it keeps the lists of its server incomplete.

--- a/packages/dispatch/src/run-manager.ts
+++ b/packages/dispatch/src/run-manager.ts
@@ -286,9 +286,13 @@
                 this.#applyEnd(server, row);
             }
         }
+        const listed = { running: lists.running.length, ended: lists.ended.length };
+        if (!lists.complete) {
+            this.options.shared.log.warn("lists-incomplete", { server: server.entry.id, listed });
+        }
         for (const [name, run] of server.runs) {
-            if (run.expectedInListsFrom !== undefined && run.expectedInListsFrom < sentAt && !seen.has(name)) {
-                const listed = { running: lists.running.length, ended: lists.ended.length };
+            const expected = run.expectedInListsFrom !== undefined && run.expectedInListsFrom < sentAt;
+            if (expected && lists.complete && !seen.has(name)) {
                 this.#endRun(server, run, jobState.RunEnd.lost, "", { listed, processed: server.ends.lastProcessed });
             }
             else if (run.bootId !== server.bootId && run.phase === session.RunPhase.inherited) {
--- a/packages/dispatch/src/server-session.ts
+++ b/packages/dispatch/src/server-session.ts
@@ -37,8 +37,8 @@
     readonly bootId: string;
     phase: RunPhase;
     /**
-     * On the monotonic clock: a list requested after this time that omits the run proves that it isn't on the server.
-     * `undefined` while the server may still receive the start, or hasn't confirmed the stop.
+     * On the monotonic clock: complete lists requested after this time that omit the run prove that it isn't on the
+     * server. `undefined` while the server may still receive the start, or hasn't confirmed the stop.
      */
     expectedInListsFrom: number | undefined;
     /** On the monotonic clock: when the start was sent, or the run was taken over. */
