Track jobs whose route the coordinator doesn't know

Cause: a job without a known route wasn't tracked. A coordinator that started after the route was removed, or held a configuration from before it was added, took over none of its runs, stopped them as unknown, and acknowledged their ends though nothing recorded them. Once the route was back, the next coordinator started the tasks again.

A job is now tracked once its submission is read. While its route isn't known, its runs are taken over, continue, occupy their servers' capacity and end with effect, but no task of it starts, and it adds nothing to the demand. When the route becomes known, a job fails if one of its tasks has already used up its attempts. That holds for a configuration that lowers `MaxAttempts` as well: before, such a task was started once more. It has no test of its own.

--- a/packages/dispatch/src/coordinator.ts
+++ b/packages/dispatch/src/coordinator.ts
@@ -196,8 +196,9 @@
             await timers.setTimeout(firstAnswersPollInterval);
         }
         this.#takeoverDone = true;
+        const knowsDemand = [...this.registry.active.values()].some(active => active.route !== undefined);
         // Jobs found at the takeover make the demand known from now on.
-        this.#demand.demandKnownSince = this.registry.active.size > 0 ? clock.monotonic() : undefined;
+        this.#demand.demandKnownSince = knowsDemand ? clock.monotonic() : undefined;
         this.#shared.log.info("coordinating", {
             epoch: this.options.epoch,
             capacity: this.options.settings.capacity,
@@ -247,9 +248,19 @@
         if (!wasActive && this.#takeoverDone) { // Jobs found at the takeover are backlog, not arrivals.
             this.#demand.recordArrival(active, this.#shared.clock.monotonic());
         }
+        if (!wasActive && active.route === undefined) {
+            this.#shared.log.warn("route-unknown", {
+                job: entry.id,
+                queue: active.job.queue,
+                configuration: this.options.configuration()?.version,
+            });
+        }
         if (entry.cancelledAt !== undefined) {
             this.#cancel(active);
         }
+        else {
+            this.#runManager.failIfExhausted(active);
+        }
         this.#schedulePass();
     }
 
--- a/packages/dispatch/src/demand.ts
+++ b/packages/dispatch/src/demand.ts
@@ -65,7 +65,11 @@
 
     /** Adds a job that arrived at `now`, on the monotonic clock, ms, to the averages. */
     recordArrival(active: jobRegistry.ActiveJob, now: number): void {
-        const arrivals = this.#findArrivals(active.route.service, now);
+        const { route } = active;
+        if (route === undefined) {
+            return;
+        }
+        const arrivals = this.#findArrivals(route.service, now);
         decay(arrivals, now);
         const work = measureWork(active.job, this.#findMemoryPerCpu());
         if (work > 0) {
@@ -74,9 +78,9 @@
             arrivals.span += (Math.max(minArrivalSpan, active.criticalPath) - arrivals.span) / 8;
             arrivals.rate += work / (arrivals.span / 1000);
             arrivals.fastRate += fastFactor * work / (arrivals.span / 1000);
-            const slack = (active.route.slackFactor - 1) * active.criticalPath + active.route.latencyAllowance;
+            const slack = (route.slackFactor - 1) * active.criticalPath + route.latencyAllowance;
             arrivals.slack += (slack - arrivals.slack) / 8;
-            arrivals.priority = active.route.priority;
+            arrivals.priority = route.priority;
             detectBurst(arrivals);
         }
     }
@@ -147,13 +151,17 @@
             backlogs.set(server.entry.service, (backlogs.get(server.entry.service) ?? 0) + work);
         }
         for (const active of this.registry.active.values()) {
+            const { route } = active;
+            if (route === undefined) {
+                continue;
+            }
             let work = 0;
             for (const ready of active.readiness?.steps ?? []) {
                 const step = active.job.steps[ready.step]!;
                 work += step.longRunning ? 0 : ready.tasks.length * measureTask(step, memoryPerCpu);
             }
-            work *= isExpired(active, wall) ? expiredJobWeight : 1;
-            backlogs.set(active.route.service, (backlogs.get(active.route.service) ?? 0) + work);
+            work *= isExpired(active, route, wall) ? expiredJobWeight : 1;
+            backlogs.set(route.service, (backlogs.get(route.service) ?? 0) + work);
         }
         return backlogs;
     }
@@ -171,11 +179,15 @@
             }
         }
         for (const active of this.registry.active.values()) {
+            const { route } = active;
+            if (route === undefined) {
+                continue;
+            }
             for (const ready of active.readiness?.steps ?? []) {
                 const step = active.job.steps[ready.step]!;
                 if (step.longRunning) {
                     const needed = step.maxPerServer > 0 ? Math.ceil(step.taskCount / step.maxPerServer) : 1;
-                    floors.set(active.route.service, Math.max(floors.get(active.route.service) ?? 0, needed));
+                    floors.set(route.service, Math.max(floors.get(route.service) ?? 0, needed));
                 }
             }
         }
@@ -192,8 +204,8 @@
  * Whether the result is too late to be of use to the job's caller; `wall` is Unix time in ms. Repeated jobs never
  * expire.
  */
-function isExpired(active: jobRegistry.ActiveJob, wall: number): boolean {
-    const objective = scheduling.computeObjective(active.job, 0, active.criticalPath, active.route);
+function isExpired(active: jobRegistry.ActiveJob, route: scheduling.QueuePolicy, wall: number): boolean {
+    const objective = scheduling.computeObjective(active.job, 0, active.criticalPath, route);
     return active.job.repetition === undefined && wall > scheduling.computeExpiry(active.job.submittedAt, objective);
 }
 
--- a/packages/dispatch/src/job-registry.ts
+++ b/packages/dispatch/src/job-registry.ts
@@ -9,8 +9,11 @@
     readonly entry: jobState.JobEntry;
     readonly job: jobState.Job;
     readonly progress: jobState.Progress;
-    /** Route of the job's queue: the service whose servers run its tasks, and the queue's limits. */
-    route: platform.operatorRecords.Route;
+    /**
+     * Route of the job's queue: the service whose servers run its tasks, and the queue's limits. While it isn't known,
+     * no task starts, but the runs under way continue and their ends count.
+     */
+    route: platform.operatorRecords.Route | undefined;
     /** Expected time in ms of the longest chain of dependent steps. */
     criticalPath: number;
     /** Expected time in ms from the beginning of each step to the end of the job. */
@@ -26,6 +29,7 @@
 /** A step with startable tasks, and its rank among the candidates. */
 export interface Candidate {
     readonly active: ActiveJob;
+    readonly route: platform.operatorRecords.Route;
     readonly ready: scheduling.ReadyStep;
     readonly rank: scheduling.Rank;
 }
@@ -45,8 +49,8 @@
     }
 
     /**
-     * Returns the job, added if it is new. `undefined` while its submission or its queue's route hasn't been read, or
-     * if it is settled and has no runs.
+     * Returns the job, added if it is new. `undefined` while its submission hasn't been read, or if it is settled and
+     * has no runs.
      *
      * @param wall Unix time in ms
      */
@@ -56,8 +60,7 @@
             return known;
         }
         const { job } = entry;
-        const route = job === undefined ? undefined : this.#routes.get(job.queue);
-        if (job === undefined || route === undefined) {
+        if (job === undefined) {
             return undefined;
         }
         entry.progress ??= jobState.createProgress(wall);
@@ -69,7 +72,7 @@
             entry,
             job,
             progress: entry.progress,
-            route,
+            route: this.#routes.get(job.queue),
             criticalPath: scheduling.computeCriticalPath(job, estimates),
             remainingPaths: scheduling.computeRemainingPaths(job, estimates),
             observedDurations: new Map(),
@@ -98,17 +101,17 @@
     listCandidates(wall: number): Map<string, Candidate[]> {
         const byService = new Map<string, Candidate[]>();
         for (const active of this.active.values()) {
-            if (active.entry.cancelledAt !== undefined) {
+            const { readiness, route } = active;
+            if (active.entry.cancelledAt !== undefined || route === undefined) {
                 continue;
             }
-            const { readiness } = active;
             if (readiness === undefined || (readiness.nextDue !== undefined && readiness.nextDue <= wall)) {
                 active.readiness = scheduling.listReady(active.job, active.progress, wall);
             }
             for (const ready of active.readiness!.steps) {
-                const list = byService.get(active.route.service) ?? [];
-                list.push({ active, ready, rank: this.#rank(active, ready, wall) });
-                byService.set(active.route.service, list);
+                const list = byService.get(route.service) ?? [];
+                list.push({ active, route, ready, rank: this.#rank(active, route, ready, wall) });
+                byService.set(route.service, list);
             }
         }
         for (const list of byService.values()) {
@@ -118,15 +121,20 @@
     }
 
     /** Ranks a ready step; for this its critical path begins with the step itself. */
-    #rank(active: ActiveJob, ready: scheduling.ReadyStep, wall: number): scheduling.Rank {
+    #rank(
+        active: ActiveJob,
+        route: platform.operatorRecords.Route,
+        ready: scheduling.ReadyStep,
+        wall: number,
+    ): scheduling.Rank {
         const work = {
             due: jobState.findDueTime(active.job, ready.occurrence),
-            objective: scheduling.computeObjective(active.job, ready.occurrence, active.criticalPath, active.route),
+            objective: scheduling.computeObjective(active.job, ready.occurrence, active.criticalPath, route),
             criticalPath: active.remainingPaths[ready.step]!,
             longRunning: active.job.steps[ready.step]!.longRunning,
             // A start that is under way counts, so that a job isn't passed over until its server confirms it.
             begun: active.progress.begun || jobState.hasRuns(active.progress),
         };
-        return scheduling.rank(work, active.route, wall);
+        return scheduling.rank(work, route, wall);
     }
 }
--- a/packages/dispatch/src/placer.ts
+++ b/packages/dispatch/src/placer.ts
@@ -39,10 +39,10 @@
             if (unplaced >= maxUnplaced) {
                 break;
             }
-            const { active, ready } = candidate;
+            const { active, route, ready } = candidate;
             const step = active.job.steps[ready.step]!;
             const stepKey = runManager.formatStepKey(active.job.id, ready);
-            const needsTickets = active.route.advice !== undefined;
+            const needsTickets = route.advice !== undefined;
             const permitted = needsTickets ? this.#listPermitted(candidate, stepKey, open) : loads;
             const placements = scheduling.placeStep(
                 { stepKey, step, tasks: ready.tasks, avoided: active.avoided },
--- a/packages/dispatch/src/run-manager.ts
+++ b/packages/dispatch/src/run-manager.ts
@@ -487,11 +487,29 @@
     ): void {
         history.failures += 1;
         active.avoided.add(server.entry.id);
-        if (!run.step.longRunning && history.failures >= active.route.maxAttempts) {
+        if (!run.step.longRunning && active.route !== undefined && history.failures >= active.route.maxAttempts) {
             this.#settle(active, jobState.JobStatus.failed);
         }
     }
 
+    /** Fails a job whose route became known only after a task had used up its attempts. */
+    failIfExhausted(active: jobRegistry.ActiveJob): void {
+        const { job, progress, route } = active;
+        if (route === undefined || jobState.isSettled(progress.status)) {
+            return;
+        }
+        for (const { done, histories } of progress.occurrences.values()) {
+            for (const [taskIndex, history] of histories) {
+                const open = done[taskIndex] !== 1 && history.runs.length === 0;
+                const { longRunning } = job.steps[jobState.findStep(job, taskIndex)]!;
+                if (open && !longRunning && history.failures >= route.maxAttempts) {
+                    this.#settle(active, jobState.JobStatus.failed);
+                    return;
+                }
+            }
+        }
+    }
+
     #markDone(active: jobRegistry.ActiveJob, occurrenceNumber: number, taskIndex: number, step: jobState.Step): void {
         const occurrence = jobState.getOrCreateOccurrence(active.progress, active.job, occurrenceNumber);
         const first = jobState.findFirstTask(active.job, active.job.steps.indexOf(step));
--- a/packages/dispatch/src/ticket-cache.ts
+++ b/packages/dispatch/src/ticket-cache.ts
@@ -98,8 +98,7 @@
         asked: readonly session.ServerSession[],
     ): Promise<void> {
         const { settings, calls, clock, log } = this.shared;
-        const { active, ready } = candidate;
-        const advice = active.route.advice;
+        const { active, route: { advice }, ready } = candidate;
         if (settings.adviceAddress === undefined || advice === undefined || active.entry.cancelledAt !== undefined) {
             return;
         }
