--- a/packages/node/src/integration/removed-routes.test.ts
+++ b/packages/node/src/integration/removed-routes.test.ts
@@ -85,4 +85,16 @@
     assert.equal(deployment.findDuplicateRuns(), []);
 });
 
+suite("a job never ends because the next coordinator doesn't know where its tasks run", async () => {
+    const node = deployment.processes[0]!;
+    const body = platformStandIns.createJobBody({ duration: 1000 }, { tasks: 2 }, { tasks: 2, dependsOn: [0] });
+    assert.is((await deployment.sendRequest(node, "POST", `/quotes/${jobId}`, body))?.status, 200);
+    await waitForRuns(2);
+    await removeRoute();
+    await restart();
+    await deployment.waitFor("the job is settled", () => node.lines.some(line => line.includes('"job-settled"')));
+    await restoreRoute();
+    assert.equal(deployment.machines.history.map(run => run.how), ["done", "done", "done", "done"]);
+});
+
 suite.run();
