Store the route of a job with its submission

Cause: a removed route lived on only in the memory of the coordinator that had read it. Its successor reads the newest configuration, and didn't know on which service the tasks run.

A job's record now holds what the route said at its submission, with the version of the configuration. For all jobs of a queue the newest route counts, whether a configuration or a job's record has it, so a coordinator with an older configuration also learns of a newer route by the jobs submitted under it. It goes by an older route for no longer than it takes to read the newer configuration, as before. Records of earlier versions are read as before.

The test of the registry is new and wasn't seen failing.

--- /dev/null
+++ b/packages/dispatch/src/job-registry.test.ts
@@ -0,0 +1,67 @@
+/** Which route a tracked job gets, of those that configurations and submissions name. */
+import * as jobState from "@catkinwharf/job-state";
+import * as testing from "@catkinwharf/job-state/testing";
+import type * as platform from "@catkinwharf/platform";
+import * as uvu from "uvu";
+import * as assert from "uvu/assert";
+import * as jobRegistry from "./job-registry.js";
+
+const suite = uvu.suite("job registry");
+
+function createRoute(service: string): platform.operatorRecords.Route {
+    return {
+        name: "quotes",
+        host: "queues.test",
+        pathPrefix: "/quotes/",
+        service,
+        priority: 0,
+        maxAttempts: 3,
+        slackFactor: 2,
+        latencyAllowance: 1000,
+        timeout: 2000,
+        advice: undefined,
+    };
+}
+
+function createConfiguration(version: number, service?: string): platform.operatorRecords.Configuration {
+    return {
+        version,
+        routes: service === undefined ? [] : [createRoute(service)],
+        services: [],
+        maxBodyBytes: 1000,
+    };
+}
+
+/** Tracks a job that was submitted under this version of the configuration. */
+function track(
+    registry: jobRegistry.JobRegistry,
+    id: string,
+    version: number,
+    service: string,
+): jobRegistry.ActiveJob {
+    const table = new jobState.JobTable();
+    const { key, value } = jobState.encodeJob(testing.createJob({
+        id,
+        route: { ...createRoute(service), version },
+    }));
+    table.applySubmission(key, value);
+    return registry.track(table.entries.get(id)!, 0)!;
+}
+
+suite("of the routes in configurations and submissions, the newest counts for all jobs of the queue", () => {
+    const registry = new jobRegistry.JobRegistry();
+    registry.applyConfiguration(createConfiguration(4));
+    const first = track(registry, "00000000000000aa", 1, "dispatch");
+    assert.is(first.route?.service, "dispatch");
+    const second = track(registry, "00000000000000ab", 3, "depot");
+    assert.equal([first, second].map(active => active.route?.service), ["depot", "depot"]);
+    const third = track(registry, "00000000000000ac", 2, "capture");
+    assert.is(third.route?.service, "depot");
+    registry.applyConfiguration(createConfiguration(5, "receipts"));
+    const later = track(registry, "00000000000000ad", 3, "depot");
+    assert.equal([first, second, third, later].map(active => active.route?.service), Array(4).fill("receipts"));
+    registry.applyConfiguration(createConfiguration(6));
+    assert.is(first.route?.service, "receipts");
+});
+
+suite.run();
--- a/packages/dispatch/src/job-registry.ts
+++ b/packages/dispatch/src/job-registry.ts
@@ -13,7 +13,7 @@
      * Route of the job's queue: the service whose servers run its tasks, and the queue's limits. While it isn't known,
      * no task starts, but the runs under way continue and their ends count.
      */
-    route: platform.operatorRecords.Route | undefined;
+    route: jobState.RouteTerms | undefined;
     /** Expected time in ms of the longest chain of dependent steps. */
     criticalPath: number;
     /** Expected time in ms from the beginning of each step to the end of the job. */
@@ -29,22 +29,40 @@
 /** A step with startable tasks, and its rank among the candidates. */
 export interface Candidate {
     readonly active: ActiveJob;
-    readonly route: platform.operatorRecords.Route;
+    readonly route: jobState.RouteTerms;
     readonly ready: scheduling.ReadyStep;
     readonly rank: scheduling.Rank;
 }
 
 export class JobRegistry {
     readonly active = new Map<string, ActiveJob>();
-    /** Routes by name, which is the name of their queue. Includes removed ones, whose jobs continue. */
-    readonly #routes = new Map<string, platform.operatorRecords.Route>();
+    /**
+     * Newest known route by queue, from configurations and submitted jobs. Includes removed ones, whose jobs continue.
+     */
+    readonly #routes = new Map<string, jobState.RouteTerms>();
 
     applyConfiguration(configuration: platform.operatorRecords.Configuration): void {
+        const { version } = configuration;
         for (const route of configuration.routes) {
-            this.#routes.set(route.name, route);
+            if (version >= (this.#routes.get(route.name)?.version ?? version)) {
+                this.#routes.set(route.name, { ...route, version });
+            }
         }
         for (const active of this.active.values()) {
-            active.route = this.#routes.get(active.job.queue) ?? active.route;
+            active.route = this.#routes.get(active.job.queue);
+        }
+    }
+
+    /** Takes the route in a job's record if no newer one of the queue is known. */
+    #learnRoute({ queue, route }: jobState.Job): void {
+        if (route === undefined || route.version <= (this.#routes.get(queue)?.version ?? Number.NEGATIVE_INFINITY)) {
+            return;
+        }
+        this.#routes.set(queue, route);
+        for (const active of this.active.values()) {
+            if (active.job.queue === queue) {
+                active.route = route;
+            }
         }
     }
 
@@ -63,6 +81,7 @@
         if (job === undefined) {
             return undefined;
         }
+        this.#learnRoute(job);
         entry.progress ??= jobState.createProgress(wall);
         if (jobState.isSettled(entry.progress.status) && !jobState.hasRuns(entry.progress)) {
             return undefined;
@@ -123,7 +142,7 @@
     /** Ranks a ready step; for this its critical path begins with the step itself. */
     #rank(
         active: ActiveJob,
-        route: platform.operatorRecords.Route,
+        route: jobState.RouteTerms,
         ready: scheduling.ReadyStep,
         wall: number,
     ): scheduling.Rank {
--- a/packages/intake/src/job-api.ts
+++ b/packages/intake/src/job-api.ts
@@ -56,6 +56,8 @@
 interface JobRequest {
     readonly id: string;
     readonly route: platform.operatorRecords.Route;
+    /** Version of the configuration that has the route. */
+    readonly version: number;
     readonly message: http.IncomingMessage;
     /** Monotonic time in ms by which the response has to be sent. */
     readonly deadline: number;
@@ -103,6 +105,14 @@
     return startedAt + (Number.isFinite(named) ? named : timeout) - responseMargin;
 }
 
+/** Selects what a job's record keeps of the route of its queue. */
+function selectTerms(
+    { service, priority, maxAttempts, slackFactor, latencyAllowance, advice }: platform.operatorRecords.Route,
+    version: number,
+): jobState.RouteTerms {
+    return { version, service, priority, maxAttempts, slackFactor, latencyAllowance, advice };
+}
+
 type Handler = (api: JobApi, request: JobRequest) => Promise<JobResponse>;
 
 const handlers: Readonly<Record<string, Handler>> = {
@@ -206,6 +216,7 @@
         return handler(this, {
             id: match.rest,
             route: match.route,
+            version: configuration.version,
             message,
             deadline,
             maxBodyBytes: configuration.maxBodyBytes,
@@ -267,6 +278,7 @@
         const job: jobState.Job = {
             id: request.id,
             queue: request.route.name,
+            route: selectTerms(request.route, request.version),
             ...submission,
             submittedAt: this.options.now(),
         };
--- a/packages/job-state/src/job.ts
+++ b/packages/job-state/src/job.ts
@@ -63,11 +63,34 @@
     readonly interval: number;
 }
 
+/** What the configured route of a queue says about its jobs. */
+export interface RouteTerms {
+    /** Version of the configuration that has the route. */
+    readonly version: number;
+    /** The service whose servers run the tasks. */
+    readonly service: string;
+    /** 0 is the highest priority. */
+    readonly priority: number;
+    /** Number of failed runs after which a task fails permanently. */
+    readonly maxAttempts: number;
+    /** The objective allows this many times the length of the job's critical path. */
+    readonly slackFactor: number;
+    /** Ms that the objective allows on top of that multiple. */
+    readonly latencyAllowance: number;
+    /** Set when starting a task requires a ticket of the advice service; all values are in ms. */
+    readonly advice: { readonly decision: number; readonly perServer: number; readonly validity: number; } | undefined;
+}
+
 /** A submitted job. */
 export interface Job {
     readonly id: string;
     /** Name of the queue to which it was submitted: the configured route that matches the request's host and path. */
     readonly queue: string;
+    /**
+     * Route of the queue when the job was submitted, for a coordinator whose configurations don't have it; `undefined`
+     * in records of earlier versions.
+     */
+    readonly route: RouteTerms | undefined;
     /** Opaque text that is passed to every task of the job at its start. */
     readonly payload: string;
     readonly steps: readonly Step[];
--- a/packages/job-state/src/records.ts
+++ b/packages/job-state/src/records.ts
@@ -207,7 +207,8 @@
         return undefined;
     }
     if (key.startsWith(KeyPrefix.job) && isJob(decoded)) {
-        return { kind: "job", job: decoded };
+        // Records of earlier versions lack `route`.
+        return { kind: "job", job: { ...decoded, route: isRouteTerms(decoded.route) ? decoded.route : undefined } };
     }
     if (key.startsWith(KeyPrefix.cancellation) && isObject(decoded) && typeof decoded["cancelledAt"] === "number") {
         return {
@@ -298,6 +299,13 @@
         && Array.isArray(value["steps"]) && typeof value["submittedAt"] === "number";
 }
 
+function isRouteTerms(value: unknown): value is jobs.RouteTerms {
+    return isObject(value) && typeof value["service"] === "string"
+        && [value["version"], value["priority"], value["maxAttempts"], value["slackFactor"], value["latencyAllowance"]]
+            .every(field => typeof field === "number")
+        && (value["advice"] === undefined || isObject(value["advice"]));
+}
+
 function isLeadership(value: unknown): value is Leadership {
     return isObject(value) && typeof value["epoch"] === "number" && typeof value["node"] === "string";
 }
--- a/packages/job-state/src/testing/index.ts
+++ b/packages/job-state/src/testing/index.ts
@@ -27,6 +27,7 @@
     return {
         id: "00000000000000aa",
         queue: "quotes",
+        route: undefined,
         payload: "",
         steps: [createStep()],
         repetition: undefined,
