--- a/packages/dispatch/src/run-manager.test.ts
+++ b/packages/dispatch/src/run-manager.test.ts
@@ -46,7 +46,11 @@
         onEnd: () => undefined,
         onStartAnswered: () => undefined,
     });
-    const servers = new fleet.Fleet(shared, { onLists: () => undefined, onRunsLost: () => undefined });
+    const servers = new fleet.Fleet(shared, {
+        onLists: () => undefined,
+        onRebooted: () => undefined,
+        onRunsLost: () => undefined,
+    });
     const server = servers.createUnlistedSession("s1");
     const job = jobTesting.createJob();
     const active = registry.track(
--- a/packages/dispatch/src/testing/context.ts
+++ b/packages/dispatch/src/testing/context.ts
@@ -18,7 +18,14 @@
     storeAddress: "store:1",
     machinesAddress: "machines:1",
     adviceAddress: undefined,
-    bounds: { grace: 6000, maxLease: 6000, orderSeparation: 3000, maintenance: 2000, status: 120_000 },
+    bounds: {
+        grace: 6000,
+        maxLease: 6000,
+        orderSeparation: 3000,
+        maintenance: 2000,
+        status: 120_000,
+        configurationDelay: 2000,
+    },
 };
 
 /** Context of a coordinator of epoch 1, both of whose clocks show `now()`. */
--- a/packages/dispatch/src/wave-executor.test.ts
+++ b/packages/dispatch/src/wave-executor.test.ts
@@ -62,7 +62,11 @@
         const routes = new storeClient.StoreRoutes("store:1");
         this.#store = new StatusStore(this.calls, routes, eventLog.silentEventLog, () => this.#now);
         const shared = testing.createContext(this.calls, this.#store, () => this.#now);
-        const servers = new fleet.Fleet(shared, { onLists: () => undefined, onRunsLost: () => undefined });
+        const servers = new fleet.Fleet(shared, {
+            onLists: () => undefined,
+            onRebooted: () => undefined,
+            onRunsLost: () => undefined,
+        });
         const orders = new machineOrders.MachineOrders(shared, new Map());
         this.#inventory = new machineInventory.MachineInventory(shared, servers, orders);
         this.#executor = new waveExecutor.WaveExecutor({
