Log for how long a server was up after a run's start, and changed capacities

run-ended had only the time until the end was noticed, so the logs could not tell which of the runs that a crash ended had just been started: provenTime says for how long, by the server's own clock, the server responded after the run's start. server-changed shows a registration with another capacity, kind or rack, which left no line before. No decision changes.

--- a/packages/dispatch/src/fleet.ts
+++ b/packages/dispatch/src/fleet.ts
@@ -96,12 +96,24 @@
             // `remaining`: minimum time in ms until a draining server stops.
             this.shared.log.info("server-draining", { server: entry.id, remaining: entry.remaining });
         }
+        this.#logChange(known.entry, entry);
         known.entry = entry;
         known.unlisted = false;
         this.#updateEligibility(known);
         this.shared.schedulePass();
     }
 
+    /** Logs a change of what decides which tasks fit on the server. */
+    #logChange(before: platform.operatorRecords.ServerRegistration, after: typeof before): void {
+        if (describeCapacity(before) !== describeCapacity(after)) {
+            this.shared.log.info("server-changed", {
+                server: after.id,
+                before: describeCapacity(before),
+                after: describeCapacity(after),
+            });
+        }
+    }
+
     /** The servers' topic is read anew: servers whose records aren't read again stay unlisted. */
     markAllUnlisted(): void {
         for (const known of this.sessions.values()) {
@@ -267,6 +279,7 @@
         this.#recordAcknowledgement(server, sent);
         const now = this.shared.clock.monotonic();
         server.clockSample = { server: answer.clock, received: now };
+        server.lastClock = Math.max(server.lastClock, answer.clock);
         server.lastAnswerAt = now;
         if (!server.reachable) {
             server.reachable = true;
@@ -343,6 +356,7 @@
             server.leaseOfEarlierBoot = this.shared.clock.monotonic() + this.shared.settings.bounds.maxLease;
             this.handlers.onRebooted(server);
         }
+        server.lastClock = 0;
     }
 
     /** Marks the server as unreachable. Keeps its runs: even a refused connection may come from a partition. */
@@ -385,3 +399,7 @@
         }
     }
 }
+
+function describeCapacity(entry: platform.operatorRecords.ServerRegistration): string {
+    return `${entry.cpu} millicores, ${entry.memory} MB, ${entry.accelerators} accelerators, ${entry.labels.join(" ")}`;
+}
--- a/packages/dispatch/src/relocation.test.ts
+++ b/packages/dispatch/src/relocation.test.ts
@@ -66,6 +66,7 @@
         phase: session.RunPhase.running,
         expectedInListsFrom: 0,
         startSentAt: 0,
+        startClock: undefined,
         checkpoint: "",
         percent,
         percentChangedAt: 0,
--- a/packages/dispatch/src/run-manager.ts
+++ b/packages/dispatch/src/run-manager.ts
@@ -111,6 +111,7 @@
             runNumber: identity.number,
             bootId: identity.server,
             startSentAt: now,
+            startClock: undefined,
             percent: 0,
             percentChangedAt: now,
             usage: undefined,
@@ -135,6 +136,7 @@
         server.latestLeaseEnd = Math.max(server.latestLeaseEnd, leaseEnd);
         run.phase = session.RunPhase.ordered;
         run.startSentAt = now;
+        run.startClock = serverClock;
         const call = platform.serverCalls.createStartCall(server.entry.id, {
             task: { jobId: run.entry.id, ...run.position },
             run: run.runNumber,
@@ -188,6 +190,7 @@
         const { shared } = this.options;
         if (answer.kind === "done") {
             this.#recordBegun(run.entry);
+            server.lastClock = Math.max(server.lastClock, answer.clock ?? 0);
             run.expectedInListsFrom ??= shared.clock.monotonic();
             if (run.phase === session.RunPhase.ordered) {
                 run.phase = session.RunPhase.running;
@@ -343,6 +346,7 @@
             run.expectedInListsFrom = this.options.shared.clock.monotonic();
         }
         this.#recordBegun(run.entry);
+        run.startClock ??= server.lastClock;
         run.checkpoint = row.checkpoint === "" ? run.checkpoint : row.checkpoint;
         if (run.percent !== row.percent) {
             run.percent = row.percent;
@@ -470,6 +474,8 @@
                 after: Math.round(shared.clock.monotonic() - run.startSentAt),
                 boot: run.bootId,
                 evidence,
+                // Of these, ms for which the server was certainly up.
+                provenTime: server.computeProvenTime(run),
             });
         }
         this.options.onEnd(server, run, how);
--- a/packages/dispatch/src/server-session.ts
+++ b/packages/dispatch/src/server-session.ts
@@ -43,6 +43,11 @@
     expectedInListsFrom: number | undefined;
     /** On the monotonic clock: when the start was sent, or the run was taken over. */
     startSentAt: number;
+    /**
+     * On the server's clock: when the start was sent, or this coordinator first saw an inherited run in a list;
+     * `undefined` before that.
+     */
+    startClock: number | undefined;
     /** This coordinator started it without a checkpoint, so the time to its end is the duration of the task. */
     readonly measuresDuration: boolean;
     checkpoint: string;
@@ -86,6 +91,8 @@
     bootedAt: number | undefined;
     /** Last reading of the server's clock, and when it was received on the monotonic clock. */
     clockSample: { readonly server: number; readonly received: number; } | undefined;
+    /** Latest reading of the server's clock in a response of this boot: the server was up then. */
+    lastClock = 0;
     /** Latest lease end ever sent to the server, on the server's clock. */
     latestLeaseEnd = 0;
     /**
@@ -155,6 +162,11 @@
         return isOrdinary && run.phase === RunPhase.running && scheduling.isStalled(sample, this.lastAnswerAt);
     }
 
+    /** Ms for which the server is known to have been up since the run's start; 0 if that start isn't known. */
+    computeProvenTime(run: ActiveRun): number {
+        return run.startClock === undefined ? 0 : Math.max(0, Math.round(this.lastClock - run.startClock));
+    }
+
     get bootId(): string {
         return formatBootId(this.entry.id, this.bootedAt);
     }
