--- a/packages/dispatch/src/fleet.ts
+++ b/packages/dispatch/src/fleet.ts
@@ -4,7 +4,7 @@
  */
 import type * as jobState from "@catkinwharf/job-state";
 import * as platform from "@catkinwharf/platform";
-import type * as scheduling from "@catkinwharf/scheduling";
+import * as scheduling from "@catkinwharf/scheduling";
 import * as timers from "node:timers/promises";
 import * as context from "./context.js";
 import * as session from "./server-session.js";
@@ -97,6 +97,7 @@
             this.shared.log.info("server-draining", { server: entry.id, remaining: entry.remaining });
         }
         this.#logChange(known.entry, entry);
+        scheduling.applyCapacity(known.load, known.entry, entry);
         known.entry = entry;
         known.unlisted = false;
         this.#updateEligibility(known);
@@ -182,7 +183,7 @@
     /** Updates whether the server may get new tasks. */
     #updateEligibility(server: session.ServerSession): void {
         server.load.acceptsTasks = server.reachable && !server.unlisted && !server.entry.draining
-            && !server.reservedForOrder
+            && server.isRegistrationCurrent() && !server.reservedForOrder
             && !server.releasedByPool && !server.closed && this.shared.clock.monotonic() >= server.backoffUntil;
     }
 
--- a/packages/dispatch/src/server-session.ts
+++ b/packages/dispatch/src/server-session.ts
@@ -167,6 +167,12 @@
         return run.startClock === undefined ? 0 : Math.max(0, Math.round(this.lastClock - run.startClock));
     }
 
+    /** Whether the registration isn't known to be of another boot, whose capacity and labels may differ. */
+    isRegistrationCurrent(): boolean {
+        return this.entry.bootedAt === undefined || this.bootedAt === undefined
+            || this.entry.bootedAt === this.bootedAt;
+    }
+
     get bootId(): string {
         return formatBootId(this.entry.id, this.bootedAt);
     }
--- a/packages/scheduling/src/placing.ts
+++ b/packages/scheduling/src/placing.ts
@@ -10,9 +10,12 @@
 /** Free capacity of a backend server and the runs that occupy the rest; placement updates both. */
 export interface ServerLoad {
     readonly id: string;
-    readonly rack: string;
-    readonly labels: readonly string[];
-    /** Thousandths of a core. A run that is being stopped still occupies its share. */
+    rack: string;
+    labels: readonly string[];
+    /**
+     * Thousandths of a core. A run that is being stopped still occupies its share. Negative while more runs than fit
+     * into a capacity that has shrunk.
+     */
     freeCpu: number;
     /** Megabytes. */
     freeMemory: number;
@@ -60,6 +63,26 @@
  */
 const firstTaskCost = 1;
 
+/** What a server's registration says about placement. */
+export interface ServerCapacity {
+    /** Thousandths of a core. */
+    readonly cpu: number;
+    /** Megabytes. */
+    readonly memory: number;
+    readonly accelerators: number;
+    readonly labels: readonly string[];
+    readonly rack: string;
+}
+
+/** Applies a changed registration; what runs on the server keeps its share. */
+export function applyCapacity(server: ServerLoad, before: ServerCapacity, after: ServerCapacity): void {
+    server.freeCpu += after.cpu - before.cpu;
+    server.freeMemory += after.memory - before.memory;
+    server.freeAccelerators += after.accelerators - before.accelerators;
+    server.labels = after.labels;
+    server.rack = after.rack;
+}
+
 /** Whether the server accepts new tasks and has the capacity and label that one more task of the step needs. */
 export function fits(server: ServerLoad, step: jobState.Step, stepKey: string): boolean {
     return server.acceptsTasks
