--- a/packages/dispatch/src/coordinator.ts
+++ b/packages/dispatch/src/coordinator.ts
@@ -138,6 +138,7 @@
                 this.#paceFillers(server);
             },
             onRebooted: server => this.#runManager.endEarlierBoot(server),
+            onCrash: crash => this.#runManager.recordCrash(crash),
             onRunsLost: (server, how) => this.#runManager.endAll(server, how),
         });
         this.#tickets = new ticketCache.TicketCache(this.#shared);
@@ -342,6 +343,7 @@
         }
         this.#stopStalled();
         this.#relocateFromDraining();
+        this.fleet.confirmLoneStarts();
         this.#schedulePass();
     }
 
--- a/packages/dispatch/src/fleet.test.ts
+++ b/packages/dispatch/src/fleet.test.ts
@@ -23,6 +23,7 @@
     };
     return new fleet.Fleet(shared as unknown as context.CoordinatorContext, {
         onLists: ignore,
+        onCrash: ignore,
         onRebooted: ignore,
         onRunsLost: ignore,
     });
--- a/packages/dispatch/src/fleet.ts
+++ b/packages/dispatch/src/fleet.ts
@@ -9,6 +9,24 @@
 import * as context from "./context.js";
 import * as session from "./server-session.js";
 
+/** A crash of a server as it was noticed. */
+export interface ServerCrash {
+    /** ID of the server. */
+    readonly server: string;
+    /** Runs that were under way. */
+    readonly runs: readonly session.StartedRun[];
+    /** When each server was last found unreachable or rebooted, on the monotonic clock. */
+    readonly lossTimes: readonly number[];
+}
+
+/** Runs of a server whose lease expired: whether the server had crashed shows when it is seen again. */
+interface LapsedRuns {
+    readonly bootedAt: number | undefined;
+    readonly runs: readonly session.StartedRun[];
+    /** On the monotonic clock. */
+    readonly lapsedAt: number;
+}
+
 /** Receives what servers report about their runs. */
 export interface FleetHandlers {
     /** A server listed its running and ended tasks; `sentAt` is when the renewal was sent, on the monotonic clock. */
@@ -17,6 +35,8 @@
         lists: Extract<platform.serverCalls.LeaseRenewalResult, { readonly kind: "lists"; }>,
         sentAt: number,
     ) => void;
+    /** A server crashed; called before `onRebooted` and `onRunsLost`. */
+    readonly onCrash: (crash: ServerCrash) => void;
     /** A server answered from another boot under the same ID. */
     readonly onRebooted: (server: session.ServerSession) => void;
     /** No run on the server can be running any more: another one has its address, its machine ended, or its lease expired. */
@@ -47,8 +67,13 @@
     readonly ends: session.EndProgress;
 }
 
+/** Time in ms for which the runs of an expired lease are remembered. */
+const lapsedRunsRetention = 120_000;
+
 export class Fleet {
     readonly sessions = new Map<string, session.ServerSession>();
+    /** By server ID; kept longer than sessions, as a crashed server may be unlisted until it is back. */
+    readonly #lapsedRuns = new Map<string, LapsedRuns>();
     #stopped = false;
     #started = false;
 
@@ -164,6 +189,7 @@
             penalty: 0,
             runCount: 0,
             longRunningRunCount: 0,
+            startingRunCount: 0,
             runCountByStep: new Map(),
         };
         const created = new session.ServerSession(
@@ -184,7 +210,8 @@
     #updateEligibility(server: session.ServerSession): void {
         server.load.acceptsTasks = server.reachable && !server.unlisted && !server.entry.draining
             && server.isRegistrationCurrent() && !server.reservedForOrder
-            && !server.releasedByPool && !server.closed && this.shared.clock.monotonic() >= server.backoffUntil;
+            && !server.releasedByPool && !server.closed
+            && server.startingAloneUntil === undefined && this.shared.clock.monotonic() >= server.backoffUntil;
     }
 
     /** Updates which servers may get new tasks, and their penalties. */
@@ -196,6 +223,43 @@
         }
     }
 
+    /**
+     * Asks the servers on which a task has started alone whether they have outlasted its start, which a pending long
+     * poll would tell up to two seconds later.
+     */
+    confirmLoneStarts(): void {
+        const now = this.shared.clock.monotonic();
+        for (const server of this.sessions.values()) {
+            const isDue = server.startingAloneUntil !== undefined && now >= server.startingAloneUntil;
+            if (isDue && !server.confirmingLoneStart) {
+                void this.#confirmLoneStart(server);
+            }
+        }
+    }
+
+    async #confirmLoneStart(server: session.ServerSession): Promise<void> {
+        const { calls, epoch, log } = this.shared;
+        const call = platform.serverCalls.createLeaseRenewalCall(server.entry.id, {
+            fencingToken: epoch,
+            acknowledgedEnd: 0,
+            leaseEnd: undefined,
+            wait: 0,
+        });
+        server.confirmingLoneStart = true;
+        const answer = await calls.send(server.entry.address, call, context.serverCallTimeout);
+        server.confirmingLoneStart = false;
+        server.startingAloneUntil = undefined;
+        if (answer.isErr()) {
+            log.info("start-unconfirmed", { server: server.entry.id, reason: answer.error.reason });
+            return;
+        }
+        const decoded = platform.serverCalls.decodeLeaseRenewal(answer.value);
+        if (decoded.kind === "lists" && decoded.bootedAt === server.bootedAt) {
+            server.lastClock = Math.max(server.lastClock, decoded.clock);
+        }
+        this.shared.schedulePass();
+    }
+
     async #pollServer(server: session.ServerSession): Promise<void> {
         while (!this.#stopped && !server.closed) {
             if (server.entry.address !== "") {
@@ -284,6 +348,7 @@
         server.lastAnswerAt = now;
         if (!server.reachable) {
             server.reachable = true;
+            this.#lapsedRuns.delete(server.entry.id); // The server is up in the boot under which they lapsed.
             this.#updateEligibility(server);
             this.shared.log.info("server-reached", { server: server.entry.id, service: server.entry.service });
             this.shared.schedulePass();
@@ -335,10 +400,16 @@
     #handleReboot(server: session.ServerSession, bootedAt: number | undefined): void {
         const isFirstAnswer = server.bootedAt === undefined && server.clockSample === undefined;
         const before = server.bootedAt;
+        const crashed = server.listStartedRuns().filter(({ run }) => !isFirstAnswer || isOtherBoot(run, bootedAt));
+        this.#reportCrash(server.entry.id, [
+            ...this.#takeLapsedRuns(server.entry.id, bootedAt),
+            ...server.entry.draining ? [] : crashed,
+        ]);
         server.bootedAt = bootedAt;
         if (isFirstAnswer) {
             return;
         }
+        server.lostAt = this.shared.clock.monotonic();
         this.shared.log.info("server-rebooted", {
             server: server.entry.id,
             bootedAt,
@@ -360,10 +431,41 @@
         server.lastClock = 0;
     }
 
+    #reportCrash(id: string, runs: readonly session.StartedRun[]): void {
+        if (runs.length > 0) {
+            const lossTimes = [...this.sessions.values()].flatMap(server => server.lostAt ?? []);
+            this.handlers.onCrash({ server: id, runs, lossTimes });
+        }
+    }
+
+    /** Takes the runs of an expired lease, if the server has another boot time since; else forgets them. */
+    #takeLapsedRuns(id: string, bootedAt: number | undefined): readonly session.StartedRun[] {
+        const lapsed = this.#lapsedRuns.get(id);
+        this.#lapsedRuns.delete(id);
+        return lapsed?.bootedAt === undefined || lapsed.bootedAt === bootedAt ? [] : lapsed.runs;
+    }
+
+    #rememberLapsedRuns(server: session.ServerSession, now: number): void {
+        if (server.entry.draining) {
+            return;
+        }
+        for (const [id, { lapsedAt }] of this.#lapsedRuns) {
+            if (now - lapsedAt >= lapsedRunsRetention) {
+                this.#lapsedRuns.delete(id);
+            }
+        }
+        this.#lapsedRuns.set(server.entry.id, {
+            bootedAt: server.bootedAt,
+            runs: server.listStartedRuns(),
+            lapsedAt: now,
+        });
+    }
+
     /** Marks the server as unreachable. Keeps its runs: even a refused connection may come from a partition. */
     #markUnreachable(server: session.ServerSession, reason: string): void {
         if (server.reachable) {
             server.reachable = false;
+            server.lostAt = this.shared.clock.monotonic();
             this.#updateEligibility(server);
             this.shared.log.warn("server-unreachable", { server: server.entry.id, reason, runs: server.runs.size });
         }
@@ -371,10 +473,14 @@
 
     /**
      * The platform reported that the server no longer runs on its machine: the machine is down or has another server by
-     * now.
+     * now. `crashed` if no order and no shutdown explains it.
      */
-    handleServerEnded(id: string, evidence: string): void {
+    handleServerEnded(id: string, evidence: string, crashed: boolean): void {
         const server = this.sessions.get(id);
+        if (crashed && server?.reachable !== true) {
+            const started = server?.entry.draining === false ? server.listStartedRuns() : [];
+            this.#reportCrash(id, [...this.#takeLapsedRuns(id, undefined), ...started]);
+        }
         if (server !== undefined && !server.reachable && server.runs.size > 0) {
             this.shared.log.info("server-ended", { server: id, evidence, runs: server.runs.size });
             this.handlers.onRunsLost(server, "lost");
@@ -389,6 +495,7 @@
         const now = this.shared.clock.monotonic();
         if (server.runs.size > 0 && now >= server.computeLeaseExpiry()) {
             this.shared.log.info("lease-lapsed", { server: server.entry.id, runs: server.runs.size });
+            this.#rememberLapsedRuns(server, now);
             this.handlers.onRunsLost(server, "lapsed");
         }
         if (server.unlisted && server.runs.size === 0) {
@@ -404,3 +511,9 @@
 function describeCapacity(entry: platform.operatorRecords.ServerRegistration): string {
     return `${entry.cpu} millicores, ${entry.memory} MB, ${entry.accelerators} accelerators, ${entry.labels.join(" ")}`;
 }
+
+/** Whether the run was started on a known boot of its server other than this one. */
+function isOtherBoot(run: session.ActiveRun, bootedAt: number | undefined): boolean {
+    const startedOn = session.parseBootTime(run.bootId);
+    return startedOn !== undefined && bootedAt !== undefined && startedOn !== bootedAt;
+}
--- a/packages/dispatch/src/job-registry.ts
+++ b/packages/dispatch/src/job-registry.ts
@@ -22,6 +22,8 @@
     readonly observedDurations: Map<number, number>;
     /** Servers on which one of its runs failed or stalled. */
     readonly avoided: Set<string>;
+    /** On the monotonic clock: when a crash was last noticed that one of its tasks may have caused. */
+    crashedAt: number | undefined;
     /** Steps that may start; `undefined` when they have to be determined anew. */
     readiness: scheduling.Readiness | undefined;
 }
@@ -96,6 +98,7 @@
             remainingPaths: scheduling.computeRemainingPaths(job, estimates),
             observedDurations: new Map(),
             avoided: new Set(),
+            crashedAt: undefined,
             readiness: undefined,
         };
         this.active.set(entry.id, active);
--- a/packages/dispatch/src/machine-inventory.ts
+++ b/packages/dispatch/src/machine-inventory.ts
@@ -178,7 +178,10 @@
             known.missedReads = 0;
             if (known.pendingOrder === undefined) {
                 if (known.machine.server !== "" && machine.server !== known.machine.server) {
-                    this.fleet.handleServerEnded(known.machine.server, `machine ${machine.id} is ${machine.state}`);
+                    const { state } = machine;
+                    const crashed = state === platform.machineCalls.MachineState.up
+                        || state === platform.machineCalls.MachineState.down;
+                    this.fleet.handleServerEnded(known.machine.server, `machine ${machine.id} is ${state}`, crashed);
                 }
                 known.machine = machine;
             }
--- a/packages/dispatch/src/placer.ts
+++ b/packages/dispatch/src/placer.ts
@@ -11,6 +11,8 @@
 
 /** Candidates without a placement after which a pass ends for a service; bounds the work under a backlog. */
 const maxUnplaced = 16;
+/** Time in ms for which a task that starts alone waits for a server on which nothing else is starting. */
+const quietServerWait = 1000;
 
 /** A run whose intent has yet to be stored. */
 export interface PlannedRun {
@@ -35,6 +37,7 @@
         const byId = new Map(open.map(server => [server.entry.id, server]));
         const loads = open.map(server => server.load);
         let unplaced = 0;
+        let loneUnplaced = 0;
         for (const candidate of candidates) {
             if (unplaced >= maxUnplaced) {
                 break;
@@ -44,12 +47,16 @@
             const stepKey = runManager.formatStepKey(active.job.id, ready);
             const needsTickets = route.advice !== undefined;
             const permitted = needsTickets ? this.#listPermitted(candidate, stepKey, open) : loads;
+            if (ready.alone && loneUnplaced >= maxUnplaced) {
+                continue;
+            }
             const placements = scheduling.placeStep(
-                { stepKey, step, tasks: ready.tasks, avoided: active.avoided },
-                permitted,
+                { stepKey, step, tasks: ready.tasks, avoided: active.avoided, alone: ready.alone },
+                ready.alone ? this.#listQuiet(active, permitted, byId) : permitted,
             );
             if (placements.length === 0) {
-                unplaced += 1;
+                unplaced += ready.alone ? 0 : 1;
+                loneUnplaced += ready.alone ? 1 : 0;
                 continue;
             }
             this.#logPlaced(candidate, placements);
@@ -65,6 +72,24 @@
         return planned;
     }
 
+    /**
+     * Servers for tasks that start alone: for a while after the crash only those on which nothing else is starting,
+     * later all. Updates their number of starting runs.
+     */
+    #listQuiet(
+        active: jobRegistry.ActiveJob,
+        loads: readonly scheduling.ServerLoad[],
+        byId: ReadonlyMap<string, session.ServerSession>,
+    ): readonly scheduling.ServerLoad[] {
+        const now = this.shared.clock.monotonic();
+        for (const load of loads) {
+            load.startingRunCount = byId.get(load.id)!.countStartingRuns(now);
+        }
+        return active.crashedAt !== undefined && now - active.crashedAt < quietServerWait
+            ? loads.filter(load => load.startingRunCount === 0)
+            : loads;
+    }
+
     #logPlaced(candidate: jobRegistry.Candidate, placements: readonly scheduling.Placement[]): void {
         const { active, ready, rank } = candidate;
         this.shared.log.info("step-placed", {
--- a/packages/dispatch/src/relocation.test.ts
+++ b/packages/dispatch/src/relocation.test.ts
@@ -20,6 +20,7 @@
         penalty: 0,
         runCount: 0,
         longRunningRunCount: 0,
+        startingRunCount: 0,
         runCountByStep: new Map(),
     };
     const created = new session.ServerSession(
@@ -67,6 +68,7 @@
         expectedInListsFrom: 0,
         startSentAt: 0,
         startClock: undefined,
+        startsAlone: false,
         checkpoint: "",
         percent,
         percentChangedAt: 0,
--- a/packages/dispatch/src/run-manager.ts
+++ b/packages/dispatch/src/run-manager.ts
@@ -10,6 +10,7 @@
 import * as scheduling from "@catkinwharf/scheduling";
 import * as timers from "node:timers/promises";
 import * as context from "./context.js";
+import type * as fleet from "./fleet.js";
 import type * as jobRegistry from "./job-registry.js";
 import * as session from "./server-session.js";
 
@@ -61,9 +62,11 @@
             expectedInListsFrom: undefined,
             checkpoint: history.checkpoint,
             ticket,
+            startsAlone: ready.alone,
             measuresDuration: history.checkpoint === "",
         });
         server.runs.set(run.name, run);
+        this.#reserveStart(server, run);
         this.options.shared.writer.markDirty(active.entry);
         return run;
     }
@@ -76,11 +79,13 @@
         identity: jobState.Run,
         server: session.ServerSession,
     ): void {
+        const occurrence = jobState.getOrCreateOccurrence(active.progress, active.job, occurrenceNumber);
         const run = this.#create(active, occurrenceNumber, taskIndex, identity, {
             phase: session.RunPhase.inherited,
             expectedInListsFrom: 0,
             checkpoint: "",
             ticket: undefined,
+            startsAlone: occurrence.histories.get(taskIndex)?.startsAlone === true,
             measuresDuration: false,
         });
         server.runs.set(run.name, run);
@@ -92,7 +97,10 @@
         occurrenceNumber: number,
         taskIndex: number,
         identity: jobState.Run,
-        origin: Pick<session.ActiveRun, "phase" | "expectedInListsFrom" | "checkpoint" | "ticket" | "measuresDuration">,
+        origin: Pick<
+            session.ActiveRun,
+            "phase" | "expectedInListsFrom" | "checkpoint" | "ticket" | "startsAlone" | "measuresDuration"
+        >,
     ): session.ActiveRun {
         const now = this.options.shared.clock.monotonic();
         const stepIndex = jobState.findStep(active.job, taskIndex);
@@ -120,6 +128,13 @@
         };
     }
 
+    /** Keeps other tasks from starting on the server while one that starts alone may crash it. */
+    #reserveStart(server: session.ServerSession, run: session.ActiveRun): void {
+        if (run.startsAlone) {
+            server.startingAloneUntil = this.options.shared.clock.monotonic() + scheduling.startupPeriod;
+        }
+    }
+
     /** Starts a run whose intent is stored. */
     async start(server: session.ServerSession, run: session.ActiveRun): Promise<void> {
         const { shared } = this.options;
@@ -137,6 +152,7 @@
         run.phase = session.RunPhase.ordered;
         run.startSentAt = now;
         run.startClock = serverClock;
+        this.#reserveStart(server, run);
         const call = platform.serverCalls.createStartCall(server.entry.id, {
             task: { jobId: run.entry.id, ...run.position },
             run: run.runNumber,
@@ -314,6 +330,36 @@
         this.#endRuns(server, [...server.runs.values()].filter(run => !isUnconfirmed(run)), jobState.RunEnd.lost);
     }
 
+    /** Counts the crash of a server for the tasks that may have caused it, and fails the jobs of those that did. */
+    recordCrash(crash: fleet.ServerCrash): void {
+        const { registry, shared } = this.options;
+        const suspects = crash.runs.filter(started => scheduling.isCrashSuspect(started));
+        const now = shared.clock.monotonic();
+        const evidence = scheduling.judgeCrash(suspects, crash.lossTimes, now);
+        shared.log.warn("server-crashed", {
+            server: crash.server,
+            runs: crash.runs.length,
+            suspects: suspects.map(started => started.run.name),
+            evidence,
+        });
+        for (const { run } of suspects) {
+            const active = registry.active.get(run.entry.id);
+            const occurrence = active?.progress.occurrences.get(run.position.occurrence);
+            const history = occurrence?.histories.get(run.taskIndex);
+            if (active !== undefined && history !== undefined && occurrence?.done[run.taskIndex] !== 1) {
+                scheduling.countCrash(history, evidence);
+                active.crashedAt = now;
+                active.readiness = undefined;
+                shared.writer.markDirty(active.entry);
+                if (scheduling.crashesServers(history)) {
+                    shared.log.warn("task-given-up", { task: run.name, crashes: history.crashes });
+                    this.#settle(active, jobState.JobStatus.failed);
+                    this.finishIfSettled(active);
+                }
+            }
+        }
+    }
+
     /** Ends all runs of a server on which none can be running any more. */
     endAll(server: session.ServerSession, how: jobState.RunEnd): void {
         this.#endRuns(server, [...server.runs.values()], how);
@@ -353,6 +399,19 @@
             run.percentChangedAt = this.options.shared.clock.monotonic();
         }
         run.usage = row.usage;
+        if (!scheduling.isCrashSuspect({ jobId: run.entry.id, provenTime: server.computeProvenTime(run) })) {
+            this.#clearCrashes(run);
+        }
+    }
+
+    /** Clears the run's task of suspicion, as its server has outlasted the start. */
+    #clearCrashes(run: session.ActiveRun): void {
+        const occurrence = run.entry.progress?.occurrences.get(run.position.occurrence);
+        const history = occurrence?.histories.get(run.taskIndex);
+        if (history !== undefined && history.crashes > 0) {
+            scheduling.clearCrashes(history);
+            this.options.shared.writer.markDirty(run.entry);
+        }
     }
 
     /**
@@ -462,6 +521,7 @@
             this.#markDone(active, run.position.occurrence, run.taskIndex, run.step);
         }
         else if (how === jobState.RunEnd.failed) {
+            this.#clearCrashes(run);
             this.#countFailure(active, run, history, server);
         }
         if (how !== jobState.RunEnd.done) {
@@ -470,6 +530,7 @@
                 server: server.entry.id,
                 how,
                 failures: history.failures,
+                crashes: history.crashes,
                 // Ms since the start was sent, or since this coordinator took the run over.
                 after: Math.round(shared.clock.monotonic() - run.startSentAt),
                 boot: run.bootId,
--- a/packages/dispatch/src/server-boots.test.ts
+++ b/packages/dispatch/src/server-boots.test.ts
@@ -36,6 +36,7 @@
     };
     const created = new fleet.Fleet(shared as unknown as context.CoordinatorContext, {
         onLists: ignore,
+        onCrash: ignore,
         onRebooted,
         onRunsLost: ignore,
     });
@@ -87,6 +88,7 @@
             step: { demand: { cpu: 1, memory: 1, accelerators: 0 } },
             entry: { id: "a", progress: undefined },
             position: {},
+            bootId: "i-1@7",
         } as unknown as session.ActiveRun);
     }
     created.start();
--- a/packages/dispatch/src/server-session.ts
+++ b/packages/dispatch/src/server-session.ts
@@ -60,6 +60,8 @@
     percentChangedAt: number;
     /** From the server's last list: tail of the response times in ms of a serving task, else millicores in use. */
     usage: number | undefined;
+    /** No other task may start on its server until it has outlasted its start. */
+    readonly startsAlone: boolean;
     /** Percentage of its full pace at which a filler was told to work. */
     pace: number;
     /** Ticket for the start; `undefined` if the queue's route requires none. */
@@ -80,6 +82,11 @@
     return { lastProcessed: 0, lastStored: 0, lastAcknowledged: 0 };
 }
 
+/** A run that was under way on a server that crashed. */
+export interface StartedRun extends scheduling.CrashedRun {
+    readonly run: ActiveRun;
+}
+
 /** Lowest rate at which a server's clock may run, relative to this process's clock. */
 const minClockRate = 0.98;
 /** Ms after the end of a lease before the runs under it are considered gone. */
@@ -111,6 +118,15 @@
     closed = false;
     /** On the monotonic clock: the server gets no starts before this time. */
     backoffUntil = 0;
+    /**
+     * On the monotonic clock: a task that starts alone may crash the server until then. `undefined` once the server
+     * has been asked after that time whether it is up; before, no other task starts there.
+     */
+    startingAloneUntil: number | undefined;
+    /** The server is being asked that. */
+    confirmingLoneStart = false;
+    /** On the monotonic clock: when the server was last found unreachable or rebooted; `undefined` if never. */
+    lostAt: number | undefined;
     readonly health = new scheduling.ServerHealth();
     /** Gets no new tasks because an order to maintain or move its machine is planned or in flight. */
     reservedForOrder = false;
@@ -162,6 +178,22 @@
         return isOrdinary && run.phase === RunPhase.running && scheduling.isStalled(sample, this.lastAnswerAt);
     }
 
+    /** Runs that may be under way on the server, with the time for which it was seen up since their start. */
+    listStartedRuns(): StartedRun[] {
+        return [...this.runs.values()]
+            .filter(run => run.phase !== RunPhase.planned)
+            .map(run => ({ run, jobId: run.entry.id, provenTime: this.computeProvenTime(run) }));
+    }
+
+    /** Number of runs that were started, or are to be, so short a time before `now` that they may crash the server. */
+    countStartingRuns(now: number): number {
+        let count = 0;
+        for (const run of this.runs.values()) {
+            count += now - run.startSentAt < scheduling.startupPeriod ? 1 : 0;
+        }
+        return count;
+    }
+
     /** Ms for which the server is known to have been up since the run's start; 0 if that start isn't known. */
     computeProvenTime(run: ActiveRun): number {
         return run.startClock === undefined ? 0 : Math.max(0, Math.round(this.lastClock - run.startClock));
@@ -202,3 +234,9 @@
 export function parseServerId(bootId: string): string {
     return bootId.slice(0, bootId.lastIndexOf("@"));
 }
+
+/** Boot time of the server; `undefined` if it wasn't known. */
+export function parseBootTime(bootId: string): number | undefined {
+    const time = Number(bootId.slice(bootId.lastIndexOf("@") + 1));
+    return time === 0 ? undefined : time;
+}
--- a/packages/job-state/src/progress.ts
+++ b/packages/job-state/src/progress.ts
@@ -1,6 +1,6 @@
 /**
  * Progress of a job: which tasks are done, which runs may be under way on which servers, how often each task has
- * failed.
+ * failed or may have crashed its server.
  *
  * Only the coordinator changes progress, and writes it to the ledger; every other process takes over the newest
  * progress record of each job from there.
@@ -27,6 +27,12 @@
     lastRun: number;
     /** Number of runs that failed. */
     failures: number;
+    /** Number of server crashes that the task may have caused since a server last outlasted its start. */
+    crashes: number;
+    /** Those of them that no task of another job can have caused. */
+    soleCrashes: number;
+    /** No other task may start on the same server beside it, so that the cause of another crash is certain. */
+    startsAlone: boolean;
     /** Runs that may be under way; more than one only for a speculative step. */
     runs: Run[];
     /** Newest checkpoint that a backend server reported, passed unchanged to the next run; empty for none. */
@@ -71,7 +77,7 @@
 export function getOrCreateHistory(progress: OccurrenceProgress, task: number): TaskHistory {
     let found = progress.histories.get(task);
     if (found === undefined) {
-        found = { lastRun: 0, failures: 0, runs: [], checkpoint: "" };
+        found = { lastRun: 0, failures: 0, crashes: 0, soleCrashes: 0, startsAlone: false, runs: [], checkpoint: "" };
         progress.histories.set(task, found);
     }
     return found;
--- a/packages/job-state/src/records.test.ts
+++ b/packages/job-state/src/records.test.ts
@@ -22,7 +22,15 @@
     jobState.markDone(occurrence, 0);
     jobState.markDone(occurrence, 9);
     const history = jobState.getOrCreateHistory(occurrence, 10);
-    Object.assign(history, { lastRun: 3, failures: 2, checkpoint: "00ab", runs: [{ number: 3, server: "i-1@9" }] });
+    Object.assign(history, {
+        lastRun: 3,
+        failures: 2,
+        crashes: 2,
+        soleCrashes: 1,
+        startsAlone: true,
+        checkpoint: "00ab",
+        runs: [{ number: 3, server: "i-1@9" }],
+    });
     const record = jobState.encodeProgress(job.id, progress);
     const decoded = jobState.decodeLedger(record.key, record.value);
     assert.ok(decoded?.kind === "progress" && decoded.id === job.id);
@@ -33,6 +41,26 @@
     assert.ok(decoded.progress.begun);
 });
 
+suite("progress that an earlier version stored, without crashes, is restored with none", () => {
+    // Record of a job with one task: its second run, of boot 9 of server i-1, may be under way.
+    const value = Buffer.from(
+        "b9000461736772756e6e696e676161076162f5616f81b90004616b00616e01616441006168"
+            + "81b90005617400616c02616600617281820265692d314039616360",
+        "hex",
+    );
+    const decoded = jobState.decodeLedger(`p:${job.id}`, value);
+    assert.ok(decoded?.kind === "progress");
+    assert.equal(decoded.progress.occurrences.get(0)?.histories.get(0), {
+        lastRun: 2,
+        failures: 0,
+        crashes: 0,
+        soleCrashes: 0,
+        startsAlone: false,
+        runs: [{ number: 2, server: "i-1@9" }],
+        checkpoint: "",
+    });
+});
+
 suite("the first record of a job wins, and a cancellation that precedes it counts", () => {
     const table = new jobState.JobTable();
     const cancellation = jobState.encodeCancellation(job.id, 9);
--- a/packages/job-state/src/records.ts
+++ b/packages/job-state/src/records.ts
@@ -84,6 +84,8 @@
     readonly l: number;
     /** `failures`. */
     readonly f: number;
+    /** `crashes`, `soleCrashes` and `startsAlone`; absent when there were no crashes. */
+    readonly x?: readonly [number, number, boolean];
     /** `runs`: number and server of each. */
     readonly r: readonly [number, string][];
     /** `checkpoint`. */
@@ -177,6 +179,9 @@
                 t: task,
                 l: history.lastRun,
                 f: history.failures,
+                ...history.crashes > 0
+                    ? { x: [history.crashes, history.soleCrashes, history.startsAlone] as const }
+                    : {},
                 r: history.runs.map(run => [run.number, run.server]),
                 c: history.checkpoint,
             });
@@ -277,6 +282,9 @@
             histories.set(task.t, {
                 lastRun: task.l,
                 failures: task.f,
+                crashes: task.x?.[0] ?? 0,
+                soleCrashes: task.x?.[1] ?? 0,
+                startsAlone: task.x?.[2] ?? false,
                 runs: task.r.map(([number, server]) => ({ number, server })),
                 checkpoint: task.c,
             });
--- a/packages/scheduling/src/health.test.ts
+++ b/packages/scheduling/src/health.test.ts
@@ -35,7 +35,7 @@
     bad.penalty = health.computePenalty(0);
     const step = fixtures.createStep({ taskCount: 6 });
     const tasks = [0, 1, 2, 3, 4, 5];
-    const placed = scheduling.placeStep({ stepKey: "k", step, tasks, avoided: new Set() }, [bad, good]);
+    const placed = scheduling.placeStep({ stepKey: "k", step, tasks, avoided: new Set(), alone: false }, [bad, good]);
     assert.equal(placed.map(one => one.server.id), ["good", "good", "good", "good", "bad", "bad"]);
 });
 
--- a/packages/scheduling/src/placing.test.ts
+++ b/packages/scheduling/src/placing.test.ts
@@ -15,7 +15,10 @@
 ): scheduling.Placement[] {
     const fullStep = fixtures.createStep(step);
     const tasks = Array.from({ length: fullStep.taskCount }, (_, i) => i);
-    return scheduling.placeStep({ stepKey: "job.0.0", step: fullStep, tasks, avoided: noServers }, servers);
+    return scheduling.placeStep(
+        { stepKey: "job.0.0", step: fullStep, tasks, avoided: noServers, alone: false },
+        servers,
+    );
 }
 
 suite("no server gets more tasks than its capacity allows, whatever the demands", () => {
@@ -82,8 +85,38 @@
 suite("a server on which a run of the job failed or stalled is chosen last", () => {
     const servers = [fixtures.createLoad("a", { runCount: 1 }), fixtures.createLoad("b")];
     const step = fixtures.createStep();
-    const placed = scheduling.placeStep({ stepKey: "k", step, tasks: [0], avoided: new Set(["a"]) }, servers);
+    const placed = scheduling.placeStep(
+        { stepKey: "k", step, tasks: [0], avoided: new Set(["a"]), alone: false },
+        servers,
+    );
     assert.is(placed[0]?.server.id, "b");
 });
 
+suite(
+    "tasks that start alone get a server each, beside few runs and none that may crash it, and keep others off",
+    () => {
+        const step = fixtures.createStep({ taskCount: 3 });
+        const servers = [
+            fixtures.createLoad("starting", { runCount: 1, startingRunCount: 1 }),
+            fixtures.createLoad("busy", { runCount: 4 }),
+            fixtures.createLoad("quiet", { runCount: 1 }),
+            fixtures.createLoad("empty"),
+        ];
+        const request = { stepKey: "k", step, tasks: [0, 1], avoided: noServers, alone: true };
+        const placed = scheduling.placeStep(request, servers);
+        assert.equal(placed.map(one => one.server.id), ["empty", "quiet"]);
+        const others = scheduling.placeStep({ ...request, tasks: [2, 3], alone: false }, servers);
+        assert.equal(new Set(others.map(one => one.server.id)), new Set(["starting"]));
+    },
+);
+
+suite("a gang that starts alone may share its servers, but keeps other tasks off them", () => {
+    const step = fixtures.createStep({ taskCount: 3, gang: true });
+    const servers = [fixtures.createLoad("a"), fixtures.createLoad("b", { runCount: 9 })];
+    const request = { stepKey: "k", step, tasks: [0, 1, 2], avoided: noServers, alone: true };
+    assert.equal(scheduling.placeStep(request, servers).map(one => one.server.id), ["a", "a", "a"]);
+    assert.not(servers[0]!.acceptsTasks);
+    assert.ok(servers[1]!.acceptsTasks);
+});
+
 suite.run();
--- a/packages/scheduling/src/placing.ts
+++ b/packages/scheduling/src/placing.ts
@@ -28,6 +28,8 @@
     runCount: number;
     /** Those of them that belong to long-running tasks. */
     longRunningRunCount: number;
+    /** Number of runs that may still crash the server; counted only before tasks that start alone are placed. */
+    startingRunCount: number;
     /** Number of runs by `stepKey`. */
     readonly runCountByStep: Map<string, number>;
 }
@@ -40,6 +42,8 @@
     readonly tasks: readonly number[];
     /** IDs of servers on which a run of the job failed or stalled; others are preferred. */
     readonly avoided: ReadonlySet<string>;
+    /** No other task may start on a server beside one of these. */
+    readonly alone: boolean;
 }
 
 export interface Placement {
@@ -62,6 +66,10 @@
  * the pool.
  */
 const firstTaskCost = 1;
+/** For a task that starts alone: for each run that may also be what crashes the server. */
+const startingRunCost = 16;
+/** For a task that starts alone: for each run that is lost if it crashes the server. */
+const endangeredRunCost = 0.5;
 
 /** What a server's registration says about placement. */
 export interface ServerCapacity {
@@ -123,6 +131,14 @@
 
 /** Places as many tasks of a step as fit, or all or none of a gang, and occupies the capacity that they need. */
 export function placeStep(request: PlacementRequest, servers: readonly ServerLoad[]): Placement[] {
+    const placed = placeTasksOrGang(request, servers);
+    if (request.alone) {
+        placed.forEach(one => one.server.acceptsTasks = false);
+    }
+    return placed;
+}
+
+function placeTasksOrGang(request: PlacementRequest, servers: readonly ServerLoad[]): Placement[] {
     if (!request.step.gang) {
         return placeTasks(request, servers);
     }
@@ -146,6 +162,9 @@
             break;
         }
         occupy(server, request.step, request.stepKey);
+        if (request.alone && !request.step.gang) {
+            server.acceptsTasks = false;
+        }
         placed.push({ task, server });
     }
     return placed;
@@ -172,10 +191,17 @@
     const leftover = (server.freeCpu - step.demand.cpu) / Math.max(1, step.demand.cpu);
     const remoteData = step.dataRack !== undefined && step.dataRack !== server.rack ? remoteRackCost : 0;
     const avoided = request.avoided.has(server.id) ? avoidedCost : 0;
+    const first = request.alone ? 0 : estimateFirstTaskCost(step, server);
+    const endangered = request.alone
+        ? server.startingRunCount * startingRunCost + server.runCount * endangeredRunCost
+        : 0;
+    return leftover / 1000 + remoteData + avoided + server.penalty + first + endangered;
+}
+
+function estimateFirstTaskCost(step: jobState.Step, server: ServerLoad): number {
     // A long-running task keeps its server from leaving the pool, so a server that already runs one is preferred.
     const firstLongRunning = step.longRunning && server.longRunningRunCount === 0 ? firstTaskCost : 0;
-    return leftover / 1000 + remoteData + avoided + server.penalty + firstLongRunning
-        + (server.runCount === 0 ? firstTaskCost : 0);
+    return firstLongRunning + (server.runCount === 0 ? firstTaskCost : 0);
 }
 
 function groupByRack(servers: readonly ServerLoad[]): ServerLoad[][] {
--- a/packages/scheduling/src/ready.test.ts
+++ b/packages/scheduling/src/ready.test.ts
@@ -12,12 +12,17 @@
         steps: [fixtures.createStep({ taskCount: 2 }), fixtures.createStep({ dependsOn: [0] })],
     });
     const progress = jobState.createProgress(0);
-    assert.equal(scheduling.listReady(job, progress, 0).steps, [{ occurrence: 0, step: 0, tasks: [0, 1] }]);
+    assert.equal(scheduling.listReady(job, progress, 0).steps, [{
+        occurrence: 0,
+        step: 0,
+        tasks: [0, 1],
+        alone: false,
+    }]);
     const occurrence = jobState.getOrCreateOccurrence(progress, job, 0);
     jobState.markDone(occurrence, 0);
-    assert.equal(scheduling.listReady(job, progress, 0).steps, [{ occurrence: 0, step: 0, tasks: [1] }]);
+    assert.equal(scheduling.listReady(job, progress, 0).steps, [{ occurrence: 0, step: 0, tasks: [1], alone: false }]);
     jobState.markDone(occurrence, 1);
-    assert.equal(scheduling.listReady(job, progress, 0).steps, [{ occurrence: 0, step: 1, tasks: [2] }]);
+    assert.equal(scheduling.listReady(job, progress, 0).steps, [{ occurrence: 0, step: 1, tasks: [2], alone: false }]);
 });
 
 suite("a task with a run under way isn't started again", () => {
@@ -27,7 +32,7 @@
         number: 1,
         server: "a@1",
     });
-    assert.equal(scheduling.listReady(job, progress, 0).steps, [{ occurrence: 0, step: 0, tasks: [0] }]);
+    assert.equal(scheduling.listReady(job, progress, 0).steps, [{ occurrence: 0, step: 0, tasks: [0], alone: false }]);
 });
 
 suite("occurrences start at their due time, and not before", () => {
@@ -57,4 +62,22 @@
     assert.equal(scheduling.listReady(job, progress, 0).steps, []);
 });
 
+suite("a task under which a server has crashed starts alone, a gang with such a member apart from others", () => {
+    for (const gang of [false, true]) {
+        const job = fixtures.createJob({ steps: [fixtures.createStep({ taskCount: 3, gang })] });
+        const progress = jobState.createProgress(0);
+        const history = jobState.getOrCreateHistory(jobState.getOrCreateOccurrence(progress, job, 0), 1);
+        scheduling.countCrash(history, "shared");
+        const expected = gang
+            ? [{ occurrence: 0, step: 0, tasks: [0, 1, 2], alone: true }]
+            : [{ occurrence: 0, step: 0, tasks: [0, 2], alone: false }, {
+                occurrence: 0,
+                step: 0,
+                tasks: [1],
+                alone: true,
+            }];
+        assert.equal(scheduling.listReady(job, progress, 0).steps, expected);
+    }
+});
+
 suite.run();
--- a/packages/scheduling/src/ready.ts
+++ b/packages/scheduling/src/ready.ts
@@ -12,6 +12,8 @@
     readonly step: number;
     /** Task indices, counted over all steps of the job. */
     readonly tasks: readonly number[];
+    /** Each of the tasks starts alone on its server, see `crashes.ts`; a gang starts apart from other tasks. */
+    readonly alone: boolean;
 }
 
 export interface Readiness {
@@ -72,8 +74,13 @@
     job.steps.forEach((step, i) => {
         if (!completeFlags[i] && step.dependsOn.every(earlier => completeFlags[earlier])) {
             const ready = listStartable(step, occurrenceProgress, firstTask);
-            if (ready.length > 0) {
-                readySteps.push({ occurrence, step: i, tasks: ready });
+            const alone = ready.filter(task => occurrenceProgress?.histories.get(task)?.startsAlone === true);
+            const others = step.gang && alone.length > 0 ? [] : ready.filter(task => !alone.includes(task));
+            if (others.length > 0) {
+                readySteps.push({ occurrence, step: i, tasks: others, alone: false });
+            }
+            if (alone.length > 0) {
+                readySteps.push({ occurrence, step: i, tasks: step.gang ? ready : alone, alone: true });
             }
         }
         firstTask += step.taskCount;
--- a/packages/scheduling/src/testing/fixtures.ts
+++ b/packages/scheduling/src/testing/fixtures.ts
@@ -15,6 +15,7 @@
         penalty: 0,
         runCount: 0,
         longRunningRunCount: 0,
+        startingRunCount: 0,
         runCountByStep: new Map(),
         ...overrides,
     };
