Count the time since a start from its confirmation

A start without an answer may be carried out seconds after it was sent, so the time from its sending doesn't show that the server outlasted it: a task that crashed its server then wasn't a suspect. The time now counts from the server's answer, or from the first list that shows the run.

--- a/packages/dispatch/src/run-manager.ts
+++ b/packages/dispatch/src/run-manager.ts
@@ -151,7 +151,6 @@
         server.latestLeaseEnd = Math.max(server.latestLeaseEnd, leaseEnd);
         run.phase = session.RunPhase.ordered;
         run.startSentAt = now;
-        run.startClock = serverClock;
         this.#reserveStart(server, run);
         const call = platform.serverCalls.createStartCall(server.entry.id, {
             task: { jobId: run.entry.id, ...run.position },
@@ -207,6 +206,7 @@
         if (answer.kind === "done") {
             this.#recordBegun(run.entry);
             server.lastClock = Math.max(server.lastClock, answer.clock ?? 0);
+            run.startClock ??= answer.clock;
             run.expectedInListsFrom ??= shared.clock.monotonic();
             if (run.phase === session.RunPhase.ordered) {
                 run.phase = session.RunPhase.running;
--- a/packages/dispatch/src/server-session.ts
+++ b/packages/dispatch/src/server-session.ts
@@ -44,8 +44,8 @@
     /** On the monotonic clock: when the start was sent, or the run was taken over. */
     startSentAt: number;
     /**
-     * On the server's clock: when the start was sent, or this coordinator first saw an inherited run in a list;
-     * `undefined` before that.
+     * On the server's clock: when it confirmed the start or, as seen by this coordinator, first listed the run;
+     * `undefined` before that, as a start without an answer may be carried out seconds later.
      */
     startClock: number | undefined;
     /** This coordinator started it without a checkpoint, so the time to its end is the duration of the task. */
