--- a/packages/dispatch/src/run-manager.test.ts
+++ b/packages/dispatch/src/run-manager.test.ts
@@ -48,6 +48,7 @@
     });
     const servers = new fleet.Fleet(shared, {
         onLists: () => undefined,
+        onCrash: () => undefined,
         onRebooted: () => undefined,
         onRunsLost: () => undefined,
     });
--- a/packages/dispatch/src/wave-executor.test.ts
+++ b/packages/dispatch/src/wave-executor.test.ts
@@ -64,6 +64,7 @@
         const shared = testing.createContext(this.calls, this.#store, () => this.#now);
         const servers = new fleet.Fleet(shared, {
             onLists: () => undefined,
+            onCrash: () => undefined,
             onRebooted: () => undefined,
             onRunsLost: () => undefined,
         });
