Publish again what an entry instance refused while the log was out of its reach

fences.test.js failed in 1 of 12 runs, four at a time at a load average of 26 to 33: "timed out waiting for the status", with configuration version 0 and no profile in it. The entry instance published through had been fenced for a moment, with no contact to the log, so it answered "unavailable" and published nothing, as documented. The set-up looked at no answer and waited 30 s for pools that nobody had ordered.

Every publication that a test needs is now repeated while the log is out of reach; a conflict counts as the change itself only after an answer of unknown outcome, and every other refusal is reported at once with its reason.

--- a/packages/bench/src/set-up.ts
+++ b/packages/bench/src/set-up.ts
@@ -7,6 +7,8 @@
 
 /** Maximum time in ms until every pool has its planned instances. */
 const fillTimeoutMs = 30_000;
+/** Delay in ms before a change is published again. */
+const retryDelayMs = 100;
 
 /** Creates an operator client for the entry instance at an index. */
 export function createOperatorClient(running: testUtils.RunningDeployment, index = 0): operatorClient.OperatorClient {
@@ -19,12 +21,33 @@
     await running.waitReady();
     const client = createOperatorClient(running);
     for (const profile of running.profiles()) {
-        await client.publishProfile(profile, 0);
+        await publishUntilAccepted(() => client.publishProfile(profile, 0));
     }
-    await client.publishConfiguration(running.configuration(), 0);
+    await publishUntilAccepted(() => client.publishConfiguration(running.configuration(), 0));
     await Promise.all(running.entries.map((_, index) => waitUntilFilled(createOperatorClient(running, index))));
 }
 
+/**
+ * Publishes a change, and again while the log is out of reach of the entry instance. A conflict after an answer of
+ * unknown outcome is the change itself. Rejects if the change is refused or can't be published in time.
+ */
+export async function publishUntilAccepted(publish: () => Promise<schema.operator.ChangeAnswer>): Promise<void> {
+    const timeoutAt = performance.now() + fillTimeoutMs;
+    let mayBePublished = false;
+    for (;;) {
+        const answer = await publish();
+        if (answer.status === "accepted" || mayBePublished && answer.status === "conflict") {
+            return;
+        }
+        const isRetryable = answer.status === "unavailable" || answer.status === "unknown";
+        if (!isRetryable || performance.now() > timeoutAt) {
+            throw new Error(`the change was not published: ${answer.status}, ${answer.reason}`);
+        }
+        mayBePublished ||= answer.status === "unknown";
+        await new Promise(resolve => setTimeout(resolve, retryDelayMs));
+    }
+}
+
 /** Waits until every pool has its planned instances and each of them has a home. */
 export async function waitUntilFilled(client: operatorClient.OperatorClient): Promise<void> {
     await operatorClient.waitForStatus(client, status => {
--- a/packages/entry/src/integration/fences.test.ts
+++ b/packages/entry/src/integration/fences.test.ts
@@ -62,7 +62,8 @@
             running,
             running.entries.findIndex(entry => entry.name === restartedEntry),
         );
-        await operator.publishConfiguration(bench.shiftPlannedInstance(running.configuration()), 1);
+        const shifted = bench.shiftPlannedInstance(running.configuration());
+        await bench.publishUntilAccepted(() => operator.publishConfiguration(shifted, 1));
         await bench.waitForFleetState(
             running,
             state => fleetState.instancesOfPool(state, "spare").length === 0,
--- a/packages/entry/src/integration/moves.test.ts
+++ b/packages/entry/src/integration/moves.test.ts
@@ -25,10 +25,9 @@
             return bench.callOnce(entry, { id: `long-${index}`, runMs: 9_000, timeoutMs: testTimeoutMs });
         });
         await Promise.all(longCalls.map((_, index) => bench.waitForRun(running, `long-${index}`)));
-        await bench.createOperatorClient(running).publishConfiguration(
-            bench.shiftPlannedInstance(running.configuration()),
-            1,
-        );
+        const operator = bench.createOperatorClient(running);
+        const shifted = bench.shiftPlannedInstance(running.configuration());
+        await bench.publishUntilAccepted(() => operator.publishConfiguration(shifted, 1));
         const stateDuringMove = await bench.waitForFleetState(
             running,
             state => findMovingInstance(state) !== undefined,
--- a/packages/entry/src/integration/platform-outage.test.ts
+++ b/packages/entry/src/integration/platform-outage.test.ts
@@ -25,9 +25,12 @@
     );
 }
 
-async function waitForVersion(session: bench.Session, version: number): Promise<void> {
+/** Publishes the configuration again and waits until all entry instances have its new version. */
+async function publishVersion2(session: bench.Session): Promise<void> {
     const operators = session.running.entries.map((_, index) => bench.createOperatorClient(session.running, index));
-    const isReached = (status: schema.operator.StatusAnswer): boolean => status.configurationVersion === version;
+    const publisher = bench.createOperatorClient(session.running);
+    await bench.publishUntilAccepted(() => publisher.publishConfiguration(session.running.configuration(), 1));
+    const isReached = (status: schema.operator.StatusAnswer): boolean => status.configurationVersion === 2;
     await Promise.all(operators.map(operator => bench.waitForStatus(operator, isReached, 15_000)));
 }
 
@@ -98,8 +101,7 @@
         bench.runSession({ launch, seed }, async session => {
             const [entryA, entryB] = session.running.entries;
             assert.ok(entryA !== undefined && entryB !== undefined);
-            await bench.createOperatorClient(session.running).publishConfiguration(session.running.configuration(), 1);
-            await waitForVersion(session, 2);
+            await publishVersion2(session);
             const { controlPort } = session.running.platform;
             await testUtils.setFaults(controlPort, { down: true });
             await waitForContact(session, false);
@@ -128,8 +130,7 @@
     "violates no guarantee while all entry instances are replaced during an outage under load",
     () =>
         bench.runSession({ launch, seed, maxAttempts: 2 }, async session => {
-            await bench.createOperatorClient(session.running).publishConfiguration(session.running.configuration(), 1);
-            await waitForVersion(session, 2);
+            await publishVersion2(session);
             const load = session.runLoad(7_000, bench.steadyShape, 0.2);
             const { controlPort } = session.running.platform;
             await testUtils.setFaults(controlPort, { down: true });
