Move an instance in the test only once every entry instance knows the servers of its zone

An entry instance that has no digest with the free slots of its zone yet sends its requests to the other zone, so 6 go to one server and 2 wait there for 9 s; the move then finds the home released ("entry instance was not started") or 2 requests in place of 4.

Before the long requests, each entry instance now routes short ones until the server homed in its zone runs one. From then on at most 3 others can be ahead of any request on the 4 slots there, so all stay in their zone. Requests still come through the home and through its neighbour, and nothing that the test asserts has changed.

--- a/packages/entry/src/integration/moves.test.ts
+++ b/packages/entry/src/integration/moves.test.ts
@@ -20,6 +20,7 @@
 suite("a move whose home is paused waits for its requests, and the home has no effect after it resumes", async () => {
     await bench.runSession({ launch, seed }, async session => {
         const { running } = session;
+        await waitForZoneRoutes(running);
         const longCalls = Array.from({ length: 8 }, (_, index) => {
             const entry = running.entries[index % running.entries.length] as testUtils.RunningEntry;
             return bench.callOnce(entry, { id: `long-${index}`, runMs: 9_000, timeoutMs: testTimeoutMs });
@@ -53,6 +54,38 @@
     });
 });
 
+/**
+ * Waits until each entry instance routes requests to the server homed in its own availability zone, so that the long
+ * calls are split evenly over both servers. An entry instance that knows no free slots there yet routes them elsewhere.
+ */
+async function waitForZoneRoutes(running: testUtils.RunningDeployment): Promise<void> {
+    const state = await bench.waitForFleetState(running, () => true, testTimeoutMs);
+    const homes = fleetState.instancesOfPool(state, "invoices").map(({ instance }) => ({
+        instance: instance.name,
+        entry: running.findEntry(bench.findHomeEntry(state, instance.name) ?? ""),
+    }));
+    assert.equal(homes.map(({ entry }) => entry.availabilityZone).sort(), ["zone-a", "zone-b"]);
+    await Promise.all(running.entries.map(async entry => {
+        const home = homes.find(candidate => candidate.entry.availabilityZone === entry.availabilityZone);
+        const server = running.backendServers.find(candidate => candidate.instance === home?.instance);
+        assert.ok(server !== undefined);
+        const timeoutAt = performance.now() + testTimeoutMs;
+        for (let attempt = 1; !await runsOn(server, entry, `route-${entry.name}-${attempt}`); attempt++) {
+            assert.ok(performance.now() < timeoutAt, `${entry.name} routes no request to ${server.instance}`);
+        }
+    }));
+}
+
+/** Sends a short call through an entry instance and returns whether the server ran it. */
+async function runsOn(
+    server: testUtils.RunningBackendServer,
+    entry: testUtils.RunningEntry,
+    id: string,
+): Promise<boolean> {
+    await bench.callOnce(entry, { id });
+    return (await testUtils.readExecutions(server)).some(run => run.path === `/calls/${id}`);
+}
+
 /** Asserts that the instance moved once, after the last of its requests had ended. */
 async function checkMove(session: bench.Session, name: string): Promise<void> {
     const commits = (await bench.readFoldedRecords(session.running)).filter(({ result: { record, verdict } }) =>
