Log and expose what a process reads from the store

Each process now counts, by topic, the bytes of the answers to its reads and the reads that failed; `store-reads` logs them at most once a second, if a read failed or 64 KiB were read, and two counters expose them.

--- a/packages/node/src/entry-instance.ts
+++ b/packages/node/src/entry-instance.ts
@@ -24,6 +24,8 @@
 const takeoverRetryDelay = 100;
 /** Time in ms before a process retries to publish its relay's address to its peers. */
 const announceRetryDelay = 500;
+/** Time in ms between two lines about the reads of the store. */
+const readReportInterval = 1000;
 /** Time in ms without a successful store call after which a coordinator stops telling peers that it coordinates. */
 const coordinatorStoreTimeout = 1200;
 /**
@@ -113,6 +115,8 @@
         this.#leaderElection.start();
         void this.#startRelay();
         this.#metrics.watchEvents(this.log);
+        this.#metrics.watchReads(this.#store.reads);
+        setInterval(() => this.#store.reads.report(this.log), readReportInterval).unref();
         this.#metrics.serve(`${this.settings.ip}:${this.settings.internalPorts[0]}`, this.log);
     }
 
--- a/packages/node/src/metrics.ts
+++ b/packages/node/src/metrics.ts
@@ -2,6 +2,7 @@
  * Prometheus metrics of a process.
  */
 import type * as eventLog from "@catkinwharf/event-log";
+import type * as store from "@catkinwharf/store";
 import * as http from "node:http";
 import * as promClient from "prom-client";
 
@@ -46,6 +47,33 @@
         });
     }
 
+    /** Exposes the reads of the store, and the bytes of their responses, by topic. */
+    watchReads(reads: store.ReadMeter): void {
+        const calls = new promClient.Counter({
+            name: "catkinwharf_store_reads_total",
+            help: "Reads of the store by topic and outcome: answered, or failed and repeated.",
+            labelNames: ["topic", "outcome"] as const,
+            registers: [this.registry],
+            collect: () => {
+                calls.reset();
+                reads.totals.forEach(({ answered, failed }, topic) => {
+                    calls.inc({ topic, outcome: "answered" }, answered);
+                    calls.inc({ topic, outcome: "failed" }, failed);
+                });
+            },
+        });
+        const bytes = new promClient.Counter({
+            name: "catkinwharf_store_read_bytes_total",
+            help: "Bytes of the store's responses to reads, by topic.",
+            labelNames: ["topic"] as const,
+            registers: [this.registry],
+            collect: () => {
+                bytes.reset();
+                reads.totals.forEach((counts, topic) => bytes.inc({ topic }, counts.bytes));
+            },
+        });
+    }
+
     /** @param duration time in ms from the request to its response */
     countRequest(method: string, status: string, duration: number): void {
         this.#requests.inc({ method, status });
--- a/packages/store/src/store-client.ts
+++ b/packages/store/src/store-client.ts
@@ -5,6 +5,7 @@
 import * as httpCalls from "@catkinwharf/http-calls";
 import * as platform from "@catkinwharf/platform";
 import * as neverthrow from "neverthrow";
+import * as readMeter from "./read-meter.js";
 import * as storeRelay from "./store-relay.js";
 import type * as storeRoutes from "./store-routes.js";
 
@@ -68,6 +69,7 @@
     #failing = false;
     /** Moving average in ms of the latency of calls without long polling. */
     latency = 0;
+    readonly reads = new readMeter.ReadMeter();
     /** Long polls over the direct route that have no response yet. */
     readonly #directPolls = new Set<AbortController>();
 
@@ -99,7 +101,7 @@
 
     /** Reads records from an offset on; the store responds once there is a record, at the latest after `wait` ms. */
     async read(topic: string, from: number, wait: number): Promise<neverthrow.Result<ReadResult, StoreError>> {
-        const result = await this.#send(platform.storeCalls.createReadCall(topic, from, wait), wait, readTransferTime);
+        const result = await this.#sendRead(topic, platform.storeCalls.createReadCall(topic, from, wait), wait);
         return result.andThen(response => {
             const decoded = platform.storeCalls.decodeRead(response, from);
             return decoded.kind === "refused"
@@ -110,7 +112,7 @@
 
     /** Reads a page of the newest record of each key; `after` is the last key of the previous page. */
     async readNewest(topic: string, after: string | undefined): Promise<neverthrow.Result<NewestResult, StoreError>> {
-        const result = await this.#send(platform.storeCalls.createNewestCall(topic, after), 0, readTransferTime);
+        const result = await this.#sendRead(topic, platform.storeCalls.createNewestCall(topic, after), 0);
         return result.andThen(response => {
             const decoded = platform.storeCalls.decodeNewest(response);
             return decoded.kind === "refused"
@@ -119,6 +121,21 @@
         });
     }
 
+    async #sendRead(
+        topic: string,
+        call: platform.Call,
+        wait: number,
+    ): Promise<neverthrow.Result<platform.HttpResponse, StoreError>> {
+        const result = await this.#send(call, wait, readTransferTime);
+        if (result.isOk()) {
+            this.reads.recordAnswered(topic, result.value.body.byteLength);
+        }
+        else {
+            this.reads.recordFailed(topic);
+        }
+        return result;
+    }
+
     /**
      * @param wait time in ms for which the store may delay its response (long polling)
      * @param transferTime see `HttpClient.send`
