--- a/packages/intake/src/job-api.test.ts
+++ b/packages/intake/src/job-api.test.ts
@@ -120,16 +120,10 @@
 suite("a caller isn't kept waiting beyond its time limit for a process that is behind", async () => {
     const jobs = new jobState.JobTable();
     for (const path of [route.pathPrefix, `${route.pathPrefix}00000000000000ab`]) {
-        let caughtUp = false;
-        const refresh = async () => {
-            await new Promise(resolve => setTimeout(resolve, 3 * route.timeout));
-            caughtUp = true;
-            return true;
-        };
+        const refresh = () => new Promise<boolean>(() => {}); // Never ends.
         const response = await get(path, jobs, { age: 5000, refresh });
         assert.is(response.status, 503);
         assert.ok(Number(response.retryAfter) >= 1);
-        assert.not(caughtUp);
     }
 });
 
--- a/packages/intake/src/job-api.ts
+++ b/packages/intake/src/job-api.ts
@@ -74,14 +74,14 @@
  */
 const outageRetryAfter = 1;
 
-const queueNotFound: JobResponse = { status: 404, body: "", reason: "no such queue" };
-const noConfiguration: JobResponse = { status: 503, body: "", retryAfter: 1, reason: "no configuration yet" };
 /**
  * Age in ms up to which this process's view of the jobs is good enough for a queue's pending count, by the platform's
  * protocol.
  */
 const maxCountAge = 2000;
 
+const queueNotFound: JobResponse = { status: 404, body: "", reason: "no such queue" };
+const noConfiguration: JobResponse = { status: 503, body: "", retryAfter: 1, reason: "no configuration yet" };
 const storeUnavailable: JobResponse = {
     status: 503,
     body: "",
