--- a/packages/dispatch/src/fleet.ts
+++ b/packages/dispatch/src/fleet.ts
@@ -39,7 +39,10 @@
     readonly onCrash: (crash: ServerCrash) => void;
     /** A server answered from another boot under the same ID. */
     readonly onRebooted: (server: session.ServerSession) => void;
-    /** No run on the server can be running any more: another one has its address, its machine ended, or its lease expired. */
+    /**
+     * No run on the server can be running any more: another server has its address, its machine ended, or its lease
+     * expired.
+     */
     readonly onRunsLost: (server: session.ServerSession, how: jobState.RunEnd) => void;
 }
 
--- a/packages/dispatch/src/ledger-writer.ts
+++ b/packages/dispatch/src/ledger-writer.ts
@@ -18,6 +18,7 @@
 /** Most jobs in one append; keeps a batch far below the store's size limit for one call. */
 const maxJobsPerBatch = 400;
 
+/** Records of one append. */
 interface Batch {
     readonly records: platform.storeCalls.KeyedRecord[];
     /** Jobs whose progress is among the records, and its status there. */
--- a/packages/http-calls/src/index.ts
+++ b/packages/http-calls/src/index.ts
@@ -1,6 +1,7 @@
 /**
- * HTTP client with a connection pool for each address. Every call has a timeout, which counts the time without progress.
- * The connection of a call that timed out is closed, because a connection that stopped responding doesn't recover.
+ * HTTP client with a connection pool for each address. Every call has a timeout; a call may allow its response to take
+ * longer while it keeps arriving. The connection of a call that timed out is closed, because a connection that stopped
+ * responding doesn't recover.
  */
 import type * as platform from "@catkinwharf/platform";
 import * as neverthrow from "neverthrow";
@@ -55,8 +56,8 @@
      * of the response begins to arrive, and then between any two parts of it
      * @param transferTime longest time in ms that a large response may take in addition while it keeps arriving:
      * repeating the call would only add to what a slow link has to carry
-     * @param abort ends the call when it is aborted before the body of the response begins to arrive; the call then counts as timed
-     * out
+     * @param abort ends the call when it is aborted before the body of the response begins to arrive; the call then counts
+     * as timed out
      */
     async send(
         address: string,
--- a/packages/intake/src/job-api.test.ts
+++ b/packages/intake/src/job-api.test.ts
@@ -55,7 +55,7 @@
         }),
         maxConfigurationAge: 2000,
         isStoreUnavailable: () => view.storeUnavailable === true,
-        describeDataAge: () => ({
+        measureDataAge: () => ({
             submissionsAge: view.age,
             progressAge: view.age,
             configurationAge: view.configurationAge ?? 0,
--- a/packages/intake/src/job-api.ts
+++ b/packages/intake/src/job-api.ts
@@ -31,7 +31,7 @@
     /** Whether the store counts as unavailable, by the last calls; submissions are then refused at once. */
     readonly isStoreUnavailable: () => boolean;
     /** Ages in ms of what this process has read of the jobs, their progress and the configuration. */
-    readonly describeDataAge: () => {
+    readonly measureDataAge: () => {
         readonly submissionsAge: number;
         readonly progressAge: number;
         readonly configurationAge: number;
@@ -230,8 +230,8 @@
      * @returns whether the configuration may decide on the request
      */
     async #refreshConfiguration(message: http.IncomingMessage, startedAt: number): Promise<boolean> {
-        const { configuration, describeDataAge, isStoreUnavailable, maxConfigurationAge } = this.options;
-        const isFresh = configuration() === undefined || describeDataAge().configurationAge <= maxConfigurationAge;
+        const { configuration, measureDataAge, isStoreUnavailable, maxConfigurationAge } = this.options;
+        const isFresh = configuration() === undefined || measureDataAge().configurationAge <= maxConfigurationAge;
         if (isFresh || isStoreUnavailable()) {
             return true;
         }
@@ -241,7 +241,7 @@
 
     /** Counts from a view that is fresh enough, which takes reading the store while this process is behind. */
     async #countPending(queue: string, deadline: number): Promise<JobResponse> {
-        const { submissionsAge, progressAge } = this.options.describeDataAge();
+        const { submissionsAge, progressAge } = this.options.measureDataAge();
         if (Math.max(submissionsAge, progressAge) > maxCountAge) {
             if (this.options.isStoreUnavailable()) {
                 return storeUnavailable;
@@ -252,7 +252,7 @@
             }
         }
         const counts = this.options.jobs.countUnfinished(queue);
-        this.options.log.info("pending-counted", { queue, ...counts, ...this.options.describeDataAge() });
+        this.options.log.info("pending-counted", { queue, ...counts, ...this.options.measureDataAge() });
         return { status: 200, body: platform.callerBodies.encodePendingJobs(counts.pending) };
     }
 
--- a/packages/node/src/entry-instance.ts
+++ b/packages/node/src/entry-instance.ts
@@ -174,7 +174,7 @@
             refreshConfiguration: () => this.#operatorRecords.catchUp(),
             maxConfigurationAge: this.settings.bounds.configurationDelay,
             isStoreUnavailable: () => this.#isStoreUnavailable(),
-            describeDataAge: () => ({
+            measureDataAge: () => ({
                 submissionsAge: this.#clock.wall() - this.#submissions.caughtUpAt,
                 progressAge: this.#clock.wall() - this.#ledger.caughtUpAt,
                 configurationAge: this.#clock.wall() - this.#operatorRecords.caughtUpAt,
--- a/packages/scheduling/src/crashes.ts
+++ b/packages/scheduling/src/crashes.ts
@@ -9,11 +9,11 @@
  */
 import type * as jobState from "@catkinwharf/job-state";
 
-/** Time in ms from its start within which a task crashes its server, if it is one that does. */
+/** Time in ms after a task's start in which its server may crash because of it. */
 export const startupPeriod = 500;
-/** Crashes of which a task was a suspect, and of one the only one, that make it the cause. */
+/** Crashes with a task among the suspects that make it the cause, if in one of them all suspects were of its job. */
 const certainCrashes = 2;
-/** Crashes of which a task was a suspect, always among tasks of other jobs, that make it the cause. */
+/** The same if in none of them all suspects were of its job, or servers were lost together. */
 const sharedCrashes = 3;
 /** Time in ms in which servers that become unreachable count as lost together. */
 const jointLossPeriod = 1000;
--- a/packages/store/src/topic-follower.ts
+++ b/packages/store/src/topic-follower.ts
@@ -32,7 +32,7 @@
 
 /** Time in ms before a failed read is retried. */
 const retryDelay = 150;
-/** Attempts to read a page of the newest records before the reload is given up: about the length of a short outage. */
+/** Attempts to read a page of the newest records before the reload is given up and begins anew. */
 const maxPageAttempts = 5;
 
 export class TopicFollower {
