Log who stops a long-running task, why, and on what knowledge

The report of AVAIL says only that a coordinator ended a task while others of its step were away. A stop left no line with its cause, nor did a repeated one; the number of others that counted as available, the age of the lists that said so, a lease renewed late and the outcome of an order for a machine in use weren't logged either.

--- a/packages/dispatch/src/coordinator.ts
+++ b/packages/dispatch/src/coordinator.ts
@@ -131,6 +131,7 @@
             registry: this.registry,
             onEnd: createHealthRecorder(clock),
             onStartAnswered: duration => this.#load.record(loadMeter.Activity.start, duration),
+            describeStep: run => relocation.describeStep(run, [...this.fleet.sessions.values()], clock.monotonic()),
         });
         this.fleet = new fleet.Fleet(this.#shared, {
             onLists: (server, lists, sentAt) => {
@@ -267,14 +268,14 @@
 
     #cancel(active: jobRegistry.ActiveJob): void {
         this.#runManager.finishIfSettled(active);
-        this.#stopRunsOf(active);
+        this.#stopRunsOf(active, runManager.StopCause.cancelled);
     }
 
-    #stopRunsOf(active: jobRegistry.ActiveJob): void {
+    #stopRunsOf(active: jobRegistry.ActiveJob, cause: runManager.StopCause): void {
         for (const server of this.fleet.sessions.values()) {
             for (const run of [...server.runs.values()]) {
                 if (run.entry === active.entry) {
-                    void this.#runManager.stop(server, run);
+                    void this.#runManager.stop(server, run, cause);
                 }
             }
         }
@@ -331,7 +332,7 @@
         }
         for (const active of [...this.registry.active.values()]) {
             if (jobState.isSettled(active.progress.status)) {
-                this.#stopRunsOf(active);
+                this.#stopRunsOf(active, runManager.StopCause.settled);
                 this.#runManager.finishIfSettled(active);
             }
         }
@@ -360,7 +361,7 @@
                 });
                 server.health.recordOutcome(false, server.lastAnswerAt);
                 this.registry.active.get(run.entry.id)?.avoided.add(server.entry.id);
-                void this.#runManager.stop(server, run);
+                void this.#runManager.stop(server, run, runManager.StopCause.stalled);
             }
         }
     }
@@ -472,7 +473,7 @@
         const run = relocation.chooseRelocation(server, [...this.fleet.sessions.values()]);
         if (run !== undefined) {
             this.#shared.log.info("task-relocated", { step: run.stepKey, server: server.entry.id });
-            void this.#runManager.stop(server, run);
+            void this.#runManager.stop(server, run, runManager.StopCause.relocated);
         }
     }
 
--- a/packages/dispatch/src/fleet.ts
+++ b/packages/dispatch/src/fleet.ts
@@ -60,6 +60,9 @@
  */
 const unstoredRetryDelay = 400;
 
+/** Ms left of a lease below which its renewal is logged as late. */
+const lateRenewal = 1000;
+
 /** A lease renewal as it was sent. */
 interface SentRenewal {
     /** On the monotonic clock. */
@@ -292,6 +295,7 @@
             ? fillerPollWait
             : busyPollWait;
         if (leaseEnd !== undefined) {
+            this.#logLateRenewal(server, serverClock ?? 0);
             server.latestLeaseEnd = Math.max(server.latestLeaseEnd, leaseEnd);
         }
         const { ends } = server;
@@ -320,6 +324,14 @@
         );
     }
 
+    /** Logs a renewal that is sent with little of the lease left. */
+    #logLateRenewal(server: session.ServerSession, serverClock: number): void {
+        const left = server.latestLeaseEnd - serverClock;
+        if (server.latestLeaseEnd > 0 && left < lateRenewal && server.load.longRunningRunCount > 0) {
+            this.shared.log.warn("lease-renewed-late", { server: server.entry.id, left: Math.round(left) });
+        }
+    }
+
     async #applyAnswer(
         server: session.ServerSession,
         answer: platform.serverCalls.LeaseRenewalResult,
--- a/packages/dispatch/src/machine-inventory.ts
+++ b/packages/dispatch/src/machine-inventory.ts
@@ -112,12 +112,26 @@
             server.reservedForOrder = true;
             server.load.acceptsTasks = false;
         }
+        const { clock, log } = this.shared;
+        const decided = {
+            runs: server?.runs.size,
+            // Ms since the newest list of what runs there.
+            list: server === undefined ? undefined : Math.round(clock.monotonic() - server.lastAnswerAt),
+        };
         const outcome = await this.orders.execute({
             machine: managed.machine.id,
             isInUse: () => server !== undefined && server.runs.size > 0,
             createCall,
         });
         managed.pendingOrder = undefined;
+        log.info("machine-ordered", {
+            machine: managed.machine.id,
+            kind,
+            server: server?.entry.id,
+            outcome,
+            runs: server?.runs.size,
+            decided,
+        });
         if (outcome === machineOrders.OrderOutcome.done) {
             managed.machine = after;
         }
--- a/packages/dispatch/src/relocation.ts
+++ b/packages/dispatch/src/relocation.ts
@@ -32,14 +32,45 @@
     return undefined;
 }
 
+/** What the coordinator's view says of a step, for the log of what ends its tasks. */
+export interface StepAvailability {
+    readonly tasks: number;
+    readonly maxUnavailable: number | undefined;
+    /** Tasks with a run that counts as available. */
+    readonly available: number;
+    /** Ms since the oldest of the lists that say so. */
+    readonly oldestList: number;
+}
+
+/** @param now on the monotonic clock, in ms */
+export function describeStep(
+    { step, stepKey }: Pick<session.ActiveRun, "step" | "stepKey">,
+    all: readonly session.ServerSession[],
+    now: number,
+): StepAvailability {
+    let available = 0;
+    let oldestList = 0;
+    for (const server of all) {
+        for (const run of server.runs.values()) {
+            if (run.stepKey === stepKey && isAvailable(run, server)) {
+                available += 1;
+                oldestList = Math.max(oldestList, Math.round(now - server.lastAnswerAt));
+            }
+        }
+    }
+    return { tasks: step.taskCount, maxUnavailable: step.maxUnavailable, available, oldestList };
+}
+
+function isAvailable(run: session.ActiveRun, server: session.ServerSession): boolean {
+    return run.phase === session.RunPhase.running && run.percent >= fullyAvailable && server.reachable;
+}
+
 /** Number of unavailable tasks of the run's step, not counting the run's own task. */
 function countUnavailable(run: session.ActiveRun, all: readonly session.ServerSession[]): number {
     let available = 0;
     for (const server of all) {
         for (const other of server.runs.values()) {
-            const isAvailable = other.phase === session.RunPhase.running && other.percent >= fullyAvailable
-                && server.reachable;
-            if (other !== run && other.stepKey === run.stepKey && isAvailable) {
+            if (other !== run && other.stepKey === run.stepKey && isAvailable(other, server)) {
                 available += 1;
             }
         }
--- a/packages/dispatch/src/run-manager.test.ts
+++ b/packages/dispatch/src/run-manager.test.ts
@@ -45,6 +45,7 @@
         registry,
         onEnd: () => undefined,
         onStartAnswered: () => undefined,
+        describeStep: () => ({}),
     });
     const servers = new fleet.Fleet(shared, {
         onLists: () => undefined,
--- a/packages/dispatch/src/run-manager.ts
+++ b/packages/dispatch/src/run-manager.ts
@@ -26,6 +26,22 @@
     session.RunPhase.stopping,
 ]);
 
+/** Why a run is stopped. */
+export const StopCause = {
+    cancelled: "cancelled",
+    /** Its job has its final status. */
+    settled: "settled",
+    /** It makes no progress. */
+    stalled: "stalled",
+    /** Its server is being emptied. */
+    relocated: "relocated",
+    /** Its start got no response. */
+    startUnanswered: "start unanswered",
+    /** A server listed it and the coordinator doesn't know it. */
+    unknown: "unknown",
+} as const;
+export type StopCause = (typeof StopCause)[keyof typeof StopCause];
+
 export interface RunManagerOptions {
     readonly shared: context.CoordinatorContext;
     readonly registry: jobRegistry.JobRegistry;
@@ -33,6 +49,8 @@
     readonly onEnd: (server: session.ServerSession, run: session.ActiveRun, how: jobState.RunEnd) => void;
     /** A start got a response or failed, `duration` ms after it was sent. */
     readonly onStartAnswered: (duration: number) => void;
+    /** What is known of the availability of the run's step now, for the log. */
+    readonly describeStep: (run: Pick<session.ActiveRun, "step" | "stepKey">) => object;
 }
 
 export function formatRunName(name: platform.TaskName, run: number): string {
@@ -177,7 +195,7 @@
             });
             run.phase = session.RunPhase.uncertain;
             server.backoffUntil = shared.clock.monotonic() + refusalBackoff;
-            void this.stop(server, run);
+            void this.stop(server, run, StopCause.startUnanswered);
             return;
         }
         this.#handleStartAnswer(server, run, platform.serverCalls.decodeOrderResult(answer.value));
@@ -229,7 +247,7 @@
      * Stops a run, or drops it if its start wasn't sent. Resolves when the stop is confirmed, the run is gone or this
      * coordinator was fenced; at once if the run is being stopped already.
      */
-    async stop(server: session.ServerSession, run: session.ActiveRun): Promise<void> {
+    async stop(server: session.ServerSession, run: session.ActiveRun, cause: StopCause): Promise<void> {
         const { shared } = this.options;
         if (run.phase === session.RunPhase.planned) {
             this.#dropRun(server, run, "stopped before the start was sent");
@@ -240,7 +258,9 @@
         }
         run.phase = session.RunPhase.stopping;
         run.expectedInListsFrom = undefined;
+        const decidedAt = shared.clock.monotonic();
         while (this.#isCurrent(server, run) && !server.closed) {
+            this.#logStop(server, run, cause, decidedAt);
             const call = platform.serverCalls.createStopCall(server.entry.id, {
                 task: { jobId: run.entry.id, ...run.position },
                 run: run.runNumber,
@@ -261,6 +281,23 @@
         }
     }
 
+    /** Logs each time that a stop of a long-running task is sent. */
+    #logStop(server: session.ServerSession, run: session.ActiveRun, cause: StopCause, decidedAt: number): void {
+        if (!run.step.longRunning) {
+            return;
+        }
+        const { clock, log } = this.options.shared;
+        log.info("long-running-stopped", {
+            task: run.name,
+            server: server.entry.id,
+            cause,
+            // Ms since the stop was decided; above 0 when it is repeated.
+            since: Math.round(clock.monotonic() - decidedAt),
+            percent: run.percent,
+            step: this.options.describeStep(run),
+        });
+    }
+
     /**
      * Tells a filler at which pace to work. If that fails, the pace is decided and sent anew after the next lease
      * renewal.
@@ -391,6 +428,9 @@
             run.phase = session.RunPhase.running;
             run.expectedInListsFrom = this.options.shared.clock.monotonic();
         }
+        if (run.step.longRunning && run.phase === session.RunPhase.stopping) {
+            this.options.shared.log.info("stopping-run-listed", { task: run.name, percent: row.percent });
+        }
         this.#recordBegun(run.entry);
         run.startClock ??= server.lastClock;
         run.checkpoint = row.checkpoint === "" ? run.checkpoint : row.checkpoint;
@@ -432,7 +472,7 @@
         const occurrence = jobState.getOrCreateOccurrence(active.progress, active.job, row.task.occurrence);
         const history = jobState.getOrCreateHistory(occurrence, taskIndex);
         if (occurrence.done[taskIndex] === 1 || history.runs.length > 0 || active.entry.cancelledAt !== undefined) {
-            this.#stopUnknownRun(server, row);
+            this.#stopUnknownRun(server, row, step);
             return undefined;
         }
         history.lastRun = Math.max(history.lastRun, row.run);
@@ -443,9 +483,20 @@
         return server.runs.get(formatRunName(row.task, row.run));
     }
 
-    #stopUnknownRun(server: session.ServerSession, row: platform.serverCalls.RunningRun): void {
+    /** @param step `undefined` if the coordinator doesn't know the job */
+    #stopUnknownRun(
+        server: session.ServerSession,
+        row: platform.serverCalls.RunningRun,
+        step?: jobState.Step,
+    ): void {
         const { shared } = this.options;
-        shared.log.warn("unknown-run-stopped", { task: formatRunName(row.task, row.run), server: server.entry.id });
+        const stepKey = formatStepKey(row.task.jobId, row.task);
+        shared.log.warn("unknown-run-stopped", {
+            task: formatRunName(row.task, row.run),
+            server: server.entry.id,
+            percent: row.percent,
+            step: step?.longRunning === true ? this.options.describeStep({ step, stepKey }) : undefined,
+        });
         const call = platform.serverCalls.createStopCall(server.entry.id, {
             task: row.task,
             run: row.run,
