Reproduce three ways in which too many long-running tasks are away at once

Callers saw a long-running task ended while as many others of its step were away as may be (AVAIL).

No logic changes.

--- /dev/null
+++ b/packages/dispatch/src/availability.test.ts
@@ -0,0 +1,100 @@
+/** No order of the coordinator ends a long-running task while as many others of its step are away as may be. */
+import * as uvu from "uvu";
+import * as assert from "uvu/assert";
+import * as simulation from "./testing/simulation.js";
+
+const suite = uvu.suite("availability");
+const jobId = "00000000000000aa";
+/** Processor time for which only one task of a step fits on a server. */
+const wholeServer = 40_000;
+
+function formatTask(index: number): string {
+    return `${jobId}.0.0.${index}`;
+}
+
+/** Runs a simulation without random draws, in which each duration is the shortest one by default. */
+async function simulate(
+    machineCount: number,
+    run: (world: simulation.Simulation) => Promise<void>,
+    options: Partial<simulation.SimulationOptions> = {},
+): Promise<void> {
+    const world = new simulation.Simulation({ random: () => 0, machineCount, ...options });
+    try {
+        world.startCoordinator();
+        await world.time.runUntil(1000);
+        await run(world);
+    }
+    finally {
+        world.close();
+    }
+}
+
+suite("a wave over all machines of a step ends more of its tasks than allowed", async () => {
+    await simulate(6, async world => {
+        world.submit(jobId, 4, 1, wholeServer);
+        await world.time.runUntil(8000);
+        world.requestWave(1, world.machines.map(({ id }) => id), 40_000, 2);
+        await world.time.runUntil(60_000);
+        assert.ok(world.machines.every(({ maintained }) => maintained.has(1)));
+        assert.equal(world.rule.violations, []);
+    });
+});
+
+suite("a repeated stop ends a task although another was lost since the first", async () => {
+    await simulate(5, async world => {
+        world.submit(jobId, 4, 1, wholeServer);
+        await world.time.runUntil(8000);
+        const emptied = world.findServer(formatTask(0))!;
+        world.decideFate = ({ kind }) => {
+            const lost = kind === "stop" && world.time.now < 14_000;
+            return { carriedOutAfter: lost ? undefined : 2, answered: !lost };
+        };
+        world.requestWave(1, [world.findMachine(emptied).id], 30_000, 1);
+        await world.time.runUntil(8500);
+        // The server of another task and the only one with room for it.
+        const others = world.machines.filter(({ server }) =>
+            server!.running.size === 0 || server!.running.has(formatTask(1))
+        );
+        others.forEach(machine => world.endServer(machine));
+        await world.time.runUntil(20_000);
+        assert.equal(world.rule.violations, []);
+    });
+});
+
+suite("a task that is at work is stopped because its start got no response", async () => {
+    await simulate(3, async world => {
+        // The fourth task waits for room.
+        world.submit(jobId, 4, 1, wholeServer);
+        await world.time.runUntil(8000);
+        let startsWithoutAnswer = 1;
+        world.decideFate = ({ kind }) => {
+            startsWithoutAnswer -= kind === "start" ? 1 : 0;
+            return { carriedOutAfter: 2, answered: kind !== "start" || startsWithoutAnswer < 0 };
+        };
+        world.rebootServer(world.findServer(formatTask(0))!);
+        await world.time.runUntil(20_000);
+        assert.equal(world.rule.violations, []);
+    });
+});
+
+suite("a coordinator stops a task while its predecessor's stop of another takes effect", async () => {
+    await simulate(4, async world => {
+        let firstStart = true;
+        world.decideFate = ({ kind, task }) => {
+            const lost = kind === "start" && task === formatTask(0) && firstStart;
+            firstStart &&= !lost;
+            return { carriedOutAfter: lost ? undefined : 2, answered: !lost };
+        };
+        world.submit(jobId, 2, 1, 20_000);
+        await world.time.runUntil(8000);
+        const emptied = world.findServer(formatTask(0))!;
+        assert.ok(emptied === world.findServer(formatTask(1)));
+        world.requestWave(1, [world.findMachine(emptied).id], 30_000, 1);
+        await world.time.runUntil(8150);
+        world.startCoordinator();
+        await world.time.runUntil(20_000);
+        assert.equal(world.rule.violations, []);
+    }, { random: () => 1 });
+});
+
+suite.run();
--- a/packages/dispatch/src/testing/context.ts
+++ b/packages/dispatch/src/testing/context.ts
@@ -7,7 +7,7 @@
 import type * as context from "../context.js";
 import * as ledgerWriter from "../ledger-writer.js";
 
-const settings: platform.settings.ProcessSettings = {
+export const settings: platform.settings.ProcessSettings = {
     node: "a",
     capacity: { cores: undefined, linkRate: undefined },
     availabilityZone: "a",
--- /dev/null
+++ b/packages/dispatch/src/testing/simulated-server.ts
@@ -0,0 +1,234 @@
+/** A backend server in memory: runs long-running tasks under a lease, and reports ends until they are acknowledged. */
+import * as platform from "@catkinwharf/platform";
+import * as platformTesting from "@catkinwharf/platform/testing";
+import type * as availabilityRule from "./availability-rule.js";
+import type * as virtualTime from "./virtual-time.js";
+
+/** Longest lease in ms that a server grants. */
+export const maxLease = 10_000;
+
+export interface ServerHost {
+    readonly time: virtualTime.VirtualTime;
+    readonly rule: availabilityRule.AvailabilityRule;
+    /** Next number from 0 to 1. */
+    readonly random: () => number;
+    /** Whether anything has been disturbed so shortly before that a lapsed lease isn't the coordinator's fault. */
+    readonly isDisturbed: () => boolean;
+    /** Time in ms until a new run fails by itself; `undefined` for one that doesn't. */
+    readonly chooseFailure: () => number | undefined;
+}
+
+interface SimulatedRun {
+    readonly number: number;
+    atWork: boolean;
+    stopping: boolean;
+}
+
+interface End {
+    readonly number: number;
+    readonly task: string;
+    readonly run: number;
+    readonly how: string;
+}
+
+type Respond = (response: platform.HttpResponse) => void;
+
+/** Range in ms of the time from the start of a task until it is at work, and of that which a stop takes. */
+const warmUp = { min: 300, max: 1400 };
+const stopTime = { min: 5, max: 400 };
+
+export class SimulatedServer {
+    draining = false;
+    frozen = false;
+    bootedAt: number;
+    readonly running = new Map<string, SimulatedRun>();
+    #ended = false;
+    #clockStart: number;
+    #fencingToken = 0;
+    #leaseEnd = 0;
+    #ends: End[] = [];
+    #lastEnd = 0;
+    readonly #highestEnded = new Map<string, number>();
+    #waiting: (() => void)[] = [];
+    #delayed: (() => void)[] = [];
+
+    constructor(
+        private readonly host: ServerHost,
+        readonly registration: Omit<platform.operatorRecords.ServerRegistration, "draining" | "bootedAt">,
+    ) {
+        this.#clockStart = host.time.now;
+        this.bootedAt = host.time.clock.wall();
+    }
+
+    get ended(): boolean {
+        return this.#ended;
+    }
+
+    get clock(): number {
+        return Math.floor(this.host.time.now - this.#clockStart);
+    }
+
+    /** The server has crashed or left, or its machine was ordered away: nothing runs there any more. */
+    end(order?: "move" | "maintenance"): void {
+        for (const task of [...this.running.keys()]) {
+            this.#endRun(task, "lost", order);
+        }
+        this.#ended = true;
+    }
+
+    /** Crashes and starts again under the same ID. */
+    reboot(): void {
+        for (const task of [...this.running.keys()]) {
+            this.#endRun(task, "lost", undefined);
+        }
+        this.bootedAt = this.host.time.clock.wall();
+        this.#clockStart = this.host.time.now;
+        this.#fencingToken = 0;
+        this.#leaseEnd = 0;
+        this.#ends = [];
+        this.#lastEnd = 0;
+        this.#highestEnded.clear();
+        this.#waiting = [];
+    }
+
+    /** Whatever has arrived meanwhile is handled, after leases that have expired. */
+    thaw(): void {
+        this.frozen = false;
+        this.#checkLease();
+        this.#delayed.splice(0).forEach(handle => handle());
+    }
+
+    /** @param late the call was carried out much later than it was sent */
+    receive(order: platformTesting.ServerOrder, late: boolean, respond: Respond): void {
+        if (this.frozen) {
+            this.#delayed.push(() => this.receive(order, true, respond));
+            return;
+        }
+        if (this.#ended) {
+            return;
+        }
+        if (order.fencingToken < this.#fencingToken) {
+            respond(platformTesting.createOrderResponse(this.#identity, platform.serverCalls.Refusal.fenced));
+            return;
+        }
+        this.#fencingToken = order.fencingToken;
+        this.#extendLease(order.leaseEnd);
+        const handlers: Readonly<Record<typeof order.kind, () => void>> = {
+            start: () => this.#start(order, respond),
+            stop: () => this.#stop(order, late, respond),
+            pace: () => respond(platformTesting.createOrderResponse(this.#identity)),
+            renewal: () => this.#list(order, respond),
+        };
+        handlers[order.kind]();
+    }
+
+    get #identity(): platformTesting.ServerIdentity {
+        return { clock: this.clock, bootedAt: this.bootedAt };
+    }
+
+    #extendLease(until: number): void {
+        const leaseEnd = Math.min(until, this.clock + maxLease);
+        if (leaseEnd > this.#leaseEnd) {
+            this.#leaseEnd = leaseEnd;
+            this.host.time.schedule(() => this.#checkLease(), leaseEnd - this.clock + 1);
+        }
+    }
+
+    #checkLease(): void {
+        if (!this.frozen && this.clock > this.#leaseEnd) {
+            for (const task of [...this.running.keys()]) {
+                this.#endRun(task, "lapsed", this.host.isDisturbed() ? undefined : "lapse");
+            }
+        }
+    }
+
+    #start({ task, run }: platformTesting.ServerOrder, respond: Respond): void {
+        const present = this.running.get(task);
+        if (present?.number === run) {
+            respond(platformTesting.createOrderResponse(this.#identity));
+            return;
+        }
+        if (run <= (this.#highestEnded.get(task) ?? 0)) {
+            respond(platformTesting.createOrderResponse(this.#identity, platform.serverCalls.Refusal.outdated));
+            return;
+        }
+        if (this.clock > this.#leaseEnd) {
+            respond(platformTesting.createOrderResponse(this.#identity, platform.serverCalls.Refusal.late));
+            return;
+        }
+        const { time } = this.host;
+        const started: SimulatedRun = { number: run, atWork: false, stopping: false };
+        this.running.set(task, started);
+        time.schedule(() => {
+            if (this.running.get(task) === started) {
+                started.atWork = true;
+                this.host.rule.recordAtWork(task);
+            }
+        }, this.#choose(warmUp));
+        const failure = this.host.chooseFailure();
+        if (failure !== undefined) {
+            time.schedule(() => {
+                if (this.running.get(task) === started) {
+                    this.#endRun(task, "failed", undefined);
+                }
+            }, failure);
+        }
+        respond(platformTesting.createOrderResponse(this.#identity));
+    }
+
+    #stop({ task, run }: platformTesting.ServerOrder, late: boolean, respond: Respond): void {
+        const present = this.running.get(task);
+        this.#highestEnded.set(task, Math.max(run, this.#highestEnded.get(task) ?? 0));
+        if (present?.number === run && !present.stopping) {
+            present.stopping = true;
+            this.host.time.schedule(() => {
+                if (this.running.get(task) === present) {
+                    this.#endRun(task, "stopped", "stop", !late);
+                }
+            }, this.#choose(stopTime));
+        }
+        respond(platformTesting.createOrderResponse(this.#identity));
+    }
+
+    #list({ acknowledgedEnd, wait }: platformTesting.ServerOrder, respond: Respond): void {
+        this.#ends = this.#ends.filter(({ number }) => number > acknowledgedEnd);
+        let responded = false;
+        const answer = () => {
+            if (!responded && !this.#ended && !this.frozen) {
+                responded = true;
+                const running = [...this.running].map(([task, { number, atWork }]) => ({
+                    task,
+                    run: number,
+                    percent: atWork ? 100 : 40,
+                }));
+                respond(platformTesting.createRenewalResponse(this.#identity, running, this.#ends));
+            }
+        };
+        if (this.#ends.length > 0 || wait === 0) {
+            answer();
+            return;
+        }
+        this.#waiting.push(answer);
+        this.host.time.schedule(answer, wait);
+    }
+
+    #endRun(task: string, how: string, order: availabilityRule.OrderedEnd["order"] | undefined, inTime = true): void {
+        const run = this.running.get(task)!;
+        this.running.delete(task);
+        this.#highestEnded.set(task, Math.max(run.number, this.#highestEnded.get(task) ?? 0));
+        if (run.atWork) {
+            this.host.rule.recordAway(task);
+        }
+        if (order !== undefined) {
+            const counts = !this.draining && inTime;
+            this.host.rule.recordOrderedEnd({ task, order, wasAtWork: run.atWork, counts });
+        }
+        this.#lastEnd += 1;
+        this.#ends.push({ number: this.#lastEnd, task, run: run.number, how });
+        this.#waiting.splice(0).forEach(answer => answer());
+    }
+
+    #choose({ min, max }: { readonly min: number; readonly max: number; }): number {
+        return min + this.host.random() * (max - min);
+    }
+}
--- /dev/null
+++ b/packages/dispatch/src/testing/simulation.ts
@@ -0,0 +1,389 @@
+/**
+ * Coordinators, one after the other, with backend servers, machines and a store in memory, in virtual time. The servers
+ * judge whether too many long-running tasks of a step are away at once.
+ */
+import type * as eventLog from "@catkinwharf/event-log";
+import * as httpCalls from "@catkinwharf/http-calls";
+import * as jobState from "@catkinwharf/job-state";
+import * as jobTesting from "@catkinwharf/job-state/testing";
+import * as platform from "@catkinwharf/platform";
+import * as platformTesting from "@catkinwharf/platform/testing";
+import * as neverthrow from "neverthrow";
+import * as coordinator from "../coordinator.js";
+import * as earlierOrders from "../earlier-orders.js";
+import * as availabilityRule from "./availability-rule.js";
+import * as contextTesting from "./context.js";
+import * as memoryStore from "./memory-store.js";
+import * as simulatedServer from "./simulated-server.js";
+import * as virtualTime from "./virtual-time.js";
+
+export const service = "quotes";
+const standbyPool = "standby";
+const machinesAddress = contextTesting.settings.machinesAddress!;
+/** Time in ms from an order for a machine until its new server is up. */
+const moveTime = 1500;
+export const maintenanceTime = 2000;
+/** Time in ms after a disturbance in which a lapsed lease may follow from it. */
+const disturbancePeriod = 3000;
+/** Time in ms after which a call that is carried out counts as late. */
+const lateAfter = 1000;
+
+/** What becomes of one call. */
+export interface Fate {
+    /** Time in ms after which it is carried out; `undefined` if it never is. */
+    readonly carriedOutAfter: number | undefined;
+    readonly answered: boolean;
+}
+
+export interface CallDescription {
+    readonly epoch: number;
+    /** ID of the server, or of the machine. */
+    readonly target: string;
+    readonly kind: platformTesting.ServerOrder["kind"] | platformTesting.MachineOrder["kind"];
+    readonly task: string;
+}
+
+export interface SimulationOptions {
+    readonly random: () => number;
+    readonly machineCount: number;
+    readonly chooseFailure?: () => number | undefined;
+}
+
+interface SimulatedMachine {
+    readonly id: string;
+    pool: string;
+    state: platform.machineCalls.MachineState;
+    server: simulatedServer.SimulatedServer | undefined;
+    readonly maintained: Set<number>;
+}
+
+export interface LogLine {
+    readonly at: number;
+    readonly epoch: number;
+    readonly event: string;
+    readonly fields: eventLog.Fields;
+}
+
+/** A coordinator's process. */
+interface Process {
+    readonly coordinator: coordinator.Coordinator;
+    readonly epoch: number;
+    /** Killed: none of its calls is carried out. */
+    dead: boolean;
+    reachesStore: boolean;
+}
+
+const ordinaryFate: Fate = { carriedOutAfter: 2, answered: true };
+
+export class Simulation {
+    readonly time = new virtualTime.VirtualTime();
+    readonly rule = new availabilityRule.AvailabilityRule(() => this.time.now);
+    readonly log: LogLine[] = [];
+    readonly machines: SimulatedMachine[] = [];
+    /** Decides on each call; a test replaces it to disturb some. */
+    decideFate: (call: CallDescription) => Fate = () => ordinaryFate;
+    disturbedUntil = Number.NEGATIVE_INFINITY;
+    current: Process | undefined;
+    readonly #topics = new memoryStore.MemoryLog();
+    readonly #jobs: jobState.Job[] = [];
+    readonly #waves = new Map<number, platform.operatorRecords.Wave>();
+    #serverCount = 0;
+    readonly #host: simulatedServer.ServerHost;
+
+    constructor(private readonly options: SimulationOptions) {
+        this.#host = {
+            time: this.time,
+            rule: this.rule,
+            random: options.random,
+            isDisturbed: () => this.time.now - this.disturbedUntil < disturbancePeriod,
+            chooseFailure: options.chooseFailure ?? (() => undefined),
+        };
+        this.time.install();
+        for (let i = 0; i < options.machineCount; i++) {
+            const machine: SimulatedMachine = {
+                id: `m${i}`,
+                pool: service,
+                state: platform.machineCalls.MachineState.up,
+                server: undefined,
+                maintained: new Set(),
+            };
+            this.machines.push(machine);
+            this.startServer(machine);
+        }
+    }
+
+    close(): void {
+        this.current?.coordinator.stop();
+        this.time.uninstall();
+    }
+
+    /** Server that runs this task now. */
+    findServer(task: string): simulatedServer.SimulatedServer | undefined {
+        return this.machines.find(({ server }) => server?.running.has(task) === true)?.server;
+    }
+
+    findMachine(server: simulatedServer.SimulatedServer): SimulatedMachine {
+        return this.machines.find(machine => machine.server === server)!;
+    }
+
+    submit(id: string, taskCount: number, maxUnavailable: number, cpu: number): void {
+        const step = jobTesting.createStep({
+            taskCount,
+            demand: { cpu, memory: 100, accelerators: 0 },
+            longRunning: true,
+            maxUnavailable,
+        });
+        const job = jobTesting.createJob({ id, steps: [step], submittedAt: this.time.clock.wall() });
+        this.#jobs.push(job);
+        this.rule.addStep(`${id}.0.0`, taskCount, maxUnavailable);
+        this.#applyJob(job);
+    }
+
+    #applyJob(job: jobState.Job): void {
+        const jobs = this.#currentJobs;
+        const { key, value } = jobState.encodeJob(job);
+        jobs?.applySubmission(key, value);
+        const entry = jobs?.entries.get(job.id);
+        if (entry !== undefined) {
+            this.current?.coordinator.applyJob(entry);
+        }
+    }
+
+    #currentJobs: jobState.JobTable | undefined;
+
+    requestWave(number: number, machines: readonly string[], duration: number, maxOut: number): void {
+        const wave = { number, machines, duration, maxOut };
+        this.#waves.set(number, wave);
+        this.current?.coordinator.applyWave(wave);
+    }
+
+    /** Starts the next coordinator, which fences the one before. */
+    startCoordinator(): void {
+        const epoch = (this.current?.epoch ?? 0) + 1;
+        this.#topics.ledgerEpoch = epoch;
+        const { clock } = this.time;
+        const jobs = new jobState.JobTable();
+        for (const job of this.#jobs) {
+            const { key, value } = jobState.encodeJob(job);
+            jobs.applySubmission(key, value);
+        }
+        const records = this.#topics.listNewest(jobState.ledgerTopic).flatMap(({ record }) =>
+            jobState.decodeLedger(record!.key, record!.value) ?? []
+        );
+        const last = records.find(record => record.kind === "leadership")?.leadership;
+        const waveProgress = new Map<number, jobState.WaveProgress>();
+        const orderTimes = new Map<string, number>();
+        for (const record of records) {
+            if (record.kind === "progress") {
+                jobs.applyProgress(record.id, record.progress);
+            }
+            else if (record.kind === "wave") {
+                waveProgress.set(record.number, record.wave);
+            }
+            else if (record.kind === "machine") {
+                const order = { epoch: record.epoch, tenure: record.tenure, readAt: clock.monotonic() };
+                orderTimes.set(record.id, earlierOrders.findLatestOrderTime(order, last, clock.monotonic()));
+            }
+        }
+        const process: { -readonly [Key in keyof Process]?: Process[Key]; } = {
+            epoch,
+            dead: false,
+            reachesStore: true,
+        };
+        process.coordinator = new coordinator.Coordinator({
+            settings: {
+                ...contextTesting.settings,
+                bounds: { ...contextTesting.settings.bounds, maxLease: simulatedServer.maxLease },
+            },
+            epoch,
+            processStart: epoch,
+            store: new memoryStore.MemoryStore(
+                this.#topics,
+                this.time,
+                () => process.dead !== true && process.reachesStore === true,
+            ),
+            calls: this.#createCalls(process as Process),
+            jobs,
+            log: this.#createLog(epoch),
+            clock,
+            configuration: () => configuration,
+            waves: this.#waves,
+            waveProgress,
+            earlierOrderTimes: orderTimes,
+            onStepDown: () => undefined,
+            observeDuration: () => undefined,
+        });
+        this.#currentJobs = jobs;
+        this.current = process as Process;
+        void process.coordinator.start();
+    }
+
+    /** Ends the coordinator's process without notice. */
+    kill(): void {
+        this.current!.dead = true;
+        this.current!.coordinator.stop();
+    }
+
+    startServer(machine: SimulatedMachine): void {
+        this.#serverCount += 1;
+        const id = `s${this.#serverCount}`;
+        machine.state = platform.machineCalls.MachineState.up;
+        machine.server = new simulatedServer.SimulatedServer(this.#host, {
+            id,
+            service: machine.pool,
+            address: `${id}:1`,
+            availabilityZone: "a",
+            remaining: undefined,
+            cpu: 64_000,
+            memory: 100_000,
+            accelerators: 0,
+            labels: [],
+            rack: "",
+        });
+        this.register(machine.server);
+    }
+
+    /** The server crashes and starts again under its ID. */
+    rebootServer(server: simulatedServer.SimulatedServer): void {
+        server.reboot();
+        this.register(server);
+    }
+
+    register(server: simulatedServer.SimulatedServer): void {
+        const { draining, bootedAt, registration } = server;
+        this.#topics.append(platform.storeCalls.serversTopic, [
+            platformTesting.createRegistration({ ...registration, draining, bootedAt }),
+        ]);
+    }
+
+    /** The server ends, by an order or by itself; its entry is removed. */
+    endServer(machine: SimulatedMachine, order?: "move" | "maintenance"): void {
+        const { server } = machine;
+        if (server !== undefined) {
+            machine.server = undefined;
+            server.end(order);
+            const removal = { key: server.registration.id, value: new Uint8Array() };
+            this.#topics.append(platform.storeCalls.serversTopic, [removal]);
+        }
+    }
+
+    #createLog(epoch: number): eventLog.EventLog {
+        const add = (event: string, fields: eventLog.Fields) =>
+            void this.log.push({ at: Math.round(this.time.now), epoch, event, fields });
+        return { counts: new Map(), info: add, warn: add };
+    }
+
+    #createCalls(process: Process): httpCalls.HttpClient {
+        const calls = new httpCalls.HttpClient();
+        calls.send = (address, call, timeout) => {
+            const isMachineCall = address === machinesAddress;
+            const description = isMachineCall ? describeMachineCall(call) : describeServerCall(address, call);
+            return this.#send(process, { ...description, epoch: process.epoch }, timeout, (late, respond) => {
+                if (isMachineCall) {
+                    respond(this.#handleMachineCall(platformTesting.decodeMachineCall(call)));
+                    return;
+                }
+                const server = this.machines.find(machine => machine.server?.registration.address === address)?.server;
+                server?.receive(platformTesting.decodeServerCall(call), late, respond);
+            });
+        };
+        calls.closeConnections = () => undefined;
+        return calls;
+    }
+
+    #send(
+        process: Process,
+        description: CallDescription,
+        timeout: number,
+        deliver: (late: boolean, respond: (response: platform.HttpResponse) => void) => void,
+    ): ReturnType<httpCalls.HttpClient["send"]> {
+        return new Promise(resolve => {
+            this.time.schedule(() => resolve(neverthrow.err(timedOut)), timeout);
+            const fate = this.decideFate(description);
+            if (process.dead || fate.carriedOutAfter === undefined) {
+                return;
+            }
+            const late = fate.carriedOutAfter > lateAfter;
+            this.time.schedule(() => {
+                deliver(late, response => {
+                    if (fate.answered && !process.dead) {
+                        this.time.schedule(() => resolve(neverthrow.ok(response)), ordinaryFate.carriedOutAfter!);
+                    }
+                });
+            }, fate.carriedOutAfter);
+        });
+    }
+
+    #handleMachineCall(order: platformTesting.MachineOrder): platform.HttpResponse {
+        const { up, moving, maintenance } = platform.machineCalls.MachineState;
+        if (order.kind === "list") {
+            return platformTesting.createMachineList(this.machines.map(({ id, pool, state, server }) => ({
+                id,
+                pool,
+                state,
+                server: server?.registration.id ?? "",
+                cpu: 64_000,
+                memory: 100_000,
+            })));
+        }
+        const machine = this.machines.find(({ id }) => id === order.machine)!;
+        const done = order.kind === "move" ? machine.pool === order.pool : machine.maintained.has(order.wave);
+        if (done) {
+            return platformTesting.createDoneResponse();
+        }
+        if (machine.state !== up || machine.server?.draining === true) {
+            return platformTesting.createMachineRefusal(platform.machineCalls.MachineRefusal.busy);
+        }
+        this.endServer(machine, order.kind);
+        machine.state = order.kind === "move" ? moving : maintenance;
+        machine.pool = order.kind === "move" ? order.pool : machine.pool;
+        machine.maintained.add(order.wave);
+        this.time.schedule(() => {
+            if (machine.pool === standbyPool) {
+                machine.state = up;
+            }
+            else {
+                this.startServer(machine);
+            }
+        }, order.kind === "move" ? moveTime : maintenanceTime);
+        return platformTesting.createDoneResponse();
+    }
+}
+
+const timedOut: httpCalls.CallError = {
+    layer: "http-calls",
+    fault: httpCalls.CallFault.unanswered,
+    timedOut: true,
+    reason: "timed out",
+};
+
+const configuration: platform.operatorRecords.Configuration = {
+    version: 1,
+    routes: [{
+        name: "quotes",
+        host: "",
+        pathPrefix: "/",
+        service,
+        priority: 0,
+        maxAttempts: 3,
+        slackFactor: 1,
+        latencyAllowance: 0,
+        timeout: 1000,
+        advice: undefined,
+    }],
+    services: [
+        { name: service, healthPath: "", rejectsOverload: false, standby: false },
+        { name: standbyPool, healthPath: "", rejectsOverload: false, standby: true },
+    ],
+    maxBodyBytes: 1,
+};
+
+function describeServerCall(address: string, call: platform.Call): Omit<CallDescription, "epoch"> {
+    const { kind, task } = platformTesting.decodeServerCall(call);
+    return { target: address.slice(0, address.indexOf(":")), kind, task };
+}
+
+function describeMachineCall(call: platform.Call): Omit<CallDescription, "epoch"> {
+    const { kind, machine } = platformTesting.decodeMachineCall(call);
+    return { target: machine, kind, task: "" };
+}
