Count a task of an earlier coordinator's server only once its orders have taken effect

Callers saw a long-running task ended while as many others of its step were away as may be (AVAIL). A server lists a run at work until it has ended, and a stop may take 400 ms. A coordinator that has just taken over, after a resignation within milliseconds, therefore counted a task that its predecessor was stopping as available, and stopped another one.

A server refuses the orders of earlier coordinators from its first response to the new one, so what they ordered has taken effect once its clock is a stop's longest time beyond that response. Only lists from then on show a task as available; before, it counts as away. The count moves to a module of its own, availability, which every order that takes a task off a server is to ask.

--- /dev/null
+++ b/packages/dispatch/src/availability.ts
@@ -0,0 +1,62 @@
+/**
+ * Judges whether an order may end a long-running task without making more tasks of its step unavailable than the step
+ * allows.
+ *
+ * Every order that takes a task off its server for another reason than the task's own is decided here, each time that it
+ * is sent. What isn't certain counts as unavailable: an order of an earlier coordinator may end a
+ * task that a list still shows at work.
+ */
+import * as session from "./server-session.js";
+
+/** Percentage from which a long-running task counts as available. */
+const fullyAvailable = 100;
+
+/** What the coordinator's view says of a step. */
+export interface StepAvailability {
+    readonly tasks: number;
+    readonly maxUnavailable: number | undefined;
+    /** Tasks with a run that counts as available. */
+    readonly available: number;
+    /** Ms since the oldest of the lists that say so. */
+    readonly oldestList: number;
+}
+
+/** @param now on the monotonic clock, in ms */
+export function describeStep(
+    { step, stepKey }: Pick<session.ActiveRun, "step" | "stepKey">,
+    all: readonly session.ServerSession[],
+    now: number,
+): StepAvailability {
+    const lists = listAvailable(stepKey, all).map(({ server }) => Math.round(now - server.lastAnswerAt));
+    return {
+        tasks: step.taskCount,
+        maxUnavailable: step.maxUnavailable,
+        available: lists.length,
+        oldestList: Math.max(0, ...lists),
+    };
+}
+
+/** Whether the run may be ended: its step allows one more unavailable task beyond those that may be already. */
+export function canSpare(run: session.ActiveRun, all: readonly session.ServerSession[]): boolean {
+    if (run.step.maxUnavailable === undefined) {
+        return true;
+    }
+    const others = listAvailable(run.stepKey, all).filter(available => available.run !== run);
+    return run.step.taskCount - 1 - others.length < run.step.maxUnavailable;
+}
+
+function listAvailable(
+    stepKey: string,
+    all: readonly session.ServerSession[],
+): { readonly run: session.ActiveRun; readonly server: session.ServerSession; }[] {
+    const current = all.filter(server =>
+        server.load.longRunningRunCount > 0 && server.reachable && server.showsEarlierOrders
+    );
+    return current.flatMap(server =>
+        [...server.runs.values()]
+            .filter(run =>
+                run.stepKey === stepKey && run.phase === session.RunPhase.running && run.percent >= fullyAvailable
+            )
+            .map(run => ({ run, server }))
+    );
+}
--- a/packages/dispatch/src/coordinator.ts
+++ b/packages/dispatch/src/coordinator.ts
@@ -8,6 +8,7 @@
 import * as scheduling from "@catkinwharf/scheduling";
 import * as storeClient from "@catkinwharf/store";
 import * as timers from "node:timers/promises";
+import * as availability from "./availability.js";
 import type * as clocks from "./clocks.js";
 import * as context from "./context.js";
 import * as demand from "./demand.js";
@@ -131,7 +132,7 @@
             registry: this.registry,
             onEnd: createHealthRecorder(clock),
             onStartAnswered: duration => this.#load.record(loadMeter.Activity.start, duration),
-            describeStep: run => relocation.describeStep(run, [...this.fleet.sessions.values()], clock.monotonic()),
+            describeStep: run => availability.describeStep(run, [...this.fleet.sessions.values()], clock.monotonic()),
         });
         this.fleet = new fleet.Fleet(this.#shared, {
             onLists: (server, lists, sentAt) => {
--- a/packages/dispatch/src/fleet.ts
+++ b/packages/dispatch/src/fleet.ts
@@ -358,9 +358,7 @@
         }
         this.#recordAcknowledgement(server, sent);
         const now = this.shared.clock.monotonic();
-        server.clockSample = { server: answer.clock, received: now };
-        server.lastClock = Math.max(server.lastClock, answer.clock);
-        server.lastAnswerAt = now;
+        server.recordList(answer.clock, now, this.shared.settings.bounds.stop);
         if (!server.reachable) {
             server.reachable = true;
             this.#lapsedRuns.delete(server.entry.id); // The server is up in the boot under which they lapsed.
@@ -433,9 +431,7 @@
             processed: server.ends.lastProcessed,
             stored: server.ends.lastStored,
         });
-        server.ends = session.createEndProgress();
-        server.clockSample = undefined;
-        server.latestLeaseEnd = 0;
+        server.recordReboot();
         if (bootedAt === undefined) {
             this.handlers.onRunsLost(server, "lost");
         }
--- a/packages/dispatch/src/relocation.test.ts
+++ b/packages/dispatch/src/relocation.test.ts
@@ -7,6 +7,8 @@
 import * as session from "./server-session.js";
 
 const suite = uvu.suite("relocation");
+/** Ms. */
+const stopTime = 400;
 
 function createServer(id: string, room: boolean): session.ServerSession {
     const load: scheduling.ServerLoad = {
@@ -43,6 +45,9 @@
         1000,
     );
     created.reachable = true;
+    const clock = 10_000;
+    created.recordList(clock, 0, stopTime);
+    created.recordList(clock + stopTime, 0, stopTime);
     return created;
 }
 
@@ -78,6 +83,7 @@
         measuresDuration: true,
     };
     server.runs.set(String(index), run);
+    server.load.longRunningRunCount += 1;
     return run;
 }
 
--- a/packages/dispatch/src/server-session.ts
+++ b/packages/dispatch/src/server-session.ts
@@ -100,6 +100,13 @@
     clockSample: { readonly server: number; readonly received: number; } | undefined;
     /** Latest reading of the server's clock in a response of this boot: the server was up then. */
     lastClock = 0;
+    /** Reading of the server's clock in its newest list; 0 before the first. */
+    #listClock = 0;
+    /**
+     * On the server's clock: by then, whatever earlier coordinators ordered has taken effect. `undefined` before the
+     * server's first list, since when it refuses their orders.
+     */
+    #earlierOrdersDoneAt: number | undefined;
     /** Latest lease end ever sent to the server, on the server's clock. */
     latestLeaseEnd = 0;
     /**
@@ -205,6 +212,34 @@
             || this.entry.bootedAt === this.bootedAt;
     }
 
+    /** Whether the newest list shows what earlier coordinators' orders have done. */
+    get showsEarlierOrders(): boolean {
+        return this.#earlierOrdersDoneAt !== undefined && this.#listClock >= this.#earlierOrdersDoneAt;
+    }
+
+    /**
+     * Records that the server listed its runs.
+     *
+     * @param clock reading of the server's clock
+     * @param now on the monotonic clock
+     * @param stopTime longest time in ms from an order to stop a run until it has ended
+     */
+    recordList(clock: number, now: number, stopTime: number): void {
+        this.clockSample = { server: clock, received: now };
+        this.lastClock = Math.max(this.lastClock, clock);
+        this.lastAnswerAt = now;
+        this.#listClock = clock;
+        this.#earlierOrdersDoneAt ??= clock + stopTime;
+    }
+
+    /** Forgets what belongs to the boot before, but for the runs and `lastClock`, by which these are judged. */
+    recordReboot(): void {
+        this.clockSample = undefined;
+        this.latestLeaseEnd = 0;
+        this.ends = createEndProgress();
+        this.#earlierOrdersDoneAt = undefined;
+    }
+
     get bootId(): string {
         return formatBootId(this.entry.id, this.bootedAt);
     }
--- a/packages/dispatch/src/testing/context.ts
+++ b/packages/dispatch/src/testing/context.ts
@@ -24,6 +24,7 @@
         orderSeparation: 3000,
         maintenance: 2000,
         status: 120_000,
+        stop: 400,
         configurationDelay: 2000,
     },
 };
