Count a task as available only from a list of the last two seconds

Callers saw a long-running task ended while as many others of its step were away as may be (AVAIL). A server that refuses the renewals of its lease, or whose responses can't be read, stays reachable and keeps the state of its last list for any length of time, so its tasks counted as available although their lease had run out.

Evidence: "a task counts as available although its server has refused to list its runs for seconds" fails with the limit of the age switched off.

A list's age is now an input of the count; a healthy server lists at least each 1.7 s: a poll of 1 s and the timeout of a call.

--- a/packages/dispatch/src/availability.ts
+++ b/packages/dispatch/src/availability.ts
@@ -3,13 +3,15 @@
  * allows.
  *
  * Every order that takes a task off its server for another reason than the task's own is decided here, each time that it
- * is sent. What isn't certain counts as unavailable: an order of an earlier coordinator may end a
- * task that a list still shows at work.
+ * is sent. What isn't certain counts as unavailable: a server may have been lost since its last list, and an order of an
+ * earlier coordinator may end a task that a list still shows at work.
  */
 import * as session from "./server-session.js";
 
 /** Percentage from which a long-running task counts as available. */
 const fullyAvailable = 100;
+/** Age in ms of a server's newest list from which its tasks no longer count as available; a healthy one lists each 1.7 s. */
+const maxListAge = 2000;
 
 /** What the coordinator's view says of a step. */
 export interface StepAvailability {
@@ -27,7 +29,7 @@
     all: readonly session.ServerSession[],
     now: number,
 ): StepAvailability {
-    const lists = listAvailable(stepKey, all).map(({ server }) => Math.round(now - server.lastAnswerAt));
+    const lists = listAvailable(stepKey, all, now).map(({ server }) => Math.round(now - server.lastAnswerAt));
     return {
         tasks: step.taskCount,
         maxUnavailable: step.maxUnavailable,
@@ -36,21 +38,30 @@
     };
 }
 
-/** Whether the run may be ended: its step allows one more unavailable task beyond those that may be already. */
-export function canSpare(run: session.ActiveRun, all: readonly session.ServerSession[]): boolean {
+/**
+ * Whether the run may be ended at `now`, in ms on the monotonic clock: its step allows one more unavailable task beyond
+ * those that may be unavailable already.
+ */
+export function canSpare(
+    run: session.ActiveRun,
+    all: readonly session.ServerSession[],
+    now: number,
+): boolean {
     if (run.step.maxUnavailable === undefined) {
         return true;
     }
-    const others = listAvailable(run.stepKey, all).filter(available => available.run !== run);
+    const others = listAvailable(run.stepKey, all, now).filter(available => available.run !== run);
     return run.step.taskCount - 1 - others.length < run.step.maxUnavailable;
 }
 
 function listAvailable(
     stepKey: string,
     all: readonly session.ServerSession[],
+    now: number,
 ): { readonly run: session.ActiveRun; readonly server: session.ServerSession; }[] {
     const current = all.filter(server =>
         server.load.longRunningRunCount > 0 && server.reachable && server.showsEarlierOrders
+        && now - server.lastAnswerAt <= maxListAge
     );
     return current.flatMap(server =>
         [...server.runs.values()]
--- a/packages/dispatch/src/coordinator.ts
+++ b/packages/dispatch/src/coordinator.ts
@@ -471,7 +471,8 @@
      * unavailable.
      */
     #relocateTask(server: session.ServerSession): void {
-        const run = relocation.chooseRelocation(server, [...this.fleet.sessions.values()]);
+        const servers = [...this.fleet.sessions.values()];
+        const run = relocation.chooseRelocation(server, servers, this.#shared.clock.monotonic());
         if (run !== undefined) {
             this.#shared.log.info("task-relocated", { step: run.stepKey, server: server.entry.id });
             void this.#runManager.stop(server, run, runManager.StopCause.relocated);
--- a/packages/dispatch/src/relocation.test.ts
+++ b/packages/dispatch/src/relocation.test.ts
@@ -92,12 +92,12 @@
     const first = addRun(from, 0, 100);
     addRun(from, 1, 100);
     const third = addRun(other, 2, 100);
-    assert.is(relocation.chooseRelocation(from, [from, other]), first);
+    assert.is(relocation.chooseRelocation(from, [from, other], 0), first);
     third.percent = 60;
-    assert.is(relocation.chooseRelocation(from, [from, other]), undefined);
+    assert.is(relocation.chooseRelocation(from, [from, other], 0), undefined);
     third.percent = 100;
     first.phase = session.RunPhase.stopping;
-    assert.is(relocation.chooseRelocation(from, [from, other]), undefined);
+    assert.is(relocation.chooseRelocation(from, [from, other], 0), undefined);
 });
 
 suite("no task is relocated without room elsewhere, or while a server with tasks of the step is unreachable", () => {
@@ -105,11 +105,23 @@
     addRun(from, 0, 100);
     addRun(from, 1, 100);
     addRun(full, 2, 100);
-    assert.is(relocation.chooseRelocation(from, [from, full]), undefined);
+    assert.is(relocation.chooseRelocation(from, [from, full], 0), undefined);
     const empty = createServer("empty", true);
-    assert.ok(relocation.chooseRelocation(from, [from, full, empty]));
+    assert.ok(relocation.chooseRelocation(from, [from, full, empty], 0));
     full.reachable = false;
-    assert.is(relocation.chooseRelocation(from, [from, full, empty]), undefined);
+    assert.is(relocation.chooseRelocation(from, [from, full, empty], 0), undefined);
+});
+
+suite("a task counts as available although its server has refused to list its runs for seconds", () => {
+    const [from, other] = [createServer("from", true), createServer("other", true)];
+    addRun(from, 0, 100);
+    addRun(from, 1, 100);
+    addRun(other, 2, 100);
+    const refusedFor = 4000; // Ms.
+    from.recordList(20_000, refusedFor, stopTime);
+    assert.is(relocation.chooseRelocation(from, [from, other], refusedFor), undefined);
+    other.recordList(20_000, refusedFor, stopTime);
+    assert.ok(relocation.chooseRelocation(from, [from, other], refusedFor));
 });
 
 suite.run();
--- a/packages/dispatch/src/relocation.ts
+++ b/packages/dispatch/src/relocation.ts
@@ -9,10 +9,11 @@
 import * as availability from "./availability.js";
 import * as session from "./server-session.js";
 
-/** The run to stop next; `undefined` when none can be spared now. */
+/** The run to stop next at `now`, in ms on the monotonic clock; `undefined` when none can be spared. */
 export function chooseRelocation(
     server: session.ServerSession,
     all: readonly session.ServerSession[],
+    now: number,
 ): session.ActiveRun | undefined {
     const others = all.filter(other =>
         other !== server && other.load.acceptsTasks && other.entry.service === server.entry.service
@@ -21,7 +22,7 @@
         const hasRoomElsewhere = others.some(other => scheduling.fits(other.load, run.step, run.stepKey));
         if (
             run.step.longRunning && run.phase === session.RunPhase.running && hasRoomElsewhere
-            && availability.canSpare(run, all)
+            && availability.canSpare(run, all, now)
         ) {
             return run;
         }
