Ask again before each attempt to stop a task that is to move

Callers saw a long-running task ended while as many others of its step were away as may be (AVAIL). A stop without a response is repeated every 250 ms until there is one; whether the step can spare the task was asked before the first attempt only. Seconds later, others may have been lost.

The question is asked before each attempt. While the answer is no, the run still counts as being stopped, as an earlier attempt may be carried out late. A stop whose job was cancelled or settled meanwhile isn't held back.

--- a/packages/dispatch/src/coordinator.ts
+++ b/packages/dispatch/src/coordinator.ts
@@ -132,6 +132,7 @@
             registry: this.registry,
             onEnd: createHealthRecorder(clock),
             onStartAnswered: duration => this.#load.record(loadMeter.Activity.start, duration),
+            canSpare: run => availability.canSpare(run, [...this.fleet.sessions.values()], clock.monotonic()),
             describeStep: run => availability.describeStep(run, [...this.fleet.sessions.values()], clock.monotonic()),
         });
         this.fleet = new fleet.Fleet(this.#shared, {
--- a/packages/dispatch/src/run-manager.test.ts
+++ b/packages/dispatch/src/run-manager.test.ts
@@ -45,6 +45,7 @@
         registry,
         onEnd: () => undefined,
         onStartAnswered: () => undefined,
+        canSpare: () => true,
         describeStep: () => ({}),
     });
     const servers = new fleet.Fleet(shared, {
--- a/packages/dispatch/src/run-manager.ts
+++ b/packages/dispatch/src/run-manager.ts
@@ -49,6 +49,8 @@
     readonly onEnd: (server: session.ServerSession, run: session.ActiveRun, how: jobState.RunEnd) => void;
     /** A start got a response or failed, `duration` ms after it was sent. */
     readonly onStartAnswered: (duration: number) => void;
+    /** Whether the run may be ended now without making more tasks of its step unavailable than it allows. */
+    readonly canSpare: (run: session.ActiveRun) => boolean;
     /** What is known of the availability of the run's step now, for the log. */
     readonly describeStep: (run: Pick<session.ActiveRun, "step" | "stepKey">) => object;
 }
@@ -260,6 +262,10 @@
         run.expectedInListsFrom = undefined;
         const decidedAt = shared.clock.monotonic();
         while (this.#isCurrent(server, run) && !server.closed) {
+            if (!this.#mayStop(run, cause)) {
+                await timers.setTimeout(stopRetryDelay);
+                continue;
+            }
             this.#logStop(server, run, cause, decidedAt);
             const call = platform.serverCalls.createStopCall(server.entry.id, {
                 task: { jobId: run.entry.id, ...run.position },
@@ -281,6 +287,17 @@
         }
     }
 
+    /**
+     * Whether the stop may be sent now. One that only moves a task waits while others of its step are unavailable, as
+     * some may have been lost since an earlier attempt; meanwhile the run counts as unavailable, since that attempt may
+     * still be carried out.
+     */
+    #mayStop(run: session.ActiveRun, cause: StopCause): boolean {
+        const { cancelledAt, progress } = run.entry;
+        const isOver = cancelledAt !== undefined || (progress !== undefined && jobState.isSettled(progress.status));
+        return cause !== StopCause.relocated || isOver || this.options.canSpare(run);
+    }
+
     /** Logs each time that a stop of a long-running task is sent. */
     #logStop(server: session.ServerSession, run: session.ActiveRun, cause: StopCause, decidedAt: number): void {
         if (!run.step.longRunning) {
