Repeat the start of a long-running task that got no response instead of stopping it

Callers saw a long-running task ended while as many others of its step were away as may be (AVAIL). A start without a response within 700 ms was followed by a stop at once, without any question about the others. If only the response was lost, or the server carried the start out late, the task was at work by then. It also stopped runs that the server had listed meanwhile.

A server answers a repeated start of a run that is there with success, so repeating it tells what became of it and changes nothing; its lease isn't extended. The run is stopped only if the server refuses the start, has rebooted or leaves. A run that a list shows counts as started. Other tasks are stopped as before: they may run elsewhere soon, and none of their callers is served while they start.

--- a/packages/dispatch/src/run-manager.ts
+++ b/packages/dispatch/src/run-manager.ts
@@ -1,8 +1,9 @@
 /**
  * Manages the runs of tasks: intents, starts, stops and ends.
  *
- * A start is sent only after its intent is stored. A run whose start got no response is stopped first; only once the
- * stop is confirmed or the server's lease has expired may the task be started elsewhere.
+ * A start is sent only after its intent is stored. A run whose start got no response is stopped first, or if its task is
+ * long-running its start is repeated; only once the stop is confirmed or the server's lease has expired may the task be
+ * started elsewhere.
  */
 import * as httpCalls from "@catkinwharf/http-calls";
 import * as jobState from "@catkinwharf/job-state";
@@ -16,6 +17,8 @@
 
 /** Time in ms between two attempts of a stop that wasn't confirmed. */
 const stopRetryDelay = 250;
+/** Time in ms between two attempts of a start that wasn't confirmed. */
+const startRetryDelay = 250;
 /** Time in ms for which a server gets no starts after one that failed or was refused. */
 const refusalBackoff = 300;
 
@@ -42,6 +45,13 @@
 } as const;
 export type StopCause = (typeof StopCause)[keyof typeof StopCause];
 
+/** Phases that a run leaves when its server lists it. */
+const listablePhases: ReadonlySet<session.RunPhase> = new Set([
+    session.RunPhase.inherited,
+    session.RunPhase.ordered,
+    session.RunPhase.uncertain,
+]);
+
 export interface RunManagerOptions {
     readonly shared: context.CoordinatorContext;
     readonly registry: jobRegistry.JobRegistry;
@@ -187,6 +197,9 @@
             return;
         }
         if (answer.isErr()) {
+            if (run.phase !== session.RunPhase.ordered) {
+                return; // The server has listed the run meanwhile, or it is being stopped.
+            }
             if (answer.error.fault === httpCalls.CallFault.unsent) {
                 this.#dropRun(server, run, answer.error.reason);
                 server.backoffUntil = shared.clock.monotonic() + refusalBackoff;
@@ -197,12 +210,48 @@
             });
             run.phase = session.RunPhase.uncertain;
             server.backoffUntil = shared.clock.monotonic() + refusalBackoff;
-            void this.stop(server, run, StopCause.startUnanswered);
+            await this.#resolveUnansweredStart(server, run, call);
             return;
         }
         this.#handleStartAnswer(server, run, platform.serverCalls.decodeOrderResult(answer.value));
     }
 
+    /**
+     * Finds out what became of a start without a response. That of a long-running task is repeated, which changes nothing
+     * if the server has carried it out: a stop could end the task when it is at work and others of its step are away.
+     */
+    async #resolveUnansweredStart(
+        server: session.ServerSession,
+        run: session.ActiveRun,
+        call: platform.Call,
+    ): Promise<void> {
+        const { shared } = this.options;
+        const isUncertain = () =>
+            run.phase === session.RunPhase.uncertain && this.#isCurrent(server, run) && !server.closed;
+        while (run.step.longRunning && isUncertain() && mayStart(server, run)) {
+            await timers.setTimeout(startRetryDelay);
+            if (!isUncertain() || !mayStart(server, run)) {
+                break;
+            }
+            const answer = await shared.calls.send(server.entry.address, call, context.serverCallTimeout);
+            if (answer.isErr() || !isUncertain()) {
+                continue;
+            }
+            const decoded = platform.serverCalls.decodeOrderResult(answer.value);
+            if (decoded.kind === "done") {
+                this.#handleStartAnswer(server, run, decoded);
+                return;
+            }
+            if (context.stepDownIfFenced(shared, server.entry.id, decoded)) {
+                return;
+            }
+            break; // Refused, but an earlier attempt may still arrive, so it has to be stopped.
+        }
+        if (isUncertain()) {
+            void this.stop(server, run, StopCause.startUnanswered);
+        }
+    }
+
     /** Records that a server confirmed a start of the job, by its response or by listing a run or its end. */
     #recordBegun(entry: jobState.JobEntry): void {
         const { progress } = entry;
@@ -228,7 +277,7 @@
             server.lastClock = Math.max(server.lastClock, answer.clock ?? 0);
             run.startClock ??= answer.clock;
             run.expectedInListsFrom ??= shared.clock.monotonic();
-            if (run.phase === session.RunPhase.ordered) {
+            if (run.phase === session.RunPhase.ordered || run.phase === session.RunPhase.uncertain) {
                 run.phase = session.RunPhase.running;
             }
             return;
@@ -441,7 +490,7 @@
         run.expectedInListsFrom ??= run.phase === session.RunPhase.stopping
             ? undefined
             : this.options.shared.clock.monotonic();
-        if (run.phase === session.RunPhase.inherited || run.phase === session.RunPhase.ordered) {
+        if (listablePhases.has(run.phase)) {
             run.phase = session.RunPhase.running;
             run.expectedInListsFrom = this.options.shared.clock.monotonic();
         }
@@ -720,6 +769,11 @@
     }
 }
 
+/** Whether the server may still carry out the start of the run: it has the same boot and isn't about to leave. */
+function mayStart(server: session.ServerSession, run: session.ActiveRun): boolean {
+    return run.bootId === server.bootId && !server.entry.draining && !server.unlisted;
+}
+
 /** Key of one occurrence of a step: "<job>.<occurrence>.<step>". */
 export function formatStepKey(
     jobId: string,
