Store that a server has outlasted the start of a long-running task

Callers saw a long-running task ended while as many others of its step were away as may be (AVAIL), and a job of six healthy tasks would be shown as failed. A new coordinator knew nothing of the starts of the runs that it took over, and took each of them for a suspect of the next crash of their server, however long they had been at work; a crash under its predecessor was counted once more. A second crash gave the task up, and all others of its job were stopped.

That a server has outlasted a start is stored with the run, for long-running tasks only: they are few, and mostly begin under an earlier coordinator. Other runs are short, and the count of their crashes stays as it was.

--- a/packages/dispatch/src/availability.test.ts
+++ b/packages/dispatch/src/availability.test.ts
@@ -97,4 +97,19 @@
     }, { random: () => 1 });
 });
 
+suite("a job fails for a crash of a server on which its tasks were at work long before the takeover", async () => {
+    await simulate(4, async world => {
+        world.submit(jobId, 4, 1, wholeServer);
+        await world.time.runUntil(8000);
+        const crashing = world.findServer(formatTask(0))!;
+        world.rebootServer(crashing);
+        world.startCoordinator();
+        await world.time.runUntil(8300);
+        world.rebootServer(world.findServer(formatTask(0))!);
+        await world.time.runUntil(20_000);
+        assert.equal(world.log.filter(({ event }) => event === "task-given-up"), []);
+        assert.equal(world.rule.violations, []);
+    });
+});
+
 suite.run();
--- a/packages/dispatch/src/relocation.test.ts
+++ b/packages/dispatch/src/relocation.test.ts
@@ -74,6 +74,7 @@
         startSentAt: 0,
         startClock: undefined,
         startsAlone: false,
+        outlastedStart: false,
         checkpoint: "",
         percent,
         percentChangedAt: 0,
--- a/packages/dispatch/src/run-manager.ts
+++ b/packages/dispatch/src/run-manager.ts
@@ -93,6 +93,7 @@
             checkpoint: history.checkpoint,
             ticket,
             startsAlone: ready.alone,
+            outlastedStart: false,
             measuresDuration: history.checkpoint === "",
         });
         server.runs.set(run.name, run);
@@ -116,6 +117,7 @@
             checkpoint: "",
             ticket: undefined,
             startsAlone: occurrence.histories.get(taskIndex)?.startsAlone === true,
+            outlastedStart: identity.outlastedStart === true,
             measuresDuration: false,
         });
         server.runs.set(run.name, run);
@@ -129,7 +131,13 @@
         identity: jobState.Run,
         origin: Pick<
             session.ActiveRun,
-            "phase" | "expectedInListsFrom" | "checkpoint" | "ticket" | "startsAlone" | "measuresDuration"
+            | "phase"
+            | "expectedInListsFrom"
+            | "checkpoint"
+            | "ticket"
+            | "startsAlone"
+            | "outlastedStart"
+            | "measuresDuration"
         >,
     ): session.ActiveRun {
         const now = this.options.shared.clock.monotonic();
@@ -507,6 +515,20 @@
         run.usage = row.usage;
         if (!scheduling.isCrashSuspect({ jobId: run.entry.id, provenTime: server.computeProvenTime(run) })) {
             this.#clearCrashes(run);
+            this.#recordOutlastedStart(run);
+        }
+    }
+
+    /** Records for later coordinators, which didn't see the start, that the server has outlasted it. */
+    #recordOutlastedStart(run: session.ActiveRun): void {
+        if (!run.step.longRunning) {
+            return;
+        }
+        const occurrence = run.entry.progress?.occurrences.get(run.position.occurrence);
+        const stored = occurrence?.histories.get(run.taskIndex)?.runs.find(({ number }) => number === run.runNumber);
+        if (stored !== undefined && stored.outlastedStart !== true) {
+            stored.outlastedStart = true;
+            this.options.shared.writer.markDirty(run.entry);
         }
     }
 
--- a/packages/dispatch/src/server-session.ts
+++ b/packages/dispatch/src/server-session.ts
@@ -48,6 +48,8 @@
      * `undefined` before that, as a start without an answer may be carried out seconds later.
      */
     startClock: number | undefined;
+    /** An earlier coordinator saw that the server outlasted the start. */
+    readonly outlastedStart: boolean;
     /** This coordinator started it without a checkpoint, so the time to its end is the duration of the task. */
     readonly measuresDuration: boolean;
     checkpoint: string;
@@ -201,9 +203,10 @@
         return count;
     }
 
-    /** Ms for which the server is known to have been up since the run's start; 0 if that start isn't known. */
+    /** Ms for which the server is known to have been up since the run's start; 0 if nothing is known of the start. */
     computeProvenTime(run: ActiveRun): number {
-        return run.startClock === undefined ? 0 : Math.max(0, Math.round(this.lastClock - run.startClock));
+        const proven = run.startClock === undefined ? 0 : Math.round(this.lastClock - run.startClock);
+        return Math.max(run.outlastedStart ? scheduling.startupPeriod : 0, proven);
     }
 
     /** Whether the registration isn't known to be of another boot, whose capacity and labels may differ. */
--- a/packages/job-state/src/progress.ts
+++ b/packages/job-state/src/progress.ts
@@ -16,6 +16,11 @@
     readonly number: number;
     /** Backend server and its boot, as `ID@TIME`: TIME is the Unix time in ms of the boot, or 0 if it isn't known. */
     readonly server: string;
+    /**
+     * The server has outlasted the start, so the run isn't what crashes it. Only recorded for long-running tasks, whose
+     * runs mostly begin under an earlier coordinator.
+     */
+    outlastedStart?: boolean;
 }
 
 /**
--- a/packages/job-state/src/records.test.ts
+++ b/packages/job-state/src/records.test.ts
@@ -29,7 +29,7 @@
         soleCrashes: 1,
         startsAlone: true,
         checkpoint: "00ab",
-        runs: [{ number: 3, server: "i-1@9" }],
+        runs: [{ number: 3, server: "i-1@9" }, { number: 2, server: "i-2@8", outlastedStart: true }],
     });
     const record = jobState.encodeProgress(job.id, progress);
     const decoded = jobState.decodeLedger(record.key, record.value);
--- a/packages/job-state/src/records.ts
+++ b/packages/job-state/src/records.ts
@@ -86,8 +86,8 @@
     readonly f: number;
     /** `crashes`, `soleCrashes` and `startsAlone`; absent when there were no crashes. */
     readonly x?: readonly [number, number, boolean];
-    /** `runs`: number and server of each. */
-    readonly r: readonly [number, string][];
+    /** `runs`: number and server of each, then `outlastedStart` where it is true. */
+    readonly r: readonly (readonly [number, string, true?])[];
     /** `checkpoint`. */
     readonly c: string;
 }
@@ -182,7 +182,7 @@
                 ...history.crashes > 0
                     ? { x: [history.crashes, history.soleCrashes, history.startsAlone] as const }
                     : {},
-                r: history.runs.map(run => [run.number, run.server]),
+                r: history.runs.map(encodeRun),
                 c: history.checkpoint,
             });
         }
@@ -190,6 +190,14 @@
     return { k: occurrence, n: occurrenceProgress.done.length, d: packFlags(occurrenceProgress.done), h: histories };
 }
 
+function encodeRun({ number, server, outlastedStart }: progress.Run): StoredHistory["r"][number] {
+    return outlastedStart === true ? [number, server, true] : [number, server];
+}
+
+function restoreRun([number, server, outlastedStart]: StoredHistory["r"][number]): progress.Run {
+    return outlastedStart === true ? { number, server, outlastedStart } : { number, server };
+}
+
 function packFlags(flags: Uint8Array): Uint8Array {
     const packed = new Uint8Array(Math.ceil(flags.length / 8));
     flags.forEach((flag, i) => {
@@ -285,7 +293,7 @@
                 crashes: task.x?.[0] ?? 0,
                 soleCrashes: task.x?.[1] ?? 0,
                 startsAlone: task.x?.[2] ?? false,
-                runs: task.r.map(([number, server]) => ({ number, server })),
+                runs: task.r.map(restoreRun),
                 checkpoint: task.c,
             });
         }
