Repeat the first renewal of a new coordinator beside the one without a response

Callers saw more tasks of a step away at once than allowed (AVAIL): the leases of all tasks on a server ran out after a takeover, although the server was reachable. A new coordinator doesn't know the server's clock, so its first renewal can't extend the lease; when its response was lost, the next came 950 ms later. Of the lease of 4.5 s, up to 1 s is spent in the long poll before and most of the rest by the takeover.

The call is repeated after 200 ms without taking back the first one, so a slow response still counts and nothing is done twice under load but the call.

--- a/packages/dispatch/src/fleet.ts
+++ b/packages/dispatch/src/fleet.ts
@@ -2,6 +2,7 @@
  * Tracks the backend servers. A loop for each server renews its lease by long polling and collects which tasks run and
  * which have ended there.
  */
+import type * as httpCalls from "@catkinwharf/http-calls";
 import type * as jobState from "@catkinwharf/job-state";
 import * as platform from "@catkinwharf/platform";
 import * as scheduling from "@catkinwharf/scheduling";
@@ -60,6 +61,8 @@
  */
 const unstoredRetryDelay = 400;
 
+/** Time in ms after which a server's first renewal is repeated; servers usually respond within a few ms. */
+const firstRenewalRepeatDelay = 200;
 /** Ms left of a lease below which its renewal is logged as late. */
 const lateRenewal = 1000;
 
@@ -308,7 +311,9 @@
             leaseEnd,
             wait,
         });
-        const answer = await calls.send(server.entry.address, call, wait + context.serverCallTimeout);
+        const answer = serverClock === undefined
+            ? await this.#sendFirstRenewal(server.entry.address, call)
+            : await calls.send(server.entry.address, call, wait + context.serverCallTimeout);
         if (this.#stopped) {
             return;
         }
@@ -324,6 +329,23 @@
         );
     }
 
+    /**
+     * Asks a server for its clock, without which its lease can't be renewed. Little may be left of the lease when a
+     * coordinator takes over, so the call is repeated beside the first one if that gets no response soon.
+     */
+    async #sendFirstRenewal(address: string, call: platform.Call): ReturnType<httpCalls.HttpClient["send"]> {
+        const send = () => this.shared.calls.send(address, call, context.serverCallTimeout);
+        const first = send();
+        const early = await Promise.race([first, timers.setTimeout(firstRenewalRepeatDelay)]);
+        if (early !== undefined) {
+            return early;
+        }
+        const second = send();
+        const firstIsFaster = await Promise.race([first.then(() => true), second.then(() => false)]);
+        const answer = await (firstIsFaster ? first : second);
+        return answer.isOk() ? answer : firstIsFaster ? second : first;
+    }
+
     /** Logs a renewal that is sent with little of the lease left. */
     #logLateRenewal(server: session.ServerSession, serverClock: number): void {
         const left = server.latestLeaseEnd - serverClock;
