Resign from an epoch that was claimed during a shutdown

A process claimed the epoch and was told to stop before it coordinated. It had no coordinator to resign with, so the claim stood until four others had found it silent.

Evidence: "an epoch that was claimed during a shutdown has no coordinator until others miss its heartbeats" failed before and passes now.

--- a/packages/dispatch/src/leader-election.test.ts
+++ b/packages/dispatch/src/leader-election.test.ts
@@ -1,4 +1,9 @@
 /** A coordinator whose heartbeats are merely late must not be replaced, and one that is gone must be replaced soon. */
+import * as eventLog from "@catkinwharf/event-log";
+import * as jobState from "@catkinwharf/job-state";
+import type * as storeClient from "@catkinwharf/store";
+import * as neverthrow from "neverthrow";
+import * as timers from "node:timers/promises";
 import * as uvu from "uvu";
 import * as assert from "uvu/assert";
 import * as leaderElection from "./leader-election.js";
@@ -63,4 +68,46 @@
     assert.not(leaderElection.shouldClaim({ ...seen, small: true, silence: 1000 }, "a", 2));
 });
 
+suite("an epoch that was claimed during a shutdown has no coordinator until others miss its heartbeats", async () => {
+    const stored: jobState.Leadership[] = [];
+    const append: storeClient.StoreClient["append"] = (_, records) => {
+        for (const { key, value } of records) {
+            const record = jobState.decodeLedger(key, value);
+            assert.ok(record?.kind === "leadership");
+            stored.push(record.leadership);
+            election.applyRecord(record);
+        }
+        election.stop();
+        return Promise.resolve(neverthrow.ok({ kind: "stored", offset: 0, end: 1 }));
+    };
+    const claimed: number[] = [];
+    const election = new leaderElection.LeaderElection({
+        node: "a",
+        processStart: 1,
+        store: { append, latency: 0 } as unknown as storeClient.StoreClient,
+        ledger: {
+            loaded: true,
+            caughtUpAt: Number.POSITIVE_INFINITY,
+            nextOffset: 0,
+            catchUp: () => Promise.resolve(true),
+        } as unknown as storeClient.TopicFollower,
+        log: eventLog.silentEventLog,
+        clock: { monotonic: () => performance.now(), wall: () => Date.now() },
+        onClaimed: epoch => claimed.push(epoch),
+        probeCoordinator: () => Promise.resolve(undefined),
+        isSmall: () => false,
+        isPrepared: () => true,
+    });
+    election.start();
+    while (stored.length === 0) {
+        await timers.setTimeout(10);
+    }
+    await timers.setTimeout(10);
+    assert.equal(stored.map(({ epoch, resigned }) => ({ epoch, resigned })), [
+        { epoch: 1, resigned: false },
+        { epoch: 1, resigned: true },
+    ]);
+    assert.equal(claimed, []);
+});
+
 suite.run();
--- a/packages/dispatch/src/leader-election.ts
+++ b/packages/dispatch/src/leader-election.ts
@@ -245,14 +245,37 @@
         await ledger.catchUp();
         this.leading = true;
         log.info("claimed", { epoch, after: previous?.node });
-        if (await this.#fenceEarlierCoordinators(epoch)) {
+        if (await this.#fenceEarlierCoordinators(epoch) && !this.#stopped) {
             this.options.onClaimed(epoch, lastBeforeClaim);
         }
         else {
-            this.leading = false;
+            await this.resign();
         }
     }
 
+    /**
+     * Gives up the epoch that this process has claimed, if it still holds it and hasn't begun to coordinate, so that
+     * another process claims the next one at once.
+     */
+    async resign(): Promise<void> {
+        const { store, log, node, processStart } = this.options;
+        const held = this.newestLeadership;
+        const holds = this.leading && held?.node === node && held.processStart === processStart;
+        this.leading = false;
+        if (!holds) {
+            return;
+        }
+        const record = jobState.encodeLeadership({ ...held, resigned: true, ordersSettled: true });
+        // Sequence number 0 fenced the earlier coordinators.
+        const answer = await store.append(jobState.ledgerTopic, [record], {
+            producer: { name: jobState.ledgerProducer, epoch: held.epoch, sequence: 1 },
+        });
+        log.info("claim-resigned", {
+            epoch: held.epoch,
+            outcome: answer.isOk() ? answer.value.kind : answer.error.reason,
+        });
+    }
+
     /**
      * Makes the store refuse earlier coordinators, then reads all records that they stored before.
      *
--- a/packages/node/src/entry-instance.ts
+++ b/packages/node/src/entry-instance.ts
@@ -132,7 +132,7 @@
         this.#shuttingDown = true;
         this.log.info("stopping", { coordinating: this.#coordinator !== undefined });
         this.#leaderElection.stop();
-        await this.#coordinator?.resign();
+        await (this.#coordinator ?? this.#leaderElection).resign();
         // In ms, like all bounds of the settings.
         const servingTime = this.settings.bounds.grace - shutdownMargin;
         while (this.#clock.monotonic() - startedAt < servingTime) {
