Keep the calls to a server when another session with its address ends

When the session of an unlisted server ended, all connections to its address were closed. Another session may have that address: a server that replaced this one on its machine, or the server that an odd entry names under another ID. The calls under way to it, such as starts and stops, then ended without an answer. The connections are now closed only if no other session has the address. The new test failed before, with "127.0.0.1:1" closed besides "127.0.0.1:3".

--- a/packages/dispatch/src/fleet.ts
+++ b/packages/dispatch/src/fleet.ts
@@ -507,9 +507,15 @@
         if (server.unlisted && server.runs.size === 0) {
             server.closed = true;
             this.sessions.delete(server.entry.id);
-            if (server.entry.address !== "") {
-                this.shared.calls.closeConnections(server.entry.address);
-            }
+            this.#closeConnections(server.entry.address);
+        }
+    }
+
+    /** Closes the connections to an address, unless another server, as one that replaced it, has the same one. */
+    #closeConnections(address: string): void {
+        const isShared = [...this.sessions.values()].some(other => other.entry.address === address);
+        if (address !== "" && !isShared) {
+            this.shared.calls.closeConnections(address);
         }
     }
 }
--- a/packages/dispatch/src/odd-entries.test.ts
+++ b/packages/dispatch/src/odd-entries.test.ts
@@ -141,6 +141,21 @@
     assert.ok(server.reachable);
 });
 
+suite("the end of a session cuts the calls to another server at its address", async () => {
+    const { fleet: target, closed } = createFleet(() => new Error("refused"));
+    register(target);
+    write(target, "i-2", {});
+    write(target, "i-3", { Address: "127.0.0.1:3" });
+    for (const key of ["i-2", "i-3"]) {
+        target.applyRecord({ key, value: new Uint8Array() });
+    }
+    target.start();
+    await new Promise(resolve => setTimeout(resolve, 400));
+    target.stop();
+    assert.equal([...target.sessions.keys()], ["i-1"]);
+    assert.equal(closed, ["127.0.0.1:3"]);
+});
+
 suite("a call to an address that can't be called ends the process", async () => {
     const client = new httpCalls.HttpClient();
     const call = { method: "POST" as const, path: "/", headers: { "x-expected-instance": "i\n\u00e9" }, body: "{}" };
