Go on asking a server after a response that can't be used

A server that answered a lease renewal with status 200 and a body that isn't a JSON object, as any HTTP server at the address of an entry may, was never asked again: the decoder read a field of undefined, the rejection was logged, and the loop of that server ended. The server stayed reachable, so its lease never counted as expired and the tasks on it never started elsewhere.

Such a response is now malformed: the server counts as unreachable until it gives one that can be read, and the usual rules for its lease apply. The loop of a server also goes on after any other error, which is logged as poll-failed.

--- a/packages/dispatch/src/fleet.ts
+++ b/packages/dispatch/src/fleet.ts
@@ -269,7 +269,12 @@
     async #pollServer(server: session.ServerSession): Promise<void> {
         while (!this.#stopped && !server.closed) {
             if (server.entry.address !== "") {
-                await this.#pollOnce(server);
+                // Without further polls the server's lease would neither be renewed nor count as expired.
+                await this.#pollOnce(server).catch(async (error: unknown) => {
+                    const cause = error instanceof Error ? error.stack : String(error);
+                    this.shared.log.warn("poll-failed", { server: server.entry.id, error: cause });
+                    await this.#handleFailure(server, "poll failed");
+                });
             }
             else {
                 await timers.setTimeout(unreachableRetryDelay);
@@ -312,8 +317,7 @@
             return;
         }
         if (answer.isErr()) {
-            this.#markUnreachable(server, answer.error.reason);
-            await timers.setTimeout(unreachableRetryDelay);
+            await this.#handleFailure(server, answer.error.reason);
             return;
         }
         await this.#applyAnswer(
@@ -323,6 +327,12 @@
         );
     }
 
+    /** Handles a call without a response that can be used; returns when the next one is due. */
+    async #handleFailure(server: session.ServerSession, reason: string): Promise<void> {
+        this.#markUnreachable(server, reason);
+        await timers.setTimeout(unreachableRetryDelay);
+    }
+
     async #applyAnswer(
         server: session.ServerSession,
         answer: platform.serverCalls.LeaseRenewalResult,
@@ -335,6 +345,10 @@
             await timers.setTimeout(unreachableRetryDelay);
             return;
         }
+        if (answer.kind === "malformed") {
+            await this.#handleFailure(server, "malformed response");
+            return;
+        }
         if (context.stepDownIfFenced(this.shared, server.entry.id, answer)) {
             return;
         }
--- a/packages/dispatch/src/odd-entries.test.ts
+++ b/packages/dispatch/src/odd-entries.test.ts
@@ -39,7 +39,6 @@
 /** Creates a fleet whose calls get what `respond` returns for the number of calls so far. */
 function createFleet(
     respond: (callCount: number) => Response = () => undefined,
-    onLists: fleet.FleetHandlers["onLists"] = ignore,
 ): Recorder {
     const addresses: string[] = [];
     const closed: string[] = [];
@@ -68,7 +67,7 @@
         },
     };
     const created = new fleet.Fleet(shared as unknown as context.CoordinatorContext, {
-        onLists,
+        onLists: ignore,
         onCrash: ignore,
         onRebooted: ignore,
         onRunsLost: (_server, how) => void ends.push(how),
