Follow a topic beyond a record whose handler throws

A handler that throws for one record ended the loop that follows its topic, without a further line than the rejection, or the reload, which then failed again at each attempt and each start of the process, as the record stays. A coordinator that loads the servers would never have begun.

The follower now skips such a record, as it skips one that can't be read, and logs record-failed with topic, offset, key and error. The new test failed before: the catch-up was rejected with the error of the first record.

--- a/packages/store/src/topic-follower.test.ts
+++ b/packages/store/src/topic-follower.test.ts
@@ -273,4 +273,40 @@
     assert.equal((await catchUpTwice()).map(result => result.status), ["fulfilled", "fulfilled"]);
 });
 
+suite("a record whose handler throws ends the following", async () => {
+    const applied: string[] = [];
+    const warnings: string[] = [];
+    const failing = new Set(["a", "odd"]);
+    const records = ["odd", "c"].map((key, i) => ({ offset: 5 + i, record: { key, value } }));
+    const reads: store.ReadResult[] = [{ kind: "records", records, end: 7 }];
+    const follower = new store.TopicFollower(
+        {
+            readNewest: () => Promise.resolve(neverthrow.ok(page)),
+            read: () => {
+                const result = reads.shift();
+                return result === undefined ? new Promise(() => {}) : Promise.resolve(neverthrow.ok(result));
+            },
+        },
+        {
+            topic: "t",
+            handlers: {
+                apply: ({ key }) => {
+                    if (failing.has(key)) {
+                        throw new RangeError(key);
+                    }
+                    applied.push(key);
+                },
+            },
+            wait: 1000,
+            pause: () => 0,
+        },
+        { counts: new Map(), info: () => {}, warn: event => void warnings.push(event) },
+        () => 0,
+    );
+    assert.is(await follower.catchUp(), true);
+    assert.equal(applied, ["b", "c"]);
+    assert.equal(warnings, ["record-failed", "record-failed"]);
+    assert.is(follower.nextOffset, 7);
+});
+
 suite.run();
--- a/packages/store/src/topic-follower.ts
+++ b/packages/store/src/topic-follower.ts
@@ -160,11 +160,7 @@
             if (record !== undefined && newest !== undefined && newest.get(record.key) !== offset) {
                 continue;
             }
-            if (record === undefined) {
-                this.log.warn("record-unreadable", { topic: this.options.topic, offset });
-                continue;
-            }
-            this.options.handlers.apply(record, offset);
+            this.#apply(record, offset);
         }
         if (this.#nextOffset !== undefined && this.#nextOffset >= result.value.end) {
             // Records may have taken long to arrive; a response without any is small.
@@ -174,6 +170,22 @@
         return "more";
     }
 
+    /** Applies a record. One that can't be read or applied is skipped: the records after it would never be read. */
+    #apply(record: platform.storeCalls.KeyedRecord | undefined, offset: number): void {
+        const { topic, handlers } = this.options;
+        if (record === undefined) {
+            this.log.warn("record-unreadable", { topic, offset });
+            return;
+        }
+        try {
+            handlers.apply(record, offset);
+        }
+        catch (error) {
+            const cause = error instanceof Error ? error.stack : String(error);
+            this.log.warn("record-failed", { topic, offset, key: record.key, error: cause });
+        }
+    }
+
     /** Reads the newest records now, or waits for the read in progress; false when the store could not be read. */
     #reload(): Promise<boolean> {
         this.#reloading ??= this.#readNewest().finally(() => this.#reloading = undefined);
@@ -221,12 +233,7 @@
         }
         this.options.handlers.reset?.();
         for (const { offset, record } of records.sort((a, b) => a.offset - b.offset)) {
-            if (record === undefined) {
-                this.log.warn("record-unreadable", { topic: this.options.topic, offset });
-            }
-            else {
-                this.options.handlers.apply(record, offset);
-            }
+            this.#apply(record, offset);
         }
         this.log.info("newest-records-read", {
             topic: this.options.topic,
