--- a/packages/dispatch/src/availability.test.ts
+++ b/packages/dispatch/src/availability.test.ts
@@ -107,6 +107,31 @@
     }, { random: () => 1 });
 });
 
+suite("a coordinator that has resigned goes on sending stops", async () => {
+    await simulate(4, async world => {
+        world.submit(jobId, 2, 1, wholeServer);
+        await world.time.runUntil(8000);
+        const emptied = world.findServer(formatTask(0))!;
+        let resigned = false;
+        const sentLate: string[] = [];
+        world.decideFate = ({ epoch, kind, target, task }) => {
+            if (resigned && epoch === 1) {
+                sentLate.push(`${kind} ${task}`);
+            }
+            // Neither coordinator reaches the server.
+            return { carriedOutAfter: target === emptied.registration.id ? undefined : 2, answered: true };
+        };
+        world.requestWave(1, [world.findMachine(emptied).id], 30_000, 1);
+        await world.time.runUntil(8300);
+        await Promise.all([world.current!.coordinator.resign(), world.time.runUntil(9000)]);
+        world.startCoordinator();
+        await world.time.runUntil(9500);
+        resigned = true;
+        await world.time.runUntil(20_000);
+        assert.equal(sentLate, []);
+    });
+});
+
 suite("leases lapse in a takeover because the first renewal of a server gets no response", async () => {
     await simulate(4, async world => {
         world.submit(jobId, 2, 1, 20_000);
