Show that an order for a machine outlives the server it was decided for

What callers see: two tasks of a step end at once, and their work is thrown away, because a repeated maintenance or move order is carried out for a machine on which another server has come up since. Cause: MachineInventory.order checks the session of the server that the machine had at the decision, before each attempt; the list of machines isn't applied while the order is pending, and the new server isn't reserved, so it gets tasks.

--- a/packages/dispatch/src/availability.test.ts
+++ b/packages/dispatch/src/availability.test.ts
@@ -1,4 +1,5 @@
 /** No order of the coordinator ends a long-running task while as many others of its step are away as may be. */
+import * as platform from "@catkinwharf/platform";
 import * as uvu from "uvu";
 import * as assert from "uvu/assert";
 import * as randomFaults from "./testing/random-faults.js";
@@ -143,6 +144,34 @@
     });
 });
 
+suite("an order for a machine ends the tasks of a server that came there after the order was decided", async () => {
+    await simulate(2, async world => {
+        world.submit(jobId, 2, 1, 20_000);
+        await world.time.runUntil(8000);
+        const home = world.findMachine(world.findServer(formatTask(0))!);
+        const empty = world.machines.find(machine => machine !== home)!;
+        let orderIsLost = true;
+        world.decideFate = ({ kind }) => {
+            const lost = kind === "maintenance" && orderIsLost;
+            return { carriedOutAfter: lost ? undefined : 2, answered: !lost };
+        };
+        world.requestWave(1, [empty.id], 40_000, 1);
+        await world.time.runUntil(8500);
+        assert.not(empty.maintained.has(1));
+        world.endServer(empty);
+        empty.state = platform.machineCalls.MachineState.down;
+        await world.time.runUntil(9500);
+        world.startServer(empty);
+        await world.time.runUntil(10_500);
+        world.endServer(home);
+        home.state = platform.machineCalls.MachineState.down;
+        await world.time.runUntil(20_000);
+        orderIsLost = false;
+        await world.time.runUntil(30_000);
+        assert.equal(world.rule.violations, []);
+    });
+});
+
 /** Plays a course for each seed; returns what broke the rule, by seed. */
 async function playAll(seeds: readonly number[], disturbServers: boolean): Promise<string[]> {
     const found: string[] = [];
