Show that a successor places tasks on a machine that an earlier order takes down

What callers see: right after a change of the coordinator, tasks that were just started end together. Cause: earlierOrderTimes keeps a successor from ordering the machine again, but not from placing tasks there, although the predecessor's order may be carried out until its separation is over. Evidence: the test fails, the order is sent 0.98 s before it is carried out (not late for the rule), the resignation waits 0.5 s for it, and task 1 of the job is ended by it while task 0 is away.

--- a/packages/dispatch/src/availability.test.ts
+++ b/packages/dispatch/src/availability.test.ts
@@ -172,6 +172,28 @@
     });
 });
 
+suite("a coordinator places tasks on a machine for which its predecessor's order is under way", async () => {
+    await simulate(2, async world => {
+        world.submit(jobId, 1, 1, wholeServer);
+        await world.time.runUntil(8000);
+        const home = world.findServer(formatTask(0))!;
+        const empty = world.machines.find(({ server }) => server !== home)!;
+        world.decideFate = ({ kind, epoch }) => ({
+            carriedOutAfter: kind === "maintenance" && epoch === 1 ? 980 : 2,
+            answered: kind !== "maintenance" || epoch > 1,
+        });
+        world.requestWave(1, [empty.id], 40_000, 1);
+        await world.time.runUntil(8120);
+        world.submit("00000000000000bb", 2, 1, 30_000); // Only the empty server has room.
+        void world.current!.coordinator.resign();
+        await world.time.runUntil(8700);
+        world.startCoordinator();
+        await world.time.runUntil(30_000);
+        assert.ok(empty.maintained.has(1));
+        assert.equal(world.rule.violations, []);
+    });
+});
+
 /** Plays a course for each seed; returns what broke the rule, by seed. */
 async function playAll(seeds: readonly number[], disturbServers: boolean): Promise<string[]> {
     const found: string[] = [];
