Show that a replaced coordinator goes on repeating the start of a task

What callers see: a server that another coordinator hasn't reached yet, or that has just rebooted and knows no fencing token, starts a task by an order that nobody follows any more; its task may run elsewhere by then.

--- a/packages/dispatch/src/availability.test.ts
+++ b/packages/dispatch/src/availability.test.ts
@@ -194,6 +194,26 @@
     });
 });
 
+suite("a coordinator repeats the start of a task after another one has replaced it", async () => {
+    await simulate(3, async world => {
+        let startsOfFirst = 0;
+        world.decideFate = ({ kind, epoch }) => {
+            const lost = kind === "start" && epoch === 1;
+            startsOfFirst += lost ? 1 : 0;
+            return { carriedOutAfter: lost ? undefined : 2, answered: !lost };
+        };
+        world.submit(jobId, 1, 1, wholeServer);
+        await world.time.runUntil(2500);
+        assert.ok(startsOfFirst > 0);
+        void world.current!.coordinator.resign();
+        await world.time.runUntil(2600);
+        const startsUntilResignation = startsOfFirst;
+        world.startCoordinator();
+        await world.time.runUntil(10_000);
+        assert.is(startsOfFirst, startsUntilResignation);
+    });
+});
+
 /** Plays a course for each seed; returns what broke the rule, by seed. */
 async function playAll(seeds: readonly number[], disturbServers: boolean): Promise<string[]> {
     const found: string[] = [];
