Show that an unhealthy server's response gets a task at work stopped

What callers see: a task that has long been at work is stopped once its server is healthy again, while another of its step is away. Cause: a repeated start that is answered with 503 counts as refused, so the run is stopped without asking for the others; but 503 says only that this attempt did nothing, and the first one, whose response was lost, had been carried out. As the server refuses renewals, too, no list shows the run. Simulated calls can be refused as unhealthy for it.

--- a/packages/dispatch/src/availability.test.ts
+++ b/packages/dispatch/src/availability.test.ts
@@ -214,6 +214,29 @@
     });
 });
 
+suite("a task at work is stopped because its server is unhealthy when its unanswered start is repeated", async () => {
+    await simulate(3, async world => {
+        world.submit(jobId, 4, 1, wholeServer);
+        await world.time.runUntil(8000);
+        let starts = 0;
+        let unhealthyUntil = Number.POSITIVE_INFINITY;
+        world.decideFate = ({ kind, target }) => {
+            starts += kind === "start" ? 1 : 0;
+            const isSick = starts > 0 && target === rebooted.registration.id && world.time.now < unhealthyUntil;
+            if (isSick && (kind !== "start" || starts > 1)) {
+                return { carriedOutAfter: 2, answered: true, refusedAsUnhealthy: true };
+            }
+            return { carriedOutAfter: 2, answered: kind !== "start" || starts > 1 };
+        };
+        const rebooted = world.findServer(formatTask(0))!;
+        world.rebootServer(rebooted);
+        await world.time.runUntil(10_500);
+        unhealthyUntil = world.time.now;
+        await world.time.runUntil(20_000);
+        assert.equal(world.rule.violations, []);
+    });
+});
+
 /** Plays a course for each seed; returns what broke the rule, by seed. */
 async function playAll(seeds: readonly number[], disturbServers: boolean): Promise<string[]> {
     const found: string[] = [];
--- a/packages/dispatch/src/testing/simulation.ts
+++ b/packages/dispatch/src/testing/simulation.ts
@@ -33,6 +33,8 @@
     /** Time in ms after which it is carried out; `undefined` if it never is. */
     readonly carriedOutAfter: number | undefined;
     readonly answered: boolean;
+    /** The server responds that it is unhealthy, and does nothing. */
+    readonly refusedAsUnhealthy?: boolean;
 }
 
 export interface CallDescription {
@@ -304,13 +306,15 @@
                 return;
             }
             const late = fate.carriedOutAfter > lateAfter;
-            this.time.schedule(() => {
-                deliver(late, response => {
-                    if (fate.answered && !process.dead) {
-                        this.time.schedule(() => resolve(neverthrow.ok(response)), ordinaryFate.carriedOutAfter!);
-                    }
-                });
-            }, fate.carriedOutAfter);
+            const respond = (response: platform.HttpResponse) => {
+                if (fate.answered && !process.dead) {
+                    this.time.schedule(() => resolve(neverthrow.ok(response)), ordinaryFate.carriedOutAfter!);
+                }
+            };
+            this.time.schedule(
+                () => fate.refusedAsUnhealthy === true ? respond(unhealthy) : deliver(late, respond),
+                fate.carriedOutAfter,
+            );
         });
     }
 
@@ -350,6 +354,8 @@
     }
 }
 
+const unhealthy: platform.HttpResponse = { status: 503, body: new Uint8Array() };
+
 const timedOut: httpCalls.CallError = {
     layer: "http-calls",
     fault: httpCalls.CallFault.unanswered,
