Show that a server missing from the servers' topic gets a task at work stopped

What callers see: a task that has just come to work is stopped while another of its step is away, around an outage of the store or a new read of the servers' topic, in which sound servers aren't listed for a time. Cause: mayStart takes a server that isn't listed for one that is about to leave, and the unanswered start is stopped at once, without asking for the others. A long poll shows the run only up to a second later.

--- a/packages/dispatch/src/availability.test.ts
+++ b/packages/dispatch/src/availability.test.ts
@@ -237,6 +237,26 @@
     });
 });
 
+suite("a task at work is stopped because its server isn't listed when its start got no response", async () => {
+    await simulate(3, async world => {
+        world.submit(jobId, 4, 1, wholeServer);
+        await world.time.runUntil(8000);
+        let starts = 0;
+        world.decideFate = ({ kind }) => {
+            starts += kind === "start" ? 1 : 0;
+            return { carriedOutAfter: 2, answered: kind !== "start" || starts > 1 };
+        };
+        const rebooted = world.findServer(formatTask(0))!;
+        world.rebootServer(rebooted);
+        while (starts === 0) {
+            await world.time.runUntil(world.time.now + 50);
+        }
+        world.unregister(rebooted);
+        await world.time.runUntil(20_000);
+        assert.equal(world.rule.violations, []);
+    });
+});
+
 /** Plays a course for each seed; returns what broke the rule, by seed. */
 async function playAll(seeds: readonly number[], disturbServers: boolean): Promise<string[]> {
     const found: string[] = [];
--- a/packages/dispatch/src/testing/simulation.ts
+++ b/packages/dispatch/src/testing/simulation.ts
@@ -258,6 +258,11 @@
         ]);
     }
 
+    /** Removes the server's entry, as the platform does if reports of the server don't reach its store. */
+    unregister({ registration }: simulatedServer.SimulatedServer): void {
+        this.#topics.append(platform.storeCalls.serversTopic, [{ key: registration.id, value: new Uint8Array() }]);
+    }
+
     /** The server ends, by an order or by itself; its entry is removed. */
     endServer(machine: SimulatedMachine, order?: "move" | "maintenance"): void {
         const { server } = machine;
