Show that a task isn't restarted after a reboot while its stop waits

What callers see: a task whose server has rebooted stays away for over 7 s, longer than the 6 s in which a task has to run again, though there is room. Cause: a stop that moves a task now waits while others of its step are away. The run of the boot before is kept until its stop is confirmed, and as it isn't sent, the task isn't started elsewhere. The run can't be there any more.

--- a/packages/dispatch/src/availability.test.ts
+++ b/packages/dispatch/src/availability.test.ts
@@ -257,6 +257,29 @@
     });
 });
 
+suite("a task whose server rebooted before its stop was confirmed isn't restarted while another is away", async () => {
+    await simulate(6, async world => {
+        world.submit(jobId, 4, 1, wholeServer);
+        await world.time.runUntil(8000);
+        const emptied = world.findServer(formatTask(0))!;
+        const cutOff = world.findServer(formatTask(1))!.registration.id;
+        world.decideFate = ({ kind, target }) => {
+            const lost = kind === "stop" || (target === cutOff && world.time.now > 8500);
+            return { carriedOutAfter: lost ? undefined : 2, answered: !lost };
+        };
+        world.requestWave(1, [world.findMachine(emptied).id], 30_000, 1);
+        await world.time.runUntil(10_500);
+        world.decideFate = ({ target }) => {
+            const lost = target === cutOff;
+            return { carriedOutAfter: lost ? undefined : 2, answered: !lost };
+        };
+        const rebootedAt = world.time.now;
+        world.rebootServer(emptied);
+        await world.time.runUntil(rebootedAt + 1500);
+        assert.ok(world.findServer(formatTask(0)) !== undefined);
+    });
+});
+
 /** Plays a course for each seed; returns what broke the rule, by seed. */
 async function playAll(seeds: readonly number[], disturbServers: boolean): Promise<string[]> {
     const found: string[] = [];
