Go on repeating a start that an unhealthy server refuses

What callers saw: see, a task at work is stopped while another of its step is away. Cause: 503 says nothing of the earlier attempt, and was taken for a proof that the task isn't there. Why so: the repetition ends by the server's list, its answer once it is healthy, a reboot, or the end of its lease.

--- a/packages/dispatch/src/run-manager.ts
+++ b/packages/dispatch/src/run-manager.ts
@@ -22,6 +22,9 @@
 /** Time in ms for which a server gets no starts after one that failed or was refused. */
 const refusalBackoff = 300;
 
+/** Statuses by which an unhealthy server refuses an order. */
+const unhealthyStatuses: ReadonlySet<number> = new Set([429, 503]);
+
 /** Phases of a run whose start may be on its way to the server. */
 const unconfirmedPhases: ReadonlySet<session.RunPhase> = new Set([
     session.RunPhase.ordered,
@@ -246,6 +249,9 @@
                 continue;
             }
             const decoded = platform.serverCalls.decodeOrderResult(answer.value);
+            if (decoded.kind === "not-done" && unhealthyStatuses.has(decoded.status)) {
+                continue; // An earlier attempt may have been carried out.
+            }
             if (decoded.kind === "done") {
                 this.#handleStartAnswer(server, run, decoded);
                 return;
