Go on repeating a start while its server isn't listed

What callers saw: see, a task that has just come to work is stopped while another of its step is away. Cause: all servers count as unlisted while their topic is read anew, and sound ones while the store has lost their entries. Why so: a server that is gone gives no response, so that its lease ends the run and the repetition; one that drains still gets no start.

--- a/packages/dispatch/src/run-manager.ts
+++ b/packages/dispatch/src/run-manager.ts
@@ -797,9 +797,12 @@
     }
 }
 
-/** Whether the server may still carry out the start of the run: it has the same boot and isn't about to leave. */
+/**
+ * Whether the start of the run may still be sent to the server: it has the same boot and isn't draining. A server that
+ * isn't listed may still run the task, and if it is gone the run ends with its lease.
+ */
 function mayStart(server: session.ServerSession, run: session.ActiveRun): boolean {
-    return run.bootId === server.bootId && !server.entry.draining && !server.unlisted;
+    return run.bootId === server.bootId && !server.entry.draining;
 }
 
 /** Key of one occurrence of a step: "<job>.<occurrence>.<step>". */
