End a run that was to be stopped when its server reboots

Cause: a stop that isn't confirmed counted as a start that isn't, although the server had confirmed or listed the run. Why so: startClock is set once the boot before confirmed the start or listed the run; then the reboot has ended it.

--- a/packages/dispatch/src/run-manager.ts
+++ b/packages/dispatch/src/run-manager.ts
@@ -439,11 +439,12 @@
 
     /**
      * Ends the runs that were on the boot before of a server. A start that wasn't confirmed, and of which no stop was,
-     * may still reach the new boot, so it is kept until one of them is answered.
+     * may still reach the new boot, so it is kept until one of them is answered. A run that was listed has ended, also if
+     * it was to be stopped.
      */
     endEarlierBoot(server: session.ServerSession): void {
         const isUnconfirmed = (run: session.ActiveRun) =>
-            unconfirmedPhases.has(run.phase) && run.expectedInListsFrom === undefined;
+            unconfirmedPhases.has(run.phase) && run.expectedInListsFrom === undefined && run.startClock === undefined;
         this.#endRuns(server, [...server.runs.values()].filter(run => !isUnconfirmed(run)), jobState.RunEnd.lost);
     }
 
