Repeat no starts and stops after the coordinator's term

Cause: the loops that repeat an order ended by a response or a fence only, and never where a stop waits for other tasks. Why so: the successor takes the runs over from the ledger, and sends what is to be sent under its own epoch.

--- a/packages/dispatch/src/coordinator.ts
+++ b/packages/dispatch/src/coordinator.ts
@@ -218,6 +218,7 @@
         clearInterval(this.#timer);
         this.#serverFollower.stop();
         this.#machineManager.stop();
+        this.#runManager.end();
         this.fleet.stop();
         this.#shared.writer.stop();
     }
--- a/packages/dispatch/src/run-manager.ts
+++ b/packages/dispatch/src/run-manager.ts
@@ -73,8 +73,15 @@
 }
 
 export class RunManager {
+    #ended = false;
+
     constructor(private readonly options: RunManagerOptions) {}
 
+    /** The coordinator's term is over: orders without a response aren't repeated any more. */
+    end(): void {
+        this.#ended = true;
+    }
+
     /** Records the intent of a run, whose capacity `scheduling.placeStep` has occupied on the server already. */
     plan(
         active: jobRegistry.ActiveJob,
@@ -238,7 +245,7 @@
     ): Promise<void> {
         const { shared } = this.options;
         const isUncertain = () =>
-            run.phase === session.RunPhase.uncertain && this.#isCurrent(server, run) && !server.closed;
+            run.phase === session.RunPhase.uncertain && this.#isCurrent(server, run) && !server.closed && !this.#ended;
         while (run.step.longRunning && isUncertain() && mayStart(server, run)) {
             await timers.setTimeout(startRetryDelay);
             if (!isUncertain() || !mayStart(server, run)) {
@@ -324,7 +331,7 @@
         run.phase = session.RunPhase.stopping;
         run.expectedInListsFrom = undefined;
         const decidedAt = shared.clock.monotonic();
-        while (this.#isCurrent(server, run) && !server.closed) {
+        while (this.#isCurrent(server, run) && !server.closed && !this.#ended) {
             if (!this.#mayStop(run, cause)) {
                 await timers.setTimeout(stopRetryDelay);
                 continue;
