Guard calls to addresses that can't be one against throwing

What callers would see: an entry process that ends by itself, as a call that nothing awaits rejects. Cause: none here, where the pool is looked up inside the try of HttpClient.send.

--- a/packages/http-calls/src/index.test.ts
+++ b/packages/http-calls/src/index.test.ts
@@ -76,4 +76,12 @@
     });
 });
 
+suite("a call to an address or path that can't be one throws instead of failing", async () => {
+    const client = new httpCalls.HttpClient();
+    for (const address of ["127.0.0.1:99999", "127.0.0.1:-4", ""]) {
+        assert.ok((await client.send(address, call, timeout)).isErr());
+    }
+    assert.ok((await client.send("127.0.0.1:9", { ...call, path: "no path" }, timeout)).isErr());
+});
+
 suite.run();
