Show that one lost response before the loss of a coordinator lets leases lapse

What callers see: all tasks of a step on one server end at once, over 3 s after a coordinator was lost. Cause: a renewal that gets no response is waited for 1 s and 0.7 s more, then asked for again without a lease after 0.25 s. If the coordinator is lost in that time, the lease has 3.0 to 3.1 s left, and a takeover may take 3.1 s before the two calls that renew it. The first renewal of a new coordinator is repeated soon, the others aren't.

--- a/packages/dispatch/src/availability.test.ts
+++ b/packages/dispatch/src/availability.test.ts
@@ -280,6 +280,29 @@
     });
 });
 
+suite("leases lapse in a takeover because the last response to the lost coordinator didn't arrive", async () => {
+    await simulate(4, async world => {
+        world.submit(jobId, 2, 1, 20_000);
+        await world.time.runUntil(8000);
+        const shared = world.findServer(formatTask(0))!;
+        assert.ok(shared === world.findServer(formatTask(1)));
+        let lostAt: number | undefined;
+        world.decideFate = ({ target }) => {
+            const lost = target === shared.registration.id && lostAt === undefined;
+            lostAt ??= lost ? world.time.now : undefined;
+            return { carriedOutAfter: 2, answered: !lost };
+        };
+        await world.time.runUntil(9200);
+        await world.time.runUntil(lostAt! + 1450);
+        world.disturbedUntil = world.time.now;
+        world.kill();
+        await world.time.runUntil(world.time.now + longestTakeover);
+        world.startCoordinator();
+        await world.time.runUntil(20_000);
+        assert.equal(world.rule.violations, []);
+    });
+});
+
 /** Plays a course for each seed; returns what broke the rule, by seed. */
 async function playAll(seeds: readonly number[], disturbServers: boolean): Promise<string[]> {
     const found: string[] = [];
