--- a/packages/dispatch/src/run-manager.ts
+++ b/packages/dispatch/src/run-manager.ts
@@ -22,6 +22,9 @@
 /** Time in ms for which a server gets no starts after one that failed or was refused. */
 const refusalBackoff = 300;
 
+/** Statuses by which an unhealthy server refuses an order. */
+const unhealthyStatuses: ReadonlySet<number> = new Set([429, 503]);
+
 /** Phases of a run whose start may be on its way to the server. */
 const unconfirmedPhases: ReadonlySet<session.RunPhase> = new Set([
     session.RunPhase.ordered,
@@ -70,8 +73,15 @@
 }
 
 export class RunManager {
+    #ended = false;
+
     constructor(private readonly options: RunManagerOptions) {}
 
+    /** The coordinator's term is over: orders without a response aren't repeated any more. */
+    end(): void {
+        this.#ended = true;
+    }
+
     /** Records the intent of a run, whose capacity `scheduling.placeStep` has occupied on the server already. */
     plan(
         active: jobRegistry.ActiveJob,
@@ -235,7 +245,7 @@
     ): Promise<void> {
         const { shared } = this.options;
         const isUncertain = () =>
-            run.phase === session.RunPhase.uncertain && this.#isCurrent(server, run) && !server.closed;
+            run.phase === session.RunPhase.uncertain && this.#isCurrent(server, run) && !server.closed && !this.#ended;
         while (run.step.longRunning && isUncertain() && mayStart(server, run)) {
             await timers.setTimeout(startRetryDelay);
             if (!isUncertain() || !mayStart(server, run)) {
@@ -246,6 +256,9 @@
                 continue;
             }
             const decoded = platform.serverCalls.decodeOrderResult(answer.value);
+            if (decoded.kind === "not-done" && unhealthyStatuses.has(decoded.status)) {
+                continue; // An earlier attempt may have been carried out.
+            }
             if (decoded.kind === "done") {
                 this.#handleStartAnswer(server, run, decoded);
                 return;
@@ -318,7 +331,7 @@
         run.phase = session.RunPhase.stopping;
         run.expectedInListsFrom = undefined;
         const decidedAt = shared.clock.monotonic();
-        while (this.#isCurrent(server, run) && !server.closed) {
+        while (this.#isCurrent(server, run) && !server.closed && !this.#ended) {
             if (!this.#mayStop(run, cause)) {
                 await timers.setTimeout(stopRetryDelay);
                 continue;
@@ -433,11 +446,12 @@
 
     /**
      * Ends the runs that were on the boot before of a server. A start that wasn't confirmed, and of which no stop was,
-     * may still reach the new boot, so it is kept until one of them is answered.
+     * may still reach the new boot, so it is kept until one of them is answered. A run that was listed has ended, also if
+     * it was to be stopped.
      */
     endEarlierBoot(server: session.ServerSession): void {
         const isUnconfirmed = (run: session.ActiveRun) =>
-            unconfirmedPhases.has(run.phase) && run.expectedInListsFrom === undefined;
+            unconfirmedPhases.has(run.phase) && run.expectedInListsFrom === undefined && run.startClock === undefined;
         this.#endRuns(server, [...server.runs.values()].filter(run => !isUnconfirmed(run)), jobState.RunEnd.lost);
     }
 
@@ -791,9 +805,12 @@
     }
 }
 
-/** Whether the server may still carry out the start of the run: it has the same boot and isn't about to leave. */
+/**
+ * Whether the start of the run may still be sent to the server: it has the same boot and isn't draining. A server that
+ * isn't listed may still run the task, and if it is gone the run ends with its lease.
+ */
 function mayStart(server: session.ServerSession, run: session.ActiveRun): boolean {
-    return run.bootId === server.bootId && !server.entry.draining && !server.unlisted;
+    return run.bootId === server.bootId && !server.entry.draining;
 }
 
 /** Key of one occurrence of a step: "<job>.<occurrence>.<step>". */
--- a/packages/dispatch/src/testing/simulation.ts
+++ b/packages/dispatch/src/testing/simulation.ts
@@ -35,6 +35,8 @@
     /** Time in ms after which it is carried out; `undefined` if it never is. */
     readonly carriedOutAfter: number | undefined;
     readonly answered: boolean;
+    /** The server responds that it is unhealthy, and does nothing. */
+    readonly refusedAsUnhealthy?: boolean;
 }
 
 export interface CallDescription {
@@ -258,6 +260,11 @@
         ]);
     }
 
+    /** Removes the server's entry, as the platform does if reports of the server don't reach its store. */
+    unregister({ registration }: simulatedServer.SimulatedServer): void {
+        this.#topics.append(platform.storeCalls.serversTopic, [{ key: registration.id, value: new Uint8Array() }]);
+    }
+
     /** The server ends, by an order or by itself; its entry is removed. */
     endServer(machine: SimulatedMachine, order?: "move" | "maintenance"): void {
         const { server } = machine;
@@ -307,13 +314,15 @@
                 return;
             }
             const late = fate.carriedOutAfter > lateAfter;
-            this.time.schedule(() => {
-                deliver(late, response => {
-                    if (fate.answered && !process.dead) {
-                        this.time.schedule(() => resolve(neverthrow.ok(response)), ordinaryFate.carriedOutAfter!);
-                    }
-                });
-            }, fate.carriedOutAfter);
+            const respond = (response: platform.HttpResponse) => {
+                if (fate.answered && !process.dead) {
+                    this.time.schedule(() => resolve(neverthrow.ok(response)), ordinaryFate.carriedOutAfter!);
+                }
+            };
+            this.time.schedule(
+                () => fate.refusedAsUnhealthy === true ? respond(unhealthy) : deliver(late, respond),
+                fate.carriedOutAfter,
+            );
         });
     }
 
@@ -353,6 +362,8 @@
     }
 }
 
+const unhealthy: platform.HttpResponse = { status: 503, body: new Uint8Array() };
+
 const timedOut: httpCalls.CallError = {
     layer: "http-calls",
     fault: httpCalls.CallFault.unanswered,
