Drop an order for a machine when another server has come up on it

Callers saw several tasks of one step ended in the same ms (AVAIL), their work thrown away. An order for a machine without a response is repeated until there is one. Before each attempt it was checked whether the server that the machine had at the decision was still empty, but the list of machines isn't applied while an order is in flight: after a crash another server may have come up there, which gets tasks.

The newest listing is kept beside the state that the order was decided on, and the order is dropped when they differ in their server. A listing that shows the machine as it is once the order is carried out counts as its response.

--- a/packages/dispatch/src/machine-inventory.ts
+++ b/packages/dispatch/src/machine-inventory.ts
@@ -21,6 +21,12 @@
     machine: Machine;
     /** Kind of the order that is in flight. */
     pendingOrder: "move" | "maintenance" | undefined;
+    /** The machine by the newest read, also while an order for it is in flight. */
+    listed: Machine;
+    /** Whether a row of the list shows that the last order was carried out; its response may have been lost. */
+    isOrderCarriedOut: (listed: Machine) => boolean;
+    /** Whether a read during that order has shown so. */
+    orderSeenCarriedOut: boolean;
     /** On the monotonic clock: since when no task runs there; `undefined` while one does. */
     emptySince: number | undefined;
     /** Number of complete reads in a row that omitted the machine, up to the newest one. */
@@ -106,8 +112,11 @@
         after: Machine,
     ): Promise<string> {
         const server = this.findServer(managed);
+        const { server: serverId } = managed.machine;
         const wasReserved = server?.reservedForOrder ?? false;
         managed.pendingOrder = kind;
+        managed.isOrderCarriedOut = listed => listed.state === after.state && listed.pool === after.pool;
+        managed.orderSeenCarriedOut = false;
         if (server !== undefined) {
             server.reservedForOrder = true;
             server.load.acceptsTasks = false;
@@ -118,11 +127,13 @@
             // Ms since the newest list of what runs there.
             list: server === undefined ? undefined : Math.round(clock.monotonic() - server.lastAnswerAt),
         };
-        const outcome = await this.orders.execute({
+        const answer = await this.orders.execute({
             machine: managed.machine.id,
-            isInUse: () => server !== undefined && server.runs.size > 0,
+            // Another server may have come up on the machine, for example after a crash.
+            isInUse: () => managed.listed.server !== serverId || (server !== undefined && server.runs.size > 0),
             createCall,
         });
+        const outcome = managed.orderSeenCarriedOut ? machineOrders.OrderOutcome.done : answer;
         managed.pendingOrder = undefined;
         log.info("machine-ordered", {
             machine: managed.machine.id,
@@ -183,13 +194,18 @@
             if (known === undefined) {
                 this.machines.set(machine.id, {
                     machine,
+                    listed: machine,
                     pendingOrder: undefined,
+                    isOrderCarriedOut: () => false,
+                    orderSeenCarriedOut: false,
                     emptySince: undefined,
                     missedReads: 0,
                 });
                 continue;
             }
             known.missedReads = 0;
+            known.listed = machine;
+            known.orderSeenCarriedOut ||= known.pendingOrder !== undefined && known.isOrderCarriedOut(machine);
             if (known.pendingOrder === undefined) {
                 if (known.machine.server !== "" && machine.server !== known.machine.server) {
                     const { state } = machine;
