Start no limited task where an earlier coordinator's order may be under way

A coordinator orders no machine that its predecessor may have ordered less than the order separation ago, but it placed tasks there, although the predecessor's order may still be carried out.

Such servers get no task of a step that limits how many may be unavailable, until the separation is over; while the machines haven't been listed, none gets any, if there are such orders. Other tasks may start there: they can be started again, and most machines that were ordered before a takeover are new ones of the pool that waits for them.

--- a/packages/dispatch/src/coordinator.ts
+++ b/packages/dispatch/src/coordinator.ts
@@ -392,6 +392,7 @@
         }
         const startedAt = this.#shared.clock.monotonic();
         this.fleet.refreshLoads();
+        this.#machineManager.markServersOrderedAway();
         const servers = this.fleet.listByService();
         const planned: placer.PlannedRun[] = [];
         for (const [service, candidates] of this.registry.listCandidates(this.#shared.clock.wall())) {
--- a/packages/dispatch/src/fleet.ts
+++ b/packages/dispatch/src/fleet.ts
@@ -198,6 +198,7 @@
             freeMemory: entry.memory,
             freeAccelerators: entry.accelerators,
             acceptsTasks: false,
+            mayBeOrderedAway: false,
             penalty: 0,
             runCount: 0,
             longRunningRunCount: 0,
--- a/packages/dispatch/src/machine-inventory.ts
+++ b/packages/dispatch/src/machine-inventory.ts
@@ -42,6 +42,7 @@
     #completeReads = 0;
     #lastRefreshAt = Number.NEGATIVE_INFINITY;
     #refreshing = false;
+    #hasMarkedServers = false;
     #stopped = false;
 
     constructor(
@@ -72,6 +73,27 @@
         }
     }
 
+    /**
+     * Marks the servers that an earlier coordinator's order may still take away, or all while it isn't known on which
+     * machines they are.
+     */
+    markServersOrderedAway(): void {
+        if (!this.#hasMarkedServers && !this.orders.hasEarlierOrders) {
+            return;
+        }
+        this.#hasMarkedServers = this.orders.hasEarlierOrders;
+        const areAllMarked = !this.loaded && this.#hasMarkedServers;
+        for (const server of this.fleet.sessions.values()) {
+            server.load.mayBeOrderedAway = areAllMarked;
+        }
+        for (const managed of this.machines.values()) {
+            const server = this.findServer(managed);
+            if (server !== undefined && this.orders.isWithinOrderSeparation(managed.machine.id)) {
+                server.load.mayBeOrderedAway = true;
+            }
+        }
+    }
+
     findServer(managed: ManagedMachine): session.ServerSession | undefined {
         return managed.machine.server === "" ? undefined : this.fleet.sessions.get(managed.machine.server);
     }
--- a/packages/dispatch/src/machine-manager.ts
+++ b/packages/dispatch/src/machine-manager.ts
@@ -68,6 +68,11 @@
         return this.#orders.close(timeout);
     }
 
+    /** Marks the servers that an earlier coordinator's order may still take away. */
+    markServersOrderedAway(): void {
+        this.#inventory.markServersOrderedAway();
+    }
+
     tick(): void {
         const { clock, settings, termStartedAt: claimedAt } = this.parts.shared;
         const now = clock.monotonic();
--- a/packages/dispatch/src/machine-orders.ts
+++ b/packages/dispatch/src/machine-orders.ts
@@ -55,6 +55,8 @@
     #stopped = false;
     #closing = false;
     #inFlight = 0;
+    /** On the monotonic clock. */
+    readonly #lastEarlierOrderAt: number;
 
     constructor(
         private readonly shared: context.CoordinatorContext,
@@ -63,7 +65,9 @@
          * clock.
          */
         private readonly earlierOrderTimes: ReadonlyMap<string, number>,
-    ) {}
+    ) {
+        this.#lastEarlierOrderAt = Math.max(Number.NEGATIVE_INFINITY, ...earlierOrderTimes.values());
+    }
 
     get closing(): boolean {
         return this.#closing;
@@ -84,12 +88,19 @@
         return this.#inFlight === 0;
     }
 
+    /** Whether an earlier coordinator may have ordered any machine less than the order separation ago. */
+    get hasEarlierOrders(): boolean {
+        return this.#isWithinSeparation(this.#lastEarlierOrderAt);
+    }
+
     /** Whether an earlier coordinator may have ordered the machine less than the order separation ago. */
     isWithinOrderSeparation(machine: string): boolean {
+        return this.#isWithinSeparation(this.earlierOrderTimes.get(machine) ?? Number.NEGATIVE_INFINITY);
+    }
+
+    #isWithinSeparation(orderedAt: number): boolean {
         const { clock, settings } = this.shared;
-        const orderedAt = this.earlierOrderTimes.get(machine);
-        return orderedAt !== undefined
-            && clock.monotonic() - orderedAt < settings.bounds.orderSeparation + orderSeparationMargin;
+        return clock.monotonic() - orderedAt < settings.bounds.orderSeparation + orderSeparationMargin;
     }
 
     /** Sends an order until it gets a final response, and returns its outcome. */
--- a/packages/dispatch/src/relocation.test.ts
+++ b/packages/dispatch/src/relocation.test.ts
@@ -19,6 +19,7 @@
         freeMemory: 4000,
         freeAccelerators: 0,
         acceptsTasks: true,
+        mayBeOrderedAway: false,
         penalty: 0,
         runCount: 0,
         longRunningRunCount: 0,
--- a/packages/scheduling/src/placing.ts
+++ b/packages/scheduling/src/placing.ts
@@ -22,6 +22,11 @@
     freeAccelerators: number;
     /** Accepts new tasks. */
     acceptsTasks: boolean;
+    /**
+     * An earlier coordinator may have ordered its machine away, so that it gets no task of a step that limits how many may
+     * be unavailable.
+     */
+    mayBeOrderedAway: boolean;
     /** Added to the cost of placing a task on it; for servers on which runs fail or stall often. */
     penalty: number;
     /** Number of runs that occupy capacity. */
@@ -94,6 +99,7 @@
 /** Whether the server accepts new tasks and has the capacity and label that one more task of the step needs. */
 export function fits(server: ServerLoad, step: jobState.Step, stepKey: string): boolean {
     return server.acceptsTasks
+        && (step.maxUnavailable === undefined || !server.mayBeOrderedAway)
         && (step.filler || server.freeCpu >= step.demand.cpu)
         && server.freeMemory >= step.demand.memory
         && server.freeAccelerators >= step.demand.accelerators
--- a/packages/scheduling/src/testing/fixtures.ts
+++ b/packages/scheduling/src/testing/fixtures.ts
@@ -12,6 +12,7 @@
         freeMemory: 4000,
         freeAccelerators: 0,
         acceptsTasks: true,
+        mayBeOrderedAway: false,
         penalty: 0,
         runCount: 0,
         longRunningRunCount: 0,
