Count jobs that couldn't be stored as demand

Cause: the demand on a pool was measured from stored jobs only, so callers who were refused counted as callers who weren't there.

An entry process now reports the jobs that it couldn't store straight to the coordinator, over the relay's port: the store is what fails. The coordinator counts each as an arrival, once, although its caller sends it again. Such a job isn't started before it is stored. Demand that is held while the store refuses calls was weighed: a coordinator that the store serves doesn't see that others are refused, and it wouldn't notice a turn that begins meanwhile, as here.

--- a/packages/dispatch/src/coordinator.ts
+++ b/packages/dispatch/src/coordinator.ts
@@ -265,6 +265,18 @@
         this.#schedulePass();
     }
 
+    /** Counts jobs that entry processes couldn't store as demand; they aren't started. */
+    recordUnstored(unstored: readonly jobState.Job[]): void {
+        if (!this.#takeoverDone) {
+            return;
+        }
+        for (const job of unstored) {
+            if (this.options.jobs.entries.get(job.id)?.job === undefined) {
+                this.#demand.recordUnstored(this.registry.describe(job), this.#shared.clock.monotonic());
+            }
+        }
+    }
+
     #cancel(active: jobRegistry.ActiveJob): void {
         this.#runManager.finishIfSettled(active);
         this.#stopRunsOf(active);
--- a/packages/dispatch/src/demand.ts
+++ b/packages/dispatch/src/demand.ts
@@ -1,6 +1,6 @@
 /**
  * Measures the demand on each service's pool: the arriving work, the backlog, and the instances that long-running tasks
- * need.
+ * need. Work counts as arriving when a caller asks for it, whether or not it can be stored then.
  */
 import type * as jobState from "@catkinwharf/job-state";
 import type * as platform from "@catkinwharf/platform";
@@ -32,6 +32,12 @@
 /** Time in ms after the start of a burst for which the last peak is assumed; then the measured arrivals suffice. */
 const burstRiseTime = 1500;
 
+/**
+ * Time in ms for which a job that couldn't be stored is remembered, so that it counts once although its caller sends it
+ * again; longer than callers go on.
+ */
+const unstoredRetention = 30_000;
+
 /** Arrivals of one service's queues. */
 interface Arrivals {
     /** Cores that the arriving jobs need, averaged over `span`. */
@@ -55,6 +61,8 @@
 
 export class DemandMeter {
     readonly #arrivals = new Map<string, Arrivals>();
+    /** On the monotonic clock: arrival of each job that counted before it was stored, by job ID, in order of time. */
+    readonly #unstored = new Map<string, number>();
     /**
      * On the monotonic clock: end of the takeover if it found jobs, else arrival of the first job that adds to the
      * demand. Before that the demand is unknown.
@@ -63,8 +71,35 @@
 
     constructor(private readonly registry: jobRegistry.JobRegistry, private readonly fleet: fleet.Fleet) {}
 
-    /** Adds a job that arrived at `now`, on the monotonic clock, ms, to the averages. */
-    recordArrival(active: jobRegistry.ActiveJob, now: number): void {
+    /** Adds a job that was stored at `now`, on the monotonic clock, ms, to the averages, if it hasn't counted before. */
+    recordArrival(active: jobRegistry.ArrivingJob, now: number): void {
+        if (!this.#unstored.has(active.job.id)) {
+            this.#addToAverages(active, now);
+        }
+    }
+
+    /**
+     * Adds a job that its caller submitted, but that couldn't be stored, to the averages: the caller is likely to send it
+     * again, and others like it are to be expected.
+     */
+    recordUnstored(arriving: jobRegistry.ArrivingJob, now: number): void {
+        this.#forgetUnstored(now);
+        if (!this.#unstored.has(arriving.job.id)) {
+            this.#unstored.set(arriving.job.id, now);
+            this.#addToAverages(arriving, now);
+        }
+    }
+
+    #forgetUnstored(now: number): void {
+        for (const [id, arrivedAt] of this.#unstored) {
+            if (now - arrivedAt < unstoredRetention) {
+                return;
+            }
+            this.#unstored.delete(id);
+        }
+    }
+
+    #addToAverages(active: jobRegistry.ArrivingJob, now: number): void {
         const { route } = active;
         if (route === undefined) {
             return;
--- a/packages/dispatch/src/job-registry.ts
+++ b/packages/dispatch/src/job-registry.ts
@@ -28,6 +28,9 @@
     readiness: scheduling.Readiness | undefined;
 }
 
+/** What the demand of a queue is measured from. */
+export type ArrivingJob = Pick<ActiveJob, "job" | "route" | "criticalPath">;
+
 /** A step with startable tasks, and its rank among the candidates. */
 export interface Candidate {
     readonly active: ActiveJob;
@@ -115,6 +118,15 @@
         }
     }
 
+    /** Describes a job that isn't tracked, with the newest known route of its queue. */
+    describe(job: jobState.Job): ArrivingJob {
+        return {
+            job,
+            route: this.#routes.get(job.queue) ?? job.route,
+            criticalPath: scheduling.computeCriticalPath(job, scheduling.estimateStepTimes(job, new Map())),
+        };
+    }
+
     remove(id: string): void {
         this.active.delete(id);
     }
--- a/packages/intake/src/job-api.test.ts
+++ b/packages/intake/src/job-api.test.ts
@@ -62,6 +62,7 @@
         }),
         isReady: () => true,
         isShuttingDown: () => false,
+        onUnstored: () => {},
         count: () => {},
     });
     const app = api.createApp();
--- a/packages/intake/src/job-api.ts
+++ b/packages/intake/src/job-api.ts
@@ -40,6 +40,8 @@
     readonly isReady: () => boolean;
     /** Whether the process is shutting down; callers should then connect to another entry instance. */
     readonly isShuttingDown: () => boolean;
+    /** Called with a job whose submission isn't known to be stored; its caller may send it again. */
+    readonly onUnstored: (job: jobState.Job) => void;
     /** Counts a request in the metrics; `duration` is in ms. */
     readonly count: (method: string, status: string, duration: number) => void;
 }
@@ -272,9 +274,6 @@
         if (this.options.jobs.entries.get(request.id)?.job !== undefined) {
             return accepted;
         }
-        if (this.options.isStoreUnavailable()) {
-            return storeUnavailable;
-        }
         const job: jobState.Job = {
             id: request.id,
             queue: request.route.name,
@@ -282,7 +281,13 @@
             ...submission,
             submittedAt: this.options.now(),
         };
-        return this.#write(jobState.encodeJob(job), request);
+        const response = this.options.isStoreUnavailable()
+            ? storeUnavailable
+            : await this.#write(jobState.encodeJob(job), request);
+        if (response !== accepted) {
+            this.options.onUnstored(job);
+        }
+        return response;
     }
 
     async cancel(request: JobRequest): Promise<JobResponse> {
--- a/packages/job-state/src/records.ts
+++ b/packages/job-state/src/records.ts
@@ -225,6 +225,20 @@
     return undefined;
 }
 
+/**
+ * Encodes jobs that couldn't be stored, for the coordinator. Without their payloads, which say nothing about the
+ * capacity that they need.
+ */
+export function encodeUnstoredJobs(unstored: readonly jobs.Job[]): Uint8Array {
+    return cborCodec.encode(unstored.map(job => ({ ...job, payload: "" })));
+}
+
+/** Decodes jobs that a process couldn't store; leaves out malformed ones. */
+export function decodeUnstoredJobs(value: Uint8Array): jobs.Job[] {
+    const decoded = decode(value);
+    return Array.isArray(decoded) ? decoded.filter(job => isJob(job)) : [];
+}
+
 /** Whether a record of the ledger holds the progress of a job, by its key. */
 export function isProgressKey(key: string): boolean {
     return key.startsWith(KeyPrefix.progress);
--- a/packages/node/src/entry-instance.ts
+++ b/packages/node/src/entry-instance.ts
@@ -13,6 +13,7 @@
 import type * as net from "node:net";
 import * as timers from "node:timers/promises";
 import * as metrics from "./metrics.js";
+import * as unstoredJobs from "./unstored-jobs.js";
 
 /** Time in ms of a long poll at the store; limits how long an unresponsive connection goes unnoticed. */
 const longPollTimeout = 1000;
@@ -62,6 +63,7 @@
      */
     readonly #machineOrders = new Map<string, dispatch.EarlierOrder>();
     readonly #waveProgress = new Map<number, jobState.WaveProgress>();
+    readonly #unstoredJobs: unstoredJobs.UnstoredJobs;
     #configuration: platform.operatorRecords.Configuration | undefined;
     #coordinator: dispatch.Coordinator | undefined;
     #shuttingDown = false;
@@ -98,6 +100,7 @@
             onClaimed: (epoch, previous) => void this.#takeOver(epoch, previous),
             isPrepared: () => this.#configuration !== undefined && this.#submissions.loaded && !this.#shuttingDown,
         });
+        this.#unstoredJobs = new unstoredJobs.UnstoredJobs({ report: jobs => this.#reportUnstoredJobs(jobs), log });
         this.#jobs.onJobOrCancellation = entry => this.#coordinator?.applyJob(entry);
     }
 
@@ -181,6 +184,7 @@
             }),
             isReady: () => this.#isReady(),
             isShuttingDown: () => this.#shuttingDown,
+            onUnstored: job => this.#unstoredJobs.add(job),
             count: (method, status, duration) => this.#metrics.countRequest(method, status, duration),
         });
     }
@@ -243,6 +247,19 @@
         return peer === undefined ? undefined : store.isPeerCoordinating(this.#httpClient, peer.address);
     }
 
+    /** Reports jobs to the coordinator; returns its node, or `undefined` when they didn't reach it. */
+    async #reportUnstoredJobs(jobs: readonly jobState.Job[]): Promise<string | undefined> {
+        if (this.#coordinator !== undefined) {
+            this.#coordinator.recordUnstored(jobs);
+            return this.settings.node;
+        }
+        const peer = this.#peers.get(this.#leaderElection.newestLeadership?.node ?? "");
+        const encoded = jobState.encodeUnstoredJobs(jobs);
+        return peer !== undefined && await store.reportUnstoredJobs(this.#httpClient, peer.address, encoded)
+            ? peer.node
+            : undefined;
+    }
+
     /** Serves the relay for peers, and publishes its address to them. */
     async #startRelay(): Promise<void> {
         const relay = store.createRelay({
@@ -253,6 +270,10 @@
             now: () => this.#clock.wall(),
             isCoordinating: () =>
                 this.#leaderElection.leading && this.#clock.wall() - this.#store.lastSuccess < coordinatorStoreTimeout,
+            receiveUnstoredJobs: encoded => {
+                this.#coordinator?.recordUnstored(jobState.decodeUnstoredJobs(encoded));
+                return this.#coordinator !== undefined;
+            },
         });
         // The relay uses the last internal port; the first one serves the metrics.
         const port = this.settings.internalPorts[1];
--- a/packages/store/src/store-relay.test.ts
+++ b/packages/store/src/store-relay.test.ts
@@ -44,6 +44,10 @@
     log,
     now: () => 1000,
     isCoordinating: () => coordinating,
+    receiveUnstoredJobs: encoded => {
+        bodies.push(Buffer.from(encoded).toString("latin1"));
+        return coordinating;
+    },
 }));
 
 /** Creates a client whose direct route has timed out. */
@@ -92,6 +96,15 @@
     assert.is(await store.isPeerCoordinating(httpClient, "127.0.0.1:1"), false);
 });
 
+suite("passes unstored jobs on, and reports whether the peer coordinates", async () => {
+    coordinating = false;
+    assert.is(await store.reportUnstoredJobs(httpClient, relayAddress, new Uint8Array([1, 2])), false);
+    coordinating = true;
+    assert.is(await store.reportUnstoredJobs(httpClient, relayAddress, new Uint8Array([3])), true);
+    assert.equal(bodies, ["\u0001\u0002", "\u0003"]);
+    assert.is(await store.reportUnstoredJobs(httpClient, "127.0.0.1:1", new Uint8Array()), false);
+});
+
 suite.after(() => {
     servers.forEach(server => {
         server.close();
--- a/packages/store/src/store-relay.ts
+++ b/packages/store/src/store-relay.ts
@@ -1,7 +1,7 @@
 /**
  * Serves requests of peers. It forwards a peer's calls to the store while the peer can't call the store directly but
- * this process can, and it tells peers that have not heard from the coordinator for a while whether this process
- * coordinates.
+ * this process can, tells peers that have not heard from the coordinator for a while whether this process coordinates,
+ * and receives the jobs that peers couldn't store.
  */
 import type * as eventLog from "@catkinwharf/event-log";
 import * as httpCalls from "@catkinwharf/http-calls";
@@ -17,8 +17,10 @@
 
 /** Path under which a process reports whether it coordinates. */
 const coordinatingPath = "/coordinating";
-/** Timeout in ms of that request; a healthy peer responds within a few ms. */
-const coordinatingTimeout = 250;
+/** Path under which a process reports jobs that it couldn't store. */
+const unstoredJobsPath = "/unstored-jobs";
+/** Timeout in ms of both requests; a healthy peer responds within a few ms. */
+const peerTimeout = 250;
 
 /** Maximum size in bytes of a forwarded body; the store accepts no larger one. */
 const maxBodyBytes = 2_097_152;
@@ -37,6 +39,8 @@
     readonly now: () => number;
     /** Whether this process coordinates and the store serves it. */
     readonly isCoordinating: () => boolean;
+    /** Receives the encoded jobs that a peer couldn't store; returns whether this process coordinates. */
+    readonly receiveUnstoredJobs: (encoded: Uint8Array) => boolean;
 }
 
 /** Creates the relay's HTTP server without starting to listen. */
@@ -46,7 +50,10 @@
             response.writeHead(options.isCoordinating() ? 204 : notForwardedStatus).end();
             return;
         }
-        void forwardCall(options, message).then(({ status, body }) => {
+        const handled = message.url === unstoredJobsPath
+            ? receiveUnstoredJobs(options, message)
+            : forwardCall(options, message);
+        void handled.then(({ status, body }) => {
             response.writeHead(status).end(body);
         }).catch((error: unknown) => {
             options.log.warn("relay-broken", { error: String(error) });
@@ -58,14 +65,36 @@
 /** Asks a peer whether it coordinates; false when it doesn't respond. */
 export async function isPeerCoordinating(httpClient: httpCalls.HttpClient, address: string): Promise<boolean> {
     const call = { method: "GET" as const, path: coordinatingPath, headers: {}, body: undefined };
-    const result = await httpClient.send(address, call, coordinatingTimeout);
+    const result = await httpClient.send(address, call, peerTimeout);
     return result.isOk() && result.value.status === 204;
 }
 
+/** Reports jobs that couldn't be stored to the coordinator; returns whether it received them. */
+export async function reportUnstoredJobs(
+    httpClient: httpCalls.HttpClient,
+    address: string,
+    encoded: Uint8Array,
+): Promise<boolean> {
+    const call = { method: "POST" as const, path: unstoredJobsPath, headers: {}, body: encoded };
+    const result = await httpClient.send(address, call, peerTimeout);
+    return result.isOk() && result.value.status === 204;
+}
+
+interface RelayResponse {
+    readonly status: number;
+    readonly body: Uint8Array;
+}
+
+async function receiveUnstoredJobs(options: RelayOptions, message: http.IncomingMessage): Promise<RelayResponse> {
+    const encoded = await requestBody.readBody(message, maxBodyBytes);
+    const received = encoded instanceof Uint8Array && options.receiveUnstoredJobs(encoded);
+    return { status: received ? 204 : notForwardedStatus, body: new Uint8Array() };
+}
+
 async function forwardCall(
     options: RelayOptions,
     message: http.IncomingMessage,
-): Promise<{ readonly status: number; readonly body: Uint8Array; }> {
+): Promise<RelayResponse> {
     const emptyBody = new Uint8Array();
     const body = await requestBody.readBody(message, maxBodyBytes);
     if (body === requestBody.BodyFault.tooLarge) {
