Test how jobs that couldn't be stored count

Each counts once, however often its caller sends it, and the demand on a queue holds while its submissions are refused. A reported job's route is checked like a stored one's.

--- /dev/null
+++ b/packages/dispatch/src/demand.test.ts
@@ -0,0 +1,84 @@
+/** Demand is what callers ask for: jobs that couldn't be stored count like stored ones, and each job counts once. */
+import * as jobState from "@catkinwharf/job-state";
+import * as testing from "@catkinwharf/job-state/testing";
+import type * as platform from "@catkinwharf/platform";
+import * as uvu from "uvu";
+import * as assert from "uvu/assert";
+import * as demand from "./demand.js";
+import type * as fleet from "./fleet.js";
+import * as jobRegistry from "./job-registry.js";
+
+const suite = uvu.suite("demand");
+const route: jobState.RouteTerms = {
+    version: 1,
+    service: "dispatch",
+    priority: 0,
+    maxAttempts: 3,
+    slackFactor: 2,
+    latencyAllowance: 1000,
+    advice: undefined,
+};
+const configuration: platform.operatorRecords.Configuration = {
+    version: 1,
+    routes: [],
+    services: [{ name: "dispatch", standby: false, healthPath: "", rejectsOverload: false }],
+    maxBodyBytes: 1000,
+};
+
+function createMeter(): { meter: demand.DemandMeter; registry: jobRegistry.JobRegistry; } {
+    const registry = new jobRegistry.JobRegistry();
+    const noServers = { sessions: new Map() } as unknown as fleet.Fleet;
+    return { meter: new demand.DemandMeter(registry, noServers), registry };
+}
+
+/** A job with one core-second of work. */
+function createJob(number: number): jobState.Job {
+    return testing.createJob({ id: number.toString(16).padStart(16, "0"), route });
+}
+
+function measure(meter: demand.DemandMeter, now: number): number {
+    return meter.list(configuration, now, now)[0]!.arrivingCores;
+}
+
+suite("the demand on a queue falls while its submissions are refused", () => {
+    const { meter, registry } = createMeter();
+    for (let now = 0; now < 6000; now += 100) {
+        const arriving = registry.describe(createJob(now));
+        if (now < 3000) {
+            meter.recordArrival(arriving, now);
+        }
+        else {
+            meter.recordUnstored(arriving, now);
+        }
+    }
+    // Ten core-seconds arrive each second.
+    assert.ok(measure(meter, 6000) > 8, `${measure(meter, 6000)}`);
+});
+
+suite("a job counts again when its caller sends it again or it is stored", () => {
+    const { meter, registry } = createMeter();
+    const arriving = registry.describe(createJob(1));
+    meter.recordUnstored(arriving, 0);
+    const once = measure(meter, 1000);
+    assert.ok(once > 0);
+    const repeated = createMeter().meter;
+    repeated.recordUnstored(arriving, 0);
+    repeated.recordUnstored(arriving, 400);
+    repeated.recordArrival(arriving, 800);
+    assert.is(measure(repeated, 1000), once);
+});
+
+suite("a job that couldn't be stored never counts again", () => {
+    const measureAfter = (repeat: boolean) => {
+        const { meter, registry } = createMeter();
+        meter.recordUnstored(registry.describe(createJob(1)), 0);
+        meter.recordUnstored(registry.describe(createJob(2)), 40_000);
+        if (repeat) {
+            meter.recordArrival(registry.describe(createJob(1)), 40_000);
+        }
+        return measure(meter, 40_000);
+    };
+    assert.ok(measureAfter(true) > measureAfter(false));
+});
+
+suite.run();
--- a/packages/job-state/src/records.ts
+++ b/packages/job-state/src/records.ts
@@ -212,8 +212,7 @@
         return undefined;
     }
     if (key.startsWith(KeyPrefix.job) && isJob(decoded)) {
-        // Records of earlier versions lack `route`.
-        return { kind: "job", job: { ...decoded, route: isRouteTerms(decoded.route) ? decoded.route : undefined } };
+        return { kind: "job", job: selectKnownRoute(decoded) };
     }
     if (key.startsWith(KeyPrefix.cancellation) && isObject(decoded) && typeof decoded["cancelledAt"] === "number") {
         return {
@@ -236,7 +235,12 @@
 /** Decodes jobs that a process couldn't store; leaves out malformed ones. */
 export function decodeUnstoredJobs(value: Uint8Array): jobs.Job[] {
     const decoded = decode(value);
-    return Array.isArray(decoded) ? decoded.filter(job => isJob(job)) : [];
+    return Array.isArray(decoded) ? decoded.filter(job => isJob(job)).map(job => selectKnownRoute(job)) : [];
+}
+
+/** Leaves out a route that can't be read; records of earlier versions lack it. */
+function selectKnownRoute(job: jobs.Job): jobs.Job {
+    return { ...job, route: isRouteTerms(job.route) ? job.route : undefined };
 }
 
 /** Whether a record of the ledger holds the progress of a job, by its key. */
