Let a new coordinator count the jobs submitted before its takeover as arrivals

Cause: jobs found at the takeover are backlog only, and the averages, the height of the last burst and the slack of the queues start at zero.

The submissions say when each job came, so the averages are rebuilt from those of the last minute, in order, as the earlier coordinator did. Jobs whose time is more than a minute off, by a clock that jumped, are left out. Jobs that couldn't be stored aren't known to the successor; their callers' next attempts count.

npm test -- demand-after-takeover: 0 passed, 1 failed before; 1 passed now.

--- a/packages/dispatch/src/coordinator.ts
+++ b/packages/dispatch/src/coordinator.ts
@@ -197,6 +197,8 @@
             await timers.setTimeout(firstAnswersPollInterval);
         }
         this.#takeoverDone = true;
+        const submitted = [...this.options.jobs.entries.values()].flatMap(({ job }) => job ?? []);
+        this.#demand.restoreArrivals(submitted, clock.monotonic(), clock.wall());
         const knowsDemand = [...this.registry.active.values()].some(active => active.route !== undefined);
         // Jobs found at the takeover make the demand known from now on.
         this.#demand.demandKnownSince = knowsDemand ? clock.monotonic() : undefined;
@@ -246,7 +248,7 @@
         if (active === undefined) {
             return;
         }
-        if (!wasActive && this.#takeoverDone) { // Jobs found at the takeover are backlog, not arrivals.
+        if (!wasActive && this.#takeoverDone) { // Those found at the takeover are counted at its end.
             this.#demand.recordArrival(active, this.#shared.clock.monotonic());
         }
         if (!wasActive && active.route === undefined) {
--- a/packages/dispatch/src/demand.ts
+++ b/packages/dispatch/src/demand.ts
@@ -90,6 +90,25 @@
         }
     }
 
+    /**
+     * Adds the jobs that were submitted before a takeover to the averages, as the earlier coordinator did. `now` is on
+     * the monotonic clock, `wall` Unix time, both in ms.
+     */
+    restoreArrivals(submitted: Iterable<jobState.Job>, now: number, wall: number): void {
+        const recent: { readonly job: jobState.Job; readonly age: number; }[] = [];
+        for (const job of submitted) {
+            // The clocks of the processes that received the jobs may differ, or may have jumped.
+            const age = wall - job.submittedAt;
+            if (Math.abs(age) < burstDecayTime) {
+                recent.push({ job, age: Math.max(0, age) });
+            }
+        }
+        recent.sort((a, b) => b.age - a.age);
+        for (const { job, age } of recent) {
+            this.recordArrival(this.registry.describe(job), now - age);
+        }
+    }
+
     #forgetUnstored(now: number): void {
         for (const [id, arrivedAt] of this.#unstored) {
             if (now - arrivedAt < unstoredRetention) {
