Send no calls through a peer that timed out before it responds to a probe

The direct route is only probed after a timeout; peers were not. A peer that timed out now stays unused until its backoff is over and it has responded to a probe, which no call waits for.

Tests: "calls go to an unreachable peer again and again" fails before (a call at 2500 ms) and passes now; another one for the probes.

--- a/packages/store/src/store-client.ts
+++ b/packages/store/src/store-client.ts
@@ -169,10 +169,17 @@
     }
 
     /**
-     * Probes a direct route that timed out, with a read of its own, so that no other call waits for the probe. The
-     * outcome is recorded for the route.
+     * Probes the routes that timed out, so that no other call waits for the probe: the direct one with a read of its own,
+     * peers with a request that they answer themselves. The outcome is recorded for the route.
      */
     #probe(): void {
+        for (const peer of this.routes.takePeerProbes(this.now())) {
+            void storeRelay.isPeerReachable(this.httpClient, peer.address).then(reachable => {
+                if (reachable) {
+                    this.routes.recordSuccess(peer);
+                }
+            });
+        }
         const route = this.routes.takeProbe(this.now());
         if (route !== undefined) {
             const call = platform.storeCalls.createReadCall(platform.storeCalls.waveStatusTopic, 0, 0);
--- a/packages/store/src/store-relay.ts
+++ b/packages/store/src/store-relay.ts
@@ -69,6 +69,15 @@
     return result.isOk() && result.value.status === 204;
 }
 
+/** Whether a peer responds at all. */
+export async function isPeerReachable(
+    httpClient: Pick<httpCalls.HttpClient, "send">,
+    address: string,
+): Promise<boolean> {
+    const call = { method: "GET" as const, path: coordinatingPath, headers: {}, body: undefined };
+    return (await httpClient.send(address, call, peerTimeout)).isOk();
+}
+
 /** Reports jobs that couldn't be stored to the coordinator; returns whether it received them. */
 export async function reportUnstoredJobs(
     httpClient: httpCalls.HttpClient,
--- a/packages/store/src/store-routes.test.ts
+++ b/packages/store/src/store-routes.test.ts
@@ -86,7 +86,36 @@
     }
     routes.recordFailure({ address: "peer-c:1", relayed: true }, 20, true);
     assert.is(routes.choose(21).address === "peer-c:1", false);
+    routes.recordSuccess({ address: "peer-c:1", relayed: true });
     assert.equal(routes.choose(3000), { address: "peer-c:1", relayed: true });
 });
 
+suite("a peer that timed out is never used again, or gets calls before it has responded to a probe", () => {
+    const routes = createRoutes();
+    const lost = { address: "peer-a:1", relayed: true };
+    routes.recordFailure({ address: direct, relayed: false }, 0, true);
+    routes.recordFailure({ address: "peer-b:1", relayed: true }, 0, true);
+    routes.recordFailure(lost, 0, true);
+    assert.equal(routes.takePeerProbes(2400), []);
+    assert.is(routes.takePeerProbes(2600).length, 2);
+    assert.equal(routes.takePeerProbes(2700), []);
+    assert.equal(routes.choose(2700), { address: direct, relayed: false });
+    assert.is(routes.takePeerProbes(3400).length, 2);
+    routes.recordSuccess(lost);
+    assert.equal(routes.choose(3500), lost);
+});
+
+suite("calls go to an unreachable peer again and again", () => {
+    const routes = createRoutes();
+    const lost = { address: "peer-a:1", relayed: true };
+    routes.recordFailure({ address: direct, relayed: false }, 0, false);
+    routes.recordFailure(lost, 0, true);
+    for (let now = 10; now < 20_000; now += 10) {
+        const route = routes.choose(now);
+        assert.is.not(route.address, lost.address, `at ${now}`);
+        // The store refuses the calls of this process and of the other peer.
+        routes.recordFailure(route, now, false);
+    }
+});
+
 suite.run();
--- a/packages/store/src/store-routes.ts
+++ b/packages/store/src/store-routes.ts
@@ -4,8 +4,9 @@
  * Handles outages of several seconds that affect all processes or only some, network partitions, and occasional
  * connection resets. After a failure, a route is avoided with exponential backoff, so a single reset costs little. Each
  * call over a route that times out costs a full timeout. After a timeout, the direct route is therefore used only for
- * probes while calls go through peers, and a peer that timed out is avoided for longer than after an error. A peer that
- * can't reach the store itself says so at once; that counts as a failure of its route.
+ * probes while calls go through peers. A peer that timed out is avoided for longer than after an error, and then gets no
+ * call until it has responded to a probe. A peer that can't reach the store itself says so at once; that counts as a
+ * failure of its route.
  *
  * Peers on large machines are preferred: in a burst each process reads several hundred kilobytes per second from the
  * store, and the coordinator appends as much, which all crosses a relay's link twice.
@@ -18,9 +19,12 @@
 const initialBackoff = 80;
 /** Maximum backoff in ms; limits how late the end of an outage is noticed. */
 const maxBackoff = 1200;
-/** Backoff in ms after a call through a peer has timed out; network partitions last for seconds. */
+/**
+ * Backoff in ms after a call through a peer has timed out; network partitions last for seconds, and a peer that is only
+ * overloaded responds to probes at once.
+ */
 const peerTimeoutBackoff = 2500;
-/** Time in ms between two probes of a direct route that timed out; limits how long calls keep going through peers. */
+/** Time in ms between two probes of a route that timed out; limits how long it stays unused after it works again. */
 const probeInterval = 700;
 
 export interface StoreRoute {
@@ -53,6 +57,8 @@
     /** The peer chosen last; kept while it is available. */
     #preferredPeer: string | undefined;
     #probedAt = Number.NEGATIVE_INFINITY;
+    /** Unix time in ms of the last probe of a peer, by its address. */
+    readonly #peerProbedAt = new Map<string, number>();
 
     constructor(private readonly direct: string) {}
 
@@ -66,7 +72,7 @@
      * in backoff or has timed out. Without an available peer, it is the direct one in any case.
      */
     choose(now: number): StoreRoute {
-        if (this.isDirectBackoffOver(now) && !this.#hasDirectTimedOut()) {
+        if (this.isDirectBackoffOver(now) && !this.#hasTimedOut(this.direct)) {
             return { address: this.direct, relayed: false };
         }
         const peer = this.#choosePeer(now);
@@ -83,13 +89,26 @@
 
     /** Returns the direct route if a probe of it is due at `now`, Unix time in ms; the caller has to send the probe. */
     takeProbe(now: number): StoreRoute | undefined {
-        if (!this.#hasDirectTimedOut() || now - this.#probedAt < probeInterval) {
+        if (!this.#hasTimedOut(this.direct) || now - this.#probedAt < probeInterval) {
             return undefined;
         }
         this.#probedAt = now;
         return { address: this.direct, relayed: false };
     }
 
+    /**
+     * Returns the peers that timed out, are out of backoff, and are due for a probe at `now`, Unix time in ms; the caller
+     * has to send the probes.
+     */
+    takePeerProbes(now: number): StoreRoute[] {
+        const due = this.#peers.filter(({ address }) =>
+            this.#hasTimedOut(address) && this.#isAvailable(address, now)
+            && now - (this.#peerProbedAt.get(address) ?? 0) >= probeInterval
+        );
+        due.forEach(({ address }) => this.#peerProbedAt.set(address, now));
+        return due.map(({ address }) => ({ address, relayed: true }));
+    }
+
     /** @param timedOut whether the call timed out, rather than failing with an error */
     recordFailure(route: StoreRoute, now: number, timedOut: boolean): void {
         const failureCount = (this.#failures.get(route.address)?.failureCount ?? 0) + 1;
@@ -114,13 +133,15 @@
 
     /** Addresses of the available peers; only of the large ones while one of them is available. */
     #listCandidates(now: number): string[] {
-        const available = this.#peers.filter(peer => this.#isAvailable(peer.address, now));
+        const available = this.#peers.filter(({ address }) =>
+            this.#isAvailable(address, now) && !this.#hasTimedOut(address)
+        );
         const large = available.filter(peer => peer.large);
         return (large.length > 0 ? large : available).map(peer => peer.address);
     }
 
-    #hasDirectTimedOut(): boolean {
-        return this.#failures.get(this.direct)?.timedOut ?? false;
+    #hasTimedOut(address: string): boolean {
+        return this.#failures.get(address)?.timedOut ?? false;
     }
 
     #isAvailable(address: string, now: number): boolean {
