Log what becomes of each queue's jobs once a second

Lines on single jobs are limited to 50 a second, so in a turn of 150 jobs a second the logs didn't tell how many came, began, were repeated, or ended in time, nor where they lost their time. The coordinator now logs it for each queue (queue-load). No decision depends on it. Test: queue-meter. The samples of load-meter move to a file of their own for that.

--- a/packages/dispatch/src/coordinator.ts
+++ b/packages/dispatch/src/coordinator.ts
@@ -19,6 +19,7 @@
 import * as loadMeter from "./load-meter.js";
 import * as machineManager from "./machine-manager.js";
 import * as placer from "./placer.js";
+import * as queueMeter from "./queue-meter.js";
 import * as relocation from "./relocation.js";
 import * as runManager from "./run-manager.js";
 import * as session from "./server-session.js";
@@ -84,6 +85,21 @@
     };
 }
 
+/** Judges a settled job by its objective. */
+function judgeSettlement(active: jobRegistry.ActiveJob): queueMeter.Settlement {
+    const { job, progress, route, criticalPath } = active;
+    if (progress.status === jobState.JobStatus.failed || progress.status === jobState.JobStatus.cancelled) {
+        return progress.status;
+    }
+    const isOnTime = route === undefined
+        || progress.statusAt <= scheduling.computeObjective(job, 0, criticalPath, route);
+    return isOnTime
+        ? queueMeter.Settlement.onTime
+        : demand.isExpired(active, progress.statusAt)
+        ? queueMeter.Settlement.expired
+        : queueMeter.Settlement.late;
+}
+
 export class Coordinator {
     readonly registry = new jobRegistry.JobRegistry();
     readonly fleet: fleet.Fleet;
@@ -96,6 +112,7 @@
     readonly #sweeper: jobSweeper.JobSweeper;
     readonly #placer: placer.Placer;
     readonly #load: loadMeter.LoadMeter;
+    readonly #queues: queueMeter.QueueMeter;
     #timer: NodeJS.Timeout | undefined;
     #passScheduled = false;
     #stopped = false;
@@ -108,6 +125,7 @@
         const { clock, store, epoch } = options;
         const stepDown = (reason: string) => this.#stepDown(reason);
         this.#load = new loadMeter.LoadMeter(options.log, options.observeDuration, clock.monotonic());
+        this.#queues = new queueMeter.QueueMeter(options.log, clock.monotonic());
         this.#shared = {
             node: options.settings.node,
             epoch,
@@ -120,17 +138,25 @@
                 store,
                 epoch,
                 () => stepDown("the store refused an append of this epoch to the ledger"),
+                entry => this.#recordStored(entry),
             ),
             jobs: options.jobs,
             configuration: options.configuration,
             stepDown,
             schedulePass: () => this.#schedulePass(),
         };
+        const recordHealth = createHealthRecorder(clock);
         this.#runManager = new runManager.RunManager({
             shared: this.#shared,
             registry: this.registry,
-            onEnd: createHealthRecorder(clock),
+            onEnd: (server, run, how) => {
+                recordHealth(server, run, how);
+                this.#queues.recordRunEnd(run.entry.job!.queue, how);
+            },
             onStartAnswered: duration => this.#load.record(loadMeter.Activity.start, duration),
+            onPlanned: run => this.#queues.recordPlannedRun(run.entry.job!.queue, run.runNumber),
+            onBegun: entry => this.#recordBegun(entry),
+            onSettled: active => this.#queues.recordSettled(active.job.queue, judgeSettlement(active)),
         });
         this.fleet = new fleet.Fleet(this.#shared, {
             onLists: (server, lists, sentAt) => {
@@ -248,6 +274,7 @@
         }
         if (!wasActive && this.#takeoverDone) { // Jobs found at the takeover are backlog, not arrivals.
             this.#demand.recordArrival(active, this.#shared.clock.monotonic());
+            this.#queues.recordArrival(active.job.queue, this.#shared.clock.wall() - active.job.submittedAt);
         }
         if (!wasActive && active.route === undefined) {
             this.#shared.log.warn("route-unknown", {
@@ -322,6 +349,7 @@
         const now = this.#shared.clock.monotonic();
         this.#load.recordTimer(now, tickInterval);
         this.#load.report(now, () => this.#describeWork());
+        this.#queues.report(now, () => this.#describeQueues());
         if (now - this.#lastHeartbeatAt >= leaderElection.heartbeatInterval) {
             this.#lastHeartbeatAt = now;
             this.#shared.writer.add(this.#encodeLeadership(false, false));
@@ -415,6 +443,37 @@
         };
     }
 
+    #recordBegun(entry: jobState.JobEntry): void {
+        if (entry.job !== undefined) {
+            this.#queues.recordBegun(entry.job.queue, this.#shared.clock.wall() - entry.job.submittedAt);
+        }
+    }
+
+    #recordStored(entry: jobState.JobEntry): void {
+        const { job, progress } = entry;
+        if (job !== undefined && progress !== undefined && jobState.isSettled(progress.status)) {
+            this.#queues.recordStored(job.queue, this.#shared.clock.wall() - progress.statusAt);
+        }
+    }
+
+    #describeQueues(): queueMeter.QueueState[] {
+        const wall = this.#shared.clock.wall();
+        const states = new Map<string, queueMeter.QueueState>();
+        for (const active of this.registry.active.values()) {
+            const { queue } = active.job;
+            const state = states.get(queue) ?? { queue, waitingJobs: 0, expiredJobs: 0, begunJobs: 0, readyTasks: 0 };
+            states.set(queue, state);
+            const begun = active.progress.begun || jobState.hasRuns(active.progress);
+            state.begunJobs += begun ? 1 : 0;
+            state.waitingJobs += begun ? 0 : 1;
+            state.expiredJobs += !begun && demand.isExpired(active, wall) ? 1 : 0;
+            for (const ready of active.readiness?.steps ?? []) {
+                state.readyTasks += ready.tasks.length;
+            }
+        }
+        return [...states.values()];
+    }
+
     /**
      * Paces fillers, which run in the processor time that other tasks leave unused: slows them while the tail latency
      * of a serving task on the same server is near its target, and speeds them up again when it is well below.
--- a/packages/dispatch/src/demand.ts
+++ b/packages/dispatch/src/demand.ts
@@ -160,7 +160,7 @@
                 const step = active.job.steps[ready.step]!;
                 work += step.longRunning ? 0 : ready.tasks.length * measureTask(step, memoryPerCpu);
             }
-            work *= isExpired(active, route, wall) ? expiredJobWeight : 1;
+            work *= isExpired(active, wall) ? expiredJobWeight : 1;
             backlogs.set(route.service, (backlogs.get(route.service) ?? 0) + work);
         }
         return backlogs;
@@ -204,7 +204,11 @@
  * Whether the result is too late to be of use to the job's caller; `wall` is Unix time in ms. Repeated jobs never
  * expire.
  */
-function isExpired(active: jobRegistry.ActiveJob, route: scheduling.QueuePolicy, wall: number): boolean {
+export function isExpired(active: jobRegistry.ActiveJob, wall: number): boolean {
+    const { route } = active;
+    if (route === undefined) {
+        return false;
+    }
     const objective = scheduling.computeObjective(active.job, 0, active.criticalPath, route);
     return active.job.repetition === undefined && wall > scheduling.computeExpiry(active.job.submittedAt, objective);
 }
--- a/packages/dispatch/src/ledger-writer.ts
+++ b/packages/dispatch/src/ledger-writer.ts
@@ -38,6 +38,8 @@
         private readonly store: storeClient.StoreClient,
         private readonly epoch: number,
         private readonly onFenced: () => void,
+        /** A job got another status in the ledger. */
+        private readonly onStatusStored: (entry: jobState.JobEntry) => void = () => undefined,
     ) {}
 
     /** Queues the job's changed progress for the next batch. */
@@ -89,13 +91,21 @@
             const stored = batch.records.length === 0 || await this.#append(batch.records);
             // Once stopped, the ledger is read instead, which a later coordinator may have changed.
             if (stored && !this.#stopped) {
-                batch.statuses.forEach(([entry, status]) => entry.storedStatus = status);
+                batch.statuses.forEach(([entry, status]) => this.#showStatus(entry, status));
             }
             this.#resolveWaiters(waiters, stored);
         }
         this.#writing = false;
     }
 
+    #showStatus(entry: jobState.JobEntry, status: jobState.JobStatus): void {
+        const changed = entry.storedStatus !== status;
+        entry.storedStatus = status;
+        if (changed) {
+            this.onStatusStored(entry);
+        }
+    }
+
     #takeBatch(): Batch {
         const batch: Batch = { records: this.#pendingRecords, statuses: [] };
         this.#pendingRecords = [];
--- a/packages/dispatch/src/load-meter.ts
+++ b/packages/dispatch/src/load-meter.ts
@@ -6,36 +6,11 @@
  * backlog grows. Each has a figure of its own here.
  */
 import type * as eventLog from "@catkinwharf/event-log";
+import * as summary from "./summary.js";
 
 /** Time in ms between two reports. */
 const reportInterval = 1000;
 
-/** Values of one kind, in ms, since the last report. */
-class Sample {
-    #count = 0;
-    #sum = 0;
-    #max = 0;
-
-    add(value: number): void {
-        this.#count += 1;
-        this.#sum += value;
-        this.#max = Math.max(this.#max, value);
-    }
-
-    summarize(): Summary {
-        const mean = this.#count === 0 ? 0 : this.#sum / this.#count;
-        return { count: this.#count, mean: Math.round(mean * 10) / 10, max: Math.round(this.#max) };
-    }
-}
-
-interface Summary {
-    readonly count: number;
-    /** Ms. */
-    readonly mean: number;
-    /** Ms. */
-    readonly max: number;
-}
-
 /** What the coordinator does that takes time; each kind is measured separately. */
 export const Activity = {
     /** Delay of a timer behind its due time: the process had no processor time or was busy with other events. */
@@ -108,6 +83,11 @@
     }
 }
 
-function createSamples(): Record<Activity, Sample> {
-    return { timerDelay: new Sample(), pass: new Sample(), intent: new Sample(), start: new Sample() };
+function createSamples(): Record<Activity, summary.Sample> {
+    return {
+        timerDelay: new summary.Sample(),
+        pass: new summary.Sample(),
+        intent: new summary.Sample(),
+        start: new summary.Sample(),
+    };
 }
--- a/packages/dispatch/src/run-manager.ts
+++ b/packages/dispatch/src/run-manager.ts
@@ -33,6 +33,12 @@
     readonly onEnd: (server: session.ServerSession, run: session.ActiveRun, how: jobState.RunEnd) => void;
     /** A start got a response or failed, `duration` ms after it was sent. */
     readonly onStartAnswered: (duration: number) => void;
+    /** A run was planned. */
+    readonly onPlanned?: (run: session.ActiveRun) => void;
+    /** A server confirmed the first start of a job. */
+    readonly onBegun?: (entry: jobState.JobEntry) => void;
+    /** A job got its final status. */
+    readonly onSettled?: (active: jobRegistry.ActiveJob) => void;
 }
 
 export function formatRunName(name: platform.TaskName, run: number): string {
@@ -67,6 +73,7 @@
         });
         server.runs.set(run.name, run);
         this.#reserveStart(server, run);
+        this.options.onPlanned?.(run);
         this.options.shared.writer.markDirty(active.entry);
         return run;
     }
@@ -190,6 +197,7 @@
             return;
         }
         progress.begun = true;
+        this.options.onBegun?.(entry);
         if (progress.status === jobState.JobStatus.queued) {
             progress.status = jobState.JobStatus.running;
             progress.statusAt = this.options.shared.clock.wall();
@@ -604,6 +612,7 @@
             status,
             age: active.progress.statusAt - active.job.submittedAt,
         });
+        this.options.onSettled?.(active);
         shared.writer.markDirty(active.entry);
     }
 
