Count the coordinator's own delay when it judges whether a job will be in time

What it takes to store an intent, send a start and notice an end was in no estimate of what remains, but it was in the observed durations, so that objectives grew with it. Its average over the last tasks now counts once for each remaining step, and is taken off the observed durations.

A literal of relocation.test gets the new field.

--- a/packages/dispatch/src/job-registry.ts
+++ b/packages/dispatch/src/job-registry.ts
@@ -18,6 +18,8 @@
     criticalPath: number;
     /** Expected time in ms from the beginning of each step to the end of the job. */
     remainingPaths: readonly number[];
+    /** Number of steps in the longest chain from the beginning of each step to the end of the job. */
+    readonly remainingSteps: readonly number[];
     /** Longest observed duration in ms of a task, by step. */
     readonly observedDurations: Map<number, number>;
     /** Servers on which one of its runs failed or stalled. */
@@ -42,6 +44,7 @@
      * Newest known route by queue, from configurations and submitted jobs. Includes removed ones, whose jobs continue.
      */
     readonly #routes = new Map<string, jobState.RouteTerms>();
+    readonly #delay = new scheduling.DelayEstimate();
 
     applyConfiguration(configuration: platform.operatorRecords.Configuration): void {
         const { version } = configuration;
@@ -96,6 +99,7 @@
             route: this.#routes.get(job.queue),
             criticalPath: scheduling.computeCriticalPath(job, estimates),
             remainingPaths: scheduling.computeRemainingPaths(job, estimates),
+            remainingSteps: scheduling.computeRemainingPaths(job, job.steps.map(() => 1)),
             observedDurations: new Map(),
             avoided: new Set(),
             crashedAt: undefined,
@@ -105,8 +109,14 @@
         return active;
     }
 
-    /** Records the duration in ms of a task of the step, and updates the job's expected times. */
-    recordDuration(active: ActiveJob, step: number, duration: number): void {
+    /**
+     * Records that a task of the step ended `time` ms after it was placed, and updates the job's expected times. The
+     * coordinator's own delay isn't part of a task's duration: the objective doesn't allow for it.
+     */
+    recordTaskTime(active: ActiveJob, step: number, time: number): void {
+        const { estimate } = active.job.steps[step]!;
+        this.#delay.record(Math.min(time - estimate, estimate)); // A longer one is put down to a slow server.
+        const duration = time - this.#delay.current;
         if (duration > (active.observedDurations.get(step) ?? 0)) {
             active.observedDurations.set(step, duration);
             const times = scheduling.estimateStepTimes(active.job, active.observedDurations);
@@ -152,7 +162,8 @@
         const work = {
             due: jobState.findDueTime(active.job, ready.occurrence),
             objective: scheduling.computeObjective(active.job, ready.occurrence, active.criticalPath, route),
-            criticalPath: active.remainingPaths[ready.step]!,
+            criticalPath: active.remainingPaths[ready.step]!
+                + active.remainingSteps[ready.step]! * this.#delay.current,
             longRunning: active.job.steps[ready.step]!.longRunning,
             // A start that is under way counts, so that a job isn't passed over until its server confirms it.
             begun: active.progress.begun || jobState.hasRuns(active.progress),
--- a/packages/dispatch/src/relocation.test.ts
+++ b/packages/dispatch/src/relocation.test.ts
@@ -66,6 +66,7 @@
         bootId: server.bootId,
         phase: session.RunPhase.running,
         expectedInListsFrom: 0,
+        plannedAt: 0,
         startSentAt: 0,
         startClock: undefined,
         startsAlone: false,
--- a/packages/dispatch/src/run-manager.ts
+++ b/packages/dispatch/src/run-manager.ts
@@ -125,6 +125,7 @@
             name: formatRunName({ jobId: active.job.id, ...position }, identity.number),
             runNumber: identity.number,
             bootId: identity.server,
+            plannedAt: now,
             startSentAt: now,
             startClock: undefined,
             percent: 0,
@@ -524,7 +525,7 @@
         }
         if (how === jobState.RunEnd.done && !run.step.longRunning) {
             if (run.measuresDuration) {
-                registry.recordDuration(active, run.position.step, shared.clock.monotonic() - run.startSentAt);
+                registry.recordTaskTime(active, run.position.step, shared.clock.monotonic() - run.plannedAt);
             }
             this.#markDone(active, run.position.occurrence, run.taskIndex, run.step);
         }
--- a/packages/dispatch/src/server-session.ts
+++ b/packages/dispatch/src/server-session.ts
@@ -41,6 +41,8 @@
      * server. `undefined` while the server may still receive the start, or hasn't confirmed the stop.
      */
     expectedInListsFrom: number | undefined;
+    /** On the monotonic clock: when the task was placed, or the run was taken over. */
+    readonly plannedAt: number;
     /** On the monotonic clock: when the start was sent, or the run was taken over. */
     startSentAt: number;
     /**
--- a/packages/scheduling/src/index.ts
+++ b/packages/scheduling/src/index.ts
@@ -6,6 +6,7 @@
  * clock of the process, whose times mean nothing in another process.
  */
 export * from "./crashes.js";
+export * from "./delay-estimate.js";
 export * from "./health.js";
 export * from "./objective.js";
 export * from "./pacing.js";
