Store first runs under way by server

A job's record is stored at each start and end of its tasks and names the server of each of them. First runs, nearly all of them, are now listed by server.

A process of an earlier version would not see these runs: all processes have to be replaced before one of the earlier version may coordinate again. Records of earlier versions are read as before.

--- a/packages/job-state/src/records.test.ts
+++ b/packages/job-state/src/records.test.ts
@@ -41,6 +41,45 @@
     assert.ok(decoded.progress.begun);
 });
 
+suite("first runs under way are restored from their record, beside tasks that were started again", () => {
+    const progress = jobState.createProgress(7);
+    const wide = testing.createJob({ steps: [testing.createStep({ taskCount: 12 })] });
+    const occurrence = jobState.getOrCreateOccurrence(progress, wide, 0);
+    for (let task = 0; task < 12; task++) {
+        const history = jobState.getOrCreateHistory(occurrence, task);
+        history.lastRun = task === 5 ? 2 : 1;
+        history.runs = [{ number: history.lastRun, server: `s${task % 3}@1769163213773` }];
+    }
+    jobState.getOrCreateHistory(occurrence, 6).failures = 1;
+    jobState.getOrCreateHistory(occurrence, 7).checkpoint = "c";
+    jobState.markDone(occurrence, 8);
+    const record = jobState.encodeProgress(wide.id, progress);
+    const decoded = jobState.decodeLedger(record.key, record.value);
+    assert.ok(decoded?.kind === "progress");
+    const restored = decoded.progress.occurrences.get(0)!;
+    assert.equal([...restored.done], [...occurrence.done]);
+    assert.is(restored.histories.size, 12);
+    for (const [task, history] of occurrence.histories) {
+        assert.equal(restored.histories.get(task), history);
+    }
+});
+
+suite("the record of a wide job grows by a server's name for each of its tasks", () => {
+    const measureRecord = (taskCount: number) => {
+        const progress = jobState.createProgress(7);
+        const wide = testing.createJob({ steps: [testing.createStep({ taskCount })] });
+        const occurrence = jobState.getOrCreateOccurrence(progress, wide, 0);
+        for (let task = 0; task < taskCount; task++) {
+            const history = jobState.getOrCreateHistory(occurrence, task);
+            history.lastRun = 1;
+            history.runs = [{ number: 1, server: "i-0123456789@1769163213773" }];
+        }
+        return jobState.encodeProgress(wide.id, progress).value.byteLength;
+    };
+    // A task's index takes up to two bytes below 256, its flag an eighth of one.
+    assert.ok(measureRecord(32) - measureRecord(16) <= 16 * 2.5, `${measureRecord(16)}, ${measureRecord(32)} bytes`);
+});
+
 suite("progress that an earlier version stored, without crashes, is restored with none", () => {
     // Record of a job with one task: its second run, of boot 9 of server i-1, may be under way.
     const value = Buffer.from(
--- a/packages/job-state/src/records.ts
+++ b/packages/job-state/src/records.ts
@@ -100,8 +100,13 @@
     readonly n: number;
     /** `done`, eight flags to a byte, the lowest bit first. */
     readonly d: Uint8Array;
-    /** `histories`. */
+    /** `histories`, but for those in `g`. */
     readonly h: readonly StoredHistory[];
+    /**
+     * Tasks whose only run so far, number 1, is under way without a checkpoint, by server. In a burst nearly all are of
+     * this kind, and every process reads each of these records over its link; absent in records of earlier versions.
+     */
+    readonly g?: readonly [string, readonly number[]][];
 }
 
 /** A `Progress` as it is stored. */
@@ -173,8 +178,19 @@
 
 function encodeOccurrence(occurrence: number, occurrenceProgress: progress.OccurrenceProgress): StoredOccurrence {
     const histories: StoredHistory[] = [];
+    const firstRuns = new Map<string, number[]>();
     for (const [task, history] of occurrenceProgress.histories) {
-        if (occurrenceProgress.done[task] !== 1 || history.runs.length > 0) {
+        if (isFirstRun(history) && occurrenceProgress.done[task] !== 1) {
+            const { server } = history.runs[0]!;
+            const tasks = firstRuns.get(server);
+            if (tasks === undefined) {
+                firstRuns.set(server, [task]);
+            }
+            else {
+                tasks.push(task);
+            }
+        }
+        else if (occurrenceProgress.done[task] !== 1 || history.runs.length > 0) {
             histories.push({
                 t: task,
                 l: history.lastRun,
@@ -187,7 +203,19 @@
             });
         }
     }
-    return { k: occurrence, n: occurrenceProgress.done.length, d: packFlags(occurrenceProgress.done), h: histories };
+    return {
+        k: occurrence,
+        n: occurrenceProgress.done.length,
+        d: packFlags(occurrenceProgress.done),
+        h: histories,
+        ...firstRuns.size === 0 ? {} : { g: [...firstRuns] },
+    };
+}
+
+/** Whether the task's only run so far, number 1, is under way, and nothing else is known of the task. */
+function isFirstRun(history: progress.TaskHistory): boolean {
+    return history.runs.length === 1 && history.runs[0]!.number === 1 && history.lastRun === 1
+        && history.failures === 0 && history.crashes === 0 && !history.startsAlone && history.checkpoint === "";
 }
 
 function packFlags(flags: Uint8Array): Uint8Array {
@@ -289,6 +317,19 @@
                 checkpoint: task.c,
             });
         }
+        for (const [server, tasks] of storedOccurrence.g ?? []) {
+            for (const task of tasks) {
+                histories.set(task, {
+                    lastRun: 1,
+                    failures: 0,
+                    crashes: 0,
+                    soleCrashes: 0,
+                    startsAlone: false,
+                    runs: [{ number: 1, server }],
+                    checkpoint: "",
+                });
+            }
+        }
         restored.occurrences.set(storedOccurrence.k, {
             done,
             doneCount: done.reduce((sum, flag) => sum + flag, 0),
