--- a/packages/dispatch/src/run-manager.ts
+++ b/packages/dispatch/src/run-manager.ts
@@ -66,6 +66,12 @@
     readonly canSpare: (run: session.ActiveRun) => boolean;
     /** What is known of the availability of the run's step now, for the log. */
     readonly describeStep: (run: Pick<session.ActiveRun, "step" | "stepKey">) => object;
+    /** A run was planned. */
+    readonly onPlanned?: (run: session.ActiveRun) => void;
+    /** A server confirmed the first start of a job. */
+    readonly onBegun?: (entry: jobState.JobEntry) => void;
+    /** A job got its final status. */
+    readonly onSettled?: (active: jobRegistry.ActiveJob) => void;
 }
 
 export function formatRunName(name: platform.TaskName, run: number): string {
@@ -108,6 +114,7 @@
         });
         server.runs.set(run.name, run);
         this.#reserveStart(server, run);
+        this.options.onPlanned?.(run);
         this.options.shared.writer.markDirty(active.entry);
         return run;
     }
@@ -166,6 +173,7 @@
             name: formatRunName({ jobId: active.job.id, ...position }, identity.number),
             runNumber: identity.number,
             bootId: identity.server,
+            plannedAt: now,
             startSentAt: now,
             startClock: undefined,
             percent: 0,
@@ -280,6 +288,7 @@
             return;
         }
         progress.begun = true;
+        this.options.onBegun?.(entry);
         if (progress.status === jobState.JobStatus.queued) {
             progress.status = jobState.JobStatus.running;
             progress.statusAt = this.options.shared.clock.wall();
@@ -669,7 +678,7 @@
         }
         if (how === jobState.RunEnd.done && !run.step.longRunning) {
             if (run.measuresDuration) {
-                registry.recordDuration(active, run.position.step, shared.clock.monotonic() - run.startSentAt);
+                registry.recordTaskTime(active, run.position.step, shared.clock.monotonic() - run.plannedAt);
             }
             this.#markDone(active, run.position.occurrence, run.taskIndex, run.step);
         }
@@ -757,6 +766,7 @@
             status,
             age: active.progress.statusAt - active.job.submittedAt,
         });
+        this.options.onSettled?.(active);
         shared.writer.markDirty(active.entry);
     }
 
