Guard what is stored of a first run on a server that has outlasted its start

What callers would see: a job of long-running tasks fails as if it crashed servers, after a takeover and a crash.

--- a/packages/job-state/src/records.test.ts
+++ b/packages/job-state/src/records.test.ts
@@ -41,6 +41,17 @@
     assert.ok(decoded.progress.begun);
 });
 
+suite("the record of a task's first run doesn't say that its server has outlasted the start", () => {
+    const progress = jobState.createProgress(7);
+    const history = jobState.getOrCreateHistory(jobState.getOrCreateOccurrence(progress, job, 0), 0);
+    history.lastRun = 1;
+    history.runs = [{ number: 1, server: "i-1@9", outlastedStart: true }];
+    const record = jobState.encodeProgress(job.id, progress);
+    const decoded = jobState.decodeLedger(record.key, record.value);
+    assert.ok(decoded?.kind === "progress");
+    assert.equal(decoded.progress.occurrences.get(0)?.histories.get(0)?.runs, history.runs);
+});
+
 suite("progress that an earlier version stored, without crashes, is restored with none", () => {
     // Record of a job with one task: its second run, of boot 9 of server i-1, may be under way.
     const value = Buffer.from(
