--- a/packages/dispatch/src/coordinator.ts
+++ b/packages/dispatch/src/coordinator.ts
@@ -200,6 +200,8 @@
             await timers.setTimeout(firstAnswersPollInterval);
         }
         this.#takeoverDone = true;
+        const submitted = [...this.options.jobs.entries.values()].flatMap(({ job }) => job ?? []);
+        this.#demand.restoreArrivals(submitted, clock.monotonic(), clock.wall());
         const knowsDemand = [...this.registry.active.values()].some(active => active.route !== undefined);
         // Jobs found at the takeover make the demand known from now on.
         this.#demand.demandKnownSince = knowsDemand ? clock.monotonic() : undefined;
@@ -250,7 +252,7 @@
         if (active === undefined) {
             return;
         }
-        if (!wasActive && this.#takeoverDone) { // Jobs found at the takeover are backlog, not arrivals.
+        if (!wasActive && this.#takeoverDone) { // Those found at the takeover are counted at its end.
             this.#demand.recordArrival(active, this.#shared.clock.monotonic());
         }
         if (!wasActive && active.route === undefined) {
@@ -269,6 +271,18 @@
         this.#schedulePass();
     }
 
+    /** Counts jobs that entry processes couldn't store as demand; they aren't started. */
+    recordUnstored(unstored: readonly jobState.Job[]): void {
+        if (!this.#takeoverDone) {
+            return;
+        }
+        for (const job of unstored) {
+            if (this.options.jobs.entries.get(job.id)?.job === undefined) {
+                this.#demand.recordUnstored(this.registry.describe(job), this.#shared.clock.monotonic());
+            }
+        }
+    }
+
     #cancel(active: jobRegistry.ActiveJob): void {
         this.#runManager.finishIfSettled(active);
         this.#stopRunsOf(active, runManager.StopCause.cancelled);
--- a/packages/job-state/src/records.ts
+++ b/packages/job-state/src/records.ts
@@ -220,8 +220,7 @@
         return undefined;
     }
     if (key.startsWith(KeyPrefix.job) && isJob(decoded)) {
-        // Records of earlier versions lack `route`.
-        return { kind: "job", job: { ...decoded, route: isRouteTerms(decoded.route) ? decoded.route : undefined } };
+        return { kind: "job", job: selectKnownRoute(decoded) };
     }
     if (key.startsWith(KeyPrefix.cancellation) && isObject(decoded) && typeof decoded["cancelledAt"] === "number") {
         return {
@@ -233,6 +232,25 @@
     return undefined;
 }
 
+/**
+ * Encodes jobs that couldn't be stored, for the coordinator. Without their payloads, which say nothing about the
+ * capacity that they need.
+ */
+export function encodeUnstoredJobs(unstored: readonly jobs.Job[]): Uint8Array {
+    return cborCodec.encode(unstored.map(job => ({ ...job, payload: "" })));
+}
+
+/** Decodes jobs that a process couldn't store; leaves out malformed ones. */
+export function decodeUnstoredJobs(value: Uint8Array): jobs.Job[] {
+    const decoded = decode(value);
+    return Array.isArray(decoded) ? decoded.filter(job => isJob(job)).map(job => selectKnownRoute(job)) : [];
+}
+
+/** Leaves out a route that can't be read; records of earlier versions lack it. */
+function selectKnownRoute(job: jobs.Job): jobs.Job {
+    return { ...job, route: isRouteTerms(job.route) ? job.route : undefined };
+}
+
 /** Whether a record of the ledger holds the progress of a job, by its key. */
 export function isProgressKey(key: string): boolean {
     return key.startsWith(KeyPrefix.progress);
