Show that differing clocks turn a minute's jobs into a burst at a takeover

What callers see: after a change of the coordinator, machines are ordered to one pool as if a burst had begun, and others' jobs wait for them. Cause: a job whose submission lies in the future of the successor's clock counts as arriving at its takeover, so that all jobs of as many seconds as the clock is behind arrive at once.

--- a/packages/dispatch/src/demand.test.ts
+++ b/packages/dispatch/src/demand.test.ts
@@ -81,4 +81,29 @@
     assert.ok(measureAfter(true) > measureAfter(false));
 });
 
+suite("jobs of many seconds count as those of one moment because clocks differ", () => {
+    const wall = 1_000_000_000_000;
+    const submitted = Array.from(
+        { length: 600 },
+        (_, i) => ({ ...createJob(i), submittedAt: wall - 60_000 + 100 * i }),
+    );
+    const restore = (jobs: readonly jobState.Job[], successorClock: number) => {
+        const { meter } = createMeter();
+        meter.restoreArrivals(jobs, 0, successorClock);
+        return measure(meter, 0);
+    };
+    const measured = restore(submitted, wall);
+    assert.ok(measured > 0);
+    for (const behind of [1000, 10_000, 30_000]) {
+        const found = restore(submitted, wall - behind);
+        assert.ok(
+            found <= 2 * measured,
+            `${found} instead of ${measured} with the successor's clock ${behind} ms behind`,
+        );
+    }
+    // Each seventh job came through a process whose clock is ahead.
+    const mixed = submitted.map((job, i) => ({ ...job, submittedAt: job.submittedAt + (i % 7 === 0 ? 30_000 : 0) }));
+    assert.ok(restore(mixed, wall) <= 2 * measured, `${restore(mixed, wall)} instead of ${measured}`);
+});
+
 suite.run();
