Count the ages of jobs before a takeover from the newest of them

What callers would see: see the test before, a burst that never was, after a takeover by a process whose clock is behind. Cause: negative ages were taken for 0. Why so: a clock that is ahead, of the successor or of a process that received jobs, makes jobs older, so that they count for less, as all did before. Evidence: the test passes; the other tests of demand.test.ts as before.

--- a/packages/dispatch/src/demand.ts
+++ b/packages/dispatch/src/demand.ts
@@ -95,17 +95,12 @@
      * the monotonic clock, `wall` Unix time, both in ms.
      */
     restoreArrivals(submitted: Iterable<jobState.Job>, now: number, wall: number): void {
-        const recent: { readonly job: jobState.Job; readonly age: number; }[] = [];
-        for (const job of submitted) {
-            // The clocks of the processes that received the jobs may differ, or may have jumped.
-            const age = wall - job.submittedAt;
-            if (Math.abs(age) < burstDecayTime) {
-                recent.push({ job, age: Math.max(0, age) });
-            }
-        }
-        recent.sort((a, b) => b.age - a.age);
-        for (const { job, age } of recent) {
-            this.recordArrival(this.registry.describe(job), now - age);
+        const recent = [...submitted].filter(job => Math.abs(wall - job.submittedAt) < burstDecayTime);
+        // Clocks may differ, so ages count from the newest job: no job then counts as younger than it is.
+        const latest = recent.reduce((max, job) => Math.max(max, job.submittedAt), wall);
+        recent.sort((a, b) => a.submittedAt - b.submittedAt);
+        for (const job of recent) {
+            this.recordArrival(this.registry.describe(job), now - (latest - job.submittedAt));
         }
     }
 
