--- a/packages/scheduling/src/pools.ts
+++ b/packages/scheduling/src/pools.ts
@@ -68,11 +68,6 @@
      * moves at once.
      */
     readonly emptyTimeBeforeMove: number;
-    /**
-     * Share of an even distribution of the instances in service that a pool without demand gets of those that have been
-     * empty for `emptyTimeBeforeStandby`.
-     */
-    readonly idleShare: number;
     /** Share of an instance's cores that placement is expected to fill with tasks. */
     readonly packingEfficiency: number;
     /** Instances that every pool keeps, so that a burst finds some capacity even while no instance can be moved. */
@@ -90,7 +85,6 @@
     emptyTimeBeforeStandby: 2300,
     peakWindow: 15_000,
     emptyTimeBeforeMove: 300,
-    idleShare: 0.5,
     packingEfficiency: 0.85,
     minInstances: 2,
     minShortage: 3,
@@ -143,8 +137,8 @@
  *
  * 1. Computes each pool's target size, and its share of the instances that are usable or on standby.
  * 2. Moves empty instances from pools above their share, then from standby, to pools below theirs.
- * 3. Moves the remaining empty instances above a pool's share that have been empty for long to pools that hold few, so
- *    that a burst of any queue finds some capacity, and to standby if more than `reserve` instances remain usable.
+ * 3. Moves the remaining empty instances above a pool's share to standby if they have been empty for long, and more than
+ *    `reserve` instances remain usable in the other pools.
  * 4. Drains busy instances above a pool's share for what other pools still lack.
  */
 export function planMoves(
@@ -181,13 +175,9 @@
     const moves: Move[] = receivers.map(to => ({ instance: (spare.shift() ?? standbyInstances.shift())!.id, to }));
     if (standby !== undefined) {
         const inService = needs.reduce((sum, need) => sum + need.usableCount, standbyCount - standbyInstances.length);
-        const longEmpty = spare.filter(instance => now - instance.emptySince! >= policy.emptyTimeBeforeStandby);
-        const spread = spreadIdle(longEmpty, needs, Math.floor(policy.idleShare * inService / needs.length));
-        moves.push(...spread);
-        const spreadIds = new Set(spread.map(move => move.instance));
-        const unneeded = longEmpty.filter(instance => !spreadIds.has(instance.id))
+        const longEmpty = spare.filter(instance => now - instance.emptySince! >= policy.emptyTimeBeforeStandby)
             .slice(0, Math.max(0, inService - reserve));
-        moves.push(...unneeded.map(instance => ({ instance: instance.id, to: standby.service })));
+        moves.push(...longEmpty.map(instance => ({ instance: instance.id, to: standby.service })));
     }
     const shortage = undersized.reduce((sum, need) => sum + need.share - need.usableCount, 0) - receivers.length;
     const drainable = needs.flatMap((need, i) => {
@@ -202,25 +192,6 @@
     };
 }
 
-/** Moves idle instances from pools that hold more than `count` to pools that hold fewer. */
-function spreadIdle(idle: readonly PoolInstance[], needs: readonly PoolNeed[], count: number): Move[] {
-    const held = new Map(needs.map(need => [need.demand.service, need.usableCount]));
-    const moves: Move[] = [];
-    for (const instance of idle) {
-        const [to, fewest] = [...held].reduce((least, pool) => pool[1] < least[1] ? pool : least);
-        if (fewest >= count) {
-            break;
-        }
-        const left = held.get(instance.pool)! - 1;
-        if (left >= count) {
-            held.set(instance.pool, left);
-            held.set(to, fewest + 1);
-            moves.push({ instance: instance.id, to });
-        }
-    }
-    return moves;
-}
-
 function computeNeed(
     demand: PoolDemand,
     held: readonly PoolInstance[],
