--- a/packages/http-calls/src/index.test.ts
+++ b/packages/http-calls/src/index.test.ts
@@ -1,6 +1,8 @@
 /** Guards against responses that are discarded while they arrive, and against calls that wait for one that has stopped. */
 import * as testUtils from "@catkinwharf/test-utils";
 import * as http from "node:http";
+import type * as net from "node:net";
+import * as timers from "node:timers/promises";
 import * as uvu from "uvu";
 import * as assert from "uvu/assert";
 import * as httpCalls from "./index.js";
@@ -76,4 +78,31 @@
     });
 });
 
+suite("a call that timed out leaves its connection open, or is sent later when it was waiting for one", async () => {
+    /** Connections with a call that has no response. */
+    const connections = new Set<net.Socket>();
+    let received = 0;
+    const server = http.createServer(({ socket }) => {
+        received += 1;
+        connections.add(socket);
+        socket.once("close", () => connections.delete(socket));
+    });
+    const address = `${testUtils.loopbackHost}:${await testUtils.listen(server, 0)}`;
+    const client = new httpCalls.HttpClient();
+    try {
+        // The last ones wait for a connection, until long after their timeout.
+        const calls = Array.from({ length: 20 }, (_, i) => client.send(address, call, i < 12 ? 2 * timeout : timeout));
+        const results = await Promise.all(calls);
+        assert.ok(results.every(result => result.isErr() && result.error.timedOut));
+        await timers.setTimeout(timeout);
+        assert.is(received, 12);
+        assert.is(connections.size, 0);
+    }
+    finally {
+        client.closeConnections(address);
+        server.close();
+        server.closeAllConnections();
+    }
+});
+
 suite.run();
