--- a/packages/dispatch/src/availability.ts
+++ b/packages/dispatch/src/availability.ts
@@ -1,10 +1,10 @@
 /**
- * Judges whether an order may end a long-running task without making more tasks of its step unavailable than the step
- * allows.
+ * Judges whether a long-running task may be moved off its server without making more tasks of its step unavailable than
+ * the step allows. Asked before each attempt to stop the task, as others may have been lost since an earlier one.
  *
- * Every order that takes a task off its server for another reason than the task's own is decided here, each time that it
- * is sent. What isn't certain counts as unavailable: a server may have been lost since its last list, and an order of an
- * earlier coordinator may end a task that a list still shows at work.
+ * What isn't certain counts as unavailable: a server may have been lost since its last list, and an order of an earlier
+ * coordinator may end a task that a list still shows at work. Stops for other reasons aren't judged here: the job has
+ * ended, the run is a duplicate, or the server refused its start.
  */
 import * as session from "./server-session.js";
 
