--- a/packages/dispatch/src/availability.ts
+++ b/packages/dispatch/src/availability.ts
@@ -10,7 +10,10 @@
 
 /** Percentage from which a long-running task counts as available. */
 const fullyAvailable = 100;
-/** Age in ms of a server's newest list from which its tasks no longer count as available; a healthy one lists each 1.7 s. */
+/**
+ * Age in ms of a server's newest list from which its tasks no longer count as available. A healthy server responds to
+ * each poll within its wait of 1 s and the timeout of a call.
+ */
 const maxListAge = 2000;
 
 /** What the coordinator's view says of a step. */
