--- a/review/harness/worker.ts
+++ b/review/harness/worker.ts
@@ -14,6 +14,14 @@
     readonly work?: number;
     /** Number of members, if the work units are a gang. */
     readonly gang?: number;
+    /** The work units serve users, with the tail latency that `Workers.computeTail` gives. */
+    readonly serves?: boolean;
+}
+
+/** An order to pace a work unit that a server has received. */
+export interface PaceOrder {
+    readonly task: string;
+    readonly percent: number;
 }
 
 export interface WorkerBounds {
@@ -34,6 +42,8 @@
     /** When it began to work; `undefined` while members of its gang are missing. */
     workingSince: number | undefined;
     timer: NodeJS.Timeout | undefined;
+    /** In percent of its full pace. */
+    pace: number;
 }
 
 /** A start that a server has carried out, as a record of what ran. */
@@ -59,6 +69,20 @@
     readonly started: StartedRun[] = [];
     readonly members = new Map<string, { readonly worker: Worker; readonly run: Run; }[]>();
     readonly all: Worker[] = [];
+    /** Tail latency in ms of a work unit that serves, when nothing beside it disturbs it. */
+    baseTail = 0;
+    /** Ms that a work unit at full pace adds to the tail latency of one that serves beside it. */
+    disturbance = 0;
+    /**
+     * Time in ms after which an order to pace a work unit is carried out; it then gets no answer. `undefined` for one
+     * that is carried out and answered at once.
+     */
+    findLateness: (order: PaceOrder) => number | undefined = () => undefined;
+    onPaced: (order: PaceOrder) => void = () => undefined;
+
+    computeTail(paces: readonly number[]): number {
+        return Math.round(this.baseTail + paces.reduce((sum, pace) => sum + this.disturbance * pace / 100, 0));
+    }
 
     listRuns(jobId: string): StartedRun[] {
         return this.started.filter(run => run.task.startsWith(`${jobId}.`));
@@ -155,6 +179,13 @@
             return;
         }
         const body = JSON.parse(Buffer.concat(chunks).toString()) as Body;
+        const order = { task: String(body["Task"]), percent: Number(body["Percent"]) };
+        const lateness = message.url === "/-/pace" ? this.workers.findLateness(order) : undefined;
+        if (lateness !== undefined) {
+            this.log.write("order-held", { worker: this.id, ...order, lateness });
+            setTimeout(() => void this.#carryOut("/-/pace", body), lateness);
+            return;
+        }
         const reply = await this.#carryOut(message.url ?? "", body);
         response.writeHead(reply.status, { "content-type": "application/json" });
         response.end(JSON.stringify({ ClockMs: this.#clock, born: this.bootedAt, ...reply.body }));
@@ -172,7 +203,7 @@
             "/-/run-start": () => this.#start(body),
             "/-/run-stop": () => this.#stopRun(String(body["Task"]), Number(body["Run"])),
             "/-/hold": () => this.#list(Number(body["AckCursor"] ?? 0), Number(body["WaitMs"] ?? 0)),
-            "/-/pace": () => ({ status: 200, body: {} }),
+            "/-/pace": () => this.#pace({ task: String(body["Task"]), percent: Number(body["Percent"]) }),
         };
         return await handlers[path]?.() ?? { status: 404, body: {} };
     }
@@ -200,6 +231,7 @@
             startedAt: performance.now(),
             workingSince: undefined,
             timer: undefined,
+            pace: 100,
         };
         this.#runs.set(task, run);
         this.workers.started.push({
@@ -243,6 +275,23 @@
         return { status: 200, body: {} };
     }
 
+    #pace(order: PaceOrder): Reply {
+        const run = this.#runs.get(order.task);
+        if (run !== undefined) {
+            run.pace = order.percent;
+            this.log.write("paced", { worker: this.id, ...order });
+            this.workers.onPaced(order);
+        }
+        return { status: 200, body: {} };
+    }
+
+    /** Tail latency in ms of the work units that serve, by the pace of the others. */
+    computeTail(): number {
+        return this.workers.computeTail(
+            [...this.#runs.values()].filter(run => run.script.serves !== true).map(run => run.pace),
+        );
+    }
+
     async #list(acknowledged: number, wait: number): Promise<Reply> {
         this.#ends = this.#ends.filter(([number]) => number > acknowledged);
         if (this.#ends.length === 0 && wait > 0) {
@@ -259,7 +308,7 @@
             run.number,
             this.#computeCheckpoint(run, false),
             computePercent(run),
-            100,
+            run.script.serves === true ? this.computeTail() : 100,
         ]);
         return { status: 200, body: { Running: running, Finished: this.#ends.slice(0, 500) } };
     }
