--- a/review/harness/system.ts
+++ b/review/harness/system.ts
@@ -2,7 +2,6 @@
  * A small deployment: processes of the system, started with the command of the deploy file, the project's stand-in for
  * the store, a list of machines, and the servers of `worker.ts`.
  */
-import * as standIns from "@catkinwharf/platform-stand-ins";
 import * as childProcess from "node:child_process";
 import * as fs from "node:fs";
 import * as http from "node:http";
@@ -10,6 +9,7 @@
 import * as os from "node:os";
 import * as path from "node:path";
 import * as record from "./record.js";
+import * as strictStore from "./strict-store.js";
 import * as worker from "./worker.js";
 
 /** Whether the case includes its disruption. */
@@ -82,14 +82,16 @@
 }
 
 export class System {
-    readonly store = new standIns.StoreStandIn();
+    readonly store: strictStore.StrictStore;
     readonly workers = new worker.Workers();
     readonly nodes: Node[] = [];
     readonly #services = new Map<worker.Worker, string>();
     readonly #folder = fs.mkdtempSync(path.join(os.tmpdir(), "catkinwharf-review-"));
     readonly #cloud = http.createServer((message, response) => this.#listMachines(message, response));
 
-    constructor(readonly log: record.Recorder) {}
+    constructor(readonly log: record.Recorder) {
+        this.store = new strictStore.StrictStore(log);
+    }
 
     /** Starts the stand-ins and the processes, and waits until the processes serve callers. */
     async start(nodeCount: number, servers: Readonly<Record<string, number>>): Promise<void> {
@@ -306,8 +308,8 @@
                     AppendMs: 2,
                     PartitionMbS: 20,
                     ReadMbS: 80,
-                    RecordBytes: 262_144,
-                    RequestBytes: 2_097_152,
+                    RecordBytes: strictStore.recordBytes,
+                    RequestBytes: strictStore.requestBytes,
                     keep_s: 300,
                     PartitionMb: 200,
                     TtlMinMs: 1000,
