Review case 3: an order for a machine arrives after its successor's

The coordinator is killed while an order for a machine is held up by a cut link; the bytes arrive after the cut, after the order of its successor (ONE).

--- a/review/harness/system.ts
+++ b/review/harness/system.ts
@@ -8,6 +8,7 @@
 import * as net from "node:net";
 import * as os from "node:os";
 import * as path from "node:path";
+import * as link from "./link.js";
 import * as record from "./record.js";
 import * as strictStore from "./strict-store.js";
 import * as worker from "./worker.js";
@@ -64,6 +65,8 @@
 /** Time in ms after which a condition that should hold before the disruption counts as failed. */
 const setupTimeout = 25_000;
 
+/** Time in ms for which the list of machines keeps an idle connection open. */
+const idleTimeout = 60_000;
 const portsPerNode = 5;
 
 const root = path.resolve(import.meta.dirname, "../../..");
@@ -75,6 +78,14 @@
     child: childProcess.ChildProcess | undefined;
 }
 
+/** An order for a machine, as the platform received it. */
+export interface MachineOrder {
+    readonly machine: string;
+    readonly holder: string;
+    readonly fencingToken: number;
+    readonly accepted: boolean;
+}
+
 export interface Answer {
     /** 0 when there was no answer. */
     readonly status: number;
@@ -87,7 +98,11 @@
     readonly nodes: Node[] = [];
     readonly #services = new Map<worker.Worker, string>();
     readonly #folder = fs.mkdtempSync(path.join(os.tmpdir(), "catkinwharf-review-"));
-    readonly #cloud = http.createServer((message, response) => this.#listMachines(message, response));
+    readonly #cloud = http.createServer((message, response) => void this.#handleMachines(message, response));
+    readonly #cloudLink = new link.Link();
+    readonly #inUpkeep = new Set<worker.Worker>();
+    /** Orders for machines, in the order in which they arrived. */
+    readonly machineOrders: MachineOrder[] = [];
 
     constructor(readonly log: record.Recorder) {
         this.store = new strictStore.StrictStore(log);
@@ -96,7 +111,10 @@
     /** Starts the stand-ins and the processes, and waits until the processes serve callers. */
     async start(nodeCount: number, servers: Readonly<Record<string, number>>): Promise<void> {
         await this.store.start();
+        this.#cloud.keepAliveTimeout = idleTimeout;
         await new Promise<void>(resolve => this.#cloud.listen(0, "127.0.0.1", resolve));
+        const cloud = this.#cloud.address() as net.AddressInfo;
+        await this.#cloudLink.start(cloud.port);
         this.store.put("keyed.op", "config", {
             Version: 3,
             Routes: Object.keys(servers).map(service => ({
@@ -156,6 +174,11 @@
         this.store.put("keyed.servers", one.id, undefined);
     }
 
+    /** The link between the processes and the list of machines. */
+    get cloudLink(): link.Link {
+        return this.#cloudLink;
+    }
+
     /** Sends a caller's request with the first process, or the given one. */
     send(
         method: "POST" | "GET" | "DELETE",
@@ -263,6 +286,7 @@
         await Promise.all(this.nodes.map(node => this.kill(node)));
         this.workers.all.forEach(one => one.stop());
         this.store.stop();
+        this.#cloudLink.stop();
         this.#cloud.close();
         this.#cloud.closeAllConnections();
         if (process.env["KEEP_LOGS"] === undefined) {
@@ -273,7 +297,6 @@
     #addNode(name: string, ports: readonly number[]): void {
         const settingsFile = path.join(this.#folder, `${name}.json`);
         const [callerPort, readinessPort, controlPort, metricsPort, relayPort] = ports;
-        const cloud = this.#cloud.address() as net.AddressInfo;
         fs.writeFileSync(
             settingsFile,
             JSON.stringify({
@@ -314,7 +337,7 @@
                     PartitionMb: 200,
                     TtlMinMs: 1000,
                 },
-                Cloud: { Address: `127.0.0.1:${cloud.port}`, RatePerS: 64, Duties: [], DutyPerS: 64 },
+                Cloud: { Address: `127.0.0.1:${this.#cloudLink.port}`, RatePerS: 64, Duties: [], DutyPerS: 64 },
             }),
         );
         const node: Node = { name, callerPort: callerPort!, settingsFile, child: undefined };
@@ -322,25 +345,58 @@
         this.launch(node);
     }
 
-    /** Answers with the machines: one for each server, `down` while its server is. Orders get 409. */
-    #listMachines(message: http.IncomingMessage, response: http.ServerResponse): void {
-        message.resume();
-        if (message.method !== "GET") {
+    /** Lists the machines, one for each server, and carries out orders for upkeep; no fence is checked. */
+    async #handleMachines(message: http.IncomingMessage, response: http.ServerResponse): Promise<void> {
+        const chunks: Buffer[] = [];
+        for await (const chunk of message) {
+            chunks.push(chunk as Buffer);
+        }
+        if (message.method === "GET") {
+            response.end(
+                JSON.stringify({ Machines: this.workers.all.map((one, index) => this.#describe(one, index)) }),
+            );
+            return;
+        }
+        const body = JSON.parse(Buffer.concat(chunks).toString()) as { readonly Machine: string; };
+        const one = this.workers.all.find(other => formatMachine(other) === body.Machine);
+        const isUpkeep = message.url === "/-/machine-upkeep" && one?.isUp === true;
+        const order: MachineOrder = {
+            machine: body.Machine,
+            holder: String(message.headers["x-lease-holder"]),
+            fencingToken: Number(message.headers["x-fencing-token"]),
+            accepted: isUpkeep,
+        };
+        this.machineOrders.push(order);
+        this.log.write("machine-ordered", { path: message.url, ...order });
+        if (!isUpkeep) {
             response.writeHead(409).end(JSON.stringify({ Reason: "busy" }));
             return;
         }
-        response.end(JSON.stringify({
-            Machines: this.workers.all.map((one, index) => ({
-                Machine: `m-${one.id}`,
-                Pool: this.#services.get(one),
-                State: one.isUp ? "up" : "down",
-                Zone: "zone-a",
-                Labels: ["a", `r1-${Math.floor(index / 4)}`],
-                Capacity: capacity,
-                Id: one.isUp ? one.id : "",
-            })),
-        }));
+        one.crash();
+        this.unregister(one);
+        this.#inUpkeep.add(one);
+        response.end("{}");
+        await pause(bounds.MaintenanceS * 1000);
+        this.#inUpkeep.delete(one);
+        await one.start();
+        this.register(one);
     }
+
+    #describe(one: worker.Worker, index: number): object {
+        return {
+            Machine: formatMachine(one),
+            Pool: this.#services.get(one),
+            State: one.isUp ? "up" : this.#inUpkeep.has(one) ? "upkeep" : "down",
+            Zone: "zone-a",
+            Labels: ["a", `r1-${Math.floor(index / 4)}`],
+            Capacity: capacity,
+            Id: one.isUp ? one.id : "",
+        };
+    }
+}
+
+function formatMachine(one: worker.Worker): string {
+    return `m-${one.id}`;
 }
 
 export function pause(duration: number): Promise<void> {
