Review case 1: two coordinators with one epoch

A late append of the killed coordinator hides its successor's claim from the process that restarts, which claims the same epoch: two holders with one fence number (ONE).

--- a/review/1/case.ts
+++ b/review/1/case.ts
@@ -1,59 +1,78 @@
 /**
- * A job of five work units that last. The server of one of them crashes twice, each time shortly after the work unit has
- * begun there. The work unit itself never fails, so it must be started again, the job must not be shown as failed, and
- * the other four work units must go on.
+ * The coordinator is killed and starts again while the store leaves two appends unanswered and carries them out late: the
+ * last one of the coordinator, and the one with which its successor shuts it out. At no time may two processes coordinate.
  */
 import * as system from "../harness/system.js";
-import type * as worker from "../harness/worker.js";
 
-const jobId = "00000000000000a1";
-const job = `/quotes/${jobId}`;
-const task = `${jobId}.0.0.0`;
-const taskCount = 5;
-const mayMiss = 1;
-/** Time in ms from the start of the work unit to the crash of its server. */
-const crashDelay = 150;
-/** Time in ms for which the server is down. */
-const downTime = 1500;
-/** Time in ms after the crashes within which the work unit has to run again. */
-const restartTime = 14_000;
-const crashes = system.hasTrouble ? 2 : 0;
-
-async function reboot(deployment: system.System, holder: worker.Worker): Promise<void> {
-    await system.pause(downTime);
-    await holder.start();
-    deployment.register(holder);
-}
+/** Least time in ms after which an append is carried out late; the pages say 1 to 6 s. */
+const minLateness = 1000;
+/** Time in ms after which the append of the successor is carried out. */
+const successorLateness = 3000;
+/** Time in ms for which the system may settle after the restart. */
+const settleTime = 4000;
+/** Time in ms for which orders and runs are watched. */
+const watchTime = 12_000;
+const jobCount = 6;
 
 await system.runCase("1", async (deployment, log) => {
-    await deployment.start(2, { quotes: 7 });
-    await deployment.submit(job, {}, [{
-        Count: taskCount,
-        Cpu: 1000,
-        MemMb: 256,
-        EstimateMs: 500,
-        LongRunning: true,
-        AntiAffinity: 1,
-        MayMiss: mayMiss,
-    }]);
-    const reboots: Promise<void>[] = [];
-    for (let i = 0; i < crashes; i++) {
-        await deployment.waitFor("the work unit runs", () => deployment.workers.findHolder(task) !== undefined);
-        await system.pause(crashDelay);
-        const holder = deployment.workers.findHolder(task)!;
-        holder.crash();
-        reboots.push(reboot(deployment, holder));
+    const { store, machineOrders, workers } = deployment;
+    await deployment.start(3, { quotes: 7 });
+    await system.pause(2000);
+    const leader = deployment.findCoordinator();
+    let lastAppend: { readonly heldAt: number; readonly carryOut: () => void; } | undefined;
+    let isSuccessorHeld = false;
+    store.holdsAppend = ({ query, isEmpty }, carryOut) => {
+        if (!system.hasTrouble || query.get("Topic") !== "keyed.ledger" || !query.has("Producer")) {
+            return false;
+        }
+        if (query.get("epoch") === "1" && lastAppend === undefined) {
+            lastAppend = { heldAt: performance.now(), carryOut };
+            return true;
+        }
+        if (query.get("epoch") === "2" && isEmpty && !isSuccessorHeld) {
+            isSuccessorHeld = true;
+            setTimeout(carryOut, successorLateness);
+            return true;
+        }
+        return false;
+    };
+    if (system.hasTrouble) {
+        await deployment.waitFor("an append of the coordinator is held", () => lastAppend !== undefined);
+        await deployment.kill(leader);
+        await deployment.waitFor("a successor shuts it out", () => isSuccessorHeld);
+        const { heldAt, carryOut } = lastAppend!;
+        await system.pause(Math.max(0, heldAt + minLateness - performance.now()));
+        carryOut();
+        log.write("append-carried-out", { late: Math.round(performance.now() - heldAt) });
+        deployment.launch(leader);
+    }
+    await system.pause(settleTime);
+    store.put("keyed.op", "wave/1", {
+        Wave: 1,
+        Machines: ["m-quotes-4", "m-quotes-5", "m-quotes-6"],
+        DurationS: 12,
+        MaxCount: 1,
+    });
+    for (let i = 1; i <= jobCount; i++) {
+        const id = i.toString(16).padStart(16, "0");
+        await deployment.submit(`/quotes/${id}`, { work: 1500 }, [
+            { Count: 4, Cpu: 5000, MemMb: 256, EstimateMs: 1500 },
+            { Count: 4, Cpu: 5000, MemMb: 256, EstimateMs: 1500, DependsOn: [0] },
+        ]);
+        await system.pause(150);
+    }
+    await system.pause(watchTime);
+    const holders = new Map<string, Set<string>>();
+    for (const { machine, fencingToken, holder } of machineOrders) {
+        const key = `${machine}, fence ${fencingToken}`;
+        holders.set(key, (holders.get(key) ?? new Set<string>()).add(holder));
     }
-    await Promise.all(reboots);
-    await system.pause(restartTime);
-    const { state } = await deployment.send("GET", job);
-    const runs = deployment.workers.listRuns(jobId);
-    const atWork = runs.filter(run => run.endedAt === undefined).length;
-    const failures = runs.filter(run => run.how === "failed").length;
-    const stopped = runs.filter(run => run.how === "stopped").length;
-    log.write("judged", { state, atWork, stopped, endsFailed: failures });
-    // One of the others may be ended by an order while the crashed one is away.
-    const isAvailabilityBroken = stopped > mayMiss;
-    const isFailedWithoutCause = state === "failed" && failures === 0;
-    return isAvailabilityBroken || isFailedWithoutCause ? system.Verdict.broken : system.Verdict.held;
+    const shared = [...holders].filter(([, names]) => names.size > 1).map(([key, names]) => [key, ...names]);
+    const overlaps = workers.started.filter((run, i) =>
+        workers.started.slice(0, i).some(earlier =>
+            earlier.task === run.task && (earlier.endedAt ?? Infinity) > run.startedAt
+        )
+    ).map(run => `${run.task} run ${run.number} on ${run.server}`);
+    log.write("judged", { twoHoldersWithOneFence: shared, runsAtTheSameTime: overlaps });
+    return shared.length > 0 || overlaps.length > 0 ? system.Verdict.broken : system.Verdict.held;
 });
--- a/review/harness/system.ts
+++ b/review/harness/system.ts
@@ -101,6 +101,8 @@
     readonly #cloud = http.createServer((message, response) => void this.#handleMachines(message, response));
     readonly #cloudLink = new link.Link();
     readonly #inUpkeep = new Set<worker.Worker>();
+    /** Machines and waves of the upkeeps that were carried out; a repeated order changes nothing. */
+    readonly #upkeepsDone = new Set<string>();
     /** Orders for machines, in the order in which they arrived. */
     readonly machineOrders: MachineOrder[] = [];
 
@@ -274,6 +276,17 @@
         this.log.write("node-killed", { node: node.name });
     }
 
+    /** The process that has logged last that it coordinates. */
+    findCoordinator(): Node {
+        const newest = this.readLog("coordinating").map(line => JSON.parse(line) as { node: string; epoch: number; })
+            .sort((a, b) => b.epoch - a.epoch)[0];
+        const found = this.nodes.find(node => node.name === newest?.node);
+        if (found === undefined) {
+            throw new Error("no process coordinates");
+        }
+        return found;
+    }
+
     /** Lines that the processes have logged with this event. */
     readLog(event: string): string[] {
         return this.nodes.flatMap(node =>
@@ -357,7 +370,7 @@
             );
             return;
         }
-        const body = JSON.parse(Buffer.concat(chunks).toString()) as { readonly Machine: string; };
+        const body = JSON.parse(Buffer.concat(chunks).toString()) as { readonly Machine: string; readonly Wave: number; };
         const one = this.workers.all.find(other => formatMachine(other) === body.Machine);
         const isUpkeep = message.url === "/-/machine-upkeep" && one?.isUp === true;
         const order: MachineOrder = {
@@ -372,6 +385,12 @@
             response.writeHead(409).end(JSON.stringify({ Reason: "busy" }));
             return;
         }
+        const operation = `${body.Machine}, wave ${body.Wave}`;
+        if (this.#upkeepsDone.has(operation)) {
+            response.end("{}");
+            return;
+        }
+        this.#upkeepsDone.add(operation);
         one.crash();
         this.unregister(one);
         this.#inUpkeep.add(one);
