--- a/review/harness/system.ts
+++ b/review/harness/system.ts
@@ -370,7 +370,10 @@
             );
             return;
         }
-        const body = JSON.parse(Buffer.concat(chunks).toString()) as { readonly Machine: string; readonly Wave: number; };
+        const body = JSON.parse(Buffer.concat(chunks).toString()) as {
+            readonly Machine: string;
+            readonly Wave: number;
+        };
         const one = this.workers.all.find(other => formatMachine(other) === body.Machine);
         const isUpkeep = message.url === "/-/machine-upkeep" && one?.isUp === true;
         const order: MachineOrder = {
