Log answers to fences and leadership records that come out of order

Hypotheses for review/1, two processes that coordinate with one epoch: (a) a late record of the earlier coordinator hides its successor's claim from a process that restarts; (b) the store takes the second fence for a repeat of the first; (c) the fence takes an answer that says otherwise for a success. The lines so far told none of them apart: claimed gave neither the offset nor the epoch before, and answers to fences weren't logged.

--- a/packages/dispatch/src/leader-election.ts
+++ b/packages/dispatch/src/leader-election.ts
@@ -181,6 +181,13 @@
             }
             this.newestLeadership = record.leadership;
         }
+        else if (record?.kind === "leadership") {
+            this.options.log.warn("leadership-outdated", {
+                coordinator: record.leadership.node,
+                epoch: record.leadership.epoch,
+                newest: this.newestLeadership?.epoch,
+            });
+        }
     }
 
     start(): void {
@@ -276,7 +283,8 @@
         });
         // Without a producer: its name, epoch and sequence number would equal those of another process's claim of this
         // epoch, and the store would report that claim as a success of this one.
-        const answer = await store.append(jobState.ledgerTopic, [claim], { end: ledger.nextOffset });
+        const end = ledger.nextOffset;
+        const answer = await store.append(jobState.ledgerTopic, [claim], { end });
         if (answer.isErr()) {
             // The claim may have been stored all the same; the ledger shows whether it names this process.
             await ledger.catchUp();
@@ -293,7 +301,7 @@
         }
         await ledger.catchUp();
         this.leading = true;
-        log.info("claimed", { epoch, after: previous?.node });
+        log.info("claimed", { epoch, end, after: previous?.node, previousEpoch: previous?.epoch });
         if (await this.#fenceEarlierCoordinators(epoch) && !this.#stopped) {
             this.options.onClaimed(epoch, lastBeforeClaim);
         }
@@ -340,6 +348,7 @@
                 log.info("claim-refused", { epoch, outcome: "fenced" });
                 return false;
             }
+            log.info("fence-answered", { epoch, ...answer.isOk() ? answer.value : { reason: answer.error.reason } });
             if (answer.isOk() && await ledger.catchUp()) {
                 return this.newestLeadership?.epoch === epoch;
             }
