Fence earlier epochs before a claim is stored

Cause: the claim was stored first, and the append that makes the store refuse earlier epochs second. A late append of the killed coordinator was stored in between, under the key of the claim, and hid it from a process that restarted and read the newest records: it claimed the same epoch. As every process numbered its appends from 0, neither store nor process could tell the two apart, and an answer out of sequence counted as success.

Change: an empty append takes the epoch at the end of the ledger that was read, and the claim follows under that epoch. Nothing of an earlier epoch can be stored after a claim. Sequence numbers start at random, so a second process's attempt at the same epoch is refused. A process that is lost between the two appends costs the others one more epoch.

A test of the election that destructures the claim is adapted.

--- a/packages/dispatch/src/coordinator.ts
+++ b/packages/dispatch/src/coordinator.ts
@@ -49,7 +49,7 @@
 
 export interface CoordinatorOptions {
     readonly settings: platform.settings.ProcessSettings;
-    readonly epoch: number;
+    readonly claim: leaderElection.Claim;
     /** Unix time in ms; tells this process from an earlier one of the same node. */
     readonly processStart: number;
     readonly store: storeClient.StoreClient;
@@ -135,13 +135,13 @@
     #lastSweepAt = 0;
 
     constructor(private readonly options: CoordinatorOptions) {
-        const { clock, store, epoch } = options;
+        const { clock, store, claim } = options;
         const stepDown = (reason: string) => this.#stepDown(reason);
         this.#load = new loadMeter.LoadMeter(options.log, options.observeDuration, clock.monotonic());
         this.#queues = new queueMeter.QueueMeter(options.log, clock.monotonic());
         this.#shared = {
             node: options.settings.node,
-            epoch,
+            epoch: claim.epoch,
             termStartedAt: clock.monotonic(),
             settings: options.settings,
             clock,
@@ -150,7 +150,7 @@
             serverCalls: options.serverCalls,
             writer: new ledgerWriter.LedgerWriter(
                 store,
-                epoch,
+                claim,
                 () => stepDown("the store refused an append of this epoch to the ledger"),
                 entry => this.#recordStored(entry),
             ),
@@ -252,7 +252,7 @@
         // Jobs found at the takeover make the demand known from now on.
         this.#demand.demandKnownSince = knowsDemand ? clock.monotonic() : undefined;
         this.#shared.log.info("coordinating", {
-            epoch: this.options.epoch,
+            epoch: this.options.claim.epoch,
             capacity: this.options.settings.capacity,
             jobs: this.registry.active.size,
             servers: this.fleet.sessions.size,
@@ -479,7 +479,7 @@
      */
     #encodeLeadership(resigned: boolean, ordersSettled: boolean): platform.storeCalls.KeyedRecord {
         return jobState.encodeLeadership({
-            epoch: this.options.epoch,
+            epoch: this.options.claim.epoch,
             node: this.options.settings.node,
             processStart: this.options.processStart,
             resigned,
@@ -626,7 +626,7 @@
     #stepDown(reason: string): void {
         if (!this.#stopped) {
             this.stop();
-            this.#shared.log.warn("stepped-down", { epoch: this.options.epoch, reason });
+            this.#shared.log.warn("stepped-down", { epoch: this.options.claim.epoch, reason });
             this.options.onStepDown(reason);
         }
     }
--- a/packages/dispatch/src/leader-election.test.ts
+++ b/packages/dispatch/src/leader-election.test.ts
@@ -130,7 +130,7 @@
         } as unknown as storeClient.TopicFollower,
         log: eventLog.silentEventLog,
         clock: { monotonic: () => performance.now(), wall: () => Date.now() },
-        onClaimed: epoch => claimed.push(epoch),
+        onClaimed: ({ epoch }) => claimed.push(epoch),
         probeCoordinator: () => Promise.resolve(undefined),
         defers: () => false,
         isPrepared: () => true,
--- a/packages/dispatch/src/leader-election.ts
+++ b/packages/dispatch/src/leader-election.ts
@@ -1,12 +1,17 @@
 /**
  * Leader election through the ledger, the keyed topic that only the coordinator writes: its claim and heartbeats, the
- * progress of jobs and waves, and its orders for machines. Every process follows the ledger. When the coordinator has
- * been silent for too long, a process claims the next epoch with an append that is conditional on the end of the
- * ledger, so the store accepts only one of several concurrent claims.
+ * progress of jobs and waves, and its orders for machines. Every process follows the ledger.
+ *
+ * When the coordinator has been silent for too long, a process claims the next epoch. It first makes the store refuse
+ * all earlier epochs, with an append that is conditional on the end of the ledger, and only then stores its claim. A
+ * claim is thus never followed by a record of an earlier epoch, however late that is carried out: such a record would
+ * hide the claim from a process that reads only the newest record of each key. The sequence numbers of a process begin
+ * at random, so the store accepts only one of several concurrent claims and no one takes another's answer for its own.
  */
 import * as eventLog from "@catkinwharf/event-log";
 import * as jobState from "@catkinwharf/job-state";
 import * as storeClient from "@catkinwharf/store";
+import * as crypto from "node:crypto";
 import * as timers from "node:timers/promises";
 import type * as clocks from "./clocks.js";
 
@@ -50,10 +55,17 @@
  * to coordinate, the longest random delay, and some time to claim.
  */
 const deferenceDelay = deniedTakeoverTimeout + maxClaimJitter + 150;
-/**
- * Time in ms between two checks of the coordinator, and before a failed attempt to fence its predecessors is repeated.
- */
+/** Time in ms between two checks of the coordinator, and before a failed append or read of a claim is repeated. */
 const checkInterval = 100;
+/** Exclusive upper bound of a process's first sequence number; with 2^47 of them, two processes don't draw the same. */
+const firstSequenceLimit = 2 ** 47;
+
+/** A term that a process has claimed. */
+export interface Claim {
+    readonly epoch: number;
+    /** Sequence number of the claim in the ledger; the term's next append has the number after it. */
+    readonly sequence: number;
+}
 
 /** What a process knows about the coordinator when it decides whether to claim. */
 export interface Observation {
@@ -141,11 +153,16 @@
     #probing = false;
     #probedAt = Number.NEGATIVE_INFINITY;
     #probeResult: storeClient.ProbeResult | undefined;
-    /**
-     * Whether this process has claimed the newest epoch and hasn't stepped down; set before its predecessors are
-     * fenced.
-     */
+    /** Whether this process has claimed the newest epoch and hasn't stepped down. */
     leading = false;
+    /** The last claim of this process. */
+    #claimed: Claim | undefined;
+    /** Sequence number with which this process fences; the same for each attempt, so that a repeat is known as one. */
+    readonly #firstSequence = crypto.randomInt(firstSequenceLimit);
+    /** Highest epoch that the store refused to this process, as another one has taken it. */
+    #takenEpoch = 0;
+    /** On the monotonic clock: until when the process that has taken that epoch may still store its claim. */
+    #claimableAt = Number.NEGATIVE_INFINITY;
 
     constructor(
         private readonly options: {
@@ -156,7 +173,7 @@
             readonly log: eventLog.EventLog;
             readonly clock: clocks.Clocks;
             /** The process coordinates from now on; `before` is the last leadership record of an earlier epoch. */
-            readonly onClaimed: (epoch: number, before: jobState.Leadership | undefined) => void;
+            readonly onClaimed: (claim: Claim, before: jobState.Leadership | undefined) => void;
             /** Asks a peer whether it coordinates; `undefined` if its address is unknown. */
             readonly probeCoordinator: (node: string) => Promise<storeClient.ProbeResult | undefined>;
             /** Whether this process leaves coordinating to others while they can, see `Observation`. */
@@ -225,11 +242,11 @@
         };
         this.#probeIfSilent(seen, now);
         if (
-            !this.leading && !this.#claiming && isPrepared()
+            !this.leading && !this.#claiming && isPrepared() && now >= this.#claimableAt
             && shouldClaim(seen, node, processStart)
         ) {
             this.#claiming = true;
-            void this.#claim().finally(() => this.#claiming = false);
+            void this.#claim(jitter).finally(() => this.#claiming = false);
         }
     }
 
@@ -262,16 +279,68 @@
         });
     }
 
-    async #claim(): Promise<void> {
-        const { store, ledger, log, node, processStart } = this.options;
+    async #claim(jitter: number): Promise<void> {
+        const { ledger, log } = this.options;
         const previous = this.newestLeadership;
         if (!await ledger.catchUp() || this.newestLeadership?.epoch !== previous?.epoch) {
             return;
         }
         // The same epoch's newest heartbeat, which has the longest tenure.
         const lastBeforeClaim = this.newestLeadership;
-        const epoch = (previous?.epoch ?? 0) + 1;
-        const claim = jobState.encodeLeadership({
+        const epoch = Math.max(lastBeforeClaim?.epoch ?? 0, this.#takenEpoch) + 1;
+        const end = ledger.nextOffset;
+        if (!await this.#fenceEarlierEpochs(epoch, end, jitter)) {
+            return;
+        }
+        const claim = { epoch, sequence: this.#firstSequence + 1 };
+        if (!await this.#storeClaim(claim)) {
+            return;
+        }
+        this.#claimed = claim;
+        this.leading = true;
+        log.info("claimed", { epoch, end, after: previous?.node, previousEpoch: previous?.epoch });
+        while (!await ledger.catchUp() && !this.#stopped) {
+            await timers.setTimeout(checkInterval);
+        }
+        if (this.newestLeadership?.epoch === epoch && !this.#stopped) {
+            this.options.onClaimed(claim, lastBeforeClaim);
+        }
+        else {
+            await this.resign();
+        }
+    }
+
+    /**
+     * Takes the epoch: makes the store refuse all earlier ones, if it has stored nothing since the ledger was read up to
+     * `end`. An attempt without an answer may have succeeded; the next one is a repeat of it then.
+     */
+    async #fenceEarlierEpochs(epoch: number, end: number, jitter: number): Promise<boolean> {
+        const { store, ledger, log, clock } = this.options;
+        const answer = await store.append(jobState.ledgerTopic, [], {
+            end,
+            producer: { name: jobState.ledgerProducer, epoch, sequence: this.#firstSequence },
+        });
+        if (answer.isErr()) {
+            log.warn("claim-failed", { epoch, end, reason: answer.error.reason });
+            return false;
+        }
+        const { kind } = answer.value;
+        if (kind === "stored") {
+            return true;
+        }
+        log.info("claim-refused", { epoch, end, outcome: kind });
+        if (kind !== "moved") {
+            this.#takenEpoch = epoch;
+            this.#claimableAt = clock.monotonic() + deniedTakeoverTimeout + latencyAllowance * store.latency + jitter;
+        }
+        await ledger.catchUp();
+        return false;
+    }
+
+    /** Stores the claim of an epoch that this process has taken; false if another process has taken a later one. */
+    async #storeClaim({ epoch, sequence }: Claim): Promise<boolean> {
+        const { store, log, node, processStart } = this.options;
+        const record = jobState.encodeLeadership({
             epoch,
             node,
             processStart,
@@ -281,32 +350,22 @@
             lateness: 0,
             startDelay: 0,
         });
-        // Without a producer: its name, epoch and sequence number would equal those of another process's claim of this
-        // epoch, and the store would report that claim as a success of this one.
-        const end = ledger.nextOffset;
-        const answer = await store.append(jobState.ledgerTopic, [claim], { end });
-        if (answer.isErr()) {
-            // The claim may have been stored all the same; the ledger shows whether it names this process.
-            await ledger.catchUp();
-            const current = this.newestLeadership as jobState.Leadership | undefined;
-            if (current?.epoch !== epoch || current.node !== node || current.processStart !== processStart) {
-                log.warn("claim-failed", { epoch, reason: answer.error.reason });
-                return;
+        for (;;) {
+            const answer = await store.append(jobState.ledgerTopic, [record], {
+                producer: { name: jobState.ledgerProducer, epoch, sequence },
+            });
+            if (answer.isOk()) {
+                const { kind } = answer.value;
+                if (kind !== "stored") {
+                    log.info("claim-refused", { epoch, outcome: kind });
+                }
+                return kind === "stored";
             }
-        }
-        else if (answer.value.kind !== "stored") {
-            log.info("claim-refused", { epoch, outcome: answer.value.kind });
-            await ledger.catchUp();
-            return;
-        }
-        await ledger.catchUp();
-        this.leading = true;
-        log.info("claimed", { epoch, end, after: previous?.node, previousEpoch: previous?.epoch });
-        if (await this.#fenceEarlierCoordinators(epoch) && !this.#stopped) {
-            this.options.onClaimed(epoch, lastBeforeClaim);
-        }
-        else {
-            await this.resign();
+            log.warn("claim-failed", { epoch, reason: answer.error.reason });
+            if (this.#stopped) {
+                return false;
+            }
+            await timers.setTimeout(checkInterval);
         }
     }
 
@@ -319,41 +378,16 @@
         const held = this.newestLeadership;
         const holds = this.leading && held?.node === node && held.processStart === processStart;
         this.leading = false;
-        if (!holds) {
+        if (!holds || held.epoch !== this.#claimed?.epoch) {
             return;
         }
         const record = jobState.encodeLeadership({ ...held, resigned: true, ordersSettled: true });
-        // Sequence number 0 fenced the earlier coordinators.
         const answer = await store.append(jobState.ledgerTopic, [record], {
-            producer: { name: jobState.ledgerProducer, epoch: held.epoch, sequence: 1 },
+            producer: { name: jobState.ledgerProducer, epoch: held.epoch, sequence: this.#claimed.sequence + 1 },
         });
         log.info("claim-resigned", {
             epoch: held.epoch,
             outcome: answer.isOk() ? answer.value.kind : answer.error.reason,
         });
     }
-
-    /**
-     * Makes the store refuse earlier coordinators, then reads all records that they stored before.
-     *
-     * @returns whether this process still holds the epoch
-     */
-    async #fenceEarlierCoordinators(epoch: number): Promise<boolean> {
-        const { store, ledger, log } = this.options;
-        while (!this.#stopped && this.newestLeadership?.epoch === epoch) {
-            const answer = await store.append(jobState.ledgerTopic, [], {
-                producer: { name: jobState.ledgerProducer, epoch, sequence: 0 },
-            });
-            if (answer.isOk() && answer.value.kind === "fenced") {
-                log.info("claim-refused", { epoch, outcome: "fenced" });
-                return false;
-            }
-            log.info("fence-answered", { epoch, ...answer.isOk() ? answer.value : { reason: answer.error.reason } });
-            if (answer.isOk() && await ledger.catchUp()) {
-                return this.newestLeadership?.epoch === epoch;
-            }
-            await timers.setTimeout(checkInterval);
-        }
-        return false;
-    }
 }
--- a/packages/dispatch/src/ledger-writer.ts
+++ b/packages/dispatch/src/ledger-writer.ts
@@ -8,6 +8,7 @@
 import type * as platform from "@catkinwharf/platform";
 import type * as storeClient from "@catkinwharf/store";
 import * as timers from "node:timers/promises";
+import type * as leaderElection from "./leader-election.js";
 
 /** Time in ms during which records are collected for one append; saves calls at the cost of a short delay. */
 const batchDelay = 4;
@@ -31,16 +32,18 @@
     #waiters: ((stored: boolean) => void)[] = [];
     #writing = false;
     #stopped = false;
-    /** Sequence number of the last append; the append that set the epoch had number 0. */
-    #sequence = 0;
+    /** Sequence number of the last append; the first one follows the claim. */
+    #sequence: number;
 
     constructor(
         private readonly store: storeClient.StoreClient,
-        private readonly epoch: number,
+        private readonly claim: leaderElection.Claim,
         private readonly onFenced: () => void,
         /** A job got another status in the ledger. */
         private readonly onStatusStored: (entry: jobState.JobEntry) => void = () => undefined,
-    ) {}
+    ) {
+        this.#sequence = claim.sequence;
+    }
 
     /** Queues the job's changed progress for the next batch. */
     markDirty(entry: jobState.JobEntry): void {
@@ -129,7 +132,7 @@
         let retryDelay = firstRetryDelay;
         while (!this.#stopped) {
             const answer = await this.store.append(jobState.ledgerTopic, batch, {
-                producer: { name: jobState.ledgerProducer, epoch: this.epoch, sequence: this.#sequence },
+                producer: { name: jobState.ledgerProducer, epoch: this.claim.epoch, sequence: this.#sequence },
             });
             if (answer.isErr()) {
                 await timers.setTimeout(retryDelay);
--- a/packages/dispatch/src/testing/context.ts
+++ b/packages/dispatch/src/testing/context.ts
@@ -44,7 +44,7 @@
         log: eventLog.silentEventLog,
         calls,
         serverCalls: calls,
-        writer: new ledgerWriter.LedgerWriter(store, 1, () => undefined),
+        writer: new ledgerWriter.LedgerWriter(store, { epoch: 1, sequence: 0 }, () => undefined),
         jobs: new jobState.JobTable(),
         configuration: () => undefined,
         stepDown: () => undefined,
--- a/packages/dispatch/src/testing/memory-store.ts
+++ b/packages/dispatch/src/testing/memory-store.ts
@@ -1,6 +1,5 @@
 /** The store in memory: keyed topics that processes share, and one client for each of them. */
 import * as eventLog from "@catkinwharf/event-log";
-import * as jobState from "@catkinwharf/job-state";
 import type * as platform from "@catkinwharf/platform";
 import * as storeClient from "@catkinwharf/store";
 import * as neverthrow from "neverthrow";
@@ -9,22 +8,77 @@
 
 type Client = storeClient.StoreClient;
 
+/** An append as it reaches the store. */
+export interface Append {
+    readonly topic: string;
+    readonly records: readonly platform.storeCalls.KeyedRecord[];
+    readonly conditions: platform.storeCalls.AppendConditions;
+}
+
+/** Appends of the producer's epoch to one topic; the answers are kept for repeats. */
+interface Producer {
+    readonly epoch: number;
+    sequence: number;
+    readonly answers: Map<number, storeClient.AppendResult>;
+}
+
 /** Time in ms that a call takes, and after which one without a response fails. */
 const latency = 4;
 const timeout = 900;
+/** Number of a producer's last appends whose repeats get the first answer again. */
+const keptAnswers = 5;
 
 export class MemoryLog {
-    /** Highest epoch that may append to the ledger; lower ones are refused. */
-    ledgerEpoch = 0;
     readonly #topics = new Map<string, platform.storeCalls.KeyedRecord[]>();
+    readonly #producers = new Map<string, Producer>();
     #waiting: (() => void)[] = [];
+    /** Whether the store doesn't answer an append; a test calls `carryOut` to have it carried out late. */
+    holdsAppend: (append: Append, carryOut: () => void) => boolean = () => false;
 
-    append(topic: string, records: readonly platform.storeCalls.KeyedRecord[]): number {
+    append(
+        topic: string,
+        records: readonly platform.storeCalls.KeyedRecord[],
+        conditions: platform.storeCalls.AppendConditions = {},
+    ): storeClient.AppendResult {
         const stored = this.list(topic);
+        const { end, producer } = conditions;
+        const known = this.#producers.get(topic);
+        if (producer !== undefined && known !== undefined && producer.epoch <= known.epoch) {
+            const repeated = known.answers.get(producer.sequence);
+            if (producer.epoch < known.epoch) {
+                return { kind: "fenced" };
+            }
+            if (repeated !== undefined) {
+                return repeated;
+            }
+            if (producer.sequence !== known.sequence + 1) {
+                return { kind: "sequence", expected: known.sequence + 1 };
+            }
+        }
+        if (end !== undefined && end !== stored.length) {
+            return { kind: "moved", end: stored.length };
+        }
+        const answer = { kind: "stored" as const, offset: stored.length, end: stored.length + records.length };
+        if (producer !== undefined) {
+            this.#recordAppend(topic, producer, answer);
+        }
         stored.push(...records);
         this.#topics.set(topic, stored);
         this.#waiting.splice(0).forEach(wake => wake());
-        return stored.length;
+        return answer;
+    }
+
+    #recordAppend(
+        topic: string,
+        { epoch, sequence }: NonNullable<platform.storeCalls.AppendConditions["producer"]>,
+        answer: storeClient.AppendResult,
+    ): void {
+        const known = this.#producers.get(topic);
+        const producer = known?.epoch === epoch ? known : { epoch, sequence, answers: new Map() };
+        producer.sequence = sequence;
+        producer.answers.set(sequence, answer);
+        producer.answers.delete(sequence - keptAnswers);
+        this.#producers.set(topic, producer);
     }
 
     list(topic: string): platform.storeCalls.KeyedRecord[] {
@@ -64,13 +118,12 @@
         records: readonly platform.storeCalls.KeyedRecord[],
         conditions: platform.storeCalls.AppendConditions = {},
     ): ReturnType<Client["append"]> {
-        return await this.#call(() => {
-            if (topic === jobState.ledgerTopic && (conditions.producer?.epoch ?? 0) < this.topics.ledgerEpoch) {
-                return { kind: "fenced" as const };
-            }
-            const end = this.topics.append(topic, records);
-            return { kind: "stored" as const, offset: end - records.length, end };
-        });
+        const carryOut = () => this.topics.append(topic, records, conditions);
+        if (this.topics.holdsAppend({ topic, records, conditions }, carryOut)) {
+            await timers.setTimeout(timeout);
+            return neverthrow.err({ layer: "store", fault: storeClient.StoreFault.unknown, reason: "timed out" });
+        }
+        return await this.#call(carryOut);
     }
 
     override async read(topic: string, from: number, wait: number): ReturnType<Client["read"]> {
--- a/packages/dispatch/src/testing/simulation.ts
+++ b/packages/dispatch/src/testing/simulation.ts
@@ -203,7 +203,8 @@
     /** Starts the next coordinator, which fences the one before. */
     startCoordinator(): void {
         const epoch = (this.current?.epoch ?? 0) + 1;
-        this.#topics.ledgerEpoch = epoch;
+        const claim = { epoch, sequence: 0 };
+        this.#topics.append(jobState.ledgerTopic, [], { producer: { name: jobState.ledgerProducer, ...claim } });
         const { clock } = this.time;
         const jobs = new jobState.JobTable();
         for (const job of this.#jobs) {
@@ -239,7 +240,7 @@
                 ...contextTesting.settings,
                 bounds: { ...contextTesting.settings.bounds, maxLease: simulatedServer.maxLease },
             },
-            epoch,
+            claim,
             processStart: epoch,
             store: new memoryStore.MemoryStore(
                 this.#topics,
--- a/packages/node/src/entry-instance.ts
+++ b/packages/node/src/entry-instance.ts
@@ -113,7 +113,7 @@
             defers: () =>
                 !scheduling.isLargeProcess(settings.capacity, this.#listPeerCapacities())
                 || this.#storeRoutes.measureDirectLoss(now()) >= directLossBeforeDeference,
-            onClaimed: (epoch, previous) => void this.#takeOver(epoch, previous),
+            onClaimed: (claim, previous) => void this.#takeOver(claim, previous),
             isPrepared: () => this.#configuration !== undefined && this.#submissions.loaded && !this.#shuttingDown,
         });
         this.#unstoredJobs = new unstoredJobs.UnstoredJobs({ report: jobs => this.#reportUnstoredJobs(jobs), log });
@@ -374,7 +374,8 @@
     }
 
     /** Starts coordinating after a won election, once all submissions and the whole ledger have been read. */
-    async #takeOver(epoch: number, previous: jobState.Leadership | undefined): Promise<void> {
+    async #takeOver(claim: dispatch.Claim, previous: jobState.Leadership | undefined): Promise<void> {
+        const { epoch } = claim;
         const claimedAt = this.#ledger.nextOffset;
         // The coordinator ignores the ledger's progress from its creation on, so nothing is awaited after the ledger.
         while (!await this.#submissions.catchUp() || !await this.#ledger.catchUp()) {
@@ -390,7 +391,7 @@
         this.#coordinatingSince = this.#clock.monotonic();
         this.#coordinator = new dispatch.Coordinator({
             settings: this.settings,
-            epoch,
+            claim,
             processStart: this.#processStart,
             store: this.#store,
             calls: this.#httpClient,
