Report the steps that a placement pass doesn't place or doesn't come to

Hypotheses for review/3, a job that is never started while servers are nearly empty: (a) the pass ends before its step; (b) its step is tried and no server counts as having room; (c) its tasks aren't ready, or its route isn't known. coordinator-load gave only the number of ready tasks, which doesn't tell (a) from (b).

--- a/packages/dispatch/src/coordinator.ts
+++ b/packages/dispatch/src/coordinator.ts
@@ -505,6 +505,7 @@
         // When the room doesn't suffice for all services, it goes to the one with the most important candidate.
         const byRank = [...this.registry.listCandidates(this.#shared.clock.wall())]
             .sort(([, a], [, b]) => scheduling.compareRanks(a[0]!.rank, b[0]!.rank));
+        this.#placer.counts = { unplaced: 0, untried: 0 };
         for (const [service, candidates] of byRank) {
             planned.push(...this.#placer.place(candidates, servers.get(service) ?? [], room - planned.length));
         }
@@ -524,6 +525,8 @@
         return {
             activeJobs: this.registry.active.size,
             readyTasks: this.#countReadyTasks(),
+            unplacedSteps: this.#placer.counts.unplaced,
+            untriedSteps: this.#placer.counts.untried,
             startDelay: Math.round(this.#startDelay.current),
             runs: servers.reduce((sum, server) => sum + server.runs.size, 0),
             reachableServers: servers.filter(server => server.reachable).length,
--- a/packages/dispatch/src/load-meter.test.ts
+++ b/packages/dispatch/src/load-meter.test.ts
@@ -5,7 +5,15 @@
 import * as loadMeter from "./load-meter.js";
 
 const suite = uvu.suite("coordinator load");
-const work = { activeJobs: 2, readyTasks: 3, startDelay: 0, runs: 4, reachableServers: 5 };
+const work = {
+    activeJobs: 2,
+    readyTasks: 3,
+    unplacedSteps: 0,
+    untriedSteps: 0,
+    startDelay: 0,
+    runs: 4,
+    reachableServers: 5,
+};
 
 suite("logs each activity's times once a second, and starts anew after that", () => {
     const lines: eventLog.Fields[] = [];
--- a/packages/dispatch/src/load-meter.ts
+++ b/packages/dispatch/src/load-meter.ts
@@ -29,6 +29,10 @@
     readonly activeJobs: number;
     /** Tasks that could start if a server had room. */
     readonly readyTasks: number;
+    /** Steps with ready tasks of which the last pass placed none. */
+    readonly unplacedSteps: number;
+    /** Steps with ready tasks that the last pass ended before. */
+    readonly untriedSteps: number;
     /** Ms for which a task that becomes ready now waits because of the limit on starts. */
     readonly startDelay: number;
     readonly runs: number;
--- a/packages/dispatch/src/placer.ts
+++ b/packages/dispatch/src/placer.ts
@@ -20,7 +20,18 @@
     readonly run: session.ActiveRun;
 }
 
+/** What became of the steps with ready tasks in one pass. */
+export interface PassCounts {
+    /** Steps of which no task was placed, as no server had room or was allowed. */
+    unplaced: number;
+    /** Steps that the pass ended before. */
+    untried: number;
+}
+
 export class Placer {
+    /** Of the pass that began last, over all services. */
+    counts: PassCounts = { unplaced: 0, untried: 0 };
+
     constructor(
         private readonly shared: context.CoordinatorContext,
         private readonly runs: runManager.RunManager,
@@ -43,9 +54,10 @@
         const loads = open.map(server => server.load);
         let unplaced = 0;
         let loneUnplaced = 0;
-        for (const candidate of candidates) {
+        for (const [i, candidate] of candidates.entries()) {
             const left = limit - planned.length;
             if (unplaced >= maxUnplaced || left <= 0) {
+                this.counts.untried += candidates.length - i;
                 break;
             }
             const { active, route, ready } = candidate;
@@ -62,6 +74,7 @@
                 ready.alone ? this.#listQuiet(active, permitted, byId) : permitted,
             );
             if (placements.length === 0) {
+                this.counts.unplaced += 1;
                 unplaced += ready.alone ? 0 : 1;
                 loneUnplaced += ready.alone ? 1 : 0;
                 continue;
