Try every step in a placement pass

Cause: a pass ended after 16 steps without a placement and began anew with the same ones, so 16 steps that fit nowhere blocked all behind them; untriedSteps in coordinator-load shows it.

Change: every step is tried. The work is bounded by what a pass has learnt instead of a count: while servers only get fuller, a step that demands as much as one that no server had room for is passed over. Gangs are tried only if the servers together have room.

--- a/packages/dispatch/src/load-meter.ts
+++ b/packages/dispatch/src/load-meter.ts
@@ -31,7 +31,7 @@
     readonly readyTasks: number;
     /** Steps with ready tasks of which the last pass placed none. */
     readonly unplacedSteps: number;
-    /** Steps with ready tasks that the last pass ended before. */
+    /** Steps with ready tasks that the last pass didn't try, because of the limit on starts. */
     readonly untriedSteps: number;
     /** Ms for which a task that becomes ready now waits because of the limit on starts. */
     readonly startDelay: number;
--- a/packages/dispatch/src/placer.ts
+++ b/packages/dispatch/src/placer.ts
@@ -9,8 +9,6 @@
 import type * as session from "./server-session.js";
 import type * as ticketCache from "./ticket-cache.js";
 
-/** Candidates without a placement after which a pass ends for a service; bounds the work under a backlog. */
-const maxUnplaced = 16;
 /** Time in ms for which a task that starts alone waits for a server on which nothing else is starting. */
 const quietServerWait = 1000;
 
@@ -24,7 +22,7 @@
 export interface PassCounts {
     /** Steps of which no task was placed, as no server had room or was allowed. */
     unplaced: number;
-    /** Steps that the pass ended before. */
+    /** Steps that wait for the limit on starts. */
     untried: number;
 }
 
@@ -39,7 +37,8 @@
     ) {}
 
     /**
-     * Places the candidates that fit, in the given order, and records the intents.
+     * Places the candidates that fit, in the given order, and records the intents. Those that fit nowhere, for whatever
+     * reason and however long, don't keep later ones from being tried.
      *
      * @param limit number of tasks that may be placed; a gang isn't divided and may exceed it
      */
@@ -52,22 +51,22 @@
         const open = servers.filter(server => server.load.acceptsTasks);
         const byId = new Map(open.map(server => [server.entry.id, server]));
         const loads = open.map(server => server.load);
-        let unplaced = 0;
-        let loneUnplaced = 0;
+        const shortages = new scheduling.Shortages();
         for (const [i, candidate] of candidates.entries()) {
             const left = limit - planned.length;
-            if (unplaced >= maxUnplaced || left <= 0) {
+            if (left <= 0) {
                 this.counts.untried += candidates.length - i;
                 break;
             }
             const { active, route, ready } = candidate;
             const step = active.job.steps[ready.step]!;
+            if (shortages.includes(step)) {
+                this.counts.unplaced += 1;
+                continue;
+            }
             const stepKey = runManager.formatStepKey(active.job.id, ready);
             const needsTickets = route.advice !== undefined;
             const permitted = needsTickets ? this.#listPermitted(candidate, stepKey, open) : loads;
-            if (ready.alone && loneUnplaced >= maxUnplaced) {
-                continue;
-            }
             const tasks = step.gang ? ready.tasks : ready.tasks.slice(0, left);
             const placements = scheduling.placeStep(
                 { stepKey, step, tasks, avoided: active.avoided, alone: ready.alone },
@@ -75,8 +74,7 @@
             );
             if (placements.length === 0) {
                 this.counts.unplaced += 1;
-                unplaced += ready.alone ? 0 : 1;
-                loneUnplaced += ready.alone ? 1 : 0;
+                shortages.recordUnplaced(step, loads);
                 continue;
             }
             this.#logPlaced(candidate, placements);
--- a/packages/dispatch/src/testing/simulation.ts
+++ b/packages/dispatch/src/testing/simulation.ts
@@ -174,8 +174,8 @@
     }
 
     /** Submits a job of one step whose tasks take `duration` ms each. */
-    submitOrdinary(id: string, taskCount: number, duration: number): void {
-        const step = jobTesting.createStep({ taskCount, estimate: duration });
+    submitOrdinary(id: string, taskCount: number, duration: number, overrides: Partial<jobState.Step> = {}): void {
+        const step = jobTesting.createStep({ taskCount, estimate: duration, ...overrides });
         const job = jobTesting.createJob({ id, steps: [step], submittedAt: this.time.clock.wall() });
         this.#durations.set(id, duration);
         this.#jobs.push(job);
--- a/packages/scheduling/src/placing.test.ts
+++ b/packages/scheduling/src/placing.test.ts
@@ -45,6 +45,46 @@
     );
 });
 
+suite("a step that fits is taken for one that doesn't, because an earlier one didn't fit", () => {
+    const demands = fastCheck.record({
+        cpu: fastCheck.integer({ min: 0, max: 5000 }),
+        memory: fastCheck.integer({ min: 0, max: 5000 }),
+        accelerators: fastCheck.integer({ min: 0, max: 1 }),
+        filler: fastCheck.boolean(),
+        label: fastCheck.constantFrom(undefined, "r1", "r2"),
+        maxPerServer: fastCheck.integer({ min: 0, max: 1 }),
+        tasks: fastCheck.integer({ min: 1, max: 4 }),
+        gang: fastCheck.boolean(),
+    });
+    fastCheck.assert(
+        fastCheck.property(fastCheck.array(demands, { maxLength: 30 }), steps => {
+            const servers = ["a", "b", "c"].map(id =>
+                fixtures.createLoad(id, { freeAccelerators: id === "a" ? 1 : 0, labels: id === "c" ? ["r2"] : ["r1"] })
+            );
+            const shortages = new scheduling.Shortages();
+            for (const [i, { cpu, memory, accelerators, label, tasks, ...rest }] of steps.entries()) {
+                const step = fixtures.createStep({
+                    ...rest,
+                    demand: { cpu, memory, accelerators },
+                    requiredLabel: label,
+                    taskCount: tasks,
+                });
+                const isSkipped = shortages.includes(step);
+                const request = { stepKey: `job.0.${i}`, step, tasks: [...Array(tasks).keys()], avoided: noServers };
+                const placed = scheduling.placeStep({ ...request, alone: false }, servers);
+                if (placed.length === 0) {
+                    shortages.recordUnplaced(step, servers);
+                }
+                else if (isSkipped) {
+                    return false;
+                }
+            }
+            return true;
+        }),
+        { seed, numRuns: 1000 },
+    );
+});
+
 suite("tasks share a server while it has capacity, so that others stay empty", () => {
     const servers = [fixtures.createLoad("a"), fixtures.createLoad("b", { freeCpu: 3000, runCount: 1 })];
     assert.equal(place({ taskCount: 3 }, servers).map(one => one.server.id), ["b", "b", "b"]);
--- a/packages/scheduling/src/placing.ts
+++ b/packages/scheduling/src/placing.ts
@@ -96,17 +96,50 @@
     server.rack = after.rack;
 }
 
-/** Whether the server accepts new tasks and has the capacity and label that one more task of the step needs. */
-export function fits(server: ServerLoad, step: jobState.Step, stepKey: string): boolean {
+/** Whether the server accepts new tasks and has the capacity that one more task of the step needs. */
+function hasRoom(server: ServerLoad, step: jobState.Step): boolean {
     return server.acceptsTasks
-        && (step.maxUnavailable === undefined || !server.mayBeOrderedAway)
         && (step.filler || server.freeCpu >= step.demand.cpu)
         && server.freeMemory >= step.demand.memory
-        && server.freeAccelerators >= step.demand.accelerators
+        && server.freeAccelerators >= step.demand.accelerators;
+}
+
+/** Whether the server has room for one more task of the step, and meets what else the step requires. */
+export function fits(server: ServerLoad, step: jobState.Step, stepKey: string): boolean {
+    return hasRoom(server, step)
+        && (step.maxUnavailable === undefined || !server.mayBeOrderedAway)
         && (step.requiredLabel === undefined || server.labels.includes(step.requiredLabel))
         && (step.maxPerServer === 0 || (server.runCountByStep.get(stepKey) ?? 0) < step.maxPerServer);
 }
 
+/**
+ * Demands for which no server has room. While servers only get fuller, nothing that demands as much or more finds room
+ * either, so a pass over a backlog looks at the servers only for a few of its steps, and still tries every step that may
+ * fit, however many before it don't.
+ */
+export class Shortages {
+    readonly #demands: jobState.Demand[] = [];
+
+    /** Whether a task of the step demands as much as one that no server had room for. */
+    includes(step: jobState.Step): boolean {
+        const { cpu, memory, accelerators } = findRequiredRoom(step);
+        return this.#demands.some(short =>
+            cpu >= short.cpu && memory >= short.memory && accelerators >= short.accelerators
+        );
+    }
+
+    /** Records the demand of a step that wasn't placed, unless a server has room for it and the step may not go there. */
+    recordUnplaced(step: jobState.Step, servers: readonly ServerLoad[]): void {
+        if (!servers.some(server => hasRoom(server, step))) {
+            this.#demands.push(findRequiredRoom(step));
+        }
+    }
+}
+
+function findRequiredRoom({ demand, filler }: jobState.Step): jobState.Demand {
+    return filler ? { ...demand, cpu: Number.NEGATIVE_INFINITY } : demand;
+}
+
 /** Subtracts the demand of one task from the server's free capacity. */
 export function occupy(server: ServerLoad, step: jobState.Step, stepKey: string): void {
     adjustLoad(server, step, stepKey, 1);
@@ -148,6 +181,10 @@
     if (!request.step.gang) {
         return placeTasks(request, servers);
     }
+    const room = servers.reduce((sum, server) => sum + countRoom(server, request), 0);
+    if (room < request.tasks.length) {
+        return [];
+    }
     // A gang with `sameRack` goes to the first rack that has room for all of it, or else on servers of several racks.
     const racks = request.step.sameRack ? groupByRack(servers) : [];
     for (const group of [...racks, servers]) {
@@ -160,6 +197,22 @@
     return [];
 }
 
+/** Number of tasks of the step that the server could take now. */
+function countRoom(server: ServerLoad, { step, stepKey }: PlacementRequest): number {
+    if (!fits(server, step, stepKey)) {
+        return 0;
+    }
+    const { cpu, memory, accelerators } = step.demand;
+    return Math.min(
+        step.filler || cpu === 0 ? Number.POSITIVE_INFINITY : Math.floor(server.freeCpu / cpu),
+        memory === 0 ? Number.POSITIVE_INFINITY : Math.floor(server.freeMemory / memory),
+        accelerators === 0 ? Number.POSITIVE_INFINITY : Math.floor(server.freeAccelerators / accelerators),
+        step.maxPerServer === 0
+            ? Number.POSITIVE_INFINITY
+            : step.maxPerServer - (server.runCountByStep.get(stepKey) ?? 0),
+    );
+}
+
 function placeTasks(request: PlacementRequest, servers: readonly ServerLoad[]): Placement[] {
     const placed: Placement[] = [];
     for (const task of request.tasks) {
