Keep appends within the store's size for one call

Cause: the ledger's batches were bounded by 400 jobs and those of submissions by 200, whatever their size. The store refuses an append beyond RequestBytes as a whole; the ledger repeated it without end, with everything else that waited to be stored, and submissions were refused after three attempts, with all others of their batch.

Change: the settings' RequestBytes is read, and a batch ends before the record that would exceed it.

--- a/packages/dispatch/src/coordinator.ts
+++ b/packages/dispatch/src/coordinator.ts
@@ -150,6 +150,7 @@
             serverCalls: options.serverCalls,
             writer: new ledgerWriter.LedgerWriter(
                 store,
+                options.settings.storeLimits,
                 claim,
                 () => stepDown("the store refused an append of this epoch to the ledger"),
                 entry => this.#recordStored(entry),
--- a/packages/dispatch/src/ledger-writer.ts
+++ b/packages/dispatch/src/ledger-writer.ts
@@ -6,7 +6,7 @@
  */
 import * as jobState from "@catkinwharf/job-state";
 import type * as platform from "@catkinwharf/platform";
-import type * as storeClient from "@catkinwharf/store";
+import * as storeClient from "@catkinwharf/store";
 import * as timers from "node:timers/promises";
 import type * as leaderElection from "./leader-election.js";
 
@@ -16,19 +16,19 @@
 const firstRetryDelay = 10;
 /** Longest time in ms between two retries; the delay doubles with each. */
 const maxRetryDelay = 120;
-/** Most jobs in one append; keeps a batch far below the store's size limit for one call. */
+/** Most jobs in one append, in addition to the store's limits. */
 const maxJobsPerBatch = 400;
 
 /** Records of one append. */
 interface Batch {
-    readonly records: platform.storeCalls.KeyedRecord[];
+    readonly records: readonly platform.storeCalls.KeyedRecord[];
     /** Jobs whose progress is among the records, and its status there. */
     readonly statuses: [jobState.JobEntry, jobState.JobStatus][];
 }
 
 export class LedgerWriter {
     readonly #dirtyJobs = new Map<string, jobState.JobEntry>();
-    #pendingRecords: platform.storeCalls.KeyedRecord[] = [];
+    readonly #pendingRecords: platform.storeCalls.KeyedRecord[] = [];
     #waiters: ((stored: boolean) => void)[] = [];
     #writing = false;
     #stopped = false;
@@ -37,6 +37,7 @@
 
     constructor(
         private readonly store: storeClient.StoreClient,
+        private readonly limits: platform.settings.StoreLimits,
         private readonly claim: leaderElection.Claim,
         private readonly onFenced: () => void,
         /** A job got another status in the ledger. */
@@ -89,8 +90,9 @@
         while (
             !this.#stopped && (this.#dirtyJobs.size > 0 || this.#pendingRecords.length > 0 || this.#waiters.length > 0)
         ) {
-            const waiters = this.#dirtyJobs.size <= maxJobsPerBatch ? this.#waiters.splice(0) : [];
             const batch = this.#takeBatch();
+            const isComplete = this.#dirtyJobs.size === 0 && this.#pendingRecords.length === 0;
+            const waiters = isComplete ? this.#waiters.splice(0) : [];
             const stored = batch.records.length === 0 || await this.#append(batch.records);
             // Once stopped, the ledger is read instead, which a later coordinator may have changed.
             if (stored && !this.#stopped) {
@@ -110,21 +112,23 @@
     }
 
     #takeBatch(): Batch {
-        const batch: Batch = { records: this.#pendingRecords, statuses: [] };
-        this.#pendingRecords = [];
-        let taken = 0;
-        for (const [id, entry] of this.#dirtyJobs) {
-            if (taken === maxJobsPerBatch) {
+        const batch = new storeClient.RecordBatch(this.limits);
+        const statuses: Batch["statuses"] = [];
+        const left = this.#pendingRecords.findIndex(record => !batch.add(record));
+        this.#pendingRecords.splice(0, left === -1 ? this.#pendingRecords.length : left);
+        for (const [id, entry] of left === -1 ? this.#dirtyJobs : []) {
+            if (statuses.length === maxJobsPerBatch) {
                 break;
             }
-            taken += 1;
-            this.#dirtyJobs.delete(id);
             if (entry.progress !== undefined) {
-                batch.records.push(jobState.encodeProgress(id, entry.progress));
-                batch.statuses.push([entry, entry.progress.status]);
+                if (!batch.add(jobState.encodeProgress(id, entry.progress))) {
+                    break;
+                }
+                statuses.push([entry, entry.progress.status]);
             }
+            this.#dirtyJobs.delete(id);
         }
-        return batch;
+        return { records: batch.records, statuses };
     }
 
     async #append(batch: readonly platform.storeCalls.KeyedRecord[]): Promise<boolean> {
--- a/packages/dispatch/src/testing/context.ts
+++ b/packages/dispatch/src/testing/context.ts
@@ -16,6 +16,7 @@
     readinessAddress: "",
     internalPorts: [1, 2],
     storeAddress: "store:1",
+    storeLimits: { appendSize: 100_000, recordSize: 20_000 },
     machinesAddress: "machines:1",
     adviceAddress: undefined,
     bounds: {
@@ -44,7 +45,7 @@
         log: eventLog.silentEventLog,
         calls,
         serverCalls: calls,
-        writer: new ledgerWriter.LedgerWriter(store, { epoch: 1, sequence: 0 }, () => undefined),
+        writer: new ledgerWriter.LedgerWriter(store, settings.storeLimits, { epoch: 1, sequence: 0 }, () => undefined),
         jobs: new jobState.JobTable(),
         configuration: () => undefined,
         stepDown: () => undefined,
--- a/packages/intake/src/submission-writer.ts
+++ b/packages/intake/src/submission-writer.ts
@@ -25,7 +25,7 @@
 const retryDelay = 80;
 /** Number of refused attempts after which the write is reported as refused, unless an attempt got no response. */
 const maxRefusals = 3;
-/** Maximum records in one append; far below the store's limit for one call. */
+/** Maximum records in one append, in addition to the store's limits. */
 const maxRecordsPerAppend = 200;
 
 interface PendingWrite {
@@ -40,6 +40,7 @@
 
 export interface SubmissionWriterOptions {
     readonly store: Pick<store.StoreClient, "append">;
+    readonly storeLimits: platform.settings.StoreLimits;
     readonly jobs: jobState.JobTable;
     /** Monotonic time in ms. */
     readonly monotonicNow: () => number;
@@ -73,7 +74,7 @@
 
     async #run(): Promise<void> {
         while (this.#pending.length > 0) {
-            const batch = this.#pending.splice(0, maxRecordsPerAppend);
+            const batch = this.#takeBatch();
             const result = await this.options.store.append(
                 jobState.submissionsTopic,
                 batch.map(write => write.record),
@@ -89,6 +90,12 @@
         }
     }
 
+    #takeBatch(): PendingWrite[] {
+        const batch = new store.RecordBatch(this.options.storeLimits);
+        const count = this.#pending.slice(0, maxRecordsPerAppend).findIndex(({ record }) => !batch.add(record));
+        return this.#pending.splice(0, count === -1 ? maxRecordsPerAppend : count);
+    }
+
     /** Applies the record at once, so that this process knows of it before it reads it from the topic. */
     #resolveStored(write: PendingWrite): void {
         this.options.jobs.applySubmission(write.record.key, write.record.value);
--- a/packages/node/src/entry-instance.ts
+++ b/packages/node/src/entry-instance.ts
@@ -200,6 +200,7 @@
             jobs: this.#jobs,
             writer: new intake.SubmissionWriter({
                 store: this.#store,
+                storeLimits: this.settings.storeLimits,
                 jobs: this.#jobs,
                 monotonicNow: () => this.#clock.monotonic(),
                 isStoreUnavailable: () => this.#isStoreUnavailable(),
