Report the status of waves anew after a takeover

The coordinator stores a wave's progress, then its status for the operator. If it was lost in between, or its append got no answer and was never carried out, its successor restored the wave as completed and left it at that: the operator was never told.

Change: each coordinator reports the status of every wave once, whichever coordinator reached it.

Measured: the new test of wave-executor.test.ts failed before, passes now.

--- a/packages/dispatch/src/testing/context.ts
+++ b/packages/dispatch/src/testing/context.ts
@@ -5,6 +5,7 @@
 import type * as platform from "@catkinwharf/platform";
 import type * as storeClient from "@catkinwharf/store";
 import type * as context from "../context.js";
+import type * as leaderElection from "../leader-election.js";
 import * as ledgerWriter from "../ledger-writer.js";
 
 export const settings: platform.settings.ProcessSettings = {
@@ -30,22 +31,23 @@
     },
 };
 
-/** Context of a coordinator of epoch 1, both of whose clocks show `now()`. */
+/** Context of a coordinator, of epoch 1 unless stated, both of whose clocks show `now()`. */
 export function createContext(
     calls: httpCalls.HttpClient,
     store: storeClient.StoreClient,
     now: () => number,
+    claim: leaderElection.Claim = { epoch: 1, sequence: 0 },
 ): context.CoordinatorContext {
     return {
         node: settings.node,
-        epoch: 1,
+        epoch: claim.epoch,
         termStartedAt: now(),
         settings,
         clock: { monotonic: now, wall: now },
         log: eventLog.silentEventLog,
         calls,
         serverCalls: calls,
-        writer: new ledgerWriter.LedgerWriter(store, settings.storeLimits, { epoch: 1, sequence: 0 }, () => undefined),
+        writer: new ledgerWriter.LedgerWriter(store, settings.storeLimits, claim, () => undefined),
         jobs: new jobState.JobTable(),
         configuration: () => undefined,
         stepDown: () => undefined,
--- a/packages/dispatch/src/wave-executor.test.ts
+++ b/packages/dispatch/src/wave-executor.test.ts
@@ -1,4 +1,4 @@
-/** A machine that a read of the machine list omits still belongs to its wave. */
+/** Waves of machines that reads of the machine list omit, and the status that the operator is shown of a wave. */
 import * as eventLog from "@catkinwharf/event-log";
 import * as httpCalls from "@catkinwharf/http-calls";
 import * as platform from "@catkinwharf/platform";
@@ -12,6 +12,8 @@
 import * as machineInventory from "./machine-inventory.js";
 import * as machineOrders from "./machine-orders.js";
 import * as testing from "./testing/context.js";
+import * as memoryStore from "./testing/memory-store.js";
+import * as virtualTime from "./testing/virtual-time.js";
 import * as waveExecutor from "./wave-executor.js";
 
 const suite = uvu.suite("wave executor");
@@ -146,4 +148,51 @@
     assert.ok(run.completed);
 });
 
+/** Wave 1 with one machine, under a coordinator whose store is shared with others. */
+function createExecutor(topics: memoryStore.MemoryLog, epoch: number): waveExecutor.WaveExecutor {
+    const calls = new PlatformCalls();
+    const store = new memoryStore.MemoryStore(topics, new virtualTime.VirtualTime(), () => true);
+    const shared = testing.createContext(calls, store, () => performance.now(), { epoch, sequence: 0 });
+    const servers = new fleet.Fleet(shared, {
+        onLists: () => undefined,
+        onCrash: () => undefined,
+        onRebooted: () => undefined,
+        onRunsLost: () => undefined,
+    });
+    const executor = new waveExecutor.WaveExecutor({
+        shared,
+        store,
+        inventory: new machineInventory.MachineInventory(
+            shared,
+            servers,
+            new machineOrders.MachineOrders(shared, new Map()),
+        ),
+        surplus: () => new Set(),
+        relocateTask: () => undefined,
+        isPinned: () => false,
+    });
+    executor.apply({ number: 1, machines: ["m1"], duration: 600_000, maxOut: 1 });
+    return executor;
+}
+
+function findStatus(topics: memoryStore.MemoryLog): string | undefined {
+    const newest = topics.listNewest(platform.storeCalls.waveStatusTopic)[0]?.record;
+    return newest === undefined ? undefined : String(newest.value);
+}
+
+const completedStatus = String(platform.operatorRecords.encodeWaveStatus(1, true).value);
+
+suite(
+    "the operator isn't told that a wave is completed whose coordinator was lost right after the last order",
+    async () => {
+        const topics = new memoryStore.MemoryLog();
+        const executor = createExecutor(topics, 2);
+        executor.restore(1, { begun: ["m1"], completed: true, seenAt: Date.now() });
+        executor.advance(false);
+        await timers.setTimeout(3 * settlingTime);
+        executor.stop();
+        assert.is(findStatus(topics), completedStatus);
+    },
+);
+
 suite.run();
--- a/packages/dispatch/src/wave-executor.ts
+++ b/packages/dispatch/src/wave-executor.ts
@@ -27,6 +27,8 @@
     readonly isPinned: (server: session.ServerSession) => boolean;
 }
 
+type WaveStatus = "none" | "running" | "completed";
+
 /** A wave that the operator requested, and its progress. */
 interface TrackedWave {
     readonly wave: platform.operatorRecords.Wave;
@@ -36,7 +38,9 @@
     readonly begun: Set<string>;
     /** Machines ordered into maintenance that haven't returned, with the time of the order on the monotonic clock. */
     readonly out: Map<string, number>;
-    status: "none" | "running" | "completed";
+    status: WaveStatus;
+    /** Status that this coordinator has last reported; it also reports one that an earlier coordinator reached. */
+    reported: WaveStatus;
     /**
      * On the monotonic clock: latest time at which a coordinator can have first seen the wave; its duration counts from
      * then.
@@ -78,6 +82,7 @@
                 begun: known?.begun ?? new Set(),
                 out: known?.out ?? new Map(),
                 status: "none",
+                reported: "none",
                 seenAt: known?.seenAt ?? this.parts.shared.clock.monotonic(),
             });
         }
@@ -98,12 +103,15 @@
     /** Takes the next steps of all waves; orders maintenance only if `mayOrder`. */
     advance(mayOrder: boolean): void {
         for (const tracked of this.#waves.values()) {
-            if (tracked.status === "completed") {
-                continue;
-            }
             if (tracked.status === "none") {
                 tracked.status = "running";
-                void this.#writeStatus(tracked, false);
+            }
+            if (tracked.reported !== tracked.status) {
+                tracked.reported = tracked.status;
+                void this.#writeStatus(tracked, tracked.status === "completed");
+            }
+            if (tracked.status === "completed") {
+                continue;
             }
             const now = this.parts.shared.clock.monotonic();
             this.#recordReturns(tracked, now);
@@ -132,6 +140,7 @@
             }
             if (plan.allBegun && tracked.out.size === 0) {
                 tracked.status = "completed";
+                tracked.reported = tracked.status;
                 void this.#writeStatus(tracked, true);
             }
         }
