Store wave statuses under the coordinator's epoch

What callers saw: none seen. Statuses of waves were appended without a producer: a status running that got no answer, of the earlier coordinator or of the same one, could be carried out after the status completed and replace it for good.

Change: statuses are appended as the ledger's batches are (EpochAppender, taken out of LedgerWriter), one at a time and under the coordinator's epoch and sequence numbers, so the store refuses one that comes after a later one.

--- a/packages/dispatch/src/context.ts
+++ b/packages/dispatch/src/context.ts
@@ -6,10 +6,12 @@
 import type * as jobState from "@catkinwharf/job-state";
 import * as platform from "@catkinwharf/platform";
 import type * as clocks from "./clocks.js";
+import type * as leaderElection from "./leader-election.js";
 import type * as ledgerWriter from "./ledger-writer.js";
 
 export interface CoordinatorContext {
     readonly node: string;
+    readonly claim: leaderElection.Claim;
     /** Epoch of this coordinator's term; also the fencing token of all its orders. */
     readonly epoch: number;
     /**
--- a/packages/dispatch/src/coordinator.ts
+++ b/packages/dispatch/src/coordinator.ts
@@ -141,6 +141,7 @@
         this.#queues = new queueMeter.QueueMeter(options.log, clock.monotonic());
         this.#shared = {
             node: options.settings.node,
+            claim,
             epoch: claim.epoch,
             termStartedAt: clock.monotonic(),
             settings: options.settings,
--- a/packages/dispatch/src/ledger-writer.ts
+++ b/packages/dispatch/src/ledger-writer.ts
@@ -1,21 +1,17 @@
 /**
- * Appends a coordinator's records to the ledger: one batch at a time, under the coordinator's epoch.
+ * Collects a coordinator's records for the ledger, and appends them one batch at a time, under the coordinator's epoch.
  *
- * A batch whose append failed is sent again under the same sequence number, so it is stored once. The store fences a
- * coordinator after a newer one has claimed; from then on nothing more is stored.
+ * The store fences a coordinator after a newer one has claimed; from then on nothing more is stored.
  */
 import * as jobState from "@catkinwharf/job-state";
 import type * as platform from "@catkinwharf/platform";
 import * as storeClient from "@catkinwharf/store";
 import * as timers from "node:timers/promises";
+import * as epochAppender from "./epoch-appender.js";
 import type * as leaderElection from "./leader-election.js";
 
 /** Time in ms during which records are collected for one append; saves calls at the cost of a short delay. */
 const batchDelay = 4;
-/** Time in ms before the first retry of a failed append: short, since the retry may reach the store through a relay. */
-const firstRetryDelay = 10;
-/** Longest time in ms between two retries; the delay doubles with each. */
-const maxRetryDelay = 120;
 /** Most jobs in one append, in addition to the store's limits. */
 const maxJobsPerBatch = 400;
 
@@ -32,18 +28,17 @@
     #waiters: ((stored: boolean) => void)[] = [];
     #writing = false;
     #stopped = false;
-    /** Sequence number of the last append; the first one follows the claim. */
-    #sequence: number;
+    readonly #appender: epochAppender.EpochAppender;
 
     constructor(
-        private readonly store: storeClient.StoreClient,
+        store: storeClient.StoreClient,
         private readonly limits: platform.settings.StoreLimits,
-        private readonly claim: leaderElection.Claim,
-        private readonly onFenced: () => void,
+        claim: leaderElection.Claim,
+        onFenced: () => void,
         /** A job got another status in the ledger. */
         private readonly onStatusStored: (entry: jobState.JobEntry) => void = () => undefined,
     ) {
-        this.#sequence = claim.sequence;
+        this.#appender = new epochAppender.EpochAppender(store, jobState.ledgerTopic, claim, onFenced);
     }
 
     /** Queues the job's changed progress for the next batch. */
@@ -75,6 +70,7 @@
 
     stop(): void {
         this.#stopped = true;
+        this.#appender.stop();
         this.#resolveWaiters(this.#waiters.splice(0), false);
     }
 
@@ -93,7 +89,7 @@
             const batch = this.#takeBatch();
             const isComplete = this.#dirtyJobs.size === 0 && this.#pendingRecords.length === 0;
             const waiters = isComplete ? this.#waiters.splice(0) : [];
-            const stored = batch.records.length === 0 || await this.#append(batch.records);
+            const stored = batch.records.length === 0 || await this.#appender.append(batch.records);
             // Once stopped, the ledger is read instead, which a later coordinator may have changed.
             if (stored && !this.#stopped) {
                 batch.statuses.forEach(([entry, status]) => this.#showStatus(entry, status));
@@ -131,33 +127,6 @@
         return { records: batch.records, statuses };
     }
 
-    async #append(batch: readonly platform.storeCalls.KeyedRecord[]): Promise<boolean> {
-        this.#sequence += 1;
-        let retryDelay = firstRetryDelay;
-        while (!this.#stopped) {
-            const answer = await this.store.append(jobState.ledgerTopic, batch, {
-                producer: { name: jobState.ledgerProducer, epoch: this.claim.epoch, sequence: this.#sequence },
-            });
-            if (answer.isErr()) {
-                await timers.setTimeout(retryDelay);
-                retryDelay = Math.min(maxRetryDelay, 2 * retryDelay);
-                continue;
-            }
-            // The store expects the number after that of its last batch; a higher one shows that this batch is stored.
-            if (answer.value.kind === "sequence" && answer.value.expected <= this.#sequence) {
-                this.#sequence = answer.value.expected;
-                continue;
-            }
-            // "moved" can't occur without an expected end; like "fenced" it would mean that the batch wasn't stored.
-            if (answer.value.kind === "fenced" || answer.value.kind === "moved") {
-                this.onFenced();
-                return false;
-            }
-            return true;
-        }
-        return false;
-    }
-
     #resolveWaiters(waiters: readonly ((stored: boolean) => void)[], stored: boolean): void {
         waiters.forEach(resolve => resolve(stored));
     }
--- a/packages/dispatch/src/testing/context.ts
+++ b/packages/dispatch/src/testing/context.ts
@@ -40,6 +40,7 @@
 ): context.CoordinatorContext {
     return {
         node: settings.node,
+        claim,
         epoch: claim.epoch,
         termStartedAt: now(),
         settings,
--- a/packages/dispatch/src/wave-executor.test.ts
+++ b/packages/dispatch/src/wave-executor.test.ts
@@ -195,4 +195,26 @@
     },
 );
 
+suite("a completed wave is shown as running after a status of the coordinator before was stored late", async () => {
+    const topics = new memoryStore.MemoryLog();
+    let carryOut: (() => void) | undefined;
+    topics.holdsAppend = ({ topic }, carryOutLate) => {
+        const isHeld = topic === platform.storeCalls.waveStatusTopic && carryOut === undefined;
+        carryOut ??= isHeld ? carryOutLate : undefined;
+        return isHeld;
+    };
+    const lost = createExecutor(topics, 1);
+    lost.advance(false);
+    await timers.setTimeout(3 * settlingTime);
+    lost.stop();
+    const successor = createExecutor(topics, 2);
+    successor.restore(1, { begun: ["m1"], completed: true, seenAt: Date.now() });
+    successor.advance(false);
+    await timers.setTimeout(3 * settlingTime);
+    successor.stop();
+    assert.ok(carryOut !== undefined);
+    carryOut();
+    assert.is(findStatus(topics), completedStatus);
+});
+
 suite.run();
--- a/packages/dispatch/src/wave-executor.ts
+++ b/packages/dispatch/src/wave-executor.ts
@@ -6,15 +6,12 @@
 import * as platform from "@catkinwharf/platform";
 import * as scheduling from "@catkinwharf/scheduling";
 import type * as storeClient from "@catkinwharf/store";
-import * as timers from "node:timers/promises";
 import type * as context from "./context.js";
+import * as epochAppender from "./epoch-appender.js";
 import * as machineInventory from "./machine-inventory.js";
 import * as machineOrders from "./machine-orders.js";
 import type * as session from "./server-session.js";
 
-/** Time in ms before a wave status that couldn't be stored is written again. */
-const statusRetryDelay = 300;
-
 export interface WaveExecutorParts {
     readonly shared: context.CoordinatorContext;
     readonly inventory: machineInventory.MachineInventory;
@@ -50,12 +47,23 @@
 
 export class WaveExecutor {
     readonly #waves = new Map<number, TrackedWave>();
-    #stopped = false;
+    readonly #statusAppender: epochAppender.EpochAppender;
+    /** Statuses that aren't stored yet, by wave; a later one replaces an earlier one. */
+    readonly #unstoredStatuses = new Map<number, jobState.KeyedRecord>();
+    #writingStatuses = false;
 
-    constructor(private readonly parts: WaveExecutorParts) {}
+    constructor(private readonly parts: WaveExecutorParts) {
+        const { shared, store } = parts;
+        this.#statusAppender = new epochAppender.EpochAppender(
+            store,
+            platform.storeCalls.waveStatusTopic,
+            shared.claim,
+            () => shared.stepDown("the store refused a wave status of this epoch"),
+        );
+    }
 
     stop(): void {
-        this.#stopped = true;
+        this.#statusAppender.stop();
     }
 
     /** Whether a wave still has to order the machine's maintenance. */
@@ -107,8 +115,7 @@
                 tracked.status = "running";
             }
             if (tracked.reported !== tracked.status) {
-                tracked.reported = tracked.status;
-                void this.#writeStatus(tracked, tracked.status === "completed");
+                this.#reportStatus(tracked);
             }
             if (tracked.status === "completed") {
                 continue;
@@ -140,8 +147,7 @@
             }
             if (plan.allBegun && tracked.out.size === 0) {
                 tracked.status = "completed";
-                tracked.reported = tracked.status;
-                void this.#writeStatus(tracked, true);
+                this.#reportStatus(tracked);
             }
         }
     }
@@ -216,17 +222,26 @@
         });
     }
 
-    async #writeStatus(tracked: TrackedWave, completed: boolean): Promise<void> {
-        const { shared, store } = this.parts;
-        shared.log.info("wave-status", { wave: tracked.wave.number, completed, begun: tracked.begun.size });
+    /** Stores the wave's progress, then its status for the operator. */
+    #reportStatus(tracked: TrackedWave): void {
+        const { shared } = this.parts;
+        const { number } = tracked.wave;
+        const completed = tracked.status === "completed";
+        tracked.reported = tracked.status;
+        shared.log.info("wave-status", { wave: number, completed, begun: tracked.begun.size });
         shared.writer.add(this.#encodeProgress(tracked, completed));
-        const record = platform.operatorRecords.encodeWaveStatus(tracked.wave.number, completed);
-        while (!this.#stopped && await shared.writer.flush()) {
-            const answer = await store.append(platform.storeCalls.waveStatusTopic, [record]);
-            if (answer.isOk()) {
-                return;
-            }
-            await timers.setTimeout(statusRetryDelay);
+        this.#unstoredStatuses.set(number, platform.operatorRecords.encodeWaveStatus(number, completed));
+        if (!this.#writingStatuses) {
+            this.#writingStatuses = true;
+            void this.#writeStatuses().finally(() => this.#writingStatuses = false);
+        }
+    }
+
+    async #writeStatuses(): Promise<void> {
+        while (this.#unstoredStatuses.size > 0 && await this.parts.shared.writer.flush()) {
+            const records = [...this.#unstoredStatuses.values()];
+            this.#unstoredStatuses.clear();
+            await this.#statusAppender.append(records);
         }
     }
 }
