Remove a settled job's submission before its progress, under the coordinator's epoch

What callers saw: none seen; a job is removed only 1.5 times status_s after its end. The sweeper forgot the job, removed its progress and then its submission, and left it at that if the second append failed: the next coordinator read a submission without progress, a new job, and ran it again. An append without an answer that was carried out late removed a job that had been submitted under the same ID after the removal.

Change: submissions are removed first, by an EpochAppender that repeats the append until it is answered and whose late copies have no effect; then the job is forgotten and its progress removed.

--- a/packages/dispatch/src/coordinator.ts
+++ b/packages/dispatch/src/coordinator.ts
@@ -268,6 +268,7 @@
         clearInterval(this.#timer);
         this.#serverFollower.stop();
         this.#machineManager.stop();
+        this.#sweeper.stop();
         this.#runManager.end();
         this.fleet.stop();
         this.#shared.writer.stop();
--- a/packages/dispatch/src/job-sweeper.ts
+++ b/packages/dispatch/src/job-sweeper.ts
@@ -1,40 +1,55 @@
 /**
  * Removes settled jobs from memory and from the store once their status no longer has to be reported to callers.
+ *
+ * A job's submission is removed before its progress: a submission without progress is a new job to the next coordinator,
+ * which would run it again.
  */
 import * as jobState from "@catkinwharf/job-state";
 import type * as storeClient from "@catkinwharf/store";
 import type * as context from "./context.js";
+import * as epochAppender from "./epoch-appender.js";
 
 /** How long a settled job is kept, as a multiple of the time for which its status must be reported. */
 const retentionFactor = 1.5;
-/** Most records in one append that removes jobs. */
-const maxRecordsPerAppend = 400;
+/** Most jobs that one append removes. */
+const maxJobsPerAppend = 200;
 
 export class JobSweeper {
-    constructor(
-        private readonly shared: context.CoordinatorContext,
-        private readonly store: storeClient.StoreClient,
-    ) {}
+    readonly #appender: epochAppender.EpochAppender;
+    #sweeping = false;
 
+    constructor(private readonly shared: context.CoordinatorContext, store: storeClient.StoreClient) {
+        this.#appender = new epochAppender.EpochAppender(
+            store,
+            jobState.submissionsTopic,
+            shared.claim,
+            () => shared.stepDown("the store refused to remove jobs under this epoch"),
+        );
+    }
+
+    stop(): void {
+        this.#appender.stop();
+    }
+
+    /** Removes the jobs that are due, unless an earlier call still does. */
     async sweep(): Promise<void> {
-        const { jobs, settings, clock, log, writer } = this.shared;
-        const dropped = jobs.dropSettledBefore(clock.wall() - retentionFactor * settings.bounds.status);
-        if (dropped.length === 0) {
+        if (this.#sweeping) {
             return;
         }
-        log.info("jobs-forgotten", { jobs: dropped.length });
-        for (const id of dropped) {
-            writer.add(jobState.encodeProgressTombstone(id));
-        }
-        const records = dropped.flatMap(id => jobState.encodeJobTombstones(id));
-        for (let i = 0; i < records.length; i += maxRecordsPerAppend) {
-            const answer = await this.store.append(
-                jobState.submissionsTopic,
-                records.slice(i, i + maxRecordsPerAppend),
-            );
-            if (answer.isErr()) {
-                log.warn("jobs-not-forgotten", { reason: answer.error.reason });
+        this.#sweeping = true;
+        const { jobs, settings, clock, log, writer } = this.shared;
+        const due = jobs.listSettledBefore(clock.wall() - retentionFactor * settings.bounds.status);
+        for (let i = 0; i < due.length; i += maxJobsPerAppend) {
+            const ids = due.slice(i, i + maxJobsPerAppend);
+            if (!await this.#appender.append(ids.flatMap(id => jobState.encodeJobTombstones(id)))) {
+                break;
+            }
+            for (const id of ids) {
+                jobs.entries.delete(id);
+                writer.add(jobState.encodeProgressTombstone(id));
             }
+            log.info("jobs-forgotten", { jobs: ids.length });
         }
+        this.#sweeping = false;
     }
 }
--- a/packages/job-state/src/job-table.ts
+++ b/packages/job-state/src/job-table.ts
@@ -108,19 +108,11 @@
         return { pending, begunWithoutResult };
     }
 
-    /** Drops jobs that were settled before `limit`, Unix time in ms, and returns their ids. */
-    dropSettledBefore(limit: number): string[] {
-        const dropped: string[] = [];
-        for (const [id, entry] of this.entries) {
-            if (
-                entry.progress !== undefined && progress.isSettled(entry.progress.status)
-                && entry.progress.statusAt < limit
-            ) {
-                this.entries.delete(id);
-                dropped.push(id);
-            }
-        }
-        return dropped;
+    /** IDs of the jobs that were settled before `limit`, Unix time in ms. */
+    listSettledBefore(limit: number): string[] {
+        return [...this.entries.values()].filter(({ progress: current }) =>
+            current !== undefined && progress.isSettled(current.status) && current.statusAt < limit
+        ).map(({ id }) => id);
     }
 
     #getOrCreate(id: string): JobEntry {
