--- a/packages/dispatch/src/coordinator.ts
+++ b/packages/dispatch/src/coordinator.ts
@@ -155,6 +155,7 @@
                 claim,
                 () => stepDown("the store refused an append of this epoch to the ledger"),
                 entry => this.#recordStored(entry),
+                entry => this.#failUnstorable(entry),
             ),
             jobs: options.jobs,
             configuration: options.configuration,
@@ -338,6 +339,17 @@
         this.#stopRunsOf(active, runManager.StopCause.cancelled);
     }
 
+    /** Fails a job whose runs can't be recorded: a successor would start its tasks a second time. */
+    #failUnstorable(entry: jobState.JobEntry): void {
+        const active = this.registry.active.get(entry.id);
+        if (active === undefined) {
+            return;
+        }
+        this.#shared.log.warn("progress-unstorable", { job: entry.id, queue: active.job.queue });
+        this.#runManager.fail(active);
+        this.#stopRunsOf(active, runManager.StopCause.settled);
+    }
+
     #stopRunsOf(active: jobRegistry.ActiveJob, cause: runManager.StopCause): void {
         for (const server of this.fleet.sessions.values()) {
             for (const run of [...server.runs.values()]) {
--- a/packages/dispatch/src/ledger-writer.test.ts
+++ b/packages/dispatch/src/ledger-writer.test.ts
@@ -65,4 +65,31 @@
     assert.is(store.keys.size, ids.length);
 });
 
+suite("nothing is stored any more because the progress of one job exceeds the size of a record", async () => {
+    const store = new LimitedStore();
+    const unstorable: string[] = [];
+    const writer: ledgerWriter.LedgerWriter = new ledgerWriter.LedgerWriter(
+        store as unknown as storeClient.StoreClient,
+        limits,
+        { epoch: 1, sequence: 0 },
+        () => undefined,
+        () => undefined,
+        entry => {
+            unstorable.push(entry.id);
+            entry.progress!.status = jobState.JobStatus.failed;
+            writer.markDirty(entry);
+        },
+    );
+    const ids = ["00000000000000aa", "00000000000000bb"];
+    writer.markDirty(createEntry(ids[0]!, 1000));
+    writer.markDirty(createEntry(ids[1]!, 1));
+    const stored = await Promise.race([writer.flush(), timers.setTimeout(patience, "blocked")]);
+    writer.stop();
+    assert.is(stored, true);
+    assert.is(store.refusals, 0);
+    assert.equal(unstorable, [ids[0]]);
+    // The first with its status only.
+    assert.is(store.keys.size, 2);
+});
+
 suite.run();
--- a/packages/dispatch/src/ledger-writer.ts
+++ b/packages/dispatch/src/ledger-writer.ts
@@ -37,6 +37,8 @@
         onFenced: () => void,
         /** A job got another status in the ledger. */
         private readonly onStatusStored: (entry: jobState.JobEntry) => void = () => undefined,
+        /** The job's progress is larger than a record may be; none of it is stored until the job is settled. */
+        private readonly onUnstorable: (entry: jobState.JobEntry) => void = () => undefined,
     ) {
         this.#appender = new epochAppender.EpochAppender(store, jobState.ledgerTopic, claim, onFenced);
     }
@@ -110,6 +112,7 @@
     #takeBatch(): Batch {
         const batch = new storeClient.RecordBatch(this.limits);
         const statuses: Batch["statuses"] = [];
+        const unstorable: jobState.JobEntry[] = [];
         const left = this.#pendingRecords.findIndex(record => !batch.add(record));
         this.#pendingRecords.splice(0, left === -1 ? this.#pendingRecords.length : left);
         for (const [id, entry] of left === -1 ? this.#dirtyJobs : []) {
@@ -117,16 +120,40 @@
                 break;
             }
             if (entry.progress !== undefined) {
-                if (!batch.add(jobState.encodeProgress(id, entry.progress))) {
+                const record = this.#encodeStorable(entry, entry.progress);
+                if (record === undefined) {
+                    unstorable.push(entry);
+                }
+                else if (!batch.add(record)) {
                     break;
                 }
-                statuses.push([entry, entry.progress.status]);
+                else {
+                    statuses.push([entry, entry.progress.status]);
+                }
             }
             this.#dirtyJobs.delete(id);
         }
+        unstorable.forEach(entry => this.onUnstorable(entry));
         return { records: batch.records, statuses };
     }
 
+    /**
+     * Encodes the job's progress, of a settled job without its runs if they are too many: its tasks don't start again.
+     * `undefined` if the store wouldn't take the record, and with it none of the batch.
+     */
+    #encodeStorable(
+        entry: jobState.JobEntry,
+        progress: jobState.Progress,
+    ): platform.storeCalls.KeyedRecord | undefined {
+        const record = jobState.encodeProgress(entry.id, progress);
+        if (storeClient.isStorable(record, this.limits)) {
+            return record;
+        }
+        return jobState.isSettled(progress.status)
+            ? jobState.encodeProgress(entry.id, { ...progress, occurrences: new Map() })
+            : undefined;
+    }
+
     #resolveWaiters(waiters: readonly ((stored: boolean) => void)[], stored: boolean): void {
         waiters.forEach(resolve => resolve(stored));
     }
--- a/packages/dispatch/src/run-manager.ts
+++ b/packages/dispatch/src/run-manager.ts
@@ -496,8 +496,7 @@
                 shared.writer.markDirty(active.entry);
                 if (scheduling.crashesServers(history)) {
                     shared.log.warn("task-given-up", { task: run.name, crashes: history.crashes });
-                    this.#settle(active, jobState.JobStatus.failed);
-                    this.finishIfSettled(active);
+                    this.fail(active);
                 }
             }
         }
@@ -730,6 +729,12 @@
         }
     }
 
+    /** Fails the job, unless it is settled. */
+    fail(active: jobRegistry.ActiveJob): void {
+        this.#settle(active, jobState.JobStatus.failed);
+        this.finishIfSettled(active);
+    }
+
     /** Fails a job whose route became known only after a task had used up its attempts. */
     failIfExhausted(active: jobRegistry.ActiveJob): void {
         const { job, progress, route } = active;
--- a/packages/intake/src/job-api.test.ts
+++ b/packages/intake/src/job-api.test.ts
@@ -48,6 +48,7 @@
     let routes = [route];
     const api = new intake.JobApi({
         jobs,
+        storeLimits: { appendSize: 2000, recordSize: 900 },
         writer: {
             write: (record: jobState.KeyedRecord) => {
                 view.written?.push(record);
@@ -180,4 +181,20 @@
     assert.is((await get(path, new jobState.JobTable(), unreadable, body)).status, 504);
 });
 
+suite("callers are refused because a job is larger than a record of the store may be", async () => {
+    const written: jobState.KeyedRecord[] = [];
+    const view: View = { age: 0, refresh: () => Promise.resolve(true), written };
+    const submit = (length: number) =>
+        get(
+            "/quotes/00000000000000aa",
+            new jobState.JobTable(),
+            view,
+            JSON.stringify({ Spec: "x".repeat(length), Steps: [{ Count: 1, Cpu: 1, MemMb: 1, EstimateMs: 1 }] }),
+        );
+    assert.is((await submit(850)).status, 413);
+    assert.is(written.length, 0);
+    assert.is((await submit(100)).status, 200);
+    assert.is(written.length, 1);
+});
+
 suite.run();
--- a/packages/intake/src/job-api.ts
+++ b/packages/intake/src/job-api.ts
@@ -6,6 +6,7 @@
 import * as platform from "@catkinwharf/platform";
 import * as requestBody from "@catkinwharf/request-body";
 import * as scheduling from "@catkinwharf/scheduling";
+import * as store from "@catkinwharf/store";
 import type * as http from "node:http";
 import * as timers from "node:timers/promises";
 import * as polka from "polka";
@@ -14,6 +15,7 @@
 
 export interface JobApiOptions {
     readonly jobs: jobState.JobTable;
+    readonly storeLimits: platform.settings.StoreLimits;
     readonly writer: submissionWriter.SubmissionWriter;
     readonly log: eventLog.EventLog;
     /** Monotonic time in ms. */
@@ -99,6 +101,8 @@
     retryAfter: outageRetryAfter,
     reason: "this process is behind the store",
 };
+/** The job's record would exceed what the store takes, and an append with it would be refused with all others in it. */
+const jobTooLarge: JobResponse = { status: 413, body: "", reason: "the job is too large for the store" };
 const unknownOutcome: JobResponse = { status: 504, body: "", reason: "the store gave no answer" };
 /** Time in ms after which a caller may return who was refused because of the wait for the coordinator. */
 function createOverloadRefusal(startDelay: number): JobResponse {
@@ -294,6 +298,10 @@
             ...submission,
             submittedAt: this.options.now(),
         };
+        const record = jobState.encodeJob(job);
+        if (!store.isStorable(record, this.options.storeLimits)) {
+            return jobTooLarge;
+        }
         const startDelay = this.options.startDelay();
         if (!scheduling.canMeetObjective(job, request.route, startDelay)) {
             // An earlier attempt may have been accepted elsewhere just now; then it isn't true that the job won't run.
@@ -306,7 +314,7 @@
         }
         const response = this.options.isStoreUnavailable()
             ? storeUnavailable
-            : await this.#write(jobState.encodeJob(job), request);
+            : await this.#write(record, request);
         if (response !== accepted) {
             this.options.onUnstored(job);
         }
--- a/packages/node/src/entry-instance.ts
+++ b/packages/node/src/entry-instance.ts
@@ -198,6 +198,7 @@
     #createJobApi(): intake.JobApi {
         return new intake.JobApi({
             jobs: this.#jobs,
+            storeLimits: this.settings.storeLimits,
             writer: new intake.SubmissionWriter({
                 store: this.#store,
                 storeLimits: this.settings.storeLimits,
--- a/packages/store/src/record-batch.ts
+++ b/packages/store/src/record-batch.ts
@@ -4,6 +4,14 @@
  */
 import * as platform from "@catkinwharf/platform";
 
+/** Whether the store takes the record at all. */
+export function isStorable(
+    record: platform.storeCalls.KeyedRecord,
+    { recordSize }: platform.settings.StoreLimits,
+): boolean {
+    return platform.storeCalls.measureContent(record) <= recordSize;
+}
+
 /** Records of one append, in the order in which they were added. */
 export class RecordBatch {
     readonly records: platform.storeCalls.KeyedRecord[] = [];
