Request tickets for the steps that have waited longest first

At most 24 requests were queued, filled in the order of each pass. A step whose request brought no ticket was queued again in the next pass, so 24 of them kept all behind them out.

Change: a step's request waits, however many do, until those of all steps that were asked for before it are done; one call at a time, as before.

--- a/packages/dispatch/src/ticket-cache.ts
+++ b/packages/dispatch/src/ticket-cache.ts
@@ -2,6 +2,8 @@
  * Requests and caches tickets. For a queue whose route has `advice`, the start of a task requires a ticket from the
  * advice service, which issues it for a step on a server or denies it. Tickets are requested when a step is ready, for
  * a limited number of servers and one call at a time, and are kept while they are valid.
+ *
+ * Steps whose last request is longest ago are asked for first, so those that get no tickets don't keep others waiting.
  */
 import * as platform from "@catkinwharf/platform";
 import type * as context from "./context.js";
@@ -10,8 +12,6 @@
 
 /** Servers that one call asks for: some of them may be denied, and each adds to the response time. */
 const serversPerCall = 12;
-/** Calls that may be queued here; the advice service refuses calls when 32 are waiting. */
-const maxQueuedCalls = 24;
 /** Time in ms added to the advice service's decision time for the timeout of a call. */
 const callMargin = 1500;
 /** Time in ms before its expiry from which a ticket is no longer used, since the start takes time to arrive. */
@@ -30,15 +30,23 @@
     readonly byServer: Map<string, Ticket>;
     /** Boot IDs of servers for which the advice service denied a ticket; a denial is final. */
     readonly denied: Set<string>;
-    requestPending: boolean;
+    /** On the monotonic clock: when tickets were last requested. */
+    requestedAt: number;
     /** On the monotonic clock: no request before this time. */
     nextRequestAt: number;
 }
 
+/** A step that waits for its turn to be asked for. */
+interface PendingRequest {
+    readonly candidate: jobRegistry.Candidate;
+    readonly tickets: StepTickets;
+    readonly servers: readonly session.ServerSession[];
+}
+
 export class TicketCache {
     readonly #steps = new Map<string, StepTickets>();
-    #lastCall: Promise<void> = Promise.resolve();
-    #queuedCalls = 0;
+    readonly #pending = new Map<string, PendingRequest>();
+    #requesting = false;
 
     constructor(private readonly shared: context.CoordinatorContext) {}
 
@@ -55,38 +63,61 @@
         for (const stepKey of this.#steps.keys()) {
             if (isJobFinished(stepKey)) {
                 this.#steps.delete(stepKey);
+                this.#pending.delete(stepKey);
             }
         }
     }
 
-    /** Queues a request for a step's tickets, unless one is pending, came too recently, or too many are queued. */
+    /** Queues a request for a step's tickets, unless one came too recently; it replaces one that is still queued. */
     request(candidate: jobRegistry.Candidate, stepKey: string, servers: readonly session.ServerSession[]): void {
-        const stepTickets = this.#getOrCreateTickets(stepKey);
-        const now = this.shared.clock.monotonic();
-        if (stepTickets.requestPending || now < stepTickets.nextRequestAt || this.#queuedCalls >= maxQueuedCalls) {
+        const tickets = this.#getOrCreateTickets(stepKey);
+        if (this.shared.clock.monotonic() < tickets.nextRequestAt) {
             return;
         }
         const asked = servers
-            .filter(server => !stepTickets.denied.has(server.bootId) && this.find(stepKey, server) === undefined)
+            .filter(server => !tickets.denied.has(server.bootId) && this.find(stepKey, server) === undefined)
             .sort((a, b) => b.load.freeCpu - a.load.freeCpu)
             .slice(0, serversPerCall);
         if (asked.length === 0) {
+            this.#pending.delete(stepKey);
             return;
         }
-        stepTickets.requestPending = true;
-        this.#queuedCalls += 1;
-        this.#lastCall = this.#lastCall.then(() => this.#requestTickets(candidate, stepTickets, asked)).finally(() => {
-            stepTickets.requestPending = false;
-            stepTickets.nextRequestAt = this.shared.clock.monotonic()
-                + (stepTickets.byServer.size === 0 ? 0 : repeatDelay);
-            this.#queuedCalls -= 1;
-        });
+        this.#pending.set(stepKey, { candidate, tickets, servers: asked });
+        if (!this.#requesting) {
+            this.#requesting = true;
+            void this.#requestPending().finally(() => this.#requesting = false);
+        }
+    }
+
+    async #requestPending(): Promise<void> {
+        for (let next = this.#takeNext(); next !== undefined; next = this.#takeNext()) {
+            const { candidate, tickets, servers } = next;
+            tickets.requestedAt = this.shared.clock.monotonic();
+            tickets.nextRequestAt = Number.POSITIVE_INFINITY;
+            await this.#requestTickets(candidate, tickets, servers);
+            tickets.nextRequestAt = this.shared.clock.monotonic() + (tickets.byServer.size === 0 ? 0 : repeatDelay);
+        }
+    }
+
+    /** Takes the pending request of the step that was asked for longest ago; of several, the one that came first. */
+    #takeNext(): PendingRequest | undefined {
+        let found: [string, PendingRequest] | undefined;
+        for (const entry of this.#pending) {
+            if (found === undefined || entry[1].tickets.requestedAt < found[1].tickets.requestedAt) {
+                found = entry;
+            }
+        }
+        if (found !== undefined) {
+            this.#pending.delete(found[0]);
+        }
+        return found?.[1];
     }
 
     #getOrCreateTickets(stepKey: string): StepTickets {
         let found = this.#steps.get(stepKey);
         if (found === undefined) {
-            found = { byServer: new Map(), denied: new Set(), requestPending: false, nextRequestAt: 0 };
+            const never = Number.NEGATIVE_INFINITY;
+            found = { byServer: new Map(), denied: new Set(), requestedAt: never, nextRequestAt: never };
             this.#steps.set(stepKey, found);
         }
         return found;
--- a/packages/intake/src/job-api.test.ts
+++ b/packages/intake/src/job-api.test.ts
@@ -189,7 +189,7 @@
             "/quotes/00000000000000aa",
             new jobState.JobTable(),
             view,
-            JSON.stringify({ Spec: "x".repeat(length), Steps: [{ Count: 1, Cpu: 1, MemMb: 1, EstimateMs: 1 }] }),
+            platformTesting.createSubmissionBody(1, "x".repeat(length)),
         );
     assert.is((await submit(850)).status, 413);
     assert.is(written.length, 0);
