--- a/packages/dispatch/src/placer.ts
+++ b/packages/dispatch/src/placer.ts
@@ -132,14 +132,10 @@
         open: readonly session.ServerSession[],
     ): scheduling.ServerLoad[] {
         const step = candidate.active.job.steps[candidate.ready.step]!;
-        const permitted = open.filter(server => this.tickets.find(stepKey, server) !== undefined);
+        const permitted = this.tickets.listPermitted(stepKey, open);
         const serversWithRoom = permitted.filter(server => scheduling.fits(server.load, step, stepKey)).length;
         if (serversWithRoom < candidate.ready.tasks.length) {
-            this.tickets.request(
-                candidate,
-                stepKey,
-                open.filter(server => scheduling.fits(server.load, step, stepKey)),
-            );
+            this.tickets.request(candidate, stepKey, open);
         }
         return permitted.map(server => server.load);
     }
--- a/packages/dispatch/src/ticket-cache.test.ts
+++ b/packages/dispatch/src/ticket-cache.test.ts
@@ -20,7 +20,15 @@
 const passes = 200;
 /** Time in ms of a call of the advice service. */
 const callTime = 1;
-const server = { entry: { id: "s1" }, bootId: "s1@1", load: { freeCpu: 1000 } } as unknown as session.ServerSession;
+const load = {
+    acceptsTasks: true,
+    freeCpu: 1000,
+    freeMemory: 1000,
+    freeAccelerators: 0,
+    labels: [],
+    runCountByStep: new Map(),
+};
+const server = { entry: { id: "s1" }, bootId: "s1@1", load } as unknown as session.ServerSession;
 
 /** Refuses tickets for all jobs but one. */
 class AdviceCalls extends httpCalls.HttpClient {
--- a/packages/dispatch/src/ticket-cache.ts
+++ b/packages/dispatch/src/ticket-cache.ts
@@ -6,6 +6,7 @@
  * Steps whose last request is longest ago are asked for first, so those that get no tickets don't keep others waiting.
  */
 import * as platform from "@catkinwharf/platform";
+import * as scheduling from "@catkinwharf/scheduling";
 import type * as context from "./context.js";
 import type * as jobRegistry from "./job-registry.js";
 import type * as session from "./server-session.js";
@@ -40,6 +41,7 @@
 interface PendingRequest {
     readonly candidate: jobRegistry.Candidate;
     readonly tickets: StepTickets;
+    /** Servers that accept tasks. */
     readonly servers: readonly session.ServerSession[];
 }
 
@@ -68,22 +70,23 @@
         }
     }
 
-    /** Queues a request for a step's tickets, unless one came too recently; it replaces one that is still queued. */
+    /** Servers among `servers` for which there is a valid ticket for the step. */
+    listPermitted(stepKey: string, servers: readonly session.ServerSession[]): readonly session.ServerSession[] {
+        const hasTickets = (this.#steps.get(stepKey)?.byServer.size ?? 0) > 0;
+        return hasTickets ? servers.filter(server => this.find(stepKey, server) !== undefined) : [];
+    }
+
+    /**
+     * Queues a request for a step's tickets, unless one is queued or came too recently.
+     *
+     * @param servers those that accept tasks; a ticket is requested for those that have room when its turn comes
+     */
     request(candidate: jobRegistry.Candidate, stepKey: string, servers: readonly session.ServerSession[]): void {
         const tickets = this.#getOrCreateTickets(stepKey);
-        if (this.shared.clock.monotonic() < tickets.nextRequestAt) {
-            return;
+        if (!this.#pending.has(stepKey) && this.shared.clock.monotonic() >= tickets.nextRequestAt) {
+            this.#pending.set(stepKey, { candidate, tickets, servers });
         }
-        const asked = servers
-            .filter(server => !tickets.denied.has(server.bootId) && this.find(stepKey, server) === undefined)
-            .sort((a, b) => b.load.freeCpu - a.load.freeCpu)
-            .slice(0, serversPerCall);
-        if (asked.length === 0) {
-            this.#pending.delete(stepKey);
-            return;
-        }
-        this.#pending.set(stepKey, { candidate, tickets, servers: asked });
-        if (!this.#requesting) {
+        if (this.#pending.size > 0 && !this.#requesting) {
             this.#requesting = true;
             void this.#requestPending().finally(() => this.#requesting = false);
         }
@@ -91,16 +94,26 @@
 
     async #requestPending(): Promise<void> {
         for (let next = this.#takeNext(); next !== undefined; next = this.#takeNext()) {
-            const { candidate, tickets, servers } = next;
-            tickets.requestedAt = this.shared.clock.monotonic();
-            tickets.nextRequestAt = Number.POSITIVE_INFINITY;
-            await this.#requestTickets(candidate, tickets, servers);
-            tickets.nextRequestAt = this.shared.clock.monotonic() + (tickets.byServer.size === 0 ? 0 : repeatDelay);
+            const [stepKey, { candidate, tickets, servers }] = next;
+            const step = candidate.active.job.steps[candidate.ready.step]!;
+            const asked = servers
+                .filter(server =>
+                    scheduling.fits(server.load, step, stepKey) && !tickets.denied.has(server.bootId)
+                    && this.find(stepKey, server) === undefined
+                )
+                .sort((a, b) => b.load.freeCpu - a.load.freeCpu)
+                .slice(0, serversPerCall);
+            if (asked.length > 0) {
+                tickets.requestedAt = this.shared.clock.monotonic();
+                tickets.nextRequestAt = Number.POSITIVE_INFINITY;
+                await this.#requestTickets(candidate, tickets, asked);
+                tickets.nextRequestAt = this.shared.clock.monotonic() + (tickets.byServer.size === 0 ? 0 : repeatDelay);
+            }
         }
     }
 
     /** Takes the pending request of the step that was asked for longest ago; of several, the one that came first. */
-    #takeNext(): PendingRequest | undefined {
+    #takeNext(): [string, PendingRequest] | undefined {
         let found: [string, PendingRequest] | undefined;
         for (const entry of this.#pending) {
             if (found === undefined || entry[1].tickets.requestedAt < found[1].tickets.requestedAt) {
@@ -110,7 +123,7 @@
         if (found !== undefined) {
             this.#pending.delete(found[0]);
         }
-        return found?.[1];
+        return found;
     }
 
     #getOrCreateTickets(stepKey: string): StepTickets {
