--- a/packages/dispatch/src/coordinator.ts
+++ b/packages/dispatch/src/coordinator.ts
@@ -520,6 +520,7 @@
         // When the room doesn't suffice for all services, it goes to the one with the most important candidate.
         const byRank = [...this.registry.listCandidates(this.#shared.clock.wall())]
             .sort(([, a], [, b]) => scheduling.compareRanks(a[0]!.rank, b[0]!.rank));
+        this.#tickets.startPass();
         this.#placer.counts = { unplaced: 0, untried: 0 };
         for (const [service, candidates] of byRank) {
             planned.push(...this.#placer.place(candidates, servers.get(service) ?? [], room - planned.length));
--- a/packages/dispatch/src/ticket-cache.test.ts
+++ b/packages/dispatch/src/ticket-cache.test.ts
@@ -74,6 +74,7 @@
         (_, i) => createCandidate((i + 0xa00).toString(16).padStart(16, "0")),
     );
     for (let pass = 0; pass < passes; pass++) {
+        cache.startPass();
         candidates.forEach(candidate => cache.request(candidate, candidate.active.job.id, [server]));
         await timers.setTimeout(callTime);
     }
--- a/packages/dispatch/src/ticket-cache.ts
+++ b/packages/dispatch/src/ticket-cache.ts
@@ -3,7 +3,8 @@
  * advice service, which issues it for a step on a server or denies it. Tickets are requested when a step is ready, for
  * a limited number of servers and one call at a time, and are kept while they are valid.
  *
- * Steps whose last request is longest ago are asked for first, so those that get no tickets don't keep others waiting.
+ * Steps are asked for in the order of the last pass, but those whose last request brought no tickets only take turns with
+ * the others, so they don't keep these waiting.
  */
 import * as platform from "@catkinwharf/platform";
 import * as scheduling from "@catkinwharf/scheduling";
@@ -31,8 +32,8 @@
     readonly byServer: Map<string, Ticket>;
     /** Boot IDs of servers for which the advice service denied a ticket; a denial is final. */
     readonly denied: Set<string>;
-    /** On the monotonic clock: when tickets were last requested. */
-    requestedAt: number;
+    /** On the monotonic clock: when a request last brought no tickets; `undefined` if the last one brought some. */
+    refusedAt: number | undefined;
     /** On the monotonic clock: no request before this time. */
     nextRequestAt: number;
 }
@@ -47,7 +48,10 @@
 
 export class TicketCache {
     readonly #steps = new Map<string, StepTickets>();
+    /** In the order of the last pass. */
     readonly #pending = new Map<string, PendingRequest>();
+    /** Whether the last call was for a step whose request before had brought no tickets. */
+    #lastWasRefused = false;
     #requesting = false;
 
     constructor(private readonly shared: context.CoordinatorContext) {}
@@ -70,6 +74,11 @@
         }
     }
 
+    /** Drops what is queued, as a pass queues everything anew in its order. */
+    startPass(): void {
+        this.#pending.clear();
+    }
+
     /** Servers among `servers` for which there is a valid ticket for the step. */
     listPermitted(stepKey: string, servers: readonly session.ServerSession[]): readonly session.ServerSession[] {
         const hasTickets = (this.#steps.get(stepKey)?.byServer.size ?? 0) > 0;
@@ -77,13 +86,13 @@
     }
 
     /**
-     * Queues a request for a step's tickets, unless one is queued or came too recently.
+     * Queues a request for a step's tickets, unless one is under way or came too recently.
      *
      * @param servers those that accept tasks; a ticket is requested for those that have room when its turn comes
      */
     request(candidate: jobRegistry.Candidate, stepKey: string, servers: readonly session.ServerSession[]): void {
         const tickets = this.#getOrCreateTickets(stepKey);
-        if (!this.#pending.has(stepKey) && this.shared.clock.monotonic() >= tickets.nextRequestAt) {
+        if (this.shared.clock.monotonic() >= tickets.nextRequestAt) {
             this.#pending.set(stepKey, { candidate, tickets, servers });
         }
         if (this.#pending.size > 0 && !this.#requesting) {
@@ -104,47 +113,55 @@
                 .sort((a, b) => b.load.freeCpu - a.load.freeCpu)
                 .slice(0, serversPerCall);
             if (asked.length > 0) {
-                tickets.requestedAt = this.shared.clock.monotonic();
+                this.#lastWasRefused = tickets.refusedAt !== undefined;
                 tickets.nextRequestAt = Number.POSITIVE_INFINITY;
-                await this.#requestTickets(candidate, tickets, asked);
-                tickets.nextRequestAt = this.shared.clock.monotonic() + (tickets.byServer.size === 0 ? 0 : repeatDelay);
+                const isGranted = await this.#requestTickets(candidate, tickets, asked);
+                const now = this.shared.clock.monotonic();
+                tickets.refusedAt = isGranted ? undefined : now;
+                tickets.nextRequestAt = now + (tickets.byServer.size === 0 ? 0 : repeatDelay);
             }
         }
     }
 
-    /** Takes the pending request of the step that was asked for longest ago; of several, the one that came first. */
+    /** Takes the request that is next; of the steps that were refused, the one for which that is longest ago. */
     #takeNext(): [string, PendingRequest] | undefined {
-        let found: [string, PendingRequest] | undefined;
+        let first: [string, PendingRequest] | undefined;
+        let refused: [string, PendingRequest] | undefined;
         for (const entry of this.#pending) {
-            if (found === undefined || entry[1].tickets.requestedAt < found[1].tickets.requestedAt) {
-                found = entry;
+            const { refusedAt } = entry[1].tickets;
+            if (refusedAt === undefined) {
+                first ??= entry;
+            }
+            else if (refusedAt < (refused?.[1].tickets.refusedAt ?? Number.POSITIVE_INFINITY)) {
+                refused = entry;
             }
         }
-        if (found !== undefined) {
-            this.#pending.delete(found[0]);
+        const next = this.#lastWasRefused ? first ?? refused : refused ?? first;
+        if (next !== undefined) {
+            this.#pending.delete(next[0]);
         }
-        return found;
+        return next;
     }
 
     #getOrCreateTickets(stepKey: string): StepTickets {
         let found = this.#steps.get(stepKey);
         if (found === undefined) {
-            const never = Number.NEGATIVE_INFINITY;
-            found = { byServer: new Map(), denied: new Set(), requestedAt: never, nextRequestAt: never };
+            found = { byServer: new Map(), denied: new Set(), refusedAt: undefined, nextRequestAt: 0 };
             this.#steps.set(stepKey, found);
         }
         return found;
     }
 
+    /** Returns whether the call brought tickets. */
     async #requestTickets(
         candidate: jobRegistry.Candidate,
         stepTickets: StepTickets,
         asked: readonly session.ServerSession[],
-    ): Promise<void> {
+    ): Promise<boolean> {
         const { settings, calls, clock, log } = this.shared;
         const { active, route: { advice }, ready } = candidate;
         if (settings.adviceAddress === undefined || advice === undefined || active.entry.cancelledAt !== undefined) {
-            return;
+            return false;
         }
         const boots = new Map(asked.map(server => [server.entry.id, server.bootId]));
         const call = platform.adviceCalls.createAdviceCall(
@@ -159,7 +176,7 @@
                 job: active.job.id,
                 reason: answer.isErr() ? answer.error.reason : decoded,
             });
-            return;
+            return false;
         }
         const validity = decoded.validity > 0 ? decoded.validity : advice.validity;
         const validUntil = clock.monotonic() + validity - validityMargin;
@@ -173,5 +190,6 @@
         }
         boots.forEach(boot => stepTickets.denied.add(boot));
         this.shared.schedulePass();
+        return decoded.tickets.length > 0;
     }
 }
