Store a submission that comes as the last batch ends

The loop that appends submissions ended, and only the settling of its promise, a microtask later, allowed another one to begin: a write in between waited for the next write, or for its deadline.

Change: the loop itself says that it has ended.

--- a/packages/dispatch/src/ticket-cache.ts
+++ b/packages/dispatch/src/ticket-cache.ts
@@ -97,30 +97,35 @@
         }
         if (this.#pending.size > 0 && !this.#requesting) {
             this.#requesting = true;
-            void this.#requestPending().finally(() => this.#requesting = false);
+            void this.#requestPending();
         }
     }
 
     async #requestPending(): Promise<void> {
-        for (let next = this.#takeNext(); next !== undefined; next = this.#takeNext()) {
-            const [stepKey, { candidate, tickets, servers }] = next;
-            const step = candidate.active.job.steps[candidate.ready.step]!;
-            const asked = servers
-                .filter(server =>
-                    scheduling.fits(server.load, step, stepKey) && !tickets.denied.has(server.bootId)
-                    && this.find(stepKey, server) === undefined
-                )
-                .sort((a, b) => b.load.freeCpu - a.load.freeCpu)
-                .slice(0, serversPerCall);
-            if (asked.length > 0) {
-                this.#lastWasRefused = tickets.refusedAt !== undefined;
-                tickets.nextRequestAt = Number.POSITIVE_INFINITY;
-                const isGranted = await this.#requestTickets(candidate, tickets, asked);
-                const now = this.shared.clock.monotonic();
-                tickets.refusedAt = isGranted ? undefined : now;
-                tickets.nextRequestAt = now + (tickets.byServer.size === 0 ? 0 : repeatDelay);
+        try {
+            for (let next = this.#takeNext(); next !== undefined; next = this.#takeNext()) {
+                const [stepKey, { candidate, tickets, servers }] = next;
+                const step = candidate.active.job.steps[candidate.ready.step]!;
+                const asked = servers
+                    .filter(server =>
+                        scheduling.fits(server.load, step, stepKey) && !tickets.denied.has(server.bootId)
+                        && this.find(stepKey, server) === undefined
+                    )
+                    .sort((a, b) => b.load.freeCpu - a.load.freeCpu)
+                    .slice(0, serversPerCall);
+                if (asked.length > 0) {
+                    this.#lastWasRefused = tickets.refusedAt !== undefined;
+                    tickets.nextRequestAt = Number.POSITIVE_INFINITY;
+                    const isGranted = await this.#requestTickets(candidate, tickets, asked);
+                    const now = this.shared.clock.monotonic();
+                    tickets.refusedAt = isGranted ? undefined : now;
+                    tickets.nextRequestAt = now + (tickets.byServer.size === 0 ? 0 : repeatDelay);
+                }
             }
         }
+        finally {
+            this.#requesting = false;
+        }
     }
 
     /** Takes the request that is next; of the steps that were refused, the one for which that is longest ago. */
--- a/packages/dispatch/src/wave-executor.ts
+++ b/packages/dispatch/src/wave-executor.ts
@@ -233,15 +233,20 @@
         this.#unstoredStatuses.set(number, platform.operatorRecords.encodeWaveStatus(number, completed));
         if (!this.#writingStatuses) {
             this.#writingStatuses = true;
-            void this.#writeStatuses().finally(() => this.#writingStatuses = false);
+            void this.#writeStatuses();
         }
     }
 
     async #writeStatuses(): Promise<void> {
-        while (this.#unstoredStatuses.size > 0 && await this.parts.shared.writer.flush()) {
-            const records = [...this.#unstoredStatuses.values()];
-            this.#unstoredStatuses.clear();
-            await this.#statusAppender.append(records);
+        try {
+            while (this.#unstoredStatuses.size > 0 && await this.parts.shared.writer.flush()) {
+                const records = [...this.#unstoredStatuses.values()];
+                this.#unstoredStatuses.clear();
+                await this.#statusAppender.append(records);
+            }
+        }
+        finally {
+            this.#writingStatuses = false;
         }
     }
 }
--- a/packages/intake/src/submission-writer.ts
+++ b/packages/intake/src/submission-writer.ts
@@ -67,26 +67,32 @@
             this.#pending.push({ record, deadline, resolve, mayBeStored: false, refusals: 0 });
             if (!this.#appending) {
                 this.#appending = true;
-                void this.#run().finally(() => this.#appending = false);
+                void this.#run();
             }
         });
     }
 
     async #run(): Promise<void> {
-        while (this.#pending.length > 0) {
-            const batch = this.#takeBatch();
-            const result = await this.options.store.append(
-                jobState.submissionsTopic,
-                batch.map(write => write.record),
-            );
-            if (result.isOk()) {
-                batch.forEach(write => this.#resolveStored(write));
-                continue;
+        try {
+            while (this.#pending.length > 0) {
+                const batch = this.#takeBatch();
+                const result = await this.options.store.append(
+                    jobState.submissionsTopic,
+                    batch.map(write => write.record),
+                );
+                if (result.isOk()) {
+                    batch.forEach(write => this.#resolveStored(write));
+                    continue;
+                }
+                const outcomeUnknown = result.error.fault === store.StoreFault.unknown;
+                const retries = batch.filter(write => !this.#resolveFailed(write, outcomeUnknown));
+                this.#pending.unshift(...retries);
+                await timers.setTimeout(retryDelay);
             }
-            const outcomeUnknown = result.error.fault === store.StoreFault.unknown;
-            const retries = batch.filter(write => !this.#resolveFailed(write, outcomeUnknown));
-            this.#pending.unshift(...retries);
-            await timers.setTimeout(retryDelay);
+        }
+        finally {
+            // Not once the promise is settled: a write that came in between would wait for the next one.
+            this.#appending = false;
         }
     }
 
