Keep later steps off busy servers while others wait for room there

The old bound had kept later steps back as a side effect.

Change: once 16 steps wait for tasks that end by themselves, later ones get only servers of which half is free. Steps that such ends don't help (a label, one task on each server, a demand that no server can meet) aren't counted, so they keep nothing back.

--- a/packages/dispatch/src/blocked-steps.test.ts
+++ b/packages/dispatch/src/blocked-steps.test.ts
@@ -60,4 +60,34 @@
     }
 }
 
+/*
+ * Without the bound that blocked jobs, small tasks took each bit of room on a busy server, and large ones that had come
+ * before them waited until there were no more small ones.
+ */
+suite("large tasks never start in a burst, as small ones that come later take each bit of room", async () => {
+    const world = new simulation.Simulation({ random: () => 0, machineCount: 1 });
+    const formatId = (kind: string, i: number) => `${kind}${i}`.padStart(16, "0");
+    const submit = (kind: string, count: number, describe: (i: number) => { cpu: number; duration: number; }) => {
+        for (let i = 0; i < count; i++) {
+            const { cpu, duration } = describe(i);
+            world.submitOrdinary(formatId(kind, i), 1, duration, { demand: { ...demand, cpu } });
+        }
+    };
+    try {
+        world.startCoordinator();
+        await world.time.runUntil(500);
+        // Fill the server, and end one after the other.
+        submit("a", 64, i => ({ cpu: serverCpu / 64, duration: 1000 + 30 * i }));
+        await world.time.runUntil(1000);
+        submit("b", 20, () => ({ cpu: serverCpu / 2, duration: longDuration }));
+        await world.time.runUntil(1100);
+        submit("c", 1000, i => ({ cpu: serverCpu / 64, duration: 1000 + i % 100 }));
+        await world.time.runUntil(5000);
+        assert.ok(world.findServer(`${formatId("b", 0)}.0.0.0`) !== undefined);
+    }
+    finally {
+        world.close();
+    }
+});
+
 suite.run();
--- a/packages/dispatch/src/placer.ts
+++ b/packages/dispatch/src/placer.ts
@@ -9,6 +9,11 @@
 import type * as session from "./server-session.js";
 import type * as ticketCache from "./ticket-cache.js";
 
+/**
+ * Steps that wait for room on busy servers after which later ones get only servers of which half is free, so that small
+ * tasks don't take each bit of room before there is enough for a large one.
+ */
+const maxWaiting = 16;
 /** Time in ms for which a task that starts alone waits for a server on which nothing else is starting. */
 const quietServerWait = 1000;
 
@@ -38,7 +43,8 @@
 
     /**
      * Places the candidates that fit, in the given order, and records the intents. Those that fit nowhere, for whatever
-     * reason and however long, don't keep later ones from being tried.
+     * reason and however long, don't keep later ones from being tried; those that only wait for other tasks to end keep
+     * later ones off the busier servers.
      *
      * @param limit number of tasks that may be placed; a gang isn't divided and may exceed it
      */
@@ -50,31 +56,39 @@
         const planned: PlannedRun[] = [];
         const open = servers.filter(server => server.load.acceptsTasks);
         const byId = new Map(open.map(server => [server.entry.id, server]));
-        const loads = open.map(server => server.load);
+        let loads = open.map(server => server.load);
+        let waiting = 0;
+        let isHeldBack = false;
         const shortages = new scheduling.Shortages();
         for (const [i, candidate] of candidates.entries()) {
             const left = limit - planned.length;
-            if (left <= 0) {
+            if (left <= 0 || loads.length === 0) {
                 this.counts.untried += candidates.length - i;
                 break;
             }
             const { active, route, ready } = candidate;
             const step = active.job.steps[ready.step]!;
-            if (shortages.includes(step)) {
-                this.counts.unplaced += 1;
-                continue;
-            }
             const stepKey = runManager.formatStepKey(active.job.id, ready);
             const needsTickets = route.advice !== undefined;
-            const permitted = needsTickets ? this.#listPermitted(candidate, stepKey, open) : loads;
+            const permitted = needsTickets
+                ? this.#listPermitted(candidate, stepKey, open).filter(load => !isHeldBack || loads.includes(load))
+                : loads;
             const tasks = step.gang ? ready.tasks : ready.tasks.slice(0, left);
-            const placements = scheduling.placeStep(
-                { stepKey, step, tasks, avoided: active.avoided, alone: ready.alone },
-                ready.alone ? this.#listQuiet(active, permitted, byId) : permitted,
-            );
+            const request = { stepKey, step, tasks, avoided: active.avoided, alone: ready.alone };
+            const isShort = shortages.includes(step);
+            const placements = isShort
+                ? []
+                : scheduling.placeStep(request, ready.alone ? this.#listQuiet(active, permitted, byId) : permitted);
             if (placements.length === 0) {
                 this.counts.unplaced += 1;
-                shortages.recordUnplaced(step, loads);
+                if (!isShort) {
+                    shortages.recordUnplaced(step, loads);
+                }
+                if (!isHeldBack && scheduling.waitsForRoom(request, permitted)) {
+                    waiting += 1;
+                    isHeldBack = waiting === maxWaiting;
+                    loads = isHeldBack ? loads.filter(load => isHalfFree(byId.get(load.id)!)) : loads;
+                }
                 continue;
             }
             this.#logPlaced(candidate, placements);
@@ -148,3 +162,7 @@
         return Math.max(...ready.tasks.map(task => this.#nextRun(active, ready.occurrence, task)));
     }
 }
+
+function isHalfFree({ entry, load }: session.ServerSession): boolean {
+    return 2 * load.freeCpu >= entry.cpu && 2 * load.freeMemory >= entry.memory;
+}
--- a/packages/scheduling/src/placing.ts
+++ b/packages/scheduling/src/placing.ts
@@ -20,6 +20,10 @@
     /** Megabytes. */
     freeMemory: number;
     freeAccelerators: number;
+    /** Thousandths of a core, megabytes and accelerators that runs occupy whose tasks end by themselves. */
+    endingCpu: number;
+    endingMemory: number;
+    endingAccelerators: number;
     /** Accepts new tasks. */
     acceptsTasks: boolean;
     /**
@@ -104,10 +108,36 @@
         && server.freeAccelerators >= step.demand.accelerators;
 }
 
+/**
+ * Whether the step is only held up by tasks that end by themselves: once they have ended, a task of it, or all of a gang,
+ * has room on servers on which it may run now. Otherwise waiting doesn't help it.
+ */
+export function waitsForRoom({ step, stepKey, tasks }: PlacementRequest, servers: readonly ServerLoad[]): boolean {
+    const required = step.gang ? tasks.length : 1;
+    let room = 0;
+    for (const server of servers) {
+        if (server.acceptsTasks && meetsRestrictions(server, step, stepKey)) {
+            room += countRoom(server, step, stepKey, {
+                cpu: server.freeCpu + server.endingCpu,
+                memory: server.freeMemory + server.endingMemory,
+                accelerators: server.freeAccelerators + server.endingAccelerators,
+            });
+            if (room >= required) {
+                return true;
+            }
+        }
+    }
+    return false;
+}
+
 /** Whether the server has room for one more task of the step, and meets what else the step requires. */
 export function fits(server: ServerLoad, step: jobState.Step, stepKey: string): boolean {
-    return hasRoom(server, step)
-        && (step.maxUnavailable === undefined || !server.mayBeOrderedAway)
+    return hasRoom(server, step) && meetsRestrictions(server, step, stepKey);
+}
+
+/** Whether a task of the step may run on the server, by what it requires besides room. */
+function meetsRestrictions(server: ServerLoad, step: jobState.Step, stepKey: string): boolean {
+    return (step.maxUnavailable === undefined || !server.mayBeOrderedAway)
         && (step.requiredLabel === undefined || server.labels.includes(step.requiredLabel))
         && (step.maxPerServer === 0 || (server.runCountByStep.get(stepKey) ?? 0) < step.maxPerServer);
 }
@@ -159,6 +189,11 @@
     if (step.longRunning) {
         server.longRunningRunCount += sign;
     }
+    else {
+        server.endingCpu += sign * (step.filler ? 0 : step.demand.cpu);
+        server.endingMemory += sign * step.demand.memory;
+        server.endingAccelerators += sign * step.demand.accelerators;
+    }
     const count = (server.runCountByStep.get(stepKey) ?? 0) + sign;
     if (count > 0) {
         server.runCountByStep.set(stepKey, count);
@@ -181,7 +216,10 @@
     if (!request.step.gang) {
         return placeTasks(request, servers);
     }
-    const room = servers.reduce((sum, server) => sum + countRoom(server, request), 0);
+    const { step, stepKey } = request;
+    const room = servers
+        .filter(server => fits(server, step, stepKey))
+        .reduce((sum, server) => sum + countRoom(server, step, stepKey, describeFreeRoom(server)), 0);
     if (room < request.tasks.length) {
         return [];
     }
@@ -197,22 +235,26 @@
     return [];
 }
 
-/** Number of tasks of the step that the server could take now. */
-function countRoom(server: ServerLoad, { step, stepKey }: PlacementRequest): number {
-    if (!fits(server, step, stepKey)) {
-        return 0;
-    }
+/** Number of tasks of the step that the server could take with this much room, if it may run the step at all. */
+function countRoom(server: ServerLoad, step: jobState.Step, stepKey: string, room: jobState.Demand): number {
     const { cpu, memory, accelerators } = step.demand;
-    return Math.min(
-        step.filler || cpu === 0 ? Number.POSITIVE_INFINITY : Math.floor(server.freeCpu / cpu),
-        memory === 0 ? Number.POSITIVE_INFINITY : Math.floor(server.freeMemory / memory),
-        accelerators === 0 ? Number.POSITIVE_INFINITY : Math.floor(server.freeAccelerators / accelerators),
-        step.maxPerServer === 0
-            ? Number.POSITIVE_INFINITY
-            : step.maxPerServer - (server.runCountByStep.get(stepKey) ?? 0),
+    return Math.max(
+        0,
+        Math.min(
+            step.filler || cpu === 0 ? Number.POSITIVE_INFINITY : Math.floor(room.cpu / cpu),
+            memory === 0 ? Number.POSITIVE_INFINITY : Math.floor(room.memory / memory),
+            accelerators === 0 ? Number.POSITIVE_INFINITY : Math.floor(room.accelerators / accelerators),
+            step.maxPerServer === 0
+                ? Number.POSITIVE_INFINITY
+                : step.maxPerServer - (server.runCountByStep.get(stepKey) ?? 0),
+        ),
     );
 }
 
+function describeFreeRoom({ freeCpu, freeMemory, freeAccelerators }: ServerLoad): jobState.Demand {
+    return { cpu: freeCpu, memory: freeMemory, accelerators: freeAccelerators };
+}
+
 function placeTasks(request: PlacementRequest, servers: readonly ServerLoad[]): Placement[] {
     const placed: Placement[] = [];
     for (const task of request.tasks) {
