Reserve a server for the step that waits first

Found by reading the change again: a count of 16 and a share of a half in place of the cause.

Cause: steps that wait were counted, and the count kept later steps off all busy servers.

Change: no count. The first step of a service that only waits for tasks that end by themselves gets one server reserved, the one that lacks the least; later steps use all others. So large tasks of a burst still start, one after the other, and nothing else waits for them.

--- a/packages/dispatch/src/placer.ts
+++ b/packages/dispatch/src/placer.ts
@@ -9,11 +9,6 @@
 import type * as session from "./server-session.js";
 import type * as ticketCache from "./ticket-cache.js";
 
-/**
- * Steps that wait for room on busy servers after which later ones get only servers of which half is free, so that small
- * tasks don't take each bit of room before there is enough for a large one.
- */
-const maxWaiting = 16;
 /** Time in ms for which a task that starts alone waits for a server on which nothing else is starting. */
 const quietServerWait = 1000;
 
@@ -43,8 +38,8 @@
 
     /**
      * Places the candidates that fit, in the given order, and records the intents. Those that fit nowhere, for whatever
-     * reason and however long, don't keep later ones from being tried; those that only wait for other tasks to end keep
-     * later ones off the busier servers.
+     * reason and however long, don't keep later ones from being tried. The first one that only has to wait for other tasks
+     * to end gets a server reserved: later ones would otherwise take each bit of room before there is enough for it.
      *
      * @param limit number of tasks that may be placed; a gang isn't divided and may exceed it
      */
@@ -57,37 +52,43 @@
         const open = servers.filter(server => server.load.acceptsTasks);
         const byId = new Map(open.map(server => [server.entry.id, server]));
         let loads = open.map(server => server.load);
-        let waiting = 0;
-        let isHeldBack = false;
-        const shortages = new scheduling.Shortages();
+        let reserved: scheduling.ServerLoad | undefined;
+        const shortages = new scheduling.Shortages(scheduling.hasRoom);
+        /** Steps that waiting doesn't help. */
+        const hopeless = new scheduling.Shortages(scheduling.willHaveRoom);
         for (const [i, candidate] of candidates.entries()) {
             const left = limit - planned.length;
-            if (left <= 0 || loads.length === 0) {
+            if (left <= 0) {
                 this.counts.untried += candidates.length - i;
                 break;
             }
             const { active, route, ready } = candidate;
             const step = active.job.steps[ready.step]!;
+            // A gang would need several servers; one that starts alone may wait for a quiet server and not for room.
+            const mayReserve = reserved === undefined && loads.length > 1 && !step.gang && !ready.alone
+                && !hopeless.includes(step);
+            const isShort = shortages.includes(step);
+            if (isShort && !mayReserve) {
+                this.counts.unplaced += 1;
+                continue;
+            }
             const stepKey = runManager.formatStepKey(active.job.id, ready);
             const needsTickets = route.advice !== undefined;
             const permitted = needsTickets
-                ? this.#listPermitted(candidate, stepKey, open).filter(load => !isHeldBack || loads.includes(load))
+                ? this.#listPermitted(candidate, stepKey, open).filter(load => load !== reserved)
                 : loads;
             const tasks = step.gang ? ready.tasks : ready.tasks.slice(0, left);
             const request = { stepKey, step, tasks, avoided: active.avoided, alone: ready.alone };
-            const isShort = shortages.includes(step);
             const placements = isShort
                 ? []
                 : scheduling.placeStep(request, ready.alone ? this.#listQuiet(active, permitted, byId) : permitted);
             if (placements.length === 0) {
                 this.counts.unplaced += 1;
-                if (!isShort) {
-                    shortages.recordUnplaced(step, loads);
-                }
-                if (!isHeldBack && scheduling.waitsForRoom(request, permitted)) {
-                    waiting += 1;
-                    isHeldBack = waiting === maxWaiting;
-                    loads = isHeldBack ? loads.filter(load => isHalfFree(byId.get(load.id)!)) : loads;
+                shortages.recordUnplaced(step, loads);
+                if (mayReserve) {
+                    hopeless.recordUnplaced(step, loads);
+                    reserved = scheduling.chooseReservation(request, permitted);
+                    loads = loads.filter(load => load !== reserved);
                 }
                 continue;
             }
@@ -162,7 +163,3 @@
         return Math.max(...ready.tasks.map(task => this.#nextRun(active, ready.occurrence, task)));
     }
 }
-
-function isHalfFree({ entry, load }: session.ServerSession): boolean {
-    return 2 * load.freeCpu >= entry.cpu && 2 * load.freeMemory >= entry.memory;
-}
--- a/packages/scheduling/src/placing.ts
+++ b/packages/scheduling/src/placing.ts
@@ -101,33 +101,48 @@
 }
 
 /** Whether the server accepts new tasks and has the capacity that one more task of the step needs. */
-function hasRoom(server: ServerLoad, step: jobState.Step): boolean {
+export function hasRoom(server: ServerLoad, step: jobState.Step): boolean {
     return server.acceptsTasks
         && (step.filler || server.freeCpu >= step.demand.cpu)
         && server.freeMemory >= step.demand.memory
         && server.freeAccelerators >= step.demand.accelerators;
 }
 
+/** The same once the tasks on the server that end by themselves have ended. */
+export function willHaveRoom(server: ServerLoad, step: jobState.Step): boolean {
+    return server.acceptsTasks
+        && (step.filler || server.freeCpu + server.endingCpu >= step.demand.cpu)
+        && server.freeMemory + server.endingMemory >= step.demand.memory
+        && server.freeAccelerators + server.endingAccelerators >= step.demand.accelerators;
+}
+
 /**
- * Whether the step is only held up by tasks that end by themselves: once they have ended, a task of it, or all of a gang,
- * has room on servers on which it may run now. Otherwise waiting doesn't help it.
+ * Chooses the server that a task of the step waits for: it will have room once the tasks on it that end by themselves have
+ * ended, and lacks the least now. `undefined` if waiting doesn't help the step.
  */
-export function waitsForRoom({ step, stepKey, tasks }: PlacementRequest, servers: readonly ServerLoad[]): boolean {
-    const required = step.gang ? tasks.length : 1;
-    let room = 0;
+export function chooseReservation(
+    { step, stepKey }: PlacementRequest,
+    servers: readonly ServerLoad[],
+): ServerLoad | undefined {
+    let best: ServerLoad | undefined;
+    let leastLack = Number.POSITIVE_INFINITY;
     for (const server of servers) {
-        if (server.acceptsTasks && meetsRestrictions(server, step, stepKey)) {
-            room += countRoom(server, step, stepKey, {
-                cpu: server.freeCpu + server.endingCpu,
-                memory: server.freeMemory + server.endingMemory,
-                accelerators: server.freeAccelerators + server.endingAccelerators,
-            });
-            if (room >= required) {
-                return true;
-            }
+        const lack = measureLack(server, step);
+        if (lack < leastLack && willHaveRoom(server, step) && meetsRestrictions(server, step, stepKey)) {
+            best = server;
+            leastLack = lack;
         }
     }
-    return false;
+    return best;
+}
+
+/** Largest share of the step's demand that the server lacks now, over processor, memory and accelerators. */
+function measureLack(server: ServerLoad, { demand, filler }: jobState.Step): number {
+    return Math.max(
+        filler ? 0 : 1 - server.freeCpu / Math.max(1, demand.cpu),
+        1 - server.freeMemory / Math.max(1, demand.memory),
+        1 - server.freeAccelerators / Math.max(1, demand.accelerators),
+    );
 }
 
 /** Whether the server has room for one more task of the step, and meets what else the step requires. */
@@ -150,6 +165,9 @@
 export class Shortages {
     readonly #demands: jobState.Demand[] = [];
 
+    /** @param hasRoom whether a server has room for a task of the step: `hasRoom` or `willHaveRoom` */
+    constructor(private readonly hasRoom: (server: ServerLoad, step: jobState.Step) => boolean) {}
+
     /** Whether a task of the step demands as much as one that no server had room for. */
     includes(step: jobState.Step): boolean {
         const { cpu, memory, accelerators } = findRequiredRoom(step);
@@ -158,9 +176,9 @@
         );
     }
 
-    /** Records the demand of a step that wasn't placed, unless a server has room for it and the step may not go there. */
+    /** Records the step's demand if no server has room for it, whether or not the step may run there. */
     recordUnplaced(step: jobState.Step, servers: readonly ServerLoad[]): void {
-        if (!servers.some(server => hasRoom(server, step))) {
+        if (!this.includes(step) && !servers.some(server => this.hasRoom(server, step))) {
             this.#demands.push(findRequiredRoom(step));
         }
     }
@@ -216,10 +234,7 @@
     if (!request.step.gang) {
         return placeTasks(request, servers);
     }
-    const { step, stepKey } = request;
-    const room = servers
-        .filter(server => fits(server, step, stepKey))
-        .reduce((sum, server) => sum + countRoom(server, step, stepKey, describeFreeRoom(server)), 0);
+    const room = servers.reduce((sum, server) => sum + countRoom(server, request), 0);
     if (room < request.tasks.length) {
         return [];
     }
@@ -235,26 +250,22 @@
     return [];
 }
 
-/** Number of tasks of the step that the server could take with this much room, if it may run the step at all. */
-function countRoom(server: ServerLoad, step: jobState.Step, stepKey: string, room: jobState.Demand): number {
+/** Number of tasks of the step that the server could take now. */
+function countRoom(server: ServerLoad, { step, stepKey }: PlacementRequest): number {
+    if (!fits(server, step, stepKey)) {
+        return 0;
+    }
     const { cpu, memory, accelerators } = step.demand;
-    return Math.max(
-        0,
-        Math.min(
-            step.filler || cpu === 0 ? Number.POSITIVE_INFINITY : Math.floor(room.cpu / cpu),
-            memory === 0 ? Number.POSITIVE_INFINITY : Math.floor(room.memory / memory),
-            accelerators === 0 ? Number.POSITIVE_INFINITY : Math.floor(room.accelerators / accelerators),
-            step.maxPerServer === 0
-                ? Number.POSITIVE_INFINITY
-                : step.maxPerServer - (server.runCountByStep.get(stepKey) ?? 0),
-        ),
+    return Math.min(
+        step.filler || cpu === 0 ? Number.POSITIVE_INFINITY : Math.floor(server.freeCpu / cpu),
+        memory === 0 ? Number.POSITIVE_INFINITY : Math.floor(server.freeMemory / memory),
+        accelerators === 0 ? Number.POSITIVE_INFINITY : Math.floor(server.freeAccelerators / accelerators),
+        step.maxPerServer === 0
+            ? Number.POSITIVE_INFINITY
+            : step.maxPerServer - (server.runCountByStep.get(stepKey) ?? 0),
     );
 }
 
-function describeFreeRoom({ freeCpu, freeMemory, freeAccelerators }: ServerLoad): jobState.Demand {
-    return { cpu: freeCpu, memory: freeMemory, accelerators: freeAccelerators };
-}
-
 function placeTasks(request: PlacementRequest, servers: readonly ServerLoad[]): Placement[] {
     const placed: Placement[] = [];
     for (const task of request.tasks) {
