Drop a record of the ledger that the store would refuse

Found by reading the change again: kept the progress of one job from blocking the ledger, and left the same fault for any other record, such as a wave's progress: the coordinator would repeat its append without end.

Change: such a record is dropped, with the line record-unstorable.

Measured: the new test of ledger-writer.test.ts fails with the check off and passes with it.

--- a/packages/dispatch/src/late-appends.test.ts
+++ b/packages/dispatch/src/late-appends.test.ts
@@ -8,7 +8,7 @@
 import * as uvu from "uvu";
 import * as assert from "uvu/assert";
 import * as leaderElection from "./leader-election.js";
-import * as ledgerWriter from "./ledger-writer.js";
+import type * as ledgerWriter from "./ledger-writer.js";
 import * as contextTesting from "./testing/context.js";
 import * as memoryStore from "./testing/memory-store.js";
 import * as randomFaults from "./testing/random-faults.js";
@@ -70,12 +70,7 @@
     }
 
     #coordinate(claim: leaderElection.Claim, store: storeClient.StoreClient): void {
-        const writer = new ledgerWriter.LedgerWriter(
-            store,
-            contextTesting.settings.storeLimits,
-            claim,
-            () => this.#stepDown(),
-        );
+        const writer = contextTesting.createWriter(store, { claim, onFenced: () => this.#stepDown() });
         const startedAt = this.world.time.now;
         this.#writer = writer;
         this.world.terms.push({ epoch: claim.epoch, process: `${this.node} ${this.processStart}` });
--- a/packages/dispatch/src/ledger-writer.test.ts
+++ b/packages/dispatch/src/ledger-writer.test.ts
@@ -7,10 +7,11 @@
 import * as timers from "node:timers/promises";
 import * as uvu from "uvu";
 import * as assert from "uvu/assert";
-import * as ledgerWriter from "./ledger-writer.js";
+import type * as ledgerWriter from "./ledger-writer.js";
+import * as testing from "./testing/context.js";
 
 const suite = uvu.suite("ledger writer");
-const limits: platform.settings.StoreLimits = { appendSize: 100_000, recordSize: 20_000 };
+const limits = testing.settings.storeLimits;
 /** Time in ms after which what isn't stored never will be; a batch takes some ms. */
 const patience = 1000;
 
@@ -44,18 +45,9 @@
     return { id, job, cancelledAt: undefined, progress, storedStatus: undefined };
 }
 
-function createWriter(store: LimitedStore): ledgerWriter.LedgerWriter {
-    return new ledgerWriter.LedgerWriter(
-        store as unknown as storeClient.StoreClient,
-        limits,
-        { epoch: 1, sequence: 0 },
-        () => undefined,
-    );
-}
-
 suite("nothing is stored any more once the changed jobs exceed the size of an append", async () => {
     const store = new LimitedStore();
-    const writer = createWriter(store);
+    const writer = testing.createWriter(store as unknown as storeClient.StoreClient);
     const ids = Array.from({ length: 40 }, (_, i) => i.toString(16).padStart(16, "0"));
     ids.forEach(id => writer.markDirty(createEntry(id, 200)));
     const stored = await Promise.race([writer.flush(), timers.setTimeout(patience, "blocked")]);
@@ -68,18 +60,13 @@
 suite("nothing is stored any more because the progress of one job exceeds the size of a record", async () => {
     const store = new LimitedStore();
     const unstorable: string[] = [];
-    const writer: ledgerWriter.LedgerWriter = new ledgerWriter.LedgerWriter(
-        store as unknown as storeClient.StoreClient,
-        limits,
-        { epoch: 1, sequence: 0 },
-        () => undefined,
-        () => undefined,
-        entry => {
+    const writer: ledgerWriter.LedgerWriter = testing.createWriter(store as unknown as storeClient.StoreClient, {
+        onUnstorable: entry => {
             unstorable.push(entry.id);
             entry.progress!.status = jobState.JobStatus.failed;
             writer.markDirty(entry);
         },
-    );
+    });
     const ids = ["00000000000000aa", "00000000000000bb"];
     writer.markDirty(createEntry(ids[0]!, 1000));
     writer.markDirty(createEntry(ids[1]!, 1));
@@ -92,4 +79,16 @@
     assert.is(store.keys.size, 2);
 });
 
+suite("nothing is stored any more because the progress of one wave exceeds the size of a record", async () => {
+    const store = new LimitedStore();
+    const writer = testing.createWriter(store as unknown as storeClient.StoreClient);
+    const begun = Array.from({ length: 5000 }, (_, i) => `machine-${i}`);
+    writer.add(jobState.encodeWaveProgress(1, { begun, completed: false, seenAt: 0 }));
+    writer.markDirty(createEntry("00000000000000aa", 1));
+    const stored = await Promise.race([writer.flush(), timers.setTimeout(patience, "blocked")]);
+    writer.stop();
+    assert.is(stored, true);
+    assert.is(store.keys.size, 1);
+});
+
 suite.run();
--- a/packages/dispatch/src/ledger-writer.ts
+++ b/packages/dispatch/src/ledger-writer.ts
@@ -3,6 +3,7 @@
  *
  * The store fences a coordinator after a newer one has claimed; from then on nothing more is stored.
  */
+import type * as eventLog from "@catkinwharf/event-log";
 import * as jobState from "@catkinwharf/job-state";
 import type * as platform from "@catkinwharf/platform";
 import * as storeClient from "@catkinwharf/store";
@@ -22,6 +23,19 @@
     readonly statuses: [jobState.JobEntry, jobState.JobStatus][];
 }
 
+export interface LedgerWriterOptions {
+    readonly store: storeClient.StoreClient;
+    readonly storeLimits: platform.settings.StoreLimits;
+    readonly claim: leaderElection.Claim;
+    readonly log: eventLog.EventLog;
+    /** The store has refused an append, as another process has claimed a later epoch. */
+    readonly onFenced: () => void;
+    /** A job got another status in the ledger. */
+    readonly onStatusStored: (entry: jobState.JobEntry) => void;
+    /** The job's progress is larger than a record may be; none of it is stored until the job is settled. */
+    readonly onUnstorable: (entry: jobState.JobEntry) => void;
+}
+
 export class LedgerWriter {
     readonly #dirtyJobs = new Map<string, jobState.JobEntry>();
     readonly #pendingRecords: platform.storeCalls.KeyedRecord[] = [];
@@ -30,16 +44,8 @@
     #stopped = false;
     readonly #appender: epochAppender.EpochAppender;
 
-    constructor(
-        store: storeClient.StoreClient,
-        private readonly limits: platform.settings.StoreLimits,
-        claim: leaderElection.Claim,
-        onFenced: () => void,
-        /** A job got another status in the ledger. */
-        private readonly onStatusStored: (entry: jobState.JobEntry) => void = () => undefined,
-        /** The job's progress is larger than a record may be; none of it is stored until the job is settled. */
-        private readonly onUnstorable: (entry: jobState.JobEntry) => void = () => undefined,
-    ) {
+    constructor(private readonly options: LedgerWriterOptions) {
+        const { store, claim, onFenced } = options;
         this.#appender = new epochAppender.EpochAppender(store, jobState.ledgerTopic, claim, onFenced);
     }
 
@@ -54,7 +60,12 @@
         this.#dirtyJobs.set(entry.id, entry);
     }
 
+    /** Queues a record for the next batch. One that is larger than a record may be is dropped: it would block all others. */
     add(record: platform.storeCalls.KeyedRecord): void {
+        if (!storeClient.isStorable(record, this.options.storeLimits)) {
+            this.options.log.warn("record-unstorable", { key: record.key, size: record.value.length });
+            return;
+        }
         this.#pendingRecords.push(record);
         this.#startWriting();
     }
@@ -105,12 +116,12 @@
         const changed = entry.storedStatus !== status;
         entry.storedStatus = status;
         if (changed) {
-            this.onStatusStored(entry);
+            this.options.onStatusStored(entry);
         }
     }
 
     #takeBatch(): Batch {
-        const batch = new storeClient.RecordBatch(this.limits);
+        const batch = new storeClient.RecordBatch(this.options.storeLimits);
         const statuses: Batch["statuses"] = [];
         const unstorable: jobState.JobEntry[] = [];
         const left = this.#pendingRecords.findIndex(record => !batch.add(record));
@@ -133,7 +144,7 @@
             }
             this.#dirtyJobs.delete(id);
         }
-        unstorable.forEach(entry => this.onUnstorable(entry));
+        unstorable.forEach(entry => this.options.onUnstorable(entry));
         return { records: batch.records, statuses };
     }
 
@@ -146,7 +157,7 @@
         progress: jobState.Progress,
     ): platform.storeCalls.KeyedRecord | undefined {
         const record = jobState.encodeProgress(entry.id, progress);
-        if (storeClient.isStorable(record, this.limits)) {
+        if (storeClient.isStorable(record, this.options.storeLimits)) {
             return record;
         }
         return jobState.isSettled(progress.status)
--- a/packages/dispatch/src/testing/context.ts
+++ b/packages/dispatch/src/testing/context.ts
@@ -48,7 +48,7 @@
         log: eventLog.silentEventLog,
         calls,
         serverCalls: calls,
-        writer: new ledgerWriter.LedgerWriter(store, settings.storeLimits, claim, () => undefined),
+        writer: createWriter(store, { claim }),
         jobs: new jobState.JobTable(),
         configuration: () => undefined,
         stepDown: () => undefined,
@@ -56,3 +56,20 @@
         schedulePass: () => undefined,
     };
 }
+
+/** Writer to the ledger, of epoch 1 unless stated, whose events nobody handles unless stated. */
+export function createWriter(
+    store: storeClient.StoreClient,
+    overrides: Partial<ledgerWriter.LedgerWriterOptions> = {},
+): ledgerWriter.LedgerWriter {
+    return new ledgerWriter.LedgerWriter({
+        store,
+        storeLimits: settings.storeLimits,
+        claim: { epoch: 1, sequence: 0 },
+        log: eventLog.silentEventLog,
+        onFenced: () => undefined,
+        onStatusStored: () => undefined,
+        onUnstorable: () => undefined,
+        ...overrides,
+    });
+}
