Draw faults of parts of the store, throttled processes and coordinators cut off from servers

The store may be down partly, and a process may be slow rather than stopped; the first soak had neither.

--- a/packages/job-soak/src/bin/job-soak.ts
+++ b/packages/job-soak/src/bin/job-soak.ts
@@ -16,6 +16,9 @@
     processes = clipanion.Option.String("--processes", "5", { description: "Number of entry processes." });
     machines = clipanion.Option.String("--machines", "6", { description: "Machines of each of the two services." });
     rate = clipanion.Option.String("--rate", "8", { description: "Mean number of jobs per second." });
+    interval = clipanion.Option.String("--interval", "700", {
+        description: "Mean time in ms between the beginnings of two faults.",
+    });
     only = clipanion.Option.String("--only", "", { description: "Names of faults to draw from, separated by commas." });
     program = clipanion.Option.String("--program", { description: "Program of the entry processes." });
     logs = clipanion.Option.String("--logs", { description: "Folder for the logs of the processes." });
@@ -31,6 +34,7 @@
                 processes: Number(this.processes),
                 machinesPerService: Number(this.machines),
                 rate: Number(this.rate),
+                faultInterval: Number(this.interval),
                 faultNames: this.only === "" ? undefined : this.only.split(","),
                 program: this.program === undefined ? undefined : path.resolve(this.program),
                 logFolder: this.logs === undefined ? undefined : path.join(this.logs, String(seed)),
--- a/packages/job-soak/src/faults.ts
+++ b/packages/job-soak/src/faults.ts
@@ -2,8 +2,10 @@
  * Faults that a soak injects. Each function begins one and returns how to end it.
  */
 import * as bench from "@catkinwharf/bench";
+import * as jobState from "@catkinwharf/job-state";
 import * as platformStandIns from "@catkinwharf/platform-stand-ins";
 import * as timers from "node:timers/promises";
+import type * as judgement from "./judgement.js";
 
 /** A fault that has begun. */
 export interface ActiveFault {
@@ -28,6 +30,7 @@
 
 /** A fault of a share of the calls that one process sends to the store. */
 interface CallFault {
+    readonly scope: CallScope;
     readonly fault: platformStandIns.StoreFault;
     readonly share: number;
     /** In ms, of late and slow calls. */
@@ -35,6 +38,22 @@
     readonly maxDelay: number;
 }
 
+interface CallScope {
+    readonly name: string;
+    readonly includes: (call: platformStandIns.StoreCall) => boolean;
+}
+
+/** Calls to the store that a fault may affect. */
+const callScopes: readonly CallScope[] = [
+    { name: "calls", includes: () => true },
+    { name: "calls", includes: () => true },
+    { name: "appends", includes: call => call.isAppend },
+    { name: "reads", includes: call => !call.isAppend },
+    { name: "calls to the ledger", includes: call => call.topic === jobState.ledgerTopic },
+    { name: "appends to the ledger", includes: call => call.isAppend && call.topic === jobState.ledgerTopic },
+    { name: "calls to the submissions", includes: call => call.topic === jobState.submissionsTopic },
+];
+
 /** The store as one process reaches it, with all faults that are in force there. */
 export class FaultyFront {
     readonly front: platformStandIns.StoreFront;
@@ -42,9 +61,9 @@
 
     constructor(store: platformStandIns.StoreStandIn, random: bench.RandomSource) {
         this.front = new platformStandIns.StoreFront(store);
-        this.front.findFault = () => {
-            for (const { fault, share, minDelay, maxDelay } of this.#faults) {
-                if (random.next() < share) {
+        this.front.findFault = call => {
+            for (const { fault, scope, share, minDelay, maxDelay } of this.#faults) {
+                if (scope.includes(call) && random.next() < share) {
                     return { fault, delay: minDelay + random.next() * (maxDelay - minDelay) };
                 }
             }
@@ -61,6 +80,9 @@
     }
 }
 
+/** Time in ms in which a throttled process runs once. */
+const throttlePeriod = 50;
+
 function draw(random: bench.RandomSource, min: number, max: number): number {
     return Math.round(min + random.next() * (max - min));
 }
@@ -125,6 +147,31 @@
     });
 }
 
+/** Pauses a process again and again, as if it had a fraction of a core. */
+function throttle(context: FaultContext): Promise<ActiveFault | undefined> {
+    const node = pickProcess(context);
+    if (node?.child === undefined) {
+        return Promise.resolve(undefined);
+    }
+    const { child } = node;
+    context.disturbed.add(node.name);
+    const share = 0.02 + 0.3 * context.random.next();
+    const timer = setInterval(() => {
+        child.kill("SIGSTOP");
+        setTimeout(() => child.kill("SIGCONT"), throttlePeriod * (1 - share));
+    }, throttlePeriod);
+    return Promise.resolve({
+        subject: `${node.name}, runs ${Math.round(100 * share)} % of the time`,
+        duration: draw(context.random, 1000, 8000),
+        end: async () => {
+            clearInterval(timer);
+            await timers.setTimeout(throttlePeriod);
+            child.kill("SIGCONT");
+            context.disturbed.delete(node.name);
+        },
+    });
+}
+
 function restart(context: FaultContext): Promise<ActiveFault | undefined> {
     const { deployment, disturbed } = context;
     const node = pickProcess(context);
@@ -153,12 +200,13 @@
         const [minShare, maxShare] = range.share;
         const [minDelay, maxDelay] = range.delay ?? [0, 0];
         const share = minShare + random.next() * (maxShare - minShare);
-        const callFault = { fault, share, minDelay, maxDelay: minDelay + random.next() * (maxDelay - minDelay) };
+        const scope = random.pick(callScopes);
+        const callFault = { fault, scope, share, minDelay, maxDelay: minDelay + random.next() * (maxDelay - minDelay) };
         const affected = random.next() < 0.5 ? 1 : 0.2 + 0.6 * random.next();
         const chosen = [...fronts].filter(() => random.next() < affected);
         chosen.forEach(([, front]) => front.add(callFault));
         return Promise.resolve({
-            subject: `${chosen.map(([name]) => name).join(", ")}, ${Math.round(100 * share)} % of the calls`,
+            subject: `${chosen.map(([name]) => name).join(", ")}, ${Math.round(100 * share)} % of the ${scope.name}`,
             duration: draw(random, 300, 6000),
             end: () => chosen.forEach(([, front]) => front.remove(callFault)),
         });
@@ -234,6 +282,41 @@
     });
 }
 
+/** Cuts a coordinator off from some of the servers, also in later terms. */
+function cutFromServers(context: FaultContext): Promise<ActiveFault | undefined> {
+    const { deployment, random } = context;
+    const node = deployment.findCoordinator();
+    if (node === undefined) {
+        return Promise.resolve(undefined);
+    }
+    const share = 0.3 + 0.7 * random.next();
+    const servers = [...deployment.machines.machines.values()].flatMap(machine => machine.server ?? [])
+        .filter(() => random.next() < share);
+    for (const server of servers) {
+        server.isCutOff = token => listTerms([node], "claimed").some(term => term.epoch === token);
+    }
+    return Promise.resolve({
+        subject: `${node.name} from ${servers.length} servers`,
+        duration: draw(random, 500, 9000),
+        end: () => {
+            for (const server of servers) {
+                server.isCutOff = () => false;
+            }
+        },
+    });
+}
+
+/** Terms that the processes have claimed, or in which they began to coordinate, by their logs. */
+export function listTerms(
+    nodes: readonly platformStandIns.EntryProcess[],
+    event: "claimed" | "coordinating",
+): judgement.Term[] {
+    return nodes.flatMap(({ name, lines }) =>
+        lines.filter(line => line.includes('"event":"claimed"'))
+            .map(line => ({ node: name, epoch: (JSON.parse(line) as { readonly epoch: number; }).epoch }))
+    );
+}
+
 function changeConfiguration({ deployment }: FaultContext): Promise<ActiveFault> {
     deployment.publishConfiguration();
     return Promise.resolve({ subject: "configuration", duration: 0, end: () => undefined });
@@ -266,6 +349,7 @@
     "kill-in-series": killInSeries,
     "kill-all": killAll,
     pause,
+    throttle,
     restart,
     "store-refuses": createStoreFault(StoreFault.refused, { share: [0.3, 1] }),
     "store-unreachable": createStoreFault(StoreFault.unreachable, { share: [1, 1] }),
@@ -279,6 +363,7 @@
     "server-reboot": rebootServer,
     "server-silent": silenceServer,
     "server-late-orders": delayOrders,
+    "servers-cut": cutFromServers,
     "configuration": changeConfiguration,
     "wave": startWave,
 };
--- a/packages/job-soak/src/soak.ts
+++ b/packages/job-soak/src/soak.ts
@@ -18,8 +18,6 @@
 ];
 /** Bounds of the users' smaller deployments; named as in the settings file. */
 const bounds = { GraceS: 2, HoldMaxMs: 6000, LeaseMs: 3000, StopMs: 200, ConfigApplyMs: 2000, status_s: 120 };
-/** Mean time in ms between the beginnings of two faults, so that several are in force at once. */
-const meanFaultInterval = 800;
 /** Time in ms without faults before the first one, and after the last. */
 const calmBefore = 2000;
 const calmAfter = 4000;
@@ -32,6 +30,8 @@
     readonly machinesPerService: number;
     /** Mean number of jobs per second. */
     readonly rate: number;
+    /** Mean time in ms between the beginnings of two faults. */
+    readonly faultInterval: number;
     /** Names of the faults to draw from; all unless given. */
     readonly faultNames: readonly string[] | undefined;
     /** Program of the entry processes, of this version unless given. */
@@ -57,11 +57,11 @@
     readonly seed: number;
 }
 
-function planFaults({ seed, duration, faultNames }: SoakOptions): PlannedFault[] {
+function planFaults({ seed, duration, faultInterval, faultNames }: SoakOptions): PlannedFault[] {
     const random = new bench.RandomSource(seed);
     const names = faultNames ?? Object.keys(faults.faults);
     const planned: PlannedFault[] = [];
-    for (let at = 0; at < duration; at += random.nextExponential(meanFaultInterval)) {
+    for (let at = 0; at < duration; at += random.nextExponential(faultInterval)) {
         planned.push({ at, name: random.pick(names), seed: random.nextBelow(2 ** 31) });
     }
     return planned;
@@ -98,7 +98,7 @@
         await timers.setTimeout(calmAfter);
         callers.stop();
         await loading;
-        const terms = listTerms(deployment);
+        const terms = faults.listTerms(deployment.processes, "coordinating");
         return {
             duplicateRuns: judgement.findDuplicateRuns(deployment.machines.history, terms),
             concurrentCoordinators: judgement.findConcurrentCoordinators(deployment.machines.orders, terms),
@@ -148,13 +148,6 @@
     return count;
 }
 
-function listTerms(deployment: platformStandIns.StandInDeployment): judgement.Term[] {
-    return deployment.processes.flatMap(({ name, lines }) =>
-        lines.filter(line => line.includes('"event":"coordinating"'))
-            .map(line => ({ node: name, epoch: (JSON.parse(line) as { readonly epoch: number; }).epoch }))
-    );
-}
-
 function writeLogs(folder: string | undefined, deployment: platformStandIns.StandInDeployment): void {
     if (folder === undefined) {
         return;
