--- a/packages/job-soak/src/faults.ts
+++ b/packages/job-soak/src/faults.ts
@@ -312,7 +312,7 @@
     event: "claimed" | "coordinating",
 ): judgement.Term[] {
     return nodes.flatMap(({ name, lines }) =>
-        lines.filter(line => line.includes('"event":"claimed"'))
+        lines.filter(line => line.includes(`"event":"${event}"`))
             .map(line => ({ node: name, epoch: (JSON.parse(line) as { readonly epoch: number; }).epoch }))
     );
 }
