Acknowledge no ends once a response shows the clock of a later boot

A server restarted under its ID 58 ms before a start reached it; the task was done after 126 ms, and the coordinator then acknowledged end 52 of the boot before. The new boot took that for its own ends 1 and 2 and forgot them; the run counted as lost and started again.

Cause: calls name the server, not the boot, and the response to a start, whose clock reading had begun anew, was read as one of the known boot (state of one boot applied to the next). It also set the run's start on the wrong clock, so the run counted as outlasted.

Change: a reading below the latest one known when the order was sent is another boot's. From then on nothing is acknowledged until a list that was requested later tells which boot it is. Test seen failing: the second renewal acknowledged 3 instead of 0.

Not covered: an acknowledgement that is sent before any response shows the new boot.

--- a/packages/dispatch/src/fleet.ts
+++ b/packages/dispatch/src/fleet.ts
@@ -329,7 +329,7 @@
         const { ends } = server;
         // A server that didn't respond may have rebooted, and one that does may reboot before it receives this call. It
         // would take a number of the boot before for one of its own ends, so none is sent without need.
-        const acknowledgedEnd = server.reachable && ends.lastStored > ends.lastAcknowledged ? ends.lastStored : 0;
+        const acknowledgedEnd = server.mayAcknowledge && ends.lastStored > ends.lastAcknowledged ? ends.lastStored : 0;
         const call = platform.serverCalls.createLeaseRenewalCall(server.entry.id, {
             fencingToken: epoch,
             acknowledgedEnd,
@@ -414,7 +414,7 @@
         }
         this.#recordAcknowledgement(server, sent);
         const now = this.shared.clock.monotonic();
-        server.recordList(answer.clock, now, this.shared.settings.bounds.stop);
+        server.recordList(answer.clock, now, this.shared.settings.bounds.stop, sent.sentAt);
         if (!server.reachable) {
             server.reachable = true;
             this.#lapsedRuns.delete(server.entry.id); // The server is up in the boot under which they lapsed.
--- a/packages/dispatch/src/run-manager.ts
+++ b/packages/dispatch/src/run-manager.ts
@@ -215,6 +215,7 @@
         server.latestLeaseEnd = Math.max(server.latestLeaseEnd, leaseEnd);
         run.phase = session.RunPhase.ordered;
         run.startSentAt = now;
+        const { lastClock } = server;
         this.#reserveStart(server, run);
         const call = platform.serverCalls.createStartCall(server.entry.id, {
             task: { jobId: run.entry.id, ...run.position },
@@ -248,7 +249,7 @@
             await this.#resolveUnansweredStart(server, run, call);
             return;
         }
-        this.#handleStartAnswer(server, run, platform.serverCalls.decodeOrderResult(answer.value));
+        this.#handleStartAnswer(server, run, platform.serverCalls.decodeOrderResult(answer.value), lastClock);
     }
 
     /**
@@ -268,6 +269,7 @@
             if (!isUncertain() || !mayStart(server, run)) {
                 break;
             }
+            const { lastClock } = server;
             const answer = await shared.serverCalls.send(server.entry.address, call, context.serverCallTimeout);
             if (answer.isErr() || !isUncertain()) {
                 continue;
@@ -277,7 +279,7 @@
                 continue; // An earlier attempt may have been carried out.
             }
             if (decoded.kind === "done") {
-                this.#handleStartAnswer(server, run, decoded);
+                this.#handleStartAnswer(server, run, decoded, lastClock);
                 return;
             }
             if (context.stepDownIfFenced(shared, server.entry.id, decoded)) {
@@ -305,16 +307,19 @@
         this.options.shared.writer.addToNextBatch(entry);
     }
 
+    /** @param lastClock latest reading of the server's clock when the start was sent */
     #handleStartAnswer(
         server: session.ServerSession,
         run: session.ActiveRun,
         answer: platform.serverCalls.OrderResult,
+        lastClock: number,
     ): void {
         const { shared } = this.options;
         if (answer.kind === "done") {
             this.#recordBegun(run.entry);
-            server.lastClock = Math.max(server.lastClock, answer.clock ?? 0);
-            run.startClock ??= answer.clock;
+            if (answer.clock !== undefined && server.recordClock(answer.clock, lastClock, shared.clock.monotonic())) {
+                run.startClock ??= answer.clock;
+            }
             run.expectedInListsFrom ??= shared.clock.monotonic();
             if (run.phase === session.RunPhase.ordered || run.phase === session.RunPhase.uncertain) {
                 run.phase = session.RunPhase.running;
--- a/packages/dispatch/src/server-boots.test.ts
+++ b/packages/dispatch/src/server-boots.test.ts
@@ -12,6 +12,14 @@
 const maxLease = 10_000;
 const ignore = () => undefined;
 
+const registration = {
+    Service: "dispatch",
+    Address: "127.0.0.1:1",
+    State: "ready",
+    Capacity: { Cpu: 4000, MemMb: 1000 },
+    born: 7,
+};
+
 interface Response {
     readonly ClockMs: number;
     readonly born: number;
@@ -41,13 +49,6 @@
         onRebooted,
         onRunsLost: ignore,
     });
-    const registration = {
-        Service: "dispatch",
-        Address: "127.0.0.1:1",
-        State: "ready",
-        Capacity: { Cpu: 4000, MemMb: 1000 },
-        born: 7,
-    };
     created.applyRecord(
         { key: "i-1", value: Buffer.from(JSON.stringify(registration)) } as platform.storeCalls.KeyedRecord,
     );
@@ -99,4 +100,72 @@
     assert.equal([...server.runs.keys()], ["ordered", "stopping"]);
 });
 
+suite("ends of a new boot are acknowledged unread although a start's response shows its clock", async () => {
+    const acknowledged: (number | undefined)[] = [];
+    const end = [3, "a.0.0.0", 1, "done", ""];
+    const lists = [
+        { ClockMs: 90_000, born: 7, Running: [], Finished: [end] },
+        { ClockMs: 90, born: 8, Running: [], Finished: [[1, "b.0.0.0", 1, "done", ""]] },
+    ];
+    const shared = {
+        termStartedAt: 0,
+        epoch: 1,
+        settings: { bounds: { maxLease } },
+        clock: { monotonic: () => performance.now(), wall: () => Date.now() },
+        log: { info: ignore, warn: ignore },
+        schedulePass: ignore,
+        lateness: () => 0,
+        jobs: { entries: new Map() },
+        writer: {
+            markDirty: ignore,
+            addToNextBatch: ignore,
+            flush: async () => {
+                await runs.start(server, run);
+                return true;
+            },
+        },
+        serverCalls: {
+            send: (_address: string, call: platform.Call) => {
+                const order = JSON.parse(Buffer.from(call.body!).toString()) as { readonly AckCursor?: number; };
+                if (call.path.endsWith("hold")) {
+                    acknowledged.push(order.AckCursor);
+                }
+                const response = call.path.endsWith("hold") ? lists.shift() : { ClockMs: 40 };
+                return response === undefined
+                    ? new Promise(() => {})
+                    : Promise.resolve(neverthrow.ok({ status: 200, body: Buffer.from(JSON.stringify(response)) }));
+            },
+        },
+    } as unknown as context.CoordinatorContext;
+    const runs = new runManager.RunManager({
+        shared,
+        registry: { active: new Map() },
+        onStartAnswered: ignore,
+    } as unknown as runManager.RunManagerOptions);
+    const created = new fleet.Fleet(shared, {
+        onLists: (one, answer, sentAt) => runs.applyLists(one, answer, sentAt),
+        onCrash: ignore,
+        onRebooted: one => runs.endEarlierBoot(one),
+        onRunsLost: ignore,
+    });
+    created.applyRecord({ key: "i-1", value: Buffer.from(JSON.stringify(registration)) });
+    const server = created.sessions.get("i-1")!;
+    const run = {
+        name: "b.0.0.0/1",
+        runNumber: 1,
+        phase: session.RunPhase.planned,
+        step: { demand: { cpu: 1, memory: 1, accelerators: 0 } },
+        entry: { id: "b", job: { payload: "" }, progress: undefined },
+        position: { occurrence: 0, step: 0, index: 0 },
+        bootId: "i-1@7",
+        checkpoint: "",
+    } as unknown as session.ActiveRun;
+    server.runs.set(run.name, run);
+    created.start();
+    await new Promise(resolve => setTimeout(resolve, 30));
+    created.stop();
+    assert.is(server.bootedAt, 8);
+    assert.equal(acknowledged.slice(0, 2).map(number => number ?? 0), [0, 0]);
+});
+
 suite.run();
--- a/packages/dispatch/src/server-session.ts
+++ b/packages/dispatch/src/server-session.ts
@@ -111,6 +111,11 @@
      * server's first list, since when it refuses their orders.
      */
     #earlierOrdersDoneAt: number | undefined;
+    /**
+     * On the monotonic clock: when a response was read that another boot than the known one gave; `undefined` if no list has
+     * to tell which.
+     */
+    #anotherBootSeenAt: number | undefined;
     /** Latest lease end ever sent to the server, on the server's clock. */
     latestLeaseEnd = 0;
     /**
@@ -228,8 +233,12 @@
      * @param clock reading of the server's clock
      * @param now on the monotonic clock
      * @param stopTime longest time in ms from an order to stop a run until it has ended
+     * @param sentAt on the monotonic clock: when the list was requested
      */
-    recordList(clock: number, now: number, stopTime: number): void {
+    recordList(clock: number, now: number, stopTime: number, sentAt = now): void {
+        if (this.#anotherBootSeenAt !== undefined && sentAt >= this.#anotherBootSeenAt) {
+            this.#anotherBootSeenAt = undefined;
+        }
         this.clockSample = { server: clock, received: now };
         this.lastClock = Math.max(this.lastClock, clock);
         this.lastAnswerAt = now;
@@ -237,6 +246,27 @@
         this.#earlierOrdersDoneAt ??= clock + stopTime;
     }
 
+    /**
+     * Records the reading of the server's clock in a response to an order.
+     *
+     * @param earliest `lastClock` when the order was sent; a lower reading is of a later boot, whose clock began anew
+     * @param now on the monotonic clock
+     * @returns whether the known boot gave the response
+     */
+    recordClock(clock: number, earliest: number, now: number): boolean {
+        if (clock < earliest) {
+            this.#anotherBootSeenAt = now;
+            return false;
+        }
+        this.lastClock = Math.max(this.lastClock, clock);
+        return true;
+    }
+
+    /** Whether ends of the known boot may be acknowledged; another boot would take their numbers for its own ends'. */
+    get mayAcknowledge(): boolean {
+        return this.reachable && this.#anotherBootSeenAt === undefined;
+    }
+
     /** Forgets what belongs to the boot before, but for the runs and `lastClock`, by which these are judged. */
     recordReboot(): void {
         this.clockSample = undefined;
