Measure how long a job has been settled on the monotonic clock

Callers saw settled jobs answered with 410 seconds after their end, and a submission of one that came again was taken for a new job, so that all its tasks ran a second time although their ends had been acknowledged.

Cause: the sweeper compared the coordinator's time of day with the time in the progress, which is by the clock of whichever process settled the job.

Not seen with real processes.

The sweeper now counts from when it first saw the job settled, on the monotonic clock. A successor counts anew, so a job is kept for longer after a takeover, never for shorter. JobTable.listSettledBefore became listSettled: its test now says that a job without progress and a running one aren't listed and a settled one is. The sweeper's other tests make their job due by advancing the clock; what they assert is unchanged.

--- a/packages/dispatch/src/job-sweeper.test.ts
+++ b/packages/dispatch/src/job-sweeper.test.ts
@@ -15,26 +15,45 @@
 /** Time in ms for the appends, and one in which an append without an answer is repeated. */
 const settlingTime = 100;
 const repeatTime = 1500;
+/** Time in ms after which a settled job may be removed. */
+const retention = 1.5 * testing.settings.bounds.status;
 
-/** A store with a settled job, and the sweeper of a coordinator that knows it. */
-function createSweeper(topics: memoryStore.MemoryLog): jobSweeper.JobSweeper {
+interface TestClock {
+    monotonic: number;
+    wall: number;
+}
+
+/** A store with a settled job, and the sweeper of a coordinator that knows it; the clocks stand still. */
+function createSweeper(topics: memoryStore.MemoryLog, clock: TestClock): jobSweeper.JobSweeper {
     const progress = jobState.createProgress(0);
     progress.status = jobState.JobStatus.completed;
     topics.append(jobState.submissionsTopic, [jobState.encodeJob(job)]);
     topics.append(jobState.ledgerTopic, [jobState.encodeProgress(job.id, progress)]);
     const store = new memoryStore.MemoryStore(topics, new virtualTime.VirtualTime(), () => true);
-    const shared = testing.createContext(new httpCalls.HttpClient(), store, () => Date.now());
+    const shared = {
+        ...testing.createContext(new httpCalls.HttpClient(), store, () => 0),
+        clock: { monotonic: () => clock.monotonic, wall: () => clock.wall },
+    };
     const { key, value } = jobState.encodeJob(job);
     shared.jobs.applySubmission(key, value);
     shared.jobs.applyProgress(job.id, progress);
     return new jobSweeper.JobSweeper(shared, store);
 }
 
+/** The same, when the job is due to be removed by the next sweep. */
+async function createDueSweeper(topics: memoryStore.MemoryLog): Promise<jobSweeper.JobSweeper> {
+    const clock = { monotonic: 0, wall: 0 };
+    const sweeper = createSweeper(topics, clock);
+    await sweeper.sweep();
+    clock.monotonic = clock.wall = retention;
+    return sweeper;
+}
+
 suite(
     "a completed job runs again under the next coordinator, as the removal of its submission got no answer",
     async () => {
         const topics = new memoryStore.MemoryLog();
-        const sweeper = createSweeper(topics);
+        const sweeper = await createDueSweeper(topics);
         topics.holdsAppend = ({ topic }) => topic === jobState.submissionsTopic;
         void sweeper.sweep();
         await timers.setTimeout(settlingTime);
@@ -48,7 +67,7 @@
     "a job is removed that was submitted after an earlier one of its ID, as a removal is carried out late",
     async () => {
         const topics = new memoryStore.MemoryLog();
-        const sweeper = createSweeper(topics);
+        const sweeper = await createDueSweeper(topics);
         let carryOut: (() => void) | undefined;
         topics.holdsAppend = ({ topic }, carryOutLate) => {
             const isHeld = topic === jobState.submissionsTopic && carryOut === undefined;
@@ -67,4 +86,33 @@
     },
 );
 
+suite("jobs that have just ended are removed, as the coordinator's time of day jumps ahead", async () => {
+    const topics = new memoryStore.MemoryLog();
+    const clock = { monotonic: 0, wall: 0 };
+    const sweeper = createSweeper(topics, clock);
+    await sweeper.sweep();
+    clock.monotonic += 5000;
+    clock.wall += 2_400_000;
+    await sweeper.sweep();
+    assert.is(topics.listNewest(jobState.submissionsTopic).length, 1);
+    clock.monotonic = retention - 1;
+    await sweeper.sweep();
+    assert.is(topics.listNewest(jobState.submissionsTopic).length, 1);
+    clock.monotonic = retention;
+    await sweeper.sweep();
+    sweeper.stop();
+    assert.is(topics.listNewest(jobState.submissionsTopic).length, 0);
+});
+
+suite(
+    "jobs that have just ended are removed, as a coordinator whose time of day was behind had settled them",
+    async () => {
+        const topics = new memoryStore.MemoryLog();
+        const sweeper = createSweeper(topics, { monotonic: 0, wall: 2_400_000 });
+        await sweeper.sweep();
+        sweeper.stop();
+        assert.is(topics.listNewest(jobState.submissionsTopic).length, 1);
+    },
+);
+
 suite.run();
--- a/packages/dispatch/src/job-sweeper.ts
+++ b/packages/dispatch/src/job-sweeper.ts
@@ -2,7 +2,9 @@
  * Removes settled jobs from memory and from the store once their status no longer has to be reported to callers.
  *
  * A job's submission is removed before its progress: a submission without progress is a new job to the next coordinator,
- * which would run it again.
+ * which would run it again. How long a job has been settled is measured on the monotonic clock, from when this
+ * coordinator first saw it so: the time in its progress is by the clock of a process whose time of day may have been
+ * wrong, and a request that comes again after the removal is a new job.
  */
 import * as jobState from "@catkinwharf/job-state";
 import type * as storeClient from "@catkinwharf/store";
@@ -17,6 +19,8 @@
 export class JobSweeper {
     readonly #appender: epochAppender.EpochAppender;
     #sweeping = false;
+    /** On the monotonic clock: when each settled job was first seen so, by its ID. */
+    #seenSettledAt: ReadonlyMap<string, number> = new Map();
 
     constructor(private readonly shared: context.CoordinatorContext, store: storeClient.StoreClient) {
         this.#appender = new epochAppender.EpochAppender(
@@ -38,7 +42,11 @@
         }
         this.#sweeping = true;
         const { jobs, settings, clock, log, writer } = this.shared;
-        const due = jobs.listSettledBefore(clock.wall() - retentionFactor * settings.bounds.status);
+        const now = clock.monotonic();
+        this.#seenSettledAt = new Map(jobs.listSettled().map(id => [id, this.#seenSettledAt.get(id) ?? now]));
+        const due = [...this.#seenSettledAt]
+            .filter(([, seenAt]) => now - seenAt >= retentionFactor * settings.bounds.status)
+            .map(([id]) => id);
         for (let i = 0; i < due.length; i += maxJobsPerAppend) {
             const ids = due.slice(i, i + maxJobsPerAppend);
             if (!await this.#appender.append(ids.flatMap(id => jobState.encodeJobTombstones(id)))) {
--- a/packages/job-state/src/job-table.ts
+++ b/packages/job-state/src/job-table.ts
@@ -108,10 +108,10 @@
         return { pending, begunWithoutResult };
     }
 
-    /** IDs of the jobs that were settled before `limit`, Unix time in ms. */
-    listSettledBefore(limit: number): string[] {
+    /** IDs of the settled jobs. */
+    listSettled(): string[] {
         return [...this.entries.values()].filter(({ progress: current }) =>
-            current !== undefined && progress.isSettled(current.status) && current.statusAt < limit
+            current !== undefined && progress.isSettled(current.status)
         ).map(({ id }) => id);
     }
 
--- a/packages/job-state/src/records.test.ts
+++ b/packages/job-state/src/records.test.ts
@@ -139,17 +139,19 @@
     assert.equal(table.countUnfinished("other"), { pending: 0, begunWithoutResult: 0 });
 });
 
-suite("jobs settled before the limit are listed, and those whose tombstones a table reads are dropped", () => {
+suite("settled jobs are listed, and those whose tombstones a table reads are dropped", () => {
     const table = new jobState.JobTable();
     const record = jobState.encodeJob(job);
     table.applySubmission(record.key, record.value);
+    assert.equal(table.listSettled(), []);
     const progress = jobState.createProgress(100);
-    progress.status = jobState.JobStatus.completed;
+    progress.status = jobState.JobStatus.running;
     table.applyProgress(job.id, progress);
-    assert.equal(table.listSettledBefore(100), []);
+    assert.equal(table.listSettled(), []);
+    progress.status = jobState.JobStatus.completed;
+    assert.equal(table.listSettled(), [job.id]);
     const reader = new jobState.JobTable();
     reader.applySubmission(record.key, record.value);
-    assert.equal(table.listSettledBefore(101), [job.id]);
     for (const tombstone of jobState.encodeJobTombstones(job.id)) {
         reader.applySubmission(tombstone.key, tombstone.value);
     }
