Forget jobs whose removal expired before it was read

A process that missed the removal of settled jobs ran them again once it coordinated: all their tasks started a second time, after ends that had been acknowledged.

Cause: when records that a follower hasn't read have expired, it reads the newest record of each key. The submissions were applied on top of what the process knew, so a removed job, which has no newest record, stayed. The ledger's reload, which the same outage causes, cleared its progress. A job without progress is a new one.

Not seen with real processes.

The follower now tells its owner the keys of the newest records, and the job table drops the jobs that it had read and that aren't among them. A job that this process has only stored itself isn't dropped: its record may be newer than the pages.

--- a/packages/intake/src/submission-writer.ts
+++ b/packages/intake/src/submission-writer.ts
@@ -104,7 +104,7 @@
 
     /** Applies the record at once, so that this process knows of it before it reads it from the topic. */
     #resolveStored(write: PendingWrite): void {
-        this.options.jobs.applySubmission(write.record.key, write.record.value);
+        this.options.jobs.applySubmission(write.record.key, write.record.value, false);
         write.resolve(WriteOutcome.stored);
     }
 
--- a/packages/job-state/src/job-table.ts
+++ b/packages/job-state/src/job-table.ts
@@ -36,12 +36,18 @@
     onJobOrCancellation: JobListener = () => undefined;
     /** Number of records of the submissions topic that couldn't be decoded. */
     unreadableCount = 0;
+    /** IDs of the jobs whose records were read from the topic. */
+    readonly #readJobs = new Set<string>();
 
-    /** Applies a record of the submissions topic. Of several records of a job, or cancellations, the first wins. */
-    applySubmission(key: string, value: Uint8Array): void {
+    /**
+     * Applies a record of the submissions topic. Of several records of a job, or cancellations, the first wins.
+     *
+     * @param isRead whether it was read from the topic; this process may also know that it has just stored the record
+     */
+    applySubmission(key: string, value: Uint8Array, isRead = true): void {
         const deletedJob = records.decodeJobTombstone(key, value);
         if (deletedJob !== undefined) {
-            this.entries.delete(deletedJob);
+            this.#remove(deletedJob);
             return;
         }
         if (value.length === 0) {
@@ -55,6 +61,9 @@
         if (record.kind === "job") {
             const entry = this.#getOrCreate(record.job.id);
             entry.job ??= record.job;
+            if (isRead) {
+                this.#readJobs.add(entry.id);
+            }
             this.onJobOrCancellation(entry);
             return;
         }
@@ -63,6 +72,23 @@
         this.onJobOrCancellation(entry);
     }
 
+    /**
+     * Drops the jobs that were read earlier and have no record among the newest ones of the submissions topic: they were
+     * removed, and their tombstones may have expired.
+     */
+    dropRemoved(newestKeys: ReadonlySet<string>): void {
+        for (const id of this.#readJobs) {
+            if (!newestKeys.has(records.formatJobKey(id))) {
+                this.#remove(id);
+            }
+        }
+    }
+
+    #remove(id: string): void {
+        this.entries.delete(id);
+        this.#readJobs.delete(id);
+    }
+
     /** Applies a progress record of the ledger, which replaces the job's earlier progress. */
     applyProgress(id: string, current: progress.Progress): void {
         const entry = this.#getOrCreate(id);
--- a/packages/job-state/src/records.ts
+++ b/packages/job-state/src/records.ts
@@ -128,8 +128,13 @@
 /** Without the extensions of cbor-x: objects become plain CBOR maps, byte arrays plain byte strings. */
 const cborCodec = new cbor.Encoder({ useRecords: false, tagUint8Array: false });
 
+/** Key of a job's record in the submissions topic. */
+export function formatJobKey(id: string): string {
+    return KeyPrefix.job + id;
+}
+
 export function encodeJob(job: jobs.Job): KeyedRecord {
-    return { key: KeyPrefix.job + job.id, value: cborCodec.encode(job) };
+    return { key: formatJobKey(job.id), value: cborCodec.encode(job) };
 }
 
 export function encodeCancellation(id: string, cancelledAt: number): KeyedRecord {
@@ -138,7 +143,7 @@
 
 /** Tombstones of a job and of its cancellation, for the submissions topic. */
 export function encodeJobTombstones(id: string): KeyedRecord[] {
-    return [KeyPrefix.job + id, KeyPrefix.cancellation + id].map(key => ({ key, value: new Uint8Array() }));
+    return [formatJobKey(id), KeyPrefix.cancellation + id].map(key => ({ key, value: new Uint8Array() }));
 }
 
 /** Tombstone of a job's progress, for the ledger. */
--- a/packages/node/src/entry-instance.ts
+++ b/packages/node/src/entry-instance.ts
@@ -89,6 +89,7 @@
         this.#store = new store.StoreClient(this.#httpClient, this.#storeRoutes, log, now);
         this.#submissions = this.#createFollower(jobState.submissionsTopic, {
             apply: record => this.#applySubmission(record),
+            reset: keys => this.#jobs.dropRemoved(keys),
         }, () => this.#coordinator === undefined ? nonCoordinatorReadDelay : 0);
         this.#ledger = this.#createFollower(
             jobState.ledgerTopic,
--- a/packages/store/src/topic-follower.ts
+++ b/packages/store/src/topic-follower.ts
@@ -12,8 +12,8 @@
 export interface TopicHandlers {
     /** Called for each record in order of offsets; after a reload, records may come again. */
     readonly apply: (record: platform.storeCalls.KeyedRecord, offset: number) => void;
-    /** Called before the newest records are applied, so that keys that no longer exist can be dropped. */
-    readonly reset?: () => void;
+    /** Called before the newest records are applied, with their keys, so that those that no longer exist can be dropped. */
+    readonly reset?: (keys: ReadonlySet<string>) => void;
 }
 
 export interface FollowerOptions {
@@ -231,7 +231,7 @@
             this.log.info("newest-records-dropped", { topic: this.options.topic, end, reached: this.#nextOffset });
             return true;
         }
-        this.options.handlers.reset?.();
+        this.options.handlers.reset?.(new Set(records.flatMap(({ record }) => record?.key ?? [])));
         for (const { offset, record } of records.sort((a, b) => a.offset - b.offset)) {
             this.#apply(record, offset);
         }
