Count an append as stored only if the store says so

Ends were acknowledged that aren't in the ledger, and their tasks started again under the next coordinator; two holders of one epoch both went on storing and starting.

Cause: an answer "sequence" with a higher expected number counted as stored, and one with a lower or equal number made the coordinator take over the numbers and go on. Both say that another process appends under the epoch: a coordinator's calls don't overlap, and the store answers a repeat of its last append with the first answer.

By reading, the election has allowed only one holder of an epoch since, so this is the second line, not a cause shown on today's code.

Any answer but "stored" now ends the term, as that of a fenced append did.

--- a/packages/dispatch/src/epoch-appender.ts
+++ b/packages/dispatch/src/epoch-appender.ts
@@ -3,7 +3,8 @@
  *
  * An append without an answer is repeated under its sequence number, so it is stored once, and not any more after a later
  * one. From the first append of a newer coordinator on, the store refuses those of earlier ones, also if it carries them
- * out late.
+ * out late. Any answer but that the append is stored ends the term: what the store holds isn't what this coordinator has
+ * stored, so it must not acknowledge or order anything by it.
  */
 import * as jobState from "@catkinwharf/job-state";
 import type * as platform from "@catkinwharf/platform";
@@ -18,7 +19,7 @@
 
 export class EpochAppender {
     #stopped = false;
-    /** Sequence number of the last append; the first one follows the claim, which is in the ledger. */
+    /** Sequence number of the last append; the first one follows the claim. */
     #sequence: number;
 
     constructor(
@@ -47,13 +48,7 @@
                 retryDelay = Math.min(maxRetryDelay, 2 * retryDelay);
                 continue;
             }
-            // The store expects the number after that of its last append; a higher one shows that this one is stored.
-            if (answer.value.kind === "sequence" && answer.value.expected <= this.#sequence) {
-                this.#sequence = answer.value.expected;
-                continue;
-            }
-            // "moved" can't occur without an expected end; like "fenced" it would mean that nothing was stored.
-            if (answer.value.kind === "fenced" || answer.value.kind === "moved") {
+            if (answer.value.kind !== "stored") {
                 this.onFenced();
                 return false;
             }
