Leave the progress alone once the coordinator's term is over

A process that coordinated, stepped down and coordinated again could start a task although a run of the coordinator in between was under way.

Cause: the answers that a former coordinator still gets, and the leases that it still saw expire, removed its runs by their numbers from the job's progress. By then that was the progress read anew from the ledger, and the number could be that of another coordinator's run, as the former one's intent was never stored. A start whose intent was stored as the term ended was sent, too.

Not seen with real processes; it takes a second term before the next progress record of the job.

The run manager applies and sends nothing once its term is over.

--- a/packages/dispatch/src/run-manager.ts
+++ b/packages/dispatch/src/run-manager.ts
@@ -90,7 +90,11 @@
         return this.#startsUnderWay.size;
     }
 
-    /** The coordinator's term is over: orders without a response aren't repeated any more. */
+    /**
+     * The coordinator's term is over: orders without a response aren't repeated any more, and what becomes known of the
+     * runs isn't applied. The jobs' progress is read from the ledger again, and later coordinators use the run numbers
+     * that this one hasn't stored.
+     */
     end(): void {
         this.#ended = true;
     }
@@ -508,6 +512,9 @@
     }
 
     #endRuns(server: session.ServerSession, runs: readonly session.ActiveRun[], how: jobState.RunEnd): void {
+        if (this.#ended) {
+            return;
+        }
         for (const run of runs) {
             if (run.phase === session.RunPhase.planned) {
                 this.#dropRun(server, run, "server gone before the start was sent");
@@ -826,7 +833,7 @@
     }
 
     #isCurrent(server: session.ServerSession, run: session.ActiveRun): boolean {
-        return server.runs.get(run.name) === run;
+        return !this.#ended && server.runs.get(run.name) === run;
     }
 }
 
