Soak takeovers that cross the coordinator's last heartbeat

New faults: the coordinator is killed while its last heartbeat is under way, the coordinator is killed, and appends of all processes are late. The time between faults is an option, so that two coordinators have time to do harm before the next takeover.

--- a/packages/job-soak/src/bin/job-soak.ts
+++ b/packages/job-soak/src/bin/job-soak.ts
@@ -13,6 +13,7 @@
     seed = clipanion.Option.String("--seed", "1", { description: "Seed of load and faults." });
     seeds = clipanion.Option.String("--seeds", "1", { description: "Number of seeds, from the first one on." });
     seconds = clipanion.Option.String("--seconds", "45", { description: "Time in which faults begin, for each seed." });
+    interval = clipanion.Option.String("--interval", "800", { description: "Mean time in ms between two faults." });
     processes = clipanion.Option.String("--processes", "5", { description: "Number of entry processes." });
     machines = clipanion.Option.String("--machines", "6", { description: "Machines of each of the two services." });
     rate = clipanion.Option.String("--rate", "8", { description: "Mean number of jobs per second." });
@@ -28,6 +29,7 @@
             const summary = await soak.runSoak({
                 seed,
                 duration: Number(this.seconds) * 1000,
+                faultInterval: Number(this.interval),
                 processes: Number(this.processes),
                 machinesPerService: Number(this.machines),
                 rate: Number(this.rate),
--- a/packages/job-soak/src/faults.ts
+++ b/packages/job-soak/src/faults.ts
@@ -5,6 +5,8 @@
 import * as platformStandIns from "@catkinwharf/platform-stand-ins";
 import * as timers from "node:timers/promises";
 
+const { StoreFault } = platformStandIns;
+
 /** A fault that has begun. */
 export interface ActiveFault {
     /** What it affects, for the report. */
@@ -33,6 +35,8 @@
     /** In ms, of late and slow calls. */
     readonly minDelay: number;
     readonly maxDelay: number;
+    /** Whether the call may go wrong; any may unless given. */
+    readonly matches?: (url: URL, body: Buffer) => boolean;
 }
 
 /** The store as one process reaches it, with all faults that are in force there. */
@@ -42,9 +46,9 @@
 
     constructor(store: platformStandIns.StoreStandIn, random: bench.RandomSource) {
         this.front = new platformStandIns.StoreFront(store);
-        this.front.findFault = () => {
-            for (const { fault, share, minDelay, maxDelay } of this.#faults) {
-                if (random.next() < share) {
+        this.front.findFault = (url, body) => {
+            for (const { fault, share, minDelay, maxDelay, matches } of this.#faults) {
+                if (matches?.(url, body) !== false && random.next() < share) {
                     return { fault, delay: minDelay + random.next() * (maxDelay - minDelay) };
                 }
             }
@@ -61,6 +65,11 @@
     }
 }
 
+const isAppend = (url: URL) => url.pathname === "/-/log-append";
+/** Whether the call appends a record of the ledger about its coordinator, as heartbeats do. */
+const isHeartbeat = (url: URL, body: Buffer) => isAppend(url) && body.includes("leader");
+const isFence = (url: URL, body: Buffer) => isAppend(url) && url.searchParams.has("Producer") && body.length === 0;
+
 function draw(random: bench.RandomSource, min: number, max: number): number {
     return Math.round(min + random.next() * (max - min));
 }
@@ -100,6 +109,38 @@
     return node === undefined ? undefined : killProcesses(context, [node], draw(context.random, 0, 3000));
 }
 
+/** Kills the coordinator, and starts it again about when another process claims. */
+async function killCoordinator(context: FaultContext): Promise<ActiveFault | undefined> {
+    const node = context.deployment.findCoordinator();
+    return node?.child === undefined || context.disturbed.has(node.name)
+        ? undefined
+        : killProcesses(context, [node], draw(context.random, 0, 2500));
+}
+
+/**
+ * Kills the coordinator while its last heartbeat is under way, which is carried out around the time at which another
+ * process takes over and the killed one is started again. Appends that set the epoch may be late meanwhile.
+ */
+async function killBeforeLastHeartbeat(context: FaultContext): Promise<ActiveFault | undefined> {
+    const { deployment, fronts, random, disturbed } = context;
+    const node = deployment.findCoordinator();
+    const front = node === undefined ? undefined : fronts.get(node.name);
+    if (node?.child === undefined || front === undefined || disturbed.has(node.name)) {
+        return undefined;
+    }
+    const lateness = draw(random, 900, 1800);
+    const delays = { minDelay: lateness, maxDelay: lateness };
+    const last = { fault: StoreFault.late, share: 1, ...delays, matches: isHeartbeat };
+    front.add(last);
+    await timers.setTimeout(draw(random, 320, 500));
+    const killed = await killProcesses(context, [node], draw(random, 400, 1600));
+    front.remove(last);
+    const late = { fault: StoreFault.late, share: 0.6, minDelay: 1000, maxDelay: 6000, matches: isFence };
+    fronts.forEach(other => other.add(late));
+    setTimeout(() => fronts.forEach(other => other.remove(late)), 2500);
+    return { ...killed, subject: `${killed.subject}, last heartbeat carried out after ${lateness} ms` };
+}
+
 async function killAll(context: FaultContext): Promise<ActiveFault | undefined> {
     const nodes = context.deployment.processes.filter(({ name, child }) =>
         child !== undefined && !context.disturbed.has(name)
@@ -165,6 +206,17 @@
     };
 }
 
+/** Carries out a share of the appends of all processes late, for longer than a takeover takes. */
+const delayAppends: Fault = ({ fronts, random }) => {
+    const late = { fault: StoreFault.late, share: 0.35, minDelay: 500, maxDelay: 6000, matches: isAppend };
+    fronts.forEach(front => front.add(late));
+    return Promise.resolve({
+        subject: "all processes",
+        duration: draw(random, 4000, 15_000),
+        end: () => fronts.forEach(front => front.remove(late)),
+    });
+};
+
 const resetConnections: Fault = ({ fronts, random }) => {
     const chosen = [...fronts].filter(() => random.next() < 0.5);
     chosen.forEach(([, { front }]) => front.reset());
@@ -259,11 +311,11 @@
     return killOne(context);
 }
 
-const { StoreFault } = platformStandIns;
-
 export const faults: Readonly<Record<string, Fault>> = {
     "kill": killOne,
     "kill-in-series": killInSeries,
+    "kill-coordinator": killCoordinator,
+    "kill-before-last-heartbeat": killBeforeLastHeartbeat,
     "kill-all": killAll,
     pause,
     restart,
@@ -272,6 +324,7 @@
     "store-slow": createStoreFault(StoreFault.slow, { share: [0.5, 1], delay: [20, 1200] }),
     "store-loses-answers": createStoreFault(StoreFault.lost, { share: [0.05, 0.5] }),
     "store-late": createStoreFault(StoreFault.late, { share: [0.05, 0.5], delay: [500, 6000] }),
+    "store-late-appends": delayAppends,
     "store-partial": createStoreFault(StoreFault.partial, { share: [0.05, 0.5] }),
     "store-resets": resetConnections,
     "store-drops-history": dropHistory,
--- a/packages/job-soak/src/soak.ts
+++ b/packages/job-soak/src/soak.ts
@@ -18,8 +18,6 @@
 ];
 /** Bounds of the users' smaller deployments; named as in the settings file. */
 const bounds = { GraceS: 2, HoldMaxMs: 6000, LeaseMs: 3000, StopMs: 200, ConfigApplyMs: 2000, status_s: 120 };
-/** Mean time in ms between the beginnings of two faults, so that several are in force at once. */
-const meanFaultInterval = 800;
 /** Time in ms without faults before the first one, and after the last. */
 const calmBefore = 2000;
 const calmAfter = 4000;
@@ -28,6 +26,8 @@
     readonly seed: number;
     /** Time in ms in which faults begin. */
     readonly duration: number;
+    /** Mean time in ms between the beginnings of two faults. */
+    readonly faultInterval: number;
     readonly processes: number;
     readonly machinesPerService: number;
     /** Mean number of jobs per second. */
@@ -57,11 +57,11 @@
     readonly seed: number;
 }
 
-function planFaults({ seed, duration, faultNames }: SoakOptions): PlannedFault[] {
+function planFaults({ seed, duration, faultInterval, faultNames }: SoakOptions): PlannedFault[] {
     const random = new bench.RandomSource(seed);
     const names = faultNames ?? Object.keys(faults.faults);
     const planned: PlannedFault[] = [];
-    for (let at = 0; at < duration; at += random.nextExponential(meanFaultInterval)) {
+    for (let at = 0; at < duration; at += random.nextExponential(faultInterval)) {
         planned.push({ at, name: random.pick(names), seed: random.nextBelow(2 ** 31) });
     }
     return planned;
