Write the soak's appends to the ledger into its logs

The logs of the processes don't show which append of two holders of one epoch the store took. The stand-in of the store keeps each append under an epoch, with its answer, and the soak writes them to appends.jsonl. A soak also lasts as long as asked when its last fault begins early.

--- a/packages/job-soak/src/soak.ts
+++ b/packages/job-soak/src/soak.ts
@@ -145,6 +145,7 @@
         injections.push(inject(planned));
     }
     await Promise.all(injections);
+    await timers.setTimeout(Math.max(0, options.duration - (performance.now() - beganAt)));
     return count;
 }
 
@@ -163,8 +164,10 @@
     for (const { name, lines } of deployment.processes) {
         fs.writeFileSync(path.join(folder, `${name}.log`), lines.join("\n"));
     }
-    fs.writeFileSync(
-        path.join(folder, "runs.jsonl"),
-        deployment.machines.history.map(run => JSON.stringify(run)).join("\n"),
-    );
+    writeLines(path.join(folder, "runs.jsonl"), deployment.machines.history);
+    writeLines(path.join(folder, "appends.jsonl"), deployment.store.appends);
+}
+
+function writeLines(file: string, rows: readonly object[]): void {
+    fs.writeFileSync(file, rows.map(row => JSON.stringify(row)).join("\n"));
 }
