--- a/packages/job-soak/src/faults.ts
+++ b/packages/job-soak/src/faults.ts
@@ -128,6 +128,7 @@
     if (node?.child === undefined || front === undefined || disturbed.has(node.name)) {
         return undefined;
     }
+    disturbed.add(node.name); // So that no other fault kills it meanwhile: it would be started twice.
     const lateness = draw(random, 900, 1800);
     const delays = { minDelay: lateness, maxDelay: lateness };
     const last = { fault: StoreFault.late, share: 1, ...delays, matches: isHeartbeat };
