--- a/packages/job-soak/src/faults.ts
+++ b/packages/job-soak/src/faults.ts
@@ -7,6 +7,8 @@
 import * as timers from "node:timers/promises";
 import type * as judgement from "./judgement.js";
 
+const { StoreFault } = platformStandIns;
+
 /** A fault that has begun. */
 export interface ActiveFault {
     /** What it affects, for the report. */
@@ -43,11 +45,16 @@
     readonly includes: (call: platformStandIns.StoreCall) => boolean;
 }
 
+const appends: CallScope = { name: "appends", includes: call => call.isAppend };
+const heartbeats: CallScope = { name: "heartbeats", includes: call => call.isAppend && call.body.includes("leader") };
+/** Appends without records, with which a process takes an epoch. */
+const fences: CallScope = { name: "fences", includes: call => call.isAppend && call.body.length === 0 };
+
 /** Calls to the store that a fault may affect. */
 const callScopes: readonly CallScope[] = [
     { name: "calls", includes: () => true },
     { name: "calls", includes: () => true },
-    { name: "appends", includes: call => call.isAppend },
+    appends,
     { name: "reads", includes: call => !call.isAppend },
     { name: "calls to the ledger", includes: call => call.topic === jobState.ledgerTopic },
     { name: "appends to the ledger", includes: call => call.isAppend && call.topic === jobState.ledgerTopic },
@@ -122,6 +129,39 @@
     return node === undefined ? undefined : killProcesses(context, [node], draw(context.random, 0, 3000));
 }
 
+/** Kills the coordinator, and starts it again about when another process claims. */
+async function killCoordinator(context: FaultContext): Promise<ActiveFault | undefined> {
+    const node = context.deployment.findCoordinator();
+    return node?.child === undefined || context.disturbed.has(node.name)
+        ? undefined
+        : killProcesses(context, [node], draw(context.random, 0, 2500));
+}
+
+/**
+ * Kills the coordinator while its last heartbeat is under way, which is carried out around the time at which another
+ * process takes over and the killed one is started again. Appends that set the epoch may be late meanwhile.
+ */
+async function killBeforeLastHeartbeat(context: FaultContext): Promise<ActiveFault | undefined> {
+    const { deployment, fronts, random, disturbed } = context;
+    const node = deployment.findCoordinator();
+    const front = node === undefined ? undefined : fronts.get(node.name);
+    if (node?.child === undefined || front === undefined || disturbed.has(node.name)) {
+        return undefined;
+    }
+    disturbed.add(node.name); // So that no other fault kills it meanwhile: it would be started twice.
+    const lateness = draw(random, 900, 1800);
+    const delays = { minDelay: lateness, maxDelay: lateness };
+    const last = { fault: StoreFault.late, share: 1, ...delays, scope: heartbeats };
+    front.add(last);
+    await timers.setTimeout(draw(random, 320, 500));
+    const killed = await killProcesses(context, [node], draw(random, 400, 1600));
+    front.remove(last);
+    const late = { fault: StoreFault.late, share: 0.6, minDelay: 1000, maxDelay: 6000, scope: fences };
+    fronts.forEach(other => other.add(late));
+    setTimeout(() => fronts.forEach(other => other.remove(late)), 2500);
+    return { ...killed, subject: `${killed.subject}, last heartbeat carried out after ${lateness} ms` };
+}
+
 async function killAll(context: FaultContext): Promise<ActiveFault | undefined> {
     const nodes = context.deployment.processes.filter(({ name, child }) =>
         child !== undefined && !context.disturbed.has(name)
@@ -213,6 +253,17 @@
     };
 }
 
+/** Carries out a share of the appends of all processes late, for longer than a takeover takes. */
+const delayAppends: Fault = ({ fronts, random }) => {
+    const late = { fault: StoreFault.late, share: 0.35, minDelay: 500, maxDelay: 6000, scope: appends };
+    fronts.forEach(front => front.add(late));
+    return Promise.resolve({
+        subject: "all processes",
+        duration: draw(random, 4000, 15_000),
+        end: () => fronts.forEach(front => front.remove(late)),
+    });
+};
+
 const resetConnections: Fault = ({ fronts, random }) => {
     const chosen = [...fronts].filter(() => random.next() < 0.5);
     chosen.forEach(([, { front }]) => front.reset());
@@ -342,11 +393,11 @@
     return killOne(context);
 }
 
-const { StoreFault } = platformStandIns;
-
 export const faults: Readonly<Record<string, Fault>> = {
     "kill": killOne,
     "kill-in-series": killInSeries,
+    "kill-coordinator": killCoordinator,
+    "kill-before-last-heartbeat": killBeforeLastHeartbeat,
     "kill-all": killAll,
     pause,
     throttle,
@@ -356,6 +407,7 @@
     "store-slow": createStoreFault(StoreFault.slow, { share: [0.5, 1], delay: [20, 1200] }),
     "store-loses-answers": createStoreFault(StoreFault.lost, { share: [0.05, 0.5] }),
     "store-late": createStoreFault(StoreFault.late, { share: [0.05, 0.5], delay: [500, 6000] }),
+    "store-late-appends": delayAppends,
     "store-partial": createStoreFault(StoreFault.partial, { share: [0.05, 0.5] }),
     "store-resets": resetConnections,
     "store-drops-history": dropHistory,
--- a/packages/job-soak/src/soak.ts
+++ b/packages/job-soak/src/soak.ts
@@ -26,12 +26,12 @@
     readonly seed: number;
     /** Time in ms in which faults begin. */
     readonly duration: number;
+    /** Mean time in ms between the beginnings of two faults. */
+    readonly faultInterval: number;
     readonly processes: number;
     readonly machinesPerService: number;
     /** Mean number of jobs per second. */
     readonly rate: number;
-    /** Mean time in ms between the beginnings of two faults. */
-    readonly faultInterval: number;
     /** Names of the faults to draw from; all unless given. */
     readonly faultNames: readonly string[] | undefined;
     /** Program of the entry processes, of this version unless given. */
@@ -145,6 +145,7 @@
         injections.push(inject(planned));
     }
     await Promise.all(injections);
+    await timers.setTimeout(Math.max(0, options.duration - (performance.now() - beganAt)));
     return count;
 }
 
@@ -156,8 +157,10 @@
     for (const { name, lines } of deployment.processes) {
         fs.writeFileSync(path.join(folder, `${name}.log`), lines.join("\n"));
     }
-    fs.writeFileSync(
-        path.join(folder, "runs.jsonl"),
-        deployment.machines.history.map(run => JSON.stringify(run)).join("\n"),
-    );
+    writeLines(path.join(folder, "runs.jsonl"), deployment.machines.history);
+    writeLines(path.join(folder, "appends.jsonl"), deployment.store.appends);
+}
+
+function writeLines(file: string, rows: readonly object[]): void {
+    fs.writeFileSync(file, rows.map(row => JSON.stringify(row)).join("\n"));
 }
