Renew no leases once the store hasn't heard from the coordinator

Tasks ran twice at once, for as long as a coordinator was cut off from the store and its successor from a server that the former one still reached.

Cause: the successor takes the runs of a server that it never reached for ended two leases after its term began. That assumes that the earlier coordinator renews leases for one lease duration at most after that, but nothing ended its renewals: without an answer of the store it didn't learn of its succession. A start whose intent was stored before a suspension was sent after it, too.

The writer remembers when the newest stored append was first sent: the epoch was the newest then. Leases are extended, and starts sent, only within one lease duration of that. Stand-ins for the context in three tests have the new function; nothing else in them changed.

--- a/packages/dispatch/src/context.ts
+++ b/packages/dispatch/src/context.ts
@@ -33,6 +33,11 @@
     readonly configuration: () => platform.operatorRecords.Configuration | undefined;
     /** Ends the coordinator's term, for example because a newer coordinator was seen. */
     readonly stepDown: (reason: string) => void;
+    /**
+     * Whether orders may give servers longer leases. Not once the store hasn't stored anything of this epoch for one lease
+     * duration: there may be a successor, which then waits for no longer leases at servers that it can't reach.
+     */
+    readonly mayExtendLeases: () => boolean;
     /** Ms by which this process's timers have lately been late. */
     readonly lateness: () => number;
     /** Schedules a placement pass after a change that may let tasks start. */
--- a/packages/dispatch/src/coordinator.ts
+++ b/packages/dispatch/src/coordinator.ts
@@ -153,6 +153,7 @@
                 store,
                 storeLimits: options.settings.storeLimits,
                 claim,
+                now: () => clock.monotonic(),
                 log: options.log,
                 onFenced: () => stepDown("the store refused an append of this epoch to the ledger"),
                 onStatusStored: entry => this.#recordStored(entry),
@@ -161,6 +162,8 @@
             jobs: options.jobs,
             configuration: options.configuration,
             stepDown,
+            mayExtendLeases: () =>
+                clock.monotonic() - this.#shared.writer.heldAt < context.computeLeaseDuration(options.settings),
             lateness: () => this.#load.lateness,
             schedulePass: () => this.#schedulePass(),
         };
--- a/packages/dispatch/src/fleet.ts
+++ b/packages/dispatch/src/fleet.ts
@@ -311,7 +311,7 @@
         const sentAt = clock.monotonic();
         const serverClock = server.estimateClock(sentAt);
         // An unreachable server gets no new lease, so that its lease expires and its tasks can start elsewhere.
-        const leaseEnd = serverClock === undefined || !server.reachable
+        const leaseEnd = serverClock === undefined || !server.reachable || !this.shared.mayExtendLeases()
             ? undefined
             : serverClock + context.computeLeaseDuration(settings);
         const unstored = server.ends.lastProcessed > server.ends.lastStored;
--- a/packages/dispatch/src/ledger-writer.ts
+++ b/packages/dispatch/src/ledger-writer.ts
@@ -27,6 +27,8 @@
     readonly store: storeClient.StoreClient;
     readonly storeLimits: platform.settings.StoreLimits;
     readonly claim: leaderElection.Claim;
+    /** Monotonic time in ms. */
+    readonly now: () => number;
     readonly log: eventLog.EventLog;
     /** The store has refused an append, as another process has claimed a later epoch. */
     readonly onFenced: () => void;
@@ -43,9 +45,12 @@
     #writing = false;
     #stopped = false;
     readonly #appender: epochAppender.EpochAppender;
+    /** On the monotonic clock: this epoch was the newest then, as an append first sent then was stored after it. */
+    heldAt: number;
 
     constructor(private readonly options: LedgerWriterOptions) {
-        const { store, claim, onFenced } = options;
+        const { store, claim, onFenced, now } = options;
+        this.heldAt = now();
         this.#appender = new epochAppender.EpochAppender(store, jobState.ledgerTopic, claim, onFenced);
     }
 
@@ -102,7 +107,11 @@
             const batch = this.#takeBatch();
             const isComplete = this.#dirtyJobs.size === 0 && this.#pendingRecords.length === 0;
             const waiters = isComplete ? this.#waiters.splice(0) : [];
+            const sentAt = this.options.now();
             const stored = batch.records.length === 0 || await this.#appender.append(batch.records);
+            if (stored && batch.records.length > 0) {
+                this.heldAt = sentAt;
+            }
             // Once stopped, the ledger is read instead, which a later coordinator may have changed.
             if (stored && !this.#stopped) {
                 batch.statuses.forEach(([entry, status]) => this.#showStatus(entry, status));
--- a/packages/dispatch/src/odd-answers.test.ts
+++ b/packages/dispatch/src/odd-answers.test.ts
@@ -18,6 +18,7 @@
         clock: { monotonic: () => 1, wall: () => 1 },
         log: { info: ignore, warn: ignore },
         schedulePass: ignore,
+        mayExtendLeases: () => true,
         lateness: () => 0,
         serverCalls: {
             send: () => {
--- a/packages/dispatch/src/odd-entries.test.ts
+++ b/packages/dispatch/src/odd-entries.test.ts
@@ -50,6 +50,7 @@
         clock: { monotonic: () => 1, wall: () => 1 },
         log: { info: ignore, warn: (event: string) => void warnings.push(event) },
         schedulePass: ignore,
+        mayExtendLeases: () => true,
         lateness: () => 0,
         serverCalls: {
             send: (address: string) => {
--- a/packages/dispatch/src/run-manager.ts
+++ b/packages/dispatch/src/run-manager.ts
@@ -215,6 +215,10 @@
             this.#dropRun(server, run, "job cancelled or server rebooted before the start was sent");
             return;
         }
+        if (!shared.mayExtendLeases()) {
+            this.#dropRun(server, run, "the intent was stored too long ago");
+            return;
+        }
         const leaseEnd = serverClock + context.computeLeaseDuration(shared.settings);
         server.latestLeaseEnd = Math.max(server.latestLeaseEnd, leaseEnd);
         run.phase = session.RunPhase.ordered;
--- a/packages/dispatch/src/server-boots.test.ts
+++ b/packages/dispatch/src/server-boots.test.ts
@@ -25,6 +25,7 @@
         clock: { monotonic: now, wall: now },
         log: { info: ignore, warn: ignore },
         schedulePass: ignore,
+        mayExtendLeases: () => true,
         lateness: () => 0,
         serverCalls: {
             send: () => {
--- a/packages/dispatch/src/step-down.test.ts
+++ b/packages/dispatch/src/step-down.test.ts
@@ -1,4 +1,4 @@
-/** A process that has stepped down keeps what it has read from the ledger since. */
+/** A process that doesn't coordinate any more sends no starts, and keeps what it has read from the ledger since. */
 import * as eventLog from "@catkinwharf/event-log";
 import type * as httpCalls from "@catkinwharf/http-calls";
 import * as jobState from "@catkinwharf/job-state";
@@ -19,14 +19,14 @@
 const refusal = { status: 409, body: Buffer.from(JSON.stringify({ ClockMs: 5, Reason: "room" })) };
 
 /** A coordinator that has planned run 1 of a task, and whose calls a test answers. */
-function plan() {
+function plan(mayExtendLeases = true) {
     const answers: ((response: typeof refusal) => void)[] = [];
     const calls = {
         send: () => new Promise(resolve => answers.push(response => resolve(neverthrow.ok(response)))),
     } as unknown as httpCalls.HttpClient;
     const routes = new storeClient.StoreRoutes("store:1");
     const store = new storeClient.StoreClient(calls, routes, eventLog.silentEventLog, () => 0);
-    const shared = testing.createContext(calls, store, () => 0);
+    const shared = { ...testing.createContext(calls, store, () => 0), mayExtendLeases: () => mayExtendLeases };
     const registry = new jobRegistry.JobRegistry();
     const manager = new runManager.RunManager({
         shared,
@@ -94,4 +94,12 @@
     assert.is(former.answers.length, 0);
 });
 
+suite("a start is sent long after its intent was stored, as the process was suspended", async () => {
+    const suspended = plan(false);
+    void suspended.manager.start(suspended.server, suspended.run);
+    await timers.setImmediate();
+    assert.is(suspended.answers.length, 0);
+    assert.equal(listRuns(suspended), []);
+});
+
 suite.run();
--- a/packages/dispatch/src/testing/context.ts
+++ b/packages/dispatch/src/testing/context.ts
@@ -52,6 +52,7 @@
         jobs: new jobState.JobTable(),
         configuration: () => undefined,
         stepDown: () => undefined,
+        mayExtendLeases: () => true,
         lateness: () => 0,
         schedulePass: () => undefined,
     };
@@ -66,6 +67,7 @@
         store,
         storeLimits: settings.storeLimits,
         claim: { epoch: 1, sequence: 0 },
+        now: () => 0,
         log: eventLog.silentEventLog,
         onFenced: () => undefined,
         onStatusStored: () => undefined,
