--- a/packages/dispatch/src/server-boots.test.ts
+++ b/packages/dispatch/src/server-boots.test.ts
@@ -116,6 +116,7 @@
         log: { info: ignore, warn: ignore },
         schedulePass: ignore,
         lateness: () => 0,
+        mayExtendLeases: () => true,
         jobs: { entries: new Map() },
         writer: {
             markDirty: ignore,
