Say what the store answered to a coordinator whose append it refused

The logs of the users' record don't tell whether a process stepped down for a later epoch or for another holder of its own, nor how many runs it took over. stepped-down names the answer, coordinating the number of runs, run-ended the epoch.

--- a/packages/dispatch/src/coordinator.ts
+++ b/packages/dispatch/src/coordinator.ts
@@ -155,7 +155,7 @@
                 claim,
                 now: () => clock.monotonic(),
                 log: options.log,
-                onFenced: () => stepDown("the store refused an append of this epoch to the ledger"),
+                onRefused: outcome => stepDown(`the store refused an append of this epoch to the ledger: ${outcome}`),
                 onStatusStored: entry => this.#recordStored(entry),
                 onUnstorable: entry => this.#failUnstorable(entry),
             }),
@@ -263,6 +263,7 @@
             capacity: this.options.settings.capacity,
             jobs: this.registry.active.size,
             servers: this.fleet.sessions.size,
+            runs: this.#countRuns(),
             took: clock.monotonic() - this.#shared.termStartedAt,
         });
         this.#schedulePass();
@@ -463,6 +464,10 @@
         return count;
     }
 
+    #countRuns(): number {
+        return [...this.fleet.sessions.values()].reduce((sum, server) => sum + server.runs.size, 0);
+    }
+
     #countReadyTasks(): number {
         let count = 0;
         for (const active of this.registry.active.values()) {
@@ -548,7 +553,7 @@
             unplacedSteps: this.#placer.counts.unplaced,
             untriedSteps: this.#placer.counts.untried,
             startDelay: Math.round(this.#startDelay.current),
-            runs: servers.reduce((sum, server) => sum + server.runs.size, 0),
+            runs: this.#countRuns(),
             reachableServers: servers.filter(server => server.reachable).length,
         };
     }
--- a/packages/dispatch/src/epoch-appender.ts
+++ b/packages/dispatch/src/epoch-appender.ts
@@ -26,7 +26,8 @@
         private readonly store: Pick<storeClient.StoreClient, "append">,
         private readonly topic: string,
         private readonly claim: leaderElection.Claim,
-        private readonly onFenced: () => void,
+        /** Receives what the store answered instead of storing an append. */
+        private readonly onRefused: (outcome: string) => void,
     ) {
         this.#sequence = claim.sequence;
     }
@@ -49,7 +50,7 @@
                 continue;
             }
             if (answer.value.kind !== "stored") {
-                this.onFenced();
+                this.onRefused(describeRefusal(answer.value, this.#sequence));
                 return false;
             }
             return true;
@@ -57,3 +58,7 @@
         return false;
     }
 }
+
+function describeRefusal(answer: storeClient.AppendResult, sequence: number): string {
+    return answer.kind === "sequence" ? `sequence ${answer.expected} expected, not ${sequence}` : answer.kind;
+}
--- a/packages/dispatch/src/job-sweeper.ts
+++ b/packages/dispatch/src/job-sweeper.ts
@@ -27,7 +27,7 @@
             store,
             jobState.submissionsTopic,
             shared.claim,
-            () => shared.stepDown("the store refused to remove jobs under this epoch"),
+            outcome => shared.stepDown(`the store refused to remove jobs under this epoch: ${outcome}`),
         );
     }
 
--- a/packages/dispatch/src/late-appends.test.ts
+++ b/packages/dispatch/src/late-appends.test.ts
@@ -70,7 +70,7 @@
     }
 
     #coordinate(claim: leaderElection.Claim, store: storeClient.StoreClient): void {
-        const writer = contextTesting.createWriter(store, { claim, onFenced: () => this.#stepDown() });
+        const writer = contextTesting.createWriter(store, { claim, onRefused: () => this.#stepDown() });
         const startedAt = this.world.time.now;
         this.#writer = writer;
         this.world.terms.push({ epoch: claim.epoch, process: `${this.node} ${this.processStart}` });
--- a/packages/dispatch/src/ledger-writer.ts
+++ b/packages/dispatch/src/ledger-writer.ts
@@ -30,8 +30,8 @@
     /** Monotonic time in ms. */
     readonly now: () => number;
     readonly log: eventLog.EventLog;
-    /** The store has refused an append, as another process has claimed a later epoch. */
-    readonly onFenced: () => void;
+    /** The store has refused an append, as another process has claimed this epoch or a later one. */
+    readonly onRefused: (outcome: string) => void;
     /** A job got another status in the ledger. */
     readonly onStatusStored: (entry: jobState.JobEntry) => void;
     /** The job's progress is larger than a record may be; none of it is stored until the job is settled. */
@@ -49,9 +49,9 @@
     heldAt: number;
 
     constructor(private readonly options: LedgerWriterOptions) {
-        const { store, claim, onFenced, now } = options;
+        const { store, claim, onRefused, now } = options;
         this.heldAt = now();
-        this.#appender = new epochAppender.EpochAppender(store, jobState.ledgerTopic, claim, onFenced);
+        this.#appender = new epochAppender.EpochAppender(store, jobState.ledgerTopic, claim, onRefused);
     }
 
     /** Queues the job's changed progress for the next batch. */
--- a/packages/dispatch/src/run-manager.ts
+++ b/packages/dispatch/src/run-manager.ts
@@ -715,6 +715,7 @@
                 task: run.name,
                 server: server.entry.id,
                 how,
+                epoch: shared.epoch,
                 failures: history.failures,
                 crashes: history.crashes,
                 // Ms since the start was sent, or since this coordinator took the run over.
--- a/packages/dispatch/src/testing/context.ts
+++ b/packages/dispatch/src/testing/context.ts
@@ -69,7 +69,7 @@
         claim: { epoch: 1, sequence: 0 },
         now: () => 0,
         log: eventLog.silentEventLog,
-        onFenced: () => undefined,
+        onRefused: () => undefined,
         onStatusStored: () => undefined,
         onUnstorable: () => undefined,
         ...overrides,
--- a/packages/dispatch/src/wave-executor.ts
+++ b/packages/dispatch/src/wave-executor.ts
@@ -58,7 +58,7 @@
             store,
             platform.storeCalls.waveStatusTopic,
             shared.claim,
-            () => shared.stepDown("the store refused a wave status of this epoch"),
+            outcome => shared.stepDown(`the store refused a wave status of this epoch: ${outcome}`),
         );
     }
 
