--- a/packages/dispatch/src/epoch-appender.ts
+++ b/packages/dispatch/src/epoch-appender.ts
@@ -3,7 +3,8 @@
  *
  * An append without an answer is repeated under its sequence number, so it is stored once, and not any more after a later
  * one. From the first append of a newer coordinator on, the store refuses those of earlier ones, also if it carries them
- * out late.
+ * out late. Any answer but that the append is stored ends the term: what the store holds isn't what this coordinator has
+ * stored, so it must not acknowledge or order anything by it.
  */
 import * as jobState from "@catkinwharf/job-state";
 import type * as platform from "@catkinwharf/platform";
@@ -18,14 +19,15 @@
 
 export class EpochAppender {
     #stopped = false;
-    /** Sequence number of the last append; the first one follows the claim, which is in the ledger. */
+    /** Sequence number of the last append; the first one follows the claim. */
     #sequence: number;
 
     constructor(
         private readonly store: Pick<storeClient.StoreClient, "append">,
         private readonly topic: string,
         private readonly claim: leaderElection.Claim,
-        private readonly onFenced: () => void,
+        /** Receives what the store answered instead of storing an append. */
+        private readonly onRefused: (outcome: string) => void,
     ) {
         this.#sequence = claim.sequence;
     }
@@ -47,14 +49,8 @@
                 retryDelay = Math.min(maxRetryDelay, 2 * retryDelay);
                 continue;
             }
-            // The store expects the number after that of its last append; a higher one shows that this one is stored.
-            if (answer.value.kind === "sequence" && answer.value.expected <= this.#sequence) {
-                this.#sequence = answer.value.expected;
-                continue;
-            }
-            // "moved" can't occur without an expected end; like "fenced" it would mean that nothing was stored.
-            if (answer.value.kind === "fenced" || answer.value.kind === "moved") {
-                this.onFenced();
+            if (answer.value.kind !== "stored") {
+                this.onRefused(describeRefusal(answer.value, this.#sequence));
                 return false;
             }
             return true;
@@ -62,3 +58,7 @@
         return false;
     }
 }
+
+function describeRefusal(answer: storeClient.AppendResult, sequence: number): string {
+    return answer.kind === "sequence" ? `sequence ${answer.expected} expected, not ${sequence}` : answer.kind;
+}
--- a/packages/dispatch/src/run-manager.ts
+++ b/packages/dispatch/src/run-manager.ts
@@ -90,7 +90,11 @@
         return this.#startsUnderWay.size;
     }
 
-    /** The coordinator's term is over: orders without a response aren't repeated any more. */
+    /**
+     * The coordinator's term is over: orders without a response aren't repeated any more, and what becomes known of the
+     * runs isn't applied. The jobs' progress is read from the ledger again, and later coordinators use the run numbers
+     * that this one hasn't stored.
+     */
     end(): void {
         this.#ended = true;
     }
@@ -211,10 +215,15 @@
             this.#dropRun(server, run, "job cancelled or server rebooted before the start was sent");
             return;
         }
+        if (!shared.mayExtendLeases()) {
+            this.#dropRun(server, run, "the intent was stored too long ago");
+            return;
+        }
         const leaseEnd = serverClock + context.computeLeaseDuration(shared.settings);
         server.latestLeaseEnd = Math.max(server.latestLeaseEnd, leaseEnd);
         run.phase = session.RunPhase.ordered;
         run.startSentAt = now;
+        const { lastClock } = server;
         this.#reserveStart(server, run);
         const call = platform.serverCalls.createStartCall(server.entry.id, {
             task: { jobId: run.entry.id, ...run.position },
@@ -248,7 +257,7 @@
             await this.#resolveUnansweredStart(server, run, call);
             return;
         }
-        this.#handleStartAnswer(server, run, platform.serverCalls.decodeOrderResult(answer.value));
+        this.#handleStartAnswer(server, run, platform.serverCalls.decodeOrderResult(answer.value), lastClock);
     }
 
     /**
@@ -268,6 +277,7 @@
             if (!isUncertain() || !mayStart(server, run)) {
                 break;
             }
+            const { lastClock } = server;
             const answer = await shared.serverCalls.send(server.entry.address, call, context.serverCallTimeout);
             if (answer.isErr() || !isUncertain()) {
                 continue;
@@ -277,7 +287,7 @@
                 continue; // An earlier attempt may have been carried out.
             }
             if (decoded.kind === "done") {
-                this.#handleStartAnswer(server, run, decoded);
+                this.#handleStartAnswer(server, run, decoded, lastClock);
                 return;
             }
             if (context.stepDownIfFenced(shared, server.entry.id, decoded)) {
@@ -305,16 +315,19 @@
         this.options.shared.writer.addToNextBatch(entry);
     }
 
+    /** @param lastClock latest reading of the server's clock when the start was sent */
     #handleStartAnswer(
         server: session.ServerSession,
         run: session.ActiveRun,
         answer: platform.serverCalls.OrderResult,
+        lastClock: number,
     ): void {
         const { shared } = this.options;
         if (answer.kind === "done") {
             this.#recordBegun(run.entry);
-            server.lastClock = Math.max(server.lastClock, answer.clock ?? 0);
-            run.startClock ??= answer.clock;
+            if (answer.clock !== undefined && server.recordClock(answer.clock, lastClock, shared.clock.monotonic())) {
+                run.startClock ??= answer.clock;
+            }
             run.expectedInListsFrom ??= shared.clock.monotonic();
             if (run.phase === session.RunPhase.ordered || run.phase === session.RunPhase.uncertain) {
                 run.phase = session.RunPhase.running;
@@ -508,6 +521,9 @@
     }
 
     #endRuns(server: session.ServerSession, runs: readonly session.ActiveRun[], how: jobState.RunEnd): void {
+        if (this.#ended) {
+            return;
+        }
         for (const run of runs) {
             if (run.phase === session.RunPhase.planned) {
                 this.#dropRun(server, run, "server gone before the start was sent");
@@ -699,6 +715,7 @@
                 task: run.name,
                 server: server.entry.id,
                 how,
+                epoch: shared.epoch,
                 failures: history.failures,
                 crashes: history.crashes,
                 // Ms since the start was sent, or since this coordinator took the run over.
@@ -826,7 +843,7 @@
     }
 
     #isCurrent(server: session.ServerSession, run: session.ActiveRun): boolean {
-        return server.runs.get(run.name) === run;
+        return !this.#ended && server.runs.get(run.name) === run;
     }
 }
 
