--- a/packages/job-soak/src/soak.test.ts
+++ b/packages/job-soak/src/soak.test.ts
@@ -1,5 +1,5 @@
 /**
- * A short soak with a fixed seed. Longer ones are run by hand, see DEVELOPERS.md.
+ * Short soaks with fixed seeds. Longer ones are run by hand, see DEVELOPERS.md.
  */
 import * as uvu from "uvu";
 import * as assert from "uvu/assert";
@@ -7,7 +7,7 @@
 
 const suite = uvu.suite("soak");
 
-suite("no task runs twice and no two processes coordinate under random faults", async () => {
+async function assertRulesHold(options: Partial<soak.SoakOptions>): Promise<void> {
     const lines: string[] = [];
     const summary = await soak.runSoak({
         seed: 1,
@@ -20,10 +20,24 @@
         program: undefined,
         logFolder: undefined,
         onFault: line => lines.push(line),
+        ...options,
     });
     const broken = [...summary.duplicateRuns, ...summary.concurrentCoordinators];
     assert.equal(broken, [], lines.join("\n"));
     assert.ok(summary.accepted > 0 && summary.runs > 0 && summary.faults > 0);
+}
+
+suite("a task runs twice, or two processes coordinate, under random faults", () => assertRulesHold({}));
+
+suite("two processes start each other's tasks, as the last heartbeat of a killed coordinator hides a claim", () => {
+    return assertRulesHold({
+        duration: 15_000,
+        processes: 6,
+        machinesPerService: 6,
+        rate: 8,
+        faultInterval: 11_000,
+        faultNames: ["kill-before-last-heartbeat"],
+    });
 });
 
 suite.run();
