Don't take a page without a readable key for the last one

A process could begin to coordinate without the progress of the jobs on later pages: it would start their tasks again.

Cause: the next page begins after the last readable key. Without one, reading ended as if it were complete, although the page said that there is more.

Evidence: the new test in topic-follower.test.ts failed before (the catch-up succeeded). No store was seen to answer so; shown with a stand-in only.

The reload now fails, and begins anew.

--- a/packages/store/src/topic-follower.test.ts
+++ b/packages/store/src/topic-follower.test.ts
@@ -254,6 +254,25 @@
     assert.equal(asked, [undefined, "b", "b"]);
 });
 
+suite("a page without a readable key is taken for the last one, although there are more", async () => {
+    const pages: store.NewestResult[] = [
+        { ...page, records: [{ offset: 2, record: undefined }], more: true, last: undefined },
+        page,
+    ];
+    const applied: string[] = [];
+    const source: Pick<store.StoreClient, "read" | "readNewest"> = {
+        readNewest: () => Promise.resolve(neverthrow.ok(pages.shift()!)),
+        read: () => Promise.resolve(neverthrow.ok({ kind: "records", records: [], end: 5 })),
+    };
+    const handlers = { apply: (record: { readonly key: string; }) => void applied.push(record.key) };
+    const options = { topic: "t", handlers, wait: 1000, pause: () => 0 };
+    const follower = new store.TopicFollower(source, options, log, () => 0);
+    assert.is(await follower.catchUp(), false);
+    assert.equal([follower.loaded, applied], [false, []]);
+    assert.is(await follower.catchUp(), true);
+    assert.equal(applied, ["a", "b"]);
+});
+
 suite("after a record that couldn't be applied, catch-ups at the same time fail for good", async () => {
     let broken = true;
     const apply = () => {
--- a/packages/store/src/topic-follower.ts
+++ b/packages/store/src/topic-follower.ts
@@ -221,9 +221,12 @@
             // Records stored after the first page was read are read again by offset, so that none is missed.
             end ??= page.end;
             records.push(...page.records);
-            if (!page.more || page.last === undefined) {
+            if (!page.more) {
                 break;
             }
+            if (page.last === undefined) {
+                return false; // Nothing says where the next page begins.
+            }
             after = page.last;
         }
         if (this.#nextOffset !== undefined && this.#nextOffset !== from && this.#nextOffset >= end) {
