Count an append as unanswered if its answer can't be read

An end could be acknowledged, and a submission accepted, that isn't stored, if something else than the store answers an append with status 200: a port of a peer that no longer belongs to its relay, or a body that was cut where its length isn't stated.

Cause: only the status was looked at; the body's fields fell back to 0.

Evidence: the new test in store-client.test.ts failed before (three answers without a JSON body counted as stored). Not seen with the store or a relay.

Such an answer now has an unknown outcome. A coordinator repeats the append under its number, which the store stores once.

--- a/packages/store/src/store-client.test.ts
+++ b/packages/store/src/store-client.test.ts
@@ -56,4 +56,16 @@
     assert.not(relayed.isAborted());
 });
 
+suite("an append counts as stored although its answer can't be read", async () => {
+    const bodies = ["", '{"Offset":5,"En', "# HELP requests_total", '{"Offset":5,"End":6}'];
+    const send: httpCalls.HttpClient["send"] = () =>
+        Promise.resolve(neverthrow.ok({ status: 200, body: Buffer.from(bodies.shift()!) }));
+    const client = new store.StoreClient({ send }, new store.StoreRoutes(direct), eventLog.silentEventLog, () => 1000);
+    for (let i = 0; i < 3; i++) {
+        const answer = await client.append("t", []);
+        assert.is(answer.isErr() && answer.error.fault, store.StoreFault.unknown);
+    }
+    assert.equal((await client.append("t", []))._unsafeUnwrap(), { kind: "stored", offset: 5, end: 6 });
+});
+
 suite.run();
--- a/packages/store/src/store-client.ts
+++ b/packages/store/src/store-client.ts
@@ -28,7 +28,7 @@
  * Results of calls that the store handled, including appends whose conditions weren't met. Refused calls are reported
  * as a `StoreError` instead.
  */
-export type AppendResult = Exclude<platform.storeCalls.AppendResult, { readonly kind: "refused"; }>;
+export type AppendResult = Exclude<platform.storeCalls.AppendResult, { readonly kind: "refused" | "malformed"; }>;
 export type ReadResult = Exclude<platform.storeCalls.ReadResult, { readonly kind: "refused"; }>;
 export type NewestResult = Exclude<platform.storeCalls.NewestResult, { readonly kind: "refused"; }>;
 
@@ -93,6 +93,11 @@
         const result = await this.#send(platform.storeCalls.createAppendCall(topic, records, conditions), 0);
         return result.andThen(response => {
             const decoded = platform.storeCalls.decodeAppend(response);
+            if (decoded.kind === "malformed") {
+                this.log.warn("append-answer-unreadable", { topic, size: response.body.byteLength });
+                const reason = "the answer can't be read";
+                return neverthrow.err<AppendResult, StoreError>({ layer: "store", fault: StoreFault.unknown, reason });
+            }
             return decoded.kind === "refused"
                 ? this.#refuse<AppendResult>(decoded.status)
                 : this.#succeed<AppendResult>(decoded);
