--- a/packages/job-soak/src/soak.test.ts
+++ b/packages/job-soak/src/soak.test.ts
@@ -31,7 +31,7 @@
 
 suite("two processes start each other's tasks, as the last heartbeat of a killed coordinator hides a claim", () => {
     return assertRulesHold({
-        duration: 15_000,
+        duration: 45_000,
         processes: 6,
         machinesPerService: 6,
         rate: 8,
