Remove no jobs while there may be a successor

A job could vanish from the next coordinator while it ran there: GET gives 410, and a submission that comes again is a new job.

Cause: the fence of a claim is set in the ledger only. In the submissions topic the store takes appends of an earlier epoch until the successor's first removal there, 1.5 times the status retention after its claim at the earliest. A coordinator that wakes from a pause of that length finds all jobs due that it had seen settled, stored or not, and removes them before the ledger refuses its heartbeat.

Shown in the test only; no run of real processes was paused for so long.

--- a/packages/dispatch/src/job-sweeper.test.ts
+++ b/packages/dispatch/src/job-sweeper.test.ts
@@ -24,7 +24,11 @@
 }
 
 /** A store with a settled job, and the sweeper of a coordinator that knows it; the clocks stand still. */
-function createSweeper(topics: memoryStore.MemoryLog, clock: TestClock): jobSweeper.JobSweeper {
+function createSweeper(
+    topics: memoryStore.MemoryLog,
+    clock: TestClock,
+    mayExtendLeases = () => true,
+): jobSweeper.JobSweeper {
     const progress = jobState.createProgress(0);
     progress.status = jobState.JobStatus.completed;
     topics.append(jobState.submissionsTopic, [jobState.encodeJob(job)]);
@@ -33,6 +37,7 @@
     const shared = {
         ...testing.createContext(new httpCalls.HttpClient(), store, () => 0),
         clock: { monotonic: () => clock.monotonic, wall: () => clock.wall },
+        mayExtendLeases,
     };
     const { key, value } = jobState.encodeJob(job);
     shared.jobs.applySubmission(key, value);
@@ -115,4 +120,23 @@
     },
 );
 
+suite(
+    "a job of the successor is removed, as a coordinator wakes that was paused for as long as jobs are kept",
+    async () => {
+        const topics = new memoryStore.MemoryLog();
+        const clock = { monotonic: 0, wall: 0 };
+        let isHeld = true;
+        const sweeper = createSweeper(topics, clock, () => isHeld);
+        await sweeper.sweep();
+        topics.append(jobState.ledgerTopic, [], { producer: { name: jobState.ledgerProducer, epoch: 2, sequence: 1 } });
+        clock.monotonic = clock.wall = retention;
+        isHeld = false;
+        await sweeper.sweep();
+        assert.is(topics.listNewest(jobState.submissionsTopic).length, 1);
+        isHeld = true;
+        await sweeper.sweep();
+        assert.is(topics.listNewest(jobState.submissionsTopic).length, 0);
+    },
+);
+
 suite.run();
--- a/packages/dispatch/src/job-sweeper.ts
+++ b/packages/dispatch/src/job-sweeper.ts
@@ -35,9 +35,12 @@
         this.#appender.stop();
     }
 
-    /** Removes the jobs that are due, unless an earlier call still does. */
+    /**
+     * Removes the jobs that are due, unless an earlier call still does or there may be a successor: only the ledger refuses
+     * the appends of an earlier epoch from the claim on, the submissions topic not before the successor's first removal.
+     */
     async sweep(): Promise<void> {
-        if (this.#sweeping) {
+        if (this.#sweeping || !this.shared.mayExtendLeases()) {
             return;
         }
         this.#sweeping = true;
