Send the fencing token to a server as soon as a new boot is read

A task could run twice for up to two seconds: a server that had restarted under its ID carried out a late start of the coordinator before, whose task the successor had started elsewhere.

Cause: a restarted server has forgotten the highest fencing token. It got it again with the next poll, and a poll that the boot before took is given up only after its wait and its timeout. The lease end of the late start is on the clock of the boot before, so the new boot doesn't take it for late either.

Not seen with real processes.

The coordinator now calls the server when it reads an entry with another boot time. From the restart until then the hole remains; the design says so.

--- a/packages/dispatch/src/fleet.ts
+++ b/packages/dispatch/src/fleet.ts
@@ -139,12 +139,30 @@
         }
         this.#logChange(known.entry, entry);
         scheduling.applyCapacity(known.load, known.entry, entry);
+        const isNewBoot = entry.bootedAt !== known.entry.bootedAt && entry.bootedAt !== known.bootedAt;
         known.entry = entry;
         known.unlisted = false;
+        if (isNewBoot && !this.#stopped) {
+            this.#sendFencingToken(entry);
+        }
         this.#updateEligibility(known);
         this.shared.schedulePass();
     }
 
+    /**
+     * Makes a new boot refuse late orders of earlier coordinators, which it would carry out until the next poll: it has
+     * forgotten the fencing token, and the response to the poll under way may not come any more.
+     */
+    #sendFencingToken({ id, address }: platform.operatorRecords.ServerRegistration): void {
+        const call = platform.serverCalls.createLeaseRenewalCall(id, {
+            fencingToken: this.shared.epoch,
+            acknowledgedEnd: 0,
+            leaseEnd: undefined,
+            wait: 0,
+        });
+        void this.shared.serverCalls.send(address, call, context.serverCallTimeout);
+    }
+
     /** Logs a change of what decides which tasks fit on the server. */
     #logChange(before: platform.operatorRecords.ServerRegistration, after: typeof before): void {
         if (describeCapacity(before) !== describeCapacity(after)) {
