--- a/packages/dispatch/src/context.ts
+++ b/packages/dispatch/src/context.ts
@@ -34,8 +34,9 @@
     /** Ends the coordinator's term, for example because a newer coordinator was seen. */
     readonly stepDown: (reason: string) => void;
     /**
-     * Whether orders may give servers longer leases, and settled jobs be removed. Not once the store hasn't stored anything of this epoch for one lease
-     * duration: there may be a successor, which then waits for no longer leases at servers that it can't reach.
+     * Whether orders may give servers longer leases, and settled jobs be removed. Not once the store hasn't stored
+     * anything of this epoch for one lease duration: there may be a successor, which then waits for no longer leases at
+     * servers that it can't reach.
      */
     readonly mayExtendLeases: () => boolean;
     /** Ms by which this process's timers have lately been late. */
