Drop no jobs while a newest record can't be read

What was seen: in the review, a job that exists was dropped when its record among the newest ones couldn't be read (1 to 0 jobs); no store was seen to answer so. Change: then nothing is dropped.

--- a/packages/dispatch/src/removed-jobs.test.ts
+++ b/packages/dispatch/src/removed-jobs.test.ts
@@ -18,6 +18,8 @@
     readonly jobs = new jobState.JobTable();
     /** Whether the store has dropped all records but the newest of each key. */
     expired = false;
+    /** Whether the newest records hold one that can't be read. */
+    hasUnreadable = false;
     readonly #followers = [
         this.#follow(jobState.submissionsTopic, {
             apply: ({ key, value }) => this.jobs.applySubmission(key, value),
@@ -40,7 +42,9 @@
             readNewest: () =>
                 Promise.resolve(neverthrow.ok({
                     kind: "page",
-                    records: this.topics.listNewest(topic),
+                    records: this.hasUnreadable
+                        ? this.topics.listNewest(topic).map(({ offset }) => ({ offset, record: undefined }))
+                        : this.topics.listNewest(topic),
                     more: false,
                     end: end(),
                     last: undefined,
@@ -90,6 +94,19 @@
     assert.is(world.jobs.findStatus(job.id), undefined);
 });
 
+suite("a job that exists is dropped, as its record among the newest ones can't be read", async () => {
+    const world = new World();
+    world.topics.append(jobState.submissionsTopic, [jobState.encodeJob(job)]);
+    await world.catchUp();
+    world.topics.append(jobState.submissionsTopic, [
+        jobState.encodeJob(jobTesting.createJob({ id: "00000000000000ff" })),
+    ]);
+    world.expired = true;
+    world.hasUnreadable = true;
+    await world.catchUp();
+    assert.ok(world.jobs.entries.has(job.id));
+});
+
 suite("a job that this process has stored is dropped, as the newest records were read before", async () => {
     const world = new World();
     await world.catchUp();
--- a/packages/job-state/src/job-table.ts
+++ b/packages/job-state/src/job-table.ts
@@ -75,8 +75,13 @@
     /**
      * Drops the jobs that were read earlier and have no record among the newest ones of the submissions topic: they were
      * removed, and their tombstones may have expired.
+     *
+     * @param newestKeys `undefined` if not all of them are known
      */
-    dropRemoved(newestKeys: ReadonlySet<string>): void {
+    dropRemoved(newestKeys: ReadonlySet<string> | undefined): void {
+        if (newestKeys === undefined) {
+            return; // A record that can't be read may be that of any job.
+        }
         for (const id of this.#readJobs) {
             if (!newestKeys.has(records.formatJobKey(id))) {
                 this.#remove(id);
--- a/packages/store/src/topic-follower.ts
+++ b/packages/store/src/topic-follower.ts
@@ -12,8 +12,11 @@
 export interface TopicHandlers {
     /** Called for each record in order of offsets; after a reload, records may come again. */
     readonly apply: (record: platform.storeCalls.KeyedRecord, offset: number) => void;
-    /** Called before the newest records are applied, with their keys, so that those that no longer exist can be dropped. */
-    readonly reset?: (keys: ReadonlySet<string>) => void;
+    /**
+     * Called before the newest records are applied, with their keys, so that those that no longer exist can be dropped;
+     * with `undefined` if a record can't be read.
+     */
+    readonly reset?: (keys: ReadonlySet<string> | undefined) => void;
 }
 
 export interface FollowerOptions {
@@ -234,7 +237,7 @@
             this.log.info("newest-records-dropped", { topic: this.options.topic, end, reached: this.#nextOffset });
             return true;
         }
-        this.options.handlers.reset?.(new Set(records.flatMap(({ record }) => record?.key ?? [])));
+        this.options.handlers.reset?.(listKeys(records));
         for (const { offset, record } of records.sort((a, b) => a.offset - b.offset)) {
             this.#apply(record, offset);
         }
@@ -250,6 +253,12 @@
     }
 }
 
+/** Keys of the records; `undefined` if a record can't be read. */
+function listKeys(records: readonly platform.storeCalls.StoredRecord[]): Set<string> | undefined {
+    const keys = records.flatMap(({ record }) => record?.key ?? []);
+    return keys.length === records.length ? new Set(keys) : undefined;
+}
+
 function findNewestOffsets(records: readonly platform.storeCalls.StoredRecord[]): Map<string, number> {
     const newest = new Map<string, number>();
     for (const { offset, record } of records) {
