--- a/packages/job-soak/src/bin/job-soak.ts
+++ b/packages/job-soak/src/bin/job-soak.ts
@@ -56,6 +56,10 @@
     }
 }
 
+// Exits by itself, so that the processes of the deployment end with it.
+process.once("SIGINT", () => process.exit(1));
+process.once("SIGTERM", () => process.exit(1));
+
 const cli = new clipanion.Cli({ binaryName: "job-soak" });
 cli.register(JobSoakCommand);
 process.exit(await cli.run(process.argv.slice(2)));
--- a/packages/job-soak/src/soak.ts
+++ b/packages/job-soak/src/soak.ts
@@ -87,6 +87,8 @@
         random: new bench.RandomSource(options.seed + 1000),
         rate: options.rate,
     });
+    const killProcesses = () => deployment.processes.forEach(({ child }) => child?.kill("SIGKILL"));
+    process.once("exit", killProcesses);
     try {
         await deployment.start(
             options.processes,
@@ -110,6 +112,7 @@
         };
     }
     finally {
+        process.off("exit", killProcesses);
         callers.close();
         writeLogs(options.logFolder, deployment);
         await deployment.stop();
