--- a/packages/dispatch/src/context.ts
+++ b/packages/dispatch/src/context.ts
@@ -35,8 +35,8 @@
     readonly stepDown: (reason: string) => void;
     /**
      * Whether orders may give servers longer leases, and settled jobs be removed. Not once the store hasn't stored
-     * anything of this epoch for one lease duration: there may be a successor, which then waits for no longer leases at
-     * servers that it can't reach.
+     * anything of this epoch for one lease duration: there may be a successor by then, which counts the leases of servers
+     * that it can't reach as expired two lease durations after its term began.
      */
     readonly mayExtendLeases: () => boolean;
     /** Ms by which this process's timers have lately been late. */
