Review case 6: two runs of a work unit after a worker started again

TWICE: a repeated start carries a lease end of the worker's earlier boot, which its next boot takes for its longest lease; the coordinator knows, its successor doesn't, and begins the unit elsewhere while the worker is cut off and runs on. The cases before are renumbered by gravity.

--- a/review/6/main.ts
+++ b/review/6/main.ts
@@ -1,35 +1,35 @@
 /**
- * LOST: a worker that is cut off starts again once. The coordinator is killed soon after it has noticed, and its successor
- * counts the same crash a second time: a sound job is shown as failed.
+ * TWICE: a start that was meant for a worker's earlier boot reaches the next one and grants it the longest lease. The
+ * coordinator knows, its successor doesn't: when the worker is cut off, its work unit is begun elsewhere while it runs on.
  */
 import * as caller from "../harness-2/caller.js";
 import * as cases from "../harness-2/case.js";
 import * as deployments from "../harness-2/deployment.js";
 
 const jobId = "5c0e7a21d94b36f8";
-const target = `/quote/${jobId}`;
+const target = `/replan/${jobId}`;
 /** Workers of the service; one of them is cut off, a share of 0.14. */
 const workerCount = 7;
-/** Ms after which the renewal under way at the beginning of the cut has been answered, without its answer coming through. */
+/** Ms after which the renewal under way at the beginning of the first cut has been answered, without its answer coming through. */
 const renewalTime = 2200;
 /**
- * Ms from the last lease renewal that the cut swallows to the end of the cut: the next renewal comes before the next order
- * to stop. Which of the two comes first decides whether the crash is counted twice; without this it is left to chance.
+ * Ms from the last start that the cut swallows to the end of the cut: the start is repeated after 0.95 s, before the lease is
+ * renewed. Without this, which of the two comes first is left to chance.
  */
-const lastRenewalAge = 900;
+const lastStartAge = 900;
 /** Calls that a cut swallows are never carried out. */
 const never = 2 ** 30;
-/** Ms from the end of the cut to the loss of the coordinator. */
-const killAfter = 700;
+/** Ms from the start on the new boot to the loss of the coordinator. */
+const killAfter = 400;
 /** Ms until the process that was killed starts again. */
 const restartAfter = 1000;
-/** Ms of work of a work unit. */
-const duration = 640;
-/** Ms for which the job is watched after the loss. */
-const watchTime = 25_000;
+/** Ms from a renewal of the successor, which waits for 1 s for an end, to the second cut, which swallows its answer. */
+const secondCutAfter = 850;
+/** Ms for which the second cut lasts; the site has 5.5 s. */
+const secondCutTime = 5500;
 
 await cases.run(6, async (deployment, record, trouble) => {
-    await deployment.startPlatform([{ name: "quote", service: "dispatch", maxAttempts: 3 }]);
+    await deployment.startPlatform([{ name: "replan", service: "dispatch", maxAttempts: 2 }]);
     for (let i = 0; i < workerCount; i++) {
         await deployment.machines.addMachine(`m-${i}`, "dispatch");
     }
@@ -39,22 +39,26 @@
     if (!await deployments.waitFor(20_000, () => deployment.findCoordinator() !== undefined)) {
         return cases.Outcome.notRun;
     }
-    await deployments.pause(2500);
+    await deployments.pause(8000);
     const coordinator = deployment.findCoordinator();
     const node = deployment.nodes.find(one => one !== coordinator)!;
-    const machine = deployment.machines.machines.get("m-3")!;
+    const { history, machines } = deployment.machines;
+    const machine = machines.get("m-3")!;
     const worker = machine.server!;
-    let renewedAt = 0;
+    const arrivals = new Map<string, number>();
     let isCutOff = false;
     worker.findLateness = path => {
-        renewedAt = path === "/-/hold" ? Date.now() : renewedAt;
+        arrivals.set(path, Date.now());
         if (isCutOff) {
             record.add(`a call of ${path} doesn't reach ${worker.id}`);
         }
         return isCutOff ? never : undefined;
     };
-    const seen = renewedAt;
-    if (!await deployments.waitFor(5000, () => renewedAt > seen)) {
+    const holdBefore = arrivals.get("/-/hold");
+    if (
+        coordinator === undefined
+        || !await deployments.waitFor(5000, () => arrivals.get("/-/hold") !== holdBefore)
+    ) {
         return cases.Outcome.notRun;
     }
     if (trouble) {
@@ -64,46 +68,71 @@
         setTimeout(() => worker.mode = "up", renewalTime);
     }
     const submitted = await caller.call(node.callerPort, "POST", target, deployments.host, {
-        Spec: JSON.stringify({ duration }),
-        Steps: [{ Count: workerCount, Cpu: 500, MemMb: 10, EstimateMs: duration, AntiAffinity: 1 }],
+        Spec: "{}",
+        Steps: [{
+            Count: workerCount - 1,
+            Cpu: 500,
+            MemMb: 256,
+            EstimateMs: 90_000,
+            LongRunning: true,
+            AntiAffinity: 1,
+            MayMiss: 1,
+        }],
     });
     record.add(`POST ${target}: ${submitted.status}`);
-    if (submitted.status !== 200 || coordinator === undefined) {
+    if (submitted.status !== 200) {
         return cases.Outcome.notRun;
     }
+    await deployments.pause(renewalTime);
     if (trouble) {
-        await deployments.pause(renewalTime);
-        const before = renewedAt;
-        if (!await deployments.waitFor(2000, () => renewedAt > before && Date.now() - renewedAt >= lastRenewalAge)) {
+        const before = arrivals.get("/-/run-start");
+        const isDue = () =>
+            arrivals.get("/-/run-start") !== before && Date.now() - arrivals.get("/-/run-start")! >= lastStartAge;
+        if (!await deployments.waitFor(2500, isDue)) {
             return cases.Outcome.notRun;
         }
         isCutOff = false;
         deployment.machines.reboot(machine);
+        const backAt = Date.now();
         record.add(`worker ${worker.id} has started again behind the cut, which is over`);
+        if (
+            !await deployments.waitFor(
+                3000,
+                () => history.some(run => run.server === worker.id && run.startedAt >= backAt),
+            )
+        ) {
+            return cases.Outcome.notRun;
+        }
         await deployments.pause(killAfter);
         record.add(`${coordinator.name}, which coordinates, is killed`);
         await deployment.kill(coordinator);
         setTimeout(() => deployment.launch(coordinator), restartAfter);
-    }
-    let shown: string | undefined;
-    for (const end = Date.now() + watchTime; Date.now() < end && shown !== "failed" && shown !== "completed";) {
-        const answer = await caller.call(node.callerPort, "GET", target, deployments.host);
-        const state = caller.readState(answer);
-        if (state !== shown) {
-            record.add(`GET ${target}: ${answer.status} ${answer.body}`);
-            shown = state;
+        if (!await deployments.waitFor(10_000, () => deployment.findCoordinator() !== undefined)) {
+            return cases.Outcome.notRun;
         }
-        await deployments.pause(50);
+        record.add(`${deployment.findCoordinator()?.name} coordinates`);
+        const renewalBefore = arrivals.get("/-/hold");
+        if (!await deployments.waitFor(3000, () => arrivals.get("/-/hold") !== renewalBefore)) {
+            return cases.Outcome.notRun;
+        }
+        await deployments.pause(secondCutAfter);
+        record.add(`worker ${worker.id} is cut off and runs on`);
+        worker.mode = "silent";
+        await deployments.pause(secondCutTime);
+        worker.mode = "up";
+        record.add("the second cut is over");
     }
-    const { history } = deployment.machines;
+    await deployments.pause(8000);
     for (const { task, run, server, how, startedAt, endedAt } of history) {
         const outcome = endedAt === undefined ? "still running" : `${how} after ${endedAt - startedAt} ms`;
         record.add(`ran ${task}/${run} on ${server}, ${outcome}`, startedAt);
     }
-    const failedEnds = history.filter(run => run.how === "failed").length;
-    record.add(`${failedEnds} runs ended as failed; the job is shown as ${shown}`);
-    if (shown === "failed" && failedEnds === 0) {
-        return cases.Outcome.broken;
+    let overlap = 0;
+    for (const [i, earlier] of history.entries()) {
+        for (const later of history.slice(i + 1).filter(run => run.task === earlier.task)) {
+            overlap = Math.max(overlap, (earlier.endedAt ?? Date.now()) - later.startedAt);
+        }
     }
-    return shown === "completed" ? cases.Outcome.held : cases.Outcome.notRun;
+    record.add(`two runs of one work unit at the same time for ${Math.max(0, overlap)} ms`);
+    return overlap > 0 ? cases.Outcome.broken : cases.Outcome.held;
 });
--- a/review/7/main.ts
+++ b/review/7/main.ts
@@ -1,78 +1,109 @@
 /**
- * LOST: a job with many work units runs; then all processes of the system lose power for some seconds, and the leases of
- * the workers lapse. The work units are begun again, but the job is shown as failed although no run has failed.
+ * LOST: a worker that is cut off starts again once. The coordinator is killed soon after it has noticed, and its successor
+ * counts the same crash a second time: a sound job is shown as failed.
  */
 import * as caller from "../harness-2/caller.js";
 import * as cases from "../harness-2/case.js";
 import * as deployments from "../harness-2/deployment.js";
 
 const jobId = "5c0e7a21d94b36f8";
-const target = `/archive/${jobId}`;
-const workers = 35;
-/** Room of a worker, that of the site. */
-const capacity = { Cpu: 64_000, MemMb: 262_144 };
-const workUnits = 7200;
+const target = `/quote/${jobId}`;
+/** Workers of the service; one of them is cut off, a share of 0.14. */
+const workerCount = 7;
+/** Ms after which the renewal under way at the beginning of the cut has been answered, without its answer coming through. */
+const renewalTime = 2200;
+/**
+ * Ms from the last lease renewal that the cut swallows to the end of the cut: the next renewal comes before the next order
+ * to stop. Which of the two comes first decides whether the crash is counted twice; without this it is left to chance.
+ */
+const lastRenewalAge = 900;
+/** Calls that a cut swallows are never carried out. */
+const never = 2 ** 30;
+/** Ms from the end of the cut to the loss of the coordinator. */
+const killAfter = 700;
+/** Ms until the process that was killed starts again. */
+const restartAfter = 1000;
 /** Ms of work of a work unit. */
-const duration = 30_000;
-/** Ms without power; the site's days have up to 9.5 s. */
-const downTime = 9500;
+const duration = 640;
+/** Ms for which the job is watched after the loss. */
+const watchTime = 25_000;
 
 await cases.run(7, async (deployment, record, trouble) => {
-    await deployment.startPlatform([{ name: "archive", service: "receipts", maxAttempts: 3 }]);
-    for (let i = 0; i < workers; i++) {
-        await deployment.machines.addMachine(`m-${i}`, "receipts");
+    await deployment.startPlatform([{ name: "quote", service: "dispatch", maxAttempts: 3 }]);
+    for (let i = 0; i < workerCount; i++) {
+        await deployment.machines.addMachine(`m-${i}`, "dispatch");
     }
-    deployment.machines.machines.forEach(machine => deployment.machines.resize(machine, capacity));
     for (let i = 0; i < 3; i++) {
         await deployment.addNode(`frontend-${i}`);
     }
-    const [node] = deployment.nodes;
     if (!await deployments.waitFor(20_000, () => deployment.findCoordinator() !== undefined)) {
         return cases.Outcome.notRun;
     }
-    await deployments.pause(1000);
-    const submitted = await caller.call(node!.callerPort, "POST", target, deployments.host, {
+    await deployments.pause(2500);
+    const coordinator = deployment.findCoordinator();
+    const node = deployment.nodes.find(one => one !== coordinator)!;
+    const machine = deployment.machines.machines.get("m-3")!;
+    const worker = machine.server!;
+    let renewedAt = 0;
+    let isCutOff = false;
+    worker.findLateness = path => {
+        renewedAt = path === "/-/hold" ? Date.now() : renewedAt;
+        if (isCutOff) {
+            record.add(`a call of ${path} doesn't reach ${worker.id}`);
+        }
+        return isCutOff ? never : undefined;
+    };
+    const seen = renewedAt;
+    if (!await deployments.waitFor(5000, () => renewedAt > seen)) {
+        return cases.Outcome.notRun;
+    }
+    if (trouble) {
+        record.add(`worker ${worker.id} is cut off`);
+        worker.mode = "silent"; // The renewal under way gets no answer either.
+        isCutOff = true;
+        setTimeout(() => worker.mode = "up", renewalTime);
+    }
+    const submitted = await caller.call(node.callerPort, "POST", target, deployments.host, {
         Spec: JSON.stringify({ duration }),
-        Steps: [{ Count: workUnits, Cpu: 300, MemMb: 1000, EstimateMs: duration }],
+        Steps: [{ Count: workerCount, Cpu: 500, MemMb: 10, EstimateMs: duration, AntiAffinity: 1 }],
     });
     record.add(`POST ${target}: ${submitted.status}`);
-    if (submitted.status !== 200) {
-        return cases.Outcome.notRun;
-    }
-    const { history } = deployment.machines;
-    const begun = await deployments.waitFor(25_000, () => new Set(history.map(run => run.task)).size === workUnits);
-    record.add(`${new Set(history.map(run => run.task)).size} of ${workUnits} work units have begun`);
-    if (!begun) {
+    if (submitted.status !== 200 || coordinator === undefined) {
         return cases.Outcome.notRun;
     }
     if (trouble) {
-        record.add("all processes of the system lose power");
-        await Promise.all(deployment.nodes.map(one => deployment.kill(one)));
-        await deployments.pause(downTime);
-        deployment.nodes.forEach(one => deployment.launch(one));
-        record.add("power is back");
+        await deployments.pause(renewalTime);
+        const before = renewedAt;
+        if (!await deployments.waitFor(2000, () => renewedAt > before && Date.now() - renewedAt >= lastRenewalAge)) {
+            return cases.Outcome.notRun;
+        }
+        isCutOff = false;
+        deployment.machines.reboot(machine);
+        record.add(`worker ${worker.id} has started again behind the cut, which is over`);
+        await deployments.pause(killAfter);
+        record.add(`${coordinator.name}, which coordinates, is killed`);
+        await deployment.kill(coordinator);
+        setTimeout(() => deployment.launch(coordinator), restartAfter);
     }
     let shown: string | undefined;
-    let settled: string | undefined;
-    for (const end = Date.now() + 60_000; Date.now() < end && settled === undefined;) {
-        const answer = await caller.call(node!.callerPort, "GET", target, deployments.host);
-        const state = caller.readState(answer) ?? `${answer.status}`;
+    for (const end = Date.now() + watchTime; Date.now() < end && shown !== "failed" && shown !== "completed";) {
+        const answer = await caller.call(node.callerPort, "GET", target, deployments.host);
+        const state = caller.readState(answer);
         if (state !== shown) {
             record.add(`GET ${target}: ${answer.status} ${answer.body}`);
             shown = state;
         }
-        settled = state === "failed" || state === "completed" ? state : undefined;
-        await deployments.pause(200);
+        await deployments.pause(50);
+    }
+    const { history } = deployment.machines;
+    for (const { task, run, server, how, startedAt, endedAt } of history) {
+        const outcome = endedAt === undefined ? "still running" : `${how} after ${endedAt - startedAt} ms`;
+        record.add(`ran ${task}/${run} on ${server}, ${outcome}`, startedAt);
     }
-    const ways = new Map<string, number>();
-    for (const { how } of history) {
-        ways.set(how ?? "still running", (ways.get(how ?? "still running") ?? 0) + 1);
+    const failedEnds = history.filter(run => run.how === "failed").length;
+    record.add(`${failedEnds} runs ended as failed; the job is shown as ${shown}`);
+    if (shown === "failed" && failedEnds === 0) {
+        return cases.Outcome.broken;
     }
-    record.add(`${history.length} runs: ${[...ways].map(([how, count]) => `${count} ${how}`).join(", ")}`);
-    const failedEnds = ways.get("failed") ?? 0;
-    return settled === "failed" && failedEnds === 0
-        ? cases.Outcome.broken
-        : settled === "completed"
-        ? cases.Outcome.held
-        : cases.Outcome.notRun;
+    return shown === "completed" ? cases.Outcome.held : cases.Outcome.notRun;
 });
--- a/review/8/main.ts
+++ b/review/8/main.ts
@@ -1,105 +1,78 @@
 /**
- * LOST: a worker is lost for good, and the coordinator soon after, before it has noticed. The successor leaves the work units
- * that lasted on that worker without a run for some eleven seconds, though the list of machines shows the machine as down.
+ * LOST: a job with many work units runs; then all processes of the system lose power for some seconds, and the leases of
+ * the workers lapse. The work units are begun again, but the job is shown as failed although no run has failed.
  */
 import * as caller from "../harness-2/caller.js";
 import * as cases from "../harness-2/case.js";
 import * as deployments from "../harness-2/deployment.js";
 
 const jobId = "5c0e7a21d94b36f8";
-const target = `/replan/${jobId}`;
-/** Workers of the service; one of them is lost, a share of 0.14. */
-const workerCount = 7;
-/** Work units of the job, one on a worker at most. */
-const units = 5;
-/** Ms from the loss of the worker to that of the coordinator. */
-const killAfter = 650;
-/** Ms until the process that was killed starts again. */
-const restartAfter = 1000;
-/** Ms after which the entry of a silent worker is removed: three of its reports. */
-const entryLifetime = 4500;
-/** Ms from its last run on for which a work unit that lasts may be without one. */
-const restartTime = 6000;
-/** Ms of calm before the time that is judged. */
-const calmTime = 4000;
-/** Ms for which a work unit has nothing running, in the calm, where the rule is broken. */
-const idleLimit = 3000;
-/** Ms for which the job is watched after the loss. */
-const watchTime = 25_000;
+const target = `/archive/${jobId}`;
+const workers = 35;
+/** Room of a worker, that of the site. */
+const capacity = { Cpu: 64_000, MemMb: 262_144 };
+const workUnits = 7200;
+/** Ms of work of a work unit. */
+const duration = 30_000;
+/** Ms without power; the site's days have up to 9.5 s. */
+const downTime = 9500;
 
 await cases.run(8, async (deployment, record, trouble) => {
-    await deployment.startPlatform([{ name: "replan", service: "dispatch", maxAttempts: 2 }]);
-    for (let i = 0; i < workerCount; i++) {
-        await deployment.machines.addMachine(`m-${i}`, "dispatch");
+    await deployment.startPlatform([{ name: "archive", service: "receipts", maxAttempts: 3 }]);
+    for (let i = 0; i < workers; i++) {
+        await deployment.machines.addMachine(`m-${i}`, "receipts");
     }
+    deployment.machines.machines.forEach(machine => deployment.machines.resize(machine, capacity));
     for (let i = 0; i < 3; i++) {
         await deployment.addNode(`frontend-${i}`);
     }
+    const [node] = deployment.nodes;
     if (!await deployments.waitFor(20_000, () => deployment.findCoordinator() !== undefined)) {
         return cases.Outcome.notRun;
     }
-    await deployments.pause(2500);
-    const coordinator = deployment.findCoordinator();
-    const node = deployment.nodes.find(one => one !== coordinator)!;
-    const { history, machines } = deployment.machines;
-    const submitted = await caller.call(node.callerPort, "POST", target, deployments.host, {
-        Spec: "{}",
-        Steps: [{
-            Count: units,
-            Cpu: 500,
-            MemMb: 256,
-            EstimateMs: 90_000,
-            LongRunning: true,
-            AntiAffinity: 1,
-            MayMiss: 1,
-        }],
+    await deployments.pause(1000);
+    const submitted = await caller.call(node!.callerPort, "POST", target, deployments.host, {
+        Spec: JSON.stringify({ duration }),
+        Steps: [{ Count: workUnits, Cpu: 300, MemMb: 1000, EstimateMs: duration }],
     });
     record.add(`POST ${target}: ${submitted.status}`);
-    if (
-        submitted.status !== 200 || coordinator === undefined
-        || !await deployments.waitFor(10_000, () => history.length === units)
-    ) {
+    if (submitted.status !== 200) {
         return cases.Outcome.notRun;
     }
-    await deployments.pause(10_000);
-    const [run] = history;
-    const machine = [...machines.values()].find(({ server }) => server?.id === run!.server);
-    const worker = machine?.server;
-    if (machine === undefined || worker === undefined) {
+    const { history } = deployment.machines;
+    const begun = await deployments.waitFor(25_000, () => new Set(history.map(run => run.task)).size === workUnits);
+    record.add(`${new Set(history.map(run => run.task)).size} of ${workUnits} work units have begun`);
+    if (!begun) {
         return cases.Outcome.notRun;
     }
-    const lostAt = Date.now();
-    let calmFrom = lostAt;
     if (trouble) {
-        // It falls silent; its machine is listed as down, and its entry is removed after a time.
-        worker.mode = "silent";
-        machine.state = "down";
-        machine.server = undefined;
-        setTimeout(() => deployment.store.put("keyed.servers", worker.id, undefined), entryLifetime);
-        record.add(`worker ${worker.id} is lost for good, with ${run!.task}/${run!.run}`);
-        await deployments.pause(killAfter);
-        record.add(`${coordinator.name}, which coordinates, is killed`);
-        await deployment.kill(coordinator);
-        await deployments.pause(restartAfter);
-        deployment.launch(coordinator);
-        record.add(`${coordinator.name} is started again`);
-        calmFrom = Date.now();
+        record.add("all processes of the system lose power");
+        await Promise.all(deployment.nodes.map(one => deployment.kill(one)));
+        await deployments.pause(downTime);
+        deployment.nodes.forEach(one => deployment.launch(one));
+        record.add("power is back");
     }
-    const judgedFrom = Math.max(lostAt + restartTime, calmFrom + calmTime);
-    const findNext = () => history.find(one => one.task === run!.task && one.startedAt > lostAt);
-    await deployments.waitFor(watchTime, () => findNext() !== undefined);
-    const next = findNext();
-    for (const { task, run: number, server, startedAt } of history) {
-        record.add(`began ${task}/${number} on ${server}`, startedAt);
+    let shown: string | undefined;
+    let settled: string | undefined;
+    for (const end = Date.now() + 60_000; Date.now() < end && settled === undefined;) {
+        const answer = await caller.call(node!.callerPort, "GET", target, deployments.host);
+        const state = caller.readState(answer) ?? `${answer.status}`;
+        if (state !== shown) {
+            record.add(`GET ${target}: ${answer.status} ${answer.body}`);
+            shown = state;
+        }
+        settled = state === "failed" || state === "completed" ? state : undefined;
+        await deployments.pause(200);
     }
-    const idle = (next?.startedAt ?? Date.now()) - judgedFrom;
-    record.add(
-        trouble
-            ? `${run!.task} had nothing running for ${
-                (next?.startedAt ?? Date.now()) - lostAt
-            } ms; ${idle} ms of it count`
-            : `${run!.task}/${run!.run} ${run!.endedAt === undefined ? "runs on" : "has ended"}`,
-    );
-    worker.crash();
-    return (trouble ? idle >= idleLimit : run!.endedAt !== undefined) ? cases.Outcome.broken : cases.Outcome.held;
+    const ways = new Map<string, number>();
+    for (const { how } of history) {
+        ways.set(how ?? "still running", (ways.get(how ?? "still running") ?? 0) + 1);
+    }
+    record.add(`${history.length} runs: ${[...ways].map(([how, count]) => `${count} ${how}`).join(", ")}`);
+    const failedEnds = ways.get("failed") ?? 0;
+    return settled === "failed" && failedEnds === 0
+        ? cases.Outcome.broken
+        : settled === "completed"
+        ? cases.Outcome.held
+        : cases.Outcome.notRun;
 });
