Log what ends runs after a takeover, and what is known of a worker's boots

Added: from what the expiry of a lease is computed (lease-lapsed), a start that another boot answered (start-on-another-boot), epoch and boots of a counted crash (server-crashed), which servers with runs the first list of machines doesn't name (machines-listed), and tasks and bytes of progress that can't be stored (progress-unstorable). No decision changes.

--- a/packages/dispatch/src/coordinator.ts
+++ b/packages/dispatch/src/coordinator.ts
@@ -350,7 +350,12 @@
         if (active === undefined) {
             return;
         }
-        this.#shared.log.warn("progress-unstorable", { job: entry.id, queue: active.job.queue });
+        this.#shared.log.warn("progress-unstorable", {
+            job: entry.id,
+            queue: active.job.queue,
+            tasks: jobState.countTasks(active.job),
+            size: jobState.encodeProgress(entry.id, active.progress).value.length,
+        });
         this.#runManager.fail(active);
         this.#stopRunsOf(active, runManager.StopCause.settled);
     }
--- a/packages/dispatch/src/fleet.ts
+++ b/packages/dispatch/src/fleet.ts
@@ -579,7 +579,12 @@
         }
         const now = this.shared.clock.monotonic();
         if (server.runs.size > 0 && now >= server.computeLeaseExpiry()) {
-            this.shared.log.info("lease-lapsed", { server: server.entry.id, runs: server.runs.size });
+            this.shared.log.info("lease-lapsed", {
+                server: server.entry.id,
+                runs: server.runs.size,
+                boot: server.bootId,
+                ...server.describeLease(now),
+            });
             this.#rememberLapsedRuns(server, now);
             this.handlers.onRunsLost(server, "lapsed");
         }
--- a/packages/dispatch/src/machine-inventory.ts
+++ b/packages/dispatch/src/machine-inventory.ts
@@ -238,9 +238,25 @@
                 known.machine = machine;
             }
         }
+        if (!this.loaded) {
+            this.#logFirstList(found, complete);
+        }
         this.loaded = true;
     }
 
+    #logFirstList(found: readonly Machine[], complete: boolean): void {
+        const named = new Set(found.map(({ server }) => server));
+        this.shared.log.info("machines-listed", {
+            count: found.length,
+            complete,
+            withoutServer: found.filter(({ server }) => server === "").length,
+            // Servers with runs that are on none of the machines.
+            unnamed: [...this.fleet.sessions.values()]
+                .filter(server => server.runs.size > 0 && !named.has(server.entry.id))
+                .map(server => server.entry.id),
+        });
+    }
+
     /** Removes the machines that are gone; one for which an order is in flight is kept until its outcome is known. */
     #countMissedReads(listed: ReadonlySet<string>): void {
         for (const [id, managed] of this.machines) {
--- a/packages/dispatch/src/run-manager.ts
+++ b/packages/dispatch/src/run-manager.ts
@@ -328,6 +328,15 @@
             if (answer.clock !== undefined && server.recordClock(answer.clock, lastClock, shared.clock.monotonic())) {
                 run.startClock ??= answer.clock;
             }
+            else if (answer.clock !== undefined) {
+                shared.log.warn("start-on-another-boot", {
+                    task: run.name,
+                    boot: run.bootId,
+                    clock: answer.clock,
+                    // On the clock of the boot for which the start was meant.
+                    leaseEnd: Math.round(server.latestLeaseEnd),
+                });
+            }
             run.expectedInListsFrom ??= shared.clock.monotonic();
             if (run.phase === session.RunPhase.ordered || run.phase === session.RunPhase.uncertain) {
                 run.phase = session.RunPhase.running;
@@ -495,7 +504,9 @@
         shared.log.warn("server-crashed", {
             server: crash.server,
             runs: crash.runs.length,
+            epoch: shared.epoch,
             suspects: suspects.map(started => started.run.name),
+            boots: [...new Set(suspects.map(started => started.run.bootId))],
             evidence,
         });
         for (const { run } of suspects) {
--- a/packages/dispatch/src/server-session.ts
+++ b/packages/dispatch/src/server-session.ts
@@ -284,6 +284,18 @@
         return this.clockSample === undefined ? undefined : this.clockSample.server + now - this.clockSample.received;
     }
 
+    /** What the expiry of the lease is computed from, in ms before `now`, on the monotonic clock. */
+    describeLease(now: number): object {
+        const { clockSample, termStartedAt } = this;
+        return clockSample === undefined
+            ? { sinceTermStart: Math.round(now - termStartedAt) }
+            : {
+                sinceAnswer: Math.round(now - clockSample.received),
+                granted: Math.round(this.latestLeaseEnd - clockSample.server),
+                ofEarlierBoot: Math.round(this.leaseOfEarlierBoot - clockSample.received),
+            };
+    }
+
     /** On the monotonic clock: when all runs have certainly lost their lease, if no further lease is granted. */
     computeLeaseExpiry(): number {
         if (this.clockSample === undefined) {
