Store the boots of servers, so that a successor knows which leases they may hold

Cause: the end of a lease is a time on the server's clock, which starts anew with each boot. A repeated start reached the next boot, 44 ms old, with an end of 14,843 ms (start-on-another-boot), and gave it the longest lease, 10 s. Only the coordinator that saw the restart allowed for it, in memory; its successor counted the lease that it had granted itself (lease-lapsed: granted 4500).

Change: a boot is stored in the ledger before any order gives it a lease. So an answer of a boot that isn't stored tells a successor that orders may have been meant for another boot, and it allows for the longest lease; for a stored boot it goes by the end that is stored with it, and waits no longer than before. Until a server's first answer, the longest lease is allowed for only where a start on it wasn't outlasted. A coordinator that the store no longer hears from repeats no start.

Price: one record of some 25 bytes for each boot of a server.

--- a/packages/dispatch/src/coordinator.ts
+++ b/packages/dispatch/src/coordinator.ts
@@ -68,6 +68,8 @@
      * For each machine, the latest time at which an earlier coordinator can have ordered it, on the monotonic clock.
      */
     readonly earlierOrderTimes: ReadonlyMap<string, number>;
+    /** Boots of the backend servers in the ledger, by server ID. */
+    readonly serverBoots: ReadonlyMap<string, jobState.ServerBoot>;
     readonly onStepDown: (reason: string) => void;
     /** Receives the times in ms that the coordinator's activities take, for metrics. */
     readonly observeDuration: (activity: loadMeter.Activity, duration: number) => void;
@@ -194,7 +196,7 @@
             onRebooted: server => this.#runManager.endEarlierBoot(server),
             onCrash: crash => this.#runManager.recordCrash(crash),
             onRunsLost: (server, how) => this.#runManager.endAll(server, how),
-        });
+        }, options.serverBoots);
         this.#tickets = new ticketCache.TicketCache(this.#shared);
         this.#sweeper = new jobSweeper.JobSweeper(this.#shared, store);
         this.#placer = new placer.Placer(this.#shared, this.#runManager, this.#tickets);
@@ -433,6 +435,7 @@
         if (now - this.#lastSweepAt >= sweepInterval) {
             this.#lastSweepAt = now;
             void this.#sweeper.sweep();
+            this.fleet.sweepBoots();
             // A step key begins with the job's ID, see formatStepKey.
             this.#tickets.evict(stepKey => !this.registry.active.has(stepKey.slice(0, stepKey.indexOf("."))));
         }
--- a/packages/dispatch/src/fleet.ts
+++ b/packages/dispatch/src/fleet.ts
@@ -8,6 +8,7 @@
 import * as scheduling from "@catkinwharf/scheduling";
 import * as timers from "node:timers/promises";
 import * as context from "./context.js";
+import * as serverBoots from "./server-boots.js";
 import * as session from "./server-session.js";
 
 /** A crash of a server as it was noticed. */
@@ -87,13 +88,21 @@
     readonly sessions = new Map<string, session.ServerSession>();
     /** By server ID; kept longer than sessions, as a crashed server may be unlisted until it is back. */
     readonly #lapsedRuns = new Map<string, LapsedRuns>();
+    readonly #boots: serverBoots.ServerBoots;
+    readonly #leases: serverBoots.LeaseBounds;
     #stopped = false;
     #started = false;
 
+    /** @param storedBoots the servers' boots in the ledger, by server ID */
     constructor(
         private readonly shared: context.CoordinatorContext,
         private readonly handlers: FleetHandlers,
-    ) {}
+        storedBoots: ReadonlyMap<string, jobState.ServerBoot> = new Map(),
+    ) {
+        const { settings } = shared;
+        this.#leases = { lease: context.computeLeaseDuration(settings), maxLease: settings.bounds.maxLease };
+        this.#boots = new serverBoots.ServerBoots(shared, this.#leases, storedBoots);
+    }
 
     stop(): void {
         this.#stopped = true;
@@ -234,8 +243,9 @@
             entry,
             load,
             this.shared.termStartedAt,
-            context.computeLeaseDuration(this.shared.settings),
+            this.#leases,
         );
+        created.bootMayHoldOtherLease = this.#boots.find(entry.id)?.leaseEnd !== undefined;
         created.lastAnswerAt = this.shared.clock.monotonic();
         this.sessions.set(entry.id, created);
         if (this.#started) {
@@ -325,13 +335,13 @@
     }
 
     async #pollOnce(server: session.ServerSession): Promise<void> {
-        const { clock, serverCalls, settings, epoch } = this.shared;
+        const { clock, serverCalls, epoch } = this.shared;
         const sentAt = clock.monotonic();
         const serverClock = server.estimateClock(sentAt);
         // An unreachable server gets no new lease, so that its lease expires and its tasks can start elsewhere.
-        const leaseEnd = serverClock === undefined || !server.reachable || !this.shared.mayExtendLeases()
-            ? undefined
-            : serverClock + context.computeLeaseDuration(settings);
+        const mayExtendLease = server.reachable && this.shared.mayExtendLeases()
+            && this.#boots.isStored(server.entry.id, server.bootedAt);
+        const leaseEnd = serverClock !== undefined && mayExtendLease ? serverClock + this.#leases.lease : undefined;
         const unstored = server.ends.lastProcessed > server.ends.lastStored;
         const wait = serverClock === undefined || unstored || !server.reachable
             ? 0
@@ -427,11 +437,23 @@
             await timers.setTimeout(unreachableRetryDelay);
             return;
         }
-        if (answer.bootedAt !== server.bootedAt) {
+        const now = this.shared.clock.monotonic();
+        const isFirstAnswer = server.clockSample === undefined;
+        const isNextBoot = answer.bootedAt !== server.bootedAt;
+        const holdsRuns = server.runs.size > 0;
+        if (isNextBoot) {
             this.#handleReboot(server, answer.bootedAt);
         }
+        if (isFirstAnswer) {
+            this.#recordFirstBoot(server, answer, holdsRuns);
+        }
+        else if (isNextBoot) {
+            const boot = serverBoots.judgeNextBoot(answer, now - sent.sentAt, this.#leases);
+            server.otherLeaseEnd = boot.leaseEnd ?? 0;
+            this.#boots.record(server.entry.id, boot);
+        }
+        this.#boots.recordClock(server.entry.id, answer);
         this.#recordAcknowledgement(server, sent);
-        const now = this.shared.clock.monotonic();
         server.recordList(answer.clock, now, this.shared.settings.bounds.stop, sent.sentAt);
         if (!server.reachable) {
             server.reachable = true;
@@ -441,7 +463,28 @@
             this.shared.schedulePass();
         }
         this.handlers.onLists(server, answer, sent.sentAt);
-        await this.#waitUntilEndsStored(server);
+        await Promise.all([this.#waitUntilEndsStored(server), this.#waitUntilBootStored(server)]);
+    }
+
+    /** Records the boot of a server that answers this coordinator for the first time, and the leases that it may hold. */
+    #recordFirstBoot(server: session.ServerSession, answer: serverBoots.BootReading, holdsRuns: boolean): void {
+        const stored = this.#boots.find(server.entry.id);
+        const boot = serverBoots.judgeFirstAnswer(stored, answer, holdsRuns, this.#leases);
+        const lastOrdered = stored === undefined && !holdsRuns ? 0 : answer.clock + this.#leases.lease;
+        server.otherLeaseEnd = Math.max(lastOrdered, boot.leaseEnd ?? 0);
+        this.#boots.record(server.entry.id, boot);
+    }
+
+    /** Waits until the server's boot is stored, for at most `unstoredRetryDelay`; before, its lease isn't renewed. */
+    async #waitUntilBootStored({ entry, bootedAt }: session.ServerSession): Promise<void> {
+        if (!this.#boots.isStored(entry.id, bootedAt)) {
+            await Promise.race([this.shared.writer.flush(), timers.setTimeout(unstoredRetryDelay)]);
+        }
+    }
+
+    /** Forgets what is stored of servers that have been away for long. */
+    sweepBoots(): void {
+        this.#boots.sweep(id => this.sessions.has(id), this.shared.clock.monotonic());
     }
 
     /**
@@ -510,7 +553,6 @@
             this.handlers.onRunsLost(server, "lost");
         }
         else {
-            server.leaseOfEarlierBoot = this.shared.clock.monotonic() + this.shared.settings.bounds.maxLease;
             this.handlers.onRebooted(server);
         }
         server.lastClock = 0;
--- a/packages/dispatch/src/odd-answers.test.ts
+++ b/packages/dispatch/src/odd-answers.test.ts
@@ -20,6 +20,7 @@
         schedulePass: ignore,
         mayExtendLeases: () => true,
         lateness: () => 0,
+        writer: { add: ignore, flush: () => Promise.resolve(true) },
         serverCalls: {
             send: () => {
                 callCount += 1;
--- a/packages/dispatch/src/odd-entries.test.ts
+++ b/packages/dispatch/src/odd-entries.test.ts
@@ -52,6 +52,7 @@
         schedulePass: ignore,
         mayExtendLeases: () => true,
         lateness: () => 0,
+        writer: { add: ignore, flush: () => Promise.resolve(true) },
         serverCalls: {
             send: (address: string) => {
                 addresses.push(address);
--- a/packages/dispatch/src/overload.test.ts
+++ b/packages/dispatch/src/overload.test.ts
@@ -117,7 +117,7 @@
             runCountByStep: new Map(),
         },
         0,
-        6000,
+        { lease: 4500, maxLease: 6000 },
     );
     server.reachable = true;
     server.clockSample = { server: 0, received: 0 };
--- a/packages/dispatch/src/relocation.test.ts
+++ b/packages/dispatch/src/relocation.test.ts
@@ -46,7 +46,7 @@
         },
         load,
         0,
-        1000,
+        { lease: 1000, maxLease: 1000 },
     );
     created.reachable = true;
     const clock = 10_000;
--- a/packages/dispatch/src/run-manager.ts
+++ b/packages/dispatch/src/run-manager.ts
@@ -277,6 +277,9 @@
             if (!isUncertain() || !mayStart(server, run)) {
                 break;
             }
+            if (!shared.mayExtendLeases()) {
+                continue; // A boot that started since would get a new lease by this call.
+            }
             const { lastClock } = server;
             const answer = await shared.serverCalls.send(server.entry.address, call, context.serverCallTimeout);
             if (answer.isErr() || !isUncertain()) {
--- a/packages/dispatch/src/server-boots.test.ts
+++ b/packages/dispatch/src/server-boots.test.ts
@@ -6,6 +6,7 @@
 import type * as context from "./context.js";
 import * as fleet from "./fleet.js";
 import * as runManager from "./run-manager.js";
+import * as serverBoots from "./server-boots.js";
 import * as session from "./server-session.js";
 
 const suite = uvu.suite("server boots");
@@ -35,6 +36,7 @@
         schedulePass: ignore,
         mayExtendLeases: () => true,
         lateness: () => 0,
+        writer: { add: ignore, flush: () => Promise.resolve(true) },
         serverCalls: {
             send: () => {
                 const response = responses.shift();
@@ -119,6 +121,7 @@
         mayExtendLeases: () => true,
         jobs: { entries: new Map() },
         writer: {
+            add: ignore,
             markDirty: ignore,
             addToNextBatch: ignore,
             flush: async () => {
@@ -145,7 +148,7 @@
         onCrash: ignore,
         onRebooted: one => runs.endEarlierBoot(one),
         onRunsLost: ignore,
-    });
+    }, new Map([["i-1", { bootedAt: 7, leaseEnd: undefined }]]));
     created.applyRecord({ key: "i-1", value: Buffer.from(JSON.stringify(registration)) });
     const server = created.sessions.get("i-1")!;
     const run = {
@@ -166,4 +169,46 @@
     assert.ok(!events.includes("end-acknowledged-unread"), events.join());
 });
 
+suite("a boot that isn't in the ledger is taken for one that holds no lease of an earlier boot", () => {
+    const bounds = { lease: 4500, maxLease };
+    const answer = { bootedAt: 8, clock: 300 };
+    const judge = (stored: Parameters<typeof serverBoots.judgeFirstAnswer>[0], holdsRuns = false) =>
+        serverBoots.judgeFirstAnswer(stored, answer, holdsRuns, bounds).leaseEnd;
+    assert.is(judge({ bootedAt: 7, leaseEnd: undefined }), 300 + maxLease);
+    assert.is(judge({ bootedAt: 8, leaseEnd: 700 }), 700);
+    assert.is(judge({ bootedAt: 8, leaseEnd: undefined }), undefined);
+    // No coordinator has given the server a lease, unless an earlier version did.
+    assert.is(judge(undefined), undefined);
+    assert.is(judge(undefined, true), 300 + maxLease);
+});
+
+suite("a boot is given leases before it is stored, or its server stays in the ledger for good", async () => {
+    const records: string[] = [];
+    let storeAll = (_stored: boolean) => {};
+    const writer = {
+        add: ({ key, value }: { readonly key: string; readonly value: Uint8Array; }) =>
+            records.push(`${key}${value.length === 0 ? " removed" : ""}`),
+        flush: () => new Promise<boolean>(resolve => storeAll = resolve),
+    };
+    const boots = new serverBoots.ServerBoots(
+        { writer, log: { info: ignore } } as unknown as context.CoordinatorContext,
+        { lease: 4500, maxLease },
+        new Map(),
+    );
+    boots.record("i-1", { bootedAt: 7, leaseEnd: 5000 });
+    assert.not(boots.isStored("i-1", 7));
+    storeAll(true);
+    await Promise.resolve();
+    assert.ok(boots.isStored("i-1", 7));
+    boots.recordClock("i-1", { bootedAt: 7, clock: 5001 });
+    assert.is(boots.find("i-1")?.leaseEnd, undefined);
+    boots.record("i-1", { bootedAt: 8, leaseEnd: undefined });
+    assert.not(boots.isStored("i-1", 8));
+    boots.sweep(() => false, 0);
+    boots.sweep(() => false, 10_000);
+    assert.equal(records, ["s:i-1", "s:i-1", "s:i-1"]);
+    boots.sweep(() => false, 20_000);
+    assert.equal(records.at(-1), "s:i-1 removed");
+});
+
 suite.run();
--- a/packages/dispatch/src/server-session.ts
+++ b/packages/dispatch/src/server-session.ts
@@ -4,6 +4,7 @@
 import type * as jobState from "@catkinwharf/job-state";
 import type * as platform from "@catkinwharf/platform";
 import * as scheduling from "@catkinwharf/scheduling";
+import type * as serverBoots from "./server-boots.js";
 
 /** State of a run as its coordinator knows it. */
 export const RunPhase = {
@@ -119,10 +120,15 @@
     /** Latest lease end ever sent to the server, on the server's clock. */
     latestLeaseEnd = 0;
     /**
-     * On the monotonic clock: until then, a lease that was meant for an earlier boot may apply. Its end is a time on that
-     * boot's clock, so the new one grants the longest lease allowed.
+     * On the server's clock: latest end of a lease that another coordinator's order, or one that was meant for an earlier
+     * boot, may have given it.
      */
-    leaseOfEarlierBoot = Number.NEGATIVE_INFINITY;
+    otherLeaseEnd = 0;
+    /**
+     * Whether the newest boot in the ledger may hold a lease that was meant for an earlier one; of interest until the server
+     * has responded.
+     */
+    bootMayHoldOtherLease = false;
     /** Replaced when the server reboots: what belongs to the boot before must not be taken for the new one's. */
     ends = createEndProgress();
     /** Set when the server lists its runs, cleared when a poll fails or another server responds. */
@@ -156,7 +162,7 @@
         public entry: platform.operatorRecords.ServerRegistration,
         readonly load: scheduling.ServerLoad,
         private readonly termStartedAt: number,
-        private readonly leaseDuration: number,
+        private readonly leases: serverBoots.LeaseBounds,
     ) {
         this.lastAnswerAt = termStartedAt;
     }
@@ -271,10 +277,19 @@
     recordReboot(): void {
         this.clockSample = undefined;
         this.latestLeaseEnd = 0;
+        this.otherLeaseEnd = 0;
         this.ends = createEndProgress();
         this.#earlierOrdersDoneAt = undefined;
     }
 
+    /**
+     * Whether a start may have reached a boot of which earlier coordinators didn't know. Of one that its server has outlasted
+     * they had a confirmation.
+     */
+    #mayHoldOtherLease(): boolean {
+        return this.bootMayHoldOtherLease || [...this.runs.values()].some(run => !run.outlastedStart);
+    }
+
     get bootId(): string {
         return formatBootId(this.entry.id, this.bootedAt);
     }
@@ -292,18 +307,19 @@
             : {
                 sinceAnswer: Math.round(now - clockSample.received),
                 granted: Math.round(this.latestLeaseEnd - clockSample.server),
-                ofEarlierBoot: Math.round(this.leaseOfEarlierBoot - clockSample.received),
+                grantedByOthers: Math.round(this.otherLeaseEnd - clockSample.server),
             };
     }
 
     /** On the monotonic clock: when all runs have certainly lost their lease, if no further lease is granted. */
     computeLeaseExpiry(): number {
         if (this.clockSample === undefined) {
-            // An earlier coordinator may have renewed the lease until one lease duration after this one's term began.
-            return this.termStartedAt + 2 * this.leaseDuration / minClockRate + leaseExpiryMargin;
+            // An earlier coordinator may have given a lease until one lease duration after this one's term began.
+            const last = this.#mayHoldOtherLease() ? this.leases.maxLease : this.leases.lease;
+            return this.termStartedAt + (this.leases.lease + last) / minClockRate + leaseExpiryMargin;
         }
         const { server, received } = this.clockSample;
-        const left = Math.max(0, this.latestLeaseEnd - server, this.leaseOfEarlierBoot - received);
+        const left = Math.max(0, this.latestLeaseEnd - server, this.otherLeaseEnd - server);
         return received + left / minClockRate + leaseExpiryMargin;
     }
 }
--- a/packages/dispatch/src/testing/simulation.ts
+++ b/packages/dispatch/src/testing/simulation.ts
@@ -217,6 +217,7 @@
         const last = records.find(record => record.kind === "leadership")?.leadership;
         const waveProgress = new Map<number, jobState.WaveProgress>();
         const orderTimes = new Map<string, number>();
+        const serverBoots = new Map<string, jobState.ServerBoot>();
         for (const record of records) {
             if (record.kind === "progress") {
                 jobs.applyProgress(record.id, record.progress);
@@ -224,6 +225,9 @@
             else if (record.kind === "wave") {
                 waveProgress.set(record.number, record.wave);
             }
+            else if (record.kind === "server" && record.boot !== undefined) {
+                serverBoots.set(record.id, record.boot);
+            }
             else if (record.kind === "machine") {
                 const order = { epoch: record.epoch, tenure: record.tenure, readAt: clock.monotonic() };
                 orderTimes.set(record.id, earlierOrders.findLatestOrderTime(order, last, clock.monotonic()));
@@ -256,6 +260,7 @@
             waves: this.#waves,
             waveProgress,
             earlierOrderTimes: orderTimes,
+            serverBoots,
             onStepDown: () => undefined,
             observeDuration: () => undefined,
         });
--- a/packages/job-state/src/records.test.ts
+++ b/packages/job-state/src/records.test.ts
@@ -205,4 +205,13 @@
     });
 });
 
+suite("boots of servers are read as they were stored, and their tombstones as such", () => {
+    for (const boot of [{ bootedAt: 7, leaseEnd: 5000 }, { bootedAt: undefined, leaseEnd: undefined }]) {
+        const { key, value } = jobState.encodeServerBoot("i-1", boot);
+        assert.equal(jobState.decodeLedger(key, value), { kind: "server", id: "i-1", boot });
+    }
+    const { key, value } = jobState.encodeServerTombstone("i-1");
+    assert.equal(jobState.decodeLedger(key, value), { kind: "server", id: "i-1", boot: undefined });
+});
+
 suite.run();
--- a/packages/job-state/src/records.ts
+++ b/packages/job-state/src/records.ts
@@ -4,8 +4,8 @@
  * Every process appends to the submissions topic: the jobs and cancellations that it receives from callers, and its own
  * address. The coordinator removes settled jobs from it.
  *
- * Only the coordinator appends to the ledger: its identity, the progress of jobs and maintenance waves, and its orders
- * to move or maintain machines, the instances on which the backend servers run.
+ * Only the coordinator appends to the ledger: its identity, the progress of jobs and maintenance waves, the boots of the
+ * backend servers, and its orders to move or maintain machines, the instances on which these run.
  */
 import * as cbor from "cbor-x";
 import * as jobs from "./job.js";
@@ -24,6 +24,7 @@
 const nodePrefix = "n:";
 const wavePrefix = "w:";
 const machinePrefix = "m:";
+const serverPrefix = "s:";
 
 /** The elected leader, called the coordinator: a process appends it to claim an epoch, then as its heartbeat. */
 export interface Leadership {
@@ -61,7 +62,20 @@
     | { readonly kind: "progress"; readonly id: string; readonly progress: progress.Progress; }
     /** Stored before the coordinator of `epoch` sends an order for the machine `id`, `tenure` ms after its claim. */
     | { readonly kind: "machine"; readonly id: string; readonly epoch: number; readonly tenure: number; }
-    | { readonly kind: "wave"; readonly number: number; readonly wave: WaveProgress; };
+    | { readonly kind: "wave"; readonly number: number; readonly wave: WaveProgress; }
+    /** `undefined` for a server that coordinators don't know any more. */
+    | { readonly kind: "server"; readonly id: string; readonly boot: ServerBoot | undefined; };
+
+/** A boot of a backend server that coordinators know. Stored before an order gives the boot a lease. */
+export interface ServerBoot {
+    /** Unix time in ms of the boot; `undefined` if the server doesn't tell. */
+    readonly bootedAt: number | undefined;
+    /**
+     * On the clock of this boot, in ms: latest end of a lease that an order meant for an earlier boot may have given it;
+     * `undefined` if there is none or it is over.
+     */
+    readonly leaseEnd: number | undefined;
+}
 
 /** Progress of a maintenance wave. */
 export interface WaveProgress {
@@ -168,6 +182,18 @@
     return { key: machinePrefix + id, value: cborCodec.encode({ epoch, tenure }) };
 }
 
+export function encodeServerBoot(id: string, { bootedAt, leaseEnd }: ServerBoot): KeyedRecord {
+    const stored = {
+        ...bootedAt === undefined ? {} : { b: bootedAt },
+        ...leaseEnd === undefined ? {} : { u: leaseEnd },
+    };
+    return { key: serverPrefix + id, value: cborCodec.encode(stored) };
+}
+
+export function encodeServerTombstone(id: string): KeyedRecord {
+    return { key: serverPrefix + id, value: new Uint8Array() };
+}
+
 /**
  * Encodes a job's progress. Of a settled job without runs only the status is stored: no task of it will start again.
  */
@@ -294,8 +320,14 @@
     return key.startsWith(KeyPrefix.progress);
 }
 
-/** Decodes a record of the ledger; `undefined` for one that is malformed, of an unknown kind or a tombstone. */
+/**
+ * Decodes a record of the ledger; `undefined` for one that is malformed, of an unknown kind or a tombstone, but for that of
+ * a server.
+ */
 export function decodeLedger(key: string, value: Uint8Array): LedgerRecord | undefined {
+    if (key.startsWith(serverPrefix)) {
+        return { kind: "server", id: key.slice(serverPrefix.length), boot: decodeServerBoot(value) };
+    }
     const decoded = decode(value);
     if (decoded === undefined) {
         return undefined;
@@ -329,6 +361,15 @@
     return undefined;
 }
 
+function decodeServerBoot(value: Uint8Array): ServerBoot | undefined {
+    const stored = value.length === 0 ? undefined : decode(value);
+    return isObject(stored) ? { bootedAt: readTime(stored["b"]), leaseEnd: readTime(stored["u"]) } : undefined;
+}
+
+function readTime(value: unknown): number | undefined {
+    return typeof value === "number" ? value : undefined;
+}
+
 function decode(value: Uint8Array): unknown {
     try {
         return cborCodec.decode(value);
--- a/packages/node/src/entry-instance.ts
+++ b/packages/node/src/entry-instance.ts
@@ -74,6 +74,8 @@
      */
     readonly #machineOrders = new Map<string, dispatch.EarlierOrder>();
     readonly #waveProgress = new Map<number, jobState.WaveProgress>();
+    /** Boots of the backend servers, as read from the ledger, by server ID. */
+    readonly #serverBoots = new Map<string, jobState.ServerBoot>();
     readonly #unstoredJobs: unstoredJobs.UnstoredJobs;
     #configuration: platform.operatorRecords.Configuration | undefined;
     #coordinator: dispatch.Coordinator | undefined;
@@ -95,7 +97,7 @@
             jobState.ledgerTopic,
             {
                 apply: record => this.#applyLedger(record),
-                reset: () => this.#clearProgress(),
+                reset: () => this.#clearLedger(),
             },
             () => this.#coordinator === undefined ? nonCoordinatorReadDelay : coordinatorLedgerReadDelay,
             true,
@@ -343,13 +345,26 @@
         if (decoded?.kind === "wave") {
             this.#waveProgress.set(decoded.number, decoded.wave);
         }
+        if (decoded?.kind === "server") {
+            this.#applyServerBoot(decoded.id, decoded.boot);
+        }
         if (decoded?.kind === "progress") {
             this.#jobs.applyProgress(decoded.id, decoded.progress);
         }
     }
 
-    /** Clears the progress read from the ledger; a coordinator keeps its own, which is newer. */
-    #clearProgress(): void {
+    #applyServerBoot(id: string, boot: jobState.ServerBoot | undefined): void {
+        if (boot === undefined) {
+            this.#serverBoots.delete(id);
+        }
+        else {
+            this.#serverBoots.set(id, boot);
+        }
+    }
+
+    /** Clears what was read from the ledger; a coordinator keeps its own progress, which is newer. */
+    #clearLedger(): void {
+        this.#serverBoots.clear();
         if (this.#coordinator === undefined) {
             this.#jobs.clearProgress();
         }
@@ -406,6 +421,7 @@
             waves: this.#waves,
             waveProgress: this.#waveProgress,
             earlierOrderTimes: this.#findOrderTimes(previous),
+            serverBoots: this.#serverBoots,
             onStepDown: () => this.#stepDown(),
             observeDuration: (activity, duration) => this.#metrics.observeCoordinator(activity, duration),
         });
