Count a crash of a server once for each run, whoever coordinates

Cause: a run whose start wasn't confirmed stays in the ledger after a crash of its server. The coordinator stored that it had counted the crash as a number of the task only; its successor took over the run, saw another boot, and counted the same crash as a second one.

Change: the run says in the same record that its crash is counted, and counts again only if it was seen on a server since. A task counts one crash once, also with several runs on the server.

--- a/packages/dispatch/src/run-manager.ts
+++ b/packages/dispatch/src/run-manager.ts
@@ -512,12 +512,19 @@
             boots: [...new Set(suspects.map(started => started.run.bootId))],
             evidence,
         });
+        const counted = new Set<jobState.TaskHistory>();
         for (const { run } of suspects) {
             const active = registry.active.get(run.entry.id);
             const occurrence = active?.progress.occurrences.get(run.position.occurrence);
             const history = occurrence?.histories.get(run.taskIndex);
-            if (active !== undefined && history !== undefined && occurrence?.done[run.taskIndex] !== 1) {
+            const isOpen = active !== undefined && history !== undefined && occurrence?.done[run.taskIndex] !== 1;
+            if (isOpen && !counted.has(history) && !isCrashCounted(history, run)) {
+                counted.add(history);
                 scheduling.countCrash(history, evidence);
+                const stored = findStoredRun(history, run);
+                if (stored !== undefined) {
+                    stored.crashCounted = true;
+                }
                 active.crashedAt = now;
                 active.readiness = undefined;
                 shared.writer.markDirty(active.entry);
@@ -586,7 +593,8 @@
             return;
         }
         const occurrence = run.entry.progress?.occurrences.get(run.position.occurrence);
-        const stored = occurrence?.histories.get(run.taskIndex)?.runs.find(({ number }) => number === run.runNumber);
+        const history = occurrence?.histories.get(run.taskIndex);
+        const stored = history === undefined ? undefined : findStoredRun(history, run);
         if (stored !== undefined && stored.outlastedStart !== true) {
             stored.outlastedStart = true;
             this.options.shared.writer.markDirty(run.entry);
@@ -869,6 +877,15 @@
     return run.bootId === server.bootId && !server.entry.draining;
 }
 
+function findStoredRun(history: jobState.TaskHistory, run: session.ActiveRun): jobState.Run | undefined {
+    return history.runs.find(({ number }) => number === run.runNumber);
+}
+
+/** Whether a crash is counted for the run, by this coordinator or an earlier one, and it wasn't seen on a server since. */
+function isCrashCounted(history: jobState.TaskHistory, run: session.ActiveRun): boolean {
+    return findStoredRun(history, run)?.crashCounted === true && run.startClock === undefined;
+}
+
 /** Key of one occurrence of a step: "<job>.<occurrence>.<step>". */
 export function formatStepKey(
     jobId: string,
--- a/packages/job-state/src/progress.ts
+++ b/packages/job-state/src/progress.ts
@@ -21,6 +21,11 @@
      * runs mostly begin under an earlier coordinator.
      */
     outlastedStart?: boolean;
+    /**
+     * The crash of this boot is counted for the task. The run is kept, as its start wasn't confirmed and may still reach the
+     * server.
+     */
+    crashCounted?: boolean;
 }
 
 /**
--- a/packages/job-state/src/records.test.ts
+++ b/packages/job-state/src/records.test.ts
@@ -214,4 +214,20 @@
     assert.equal(jobState.decodeLedger(key, value), { kind: "server", id: "i-1", boot: undefined });
 });
 
+suite("a run is restored with what is known of its start and of the crash of its server", () => {
+    const runs: jobState.Run[] = [
+        { number: 1, server: "i-1@7" },
+        { number: 2, server: "i-1@7", outlastedStart: true },
+        { number: 3, server: "i-1@7", crashCounted: true },
+        { number: 4, server: "i-1@7", outlastedStart: true, crashCounted: true },
+    ];
+    for (const run of runs) {
+        const progress = jobState.createProgress(7);
+        const history = jobState.getOrCreateHistory(jobState.getOrCreateOccurrence(progress, job, 0), 10);
+        Object.assign(history, { lastRun: run.number, runs: [run] });
+        const { key, value } = jobState.encodeProgress(job.id, progress);
+        assert.equal(jobState.decodeLedger(key, value), { kind: "progress", id: job.id, progress });
+    }
+});
+
 suite.run();
--- a/packages/job-state/src/records.ts
+++ b/packages/job-state/src/records.ts
@@ -104,8 +104,8 @@
     readonly f: number;
     /** `crashes`, `soleCrashes` and `startsAlone`; absent when there were no crashes. */
     readonly x?: readonly [number, number, boolean];
-    /** `runs`: number and server of each, then `outlastedStart` where it is true. */
-    readonly r: readonly (readonly [number, string, true?])[];
+    /** `runs`: number and server of each, then `outlastedStart` and `crashCounted` up to the last that is true. */
+    readonly r: readonly (readonly [number, string, boolean?, boolean?])[];
     /** `checkpoint`. */
     readonly c: string;
 }
@@ -251,15 +251,24 @@
 function isFirstRun(history: progress.TaskHistory): boolean {
     return history.runs.length === 1 && history.runs[0]!.number === 1 && history.lastRun === 1
         && history.failures === 0 && history.crashes === 0 && !history.startsAlone && history.checkpoint === ""
-        && history.runs[0]!.outlastedStart !== true;
+        && history.runs[0]!.outlastedStart !== true && history.runs[0]!.crashCounted !== true;
 }
 
-function encodeRun({ number, server, outlastedStart }: progress.Run): StoredHistory["r"][number] {
-    return outlastedStart === true ? [number, server, true] : [number, server];
+function encodeRun({ number, server, outlastedStart, crashCounted }: progress.Run): StoredHistory["r"][number] {
+    return crashCounted === true
+        ? [number, server, outlastedStart === true, true]
+        : outlastedStart === true
+        ? [number, server, true]
+        : [number, server];
 }
 
-function restoreRun([number, server, outlastedStart]: StoredHistory["r"][number]): progress.Run {
-    return outlastedStart === true ? { number, server, outlastedStart } : { number, server };
+function restoreRun([number, server, outlastedStart, crashCounted]: StoredHistory["r"][number]): progress.Run {
+    return {
+        number,
+        server,
+        ...outlastedStart === true ? { outlastedStart } : {},
+        ...crashCounted === true ? { crashCounted } : {},
+    };
 }
 
 function packFlags(flags: Uint8Array): Uint8Array {
