Store the progress of large jobs in parts

Cause: the progress of a job was one record, while nothing bounds the number of its units, runs and occurrences; what outgrew a record failed the job (progress-unstorable).

The job's record holds the status, the size of the parts, and the finished occurrences as ranges. Parts come before the job's record and tombstones after it; parts don't count without it, and starts and acknowledgements wait for all. Small jobs are stored as before, and what earlier versions wrote is read.

--- a/packages/dispatch/src/coordinator.ts
+++ b/packages/dispatch/src/coordinator.ts
@@ -356,7 +356,6 @@
             job: entry.id,
             queue: active.job.queue,
             tasks: jobState.countTasks(active.job),
-            size: jobState.encodeProgress(entry.id, active.progress).value.length,
         });
         this.#runManager.fail(active);
         this.#stopRunsOf(active, runManager.StopCause.settled);
@@ -374,6 +373,7 @@
 
     #inheritAllRuns(): void {
         for (const active of this.registry.active.values()) {
+            this.#runManager.completeStoredEnds(active);
             for (const [occurrenceNumber, occurrence] of active.progress.occurrences) {
                 for (const [taskIndex, history] of occurrence.histories) {
                     history.runs.forEach(run => this.#inheritRun(active, occurrenceNumber, taskIndex, run));
--- a/packages/dispatch/src/job-sweeper.ts
+++ b/packages/dispatch/src/job-sweeper.ts
@@ -56,8 +56,9 @@
                 break;
             }
             for (const id of ids) {
+                const storedParts = jobs.entries.get(id)?.storedParts ?? [];
                 jobs.entries.delete(id);
-                writer.add(jobState.encodeProgressTombstone(id));
+                jobState.encodeProgressTombstones(id, storedParts).forEach(record => writer.add(record));
             }
             log.info("jobs-forgotten", { jobs: ids.length });
         }
--- a/packages/dispatch/src/ledger-writer.ts
+++ b/packages/dispatch/src/ledger-writer.ts
@@ -16,11 +16,21 @@
 /** Most jobs in one append, in addition to the store's limits. */
 const maxJobsPerBatch = 400;
 
+/** A status that is shown to callers once its record is stored. */
+interface ShownStatus {
+    readonly entry: jobState.JobEntry;
+    readonly status: jobState.JobStatus;
+}
+
+interface PendingRecord {
+    readonly record: platform.storeCalls.KeyedRecord;
+    readonly shown?: ShownStatus;
+}
+
 /** Records of one append. */
 interface Batch {
     readonly records: readonly platform.storeCalls.KeyedRecord[];
-    /** Jobs whose progress is among the records, and its status there. */
-    readonly statuses: [jobState.JobEntry, jobState.JobStatus][];
+    readonly statuses: readonly ShownStatus[];
 }
 
 export interface LedgerWriterOptions {
@@ -34,13 +44,14 @@
     readonly onRefused: (outcome: string) => void;
     /** A job got another status in the ledger. */
     readonly onStatusStored: (entry: jobState.JobEntry) => void;
-    /** The job's progress is larger than a record may be; none of it is stored until the job is settled. */
+    /** A part of the job's progress is larger than a record may be; none of it is stored until the job is settled. */
     readonly onUnstorable: (entry: jobState.JobEntry) => void;
 }
 
 export class LedgerWriter {
     readonly #dirtyJobs = new Map<string, jobState.JobEntry>();
-    readonly #pendingRecords: platform.storeCalls.KeyedRecord[] = [];
+    /** In the order in which they have to be stored. */
+    readonly #pendingRecords: PendingRecord[] = [];
     #waiters: ((stored: boolean) => void)[] = [];
     #writing = false;
     #stopped = false;
@@ -71,7 +82,7 @@
             this.options.log.warn("record-unstorable", { key: record.key, size: record.value.length });
             return;
         }
-        this.#pendingRecords.push(record);
+        this.#pendingRecords.push({ record });
         this.#startWriting();
     }
 
@@ -114,14 +125,14 @@
             }
             // Once stopped, the ledger is read instead, which a later coordinator may have changed.
             if (stored && !this.#stopped) {
-                batch.statuses.forEach(([entry, status]) => this.#showStatus(entry, status));
+                batch.statuses.forEach(shown => this.#showStatus(shown));
             }
             this.#resolveWaiters(waiters, stored);
         }
         this.#writing = false;
     }
 
-    #showStatus(entry: jobState.JobEntry, status: jobState.JobStatus): void {
+    #showStatus({ entry, status }: ShownStatus): void {
         const changed = entry.storedStatus !== status;
         entry.storedStatus = status;
         if (changed) {
@@ -131,47 +142,49 @@
 
     #takeBatch(): Batch {
         const batch = new storeClient.RecordBatch(this.options.storeLimits);
-        const statuses: Batch["statuses"] = [];
-        const unstorable: jobState.JobEntry[] = [];
-        const left = this.#pendingRecords.findIndex(record => !batch.add(record));
-        this.#pendingRecords.splice(0, left === -1 ? this.#pendingRecords.length : left);
-        for (const [id, entry] of left === -1 ? this.#dirtyJobs : []) {
-            if (statuses.length === maxJobsPerBatch) {
+        const statuses: ShownStatus[] = [];
+        this.#fillBatch(batch, statuses);
+        let jobCount = 0;
+        for (const [id, entry] of this.#dirtyJobs) {
+            if (jobCount === maxJobsPerBatch || this.#pendingRecords.length > 0) {
                 break;
             }
-            if (entry.progress !== undefined) {
-                const record = this.#encodeStorable(entry, entry.progress);
-                if (record === undefined) {
-                    unstorable.push(entry);
-                }
-                else if (!batch.add(record)) {
-                    break;
-                }
-                else {
-                    statuses.push([entry, entry.progress.status]);
-                }
-            }
+            jobCount += 1;
             this.#dirtyJobs.delete(id);
+            this.#pendingRecords.push(...this.#takeRecords(entry));
+            this.#fillBatch(batch, statuses);
         }
-        unstorable.forEach(entry => this.options.onUnstorable(entry));
         return { records: batch.records, statuses };
     }
 
-    /**
-     * Encodes the job's progress, of a settled job without its runs if they are too many: its tasks don't start again.
-     * `undefined` if the store wouldn't take the record, and with it none of the batch.
-     */
-    #encodeStorable(
-        entry: jobState.JobEntry,
-        progress: jobState.Progress,
-    ): platform.storeCalls.KeyedRecord | undefined {
-        const record = jobState.encodeProgress(entry.id, progress);
-        if (storeClient.isStorable(record, this.options.storeLimits)) {
-            return record;
+    /** Moves pending records to the batch, as many as it can take. */
+    #fillBatch(batch: storeClient.RecordBatch, statuses: ShownStatus[]): void {
+        const left = this.#pendingRecords.findIndex(({ record }) => !batch.add(record));
+        const taken = this.#pendingRecords.splice(0, left === -1 ? this.#pendingRecords.length : left);
+        statuses.push(...taken.flatMap(({ shown }) => shown ?? []));
+    }
+
+    /** Takes the records of the job's changed progress; none if the store wouldn't take one, and with it no other. */
+    #takeRecords(entry: jobState.JobEntry): PendingRecord[] {
+        const { job, progress, storedParts } = entry;
+        if (job === undefined || progress === undefined) {
+            return [];
+        }
+        const { storeLimits, onUnstorable } = this.options;
+        const shown = { entry, status: progress.status };
+        const taken = jobState.takeProgressRecords(job, progress, storedParts, storeLimits.recordSize);
+        if ([...taken.parts, taken.job].every(record => storeClient.isStorable(record, storeLimits))) {
+            return [
+                ...taken.parts.map(record => ({ record })),
+                { record: taken.job, shown },
+                ...taken.obsolete.map(record => ({ record })),
+            ];
+        }
+        if (jobState.isSettled(progress.status)) {
+            return [{ record: jobState.encodeStatus(entry.id, progress), shown }]; // Its tasks don't start again.
         }
-        return jobState.isSettled(progress.status)
-            ? jobState.encodeProgress(entry.id, { ...progress, occurrences: new Map() })
-            : undefined;
+        onUnstorable(entry);
+        return [];
     }
 
     #resolveWaiters(waiters: readonly ((stored: boolean) => void)[], stored: boolean): void {
--- a/packages/dispatch/src/overload.test.ts
+++ b/packages/dispatch/src/overload.test.ts
@@ -75,7 +75,14 @@
     );
     const job = jobTesting.createJob({ id: number.toString(16).padStart(16, "0"), steps, submittedAt: now });
     return {
-        entry: { id: job.id, job, cancelledAt: undefined, progress: undefined, storedStatus: undefined },
+        entry: {
+            id: job.id,
+            job,
+            cancelledAt: undefined,
+            progress: undefined,
+            storedStatus: undefined,
+            storedParts: new Set(),
+        },
         durations,
         endedAt: undefined,
     };
--- a/packages/dispatch/src/relocation.test.ts
+++ b/packages/dispatch/src/relocation.test.ts
@@ -65,7 +65,14 @@
 
 function addRun(server: session.ServerSession, index: number, percent: number): session.ActiveRun {
     const run: session.ActiveRun = {
-        entry: { id: "a", job: undefined, cancelledAt: undefined, progress: undefined, storedStatus: undefined },
+        entry: {
+            id: "a",
+            job: undefined,
+            cancelledAt: undefined,
+            progress: undefined,
+            storedStatus: undefined,
+            storedParts: new Set(),
+        },
         position: { occurrence: 0, step: 0, index },
         taskIndex: index,
         step,
--- a/packages/dispatch/src/removed-jobs.test.ts
+++ b/packages/dispatch/src/removed-jobs.test.ts
@@ -87,7 +87,7 @@
     await world.catchUp();
     assert.equal(world.listStartable(), [kept.id]);
     world.topics.append(jobState.submissionsTopic, jobState.encodeJobTombstones(job.id));
-    world.topics.append(jobState.ledgerTopic, [jobState.encodeProgressTombstone(job.id)]);
+    world.topics.append(jobState.ledgerTopic, jobState.encodeProgressTombstones(job.id, []));
     world.expired = true;
     await world.catchUp();
     assert.equal(world.listStartable(), [kept.id]);
--- a/packages/dispatch/src/run-manager.test.ts
+++ b/packages/dispatch/src/run-manager.test.ts
@@ -57,7 +57,14 @@
     const server = servers.createUnlistedSession("s1");
     const job = jobTesting.createJob();
     const active = registry.track(
-        { id: job.id, job, cancelledAt: undefined, progress: undefined, storedStatus: undefined },
+        {
+            id: job.id,
+            job,
+            cancelledAt: undefined,
+            progress: undefined,
+            storedStatus: undefined,
+            storedParts: new Set(),
+        },
         0,
     )!;
     manager.inherit(active, 0, 0, { number: 1, server: server.bootId }, server);
--- a/packages/dispatch/src/run-manager.ts
+++ b/packages/dispatch/src/run-manager.ts
@@ -517,9 +517,13 @@
             const active = registry.active.get(run.entry.id);
             const occurrence = active?.progress.occurrences.get(run.position.occurrence);
             const history = occurrence?.histories.get(run.taskIndex);
-            const isOpen = active !== undefined && history !== undefined && occurrence?.done[run.taskIndex] !== 1;
+            if (active === undefined || occurrence === undefined || history === undefined) {
+                continue;
+            }
+            const isOpen = occurrence.done[run.taskIndex] !== 1;
             if (isOpen && !counted.has(history) && !isCrashCounted(history, run)) {
                 counted.add(history);
+                jobState.touchTask(occurrence, run.taskIndex);
                 scheduling.countCrash(history, evidence);
                 const stored = findStoredRun(history, run);
                 if (stored !== undefined) {
@@ -575,7 +579,7 @@
         }
         this.#recordBegun(run.entry);
         run.startClock ??= server.lastClock;
-        run.checkpoint = row.checkpoint === "" ? run.checkpoint : row.checkpoint;
+        this.#keepCheckpoint(run, row.checkpoint);
         if (run.percent !== row.percent) {
             run.percent = row.percent;
             run.percentChangedAt = this.options.shared.clock.monotonic();
@@ -587,6 +591,16 @@
         }
     }
 
+    /** Keeps a reported checkpoint, unless it is empty or too long to be stored. */
+    #keepCheckpoint(run: session.ActiveRun, checkpoint: string): void {
+        if (checkpoint.length > jobState.maxCheckpointLength) {
+            this.options.shared.log.warn("checkpoint-too-long", { task: run.name, length: checkpoint.length });
+        }
+        else if (checkpoint !== "") {
+            run.checkpoint = checkpoint;
+        }
+    }
+
     /** Records for later coordinators, which didn't see the start, that the server has outlasted it. */
     #recordOutlastedStart(run: session.ActiveRun): void {
         if (!run.step.longRunning) {
@@ -595,8 +609,9 @@
         const occurrence = run.entry.progress?.occurrences.get(run.position.occurrence);
         const history = occurrence?.histories.get(run.taskIndex);
         const stored = history === undefined ? undefined : findStoredRun(history, run);
-        if (stored !== undefined && stored.outlastedStart !== true) {
+        if (occurrence !== undefined && stored !== undefined && stored.outlastedStart !== true) {
             stored.outlastedStart = true;
+            jobState.touchTask(occurrence, run.taskIndex);
             this.options.shared.writer.markDirty(run.entry);
         }
     }
@@ -605,7 +620,8 @@
     #clearCrashes(run: session.ActiveRun): void {
         const occurrence = run.entry.progress?.occurrences.get(run.position.occurrence);
         const history = occurrence?.histories.get(run.taskIndex);
-        if (history !== undefined && history.crashes > 0) {
+        if (occurrence !== undefined && history !== undefined && history.crashes > 0) {
+            jobState.touchTask(occurrence, run.taskIndex);
             scheduling.clearCrashes(history);
             this.options.shared.writer.markDirty(run.entry);
         }
@@ -720,7 +736,8 @@
         const occurrence = jobState.getOrCreateOccurrence(active.progress, active.job, run.position.occurrence);
         const history = jobState.getOrCreateHistory(occurrence, run.taskIndex);
         if (run.step.checkpointed) {
-            history.checkpoint = checkpoint !== "" ? checkpoint : run.checkpoint;
+            this.#keepCheckpoint(run, checkpoint);
+            history.checkpoint = run.checkpoint;
         }
         if (how === jobState.RunEnd.done && !run.step.longRunning) {
             if (run.measuresDuration) {
@@ -823,6 +840,29 @@
         shared.writer.markDirty(active.entry);
     }
 
+    /**
+     * Completes what an earlier coordinator may have stored in part, as the progress of a large job isn't stored at once: the
+     * end of a gang, and the status that follows from the last end.
+     */
+    completeStoredEnds(active: jobRegistry.ActiveJob): void {
+        const { job, progress } = active;
+        if (progress.partSize === undefined || jobState.isSettled(progress.status)) {
+            return;
+        }
+        for (const [number, occurrence] of progress.occurrences) {
+            job.steps.forEach((step, i) => {
+                const first = jobState.findFirstTask(job, i);
+                const done = occurrence.done.subarray(first, first + step.taskCount);
+                if (step.gang && done.includes(1) && done.includes(0)) {
+                    this.#markDone(active, number, first, step);
+                }
+            });
+        }
+        if (jobState.isComplete(progress, job)) {
+            this.#settle(active, jobState.JobStatus.completed);
+        }
+    }
+
     /** Marks a cancelled job as settled, and removes a settled job from the registry once it has no runs. */
     finishIfSettled(active: jobRegistry.ActiveJob): void {
         if (active.entry.cancelledAt !== undefined && !jobState.isSettled(active.progress.status)) {
@@ -859,7 +899,8 @@
         scheduling.release(server.load, run.step, run.stepKey);
         const occurrence = run.entry.progress?.occurrences.get(run.position.occurrence);
         const history = occurrence?.histories.get(run.taskIndex);
-        if (history !== undefined) {
+        if (occurrence !== undefined && history !== undefined) {
+            jobState.touchTask(occurrence, run.taskIndex);
             history.runs = history.runs.filter(other => other.number !== run.runNumber);
         }
     }
--- a/packages/dispatch/src/testing/memory-store.ts
+++ b/packages/dispatch/src/testing/memory-store.ts
@@ -32,6 +32,8 @@
     readonly #topics = new Map<string, platform.storeCalls.KeyedRecord[]>();
     readonly #producers = new Map<string, Producer>();
     #waiting: (() => void)[] = [];
+    /** Appends that were stored, and the bytes of their records' keys and values. */
+    readonly stored = { appends: 0, bytes: 0 };
     /** Whether the store doesn't answer an append; a test calls `carryOut` to have it carried out late. */
     holdsAppend: (append: Append, carryOut: () => void) => boolean = () => false;
 
@@ -63,6 +65,8 @@
             this.#recordAppend(topic, producer, answer);
         }
         stored.push(...records);
+        this.stored.appends += 1;
+        this.stored.bytes += records.reduce((sum, { key, value }) => sum + key.length + value.length, 0);
         this.#topics.set(topic, stored);
         this.#waiting.splice(0).forEach(wake => wake());
         return answer;
--- a/packages/dispatch/src/testing/simulation.ts
+++ b/packages/dispatch/src/testing/simulation.ts
@@ -54,6 +54,7 @@
     readonly chooseFailure?: () => number | undefined;
     /** Share of a core that the coordinator gets; its work takes no time if there is none. */
     readonly processorShare?: number;
+    readonly storeLimits?: platform.settings.StoreLimits;
 }
 
 /**
@@ -151,6 +152,11 @@
         this.time.uninstall();
     }
 
+    /** Appends that were stored, and their bytes. */
+    get stored(): Readonly<memoryStore.MemoryLog["stored"]> {
+        return this.#topics.stored;
+    }
+
     /** Server that runs this task now. */
     findServer(task: string): simulatedServer.SimulatedServer | undefined {
         return this.machines.find(({ server }) => server?.running.has(task) === true)?.server;
@@ -222,6 +228,9 @@
             if (record.kind === "progress") {
                 jobs.applyProgress(record.id, record.progress);
             }
+            else if (record.kind === "part") {
+                jobs.applyPart(record.id, record.key, record.part);
+            }
             else if (record.kind === "wave") {
                 waveProgress.set(record.number, record.wave);
             }
@@ -242,6 +251,7 @@
         process.coordinator = new coordinator.Coordinator({
             settings: {
                 ...contextTesting.settings,
+                storeLimits: this.options.storeLimits ?? contextTesting.settings.storeLimits,
                 bounds: { ...contextTesting.settings.bounds, maxLease: simulatedServer.maxLease },
             },
             claim,
--- a/packages/job-state/src/job-table.ts
+++ b/packages/job-state/src/job-table.ts
@@ -3,6 +3,7 @@
  * their progress (see `records.ts`).
  */
 import * as jobs from "./job.js";
+import * as parts from "./progress-parts.js";
 import * as progress from "./progress.js";
 import * as records from "./records.js";
 
@@ -18,6 +19,8 @@
      * are shown only this one, because the next coordinator may not learn of anything else.
      */
     storedStatus: jobs.JobStatus | undefined;
+    /** Keys of the records in the ledger that hold parts of the progress. */
+    readonly storedParts: Set<string>;
 }
 
 export type JobListener = (entry: JobEntry) => void;
@@ -38,6 +41,8 @@
     unreadableCount = 0;
     /** IDs of the jobs whose records were read from the topic. */
     readonly #readJobs = new Set<string>();
+    /** Parts of progress, by job ID and key, whose job's record hasn't been read yet: they don't count without it. */
+    readonly #pendingParts = new Map<string, Map<string, parts.ProgressPart>>();
 
     /**
      * Applies a record of the submissions topic. Of several records of a job, or cancellations, the first wins.
@@ -92,21 +97,53 @@
     #remove(id: string): void {
         this.entries.delete(id);
         this.#readJobs.delete(id);
+        this.#pendingParts.delete(id);
     }
 
-    /** Applies a progress record of the ledger, which replaces the job's earlier progress. */
+    /** Applies a progress record of the ledger, which replaces the job's earlier progress but for parts of it. */
     applyProgress(id: string, current: progress.Progress): void {
         const entry = this.#getOrCreate(id);
-        entry.progress = current;
+        const before = entry.progress;
+        if (before !== undefined && before.partSize !== undefined && before.partSize === current.partSize) {
+            parts.applyJobRecord(before, current);
+        }
+        else {
+            entry.progress = current;
+            if (current.partSize !== undefined) {
+                this.#pendingParts.get(id)?.forEach(part => parts.applyPart(current, part));
+            }
+        }
+        if (current.partSize !== undefined) {
+            this.#pendingParts.delete(id);
+        }
         entry.storedStatus = current.status;
     }
 
+    /** Applies a record of a part of a job's progress; `undefined` for a part that is obsolete. */
+    applyPart(id: string, key: string, part: parts.ProgressPart | undefined): void {
+        if (part === undefined) {
+            this.entries.get(id)?.storedParts.delete(key);
+            this.#pendingParts.get(id)?.delete(key);
+            return;
+        }
+        const entry = this.#getOrCreate(id);
+        entry.storedParts.add(key);
+        if (entry.progress?.partSize !== undefined) {
+            parts.applyPart(entry.progress, part);
+            return;
+        }
+        const pending = this.#pendingParts.get(id) ?? new Map<string, parts.ProgressPart>();
+        this.#pendingParts.set(id, pending.set(key, part));
+    }
+
     /** Clears what was read from the ledger, before it is read anew. */
     clearProgress(): void {
         for (const entry of this.entries.values()) {
             entry.progress = undefined;
             entry.storedStatus = undefined;
+            entry.storedParts.clear();
         }
+        this.#pendingParts.clear();
     }
 
     /** Status that is shown to the job's caller; `undefined` for an unknown job. */
@@ -149,7 +186,14 @@
     #getOrCreate(id: string): JobEntry {
         let entry = this.entries.get(id);
         if (entry === undefined) {
-            entry = { id, job: undefined, cancelledAt: undefined, progress: undefined, storedStatus: undefined };
+            entry = {
+                id,
+                job: undefined,
+                cancelledAt: undefined,
+                progress: undefined,
+                storedStatus: undefined,
+                storedParts: new Set(),
+            };
             this.entries.set(id, entry);
         }
         return entry;
--- a/packages/job-state/src/job.ts
+++ b/packages/job-state/src/job.ts
@@ -146,7 +146,7 @@
         : job.repetition.firstAt + occurrence * job.repetition.interval;
 }
 
-/** Most tasks of one occurrence of a job: the flags of those that are done have to fit into a record of the store. */
+/** Most tasks of one occurrence of a job, which every process keeps in memory; a larger job is rejected. */
 export const maxTaskCount = 1_000_000;
 
 export function countTasks(job: Job): number {
--- /dev/null
+++ b/packages/job-state/src/occurrence-codec.ts
@@ -0,0 +1,170 @@
+/**
+ * Codec of the progress of an occurrence's tasks, all or a range of them, as plain objects for CBOR.
+ */
+import type * as progress from "./progress.js";
+
+/** A `TaskHistory` as it is stored, under one-letter keys. */
+interface StoredHistory {
+    /** Index of the task, counted over all steps. */
+    readonly t: number;
+    /** `lastRun`. */
+    readonly l: number;
+    /** `failures`. */
+    readonly f: number;
+    /** `crashes`, `soleCrashes` and `startsAlone`; absent when there were no crashes. */
+    readonly x?: readonly [number, number, boolean];
+    /** `runs`: number and server of each, then `outlastedStart` and `crashCounted` up to the last that is true. */
+    readonly r: readonly (readonly [number, string, boolean?, boolean?])[];
+    /** `checkpoint`. */
+    readonly c: string;
+}
+
+/** An `OccurrenceProgress`, or the tasks of it in a `TaskRange`, as it is stored. */
+export interface StoredOccurrence {
+    /** Number of the occurrence. */
+    readonly k: number;
+    /** Number of tasks of the whole occurrence. */
+    readonly n: number;
+    /** `done` of the stored tasks, eight flags to a byte, the lowest bit first. */
+    readonly d: Uint8Array;
+    /** `histories`, but for those in `g`. */
+    readonly h: readonly StoredHistory[];
+    /**
+     * Tasks whose only run so far, number 1, is under way without a checkpoint, by server. In a burst nearly all are of
+     * this kind, and every process reads each of these records over its link; absent in records of earlier versions.
+     */
+    readonly g?: readonly [string, readonly number[]][];
+}
+
+/** Consecutive tasks of an occurrence, by their indices over all steps. */
+export interface TaskRange {
+    readonly first: number;
+    readonly count: number;
+}
+
+/** @param range tasks to encode; all if it is left out */
+export function encodeOccurrence(
+    occurrence: number,
+    occurrenceProgress: progress.OccurrenceProgress,
+    range?: TaskRange,
+): StoredOccurrence {
+    const histories: StoredHistory[] = [];
+    const firstRuns = new Map<string, number[]>();
+    for (const [task, history] of listHistories(occurrenceProgress, range)) {
+        if (isFirstRun(history) && occurrenceProgress.done[task] !== 1) {
+            const { server } = history.runs[0]!;
+            const tasks = firstRuns.get(server);
+            if (tasks === undefined) {
+                firstRuns.set(server, [task]);
+            }
+            else {
+                tasks.push(task);
+            }
+        }
+        else if (occurrenceProgress.done[task] !== 1 || history.runs.length > 0) {
+            histories.push({
+                t: task,
+                l: history.lastRun,
+                f: history.failures,
+                ...history.crashes > 0
+                    ? { x: [history.crashes, history.soleCrashes, history.startsAlone] as const }
+                    : {},
+                r: history.runs.map(encodeRun),
+                c: history.checkpoint,
+            });
+        }
+    }
+    return {
+        k: occurrence,
+        n: occurrenceProgress.done.length,
+        d: packFlags(
+            range === undefined
+                ? occurrenceProgress.done
+                : occurrenceProgress.done.subarray(range.first, range.first + range.count),
+        ),
+        h: histories,
+        ...firstRuns.size === 0 ? {} : { g: [...firstRuns] },
+    };
+}
+
+function listHistories(
+    { histories }: progress.OccurrenceProgress,
+    range: TaskRange | undefined,
+): Iterable<[number, progress.TaskHistory]> {
+    if (range === undefined) {
+        return histories;
+    }
+    const found: [number, progress.TaskHistory][] = [];
+    for (let task = range.first; task < range.first + range.count; task++) {
+        const history = histories.get(task);
+        if (history !== undefined) {
+            found.push([task, history]);
+        }
+    }
+    return found;
+}
+
+/** Whether the task's only run so far, number 1, is under way, and nothing else is known of the task. */
+function isFirstRun(history: progress.TaskHistory): boolean {
+    return history.runs.length === 1 && history.runs[0]!.number === 1 && history.lastRun === 1
+        && history.failures === 0 && history.crashes === 0 && !history.startsAlone && history.checkpoint === ""
+        && history.runs[0]!.outlastedStart !== true && history.runs[0]!.crashCounted !== true;
+}
+
+function encodeRun({ number, server, outlastedStart, crashCounted }: progress.Run): StoredHistory["r"][number] {
+    return crashCounted === true
+        ? [number, server, outlastedStart === true, true]
+        : outlastedStart === true
+        ? [number, server, true]
+        : [number, server];
+}
+
+function restoreRun([number, server, outlastedStart, crashCounted]: StoredHistory["r"][number]): progress.Run {
+    return {
+        number,
+        server,
+        ...outlastedStart === true ? { outlastedStart } : {},
+        ...crashCounted === true ? { crashCounted } : {},
+    };
+}
+
+function packFlags(flags: Uint8Array): Uint8Array {
+    const packed = new Uint8Array(Math.ceil(flags.length / 8));
+    flags.forEach((flag, i) => {
+        packed[i >> 3]! |= flag << (i & 7);
+    });
+    return packed;
+}
+
+export function unpackFlags(packed: Uint8Array, length: number): Uint8Array {
+    return Uint8Array.from({ length }, (_, i) => ((packed[i >> 3] ?? 0) >> (i & 7)) & 1);
+}
+
+export function restoreHistories(stored: StoredOccurrence): Map<number, progress.TaskHistory> {
+    const histories = new Map<number, progress.TaskHistory>();
+    for (const task of stored.h) {
+        histories.set(task.t, {
+            lastRun: task.l,
+            failures: task.f,
+            crashes: task.x?.[0] ?? 0,
+            soleCrashes: task.x?.[1] ?? 0,
+            startsAlone: task.x?.[2] ?? false,
+            runs: task.r.map(restoreRun),
+            checkpoint: task.c,
+        });
+    }
+    for (const [server, tasks] of stored.g ?? []) {
+        for (const task of tasks) {
+            histories.set(task, {
+                lastRun: 1,
+                failures: 0,
+                crashes: 0,
+                soleCrashes: 0,
+                startsAlone: false,
+                runs: [{ number: 1, server }],
+                checkpoint: "",
+            });
+        }
+    }
+    return histories;
+}
--- a/packages/job-state/src/progress.ts
+++ b/packages/job-state/src/progress.ts
@@ -58,6 +58,9 @@
     readonly histories: Map<number, TaskHistory>;
 }
 
+/** Consecutive occurrences: number of the first, and how many. */
+export type OccurrenceRange = [first: number, count: number];
+
 export interface Progress {
     status: jobs.JobStatus;
     /** Unix time in ms of the last status change. */
@@ -67,24 +70,108 @@
      * server.
      */
     begun: boolean;
+    /** Number of tasks in each part if it is stored in parts, see `progress-parts.ts`; `undefined` for one record. */
+    partSize: number | undefined;
+    /** Finished occurrences in ascending ranges of number and count; only of progress that is stored in parts. */
+    finished: OccurrenceRange[];
     /** By occurrence number; an occurrence is absent until its first change. */
     readonly occurrences: Map<number, OccurrenceProgress>;
 }
 
 export function createProgress(now: number): Progress {
-    return { status: jobs.JobStatus.queued, statusAt: now, begun: false, occurrences: new Map() };
+    return {
+        status: jobs.JobStatus.queued,
+        statusAt: now,
+        begun: false,
+        partSize: undefined,
+        finished: [],
+        occurrences: new Map(),
+    };
+}
+
+export function createOccurrence(taskCount: number): OccurrenceProgress {
+    return { done: new Uint8Array(taskCount), doneCount: 0, histories: new Map() };
+}
+
+/** Tasks whose progress may have changed since it was last taken for the ledger. */
+const touchedTasks = new WeakMap<OccurrenceProgress, Set<number>>();
+
+/** Notes that the task's progress changes, so that it is stored. */
+export function touchTask(occurrence: OccurrenceProgress, task: number): void {
+    const touched = touchedTasks.get(occurrence);
+    if (touched === undefined) {
+        touchedTasks.set(occurrence, new Set([task]));
+    }
+    else {
+        touched.add(task);
+    }
+}
+
+/** Tasks that were touched since the last call. */
+export function takeTouchedTasks(occurrence: OccurrenceProgress): ReadonlySet<number> {
+    const touched = touchedTasks.get(occurrence) ?? new Set();
+    touchedTasks.delete(occurrence);
+    return touched;
+}
+
+/** Whether all tasks are done and none of their runs may be under way. */
+export function isFinished(occurrence: OccurrenceProgress): boolean {
+    return occurrence.doneCount === occurrence.done.length
+        && [...occurrence.histories.values()].every(({ runs }) => runs.length === 0);
+}
+
+/** Adds an occurrence to ascending ranges. */
+export function addOccurrence(ranges: OccurrenceRange[], occurrence: number): void {
+    const at = findRange(ranges, occurrence);
+    const before = ranges[at - 1];
+    const after = ranges[at];
+    if (before !== undefined && occurrence < before[0] + before[1]) {
+        return;
+    }
+    const joinsBefore = before !== undefined && before[0] + before[1] === occurrence;
+    const joinsAfter = after !== undefined && after[0] === occurrence + 1;
+    if (joinsBefore) {
+        before[1] += joinsAfter ? after[1] + 1 : 1;
+        ranges.splice(at, joinsAfter ? 1 : 0);
+    }
+    else {
+        ranges.splice(at, joinsAfter ? 1 : 0, [occurrence, joinsAfter ? after[1] + 1 : 1]);
+    }
+}
+
+export function includesOccurrence(ranges: readonly OccurrenceRange[], occurrence: number): boolean {
+    const before = ranges[findRange(ranges, occurrence) - 1];
+    return before !== undefined && occurrence < before[0] + before[1];
+}
+
+/** Index of the first range that begins after the occurrence. */
+function findRange(ranges: readonly OccurrenceRange[], occurrence: number): number {
+    let low = 0;
+    let high = ranges.length;
+    while (low < high) {
+        const middle = (low + high) >> 1;
+        if (ranges[middle]![0] <= occurrence) {
+            low = middle + 1;
+        }
+        else {
+            high = middle;
+        }
+    }
+    return low;
 }
 
 export function getOrCreateOccurrence(progress: Progress, job: jobs.Job, occurrence: number): OccurrenceProgress {
     let found = progress.occurrences.get(occurrence);
     if (found === undefined) {
-        found = { done: new Uint8Array(jobs.countTasks(job)), doneCount: 0, histories: new Map() };
+        found = createOccurrence(jobs.countTasks(job));
         progress.occurrences.set(occurrence, found);
     }
     return found;
 }
 
+/** The task's history, to be changed. */
 export function getOrCreateHistory(progress: OccurrenceProgress, task: number): TaskHistory {
+    touchTask(progress, task);
     let found = progress.histories.get(task);
     if (found === undefined) {
         found = { lastRun: 0, failures: 0, crashes: 0, soleCrashes: 0, startsAlone: false, runs: [], checkpoint: "" };
@@ -98,6 +185,7 @@
     if (progress.done[task] === 1) {
         return;
     }
+    touchTask(progress, task);
     progress.done[task] = 1;
     progress.doneCount += 1;
 }
@@ -111,6 +199,9 @@
 /** Whether all tasks of all occurrences are done. */
 export function isComplete(progress: Progress, job: jobs.Job): boolean {
     const occurrenceCount = jobs.countOccurrences(job);
+    if (progress.occurrences.size < occurrenceCount) {
+        return false;
+    }
     const taskCount = jobs.countTasks(job);
     for (let occurrence = 0; occurrence < occurrenceCount; occurrence++) {
         const found = progress.occurrences.get(occurrence);
--- a/packages/job-state/src/records.ts
+++ b/packages/job-state/src/records.ts
@@ -9,6 +9,8 @@
  */
 import * as cbor from "cbor-x";
 import * as jobs from "./job.js";
+import * as codec from "./occurrence-codec.js";
+import * as parts from "./progress-parts.js";
 import * as progress from "./progress.js";
 
 export const submissionsTopic = "keyed.submissions";
@@ -23,6 +25,8 @@
 const leaderKey = "leader";
 const nodePrefix = "n:";
 const wavePrefix = "w:";
+/** Between the ID of a job, the number of an occurrence and the first task in the key of a part of its progress. */
+const partSeparator = "/";
 const machinePrefix = "m:";
 const serverPrefix = "s:";
 
@@ -60,6 +64,13 @@
 export type LedgerRecord =
     | { readonly kind: "leadership"; readonly leadership: Leadership; }
     | { readonly kind: "progress"; readonly id: string; readonly progress: progress.Progress; }
+    /** Part of a job's progress; `undefined` for one that is obsolete. */
+    | {
+        readonly kind: "part";
+        readonly id: string;
+        readonly key: string;
+        readonly part: parts.ProgressPart | undefined;
+    }
     /** Stored before the coordinator of `epoch` sends an order for the machine `id`, `tenure` ms after its claim. */
     | { readonly kind: "machine"; readonly id: string; readonly epoch: number; readonly tenure: number; }
     | { readonly kind: "wave"; readonly number: number; readonly wave: WaveProgress; }
@@ -94,39 +105,6 @@
     readonly value: Uint8Array;
 }
 
-/** A `TaskHistory` as it is stored, under one-letter keys. */
-interface StoredHistory {
-    /** Index of the task, counted over all steps. */
-    readonly t: number;
-    /** `lastRun`. */
-    readonly l: number;
-    /** `failures`. */
-    readonly f: number;
-    /** `crashes`, `soleCrashes` and `startsAlone`; absent when there were no crashes. */
-    readonly x?: readonly [number, number, boolean];
-    /** `runs`: number and server of each, then `outlastedStart` and `crashCounted` up to the last that is true. */
-    readonly r: readonly (readonly [number, string, boolean?, boolean?])[];
-    /** `checkpoint`. */
-    readonly c: string;
-}
-
-/** An `OccurrenceProgress` as it is stored. */
-interface StoredOccurrence {
-    /** Number of the occurrence. */
-    readonly k: number;
-    /** Number of tasks. */
-    readonly n: number;
-    /** `done`, eight flags to a byte, the lowest bit first. */
-    readonly d: Uint8Array;
-    /** `histories`, but for those in `g`. */
-    readonly h: readonly StoredHistory[];
-    /**
-     * Tasks whose only run so far, number 1, is under way without a checkpoint, by server. In a burst nearly all are of
-     * this kind, and every process reads each of these records over its link; absent in records of earlier versions.
-     */
-    readonly g?: readonly [string, readonly number[]][];
-}
-
 /** A `Progress` as it is stored. */
 interface StoredProgress {
     /** `status`. */
@@ -135,8 +113,10 @@
     readonly a: number;
     /** `begun`. */
     readonly b: boolean;
-    /** `occurrences`. */
-    readonly o: readonly StoredOccurrence[];
+    /** `occurrences`; none if they are stored in parts. */
+    readonly o: readonly codec.StoredOccurrence[];
+    /** `partSize` and, for the finished occurrences, the number of tasks of each and their ranges; absent without parts. */
+    readonly p?: readonly [number, number, readonly progress.OccurrenceRange[]];
 }
 
 /** Without the extensions of cbor-x: objects become plain CBOR maps, byte arrays plain byte strings. */
@@ -160,9 +140,9 @@
     return [formatJobKey(id), KeyPrefix.cancellation + id].map(key => ({ key, value: new Uint8Array() }));
 }
 
-/** Tombstone of a job's progress, for the ledger. */
-export function encodeProgressTombstone(id: string): KeyedRecord {
-    return { key: KeyPrefix.progress + id, value: new Uint8Array() };
+/** Tombstones of a job's progress and of its parts, for the ledger. */
+export function encodeProgressTombstones(id: string, storedParts: Iterable<string>): KeyedRecord[] {
+    return [KeyPrefix.progress + id, ...storedParts].map(encodeTombstone);
 }
 
 /** Id of the job that a tombstone deletes; `undefined` for any other record. */
@@ -195,92 +175,93 @@
 }
 
 /**
- * Encodes a job's progress. Of a settled job without runs only the status is stored: no task of it will start again.
+ * Encodes a job's progress in one record. Of a settled job without runs only the status is stored: no task of it will start
+ * again.
  */
 export function encodeProgress(id: string, current: progress.Progress): KeyedRecord {
-    const stored: StoredProgress = {
-        s: current.status,
-        a: current.statusAt,
-        b: current.begun,
-        o: progress.isSettled(current.status) && !progress.hasRuns(current)
+    const isOver = progress.isSettled(current.status) && !progress.hasRuns(current);
+    return encodeStored(id, current, {
+        o: isOver
             ? []
             : [...current.occurrences].map(([occurrence, occurrenceProgress]) =>
-                encodeOccurrence(occurrence, occurrenceProgress)
+                codec.encodeOccurrence(occurrence, occurrenceProgress)
             ),
-    };
-    return { key: KeyPrefix.progress + id, value: cborCodec.encode(stored) };
+    });
 }
 
-function encodeOccurrence(occurrence: number, occurrenceProgress: progress.OccurrenceProgress): StoredOccurrence {
-    const histories: StoredHistory[] = [];
-    const firstRuns = new Map<string, number[]>();
-    for (const [task, history] of occurrenceProgress.histories) {
-        if (isFirstRun(history) && occurrenceProgress.done[task] !== 1) {
-            const { server } = history.runs[0]!;
-            const tasks = firstRuns.get(server);
-            if (tasks === undefined) {
-                firstRuns.set(server, [task]);
-            }
-            else {
-                tasks.push(task);
-            }
-        }
-        else if (occurrenceProgress.done[task] !== 1 || history.runs.length > 0) {
-            histories.push({
-                t: task,
-                l: history.lastRun,
-                f: history.failures,
-                ...history.crashes > 0
-                    ? { x: [history.crashes, history.soleCrashes, history.startsAlone] as const }
-                    : {},
-                r: history.runs.map(encodeRun),
-                c: history.checkpoint,
-            });
-        }
-    }
-    return {
-        k: occurrence,
-        n: occurrenceProgress.done.length,
-        d: packFlags(occurrenceProgress.done),
-        h: histories,
-        ...firstRuns.size === 0 ? {} : { g: [...firstRuns] },
-    };
+/** Encodes the status of a job without its tasks. */
+export function encodeStatus(id: string, current: progress.Progress): KeyedRecord {
+    return encodeStored(id, current, { o: [] });
 }
 
-/** Whether the task's only run so far, number 1, is under way, and nothing else is known of the task. */
-function isFirstRun(history: progress.TaskHistory): boolean {
-    return history.runs.length === 1 && history.runs[0]!.number === 1 && history.lastRun === 1
-        && history.failures === 0 && history.crashes === 0 && !history.startsAlone && history.checkpoint === ""
-        && history.runs[0]!.outlastedStart !== true && history.runs[0]!.crashCounted !== true;
+function encodeStored(id: string, current: progress.Progress, tasks: Pick<StoredProgress, "o" | "p">): KeyedRecord {
+    const stored: StoredProgress = { s: current.status, a: current.statusAt, b: current.begun, ...tasks };
+    return { key: KeyPrefix.progress + id, value: cborCodec.encode(stored) };
 }
 
-function encodeRun({ number, server, outlastedStart, crashCounted }: progress.Run): StoredHistory["r"][number] {
-    return crashCounted === true
-        ? [number, server, outlastedStart === true, true]
-        : outlastedStart === true
-        ? [number, server, true]
-        : [number, server];
+/** Records of a job's changed progress, in the order in which they have to be stored. */
+export interface ProgressRecords {
+    readonly parts: readonly KeyedRecord[];
+    /** Record of the job itself, which holds its status. */
+    readonly job: KeyedRecord;
+    /** Tombstones of parts that aren't needed any more. */
+    readonly obsolete: readonly KeyedRecord[];
 }
 
-function restoreRun([number, server, outlastedStart, crashCounted]: StoredHistory["r"][number]): progress.Run {
-    return {
-        number,
-        server,
-        ...outlastedStart === true ? { outlastedStart } : {},
-        ...crashCounted === true ? { crashCounted } : {},
-    };
+/**
+ * Takes what has changed of a job's progress: in one record, or if that might not suffice, in parts.
+ *
+ * @param storedParts keys of the parts in the ledger; updated
+ * @param recordSize largest size of a record in bytes
+ */
+export function takeProgressRecords(
+    job: jobs.Job,
+    current: progress.Progress,
+    storedParts: Set<string>,
+    recordSize: number,
+): ProgressRecords {
+    const { id } = job;
+    if (progress.isSettled(current.status) && !progress.hasRuns(current)) {
+        const obsolete = [...storedParts].map(encodeTombstone);
+        storedParts.clear();
+        return { parts: [], job: encodeStatus(id, current), obsolete };
+    }
+    if (current.partSize === undefined && parts.fitsOneRecord(job, recordSize)) {
+        return { parts: [], job: encodeProgress(id, current), obsolete: [] };
+    }
+    if (current.partSize === undefined) {
+        current.partSize = parts.computePartSize(recordSize);
+        parts.touchAll(current);
+    }
+    const { changed, finished } = parts.takeChangedParts(current, current.partSize);
+    const changedParts = changed.map(({ occurrence, range }) => {
+        const key = formatPartKey(id, occurrence, range.first);
+        storedParts.add(key);
+        return {
+            key,
+            value: cborCodec.encode(parts.encodePart(occurrence, current.occurrences.get(occurrence)!, range)),
+        };
+    });
+    const taskCount = jobs.countTasks(job);
+    const obsolete: KeyedRecord[] = [];
+    for (const occurrence of finished) {
+        for (let first = 0; first < taskCount; first += current.partSize) {
+            const key = formatPartKey(id, occurrence, first);
+            if (storedParts.delete(key)) {
+                obsolete.push(encodeTombstone(key));
+            }
+        }
+    }
+    const jobRecord = encodeStored(id, current, { o: [], p: [current.partSize, taskCount, current.finished] });
+    return { parts: changedParts, job: jobRecord, obsolete };
 }
 
-function packFlags(flags: Uint8Array): Uint8Array {
-    const packed = new Uint8Array(Math.ceil(flags.length / 8));
-    flags.forEach((flag, i) => {
-        packed[i >> 3]! |= flag << (i & 7);
-    });
-    return packed;
+function encodeTombstone(key: string): KeyedRecord {
+    return { key, value: new Uint8Array() };
 }
 
-function unpackFlags(packed: Uint8Array, length: number): Uint8Array {
-    return Uint8Array.from({ length }, (_, i) => ((packed[i >> 3] ?? 0) >> (i & 7)) & 1);
+function formatPartKey(id: string, occurrence: number, firstTask: number): string {
+    return KeyPrefix.progress + [id, occurrence, firstTask].join(partSeparator);
 }
 
 /**
@@ -331,12 +312,16 @@
 
 /**
  * Decodes a record of the ledger; `undefined` for one that is malformed, of an unknown kind or a tombstone, but for that of
- * a server.
+ * a server or of a part of a job's progress.
  */
 export function decodeLedger(key: string, value: Uint8Array): LedgerRecord | undefined {
     if (key.startsWith(serverPrefix)) {
         return { kind: "server", id: key.slice(serverPrefix.length), boot: decodeServerBoot(value) };
     }
+    if (isProgressKey(key) && key.includes(partSeparator)) {
+        const id = key.slice(KeyPrefix.progress.length, key.indexOf(partSeparator));
+        return { kind: "part", id, key, part: decodePart(value) };
+    }
     const decoded = decode(value);
     if (decoded === undefined) {
         return undefined;
@@ -370,6 +355,11 @@
     return undefined;
 }
 
+function decodePart(value: Uint8Array): parts.ProgressPart | undefined {
+    const stored = value.length === 0 ? undefined : decode(value);
+    return isStoredPart(stored) ? parts.restorePart(stored) : undefined;
+}
+
 function decodeServerBoot(value: Uint8Array): ServerBoot | undefined {
     const stored = value.length === 0 ? undefined : decode(value);
     return isObject(stored) ? { bootedAt: readTime(stored["b"]), leaseEnd: readTime(stored["u"]) } : undefined;
@@ -392,38 +382,22 @@
     const restored = progress.createProgress(stored.a);
     restored.status = stored.s;
     restored.begun = stored.b;
-    for (const storedOccurrence of stored.o) {
-        const done = unpackFlags(storedOccurrence.d, storedOccurrence.n);
-        const histories = new Map<number, progress.TaskHistory>();
-        for (const task of storedOccurrence.h) {
-            histories.set(task.t, {
-                lastRun: task.l,
-                failures: task.f,
-                crashes: task.x?.[0] ?? 0,
-                soleCrashes: task.x?.[1] ?? 0,
-                startsAlone: task.x?.[2] ?? false,
-                runs: task.r.map(restoreRun),
-                checkpoint: task.c,
-            });
-        }
-        for (const [server, tasks] of storedOccurrence.g ?? []) {
-            for (const task of tasks) {
-                histories.set(task, {
-                    lastRun: 1,
-                    failures: 0,
-                    crashes: 0,
-                    soleCrashes: 0,
-                    startsAlone: false,
-                    runs: [{ number: 1, server }],
-                    checkpoint: "",
-                });
+    for (const occurrence of stored.o) {
+        const done = codec.unpackFlags(occurrence.d, occurrence.n);
+        const doneCount = done.reduce((sum, flag) => sum + flag, 0);
+        restored.occurrences.set(occurrence.k, { done, doneCount, histories: codec.restoreHistories(occurrence) });
+    }
+    if (stored.p !== undefined) {
+        const [partSize, taskCount, finished] = stored.p;
+        restored.partSize = partSize;
+        restored.finished = finished.map(([first, count]) => [first, count]);
+        // None of their tasks changes any more, so they share one.
+        const complete = { done: new Uint8Array(taskCount).fill(1), doneCount: taskCount, histories: new Map() };
+        for (const [first, count] of restored.finished) {
+            for (let occurrence = first; occurrence < first + count; occurrence++) {
+                restored.occurrences.set(occurrence, complete);
             }
         }
-        restored.occurrences.set(storedOccurrence.k, {
-            done,
-            doneCount: done.reduce((sum, flag) => sum + flag, 0),
-            histories,
-        });
     }
     return restored;
 }
@@ -456,6 +430,11 @@
     return isObject(value) && typeof value["epoch"] === "number" && typeof value["node"] === "string";
 }
 
+function isStoredPart(value: unknown): value is parts.StoredPart {
+    return isObject(value) && value["d"] instanceof Uint8Array && Array.isArray(value["h"])
+        && ["k", "n", "i", "m"].every(field => Number.isSafeInteger(value[field]));
+}
+
 function isStoredProgress(value: unknown): value is StoredProgress {
     return isObject(value) && typeof value["s"] === "string" && Array.isArray(value["o"]);
 }
--- a/packages/node/src/entry-instance.ts
+++ b/packages/node/src/entry-instance.ts
@@ -351,6 +351,9 @@
         if (decoded?.kind === "progress") {
             this.#jobs.applyProgress(decoded.id, decoded.progress);
         }
+        if (decoded?.kind === "part") {
+            this.#jobs.applyPart(decoded.id, decoded.key, decoded.part);
+        }
     }
 
     #applyServerBoot(id: string, boot: jobState.ServerBoot | undefined): void {
