Judge by each list of machines which servers are lost, also by the first one

Cause: a loss was taken as an event: a machine that had been listed with the server is listed without it. A successor's first list isn't one (machines-listed names the server as unnamed, no server-ended follows), and its lease counts as expired two leases after the takeover. A coordinator that lives on lost the event as well when the list came before the poll of the server failed.

Change: server-losses.ts decides from what each list shows. The machine last listed with the server proves its loss for as long as it takes the poll to fail; without one, five complete lists without the server do. A removed registration and a refused connection prove nothing, and a server that is cut off and lives is listed.

--- a/packages/dispatch/src/fleet.ts
+++ b/packages/dispatch/src/fleet.ts
@@ -9,6 +9,7 @@
 import * as timers from "node:timers/promises";
 import * as context from "./context.js";
 import * as serverBoots from "./server-boots.js";
+import * as serverLosses from "./server-losses.js";
 import * as session from "./server-session.js";
 
 /** A crash of a server as it was noticed. */
@@ -598,20 +599,24 @@
         }
     }
 
-    /**
-     * The platform reported that the server no longer runs on its machine: the machine is down or has another server by
-     * now. `crashed` if no order and no shutdown explains it.
-     */
-    handleServerEnded(id: string, evidence: string, crashed: boolean): void {
+    /** Ends the runs of a server that the list of machines shows as lost, unless it has responded since. */
+    handleLoss({ server: id, kind, evidence }: serverLosses.ServerLoss): void {
         const server = this.sessions.get(id);
-        if (crashed && server?.reachable !== true) {
+        if (server?.reachable === true) {
+            return;
+        }
+        if (kind === serverLosses.LossKind.crash) {
             const started = server?.entry.draining === false ? server.listStartedRuns() : [];
             this.#reportCrash(id, [...this.#takeLapsedRuns(id, undefined), ...started]);
         }
-        if (server !== undefined && !server.reachable && server.runs.size > 0) {
-            this.shared.log.info("server-ended", { server: id, evidence, runs: server.runs.size });
-            this.handlers.onRunsLost(server, "lost");
+        if (server === undefined || server.runs.size === 0) {
+            return;
+        }
+        if (kind === serverLosses.LossKind.unlisted) {
+            this.#rememberLapsedRuns(server, this.shared.clock.monotonic());
         }
+        this.shared.log.info("server-ended", { server: id, evidence, kind, runs: server.runs.size });
+        this.handlers.onRunsLost(server, "lost");
     }
 
     /** Ends the runs of an unreachable server once its lease has expired, and closes its session if it is unlisted. */
--- a/packages/dispatch/src/machine-inventory.ts
+++ b/packages/dispatch/src/machine-inventory.ts
@@ -5,17 +5,13 @@
 import type * as context from "./context.js";
 import type * as fleet from "./fleet.js";
 import * as machineOrders from "./machine-orders.js";
+import * as serverLosses from "./server-losses.js";
 import type * as session from "./server-session.js";
 
 export type Machine = platform.machineCalls.Machine;
 
 /** Time in ms between two reads of the list of machines. */
 export const refreshInterval = 400;
-/**
- * Complete reads in a row that omit a machine until it counts as gone. One alone proves nothing: the list comes in
- * pages, and a row that moves to another page between two calls is missed.
- */
-const missedReadsUntilGone = 5;
 
 export interface ManagedMachine {
     machine: Machine;
@@ -44,6 +40,7 @@
     #refreshing = false;
     #hasMarkedServers = false;
     #stopped = false;
+    readonly #losses = new serverLosses.ServerLosses();
 
     constructor(
         private readonly shared: context.CoordinatorContext,
@@ -100,7 +97,7 @@
 
     /** Whether the machine is known to have left; one that hasn't been listed yet may still be. */
     isGone(id: string): boolean {
-        return !this.machines.has(id) && this.#completeReads >= missedReadsUntilGone;
+        return !this.machines.has(id) && this.#completeReads >= serverLosses.missedListsUntilGone;
     }
 
     /**
@@ -166,6 +163,7 @@
             decided,
         });
         if (outcome === machineOrders.OrderOutcome.done) {
+            this.#losses.recordOrder(serverId);
             managed.machine = after;
         }
         else if (server !== undefined) {
@@ -176,6 +174,7 @@
 
     async #fetchMachines(): Promise<void> {
         const { calls, settings, log } = this.shared;
+        const requestedAt = this.shared.clock.monotonic();
         const found: Machine[] = [];
         let unreadableCount = 0;
         let page: string | undefined;
@@ -204,6 +203,19 @@
             log.warn("machines-incomplete", { found: found.length, unreadable: unreadableCount });
         }
         this.#applyMachines(found, complete);
+        this.#endLostServers({ machines: found, complete, requestedAt });
+    }
+
+    #endLostServers(list: serverLosses.MachineList): void {
+        const contacts = [...this.fleet.sessions.values()].map(({ entry, reachable, lastAnswerAt, runs }) => ({
+            id: entry.id,
+            reachable,
+            lastAnswerAt,
+            hasRuns: runs.size > 0,
+        }));
+        const ordered = [...this.machines.values()].filter(({ pendingOrder }) => pendingOrder !== undefined);
+        const losses = this.#losses.apply(list, contacts, new Set(ordered.map(({ machine }) => machine.id)));
+        losses.forEach(loss => this.fleet.handleLoss(loss));
     }
 
     #applyMachines(found: readonly Machine[], complete: boolean): void {
@@ -229,12 +241,6 @@
             known.listed = machine;
             known.orderSeenCarriedOut ||= known.pendingOrder !== undefined && known.isOrderCarriedOut(machine);
             if (known.pendingOrder === undefined) {
-                if (known.machine.server !== "" && machine.server !== known.machine.server) {
-                    const { state } = machine;
-                    const crashed = state === platform.machineCalls.MachineState.up
-                        || state === platform.machineCalls.MachineState.down;
-                    this.fleet.handleServerEnded(known.machine.server, `machine ${machine.id} is ${state}`, crashed);
-                }
                 known.machine = machine;
             }
         }
@@ -264,7 +270,7 @@
                 continue;
             }
             managed.missedReads += 1;
-            if (managed.missedReads >= missedReadsUntilGone && managed.pendingOrder === undefined) {
+            if (managed.missedReads >= serverLosses.missedListsUntilGone && managed.pendingOrder === undefined) {
                 this.machines.delete(id);
                 this.shared.log.info("machine-gone", { machine: id, pool: managed.machine.pool });
             }
