Apply only what is new of a large job's finished occurrences, and test its completion

Every process built all finished occurrences anew from each record of a job. They are now compared as ranges. The number of tasks and the size of the parts are one field of the progress. Tests of what a successor completes, and of checkpoints that are too long.

--- a/packages/dispatch/src/run-manager.test.ts
+++ b/packages/dispatch/src/run-manager.test.ts
@@ -12,6 +12,7 @@
 import * as fleet from "./fleet.js";
 import * as jobRegistry from "./job-registry.js";
 import * as runManager from "./run-manager.js";
+import type * as session from "./server-session.js";
 import * as testing from "./testing/context.js";
 
 const suite = uvu.suite("run manager");
@@ -31,8 +32,13 @@
     advice: undefined,
 };
 
-/** Applies lists without a run that is expected in them. Returns whether the run counts as lost. */
-function isLost(response: platform.HttpResponse): boolean {
+interface Managed {
+    readonly manager: runManager.RunManager;
+    readonly active: jobRegistry.ActiveJob;
+    readonly server: session.ServerSession;
+}
+
+function manage(job: jobState.Job, progress?: jobState.Progress): Managed {
     const calls = new httpCalls.HttpClient();
     const send = () => Promise.resolve(neverthrow.ok(platformTesting.createDoneResponse()));
     const routes = new storeClient.StoreRoutes("store:1");
@@ -55,18 +61,16 @@
         onRunsLost: () => undefined,
     });
     const server = servers.createUnlistedSession("s1");
-    const job = jobTesting.createJob();
     const active = registry.track(
-        {
-            id: job.id,
-            job,
-            cancelledAt: undefined,
-            progress: undefined,
-            storedStatus: undefined,
-            storedParts: new Set(),
-        },
+        { id: job.id, job, cancelledAt: undefined, progress, storedStatus: undefined, storedParts: new Set() },
         0,
     )!;
+    return { manager, active, server };
+}
+
+/** Applies lists without a run that is expected in them. Returns whether the run counts as lost. */
+function isLost(response: platform.HttpResponse): boolean {
+    const { manager, active, server } = manage(jobTesting.createJob());
     manager.inherit(active, 0, 0, { number: 1, server: server.bootId }, server);
     const lists = platform.serverCalls.decodeLeaseRenewal(response);
     assert.is(lists.kind, "lists");
@@ -101,4 +105,43 @@
     assert.ok(isLost(platformTesting.createLists([], [])));
 });
 
+suite(
+    "a large job stays unfinished, as its coordinator was lost before all records of its last end were stored",
+    () => {
+        const job = jobTesting.createJob({ steps: [jobTesting.createStep({ taskCount: 6, gang: true })] });
+        const { running, completed } = jobState.JobStatus;
+        for (const parts of [undefined, { size: 4, taskCount: 6 }]) {
+            const progress = jobState.createProgress(0);
+            Object.assign(progress, { status: running, parts });
+            const occurrence = jobState.getOrCreateOccurrence(progress, job, 0);
+            for (let task = 0; task < 4; task++) {
+                jobState.markDone(occurrence, task);
+            }
+            const { manager, active } = manage(job, progress);
+            manager.completeStoredEnds(active);
+            // What is stored in one record is complete.
+            assert.is(active.progress.status, parts === undefined ? running : completed);
+        }
+    },
+);
+
+suite("a checkpoint that is too long for a record replaces the one before", () => {
+    const job = jobTesting.createJob({ steps: [jobTesting.createStep({ checkpointed: true })] });
+    const { manager, active, server } = manage(job);
+    manager.inherit(active, 0, 0, { number: 1, server: server.bootId }, server);
+    const run = [...server.runs.values()][0]!;
+    for (const checkpoint of ["00000bb87a21d94b", "x".repeat(jobState.maxCheckpointLength + 1), ""]) {
+        const task = { jobId: job.id, occurrence: 0, step: 0, index: 0 };
+        manager.applyLists(server, {
+            kind: "lists",
+            clock: 1,
+            bootedAt: undefined,
+            running: [{ task, run: 1, checkpoint, percent: 1, usage: undefined }],
+            ended: [],
+            complete: true,
+        }, 1);
+        assert.is(run.checkpoint, "00000bb87a21d94b");
+    }
+});
+
 suite.run();
--- a/packages/dispatch/src/run-manager.ts
+++ b/packages/dispatch/src/run-manager.ts
@@ -846,7 +846,7 @@
      */
     completeStoredEnds(active: jobRegistry.ActiveJob): void {
         const { job, progress } = active;
-        if (progress.partSize === undefined || jobState.isSettled(progress.status)) {
+        if (progress.parts === undefined || jobState.isSettled(progress.status)) {
             return;
         }
         for (const [number, occurrence] of progress.occurrences) {
--- a/packages/job-state/src/job-table.ts
+++ b/packages/job-state/src/job-table.ts
@@ -103,17 +103,17 @@
     /** Applies a progress record of the ledger, which replaces the job's earlier progress but for parts of it. */
     applyProgress(id: string, current: progress.Progress): void {
         const entry = this.#getOrCreate(id);
-        const before = entry.progress;
-        if (before !== undefined && before.partSize !== undefined && before.partSize === current.partSize) {
-            parts.applyJobRecord(before, current);
+        const layout = current.parts;
+        if (layout === undefined) {
+            entry.progress = current;
         }
         else {
-            entry.progress = current;
-            if (current.partSize !== undefined) {
-                this.#pendingParts.get(id)?.forEach(part => parts.applyPart(current, part));
+            if (entry.progress?.parts?.size !== layout.size) {
+                const restored = progress.createProgress(current.statusAt);
+                this.#pendingParts.get(id)?.forEach(part => parts.applyPart(restored, part));
+                entry.progress = restored;
             }
-        }
-        if (current.partSize !== undefined) {
+            parts.applyJobRecord(entry.progress, current, layout);
             this.#pendingParts.delete(id);
         }
         entry.storedStatus = current.status;
@@ -128,7 +128,7 @@
         }
         const entry = this.#getOrCreate(id);
         entry.storedParts.add(key);
-        if (entry.progress?.partSize !== undefined) {
+        if (entry.progress?.parts !== undefined) {
             parts.applyPart(entry.progress, part);
             return;
         }
--- a/packages/job-state/src/progress-parts.ts
+++ b/packages/job-state/src/progress-parts.ts
@@ -86,13 +86,28 @@
     });
 }
 
-/** Applies a newer record of the job to progress of which the parts are applied already. */
-export function applyJobRecord(current: progress.Progress, newer: progress.Progress): void {
+/**
+ * Applies a newer record of the job to progress of which the parts are applied already.
+ *
+ * @param layout that of both
+ */
+export function applyJobRecord(
+    current: progress.Progress,
+    newer: progress.Progress,
+    layout: progress.PartLayout,
+): void {
+    const added = progress.listAddedOccurrences(current.finished, newer.finished);
     current.status = newer.status;
     current.statusAt = newer.statusAt;
     current.begun = newer.begun;
+    current.parts = layout;
     current.finished = newer.finished;
-    newer.occurrences.forEach((occurrence, number) => current.occurrences.set(number, occurrence));
+    if (added.length > 0) {
+        const { taskCount } = layout;
+        // None of their tasks changes any more, so they share one.
+        const complete = { done: new Uint8Array(taskCount).fill(1), doneCount: taskCount, histories: new Map() };
+        added.forEach(occurrence => current.occurrences.set(occurrence, complete));
+    }
 }
 
 /** The parts that have changed since the last call, and the occurrences that are finished since. */
@@ -101,10 +116,8 @@
     readonly finished: readonly number[];
 }
 
-/**
- * Takes the changes of the job's progress, whose parts have `partSize` tasks. Finished occurrences are recorded as such.
- */
-export function takeChangedParts(current: progress.Progress, partSize: number): ChangedParts {
+/** Takes the changes of the job's progress. Finished occurrences are recorded as such. */
+export function takeChangedParts(current: progress.Progress, { size, taskCount }: progress.PartLayout): ChangedParts {
     const changed: { occurrence: number; range: codec.TaskRange; }[] = [];
     const finished: number[] = [];
     for (const [number, occurrence] of current.occurrences) {
@@ -114,9 +127,9 @@
             finished.push(number);
             continue;
         }
-        for (const part of new Set([...tasks].map(task => Math.floor(task / partSize)))) {
-            const first = part * partSize;
-            const count = Math.min(partSize, occurrence.done.length - first);
+        for (const part of new Set([...tasks].map(task => Math.floor(task / size)))) {
+            const first = part * size;
+            const count = Math.min(size, taskCount - first);
             changed.push({ occurrence: number, range: { first, count } });
         }
     }
--- a/packages/job-state/src/progress.ts
+++ b/packages/job-state/src/progress.ts
@@ -61,6 +61,14 @@
 /** Consecutive occurrences: number of the first, and how many. */
 export type OccurrenceRange = [first: number, count: number];
 
+/** Division of each occurrence into parts. */
+export interface PartLayout {
+    /** Number of tasks in each part but the last. */
+    readonly size: number;
+    /** Number of tasks of the occurrence. */
+    readonly taskCount: number;
+}
+
 export interface Progress {
     status: jobs.JobStatus;
     /** Unix time in ms of the last status change. */
@@ -70,9 +78,9 @@
      * server.
      */
     begun: boolean;
-    /** Number of tasks in each part if it is stored in parts, see `progress-parts.ts`; `undefined` for one record. */
-    partSize: number | undefined;
-    /** Finished occurrences in ascending ranges of number and count; only of progress that is stored in parts. */
+    /** How it is divided if it is stored in parts, see `progress-parts.ts`; `undefined` for one record. */
+    parts: PartLayout | undefined;
+    /** Finished occurrences in ascending ranges; only of progress that is stored in parts. */
     finished: OccurrenceRange[];
     /** By occurrence number; an occurrence is absent until its first change. */
     readonly occurrences: Map<number, OccurrenceProgress>;
@@ -83,7 +91,7 @@
         status: jobs.JobStatus.queued,
         statusAt: now,
         begun: false,
-        partSize: undefined,
+        parts: undefined,
         finished: [],
         occurrences: new Map(),
     };
@@ -125,7 +133,7 @@
     const at = findRange(ranges, occurrence);
     const before = ranges[at - 1];
     const after = ranges[at];
-    if (before !== undefined && occurrence < before[0] + before[1]) {
+    if (includesOccurrence(ranges, occurrence)) {
         return;
     }
     const joinsBefore = before !== undefined && before[0] + before[1] === occurrence;
@@ -140,8 +148,32 @@
 }
 
 export function includesOccurrence(ranges: readonly OccurrenceRange[], occurrence: number): boolean {
-    const before = ranges[findRange(ranges, occurrence) - 1];
-    return before !== undefined && occurrence < before[0] + before[1];
+    return findEnd(ranges, occurrence) !== undefined;
+}
+
+/** Occurrences of the newer ranges that aren't in the older ones, in ascending order. */
+export function listAddedOccurrences(
+    older: readonly OccurrenceRange[],
+    newer: readonly OccurrenceRange[],
+): number[] {
+    const added: number[] = [];
+    for (const [first, count] of newer) {
+        for (let occurrence = first; occurrence < first + count;) {
+            const end = findEnd(older, occurrence);
+            if (end === undefined) {
+                added.push(occurrence);
+            }
+            occurrence = end ?? occurrence + 1;
+        }
+    }
+    return added;
+}
+
+/** Number after the last one of the range with the occurrence; `undefined` if none has it. */
+function findEnd(ranges: readonly OccurrenceRange[], occurrence: number): number | undefined {
+    const range = ranges[findRange(ranges, occurrence) - 1];
+    const end = range === undefined ? occurrence : range[0] + range[1];
+    return occurrence < end ? end : undefined;
 }
 
 /** Index of the first range that begins after the occurrence. */
--- a/packages/job-state/src/records.ts
+++ b/packages/job-state/src/records.ts
@@ -115,7 +115,7 @@
     readonly b: boolean;
     /** `occurrences`; none if they are stored in parts. */
     readonly o: readonly codec.StoredOccurrence[];
-    /** `partSize` and, for the finished occurrences, the number of tasks of each and their ranges; absent without parts. */
+    /** `parts`, size and number of tasks, and `finished`; absent without parts. */
     readonly p?: readonly [number, number, readonly progress.OccurrenceRange[]];
 }
 
@@ -226,14 +226,16 @@
         storedParts.clear();
         return { parts: [], job: encodeStatus(id, current), obsolete };
     }
-    if (current.partSize === undefined && parts.fitsOneRecord(job, recordSize)) {
+    if (current.parts === undefined && parts.fitsOneRecord(job, recordSize)) {
         return { parts: [], job: encodeProgress(id, current), obsolete: [] };
     }
-    if (current.partSize === undefined) {
-        current.partSize = parts.computePartSize(recordSize);
+    const taskCount = jobs.countTasks(job);
+    if (current.parts === undefined) {
+        current.parts = { size: parts.computePartSize(recordSize), taskCount };
         parts.touchAll(current);
     }
-    const { changed, finished } = parts.takeChangedParts(current, current.partSize);
+    const { size } = current.parts;
+    const { changed, finished } = parts.takeChangedParts(current, current.parts);
     const changedParts = changed.map(({ occurrence, range }) => {
         const key = formatPartKey(id, occurrence, range.first);
         storedParts.add(key);
@@ -242,17 +244,16 @@
             value: cborCodec.encode(parts.encodePart(occurrence, current.occurrences.get(occurrence)!, range)),
         };
     });
-    const taskCount = jobs.countTasks(job);
     const obsolete: KeyedRecord[] = [];
     for (const occurrence of finished) {
-        for (let first = 0; first < taskCount; first += current.partSize) {
+        for (let first = 0; first < taskCount; first += size) {
             const key = formatPartKey(id, occurrence, first);
             if (storedParts.delete(key)) {
                 obsolete.push(encodeTombstone(key));
             }
         }
     }
-    const jobRecord = encodeStored(id, current, { o: [], p: [current.partSize, taskCount, current.finished] });
+    const jobRecord = encodeStored(id, current, { o: [], p: [size, taskCount, current.finished] });
     return { parts: changedParts, job: jobRecord, obsolete };
 }
 
@@ -388,16 +389,9 @@
         restored.occurrences.set(occurrence.k, { done, doneCount, histories: codec.restoreHistories(occurrence) });
     }
     if (stored.p !== undefined) {
-        const [partSize, taskCount, finished] = stored.p;
-        restored.partSize = partSize;
+        const [size, taskCount, finished] = stored.p;
+        restored.parts = { size, taskCount };
         restored.finished = finished.map(([first, count]) => [first, count]);
-        // None of their tasks changes any more, so they share one.
-        const complete = { done: new Uint8Array(taskCount).fill(1), doneCount: taskCount, histories: new Map() };
-        for (const [first, count] of restored.finished) {
-            for (let occurrence = first; occurrence < first + count; occurrence++) {
-                restored.occurrences.set(occurrence, complete);
-            }
-        }
     }
     return restored;
 }
