Blame no crash of a server on a run that only its next boot has started

A start that a server's next boot answers before any list shows the restart counted as a suspect of the crash of the boot before. Two such crashes fail a sound job.

Cause: the run names the boot that the coordinator knew, and all runs of that boot were suspects when the next list showed another one.

Change: a run whose start another boot has confirmed is no suspect of the crash.

--- a/packages/dispatch/src/crashes-counted-twice.test.ts
+++ b/packages/dispatch/src/crashes-counted-twice.test.ts
@@ -43,4 +43,23 @@
     }
 });
 
+suite("a crash counts for a task that only the server's next boot has started", async () => {
+    const world = new simulation.Simulation({ random: () => 0.5, machineCount: 1 });
+    try {
+        world.startCoordinator();
+        await world.time.runUntil(submissionAt);
+        // The poll under way gets no answer, so the restart shows only after its time-out.
+        world.machines[0]!.server!.reboot();
+        world.submitOrdinary(jobId, 1, 1000);
+        await world.time.runUntil(submissionAt + 10_000);
+        assert.ok(world.log.some(({ event }) => event === "start-on-another-boot"));
+        assert.ok(world.log.some(({ event }) => event === "server-rebooted"));
+        assert.equal(world.log.filter(({ event }) => event === "server-crashed"), []);
+        assert.is(world.doneTasks, 1);
+    }
+    finally {
+        world.close();
+    }
+});
+
 suite.run();
--- a/packages/dispatch/src/fleet.ts
+++ b/packages/dispatch/src/fleet.ts
@@ -531,7 +531,9 @@
     #handleReboot(server: session.ServerSession, bootedAt: number | undefined): void {
         const isFirstAnswer = server.bootedAt === undefined && server.clockSample === undefined;
         const before = server.bootedAt;
-        const crashed = server.listStartedRuns().filter(({ run }) => !isFirstAnswer || isOtherBoot(run, bootedAt));
+        const crashed = server.listStartedRuns().filter(({ run }) =>
+            !run.startedOnNextBoot && (!isFirstAnswer || isOtherBoot(run, bootedAt))
+        );
         this.#reportCrash(server.entry.id, [
             ...this.#takeLapsedRuns(server.entry.id, bootedAt),
             ...server.entry.draining ? [] : crashed,
--- a/packages/dispatch/src/relocation.test.ts
+++ b/packages/dispatch/src/relocation.test.ts
@@ -93,6 +93,7 @@
         usage: undefined,
         pace: 100,
         ticket: undefined,
+        startedOnNextBoot: false,
         measuresDuration: true,
     };
     server.runs.set(String(index), run);
--- a/packages/dispatch/src/run-manager.ts
+++ b/packages/dispatch/src/run-manager.ts
@@ -188,6 +188,7 @@
             plannedAt: now,
             startSentAt: now,
             startClock: undefined,
+            startedOnNextBoot: false,
             percent: 0,
             percentChangedAt: now,
             usage: undefined,
@@ -332,6 +333,7 @@
                 run.startClock ??= answer.clock;
             }
             else if (answer.clock !== undefined) {
+                run.startedOnNextBoot = true;
                 shared.log.warn("start-on-another-boot", {
                     task: run.name,
                     boot: run.bootId,
--- a/packages/dispatch/src/server-session.ts
+++ b/packages/dispatch/src/server-session.ts
@@ -51,6 +51,8 @@
      * `undefined` before that, as a start without an answer may be carried out seconds later.
      */
     startClock: number | undefined;
+    /** A later boot of the server than the known one confirmed the start: it wasn't under way when the known one ended. */
+    startedOnNextBoot: boolean;
     /** An earlier coordinator saw that the server outlasted the start. */
     readonly outlastedStart: boolean;
     /** This coordinator started it without a checkpoint, so the time to its end is the duration of the task. */
