--- a/packages/dispatch/src/leases-of-earlier-boots.test.ts
+++ b/packages/dispatch/src/leases-of-earlier-boots.test.ts
@@ -138,7 +138,7 @@
         while (!isElsewhere() && world.time.now < cutOffAt + 20_000) {
             await world.time.runUntil(world.time.now + step);
         }
-        // The lease, one poll that waits for an end, and two retries.
+        // An ordinary lease, which the last poll may have renewed at its end, and two retries to reach the server.
         assert.ok(world.time.now - cutOffAt < 4500 + 1700 + 2 * 950, `${world.time.now - cutOffAt}`);
     }
     finally {
--- a/packages/dispatch/src/lost-servers.test.ts
+++ b/packages/dispatch/src/lost-servers.test.ts
@@ -2,6 +2,8 @@
 import * as platform from "@catkinwharf/platform";
 import * as uvu from "uvu";
 import * as assert from "uvu/assert";
+import * as context from "./context.js";
+import * as machineInventory from "./machine-inventory.js";
 import * as simulation from "./testing/simulation.js";
 
 const suite = uvu.suite("lost servers");
@@ -12,6 +14,10 @@
 const takeoverTime = 1300;
 /** Time for which the users' rules let a lasting task be without a run. */
 const restartTime = 6000;
+/** Longest time of a poll of a server with runs: it may wait for 1 s for an end, and is given up after its time-out. */
+const pollTime = 1000 + context.serverCallTimeout;
+/** Time for a pass, the intent and the start, each of a few ms, and a check of this test. */
+const startTime = 100;
 const jobId = "00000000000000aa";
 const task = `${jobId}.0.0.0`;
 
@@ -54,8 +60,7 @@
     "a task idles until its lease ends, as a list shows its server as lost before the server is found unreachable",
     async () => {
         const idle = await playLoss(createWorld(), false);
-        // A poll that waits for an end, and two reads of the list.
-        assert.ok(idle < 1700 + 2 * 400 + 300, `${idle}`);
+        assert.ok(idle < pollTime + 2 * machineInventory.refreshInterval + startTime, `${idle}`);
     },
 );
 
--- a/packages/dispatch/src/run-manager.test.ts
+++ b/packages/dispatch/src/run-manager.test.ts
@@ -130,7 +130,7 @@
     const { manager, active, server } = manage(job);
     manager.inherit(active, 0, 0, { number: 1, server: server.bootId }, server);
     const run = [...server.runs.values()][0]!;
-    for (const checkpoint of ["00000bb87a21d94b", "x".repeat(jobState.maxCheckpointLength + 1), ""]) {
+    for (const checkpoint of ["00000bb87a21d94b", "é".repeat(jobState.maxCheckpointSize / 2) + "x", ""]) {
         const task = { jobId: job.id, occurrence: 0, step: 0, index: 0 };
         manager.applyLists(server, {
             kind: "lists",
--- a/packages/dispatch/src/run-manager.ts
+++ b/packages/dispatch/src/run-manager.ts
@@ -595,8 +595,9 @@
 
     /** Keeps a reported checkpoint, unless it is empty or too long to be stored. */
     #keepCheckpoint(run: session.ActiveRun, checkpoint: string): void {
-        if (checkpoint.length > jobState.maxCheckpointLength) {
-            this.options.shared.log.warn("checkpoint-too-long", { task: run.name, length: checkpoint.length });
+        const size = Buffer.byteLength(checkpoint);
+        if (size > jobState.maxCheckpointSize) {
+            this.options.shared.log.warn("checkpoint-too-long", { task: run.name, size });
         }
         else if (checkpoint !== "") {
             run.checkpoint = checkpoint;
--- a/packages/dispatch/src/server-boots.ts
+++ b/packages/dispatch/src/server-boots.ts
@@ -41,7 +41,7 @@
     if (stored?.bootedAt === bootedAt && stored !== undefined) {
         return stored;
     }
-    // The answer shows that the server has the new coordinator's fencing token, so it refuses earlier orders from then on.
+    // With this answer the server has the new coordinator's fencing token, so it refuses the orders of earlier ones.
     return { bootedAt, leaseEnd: stored === undefined && !holdsRuns ? undefined : clock + maxLease };
 }
 
@@ -62,7 +62,7 @@
     unusedSince: number | undefined;
 }
 
-/** Factor by which a lease may last longer on a server's slow clock; generous, as it only delays a removal. */
+/** Retention of an unused boot, as a multiple of the leases that it may hold: servers' clocks may be slow. */
 const retentionFactor = 1.1;
 
 export class ServerBoots {
--- a/packages/dispatch/src/server-session.ts
+++ b/packages/dispatch/src/server-session.ts
@@ -127,8 +127,8 @@
      */
     otherLeaseEnd = 0;
     /**
-     * Whether the newest boot in the ledger may hold a lease that was meant for an earlier one; of interest until the server
-     * has responded.
+     * Whether the ledger names a lease that the server's newest boot may hold by an order for an earlier one. Without a clock
+     * reading its end isn't known, so it matters until the server has responded.
      */
     bootMayHoldOtherLease = false;
     /** Replaced when the server reboots: what belongs to the boot before must not be taken for the new one's. */
@@ -301,15 +301,18 @@
         return this.clockSample === undefined ? undefined : this.clockSample.server + now - this.clockSample.received;
     }
 
-    /** What the expiry of the lease is computed from, in ms before `now`, on the monotonic clock. */
+    /**
+     * What the expiry of the lease is computed from, for the log. In ms: time up to `now`, on the monotonic clock, since the
+     * last list or, before the first one, since the term began; lease that was left at the last list.
+     */
     describeLease(now: number): object {
         const { clockSample, termStartedAt } = this;
         return clockSample === undefined
             ? { sinceTermStart: Math.round(now - termStartedAt) }
             : {
                 sinceAnswer: Math.round(now - clockSample.received),
-                granted: Math.round(this.latestLeaseEnd - clockSample.server),
-                grantedByOthers: Math.round(this.otherLeaseEnd - clockSample.server),
+                left: Math.round(this.latestLeaseEnd - clockSample.server),
+                leftOfOthers: Math.round(this.otherLeaseEnd - clockSample.server),
             };
     }
 
--- a/packages/job-state/src/index.ts
+++ b/packages/job-state/src/index.ts
@@ -3,6 +3,6 @@
  */
 export * from "./job-table.js";
 export * from "./job.js";
-export { maxCheckpointLength, type ProgressPart } from "./progress-parts.js";
+export { maxCheckpointSize, type ProgressPart } from "./progress-parts.js";
 export * from "./progress.js";
 export * from "./records.js";
--- a/packages/job-state/src/progress-parts.test.ts
+++ b/packages/job-state/src/progress-parts.test.ts
@@ -151,4 +151,24 @@
     );
 });
 
+suite("a part outgrows its record with the longest checkpoints and IDs of servers", () => {
+    for (const size of [640, 5120, 20_000, 262_144, 655_360]) {
+        const large = testing.createJob({ steps: [testing.createStep({ taskCount: 3000, checkpointed: true })] });
+        const progress = jobState.createProgress(0);
+        for (let task = 0; task < 3000; task++) {
+            const history = jobState.getOrCreateHistory(jobState.getOrCreateOccurrence(progress, large, 0), task);
+            Object.assign(history, {
+                lastRun: 100_000,
+                failures: 100_000,
+                crashes: 3,
+                runs: [{ number: 100_000, server: `${"i".repeat(255)}@1800000000000`, crashCounted: true }],
+                checkpoint: "é".repeat(jobState.maxCheckpointSize / 2),
+            });
+        }
+        const { parts, job: record } = jobState.takeProgressRecords(large, progress, new Set(), size);
+        const largest = Math.max(...[...parts, record].map(({ key, value }) => 1 + key.length + value.length));
+        assert.ok(largest <= size, `${largest} bytes of ${size}`);
+    }
+});
+
 suite.run();
--- a/packages/job-state/src/progress-parts.ts
+++ b/packages/job-state/src/progress-parts.ts
@@ -11,12 +11,11 @@
 import * as codec from "./occurrence-codec.js";
 import * as progress from "./progress.js";
 
-/** Bytes of a record that the progress of one task takes at the most, with some copies and a long checkpoint. */
+/** Longest checkpoint that is kept, in bytes of UTF-8; runs after a longer one start from the one before. */
+export const maxCheckpointSize = 256;
+/** Bytes for which a task counts: room for the longest checkpoint, the longest ID of a server, and the other fields. */
 const taskSize = 640;
 
-/** Longest checkpoint that is kept; runs after a longer one start from the one before. */
-export const maxCheckpointLength = 256;
-
 /** Part of an occurrence's progress as it is read from its record. */
 export interface ProgressPart {
     readonly occurrence: number;
