--- a/packages/dispatch/src/demand.test.ts
+++ b/packages/dispatch/src/demand.test.ts
@@ -22,6 +22,7 @@
     version: 1,
     routes: [],
     services: [{ name: "dispatch", standby: false, healthPath: "", rejectsOverload: false }],
+    organisations: [],
     maxBodyBytes: 1000,
 };
 
--- a/packages/dispatch/src/job-registry.test.ts
+++ b/packages/dispatch/src/job-registry.test.ts
@@ -20,6 +20,7 @@
         latencyAllowance: 1000,
         timeout: 2000,
         advice: undefined,
+        isPublic: false,
     };
 }
 
@@ -28,6 +29,7 @@
         version,
         routes: service === undefined ? [] : [createRoute(service)],
         services: [],
+        organisations: [],
         maxBodyBytes: 1000,
     };
 }
--- a/packages/dispatch/src/overload.test.ts
+++ b/packages/dispatch/src/overload.test.ts
@@ -157,8 +157,10 @@
             latencyAllowance,
             timeout: 3000,
             advice: undefined,
+            isPublic: false,
         }],
         services: [],
+        organisations: [],
         maxBodyBytes: 1,
     });
     const manager = new runManager.RunManager({
--- a/packages/dispatch/src/run-manager.test.ts
+++ b/packages/dispatch/src/run-manager.test.ts
@@ -30,6 +30,7 @@
     latencyAllowance: 0,
     timeout: 1000,
     advice: undefined,
+    isPublic: false,
 };
 
 interface Managed {
@@ -45,7 +46,7 @@
     const store = new storeClient.StoreClient({ send }, routes, eventLog.silentEventLog, () => 0);
     const shared = testing.createContext(calls, store, () => 0);
     const registry = new jobRegistry.JobRegistry();
-    registry.applyConfiguration({ version: 1, routes: [route], services: [], maxBodyBytes: 1 });
+    registry.applyConfiguration({ version: 1, routes: [route], services: [], organisations: [], maxBodyBytes: 1 });
     const manager = new runManager.RunManager({
         shared,
         registry,
--- a/packages/dispatch/src/testing/context.ts
+++ b/packages/dispatch/src/testing/context.ts
@@ -28,7 +28,10 @@
         status: 120_000,
         stop: 400,
         configurationDelay: 2000,
+        revocation: 5000,
     },
+    requiresKeys: false,
+    strictRevocation: false,
 };
 
 /** Context of a coordinator, of epoch 1 unless stated, both of whose clocks show `now()`. */
--- a/packages/dispatch/src/testing/simulation.ts
+++ b/packages/dispatch/src/testing/simulation.ts
@@ -456,11 +456,13 @@
         latencyAllowance: 0,
         timeout: 1000,
         advice: undefined,
+        isPublic: false,
     }],
     services: [
         { name: service, healthPath: "", rejectsOverload: false, standby: false },
         { name: standbyPool, healthPath: "", rejectsOverload: false, standby: true },
     ],
+    organisations: [],
     maxBodyBytes: 1,
 };
 
--- a/packages/intake/src/job-api.test.ts
+++ b/packages/intake/src/job-api.test.ts
@@ -21,6 +21,7 @@
     latencyAllowance: 0,
     timeout: 400,
     advice: undefined,
+    isPublic: false,
 };
 
 interface View {
@@ -58,7 +59,7 @@
         log: eventLog.silentEventLog,
         monotonicNow: () => performance.now(),
         now: () => Date.now(),
-        configuration: () => ({ version: 2 - routes.length, routes, services: [], maxBodyBytes: 1000 }),
+        configuration: () => ({ version: 2 - routes.length, routes, services: [], organisations: [], maxBodyBytes: 1000 }),
         refreshJobs: () => view.refresh(),
         refreshProgress: () => view.refresh(),
         refreshConfiguration: view.refreshConfiguration ?? (() => {
--- a/packages/intake/src/job-api.ts
+++ b/packages/intake/src/job-api.ts
@@ -295,6 +295,7 @@
             id: request.id,
             queue: request.route.name,
             route: selectTerms(request.route, request.version),
+            organisation: undefined,
             ...submission,
             submittedAt: this.options.now(),
         };
--- a/packages/job-state/src/job.ts
+++ b/packages/job-state/src/job.ts
@@ -91,6 +91,11 @@
      * in records of earlier versions.
      */
     readonly route: RouteTerms | undefined;
+    /**
+     * Name of the organisation whose key the submission carried; `undefined` for a job of a public queue, in a deployment
+     * without organisations, and in records of earlier versions.
+     */
+    readonly organisation: string | undefined;
     /** Opaque text that is passed to every task of the job at its start. */
     readonly payload: string;
     readonly steps: readonly Step[];
--- a/packages/job-state/src/records.ts
+++ b/packages/job-state/src/records.ts
@@ -275,7 +275,7 @@
         return undefined;
     }
     if (key.startsWith(KeyPrefix.job) && isJob(decoded)) {
-        return { kind: "job", job: selectKnownRoute(decoded) };
+        return { kind: "job", job: selectKnownFields(decoded) };
     }
     if (key.startsWith(KeyPrefix.cancellation) && isObject(decoded) && typeof decoded["cancelledAt"] === "number") {
         return {
@@ -298,12 +298,16 @@
 /** Decodes jobs that a process couldn't store; leaves out malformed ones. */
 export function decodeUnstoredJobs(value: Uint8Array): jobs.Job[] {
     const decoded = decode(value);
-    return Array.isArray(decoded) ? decoded.filter(job => isJob(job)).map(job => selectKnownRoute(job)) : [];
+    return Array.isArray(decoded) ? decoded.filter(job => isJob(job)).map(job => selectKnownFields(job)) : [];
 }
 
-/** Leaves out a route that can't be read; records of earlier versions lack it. */
-function selectKnownRoute(job: jobs.Job): jobs.Job {
-    return { ...job, route: isRouteTerms(job.route) ? job.route : undefined };
+/** Leaves out a route or an organisation that can't be read; records of earlier versions lack both. */
+function selectKnownFields(job: jobs.Job): jobs.Job {
+    return {
+        ...job,
+        route: isRouteTerms(job.route) ? job.route : undefined,
+        organisation: typeof job.organisation === "string" ? job.organisation : undefined,
+    };
 }
 
 /** Whether a record of the ledger holds the progress of a job, by its key. */
--- a/packages/job-state/src/testing/index.ts
+++ b/packages/job-state/src/testing/index.ts
@@ -28,6 +28,7 @@
         id: "00000000000000aa",
         queue: "quotes",
         route: undefined,
+        organisation: undefined,
         payload: "",
         steps: [createStep()],
         repetition: undefined,
--- a/packages/node/src/entry-instance.ts
+++ b/packages/node/src/entry-instance.ts
@@ -379,6 +379,11 @@
             this.log.warn("operator-record-unreadable", { key: record.key });
             return;
         }
+        if (decoded.kind === "invalid-configuration") {
+            const { version, reason } = decoded;
+            this.log.warn("configuration-rejected", { version, reason, inForce: this.#configuration?.version });
+            return;
+        }
         if (decoded.kind === "wave") {
             this.#waves.set(decoded.wave.number, decoded.wave);
             this.#coordinator?.applyWave(decoded.wave);
