Require an organisation's API key on queues that aren't public

Change: intake/authentication finds the organisation by the key in the configuration, anew for each request. Before a key counts as unknown, a configuration of the last 500 ms is read; without one the answer is 503. The job's record names its organisation, and jobs of other organisations aren't shown.

--- a/packages/intake/src/job-api.test.ts
+++ b/packages/intake/src/job-api.test.ts
@@ -59,7 +59,13 @@
         log: eventLog.silentEventLog,
         monotonicNow: () => performance.now(),
         now: () => Date.now(),
-        configuration: () => ({ version: 2 - routes.length, routes, services: [], organisations: [], maxBodyBytes: 1000 }),
+        configuration: () => ({
+            version: 2 - routes.length,
+            routes,
+            services: [],
+            organisations: [],
+            maxBodyBytes: 1000,
+        }),
         refreshJobs: () => view.refresh(),
         refreshProgress: () => view.refresh(),
         refreshConfiguration: view.refreshConfiguration ?? (() => {
@@ -67,6 +73,8 @@
             return Promise.resolve(true);
         }),
         maxConfigurationAge: 2000,
+        requiresKeys: false,
+        maxKeyAge: undefined,
         isStoreUnavailable: () => view.storeUnavailable === true,
         measureDataAge: () => ({
             submissionsAge: view.age,
--- a/packages/intake/src/job-api.ts
+++ b/packages/intake/src/job-api.ts
@@ -10,6 +10,7 @@
 import type * as http from "node:http";
 import * as timers from "node:timers/promises";
 import * as polka from "polka";
+import * as authentication from "./authentication.js";
 import * as routeTable from "./route-table.js";
 import * as submissionWriter from "./submission-writer.js";
 
@@ -31,6 +32,13 @@
     readonly refreshConfiguration: () => Promise<boolean>;
     /** Age in ms up to which a process's view of the configuration may decide on a request. */
     readonly maxConfigurationAge: number;
+    /** The deployment has organisations: requests need a key unless their route is public. */
+    readonly requiresKeys: boolean;
+    /**
+     * Age in ms up to which the configuration may decide on a key; `undefined` if a process that can't read a newer one
+     * goes on with the keys that it knows.
+     */
+    readonly maxKeyAge: number | undefined;
     /** Whether the store counts as unavailable, by the last calls; submissions are then refused at once. */
     readonly isStoreUnavailable: () => boolean;
     /** Ages in ms of what this process has read of the jobs, their progress and the configuration. */
@@ -56,6 +64,8 @@
     readonly body: string;
     /** Value of the Retry-After header, in seconds. */
     readonly retryAfter?: number;
+    /** Authentication scheme for the WWW-Authenticate header. */
+    readonly scheme?: string;
     /** Why the request failed; logged only. */
     readonly reason?: string;
 }
@@ -63,6 +73,8 @@
 interface JobRequest {
     readonly id: string;
     readonly route: platform.operatorRecords.Route;
+    /** Name of the caller's organisation; `undefined` if the request needs no key. */
+    readonly organisation: string | undefined;
     /** Version of the configuration that has the route. */
     readonly version: number;
     readonly message: http.IncomingMessage;
@@ -87,6 +99,12 @@
  */
 const maxCountAge = 2000;
 
+/**
+ * Age in ms up to which the configuration decides that a key is unknown. Bounds the reads that requests with wrong keys
+ * cause, and is short compared with the time in which a new key has to be in force.
+ */
+const maxUnknownKeyAge = 500;
+
 const queueNotFound: JobResponse = { status: 404, body: "", reason: "no such queue" };
 const noConfiguration: JobResponse = { status: 503, body: "", retryAfter: 1, reason: "no configuration yet" };
 const storeUnavailable: JobResponse = {
@@ -114,6 +132,18 @@
     };
 }
 
+function createKeyRefusal(fault: authentication.KeyFault): JobResponse {
+    return {
+        status: 401,
+        body: platform.callerBodies.encodeError(fault),
+        scheme: platform.callerBodies.authenticationScheme,
+        reason: fault,
+    };
+}
+
+/** A job of another organisation has the ID; callers aren't told so. */
+const idUnusable: JobResponse = { status: 400, body: "", reason: "the job ID belongs to another organisation" };
+
 /** Status 410, because 404 stands for an unknown queue. */
 const jobNotFound: JobResponse = { status: 410, body: "", reason: "no such job" };
 const accepted: JobResponse = { status: 200, body: "{}" };
@@ -132,6 +162,11 @@
     return { version, service, priority, maxAttempts, slackFactor, latencyAllowance, advice };
 }
 
+/** Whether the caller may know of the job: it belongs to the caller's organisation or to none. */
+function isVisible(job: jobState.Job, { organisation }: Pick<JobRequest, "organisation">): boolean {
+    return job.organisation === undefined || job.organisation === organisation;
+}
+
 type Handler = (api: JobApi, request: JobRequest) => Promise<JobResponse>;
 
 const handlers: Readonly<Record<string, Handler>> = {
@@ -141,9 +176,12 @@
 };
 
 export class JobApi {
+    readonly #authenticator: authentication.Authenticator;
     #routes: { readonly version: number; readonly table: routeTable.RouteTable; } | undefined;
 
-    constructor(private readonly options: JobApiOptions) {}
+    constructor(private readonly options: JobApiOptions) {
+        this.#authenticator = new authentication.Authenticator(options);
+    }
 
     createApp(): polka.Polka {
         return polka.default({
@@ -174,6 +212,9 @@
         if (result.retryAfter !== undefined) {
             response.setHeader("retry-after", String(result.retryAfter));
         }
+        if (result.scheme !== undefined) {
+            response.setHeader("www-authenticate", result.scheme);
+        }
         if (this.options.isShuttingDown()) {
             response.setHeader("connection", "close");
         }
@@ -202,24 +243,39 @@
 
     /** Returns the response to a request: the pending count of a queue, or what the handler of the method returns. */
     async #respond(message: http.IncomingMessage, startedAt: number): Promise<JobResponse> {
-        if (!await this.#refreshConfiguration(message, startedAt)) {
+        if (!await this.#refreshConfiguration(message, startedAt, this.options.maxConfigurationAge)) {
             return behindStore;
         }
-        const configuration = this.options.configuration();
+        let configuration = this.options.configuration();
         if (configuration === undefined) {
             return noConfiguration;
         }
-        if (this.#routes?.version !== configuration.version) {
-            this.#routes = {
-                version: configuration.version,
-                table: new routeTable.RouteTable(configuration.routes),
-            };
-        }
-        const path = (message.url ?? "/").split("?", 1)[0]!;
-        const match = this.#routes.table.find(message.headers.host ?? "", path);
+        let match = this.#findRoute(message, configuration);
         if (match === undefined) {
             return queueNotFound;
         }
+        let caller = this.#authenticator.authenticate(message.headers.authorization, match.route, configuration);
+        if (!caller.accepted && caller.fault === authentication.KeyFault.unknown) {
+            // A configuration with the key may just have been published.
+            if (
+                this.options.isStoreUnavailable()
+                || !await this.#refreshConfiguration(message, startedAt, maxUnknownKeyAge)
+            ) {
+                return behindStore;
+            }
+            configuration = this.options.configuration()!;
+            match = this.#findRoute(message, configuration);
+            if (match === undefined) {
+                return queueNotFound;
+            }
+            caller = this.#authenticator.authenticate(message.headers.authorization, match.route, configuration);
+        }
+        if (!caller.accepted) {
+            return createKeyRefusal(caller.fault);
+        }
+        if (this.#areKeysOutdated(match.route, configuration)) {
+            return behindStore;
+        }
         const deadline = computeDeadline(message, startedAt, match.route.timeout);
         // The name of a route is that of its queue.
         if (match.rest === "" && message.method === "GET") {
@@ -235,6 +291,7 @@
         return handler(this, {
             id: match.rest,
             route: match.route,
+            organisation: caller.organisation,
             version: configuration.version,
             message,
             deadline,
@@ -242,15 +299,37 @@
         });
     }
 
+    /** Finds the queue of the request's path, by the routes of the configuration. */
+    #findRoute(
+        message: http.IncomingMessage,
+        { version, routes }: platform.operatorRecords.Configuration,
+    ): routeTable.RouteMatch | undefined {
+        if (this.#routes?.version !== version) {
+            this.#routes = { version, table: new routeTable.RouteTable(routes) };
+        }
+        const path = (message.url ?? "/").split("?", 1)[0]!;
+        return this.#routes.table.find(message.headers.host ?? "", path);
+    }
+
+    /** Whether the configuration is too old to accept a key by it, where the deployment bounds its age. */
+    #areKeysOutdated(
+        route: platform.operatorRecords.Route,
+        configuration: platform.operatorRecords.Configuration,
+    ): boolean {
+        const { maxKeyAge, measureDataAge } = this.options;
+        return maxKeyAge !== undefined && this.#authenticator.needsKey(route, configuration)
+            && measureDataAge().configurationAge > maxKeyAge;
+    }
+
     /**
-     * Reads the newest configuration if this process is behind; while the store is unavailable to it, the last known one
-     * has to do.
+     * Reads the newest configuration if that of this process is older than `maxAge` ms; while the store is unavailable to
+     * it, the last known one has to do.
      *
      * @returns whether the configuration may decide on the request
      */
-    async #refreshConfiguration(message: http.IncomingMessage, startedAt: number): Promise<boolean> {
-        const { configuration, measureDataAge, isStoreUnavailable, maxConfigurationAge } = this.options;
-        const isFresh = configuration() === undefined || measureDataAge().configurationAge <= maxConfigurationAge;
+    async #refreshConfiguration(message: http.IncomingMessage, startedAt: number, maxAge: number): Promise<boolean> {
+        const { configuration, measureDataAge, isStoreUnavailable } = this.options;
+        const isFresh = configuration() === undefined || measureDataAge().configurationAge <= maxAge;
         if (isFresh || isStoreUnavailable()) {
             return true;
         }
@@ -288,14 +367,15 @@
         if (typeof submission === "string") {
             return { status: 400, body: "", reason: submission };
         }
-        if (this.options.jobs.entries.get(request.id)?.job !== undefined) {
-            return accepted;
+        const known = this.options.jobs.entries.get(request.id)?.job;
+        if (known !== undefined) {
+            return isVisible(known, request) ? accepted : idUnusable;
         }
         const job: jobState.Job = {
             id: request.id,
             queue: request.route.name,
             route: selectTerms(request.route, request.version),
-            organisation: undefined,
+            organisation: request.organisation,
             ...submission,
             submittedAt: this.options.now(),
         };
@@ -373,7 +453,8 @@
             }
             entry = this.options.jobs.entries.get(request.id);
         }
-        return entry?.job?.queue === request.route.name ? entry : undefined;
+        const isShown = entry?.job?.queue === request.route.name && isVisible(entry.job, request);
+        return isShown ? entry : undefined;
     }
 
     /** The result of `work`; `undefined` if it isn't there by the deadline, a monotonic time in ms. */
--- a/packages/node/src/entry-instance.ts
+++ b/packages/node/src/entry-instance.ts
@@ -217,6 +217,8 @@
             refreshProgress: () => this.#ledger.catchUp(),
             refreshConfiguration: () => this.#operatorRecords.catchUp(),
             maxConfigurationAge: this.settings.bounds.configurationDelay,
+            requiresKeys: this.settings.requiresKeys,
+            maxKeyAge: this.settings.strictRevocation ? this.settings.bounds.revocation : undefined,
             isStoreUnavailable: () => this.#isStoreUnavailable(),
             measureDataAge: () => ({
                 submissionsAge: this.#clock.wall() - this.#submissions.caughtUpAt,
@@ -393,6 +395,7 @@
                 version: decoded.configuration.version,
                 before: this.#configuration?.version,
                 routes: decoded.configuration.routes.length,
+                organisations: decoded.configuration.organisations.length,
             });
             this.#configuration = decoded.configuration;
             this.#coordinator?.applyConfiguration(decoded.configuration);
