Keep the running tasks of an organisation within its quota

Change: scheduling/quota decides how many tasks of a step may start, where the placer plans runs. The sums are taken anew in each pass from the runs that may be under way, all of which the ledger names, so a successor starts with the same ones. A step that its quota holds back neither reserves a server nor keeps others from being tried.

--- a/packages/dispatch/src/coordinator.ts
+++ b/packages/dispatch/src/coordinator.ts
@@ -22,6 +22,7 @@
 import * as machineManager from "./machine-manager.js";
 import * as placer from "./placer.js";
 import * as queueMeter from "./queue-meter.js";
+import * as quotaMeter from "./quota-meter.js";
 import * as relocation from "./relocation.js";
 import * as runManager from "./run-manager.js";
 import * as session from "./server-session.js";
@@ -538,9 +539,10 @@
         const byRank = [...this.registry.listCandidates(this.#shared.clock.wall())]
             .sort(([, a], [, b]) => scheduling.compareRanks(a[0]!.rank, b[0]!.rank));
         this.#tickets.startPass();
-        this.#placer.counts = { unplaced: 0, untried: 0 };
+        this.#placer.counts = { unplaced: 0, untried: 0, overQuota: 0 };
+        const quota = quotaMeter.measureQuotaUsage(this.options.configuration(), this.fleet.sessions.values());
         for (const [service, candidates] of byRank) {
-            planned.push(...this.#placer.place(candidates, servers.get(service) ?? [], room - planned.length));
+            planned.push(...this.#placer.place(candidates, servers.get(service) ?? [], quota, room - planned.length));
         }
         if (planned.length >= room) {
             this.#startLimit.recordReached();
@@ -560,6 +562,7 @@
             readyTasks: this.#countReadyTasks(),
             unplacedSteps: this.#placer.counts.unplaced,
             untriedSteps: this.#placer.counts.untried,
+            stepsOverQuota: this.#placer.counts.overQuota,
             startDelay: Math.round(this.#startDelay.current),
             runs: this.#countRuns(),
             reachableServers: servers.filter(server => server.reachable).length,
--- a/packages/dispatch/src/load-meter.test.ts
+++ b/packages/dispatch/src/load-meter.test.ts
@@ -10,6 +10,7 @@
     readyTasks: 3,
     unplacedSteps: 0,
     untriedSteps: 0,
+    stepsOverQuota: 0,
     startDelay: 0,
     runs: 4,
     reachableServers: 5,
--- a/packages/dispatch/src/load-meter.ts
+++ b/packages/dispatch/src/load-meter.ts
@@ -33,6 +33,8 @@
     readonly unplacedSteps: number;
     /** Steps with ready tasks that the last pass didn't try, because of the limit on starts. */
     readonly untriedSteps: number;
+    /** Those of which no task may start before others of their organisation have ended. */
+    readonly stepsOverQuota: number;
     /** Ms for which a task that becomes ready now waits because of the limit on starts. */
     readonly startDelay: number;
     readonly runs: number;
--- a/packages/dispatch/src/overload.test.ts
+++ b/packages/dispatch/src/overload.test.ts
@@ -5,6 +5,7 @@
 import * as jobTesting from "@catkinwharf/job-state/testing";
 import type * as platform from "@catkinwharf/platform";
 import * as platformTesting from "@catkinwharf/platform/testing";
+import * as scheduling from "@catkinwharf/scheduling";
 import * as storeClient from "@catkinwharf/store";
 import * as neverthrow from "neverthrow";
 import * as timers from "node:timers/promises";
@@ -213,7 +214,8 @@
             event.handle();
         }
         const present = now < growthEnd ? servers.slice(0, firstServerCount) : servers;
-        for (const { server, run } of planner.place(registry.listCandidates(now).get("quotes") ?? [], present)) {
+        const candidates = registry.listCandidates(now).get("quotes") ?? [];
+        for (const { server, run } of planner.place(candidates, present, new scheduling.QuotaUsage(new Map()))) {
             events.push({ at: now + intentDelay, handle: () => begin(server, run) });
         }
         await timers.setImmediate(); // Lets the responses to the starts be handled.
--- a/packages/dispatch/src/placer.ts
+++ b/packages/dispatch/src/placer.ts
@@ -24,11 +24,13 @@
     unplaced: number;
     /** Steps that wait for the limit on starts. */
     untried: number;
+    /** Steps of which no task may start before others of their organisation have ended. */
+    overQuota: number;
 }
 
 export class Placer {
     /** Of the pass that began last, over all services. */
-    counts: PassCounts = { unplaced: 0, untried: 0 };
+    counts: PassCounts = { unplaced: 0, untried: 0, overQuota: 0 };
 
     constructor(
         private readonly shared: context.CoordinatorContext,
@@ -41,11 +43,13 @@
      * reason and however long, don't keep later ones from being tried. The first one that only has to wait for other tasks
      * to end gets a server reserved: later ones would otherwise take each bit of room before there is enough for it.
      *
+     * @param quota what each organisation has running; updated
      * @param limit number of tasks that may be placed; a gang isn't divided and may exceed it
      */
     place(
         candidates: readonly jobRegistry.Candidate[],
         servers: readonly session.ServerSession[],
+        quota: scheduling.QuotaUsage,
         limit = Number.POSITIVE_INFINITY,
     ): PlannedRun[] {
         const planned: PlannedRun[] = [];
@@ -64,6 +68,11 @@
             }
             const { active, route, ready } = candidate;
             const step = active.job.steps[ready.step]!;
+            const allowed = quota.countAllowed(active.job.organisation, step, ready.tasks.length);
+            if (allowed === 0) {
+                this.counts.overQuota += 1;
+                continue;
+            }
             // A gang would need several servers; one that starts alone may wait for a quiet server and not for room.
             const mayReserve = reserved === undefined && loads.length > 1 && !step.gang && !ready.alone
                 && !hopeless.includes(step);
@@ -77,7 +86,7 @@
             const permitted = needsTickets
                 ? this.#listPermitted(candidate, stepKey, open).filter(load => load !== reserved)
                 : loads;
-            const tasks = step.gang ? ready.tasks : ready.tasks.slice(0, left);
+            const tasks = step.gang ? ready.tasks : ready.tasks.slice(0, Math.min(left, allowed));
             const request = { stepKey, step, tasks, avoided: active.avoided, alone: ready.alone };
             const placements = isShort
                 ? []
@@ -92,6 +101,7 @@
                 }
                 continue;
             }
+            quota.add(active.job.organisation, step.demand, placements.length);
             this.#logPlaced(candidate, placements);
             const gangRun = step.gang ? this.#nextGangRun(active, ready) : undefined;
             for (const { task, server: load } of placements) {
--- /dev/null
+++ b/packages/dispatch/src/quota-meter.ts
@@ -0,0 +1,25 @@
+/**
+ * Sums what each organisation has running from the runs that may be under way on the known servers. The ledger names all of
+ * them, so a new coordinator starts with the same sums as its predecessor.
+ */
+import type * as platform from "@catkinwharf/platform";
+import * as scheduling from "@catkinwharf/scheduling";
+import type * as session from "./server-session.js";
+
+/** @param configuration newest known one; its quotas decide */
+export function measureQuotaUsage(
+    configuration: platform.operatorRecords.Configuration | undefined,
+    servers: Iterable<session.ServerSession>,
+): scheduling.QuotaUsage {
+    const organisations = configuration?.organisations ?? [];
+    const usage = new scheduling.QuotaUsage(new Map(organisations.map(({ name, limit }) => [name, limit])));
+    if (organisations.length === 0) {
+        return usage;
+    }
+    for (const server of servers) {
+        for (const run of server.runs.values()) {
+            usage.add(run.entry.job?.organisation, run.step.demand);
+        }
+    }
+    return usage;
+}
--- a/packages/scheduling/src/index.ts
+++ b/packages/scheduling/src/index.ts
@@ -14,6 +14,7 @@
 export * from "./placing.js";
 export * from "./pools.js";
 export * from "./process-capacity.js";
+export * from "./quota.js";
 export * from "./ready.js";
 export * from "./start-delay.js";
 export * from "./start-limit.js";
