Keep job IDs, revoked keys and the log within one organisation

Cause: found by review and tests of the authentication. A submission that another organisation's job had preceded under the same ID was answered 200, at once when the coordinator was busy, or when that job's record was stored first while the append was under way; then it also replaced the first record for processes that start later. A key that was revoked while a slow body arrived still submitted a job. The path in the log could hold a key. Change: where a deployment has organisations, a submission's record isn't applied before it is read from the topic, and the caller is answered once it was read, within 300 ms; the first record wins, is stored again if another followed, and the other caller gets 400. The key is looked up again after the body has arrived. Of a path only its route and a job ID are logged. Deployments without organisations are served as before.

--- a/packages/intake/src/authentication.ts
+++ b/packages/intake/src/authentication.ts
@@ -28,9 +28,13 @@
 
     constructor(private readonly options: AuthenticatorOptions) {}
 
+    hasOrganisations(configuration: platform.operatorRecords.Configuration): boolean {
+        return this.options.requiresKeys || configuration.organisations.length > 0;
+    }
+
     /** Whether requests for the route need a key. */
     needsKey(route: platform.operatorRecords.Route, configuration: platform.operatorRecords.Configuration): boolean {
-        return !route.isPublic && (this.options.requiresKeys || configuration.organisations.length > 0);
+        return !route.isPublic && this.hasOrganisations(configuration);
     }
 
     /** @param header value of the request's Authorization header */
--- a/packages/intake/src/job-api.test.ts
+++ b/packages/intake/src/job-api.test.ts
@@ -1,28 +1,14 @@
 /** Guards against answers to callers that come from an outdated view of the jobs, or that come too late. */
-import * as eventLog from "@catkinwharf/event-log";
 import * as jobState from "@catkinwharf/job-state";
 import * as jobStateTesting from "@catkinwharf/job-state/testing";
 import * as platformTesting from "@catkinwharf/platform/testing";
-import * as testUtils from "@catkinwharf/test-utils";
-import * as http from "node:http";
 import * as uvu from "uvu";
 import * as assert from "uvu/assert";
-import * as intake from "./index.js";
+import type * as intake from "./index.js";
+import * as testing from "./testing/api.js";
 
 const suite = uvu.suite("job api");
-const route = {
-    name: "quotes",
-    host: "queues.test",
-    pathPrefix: "/quotes/",
-    service: "dispatch",
-    priority: 0,
-    maxAttempts: 1,
-    slackFactor: 1,
-    latencyAllowance: 0,
-    timeout: 400,
-    advice: undefined,
-    isPublic: false,
-};
+const { route } = testing;
 
 interface View {
     /** Ms since the process last knew all submissions and all progress. */
@@ -47,78 +33,32 @@
     body?: string,
 ): Promise<{ status: number; body: string; retryAfter: string | undefined; }> {
     let routes = [route];
-    const api = new intake.JobApi({
+    const options = testing.createOptions({
         jobs,
-        storeLimits: { appendSize: 2000, recordSize: 900 },
         writer: {
             write: (record: jobState.KeyedRecord) => {
                 view.written?.push(record);
                 return Promise.resolve("stored");
             },
         } as unknown as intake.SubmissionWriter,
-        log: eventLog.silentEventLog,
-        monotonicNow: () => performance.now(),
-        now: () => Date.now(),
-        configuration: () => ({
-            version: 2 - routes.length,
-            routes,
-            services: [],
-            organisations: [],
-            maxBodyBytes: 1000,
-        }),
+        configuration: () => testing.createConfiguration({ version: 2 - routes.length, routes }),
         refreshJobs: () => view.refresh(),
         refreshProgress: () => view.refresh(),
         refreshConfiguration: view.refreshConfiguration ?? (() => {
             routes = [];
             return Promise.resolve(true);
         }),
-        maxConfigurationAge: 2000,
-        requiresKeys: false,
-        maxKeyAge: undefined,
         isStoreUnavailable: () => view.storeUnavailable === true,
         measureDataAge: () => ({
             submissionsAge: view.age,
             progressAge: view.age,
             configurationAge: view.configurationAge ?? 0,
         }),
-        isReady: () => true,
-        isShuttingDown: () => false,
         startDelay: () => view.startDelay ?? 0,
-        onUnstored: () => {},
-        count: () => {},
     });
-    const app = api.createApp();
-    const server = http.createServer((message, response) =>
-        app.handler(message as never, response, undefined as never)
-    );
-    const port = await testUtils.listen(server, 0);
-    try {
-        return await new Promise((resolve, reject) => {
-            const method = body === undefined ? "GET" : "POST";
-            const request = http.request(
-                { method, host: testUtils.loopbackHost, port, path, headers: { host: route.host } },
-                response => {
-                    let body = "";
-                    response.on("data", data => body += data);
-                    response.on(
-                        "end",
-                        () =>
-                            resolve({
-                                status: response.statusCode!,
-                                body,
-                                retryAfter: response.headers["retry-after"],
-                            }),
-                    );
-                },
-            );
-            request.on("error", reject);
-            request.end(body);
-        });
-    }
-    finally {
-        server.close();
-        server.closeAllConnections();
-    }
+    const method = body === undefined ? "GET" : "POST";
+    const received = await testing.send(options, { method, path, body: body ?? "" });
+    return { status: received.status, body: received.body, retryAfter: received.headers["retry-after"] };
 }
 
 function submit(jobs: jobState.JobTable, id: string): void {
--- a/packages/intake/src/job-api.ts
+++ b/packages/intake/src/job-api.ts
@@ -75,9 +75,13 @@
     readonly route: platform.operatorRecords.Route;
     /** Name of the caller's organisation; `undefined` if the request needs no key. */
     readonly organisation: string | undefined;
+    /** The deployment has organisations, so a job of another one may have the same ID. */
+    readonly mayConflict: boolean;
     /** Version of the configuration that has the route. */
     readonly version: number;
     readonly message: http.IncomingMessage;
+    /** On the monotonic clock. */
+    readonly startedAt: number;
     /** Monotonic time in ms by which the response has to be sent. */
     readonly deadline: number;
     readonly maxBodyBytes: number;
@@ -105,6 +109,12 @@
  */
 const maxUnknownKeyAge = 500;
 
+/**
+ * Longest time in ms for which an accepted submission waits until its record has been read back, where other
+ * organisations may submit a job with the same ID. Processes read new records at least every 150 ms, or are behind.
+ */
+const maxReadBackTime = 300;
+
 const queueNotFound: JobResponse = { status: 404, body: "", reason: "no such queue" };
 const noConfiguration: JobResponse = { status: 503, body: "", retryAfter: 1, reason: "no configuration yet" };
 const storeUnavailable: JobResponse = {
@@ -167,6 +177,24 @@
     return job.organisation === undefined || job.organisation === organisation;
 }
 
+/**
+ * Whether a submission repeats that of the known job, rather than that it uses the ID of another organisation's. A job of
+ * the same queue without an organisation was stored before the queue required keys.
+ */
+function isRepetition(known: jobState.Job, { organisation, route }: JobRequest): boolean {
+    return known.organisation === organisation
+        || (known.organisation === undefined && known.queue === route.name);
+}
+
+/** Describes a path for the log: a caller may have put its key into any part that isn't known, or into the query. */
+function describePath(match: routeTable.RouteMatch | undefined): string | undefined {
+    if (match === undefined) {
+        return undefined;
+    }
+    const { route, rest } = match;
+    return route.pathPrefix + (rest === "" || platform.callerBodies.isJobId(rest) ? rest : "(no job ID)");
+}
+
 type Handler = (api: JobApi, request: JobRequest) => Promise<JobResponse>;
 
 const handlers: Readonly<Record<string, Handler>> = {
@@ -175,6 +203,16 @@
     DELETE: (api, request) => api.cancel(request),
 };
 
+type Admission =
+    | {
+        readonly admitted: true;
+        readonly match: routeTable.RouteMatch;
+        /** Name of the caller's organisation; `undefined` if the request needs no key. */
+        readonly organisation: string | undefined;
+        readonly configuration: platform.operatorRecords.Configuration;
+    }
+    | { readonly admitted: false; readonly response: JobResponse; };
+
 export class JobApi {
     readonly #authenticator: authentication.Authenticator;
     #routes: { readonly version: number; readonly table: routeTable.RouteTable; } | undefined;
@@ -202,7 +240,7 @@
             result = await this.#respond(message, startedAt);
         }
         catch (error) {
-            this.options.log.warn("request-broken", { path: message.url, error: String(error) });
+            this.options.log.warn("request-broken", { path: this.#describePath(message), error: String(error) });
             result = { status: 500, body: "", reason: "internal error" };
         }
         if (!message.complete) {
@@ -233,7 +271,7 @@
         }
         this.options.log.info("request-answered", {
             method: message.method,
-            path: message.url,
+            path: this.#describePath(message),
             status: result.status,
             reason: result.reason,
             configuration: this.#routes?.version,
@@ -241,18 +279,60 @@
         });
     }
 
+    /** Describes the request's path for the log, where requests carry keys without what may contain one. */
+    #describePath(message: http.IncomingMessage): string | undefined {
+        const configuration = this.options.configuration();
+        if (configuration === undefined || this.#authenticator.hasOrganisations(configuration)) {
+            return configuration === undefined ? undefined : describePath(this.#findRoute(message, configuration));
+        }
+        return message.url;
+    }
+
     /** Returns the response to a request: the pending count of a queue, or what the handler of the method returns. */
     async #respond(message: http.IncomingMessage, startedAt: number): Promise<JobResponse> {
+        const admission = await this.#admit(message, startedAt);
+        if (!admission.admitted) {
+            return admission.response;
+        }
+        const { match, organisation, configuration } = admission;
+        const deadline = computeDeadline(message, startedAt, match.route.timeout);
+        // The name of a route is that of its queue.
+        if (match.rest === "" && message.method === "GET") {
+            return this.#countPending(match.route.name, deadline);
+        }
+        const handler = handlers[message.method ?? ""];
+        if (handler === undefined) {
+            return { status: 405, body: "", reason: "unknown method" };
+        }
+        if (!platform.callerBodies.isJobId(match.rest)) {
+            return { status: 400, body: "", reason: "malformed job id" };
+        }
+        return handler(this, {
+            id: match.rest,
+            route: match.route,
+            organisation,
+            mayConflict: this.#authenticator.hasOrganisations(configuration),
+            version: configuration.version,
+            message,
+            startedAt,
+            deadline,
+            maxBodyBytes: configuration.maxBodyBytes,
+        });
+    }
+
+    /** Finds the queue of a request, and the organisation that sent it if the queue isn't public. */
+    async #admit(message: http.IncomingMessage, startedAt: number): Promise<Admission> {
+        const refuse = (response: JobResponse) => ({ admitted: false as const, response });
         if (!await this.#refreshConfiguration(message, startedAt, this.options.maxConfigurationAge)) {
-            return behindStore;
+            return refuse(behindStore);
         }
         let configuration = this.options.configuration();
         if (configuration === undefined) {
-            return noConfiguration;
+            return refuse(noConfiguration);
         }
         let match = this.#findRoute(message, configuration);
         if (match === undefined) {
-            return queueNotFound;
+            return refuse(queueNotFound);
         }
         let caller = this.#authenticator.authenticate(message.headers.authorization, match.route, configuration);
         if (!caller.accepted && caller.fault === authentication.KeyFault.unknown) {
@@ -261,42 +341,22 @@
                 this.options.isStoreUnavailable()
                 || !await this.#refreshConfiguration(message, startedAt, maxUnknownKeyAge)
             ) {
-                return behindStore;
+                return refuse(behindStore);
             }
             configuration = this.options.configuration()!;
             match = this.#findRoute(message, configuration);
             if (match === undefined) {
-                return queueNotFound;
+                return refuse(queueNotFound);
             }
             caller = this.#authenticator.authenticate(message.headers.authorization, match.route, configuration);
         }
         if (!caller.accepted) {
-            return createKeyRefusal(caller.fault);
+            return refuse(createKeyRefusal(caller.fault));
         }
         if (this.#areKeysOutdated(match.route, configuration)) {
-            return behindStore;
-        }
-        const deadline = computeDeadline(message, startedAt, match.route.timeout);
-        // The name of a route is that of its queue.
-        if (match.rest === "" && message.method === "GET") {
-            return this.#countPending(match.route.name, deadline);
-        }
-        const handler = handlers[message.method ?? ""];
-        if (handler === undefined) {
-            return { status: 405, body: "", reason: "unknown method" };
-        }
-        if (!platform.callerBodies.isJobId(match.rest)) {
-            return { status: 400, body: "", reason: "malformed job id" };
+            return refuse(behindStore);
         }
-        return handler(this, {
-            id: match.rest,
-            route: match.route,
-            organisation: caller.organisation,
-            version: configuration.version,
-            message,
-            deadline,
-            maxBodyBytes: configuration.maxBodyBytes,
-        });
+        return { admitted: true, match, organisation: caller.organisation, configuration };
     }
 
     /** Finds the queue of the request's path, by the routes of the configuration. */
@@ -363,13 +423,20 @@
         if (body === requestBody.BodyFault.incomplete) {
             throw new Error("the connection closed before the end of the request body");
         }
+        if (request.organisation !== undefined) {
+            // The body may have taken long to arrive, and the key may have been revoked meanwhile.
+            const admission = await this.#admit(request.message, request.startedAt);
+            if (!admission.admitted) {
+                return admission.response;
+            }
+        }
         const submission = platform.callerBodies.decodeSubmission(body);
         if (typeof submission === "string") {
             return { status: 400, body: "", reason: submission };
         }
         const known = this.options.jobs.entries.get(request.id)?.job;
         if (known !== undefined) {
-            return isVisible(known, request) ? accepted : idUnusable;
+            return isRepetition(known, request) ? accepted : idUnusable;
         }
         const job: jobState.Job = {
             id: request.id,
@@ -389,17 +456,37 @@
             if (await this.#waitUntil(request.deadline, this.options.refreshJobs()) !== true) {
                 return unknownOutcome;
             }
-            return this.options.jobs.entries.get(request.id)?.job === undefined
-                ? createOverloadRefusal(startDelay)
-                : accepted;
+            const read = this.options.jobs.entries.get(request.id)?.job;
+            if (read !== undefined) {
+                return isRepetition(read, request) ? accepted : idUnusable;
+            }
+            return createOverloadRefusal(startDelay);
         }
         const response = this.options.isStoreUnavailable()
             ? storeUnavailable
-            : await this.#write(record, request);
+            : await this.#write(record, request, !request.mayConflict);
         if (response !== accepted) {
             this.options.onUnstored(job);
+            return response;
+        }
+        return request.mayConflict ? this.#confirmOwner(request) : accepted;
+    }
+
+    /**
+     * Checks that no job of another organisation with the same ID was stored first: of several records of a job the first
+     * one counts. A process that starts later reads only the newest one, so the first is stored again. A process that is
+     * too far behind to tell accepts the job: refusing it wouldn't keep it from running.
+     */
+    async #confirmOwner(request: JobRequest): Promise<JobResponse> {
+        const { jobs, monotonicNow } = this.options;
+        const until = Math.min(request.deadline, monotonicNow() + maxReadBackTime);
+        const owner = await this.#waitUntil(until, jobs.waitForJob(request.id));
+        if (owner === undefined || isRepetition(owner, request)) {
+            return accepted;
         }
-        return response;
+        this.options.log.warn("job-id-conflict", { job: request.id, queue: owner.queue });
+        await this.#write(jobState.encodeJob(owner), request);
+        return idUnusable;
     }
 
     async cancel(request: JobRequest): Promise<JobResponse> {
@@ -429,13 +516,13 @@
         return status === undefined ? jobNotFound : { status: 200, body: platform.callerBodies.encodeStatus(status) };
     }
 
-    async #write(record: jobState.KeyedRecord, request: JobRequest): Promise<JobResponse> {
+    async #write(record: jobState.KeyedRecord, request: JobRequest, appliesAtOnce = true): Promise<JobResponse> {
         const outcomes: Readonly<Record<submissionWriter.WriteOutcome, JobResponse>> = {
             stored: accepted,
             refused: storeUnavailable,
             unknown: unknownOutcome,
         };
-        return outcomes[await this.options.writer.write(record, request.deadline)];
+        return outcomes[await this.options.writer.write(record, request.deadline, appliesAtOnce)];
     }
 
     /**
--- a/packages/intake/src/submission-writer.ts
+++ b/packages/intake/src/submission-writer.ts
@@ -33,6 +33,7 @@
     /** Monotonic time in ms by which the caller's response has to be sent. */
     readonly deadline: number;
     readonly resolve: (outcome: WriteOutcome) => void;
+    readonly appliesAtOnce: boolean;
     /** The outcome of an earlier append with this record is unknown. */
     mayBeStored: boolean;
     refusals: number;
@@ -61,10 +62,12 @@
      * Stores a record.
      *
      * @param deadline monotonic time in ms by which the caller's response has to be sent
+     * @param appliesAtOnce whether this process applies the record once it is stored, before it reads it from the topic;
+     * not if another record of the job may have been stored first, as the first one that is applied counts
      */
-    write(record: platform.storeCalls.KeyedRecord, deadline: number): Promise<WriteOutcome> {
+    write(record: platform.storeCalls.KeyedRecord, deadline: number, appliesAtOnce = true): Promise<WriteOutcome> {
         return new Promise(resolve => {
-            this.#pending.push({ record, deadline, resolve, mayBeStored: false, refusals: 0 });
+            this.#pending.push({ record, deadline, resolve, appliesAtOnce, mayBeStored: false, refusals: 0 });
             if (!this.#appending) {
                 this.#appending = true;
                 void this.#run();
@@ -102,9 +105,10 @@
         return this.#pending.splice(0, count === -1 ? maxRecordsPerAppend : count);
     }
 
-    /** Applies the record at once, so that this process knows of it before it reads it from the topic. */
     #resolveStored(write: PendingWrite): void {
-        this.options.jobs.applySubmission(write.record.key, write.record.value, false);
+        if (write.appliesAtOnce) {
+            this.options.jobs.applySubmission(write.record.key, write.record.value, false);
+        }
         write.resolve(WriteOutcome.stored);
     }
 
--- a/packages/job-state/src/job-table.ts
+++ b/packages/job-state/src/job-table.ts
@@ -41,6 +41,8 @@
     unreadableCount = 0;
     /** IDs of the jobs whose records were read from the topic. */
     readonly #readJobs = new Set<string>();
+    /** Called once a record of the job has been read, by job ID. */
+    readonly #waiting = new Map<string, ((job: jobs.Job) => void)[]>();
     /** Parts of progress, by job ID and key, whose job's record hasn't been read yet: they don't count without it. */
     readonly #pendingParts = new Map<string, Map<string, parts.ProgressPart>>();
 
@@ -68,6 +70,8 @@
             entry.job ??= record.job;
             if (isRead) {
                 this.#readJobs.add(entry.id);
+                this.#waiting.get(entry.id)?.forEach(resolve => resolve(entry.job!));
+                this.#waiting.delete(entry.id);
             }
             this.onJobOrCancellation(entry);
             return;
@@ -77,6 +81,14 @@
         this.onJobOrCancellation(entry);
     }
 
+    /** Returns the job, once a record of it has been read from the topic. */
+    waitForJob(id: string): Promise<jobs.Job> {
+        const known = this.#readJobs.has(id) ? this.entries.get(id)?.job : undefined;
+        return known !== undefined
+            ? Promise.resolve(known)
+            : new Promise(resolve => void this.#waiting.set(id, [...this.#waiting.get(id) ?? [], resolve]));
+    }
+
     /**
      * Drops the jobs that were read earlier and have no record among the newest ones of the submissions topic: they were
      * removed, and their tombstones may have expired.
