Order jobs beyond their organisation's committed rate after those within

Cause: an organisation that sends several times its usual load took the capacity of all others, since the order knew only objectives.

Change: scheduling/committed-rate judges by a token bucket, restarted every 30 s, which jobs lie beyond Weight jobs a second, from the stored submissions alone. They go after all jobs of use within their organisation's rate, and before expired ones.

Measured: the order of reading and a successor without earlier periods change no answer (tests).

--- a/packages/dispatch/src/coordinator.ts
+++ b/packages/dispatch/src/coordinator.ts
@@ -27,6 +27,7 @@
 import * as runManager from "./run-manager.js";
 import * as session from "./server-session.js";
 import * as ticketCache from "./ticket-cache.js";
+import * as workCensus from "./work-census.js";
 
 /** Time in ms between an event and the placement pass that handles it; one pass handles all events of that time. */
 const passDelay = 3;
@@ -418,7 +419,10 @@
         this.#startsLimited ||= this.#startLimit.holdsBack;
         this.#startLimit.update();
         this.#load.report(now, () => this.#describeWork());
-        this.#queues.report(now, () => this.#describeQueues());
+        this.#queues.report(
+            now,
+            () => workCensus.describeQueues(this.registry.active.values(), this.#shared.clock.wall()),
+        );
         if (now - this.#lastHeartbeatAt >= leaderElection.heartbeatInterval) {
             this.#lastHeartbeatAt = now;
             this.#updateStartDelay(now);
@@ -437,6 +441,7 @@
             this.#lastSweepAt = now;
             void this.#sweeper.sweep();
             this.fleet.sweepBoots();
+            this.registry.sweep(this.#shared.clock.wall());
             // A step key begins with the job's ID, see formatStepKey.
             this.#tickets.evict(stepKey => !this.registry.active.has(stepKey.slice(0, stepKey.indexOf("."))));
         }
@@ -448,45 +453,18 @@
 
     /** Estimates anew, for the next heartbeat, how long ready tasks wait for this coordinator. */
     #updateStartDelay(now: number): void {
-        const waiting = this.#startsLimited ? this.#countStartableTasks() : 0;
+        const waiting = this.#startsLimited
+            ? workCensus.countStartableTasks(this.registry.active.values(), this.fleet.listByService())
+            : 0;
         this.#startDelay.update(this.#startedTasks, waiting, this.#startsLimited, now);
         this.#startedTasks = 0;
         this.#startsLimited = false;
     }
 
-    /** Number of ready tasks that could start now if the coordinator could follow. */
-    #countStartableTasks(): number {
-        const ready = new Map<string, scheduling.ReadyTasks[]>();
-        for (const { job, readiness, route } of this.registry.active.values()) {
-            for (const { step, tasks } of route === undefined ? [] : readiness?.steps ?? []) {
-                const list = ready.get(route!.service) ?? [];
-                list.push({ count: tasks.length, cpu: job.steps[step]!.demand.cpu });
-                ready.set(route!.service, list);
-            }
-        }
-        const servers = this.fleet.listByService();
-        let count = 0;
-        for (const [service, tasks] of ready) {
-            const open = (servers.get(service) ?? []).filter(({ load }) => load.acceptsTasks);
-            count += scheduling.countStartable(tasks, open.reduce((sum, { load }) => sum + load.freeCpu, 0));
-        }
-        return count;
-    }
-
     #countRuns(): number {
         return [...this.fleet.sessions.values()].reduce((sum, server) => sum + server.runs.size, 0);
     }
 
-    #countReadyTasks(): number {
-        let count = 0;
-        for (const active of this.registry.active.values()) {
-            for (const ready of active.readiness?.steps ?? []) {
-                count += ready.tasks.length;
-            }
-        }
-        return count;
-    }
-
     /** Stops runs without progress, so that their tasks start on other servers. */
     #stopStalled(): void {
         for (const server of this.fleet.sessions.values()) {
@@ -559,7 +537,7 @@
         const servers = [...this.fleet.sessions.values()];
         return {
             activeJobs: this.registry.active.size,
-            readyTasks: this.#countReadyTasks(),
+            readyTasks: workCensus.countReadyTasks(this.registry.active.values()),
             unplacedSteps: this.#placer.counts.unplaced,
             untriedSteps: this.#placer.counts.untried,
             stepsOverQuota: this.#placer.counts.overQuota,
@@ -582,24 +560,6 @@
         }
     }
 
-    #describeQueues(): queueMeter.QueueState[] {
-        const wall = this.#shared.clock.wall();
-        const states = new Map<string, queueMeter.QueueState>();
-        for (const active of this.registry.active.values()) {
-            const { queue } = active.job;
-            const state = states.get(queue) ?? { queue, waitingJobs: 0, expiredJobs: 0, begunJobs: 0, readyTasks: 0 };
-            states.set(queue, state);
-            const begun = active.progress.begun || jobState.hasRuns(active.progress);
-            state.begunJobs += begun ? 1 : 0;
-            state.waitingJobs += begun ? 0 : 1;
-            state.expiredJobs += !begun && demand.isExpired(active, wall) ? 1 : 0;
-            for (const ready of active.readiness?.steps ?? []) {
-                state.readyTasks += ready.tasks.length;
-            }
-        }
-        return [...states.values()];
-    }
-
     /**
      * Paces fillers, which run in the processor time that other tasks leave unused: slows them while the tail latency
      * of a serving task on the same server is near its target, and speeds them up again when it is well below.
--- a/packages/dispatch/src/job-registry.test.ts
+++ b/packages/dispatch/src/job-registry.test.ts
@@ -66,4 +66,37 @@
     assert.is(first.route?.service, "receipts");
 });
 
+suite(
+    "with an organisation's committed rate in force, its jobs beyond it go after all others, by the stored records alone",
+    () => {
+        const organisations = [
+            { name: "large", keys: [], weight: 1, limit: { cpu: 0, memory: 0, accelerators: 0 } },
+            { name: "small", keys: [], weight: 1, limit: { cpu: 0, memory: 0, accelerators: 0 } },
+        ];
+        const jobs = Array.from({ length: 20 }, (_, i) =>
+            testing.createJob({
+                id: i.toString(16).padStart(16, "0"),
+                organisation: i === 19 ? "small" : "large",
+                submittedAt: 30_000 + i,
+            }));
+        const list = (order: readonly jobState.Job[], configured: typeof organisations) => {
+            const registry = new jobRegistry.JobRegistry();
+            const table = new jobState.JobTable();
+            for (const { key, value } of order.map(jobState.encodeJob)) {
+                table.applySubmission(key, value);
+            }
+            table.entries.forEach(entry => registry.track(entry, 30_100));
+            registry.applyConfiguration({ ...createConfiguration(1, "depot"), organisations: configured });
+            return registry.listCandidates(30_100).get("depot")!.map(({ active }) =>
+                Number.parseInt(active.job.id, 16)
+            );
+        };
+        // The first four of the large organisation's are within its rate.
+        const expected = [0, 1, 2, 3, 19, ...Array.from({ length: 15 }, (_, i) => 4 + i)];
+        assert.equal(list(jobs, organisations), expected);
+        assert.equal(list([...jobs].reverse(), organisations), expected);
+        assert.equal(list(jobs, []), jobs.map((_, i) => i));
+    },
+);
+
 suite.run();
--- a/packages/dispatch/src/job-registry.ts
+++ b/packages/dispatch/src/job-registry.ts
@@ -48,9 +48,11 @@
      */
     readonly #routes = new Map<string, jobState.RouteTerms>();
     readonly #delay = new scheduling.DelayEstimate();
+    readonly #committedRates = new scheduling.CommittedRates();
 
     applyConfiguration(configuration: platform.operatorRecords.Configuration): void {
         const { version } = configuration;
+        this.#committedRates.setWeights(new Map(configuration.organisations.map(({ name, weight }) => [name, weight])));
         for (const route of configuration.routes) {
             if (version >= (this.#routes.get(route.name)?.version ?? version)) {
                 this.#routes.set(route.name, { ...route, version });
@@ -89,6 +91,7 @@
         if (job === undefined) {
             return undefined;
         }
+        this.#committedRates.add(job); // Settled ones count, too: they were submitted.
         this.#learnRoute(job);
         entry.progress ??= jobState.createProgress(wall);
         if (jobState.isSettled(entry.progress.status) && !jobState.hasRuns(entry.progress)) {
@@ -137,6 +140,16 @@
         };
     }
 
+    /** Whether the job lies beyond its organisation's committed rate. */
+    isBeyondRate(job: jobState.Job): boolean {
+        return this.#committedRates.isBeyond(job);
+    }
+
+    /** Forgets what no decision needs any more; `wall` is Unix time in ms. */
+    sweep(wall: number): void {
+        this.#committedRates.forgetOld(wall);
+    }
+
     remove(id: string): void {
         this.active.delete(id);
     }
@@ -179,6 +192,7 @@
             longRunning: active.job.steps[ready.step]!.longRunning,
             // A start that is under way counts, so that a job isn't passed over until its server confirms it.
             begun: active.progress.begun || jobState.hasRuns(active.progress),
+            beyondRate: this.isBeyondRate(active.job),
         };
         return scheduling.rank(work, route, wall);
     }
--- a/packages/scheduling/src/index.ts
+++ b/packages/scheduling/src/index.ts
@@ -5,6 +5,7 @@
  * Due times, objectives and expiry are Unix times, by the wall clock. Everything else is measured on the monotonic
  * clock of the process, whose times mean nothing in another process.
  */
+export * from "./committed-rate.js";
 export * from "./crashes.js";
 export * from "./delay-estimate.js";
 export * from "./health.js";
--- a/packages/scheduling/src/objective.test.ts
+++ b/packages/scheduling/src/objective.test.ts
@@ -8,7 +8,14 @@
 const policy: scheduling.QueuePolicy = { priority: 0, slackFactor: 2, latencyAllowance: 500 };
 
 /** Remaining work of a job that was submitted at 0 and has to be complete by 1500. */
-const work: scheduling.RemainingWork = { due: 0, objective: 1500, criticalPath: 500, longRunning: false, begun: false };
+const work: scheduling.RemainingWork = {
+    due: 0,
+    objective: 1500,
+    criticalPath: 500,
+    longRunning: false,
+    begun: false,
+    beyondRate: false,
+};
 const { Timeliness } = scheduling;
 
 suite("the critical path is the longest chain of dependent steps", () => {
@@ -78,4 +85,27 @@
     assert.equal(order, [longRunning, begun, notBegun, notBegunLater, late, expired]);
 });
 
+suite(
+    "a job beyond the committed rate goes after all of use within theirs, also a begun one, and before expired ones",
+    () => {
+        const expired = scheduling.rank({ ...work, objective: 300 }, policy, 900);
+        const late = scheduling.rank({ ...work, objective: 1000 }, policy, 900);
+        const notBegun = scheduling.rank({ ...work, objective: 2000 }, policy, 900);
+        const begunBeyond = scheduling.rank({ ...work, objective: 2000, begun: true, beyondRate: true }, policy, 900);
+        const urgentBeyond = scheduling.rank({ ...work, objective: 1600, beyondRate: true }, policy, 900);
+        const lateBeyond = scheduling.rank({ ...work, objective: 1000, beyondRate: true }, policy, 900);
+        const longRunning = scheduling.rank({ ...work, longRunning: true, beyondRate: true }, policy, 900);
+        const order = [expired, lateBeyond, urgentBeyond, begunBeyond, late, notBegun, longRunning];
+        assert.equal(order.sort(scheduling.compareRanks), [
+            longRunning,
+            notBegun,
+            late,
+            begunBeyond,
+            urgentBeyond,
+            lateBeyond,
+            expired,
+        ]);
+    },
+);
+
 suite.run();
--- a/packages/scheduling/src/objective.ts
+++ b/packages/scheduling/src/objective.ts
@@ -104,6 +104,8 @@
     /** 0 is the highest. */
     readonly priority: number;
     readonly timeliness: Timeliness;
+    /** The job lies beyond its organisation's committed rate, see `committed-rate.ts`. */
+    readonly beyondRate: boolean;
     /**
      * A task of the job has been started. Such a job goes before one that hasn't begun; with capacity split between
      * them, both might be late.
@@ -113,15 +115,27 @@
     readonly slack: number;
 }
 
-/** Orders long-running tasks first, then by timeliness, priority, whether the job has begun, and slack. */
+/**
+ * Orders long-running tasks first, then by whether the job is within its organisation's committed rate, timeliness,
+ * priority, whether the job has begun, and slack.
+ *
+ * Jobs beyond the committed rate go after all jobs within theirs that are of use to their callers, also when they have
+ * begun: their organisation has no claim to what they would displace, and the work done isn't lost while they wait.
+ * Expired jobs go after them, since nobody gains by those.
+ */
 export function compareRanks(a: Rank, b: Rank): number {
     if (a.longRunning !== b.longRunning) {
         return a.longRunning ? -1 : 1;
     }
-    return a.timeliness - b.timeliness || a.priority - b.priority || Number(b.begun) - Number(a.begun)
+    return Number(isExpired(a)) - Number(isExpired(b)) || Number(a.beyondRate) - Number(b.beyondRate)
+        || a.timeliness - b.timeliness || a.priority - b.priority || Number(b.begun) - Number(a.begun)
         || a.slack - b.slack;
 }
 
+function isExpired({ timeliness }: Rank): boolean {
+    return timeliness === Timeliness.expired;
+}
+
 /** Remaining work of an occurrence, with times in ms. */
 export interface RemainingWork {
     /** Unix time at which it fell due, by `findDueTime`: from then on its caller is taken to wait. */
@@ -133,13 +147,16 @@
     readonly longRunning: boolean;
     /** A task of the job has been started. */
     readonly begun: boolean;
+    /** The job lies beyond its organisation's committed rate. */
+    readonly beyondRate: boolean;
 }
 
 /** Ranks the remaining work of an occurrence at `now`, Unix time in ms. */
 export function rank(work: RemainingWork, policy: QueuePolicy, now: number): Rank {
-    const { longRunning, begun } = work;
+    const { longRunning, begun, beyondRate } = work;
     const slack = work.objective - now - work.criticalPath;
-    return { longRunning, priority: policy.priority, timeliness: classifyTimeliness(work, slack, now), begun, slack };
+    const timeliness = classifyTimeliness(work, slack, now);
+    return { longRunning, priority: policy.priority, timeliness, beyondRate, begun, slack };
 }
 
 function classifyTimeliness(work: RemainingWork, slack: number, now: number): Timeliness {
