Leave out of the pools' demand what quotas hold back

Cause: a pool grew for all ready and arriving work of an organisation, also for what its quota kept from starting, and for jobs beyond its committed rate, so others lost machines to work that couldn't run.

Change: an organisation's arrivals count up to its quota, its ready work up to what the rest of the quota works off in the time in which pools do; jobs beyond the committed rate weigh 0.2, like expired ones. Without organisations nothing is weighed.

--- a/packages/dispatch/src/coordinator.ts
+++ b/packages/dispatch/src/coordinator.ts
@@ -295,6 +295,7 @@
 
     applyConfiguration(configuration: platform.operatorRecords.Configuration): void {
         this.registry.applyConfiguration(configuration);
+        this.#demand.applyConfiguration(configuration);
         for (const entry of this.options.jobs.entries.values()) {
             this.applyJob(entry);
         }
--- a/packages/dispatch/src/demand.test.ts
+++ b/packages/dispatch/src/demand.test.ts
@@ -2,6 +2,7 @@
 import * as jobState from "@catkinwharf/job-state";
 import * as testing from "@catkinwharf/job-state/testing";
 import type * as platform from "@catkinwharf/platform";
+import * as scheduling from "@catkinwharf/scheduling";
 import * as uvu from "uvu";
 import * as assert from "uvu/assert";
 import * as demand from "./demand.js";
@@ -137,4 +138,63 @@
     assert.ok(measured > 25 && measured < 35, `${measured}`);
 });
 
+/** Organisations whose quota is 10 cores; one has a committed rate of 5 jobs a second, the other has none. */
+const organisations = ["paced", "unpaced"].map(name => ({
+    name,
+    keys: [],
+    weight: name === "paced" ? 5 : 0,
+    limit: { cpu: 10_000, memory: 0, accelerators: 0 },
+}));
+
+/** Demand at 3 s of an organisation whose jobs, of one core-second each, arrive at `rate` a second, and wait. */
+function measureWaiting(
+    rate: number,
+    organisation: string | undefined,
+    configured: typeof organisations,
+): scheduling.PoolDemand {
+    const { meter, registry } = createMeter();
+    const current = { ...configuration, organisations: configured };
+    meter.applyConfiguration(current);
+    registry.applyConfiguration(current);
+    const table = new jobState.JobTable();
+    for (let i = 0; i < 3 * rate; i++) {
+        const job = { ...createJob(i), organisation, submittedAt: Math.floor(i * 1000 / rate) };
+        const { key, value } = jobState.encodeJob(job);
+        table.applySubmission(key, value);
+        meter.recordArrival(registry.track(table.entries.get(job.id)!, job.submittedAt)!, job.submittedAt);
+    }
+    registry.listCandidates(3000);
+    return meter.list(current, 3000, 3000)[0]!;
+}
+
+suite("without organisations in the configuration, all ready work counts, also that of a removed organisation", () => {
+    const plain = measureWaiting(60, undefined, []);
+    assert.equal(measureWaiting(60, "unpaced", []), plain);
+    assert.equal(measureWaiting(60, undefined, organisations), plain);
+    assert.ok(plain.arrivingCores > 50, `${plain.arrivingCores}`);
+    assert.is(plain.backlog, 180);
+});
+
+suite("work that a quota holds back doesn't make pools grow", () => {
+    const within = measureWaiting(5, "unpaced", organisations);
+    assert.equal(within.arrivingCores, measureWaiting(5, undefined, organisations).arrivingCores);
+    const limited = measureWaiting(60, "unpaced", organisations);
+    assert.ok(limited.arrivingCores <= 11, `${limited.arrivingCores}`);
+    // The pool is to hold the quota, not more, once it has it.
+    const size = scheduling.computeTargetSize(limited, 10 / 0.85, 1, scheduling.defaultPoolPolicy);
+    assert.ok(size >= 10 && size <= 13, `${size} cores`);
+});
+
+suite("what lies beyond a committed rate counts as little as expired jobs", () => {
+    const free = organisations.map(organisation => ({
+        ...organisation,
+        limit: { cpu: 0, memory: 0, accelerators: 0 },
+    }));
+    const unpaced = measureWaiting(30, "unpaced", free);
+    const paced = measureWaiting(30, "paced", free);
+    // Of 90 jobs, 25 are within the rate.
+    assert.ok(paced.backlog > 36 && paced.backlog < 40, `${paced.backlog} of ${unpaced.backlog}`);
+    assert.ok(paced.arrivingCores < unpaced.arrivingCores / 2, `${paced.arrivingCores} of ${unpaced.arrivingCores}`);
+});
+
 suite.run();
--- a/packages/dispatch/src/demand.ts
+++ b/packages/dispatch/src/demand.ts
@@ -7,6 +7,7 @@
 import * as scheduling from "@catkinwharf/scheduling";
 import type * as fleet from "./fleet.js";
 import type * as jobRegistry from "./job-registry.js";
+import * as limitedBacklogs from "./limited-backlogs.js";
 
 /** Shortest time in ms over which arrivals are averaged; short compared with bursts, which last seconds. */
 const minArrivalSpan = 1000;
@@ -24,6 +25,11 @@
  * that other jobs leave unused, and should cause few machine moves.
  */
 const expiredJobWeight = 0.2;
+/**
+ * Weight of jobs beyond their organisation's committed rate, as arrivals and in the backlog: their organisation has no
+ * claim to machines that others may need.
+ */
+const beyondRateWeight = expiredJobWeight;
 /** Shortest time in ms within which a pool is asked to clear its backlog. */
 const minAllowedWait = 800;
 /** Share of the last burst's peak at which a new burst of the same height is expected. */
@@ -64,6 +70,7 @@
 
 export class DemandMeter {
     readonly #arrivals = new Map<string, Arrivals>();
+    readonly #quotaDemand = new scheduling.QuotaDemand();
     /** On the monotonic clock: arrival of each job that counted before it was stored, by job ID, in order of time. */
     readonly #unstored = new Map<string, number>();
     /**
@@ -74,6 +81,10 @@
 
     constructor(private readonly registry: jobRegistry.JobRegistry, private readonly fleet: fleet.Fleet) {}
 
+    applyConfiguration({ organisations }: platform.operatorRecords.Configuration): void {
+        this.#quotaDemand.setLimits(new Map(organisations.map(({ name, limit }) => [name, limit])));
+    }
+
     /** Adds a job that was stored at `now`, on the monotonic clock, ms, to the averages, if it hasn't counted before. */
     recordArrival(active: jobRegistry.ArrivingJob, now: number): void {
         if (!this.#unstored.has(active.job.id)) {
@@ -128,8 +139,9 @@
             this.demandKnownSince ??= now;
             // Span and slack are averaged over about 8 arrivals.
             arrivals.span += (Math.max(minArrivalSpan, active.criticalPath) - arrivals.span) / 8;
-            arrivals.rate += work / (arrivals.span / 1000);
-            arrivals.fastRate += fastFactor * work / (arrivals.span / 1000);
+            const counted = work * this.#weighArrival(active.job, arrivals.span, now);
+            arrivals.rate += counted / (arrivals.span / 1000);
+            arrivals.fastRate += fastFactor * counted / (arrivals.span / 1000);
             const slack = (route.slackFactor - 1) * active.criticalPath + route.latencyAllowance;
             arrivals.slack += (slack - arrivals.slack) / 8;
             arrivals.priority = route.priority;
@@ -137,6 +149,15 @@
         }
     }
 
+    /** Share of an arriving job's work that counts as demand; 1 without organisations. */
+    #weighArrival(job: jobState.Job, span: number, now: number): number {
+        const weight = this.registry.isBeyondRate(job) ? beyondRateWeight : 1;
+        return this.#quotaDemand.hasQuota(job.organisation)
+            ? weight
+                * this.#quotaDemand.addArrival(job.organisation, limitedBacklogs.sumWork(job.steps, weight), span, now)
+            : weight;
+    }
+
     /** Demand on every pool at `now`, on the monotonic clock, ms; `wall` is Unix time in ms. */
     list(
         configuration: platform.operatorRecords.Configuration | undefined,
@@ -193,12 +214,17 @@
     /** Remaining core-seconds of running and startable tasks, by service. */
     #measureBacklogs(now: number, wall: number): Map<string, number> {
         const backlogs = new Map<string, number>();
+        const limited = new limitedBacklogs.LimitedBacklogs(service => this.#findHorizon(service, now));
         const memoryPerCpu = this.#findMemoryPerCpu();
         for (const server of this.fleet.sessions.values()) {
             let work = 0;
             for (const run of server.runs.values()) {
                 const remainingShare = 1 - Math.min(1, (now - run.startSentAt) / Math.max(1, run.step.estimate));
                 work += run.step.longRunning ? 0 : measureTask(run.step, memoryPerCpu) * remainingShare;
+                const organisation = run.entry.job?.organisation;
+                if (this.#quotaDemand.hasQuota(organisation)) {
+                    limited.addRunning(organisation, server.entry.service, run.step, remainingShare);
+                }
             }
             backlogs.set(server.entry.service, (backlogs.get(server.entry.service) ?? 0) + work);
         }
@@ -212,12 +238,29 @@
                 const step = active.job.steps[ready.step]!;
                 work += step.longRunning ? 0 : ready.tasks.length * measureTask(step, memoryPerCpu);
             }
-            work *= isExpired(active, wall) ? expiredJobWeight : 1;
+            const weight = isExpired(active, wall)
+                ? expiredJobWeight
+                : this.registry.isBeyondRate(active.job)
+                ? beyondRateWeight
+                : 1;
+            const { organisation } = active.job;
+            if (this.#quotaDemand.hasQuota(organisation)) {
+                limited.addReady(organisation, route.service, active, weight, work);
+                continue;
+            }
+            work *= weight;
             backlogs.set(route.service, (backlogs.get(route.service) ?? 0) + work);
         }
+        limited.addTo(backlogs, this.#quotaDemand, now);
         return backlogs;
     }
 
+    /** Time in s in which a pool works off its backlog, from an order for machines on. */
+    #findHorizon(service: string, now: number): number {
+        const allowedWait = Math.max(minAllowedWait, this.#findArrivals(service, now).slack);
+        return (scheduling.defaultPoolPolicy.moveTime + allowedWait) / 1000;
+    }
+
     /**
      * Instances that each pool needs for long-running tasks: the larger of the number that run such tasks and the
      * largest number that a waiting step needs, plus one for each that runs such tasks and is to be moved or
--- a/packages/scheduling/src/index.ts
+++ b/packages/scheduling/src/index.ts
@@ -15,6 +15,7 @@
 export * from "./placing.js";
 export * from "./pools.js";
 export * from "./process-capacity.js";
+export * from "./quota-demand.js";
 export * from "./quota.js";
 export * from "./ready.js";
 export * from "./start-delay.js";
