Judge quotas in virtual time, and keep them from starving tasks of their organisation

Cause: nothing tested that quotas hold across coordinators. A task larger than what was left of its organisation's quota waited for all others of it to end, or for good while smaller ones took each bit that became free, also with less than half of the quota in use; a gang with one task more than the quota never started. While less than half of the quota is in use, one task more may start than fits, which the platform's rule allows; while a step waits for its quota, later ones of its organisation get half of it. Simulated servers report the progress of ordinary tasks, which counted as stalled before.

--- a/packages/dispatch/src/placer.ts
+++ b/packages/dispatch/src/placer.ts
@@ -69,8 +69,18 @@
             const { active, route, ready } = candidate;
             const step = active.job.steps[ready.step]!;
             const allowed = quota.countAllowed(active.job.organisation, step, ready.tasks.length);
+            const stepKey = runManager.formatStepKey(active.job.id, ready);
             if (allowed === 0) {
                 this.counts.overQuota += 1;
+                if (!quota.hasReserved(active.job.organisation!) && !hopeless.includes(step)) {
+                    const request = { stepKey, step, tasks: ready.tasks, avoided: active.avoided, alone: ready.alone };
+                    if (scheduling.chooseReservation(request, loads) === undefined) {
+                        hopeless.recordUnplaced(step, loads);
+                    }
+                    else {
+                        quota.reserve(active.job.organisation!, step, ready.tasks.length);
+                    }
+                }
                 continue;
             }
             // A gang would need several servers; one that starts alone may wait for a quiet server and not for room.
@@ -81,7 +91,6 @@
                 this.counts.unplaced += 1;
                 continue;
             }
-            const stepKey = runManager.formatStepKey(active.job.id, ready);
             const needsTickets = route.advice !== undefined;
             const permitted = needsTickets
                 ? this.#listPermitted(candidate, stepKey, open).filter(load => load !== reserved)
--- a/packages/dispatch/src/testing/random-faults.ts
+++ b/packages/dispatch/src/testing/random-faults.ts
@@ -24,6 +24,8 @@
     readonly seed: number;
     /** Servers and calls are disturbed, too, not only coordinators. */
     readonly disturbServers: boolean;
+    /** Called once jobs can be submitted, with the numbers of the course. */
+    readonly prepare?: (world: simulation.Simulation, random: () => number) => void;
 }
 
 /** In ms: when the waves begin, when the last disturbance does, and the end. */
@@ -66,6 +68,7 @@
                 const cpu = this.#chooseInteger(8000, 24_000);
                 world.submit(String(i).padStart(16, "0"), this.#chooseInteger(4, 9), 1, cpu);
             }
+            this.options.prepare?.(world, this.#random);
             await world.time.runUntil(waveStart);
             this.#requestWaves();
             while (world.time.now < lastFault) {
--- a/packages/dispatch/src/testing/simulated-server.ts
+++ b/packages/dispatch/src/testing/simulated-server.ts
@@ -18,12 +18,16 @@
     readonly chooseFailure: () => number | undefined;
     /** Time in ms until a run of the task has done its work; `undefined` for a long-running one. */
     readonly findDuration: (task: string) => number | undefined;
+    /** A run of the task was started, or has ended for whatever reason. */
+    readonly onStarted: (task: string) => void;
+    readonly onEnded: (task: string) => void;
     /** A run of the task has done its work. */
     readonly onDone: (task: string) => void;
 }
 
 interface SimulatedRun {
     readonly number: number;
+    readonly startedAt: number;
     atWork: boolean;
     stopping: boolean;
 }
@@ -162,8 +166,12 @@
             return;
         }
         const { time } = this.host;
-        const started: SimulatedRun = { number: run, atWork: false, stopping: false };
+        const started: SimulatedRun = { number: run, startedAt: time.now, atWork: false, stopping: false };
+        if (present !== undefined) {
+            this.host.onEnded(task); // The new run takes its place.
+        }
         this.running.set(task, started);
+        this.host.onStarted(task);
         const duration = this.host.findDuration(task);
         if (duration === undefined) {
             time.schedule(() => {
@@ -212,10 +220,10 @@
         const answer = () => {
             if (!responded && !this.#ended && !this.frozen) {
                 responded = true;
-                const running = [...this.running].map(([task, { number, atWork }]) => ({
+                const running = [...this.running].map(([task, run]) => ({
                     task,
-                    run: number,
-                    percent: atWork ? 100 : 40,
+                    run: run.number,
+                    percent: this.#computePercent(task, run),
                 }));
                 respond(platformTesting.createRenewalResponse(this.#identity, running, this.#ends));
             }
@@ -228,9 +236,18 @@
         this.host.time.schedule(answer, wait);
     }
 
+    /** Of an ordinary task the share of its work that is done, of a long-running one how far it is available. */
+    #computePercent(task: string, { startedAt, atWork }: SimulatedRun): number {
+        const duration = this.host.findDuration(task);
+        return duration === undefined
+            ? atWork ? 100 : 40
+            : Math.min(99, Math.floor(100 * (this.host.time.now - startedAt) / duration));
+    }
+
     #endRun(task: string, how: string, order: availabilityRule.OrderedEnd["order"] | undefined, inTime = true): void {
         const run = this.running.get(task)!;
         this.running.delete(task);
+        this.host.onEnded(task);
         this.#highestEnded.set(task, Math.max(run.number, this.#highestEnded.get(task) ?? 0));
         if (run.atWork) {
             this.host.rule.recordAway(task);
--- a/packages/dispatch/src/testing/simulation.ts
+++ b/packages/dispatch/src/testing/simulation.ts
@@ -1,6 +1,6 @@
 /**
  * Coordinators, one after the other, with backend servers, machines and a store in memory, in virtual time. The servers
- * judge whether too many long-running tasks of a step are away at once.
+ * judge whether too many long-running tasks of a step are away at once, and whether organisations keep to their quotas.
  */
 import type * as eventLog from "@catkinwharf/event-log";
 import * as httpCalls from "@catkinwharf/http-calls";
@@ -15,6 +15,7 @@
 import * as contextTesting from "./context.js";
 import * as memoryStore from "./memory-store.js";
 import * as processor from "./processor.js";
+import * as quotaRule from "./quota-rule.js";
 import * as simulatedServer from "./simulated-server.js";
 import * as virtualTime from "./virtual-time.js";
 
@@ -92,6 +93,7 @@
 export class Simulation {
     readonly time = new virtualTime.VirtualTime();
     readonly rule = new availabilityRule.AvailabilityRule(() => this.time.now);
+    readonly quotaRule = new quotaRule.QuotaRule(() => this.time.now);
     readonly log: LogLine[] = [];
     readonly machines: SimulatedMachine[] = [];
     /** Decides on each call; a test replaces it to disturb some. */
@@ -100,6 +102,8 @@
     current: Process | undefined;
     readonly #topics = new memoryStore.MemoryLog();
     readonly #jobs: jobState.Job[] = [];
+    readonly #cancellations: jobState.KeyedRecord[] = [];
+    #configuration = initialConfiguration;
     readonly #waves = new Map<number, platform.operatorRecords.Wave>();
     #serverCount = 0;
     readonly #host: simulatedServer.ServerHost;
@@ -117,6 +121,8 @@
             isDisturbed: () => this.time.now - this.disturbedUntil < disturbancePeriod,
             chooseFailure: options.chooseFailure ?? (() => undefined),
             findDuration: task => this.#durations.get(task.slice(0, task.indexOf("."))),
+            onStarted: task => this.quotaRule.recordStart(task),
+            onEnded: task => this.quotaRule.recordEnd(task),
             onDone: () => this.doneTasks += 1,
         };
         const { processorShare } = options;
@@ -180,15 +186,40 @@
     }
 
     /** Submits a job of one step whose tasks take `duration` ms each. */
-    submitOrdinary(id: string, taskCount: number, duration: number, overrides: Partial<jobState.Step> = {}): void {
+    submitOrdinary(
+        id: string,
+        taskCount: number,
+        duration: number,
+        overrides: Partial<jobState.Step> = {},
+        organisation?: string,
+    ): void {
         const step = jobTesting.createStep({ taskCount, estimate: duration, ...overrides });
-        const job = jobTesting.createJob({ id, steps: [step], submittedAt: this.time.clock.wall() });
+        const job = jobTesting.createJob({ id, steps: [step], organisation, submittedAt: this.time.clock.wall() });
         this.#durations.set(id, duration);
         this.#jobs.push(job);
         this.#applyJob(job);
     }
 
+    /** Publishes a configuration with these organisations. */
+    configure(organisations: readonly platform.operatorRecords.Organisation[]): void {
+        this.#configuration = { ...this.#configuration, version: this.#configuration.version + 1, organisations };
+        this.quotaRule.setLimits(organisations);
+        this.current?.coordinator.applyConfiguration(this.#configuration);
+    }
+
+    /** Cancels a job, as its caller would. */
+    cancel(id: string): void {
+        const { key, value } = jobState.encodeCancellation(id, this.time.clock.wall());
+        this.#cancellations.push({ key, value });
+        this.#currentJobs?.applySubmission(key, value);
+        const entry = this.#currentJobs?.entries.get(id);
+        if (entry !== undefined) {
+            this.current?.coordinator.applyJob(entry);
+        }
+    }
+
     #applyJob(job: jobState.Job): void {
+        this.quotaRule.addJob(job);
         const jobs = this.#currentJobs;
         const { key, value } = jobState.encodeJob(job);
         jobs?.applySubmission(key, value);
@@ -217,6 +248,7 @@
             const { key, value } = jobState.encodeJob(job);
             jobs.applySubmission(key, value);
         }
+        this.#cancellations.forEach(({ key, value }) => jobs.applySubmission(key, value));
         const records = this.#topics.listNewest(jobState.ledgerTopic).flatMap(({ record }) =>
             jobState.decodeLedger(record!.key, record!.value) ?? []
         );
@@ -266,7 +298,7 @@
             jobs,
             log: this.#createLog(epoch),
             clock,
-            configuration: () => configuration,
+            configuration: () => this.#configuration,
             waves: this.#waves,
             waveProgress,
             earlierOrderTimes: orderTimes,
@@ -443,7 +475,7 @@
     reason: "timed out",
 };
 
-const configuration: platform.operatorRecords.Configuration = {
+const initialConfiguration: platform.operatorRecords.Configuration = {
     version: 1,
     routes: [{
         name: "quotes",
--- a/packages/scheduling/src/quota.ts
+++ b/packages/scheduling/src/quota.ts
@@ -14,7 +14,6 @@
     /** Megabytes. */
     memory: number;
     accelerators: number;
-    runCount: number;
 }
 
 /** Resources that a quota limits. */
@@ -22,6 +21,8 @@
 
 export class QuotaUsage {
     readonly #usages = new Map<string, OrganisationUsage>();
+    /** Organisations of which a step that is held back has half of the quota reserved. */
+    readonly #reserved = new Set<string>();
 
     /** @param limits quota by organisation; 0 in a resource is no limit, and an organisation without a quota has none */
     constructor(private readonly limits: ReadonlyMap<string, jobState.Demand>) {}
@@ -33,17 +34,17 @@
         }
         const usage = this.find(organisation);
         resources.forEach(resource => usage[resource] += count * demand[resource]);
-        usage.runCount += count;
         this.#usages.set(organisation, usage);
     }
 
     find(organisation: string): OrganisationUsage {
-        return this.#usages.get(organisation) ?? { cpu: 0, memory: 0, accelerators: 0, runCount: 0 };
+        return this.#usages.get(organisation) ?? { cpu: 0, memory: 0, accelerators: 0 };
     }
 
     /**
-     * Number of tasks of the step that the quota lets start now, at most `wanted`. A task that is larger than the quota
-     * may start while nothing else of the organisation runs; a gang is started as a whole or not at all.
+     * Number of tasks of the step that the quota lets start now, at most `wanted`. While less than half of the quota is in
+     * use, one task more than fits may start: one that is larger than what is left would otherwise wait for all others of
+     * its organisation, and the platform's rule leaves room for it. A gang is started as a whole or not at all.
      */
     countAllowed(
         organisation: string | undefined,
@@ -55,15 +56,45 @@
             return wanted;
         }
         const usage = this.find(organisation);
-        const left = resources.map(resource =>
-            limit[resource] === 0 || demand[resource] === 0
-                ? Number.POSITIVE_INFINITY
-                : Math.floor((limit[resource] - usage[resource]) / demand[resource])
-        );
-        const allowed = Math.min(wanted, Math.max(0, Math.min(...left)));
+        const isBelowHalf = resources.every(resource => limit[resource] === 0 || usage[resource] < limit[resource] / 2);
+        const share = this.hasReserved(organisation) ? 0.5 : 1;
+        const fitting = countFitting(demand, limit, share, usage);
+        // What is reserved isn't for a task beyond the quota.
+        const extra = isBelowHalf && share === 1 ? 1 : 0;
         if (gang) {
-            return allowed === wanted ? wanted : 0;
+            return fitting + extra >= wanted ? wanted : 0;
         }
-        return allowed === 0 && usage.runCount === 0 ? Math.min(wanted, 1) : allowed;
+        return Math.min(wanted, Math.max(fitting, extra));
     }
+
+    hasReserved(organisation: string): boolean {
+        return this.#reserved.has(organisation);
+    }
+
+    /**
+     * Keeps half of the quota for a step that it holds back, until the usage is summed anew: smaller tasks of the
+     * organisation would otherwise take each bit of it that becomes free. Nothing is kept for a gang that is too wide for
+     * the quota.
+     */
+    reserve(organisation: string, { demand, gang }: Pick<jobState.Step, "demand" | "gang">, wanted: number): void {
+        const limit = this.limits.get(organisation);
+        if (limit !== undefined && (!gang || countFitting(demand, limit) + 1 >= wanted)) {
+            this.#reserved.add(organisation);
+        }
+    }
+}
+
+/** Number of tasks with this demand that fit beside the usage into a share of the limit. */
+function countFitting(
+    demand: jobState.Demand,
+    limit: jobState.Demand,
+    share = 1,
+    usage: jobState.Demand = { cpu: 0, memory: 0, accelerators: 0 },
+): number {
+    const left = resources.map(resource =>
+        limit[resource] === 0 || demand[resource] === 0
+            ? Number.POSITIVE_INFINITY
+            : Math.floor((limit[resource] * share - usage[resource]) / demand[resource])
+    );
+    return Math.max(0, Math.min(...left));
 }
