Leave tasks beyond their quota out of the coordinator's start delay

Cause: while an organisation's burst was held back by its quota, all its ready tasks counted as waiting for the coordinator whenever starts were limited, so every process could refuse jobs of all organisations. Change: the count leaves out tasks that their quota doesn't let start; it moves to a module of its own.

--- a/packages/dispatch/src/coordinator.ts
+++ b/packages/dispatch/src/coordinator.ts
@@ -26,6 +26,7 @@
 import * as relocation from "./relocation.js";
 import * as runManager from "./run-manager.js";
 import * as session from "./server-session.js";
+import * as startableTasks from "./startable-tasks.js";
 import * as ticketCache from "./ticket-cache.js";
 
 /** Time in ms between an event and the placement pass that handles it; one pass handles all events of that time. */
@@ -454,23 +455,17 @@
         this.#startsLimited = false;
     }
 
-    /** Number of ready tasks that could start now if the coordinator could follow. */
     #countStartableTasks(): number {
-        const ready = new Map<string, scheduling.ReadyTasks[]>();
-        for (const { job, readiness, route } of this.registry.active.values()) {
-            for (const { step, tasks } of route === undefined ? [] : readiness?.steps ?? []) {
-                const list = ready.get(route!.service) ?? [];
-                list.push({ count: tasks.length, cpu: job.steps[step]!.demand.cpu });
-                ready.set(route!.service, list);
-            }
-        }
-        const servers = this.fleet.listByService();
-        let count = 0;
-        for (const [service, tasks] of ready) {
-            const open = (servers.get(service) ?? []).filter(({ load }) => load.acceptsTasks);
-            count += scheduling.countStartable(tasks, open.reduce((sum, { load }) => sum + load.freeCpu, 0));
-        }
-        return count;
+        const { active } = this.registry;
+        return startableTasks.countStartableTasks(
+            active.values(),
+            this.fleet.listByService(),
+            this.#measureQuotaUsage(),
+        );
+    }
+
+    #measureQuotaUsage(): scheduling.QuotaUsage {
+        return quotaMeter.measureQuotaUsage(this.options.configuration(), this.fleet.sessions.values());
     }
 
     #countRuns(): number {
@@ -540,7 +535,7 @@
             .sort(([, a], [, b]) => scheduling.compareRanks(a[0]!.rank, b[0]!.rank));
         this.#tickets.startPass();
         this.#placer.counts = { unplaced: 0, untried: 0, overQuota: 0 };
-        const quota = quotaMeter.measureQuotaUsage(this.options.configuration(), this.fleet.sessions.values());
+        const quota = this.#measureQuotaUsage();
         for (const [service, candidates] of byRank) {
             planned.push(...this.#placer.place(candidates, servers.get(service) ?? [], quota, room - planned.length));
         }
