--- a/packages/dispatch/src/coordinator.ts
+++ b/packages/dispatch/src/coordinator.ts
@@ -26,6 +26,7 @@
 import * as relocation from "./relocation.js";
 import * as runManager from "./run-manager.js";
 import * as session from "./server-session.js";
+import * as startableTasks from "./startable-tasks.js";
 import * as ticketCache from "./ticket-cache.js";
 import * as workCensus from "./work-census.js";
 
@@ -455,13 +456,21 @@
     /** Estimates anew, for the next heartbeat, how long ready tasks wait for this coordinator. */
     #updateStartDelay(now: number): void {
         const waiting = this.#startsLimited
-            ? workCensus.countStartableTasks(this.registry.active.values(), this.fleet.listByService())
+            ? startableTasks.countStartableTasks(
+                this.registry.active.values(),
+                this.fleet.listByService(),
+                this.#measureQuotaUsage(),
+            )
             : 0;
         this.#startDelay.update(this.#startedTasks, waiting, this.#startsLimited, now);
         this.#startedTasks = 0;
         this.#startsLimited = false;
     }
 
+    #measureQuotaUsage(): scheduling.QuotaUsage {
+        return quotaMeter.measureQuotaUsage(this.options.configuration(), this.fleet.sessions.values());
+    }
+
     #countRuns(): number {
         return [...this.fleet.sessions.values()].reduce((sum, server) => sum + server.runs.size, 0);
     }
@@ -519,7 +528,7 @@
             .sort(([, a], [, b]) => scheduling.compareRanks(a[0]!.rank, b[0]!.rank));
         this.#tickets.startPass();
         this.#placer.counts = { unplaced: 0, untried: 0, overQuota: 0 };
-        const quota = quotaMeter.measureQuotaUsage(this.options.configuration(), this.fleet.sessions.values());
+        const quota = this.#measureQuotaUsage();
         for (const [service, candidates] of byRank) {
             planned.push(...this.#placer.place(candidates, servers.get(service) ?? [], quota, room - planned.length));
         }
