Share the capacity by weight, and hold back jobs beyond the rate while others wait for room

Cause: small tasks beyond the committed rate took each gap as it opened, so larger tasks within theirs found no room although they went first; where rates don't bind, nothing kept one organisation from taking all.

Change: jobs beyond the rate aren't placed while a step within its rate that can still be on time waits for room (rate-hold). Among equally timely jobs the organisation with the smaller dominant share by weight goes first, before slack. The test plays six times the usual load of a large organisation beside 20 small ones.

Shares ahead of begun jobs made fewer jobs on time in all.

--- a/packages/dispatch/src/coordinator.ts
+++ b/packages/dispatch/src/coordinator.ts
@@ -23,6 +23,7 @@
 import * as placer from "./placer.js";
 import * as queueMeter from "./queue-meter.js";
 import * as quotaMeter from "./quota-meter.js";
+import * as rateHold from "./rate-hold.js";
 import * as relocation from "./relocation.js";
 import * as runManager from "./run-manager.js";
 import * as session from "./server-session.js";
@@ -515,13 +516,23 @@
         const planned: placer.PlannedRun[] = [];
         const room = this.#startLimit.computeRoom(this.#runManager.startsUnderWay);
         // When the room doesn't suffice for all services, it goes to the one with the most important candidate.
-        const byRank = [...this.registry.listCandidates(this.#shared.clock.wall())]
+        const quota = quotaMeter.measureQuotaUsage(this.options.configuration(), this.fleet.sessions.values());
+        const shares = quotaMeter.measureShares(this.options.configuration(), this.fleet.sessions.values(), quota);
+        const byRank = [...this.registry.listCandidates(this.#shared.clock.wall(), shares)]
             .sort(([, a], [, b]) => scheduling.compareRanks(a[0]!.rank, b[0]!.rank));
         this.#tickets.startPass();
         this.#placer.counts = { unplaced: 0, untried: 0, overQuota: 0 };
-        const quota = quotaMeter.measureQuotaUsage(this.options.configuration(), this.fleet.sessions.values());
         for (const [service, candidates] of byRank) {
-            planned.push(...this.#placer.place(candidates, servers.get(service) ?? [], quota, room - planned.length));
+            const pool = servers.get(service) ?? [];
+            const left = room - planned.length;
+            planned.push(
+                ...rateHold.placeByRate(
+                    candidates,
+                    pool,
+                    quota,
+                    (part, placedCount) => this.#placer.place(part, pool, quota, left - placedCount),
+                ),
+            );
         }
         if (planned.length >= room) {
             this.#startLimit.recordReached();
--- a/packages/dispatch/src/job-registry.ts
+++ b/packages/dispatch/src/job-registry.ts
@@ -41,6 +41,8 @@
     readonly rank: scheduling.Rank;
 }
 
+const noShares: ReadonlyMap<string, number> = new Map();
+
 export class JobRegistry {
     readonly active = new Map<string, ActiveJob>();
     /**
@@ -154,8 +156,12 @@
         this.active.delete(id);
     }
 
-    /** Candidates by service, each list in the order in which they should start. */
-    listCandidates(wall: number): Map<string, Candidate[]> {
+    /**
+     * Candidates by service, each list in the order in which they should start.
+     *
+     * @param shares share in the capacity by organisation, see `scheduling.computeShare`
+     */
+    listCandidates(wall: number, shares: ReadonlyMap<string, number> = noShares): Map<string, Candidate[]> {
         const byService = new Map<string, Candidate[]>();
         for (const active of this.active.values()) {
             const { readiness, route } = active;
@@ -167,7 +173,7 @@
             }
             for (const ready of active.readiness!.steps) {
                 const list = byService.get(route.service) ?? [];
-                list.push({ active, route, ready, rank: this.#rank(active, route, ready, wall) });
+                list.push({ active, route, ready, rank: this.#rank(active, route, ready, wall, shares) });
                 byService.set(route.service, list);
             }
         }
@@ -183,6 +189,7 @@
         route: jobState.RouteTerms,
         ready: scheduling.ReadyStep,
         wall: number,
+        shares: ReadonlyMap<string, number>,
     ): scheduling.Rank {
         const work = {
             due: jobState.findDueTime(active.job, ready.occurrence),
@@ -193,6 +200,7 @@
             // A start that is under way counts, so that a job isn't passed over until its server confirms it.
             begun: active.progress.begun || jobState.hasRuns(active.progress),
             beyondRate: this.isBeyondRate(active.job),
+            share: shares.get(active.job.organisation ?? "") ?? 0,
         };
         return scheduling.rank(work, route, wall);
     }
--- a/packages/dispatch/src/quota-meter.ts
+++ b/packages/dispatch/src/quota-meter.ts
@@ -23,3 +23,27 @@
     }
     return usage;
 }
+
+/**
+ * Share of each organisation in the capacity of the servers, by its weight.
+ *
+ * @param usage what the organisations have running
+ */
+export function measureShares(
+    configuration: platform.operatorRecords.Configuration | undefined,
+    servers: Iterable<session.ServerSession>,
+    usage: scheduling.QuotaUsage,
+): Map<string, number> {
+    const organisations = configuration?.organisations ?? [];
+    const capacity = { cpu: 0, memory: 0, accelerators: 0 };
+    if (organisations.length > 0) {
+        for (const { entry } of servers) {
+            capacity.cpu += entry.cpu;
+            capacity.memory += entry.memory;
+            capacity.accelerators += entry.accelerators;
+        }
+    }
+    return new Map(
+        organisations.map(({ name, weight }) => [name, scheduling.computeShare(usage.find(name), capacity, weight)]),
+    );
+}
--- a/packages/dispatch/src/testing/burst-play.ts
+++ b/packages/dispatch/src/testing/burst-play.ts
@@ -11,6 +11,7 @@
 import * as jobRegistry from "../job-registry.js";
 import * as placer from "../placer.js";
 import * as quotaMeter from "../quota-meter.js";
+import * as rateHold from "../rate-hold.js";
 import * as runManager from "../run-manager.js";
 import * as session from "../server-session.js";
 import * as ticketCache from "../ticket-cache.js";
@@ -236,9 +237,12 @@
             event.handle();
         }
         const present = servers.slice(0, options.countServers(now));
-        const candidates = registry.listCandidates(now).get("quotes") ?? [];
         const quota = quotaMeter.measureQuotaUsage(configuration, servers);
-        for (const { server, run } of planner.place(candidates, present, quota)) {
+        const shares = quotaMeter.measureShares(configuration, present, quota);
+        const candidates = registry.listCandidates(now, shares).get("quotes") ?? [];
+        const place = (part: readonly jobRegistry.Candidate[]) => planner.place(part, present, quota);
+        const planned = rateHold.placeByRate(candidates, present, quota, place);
+        for (const { server, run } of planned) {
             events.push({ at: now + intentDelay, handle: () => begin(server, run) });
         }
         await timers.setImmediate(); // Lets the responses to the starts be handled.
--- a/packages/scheduling/src/index.ts
+++ b/packages/scheduling/src/index.ts
@@ -8,6 +8,7 @@
 export * from "./committed-rate.js";
 export * from "./crashes.js";
 export * from "./delay-estimate.js";
+export * from "./fair-share.js";
 export * from "./health.js";
 export * from "./objective.js";
 export * from "./pacing.js";
--- a/packages/scheduling/src/objective.test.ts
+++ b/packages/scheduling/src/objective.test.ts
@@ -15,6 +15,7 @@
     longRunning: false,
     begun: false,
     beyondRate: false,
+    share: 0,
 };
 const { Timeliness } = scheduling;
 
--- a/packages/scheduling/src/objective.ts
+++ b/packages/scheduling/src/objective.ts
@@ -111,17 +111,20 @@
      * them, both might be late.
      */
     readonly begun: boolean;
+    /** Share of the job's organisation in the capacity by its weight, see `fair-share.ts`; 0 without organisations. */
+    readonly share: number;
     /** Ms that the candidate can still wait without missing its objective. */
     readonly slack: number;
 }
 
 /**
  * Orders long-running tasks first, then by whether the job is within its organisation's committed rate, timeliness,
- * priority, whether the job has begun, and slack.
+ * priority, whether the job has begun, its organisation's share, and slack.
  *
  * Jobs beyond the committed rate go after all jobs within theirs that are of use to their callers, also when they have
  * begun: their organisation has no claim to what they would displace, and the work done isn't lost while they wait.
- * Expired jobs go after them, since nobody gains by those.
+ * Expired jobs go after them, since nobody gains by those. Shares decide between jobs that are equally timely: before the
+ * timeliness or the begun jobs they would make more jobs late than they save.
  */
 export function compareRanks(a: Rank, b: Rank): number {
     if (a.longRunning !== b.longRunning) {
@@ -129,7 +132,7 @@
     }
     return Number(isExpired(a)) - Number(isExpired(b)) || Number(a.beyondRate) - Number(b.beyondRate)
         || a.timeliness - b.timeliness || a.priority - b.priority || Number(b.begun) - Number(a.begun)
-        || a.slack - b.slack;
+        || a.share - b.share || a.slack - b.slack;
 }
 
 function isExpired({ timeliness }: Rank): boolean {
@@ -149,14 +152,16 @@
     readonly begun: boolean;
     /** The job lies beyond its organisation's committed rate. */
     readonly beyondRate: boolean;
+    /** Share of the job's organisation in the capacity by its weight. */
+    readonly share: number;
 }
 
 /** Ranks the remaining work of an occurrence at `now`, Unix time in ms. */
 export function rank(work: RemainingWork, policy: QueuePolicy, now: number): Rank {
-    const { longRunning, begun, beyondRate } = work;
+    const { longRunning, begun, beyondRate, share } = work;
     const slack = work.objective - now - work.criticalPath;
     const timeliness = classifyTimeliness(work, slack, now);
-    return { longRunning, priority: policy.priority, timeliness, beyondRate, begun, slack };
+    return { longRunning, priority: policy.priority, timeliness, beyondRate, begun, share, slack };
 }
 
 function classifyTimeliness(work: RemainingWork, slack: number, now: number): Timeliness {
