Keep in service as many instances as ran tasks at a time, not what the pools' targets allowed for

Change: the reserve is the largest number of instances that ran tasks at a time in the last 15 s; until these are over, at least the unobserved part of what was in service at first.

--- a/packages/dispatch/src/machine-manager.ts
+++ b/packages/dispatch/src/machine-manager.ts
@@ -121,13 +121,16 @@
         );
         const reserve = this.#peakNeed.find(now);
         const plan = scheduling.planMoves(demands, instances, scheduling.defaultPoolPolicy, reserve, now);
-        this.#peakNeed.record(plan.needed, now);
+        const standby = demands.find(demand => demand.standby)?.service;
+        const inService = instances.filter(instance => instance.pool !== standby);
+        const atWork = inService.filter(instance => instance.emptySince === undefined).length;
+        this.#peakNeed.record(atWork, now, inService.length);
         if (now - this.#lastReport >= reportInterval) {
             this.#lastReport = now;
             this.#logPools(demands, instances);
             // Without a reserve nothing moves to standby yet, as the need of a whole window isn't known.
-            const known = Number.isFinite(reserve) ? reserve : undefined;
-            this.parts.shared.log.info("pools-planned", { needed: plan.needed, reserve: known });
+            const known = Number.isFinite(reserve) ? Math.round(reserve) : undefined;
+            this.parts.shared.log.info("pools-planned", { needed: plan.needed, atWork, reserve: known });
         }
         this.#surplus = new Set(plan.surplus);
         this.#updateReleased(new Set(plan.toDrain));
--- a/packages/scheduling/src/peak-need.ts
+++ b/packages/scheduling/src/peak-need.ts
@@ -1,5 +1,7 @@
 /**
- * Remembers how many instances all pools together needed at most in the recent past.
+ * Remembers how many instances all pools together needed at most in the recent past: how many ran tasks at the same time.
+ * The target sizes of the pools say too much for it, since they allow for a burst's rise: on a calm day with 160 instances
+ * at work at most, their sum reached 340 for moments, and twice as many as were used stayed in service.
  *
  * The bursts of the queues alternate: the end of one is soon followed by another's beginning. An instance that is on
  * its way to standby can't be used for seconds, so a fleet that gives up idle instances between two bursts lacks them
@@ -16,12 +18,18 @@
     /** Samples of the window that no later sample exceeds, in order of time; the first is the peak. */
     #samples: Sample[] = [];
     #firstAt: number | undefined;
+    /** Instances in service at the first sample; infinite if not known. */
+    #firstInService = Number.POSITIVE_INFINITY;
 
     /** @param window ms for which a need is remembered */
     constructor(private readonly window: number) {}
 
-    record(needed: number, now: number): void {
-        this.#firstAt ??= now;
+    /** @param inService instances in service, which count as needed before a whole window has been observed */
+    record(needed: number, now: number, inService = Number.POSITIVE_INFINITY): void {
+        if (this.#firstAt === undefined) {
+            this.#firstAt = now;
+            this.#firstInService = inService;
+        }
         while (this.#samples.length > 0 && this.#samples.at(-1)!.needed <= needed) {
             this.#samples.pop();
         }
@@ -31,10 +39,15 @@
         }
     }
 
-    /** Largest need of the window; infinite until a whole window has been observed. */
+    /**
+     * Largest need of the window. Until a whole window has been observed, at least the share of the instances that were in
+     * service at first which the part of the window is that hasn't been observed.
+     */
     find(now: number): number {
-        return this.#firstAt === undefined || now - this.#firstAt < this.window
-            ? Number.POSITIVE_INFINITY
-            : this.#samples[0]!.needed;
+        if (this.#firstAt === undefined) {
+            return Number.POSITIVE_INFINITY;
+        }
+        const unobserved = 1 - (now - this.#firstAt) / this.window;
+        return Math.max(this.#samples[0]!.needed, unobserved > 0 ? unobserved * this.#firstInService : 0);
     }
 }
