Reserve servers ahead for steps of large tasks, and backfill the gaps before

Cause: a step whose tasks need a large part of a server got one server for one pass, chosen without regard to when runs end, and nothing could use the gap before it. Change: scheduling/run-time-prediction learns the ratio of durations to estimates by queue and step, conditional on the age of a run; scheduling/reservations keeps for the first few large steps the server that is predicted to have room first. Steps of small tasks are placed as before.

--- a/packages/dispatch/src/coordinator.ts
+++ b/packages/dispatch/src/coordinator.ts
@@ -200,7 +200,7 @@
         }, options.serverBoots);
         this.#tickets = new ticketCache.TicketCache(this.#shared);
         this.#sweeper = new jobSweeper.JobSweeper(this.#shared, store);
-        this.#placer = new placer.Placer(this.#shared, this.#runManager, this.#tickets);
+        this.#placer = new placer.Placer(this.#shared, this.#runManager, this.#tickets, this.registry.runTimes);
         this.#demand = new demand.DemandMeter(this.registry, this.fleet);
         this.#machineManager = new machineManager.MachineManager({
             shared: this.#shared,
@@ -560,9 +560,7 @@
         return {
             activeJobs: this.registry.active.size,
             readyTasks: this.#countReadyTasks(),
-            unplacedSteps: this.#placer.counts.unplaced,
-            untriedSteps: this.#placer.counts.untried,
-            stepsOverQuota: this.#placer.counts.overQuota,
+            ...this.#placer.describe(),
             startDelay: Math.round(this.#startDelay.current),
             runs: this.#countRuns(),
             reachableServers: servers.filter(server => server.reachable).length,
--- a/packages/dispatch/src/job-registry.ts
+++ b/packages/dispatch/src/job-registry.ts
@@ -43,6 +43,7 @@
 
 export class JobRegistry {
     readonly active = new Map<string, ActiveJob>();
+    readonly runTimes = new scheduling.RunTimePrediction();
     /**
      * Newest known route by queue, from configurations and submitted jobs. Includes removed ones, whose jobs continue.
      */
@@ -119,6 +120,7 @@
     recordTaskTime(active: ActiveJob, step: number, time: number): void {
         const { estimate } = active.job.steps[step]!;
         this.#delay.record(Math.min(time - estimate, estimate)); // A longer one is put down to a slow server.
+        this.runTimes.record(active.job.queue, step, estimate, time);
         const duration = time - this.#delay.current;
         if (duration > (active.observedDurations.get(step) ?? 0)) {
             active.observedDurations.set(step, duration);
--- a/packages/dispatch/src/placer.ts
+++ b/packages/dispatch/src/placer.ts
@@ -5,6 +5,7 @@
 import * as scheduling from "@catkinwharf/scheduling";
 import type * as context from "./context.js";
 import type * as jobRegistry from "./job-registry.js";
+import type * as loadMeter from "./load-meter.js";
 import * as runManager from "./run-manager.js";
 import type * as session from "./server-session.js";
 import type * as ticketCache from "./ticket-cache.js";
@@ -28,20 +29,97 @@
     overQuota: number;
 }
 
+/** Share of the tasks of a step that end within their expected duration, where they may start on a reserved server. */
+const backfillQuantile = 0.8;
+/** The same for the runs that a reservation waits for. */
+const endQuantile = 0.5;
+
+/** Reservations of one service's steps, and the jobs that hold them. */
+class LookAhead {
+    readonly reservations: scheduling.Reservations;
+    readonly owners = new Set<jobRegistry.ActiveJob>();
+
+    constructor(policy: scheduling.ReservationPolicy) {
+        this.reservations = new scheduling.Reservations(policy);
+    }
+
+    beginPass(
+        candidates: readonly jobRegistry.Candidate[],
+        open: readonly session.ServerSession[],
+        predictEnd: (run: session.ActiveRun) => scheduling.PredictedEnd,
+        now: number,
+    ): void {
+        const waiting = new Set<string>();
+        const owners = new Set<jobRegistry.ActiveJob>();
+        for (const { active, ready } of this.owners.size === 0 ? [] : candidates) {
+            if (this.owners.has(active)) {
+                const stepKey = runManager.formatStepKey(active.job.id, ready);
+                waiting.add(stepKey);
+                if (this.reservations.has(stepKey)) {
+                    owners.add(active);
+                }
+            }
+        }
+        this.owners.clear();
+        owners.forEach(owner => this.owners.add(owner));
+        this.reservations.beginPass(
+            new Map(open.map(server => [server.entry.id, describeOutlook(server, predictEnd)])),
+            stepKey => waiting.has(stepKey),
+            now,
+        );
+    }
+
+    update(
+        active: jobRegistry.ActiveJob,
+        request: scheduling.PlacementRequest,
+        permitted: readonly scheduling.ServerLoad[],
+    ): scheduling.ReservationChange | undefined {
+        const change = this.reservations.update(request, permitted);
+        if (change !== undefined) {
+            this.owners.add(active);
+        }
+        return change;
+    }
+
+    drop(stepKey: string): void {
+        this.reservations.drop(stepKey);
+    }
+}
+
+function describeOutlook(
+    server: session.ServerSession,
+    predictEnd: (run: session.ActiveRun) => scheduling.PredictedEnd,
+): scheduling.ServerOutlook {
+    return {
+        load: server.load,
+        bootId: server.bootId,
+        capacity: server.entry,
+        predictEnds: () => [...server.runs.values()].filter(run => !run.step.longRunning).map(predictEnd),
+    };
+}
+
 export class Placer {
     /** Of the pass that began last, over all services. */
     counts: PassCounts = { unplaced: 0, untried: 0, overQuota: 0 };
+    /** Tasks that started on a server that another step had reserved. */
+    backfilledTasks = 0;
+    /** By service. */
+    readonly #lookAheads = new Map<string, LookAhead>();
 
     constructor(
         private readonly shared: context.CoordinatorContext,
         private readonly runs: runManager.RunManager,
         private readonly tickets: ticketCache.TicketCache,
+        private readonly runTimes = new scheduling.RunTimePrediction(),
+        private readonly reservationPolicy = scheduling.defaultReservationPolicy,
     ) {}
 
     /**
      * Places the candidates that fit, in the given order, and records the intents. Those that fit nowhere, for whatever
-     * reason and however long, don't keep later ones from being tried. The first one that only has to wait for other tasks
-     * to end gets a server reserved: later ones would otherwise take each bit of room before there is enough for it.
+     * reason and however long, don't keep later ones from being tried. Later ones would take each bit of room before there is
+     * enough for those that only have to wait for other tasks to end. So the first few of them whose tasks need a large part
+     * of a server get reservations, see `scheduling.Reservations`; without such, the first one gets a server reserved for the
+     * pass.
      *
      * @param quota what each organisation has running; updated
      * @param limit number of tasks that may be placed; a gang isn't divided and may exceed it
@@ -55,7 +133,9 @@
         const planned: PlannedRun[] = [];
         const open = servers.filter(server => server.load.acceptsTasks);
         const byId = new Map(open.map(server => [server.entry.id, server]));
-        let loads = open.map(server => server.load);
+        const lookAhead = this.#beginPass(candidates, open);
+        const { reservations } = lookAhead;
+        let loads = open.map(server => server.load).filter(load => load.reservation === undefined);
         let reserved: scheduling.ServerLoad | undefined;
         const shortages = new scheduling.Shortages(scheduling.hasRoom);
         /** Steps that waiting doesn't help. */
@@ -71,13 +151,25 @@
             const allowed = quota.countAllowed(active.job.organisation, step, ready.tasks.length);
             if (allowed === 0) {
                 this.counts.overQuota += 1;
+                if (lookAhead.owners.has(active)) {
+                    lookAhead.drop(runManager.formatStepKey(active.job.id, ready));
+                }
                 continue;
             }
-            // A gang would need several servers; one that starts alone may wait for a quiet server and not for room.
-            const mayReserve = reserved === undefined && loads.length > 1 && !step.gang && !ready.alone
+            // One that starts alone may wait for a quiet server and not for room.
+            const mayWait = loads.length > 1 && !ready.alone;
+            const isLarge = reservations.isLarge(step, ready.tasks.length);
+            const mayLookAhead = mayWait && isLarge && reservations.isOpen;
+            // A gang would need several servers.
+            const mayReserve = mayWait && !isLarge && reserved === undefined && reservations.size === 0 && !step.gang
                 && !hopeless.includes(step);
+            const expectedDuration = reservations.reservedLoads.length === 0
+                ? undefined
+                : this.#predictDuration(active, ready.step);
             const isShort = shortages.includes(step);
-            if (isShort && !mayReserve) {
+            const mayBackfill = expectedDuration !== undefined
+                && (lookAhead.owners.has(active) || reservations.mayBackfill(step, expectedDuration));
+            if (isShort && !mayReserve && !mayLookAhead && !mayBackfill) {
                 this.counts.unplaced += 1;
                 continue;
             }
@@ -85,22 +177,39 @@
             const needsTickets = route.advice !== undefined;
             const permitted = needsTickets
                 ? this.#listPermitted(candidate, stepKey, open).filter(load => load !== reserved)
-                : loads;
+                : mayBackfill ? [...loads, ...reservations.reservedLoads] : loads;
             const tasks = step.gang ? ready.tasks : ready.tasks.slice(0, Math.min(left, allowed));
-            const request = { stepKey, step, tasks, avoided: active.avoided, alone: ready.alone };
-            const placements = isShort
+            const request = {
+                stepKey,
+                step,
+                tasks,
+                avoided: active.avoided,
+                alone: ready.alone,
+                expectedDuration,
+            };
+            const tried = isShort && !needsTickets
+                ? mayBackfill ? reservations.reservedLoads : []
+                : permitted;
+            const placements = tried.length === 0
                 ? []
-                : scheduling.placeStep(request, ready.alone ? this.#listQuiet(active, permitted, byId) : permitted);
+                : scheduling.placeStep(request, ready.alone ? this.#listQuiet(active, tried, byId) : tried);
             if (placements.length === 0) {
                 this.counts.unplaced += 1;
                 shortages.recordUnplaced(step, loads);
-                if (mayReserve) {
+                if (mayLookAhead && reservations.mayUpdate(stepKey)) {
+                    this.#reserve(candidate, request, lookAhead, needsTickets ? permitted : open.map(one => one.load));
+                    loads = loads.filter(load => load.reservation === undefined);
+                }
+                else if (mayReserve) {
                     hopeless.recordUnplaced(step, loads);
                     reserved = scheduling.chooseReservation(request, permitted);
                     loads = loads.filter(load => load !== reserved);
                 }
                 continue;
             }
+            this.backfilledTasks += placements.filter(({ server: { reservation } }) =>
+                reservation !== undefined && reservation.stepKey !== stepKey
+            ).length;
             quota.add(active.job.organisation, step.demand, placements.length);
             this.#logPlaced(candidate, placements);
             const gangRun = step.gang ? this.#nextGangRun(active, ready) : undefined;
@@ -115,6 +224,66 @@
         return planned;
     }
 
+    /** For the coordinator's report of its load. */
+    describe(): Pick<loadMeter.WorkState, "unplacedSteps" | "untriedSteps" | "stepsOverQuota" | "backfilledTasks"> {
+        const { unplaced, untried, overQuota } = this.counts;
+        return {
+            unplacedSteps: unplaced,
+            untriedSteps: untried,
+            stepsOverQuota: overQuota,
+            backfilledTasks: this.backfilledTasks,
+        };
+    }
+
+    /** Begins a pass over the candidates of a service. */
+    #beginPass(candidates: readonly jobRegistry.Candidate[], open: readonly session.ServerSession[]): LookAhead {
+        const service = candidates[0]?.route.service ?? "";
+        let lookAhead = this.#lookAheads.get(service);
+        if (lookAhead === undefined) {
+            lookAhead = new LookAhead(this.reservationPolicy);
+            this.#lookAheads.set(service, lookAhead);
+        }
+        const now = this.shared.clock.monotonic();
+        lookAhead.beginPass(candidates, open, run => this.#predictEnd(run, now), now);
+        return lookAhead;
+    }
+
+    #predictDuration({ job }: jobRegistry.ActiveJob, step: number): number {
+        return this.runTimes.predictRemaining(job.queue, step, job.steps[step]!.estimate, 0, backfillQuantile);
+    }
+
+    #predictEnd({ entry, position, step, plannedAt }: session.ActiveRun, now: number): scheduling.PredictedEnd {
+        const age = Math.max(0, now - plannedAt);
+        const remaining = this.runTimes.predictRemaining(
+            entry.job?.queue ?? "",
+            position.step,
+            step.estimate,
+            age,
+            endQuantile,
+        );
+        return { remaining, step };
+    }
+
+    #reserve(
+        { active, ready }: jobRegistry.Candidate,
+        request: scheduling.PlacementRequest,
+        lookAhead: LookAhead,
+        permitted: readonly scheduling.ServerLoad[],
+    ): void {
+        const change = lookAhead.update(active, request, permitted);
+        if (change !== undefined) {
+            this.shared.log.info("step-reserved", {
+                job: active.job.id,
+                step: ready.step,
+                occurrence: ready.occurrence,
+                servers: change.servers,
+                wait: Math.round(change.wait),
+                movedFrom: change.movedFrom,
+                age: this.shared.clock.wall() - active.job.submittedAt,
+            });
+        }
+    }
+
     /**
      * Servers for tasks that start alone: for a while after the crash only those on which nothing else is starting,
      * later all. Updates their number of starting runs.
--- a/packages/scheduling/src/index.ts
+++ b/packages/scheduling/src/index.ts
@@ -16,6 +16,8 @@
 export * from "./process-capacity.js";
 export * from "./quota.js";
 export * from "./ready.js";
+export * from "./reservations.js";
+export * from "./run-time-prediction.js";
 export * from "./start-delay.js";
 export * from "./start-limit.js";
 export * from "./waves.js";
--- a/packages/scheduling/src/placing.ts
+++ b/packages/scheduling/src/placing.ts
@@ -41,6 +41,24 @@
     startingRunCount: number;
     /** Number of runs by `stepKey`. */
     readonly runCountByStep: Map<string, number>;
+    /** What limits other tasks on it; set anew in each pass. */
+    reservation?: ServerReservation | undefined;
+}
+
+/** Capacity in thousandths of a core, megabytes and accelerators. */
+export interface Room {
+    cpu: number;
+    memory: number;
+    accelerators: number;
+}
+
+/** A step waits for the server, see `Reservations`. */
+export interface ServerReservation {
+    readonly stepKey: string;
+    /** Ms until the predicted start of its task. */
+    readonly timeLeft: number;
+    /** What remains beside it at that time; `undefined` if no other task may start on the server before it. */
+    readonly spare: Room | undefined;
 }
 
 export interface PlacementRequest {
@@ -53,6 +71,8 @@
     readonly avoided: ReadonlySet<string>;
     /** No other task may start on a server beside one of these. */
     readonly alone: boolean;
+    /** Time in ms within which a task is expected to end; `undefined` if it isn't known. */
+    readonly expectedDuration?: number | undefined;
 }
 
 export interface Placement {
@@ -150,6 +170,47 @@
     return hasRoom(server, step) && meetsRestrictions(server, step, stepKey);
 }
 
+/** The same once the tasks on the server that end by themselves have ended. */
+export function willFit(server: ServerLoad, step: jobState.Step, stepKey: string): boolean {
+    return willHaveRoom(server, step) && meetsRestrictions(server, step, stepKey);
+}
+
+/** Whether the server has room for a task that ends before its reservation, or leaves room for that. */
+export function mayBackfill(server: ServerLoad, step: jobState.Step, expectedDuration: number | undefined): boolean {
+    const { reservation } = server;
+    if (reservation === undefined) {
+        return hasRoom(server, step);
+    }
+    const { spare, timeLeft } = reservation;
+    return spare !== undefined && hasRoom(server, step)
+        && (endsBefore(step, expectedDuration, timeLeft) || countTasks(spare, step) > 0);
+}
+
+function respectsReservation(server: ServerLoad, { step, stepKey, expectedDuration }: PlacementRequest): boolean {
+    return server.reservation === undefined || server.reservation.stepKey === stepKey
+        || mayBackfill(server, step, expectedDuration);
+}
+
+function endsBefore(step: jobState.Step, expectedDuration: number | undefined, timeLeft: number): boolean {
+    return !step.longRunning && expectedDuration !== undefined && expectedDuration <= timeLeft;
+}
+
+/** Subtracts a task that doesn't end before the server's reservation from what remains beside it (1), or adds it (-1). */
+function adjustSpare(
+    { reservation }: ServerLoad,
+    { step, stepKey, expectedDuration }: PlacementRequest,
+    sign: 1 | -1,
+): void {
+    if (reservation?.spare === undefined || reservation.stepKey === stepKey
+        || endsBefore(step, expectedDuration, reservation.timeLeft)) {
+        return;
+    }
+    const { spare } = reservation;
+    spare.cpu -= sign * (step.filler ? 0 : step.demand.cpu);
+    spare.memory -= sign * step.demand.memory;
+    spare.accelerators -= sign * step.demand.accelerators;
+}
+
 /** Whether a task of the step may run on the server, by what it requires besides room. */
 function meetsRestrictions(server: ServerLoad, step: jobState.Step, stepKey: string): boolean {
     return (step.maxUnavailable === undefined || !server.mayBeOrderedAway)
@@ -245,7 +306,10 @@
         if (placed.length === request.tasks.length) {
             return placed;
         }
-        placed.forEach(one => release(one.server, request.step, request.stepKey));
+        for (const { server } of placed) {
+            release(server, request.step, request.stepKey);
+            adjustSpare(server, request, -1);
+        }
     }
     return [];
 }
@@ -255,17 +319,30 @@
     if (!fits(server, step, stepKey)) {
         return 0;
     }
-    const { cpu, memory, accelerators } = step.demand;
+    const room = { cpu: server.freeCpu, memory: server.freeMemory, accelerators: server.freeAccelerators };
     return Math.min(
-        step.filler || cpu === 0 ? Number.POSITIVE_INFINITY : Math.floor(server.freeCpu / cpu),
-        memory === 0 ? Number.POSITIVE_INFINITY : Math.floor(server.freeMemory / memory),
-        accelerators === 0 ? Number.POSITIVE_INFINITY : Math.floor(server.freeAccelerators / accelerators),
+        countTasks(room, step),
         step.maxPerServer === 0
             ? Number.POSITIVE_INFINITY
             : step.maxPerServer - (server.runCountByStep.get(stepKey) ?? 0),
     );
 }
 
+/** Number of tasks of the step that the room suffices for. */
+export function countTasks(room: Readonly<Room>, { demand, filler }: jobState.Step): number {
+    const { cpu, memory, accelerators } = demand;
+    return Math.min(
+        filler ? Number.POSITIVE_INFINITY : divide(room.cpu, cpu),
+        divide(room.memory, memory),
+        divide(room.accelerators, accelerators),
+    );
+}
+
+/** Without a demand, any room suffices that isn't overdrawn. */
+function divide(room: number, demand: number): number {
+    return demand === 0 ? room < 0 ? 0 : Number.POSITIVE_INFINITY : Math.max(0, Math.floor(room / demand));
+}
+
 function placeTasks(request: PlacementRequest, servers: readonly ServerLoad[]): Placement[] {
     const placed: Placement[] = [];
     for (const task of request.tasks) {
@@ -274,6 +351,7 @@
             break;
         }
         occupy(server, request.step, request.stepKey);
+        adjustSpare(server, request, 1);
         if (request.alone && !request.step.gang) {
             server.acceptsTasks = false;
         }
@@ -286,7 +364,7 @@
     let best: ServerLoad | undefined;
     let bestCost = Number.POSITIVE_INFINITY;
     for (const server of servers) {
-        if (!fits(server, request.step, request.stepKey)) {
+        if (!fits(server, request.step, request.stepKey) || !respectsReservation(server, request)) {
             continue;
         }
         const cost = estimateCost(request, server);
@@ -316,7 +394,7 @@
     return firstLongRunning + (server.runCount === 0 ? firstTaskCost : 0);
 }
 
-function groupByRack(servers: readonly ServerLoad[]): ServerLoad[][] {
+export function groupByRack(servers: readonly ServerLoad[]): ServerLoad[][] {
     const groups = new Map<string, ServerLoad[]>();
     for (const server of servers) {
         const group = groups.get(server.rack) ?? [];
