--- a/packages/scheduling/src/reservations.ts
+++ b/packages/scheduling/src/reservations.ts
@@ -16,8 +16,6 @@
 import type * as jobState from "@catkinwharf/job-state";
 import * as placing from "./placing.js";
 
-/** Share of a server that a task, or a whole gang, demands at least to get a reservation, in one resource or more. */
-const minShare = 0.25;
 /** How often the reservation of one step moves to another server because a prediction has failed. */
 const maxMoves = 2;
 /** Moving needs a predicted time that is this much shorter, so that reservations don't move for noise. */
@@ -37,9 +35,11 @@
 export interface ReservationPolicy {
     /** Steps of one service that may hold a reservation at a time; at most half as many as it has servers. */
     readonly maxReservations: number;
+    /** Share of a server that a task, or a whole gang, demands more than to get a reservation, in one resource or more. */
+    readonly minShare: number;
 }
 
-export const defaultReservationPolicy: ReservationPolicy = { maxReservations: 4 };
+export const defaultReservationPolicy: ReservationPolicy = { maxReservations: 4, minShare: 0.25 };
 
 /** A run on a server and when it is predicted to end. */
 export interface PredictedEnd {
@@ -205,6 +205,7 @@
     /** Whether a waiting step demands so much that it may get a reservation. */
     isLarge({ demand, gang, filler }: jobState.Step, taskCount: number): boolean {
         const capacity = this.#capacity ??= findLargestCapacity(this.#outlooks.values());
+        const { minShare } = this.policy;
         const count = gang ? taskCount : 1;
         return (!filler && count * demand.cpu > minShare * capacity.cpu)
             || count * demand.memory > minShare * capacity.memory
