Keep the reservation of a step whose server is lost, and end it when a task starts

Cause: a step with several tasks held its server until all of them had started, and a step that lost its server lost its turn. Change: the first task that starts ends the reservation; a lost server is replaced without counting as a move. LookAhead is a module of its own.

--- a/packages/dispatch/src/placer.ts
+++ b/packages/dispatch/src/placer.ts
@@ -7,6 +7,7 @@
 import type * as context from "./context.js";
 import type * as jobRegistry from "./job-registry.js";
 import type * as loadMeter from "./load-meter.js";
+import * as lookAheads from "./look-ahead.js";
 import * as runManager from "./run-manager.js";
 import type * as session from "./server-session.js";
 import type * as ticketCache from "./ticket-cache.js";
@@ -35,77 +36,13 @@
 /** The same for the runs that a reservation waits for. */
 const endQuantile = 0.5;
 
-/** Reservations of one service's steps, and the jobs that hold them. */
-class LookAhead {
-    readonly reservations: scheduling.Reservations;
-    readonly owners = new Set<jobRegistry.ActiveJob>();
-
-    constructor(policy: scheduling.ReservationPolicy) {
-        this.reservations = new scheduling.Reservations(policy);
-    }
-
-    beginPass(
-        candidates: readonly jobRegistry.Candidate[],
-        open: readonly session.ServerSession[],
-        predictEnd: (run: session.ActiveRun) => scheduling.PredictedEnd,
-        now: number,
-    ): void {
-        const waiting = new Set<string>();
-        const owners = new Set<jobRegistry.ActiveJob>();
-        for (const { active, ready } of this.owners.size === 0 ? [] : candidates) {
-            if (this.owners.has(active)) {
-                const stepKey = runManager.formatStepKey(active.job.id, ready);
-                waiting.add(stepKey);
-                if (this.reservations.has(stepKey)) {
-                    owners.add(active);
-                }
-            }
-        }
-        this.owners.clear();
-        owners.forEach(owner => this.owners.add(owner));
-        this.reservations.beginPass(
-            new Map(open.map(server => [server.entry.id, describeOutlook(server, predictEnd)])),
-            stepKey => waiting.has(stepKey),
-            now,
-        );
-    }
-
-    update(
-        active: jobRegistry.ActiveJob,
-        request: scheduling.PlacementRequest,
-        permitted: readonly scheduling.ServerLoad[],
-    ): scheduling.ReservationChange | undefined {
-        const change = this.reservations.update(request, permitted);
-        if (change !== undefined) {
-            this.owners.add(active);
-        }
-        return change;
-    }
-
-    drop(stepKey: string): void {
-        this.reservations.drop(stepKey);
-    }
-}
-
-function describeOutlook(
-    server: session.ServerSession,
-    predictEnd: (run: session.ActiveRun) => scheduling.PredictedEnd,
-): scheduling.ServerOutlook {
-    return {
-        load: server.load,
-        bootId: server.bootId,
-        capacity: server.entry,
-        predictEnds: () => [...server.runs.values()].filter(run => !run.step.longRunning).map(predictEnd),
-    };
-}
-
 export class Placer {
     /** Of the pass that began last, over all services. */
     counts: PassCounts = { unplaced: 0, untried: 0, overQuota: 0 };
     /** Tasks that started on a server that another step had reserved. */
     backfilledTasks = 0;
     /** By service. */
-    readonly #lookAheads = new Map<string, LookAhead>();
+    readonly #lookAheads = new Map<string, lookAheads.LookAhead>();
 
     constructor(
         private readonly shared: context.CoordinatorContext,
@@ -153,9 +90,7 @@
             const allowed = quota.countAllowed(active.job.organisation, step, ready.tasks.length);
             if (allowed === 0) {
                 this.counts.overQuota += 1;
-                if (lookAhead.owners.has(active)) {
-                    lookAhead.drop(runManager.formatStepKey(active.job.id, ready));
-                }
+                lookAhead.drop(active, ready);
                 continue;
             }
             // One that starts alone may wait for a quiet server and not for room.
@@ -166,14 +101,11 @@
             // A gang would need several servers.
             const mayReserve = mayWait && !isLarge && reserved === undefined && reservations.size === 0 && !step.gang
                 && !hopeless.includes(step);
-            const expectedDuration = reservations.reservedLoads.length === 0
-                ? undefined
-                : this.#predictDuration(active, ready.step);
             const isShort = shortages.includes(step);
-            const mayBackfill = expectedDuration !== undefined
-                && (lookAhead.owners.has(active) || reservations.mayBackfill(step, expectedDuration));
             const ownsReservation = lookAhead.owners.has(active);
-            if (isShort && !mayReserve && !mayLookAhead && !mayBackfill && !ownsReservation) {
+            const expectDuration = () => this.#predictDuration(active, ready.step);
+            const mayUseReserved = ownsReservation || reservations.mayBackfill(step, expectDuration);
+            if (isShort && !mayReserve && !mayLookAhead && !mayUseReserved) {
                 this.counts.unplaced += 1;
                 continue;
             }
@@ -181,7 +113,7 @@
             const needsTickets = route.advice !== undefined;
             const permitted = needsTickets
                 ? this.#listPermitted(candidate, stepKey, open).filter(load => load !== reserved)
-                : mayBackfill
+                : mayUseReserved
                 ? [...loads, ...reservations.reservedLoads]
                 : loads;
             const tasks = step.gang ? ready.tasks : ready.tasks.slice(0, Math.min(left, allowed));
@@ -191,12 +123,10 @@
                 tasks,
                 avoided: active.avoided,
                 alone: ready.alone,
-                expectedDuration,
+                expectedDuration: mayUseReserved ? expectDuration() : undefined,
             };
-            const tried = isShort && !needsTickets
-                ? mayBackfill ? reservations.reservedLoads : []
-                : permitted;
-            const placements = tried.length === 0
+            const tried = !isShort || needsTickets ? permitted : reservations.reservedLoads;
+            const placements = isShort && !mayUseReserved
                 ? []
                 : scheduling.placeStep(request, ready.alone ? this.#listQuiet(active, tried, byId) : tried);
             if (placements.length === 0) {
@@ -221,6 +151,7 @@
             this.backfilledTasks += placements.filter(({ server: { reservation } }) =>
                 reservation !== undefined && reservation.stepKey !== stepKey
             ).length;
+            lookAhead.drop(active, ready); // Its other tasks wait anew.
             quota.add(active.job.organisation, step.demand, placements.length);
             this.#logPlaced(candidate, placements);
             const gangRun = step.gang ? this.#nextGangRun(active, ready) : undefined;
@@ -247,11 +178,14 @@
     }
 
     /** Begins a pass over the candidates of a service. */
-    #beginPass(candidates: readonly jobRegistry.Candidate[], open: readonly session.ServerSession[]): LookAhead {
+    #beginPass(
+        candidates: readonly jobRegistry.Candidate[],
+        open: readonly session.ServerSession[],
+    ): lookAheads.LookAhead {
         const service = candidates[0]?.route.service ?? "";
         let lookAhead = this.#lookAheads.get(service);
         if (lookAhead === undefined) {
-            lookAhead = new LookAhead(this.reservationPolicy);
+            lookAhead = new lookAheads.LookAhead(this.reservationPolicy);
             this.#lookAheads.set(service, lookAhead);
         }
         const now = this.shared.clock.monotonic();
@@ -278,7 +212,7 @@
     #reserve(
         { active, ready }: jobRegistry.Candidate,
         request: scheduling.PlacementRequest,
-        lookAhead: LookAhead,
+        lookAhead: lookAheads.LookAhead,
         permitted: readonly scheduling.ServerLoad[],
     ): void {
         const change = lookAhead.update(active, request, permitted);
--- a/packages/scheduling/src/reservations.ts
+++ b/packages/scheduling/src/reservations.ts
@@ -27,10 +27,10 @@
 const maxSearches = 2;
 /** Time in ms after which a step for which no server will have room is tried again. */
 const retryInterval = 500;
+/** Steps that are remembered for that. */
+const maxRetries = 1000;
 /** Kinds of tasks that are remembered in a pass because they may not start on a reserved server. */
 const maxRejected = 16;
-/** Steps that are remembered for it. */
-const maxRemembered = 1000;
 
 /** When steps of one service get reservations; never for more steps than half of its servers. */
 export interface ReservationPolicy {
@@ -82,7 +82,7 @@
     readonly servers: readonly string[];
     /** Ms until the predicted start. */
     readonly wait: number;
-    /** Earlier servers of the reservation; `undefined` if it is new. */
+    /** Earlier servers of the reservation, none if they were lost; `undefined` if it is new. */
     readonly movedFrom: readonly string[] | undefined;
 }
 
@@ -163,11 +163,14 @@
     /**
      * Whether a task may start on a reserved server, whatever it requires besides room. Steps that demand as much and take as
      * long as one that may not are told apart without a look at the servers.
+     *
+     * @param expectDuration returns the ms within which a task is expected to end
      */
-    mayBackfill(step: jobState.Step, expectedDuration: number): boolean {
-        if (this.#reservedLoads.length === 0) {
+    mayBackfill(step: jobState.Step, expectDuration: () => number): boolean {
+        if (!this.#reservedLoads.some(load => placing.hasRoom(load, step))) {
             return false;
         }
+        const expectedDuration = expectDuration();
         const { cpu, memory, accelerators } = step.demand;
         const isRejected = this.#rejected.some(({ step: { demand, filler }, duration }) =>
             filler === step.filler && cpu >= demand.cpu && memory >= demand.memory
@@ -196,8 +199,8 @@
     }
 
     /**
-     * Begins a pass: drops the reservations of steps that no longer wait, and of servers that don't accept tasks any more or
-     * have another boot, and marks the reserved servers.
+     * Begins a pass: drops the reservations of steps that no longer wait, gives up servers that don't accept tasks any more or
+     * have another boot, and marks the reserved servers. A step that has lost its servers gets others in its turn.
      *
      * @param isWaiting whether the step still has tasks that may start
      * @param now on the monotonic clock, ms
@@ -221,12 +224,14 @@
             load.reservation = undefined;
         }
         for (const [stepKey, reservation] of this.#reservations) {
-            const isValid = isWaiting(stepKey)
-                && reservation.parts.every(part => outlooks.get(part.serverId)?.bootId === part.bootId);
-            if (!isValid) {
+            if (!isWaiting(stepKey)) {
                 this.#reservations.delete(stepKey);
                 continue;
             }
+            if (reservation.parts.some(part => outlooks.get(part.serverId)?.bootId !== part.bootId)) {
+                reservation.parts = [];
+                reservation.at = Number.NEGATIVE_INFINITY;
+            }
             reservation.parts.forEach(part => this.#holders.set(part.serverId, stepKey));
             this.#isAnyFailed ||= this.#hasFailed(reservation);
             if (now - reservation.firstMadeAt >= this.policy.bindingWait) {
@@ -288,15 +293,16 @@
             this.#reservations.set(stepKey, made);
             return this.#settle(stepKey, made, opening, undefined);
         }
-        held.strict = true;
+        const isLost = held.parts.length === 0;
+        held.strict ||= !isLost;
         const own = this.#search(request, permitted.filter(({ id }) => this.#holders.get(id) === stepKey));
-        const other = held.moves < maxMoves
+        const other = isLost || held.moves < maxMoves
             ? this.#search(request, permitted.filter(({ id }) => !this.#holders.has(id)))
             : undefined;
         if (other !== undefined && (own === undefined || other.wait < moveGain * own.wait)) {
             const before = held.parts;
             this.#unmark(held);
-            held.moves += 1;
+            held.moves += isLost ? 0 : 1;
             return this.#settle(stepKey, held, other, before);
         }
         if (own === undefined) {
@@ -345,7 +351,7 @@
     }
 
     #rememberHopeless(stepKey: string): void {
-        if (this.#retryAt.size >= maxRemembered) {
+        if (this.#retryAt.size >= maxRetries) {
             this.#retryAt.clear();
         }
         this.#retryAt.set(stepKey, this.#now + retryInterval);
