--- a/packages/dispatch/src/coordinator.ts
+++ b/packages/dispatch/src/coordinator.ts
@@ -203,7 +203,7 @@
         }, options.serverBoots);
         this.#tickets = new ticketCache.TicketCache(this.#shared);
         this.#sweeper = new jobSweeper.JobSweeper(this.#shared, store);
-        this.#placer = new placer.Placer(this.#shared, this.#runManager, this.#tickets);
+        this.#placer = new placer.Placer(this.#shared, this.#runManager, this.#tickets, this.registry.runTimes);
         this.#demand = new demand.DemandMeter(this.registry, this.fleet);
         this.#machineManager = new machineManager.MachineManager({
             shared: this.#shared,
@@ -539,7 +539,7 @@
                     candidates,
                     pool,
                     quota,
-                    (part, placedCount) => this.#placer.place(part, pool, quota, left - placedCount),
+                    (part, placedCount) => this.#placer.place(part, pool, quota, left - placedCount, candidates),
                 ),
             );
         }
@@ -559,9 +559,7 @@
         return {
             activeJobs: this.registry.active.size,
             readyTasks: workCensus.countReadyTasks(this.registry.active.values()),
-            unplacedSteps: this.#placer.counts.unplaced,
-            untriedSteps: this.#placer.counts.untried,
-            stepsOverQuota: this.#placer.counts.overQuota,
+            ...this.#placer.describe(),
             startDelay: Math.round(this.#startDelay.current),
             runs: this.#countRuns(),
             reachableServers: servers.filter(server => server.reachable).length,
