Refuse jobs beyond the committed rate that can't be served in time

Cause: while capacity was short, submissions of the organisation that caused it were accepted and ended late or expired; only a busy coordinator led to refusals, and all callers came back at the same time.

Change: the coordinator publishes in its heartbeat, only while there are any, the waits of jobs beyond the committed rate by service and behind an organisation's quota. A process refuses with 429 a job beyond the rate that can't meet its objective, and a job that would be of no use behind its own quota, unless it finds within a quarter of the latency allowance that the job was accepted elsewhere. Retry-After is spread. A refusal no longer discloses another organisation's job.

--- a/packages/dispatch/src/coordinator.ts
+++ b/packages/dispatch/src/coordinator.ts
@@ -9,6 +9,7 @@
 import * as storeClient from "@catkinwharf/store";
 import * as timers from "node:timers/promises";
 import * as availability from "./availability.js";
+import * as capacityOutlook from "./capacity-outlook.js";
 import type * as clocks from "./clocks.js";
 import * as context from "./context.js";
 import * as demand from "./demand.js";
@@ -491,6 +492,7 @@
      * @param ordersSettled whether all orders for machines got a response before the resignation
      */
     #encodeLeadership(resigned: boolean, ordersSettled: boolean): platform.storeCalls.KeyedRecord {
+        const waits = this.#estimateWaits();
         return jobState.encodeLeadership({
             epoch: this.options.claim.epoch,
             node: this.options.settings.node,
@@ -500,9 +502,25 @@
             tenure: this.#shared.clock.monotonic() - this.#shared.termStartedAt,
             lateness: Math.round(this.#load.lateness),
             startDelay: Math.round(this.#startDelay.current),
+            ...(waits === undefined ? {} : { waits }),
         });
     }
 
+    #estimateWaits(): jobState.ExpectedWaits | undefined {
+        const configuration = this.options.configuration();
+        const servers = [...this.fleet.sessions.values()];
+        return configuration === undefined || configuration.organisations.length === 0
+            ? undefined
+            : capacityOutlook.estimateWaits({
+                configuration,
+                candidates: this.registry.listCandidates(this.#shared.clock.wall()),
+                servers,
+                quota: quotaMeter.measureQuotaUsage(configuration, servers),
+                hasSpareMachines: this.#machineManager.hasSurplus,
+                isBeyondRate: job => this.registry.isBeyondRate(job),
+            });
+    }
+
     /** Starts the ready tasks of each service by rank, as far as its servers have room. */
     #runPass(): void {
         if (this.#stopped) {
--- a/packages/dispatch/src/machine-manager.ts
+++ b/packages/dispatch/src/machine-manager.ts
@@ -66,6 +66,11 @@
         });
     }
 
+    /** Whether there are empty machines that no pool needs, by the last plan of the pools. */
+    get hasSurplus(): boolean {
+        return this.#surplus.size > 0;
+    }
+
     stop(): void {
         this.#orders.stop();
         this.#inventory.stop();
--- a/packages/intake/src/index.ts
+++ b/packages/intake/src/index.ts
@@ -2,5 +2,6 @@
  * HTTP API for callers to submit, query and cancel jobs.
  */
 export * from "./job-api.js";
+export * from "./load-shedder.js";
 export * from "./route-table.js";
 export * from "./submission-writer.js";
--- a/packages/intake/src/job-api.test.ts
+++ b/packages/intake/src/job-api.test.ts
@@ -35,6 +35,8 @@
     storeUnavailable?: boolean;
     /** Ms for which tasks wait for the coordinator; 0 by default. */
     startDelay?: number;
+    /** Why submissions can't be served in time. */
+    refusal?: intake.Refusal;
     /** Records that were written. */
     written?: jobState.KeyedRecord[];
 }
@@ -84,6 +86,8 @@
         isReady: () => true,
         isShuttingDown: () => false,
         startDelay: () => view.startDelay ?? 0,
+        shedder: { findRefusal: () => view.refusal },
+        random: () => 0,
         onUnstored: () => {},
         count: () => {},
     });
@@ -190,6 +194,29 @@
     assert.is((await get(path, new jobState.JobTable(), unreadable, body)).status, 504);
 });
 
+suite(
+    "a submission that can't be served in time is refused, but not if it was accepted elsewhere or nobody knows",
+    async () => {
+        const path = `${route.pathPrefix}00000000000000ab`;
+        const body = platformTesting.createSubmissionBody(800);
+        const refusal = { reason: intake.RefusalReason.beyondRate, wait: 2400 };
+        const view: View = { age: 0, refresh: () => Promise.resolve(true), refusal, written: [] };
+        const refused = await get(path, new jobState.JobTable(), view, body);
+        assert.equal([refused.status, refused.retryAfter], [429, "3"]);
+        const jobs = new jobState.JobTable();
+        const refresh = () => {
+            submit(jobs, "00000000000000ab");
+            return Promise.resolve(true);
+        };
+        assert.is((await get(path, jobs, { ...view, refresh }, body)).status, 200);
+        assert.equal(view.written, []);
+        // A late refusal would be worse than a wait.
+        const hanging = () => new Promise<boolean>(() => {});
+        assert.is((await get(path, new jobState.JobTable(), { ...view, refresh: hanging }, body)).status, 200);
+        assert.is(view.written?.length, 1);
+    },
+);
+
 suite("callers are refused because a job is larger than a record of the store may be", async () => {
     const written: jobState.KeyedRecord[] = [];
     const view: View = { age: 0, refresh: () => Promise.resolve(true), written };
--- a/packages/intake/src/job-api.ts
+++ b/packages/intake/src/job-api.ts
@@ -11,6 +11,7 @@
 import * as timers from "node:timers/promises";
 import * as polka from "polka";
 import * as authentication from "./authentication.js";
+import * as loadShedder from "./load-shedder.js";
 import * as routeTable from "./route-table.js";
 import * as submissionWriter from "./submission-writer.js";
 
@@ -53,6 +54,10 @@
     readonly isShuttingDown: () => boolean;
     /** Ms for which a task that becomes ready now waits because the coordinator can't start more at a time. */
     readonly startDelay: () => number;
+    /** Decides which jobs are refused because capacity is short. */
+    readonly shedder: Pick<loadShedder.LoadShedder, "findRefusal">;
+    /** Numbers from 0 to 1. */
+    readonly random: () => number;
     /** Called with a job whose submission isn't known to be stored; its caller may send it again. */
     readonly onUnstored: (job: jobState.Job) => void;
     /** Counts a request in the metrics; `duration` is in ms. */
@@ -93,6 +98,9 @@
  */
 const outageRetryAfter = 1;
 
+/** Share of a route's latency allowance for which a submission may be held before it is refused for lack of capacity. */
+const maxRefusalShare = 0.25;
+
 /**
  * Age in ms up to which this process's view of the jobs is good enough for a queue's pending count, by the platform's
  * protocol.
@@ -122,14 +130,9 @@
 /** The job's record would exceed what the store takes, and an append with it would be refused with all others in it. */
 const jobTooLarge: JobResponse = { status: 413, body: "", reason: "the job is too large for the store" };
 const unknownOutcome: JobResponse = { status: 504, body: "", reason: "the store gave no answer" };
-/** Time in ms after which a caller may return who was refused because of the wait for the coordinator. */
-function createOverloadRefusal(startDelay: number): JobResponse {
-    return {
-        status: 429,
-        body: "",
-        retryAfter: Math.ceil(startDelay / 1000),
-        reason: "the coordinator can't start the job in time",
-    };
+
+function createOverloadRefusal({ reason, wait }: loadShedder.Refusal, random: number): JobResponse {
+    return { status: 429, body: "", retryAfter: loadShedder.computeRetryAfter(wait, random), reason };
 }
 
 function createKeyRefusal(fault: authentication.KeyFault): JobResponse {
@@ -383,15 +386,9 @@
         if (!store.isStorable(record, this.options.storeLimits)) {
             return jobTooLarge;
         }
-        const startDelay = this.options.startDelay();
-        if (!scheduling.canMeetObjective(job, request.route, startDelay)) {
-            // An earlier attempt may have been accepted elsewhere just now; then it isn't true that the job won't run.
-            if (await this.#waitUntil(request.deadline, this.options.refreshJobs()) !== true) {
-                return unknownOutcome;
-            }
-            return this.options.jobs.entries.get(request.id)?.job === undefined
-                ? createOverloadRefusal(startDelay)
-                : accepted;
+        const refused = await this.#refuseOverload(job, request);
+        if (refused !== undefined) {
+            return refused;
         }
         const response = this.options.isStoreUnavailable()
             ? storeUnavailable
@@ -402,6 +399,42 @@
         return response;
     }
 
+    /** The response to a job that can't be served in time; `undefined` if the job may be accepted. */
+    async #refuseOverload(job: jobState.Job, request: JobRequest): Promise<JobResponse | undefined> {
+        const startDelay = this.options.startDelay();
+        if (!scheduling.canMeetObjective(job, request.route, startDelay)) {
+            const refusal = { reason: loadShedder.RefusalReason.coordinatorBusy, wait: startDelay };
+            return await this.#refuseUnlessAccepted(refusal, request, request.deadline) ?? unknownOutcome;
+        }
+        const refusal = this.options.shedder.findRefusal(job, request.route);
+        if (refusal === undefined || this.options.isStoreUnavailable()) {
+            return undefined;
+        }
+        // A late refusal serves the caller worse than a job that waits, so it is accepted then.
+        const hold = maxRefusalShare * request.route.latencyAllowance;
+        const deadline = Math.min(request.deadline, this.options.monotonicNow() + hold);
+        return this.#refuseUnlessAccepted(refusal, request, deadline);
+    }
+
+    /**
+     * Refuses a job unless an earlier attempt has been accepted elsewhere just now, as it wouldn't be true then that the
+     * job won't run. `undefined` if that can't be determined by the deadline.
+     */
+    async #refuseUnlessAccepted(
+        refusal: loadShedder.Refusal,
+        request: JobRequest,
+        deadline: number,
+    ): Promise<JobResponse | undefined> {
+        if (await this.#waitUntil(deadline, this.options.refreshJobs()) !== true) {
+            return undefined;
+        }
+        const known = this.options.jobs.entries.get(request.id)?.job;
+        if (known !== undefined) {
+            return isVisible(known, request) ? accepted : idUnusable;
+        }
+        return createOverloadRefusal(refusal, this.options.random());
+    }
+
     async cancel(request: JobRequest): Promise<JobResponse> {
         const entry = await this.#findEntry(request);
         if (entry === "behind-store") {
--- a/packages/job-state/src/records.test.ts
+++ b/packages/job-state/src/records.test.ts
@@ -197,6 +197,9 @@
     };
     const record = jobState.encodeLeadership(leadership);
     assert.equal(jobState.decodeLedger(record.key, record.value), { kind: "leadership", leadership });
+    const waiting = { ...leadership, waits: { beyondRate: { dispatch: 900 }, quota: {} } };
+    const { key, value } = jobState.encodeLeadership(waiting);
+    assert.equal(jobState.decodeLedger(key, value), { kind: "leadership", leadership: waiting });
     const wave = jobState.encodeWaveProgress(3, { begun: ["m-1"], completed: false, seenAt: 5 });
     assert.equal(jobState.decodeLedger(wave.key, wave.value), {
         kind: "wave",
--- a/packages/job-state/src/records.ts
+++ b/packages/job-state/src/records.ts
@@ -55,6 +55,16 @@
     readonly lateness: number;
     /** Ms for which a task that becomes ready now waits because the coordinator can't start more at a time. */
     readonly startDelay: number;
+    /** Waits because capacity is short; `undefined` while there are none. Records of earlier versions lack it. */
+    readonly waits?: ExpectedWaits | undefined;
+}
+
+/** Ms for which new jobs are expected to wait because capacity is short. */
+export interface ExpectedWaits {
+    /** Of jobs beyond their organisation's committed rate, by service. */
+    readonly beyondRate: Readonly<Record<string, number>>;
+    /** Of an organisation's jobs behind its own earlier ones by its quota, by organisation. */
+    readonly quota: Readonly<Record<string, number>>;
 }
 
 export type SubmissionRecord =
@@ -337,7 +347,9 @@
         const tenure = Number(decoded.tenure ?? 0);
         const lateness = Number(decoded.lateness ?? 0);
         const startDelay = Number(decoded.startDelay ?? 0);
-        return { kind: "leadership", leadership: { ...decoded, ordersSettled, tenure, lateness, startDelay } };
+        const waits = restoreWaits(decoded.waits);
+        const fields = { ordersSettled, tenure, lateness, startDelay, ...(waits === undefined ? {} : { waits }) };
+        return { kind: "leadership", leadership: { ...decoded, ...fields } };
     }
     if (key.startsWith(machinePrefix) && isObject(decoded) && typeof decoded["epoch"] === "number") {
         const tenure = Number(decoded["tenure"] ?? 0);
@@ -428,6 +440,19 @@
     return isObject(value) && typeof value["epoch"] === "number" && typeof value["node"] === "string";
 }
 
+function restoreWaits(value: unknown): ExpectedWaits | undefined {
+    return isObject(value)
+        ? { beyondRate: restoreNumbers(value["beyondRate"]), quota: restoreNumbers(value["quota"]) }
+        : undefined;
+}
+
+function restoreNumbers(value: unknown): Record<string, number> {
+    const entries = isObject(value) ? Object.entries(value) : [];
+    return Object.fromEntries(
+        entries.filter((entry): entry is [string, number] => typeof entry[1] === "number" && Number.isFinite(entry[1])),
+    );
+}
+
 function isStoredPart(value: unknown): value is parts.StoredPart {
     return isObject(value) && value["d"] instanceof Uint8Array && Array.isArray(value["h"])
         && ["k", "n", "i", "m"].every(field => Number.isSafeInteger(value[field]));
--- a/packages/node/src/entry-instance.ts
+++ b/packages/node/src/entry-instance.ts
@@ -45,6 +45,13 @@
 const directLossBeforeDeference = 500;
 /** Time in ms after which an idle connection is closed; longer than callers keep one open. */
 const keepAliveTimeout = 75_000;
+/**
+ * Age in ms up to which the waits that a coordinator published may refuse submissions: a few heartbeats. Without a
+ * coordinator nobody knows how long jobs wait.
+ */
+const maxWaitsAge = 1500;
+/** Time in ms between two removals of old submissions from the count for committed rates. */
+const committedRatesSweepInterval = 10_000;
 
 export class EntryInstance {
     readonly #httpClient = new httpCalls.HttpClient();
@@ -84,6 +91,10 @@
     /** On the monotonic clock: when this process last began to coordinate. */
     #coordinatingSince = 0;
     #activeRequests = 0;
+    /** Counts all submissions, for the decision on new ones. */
+    readonly #committedRates = new scheduling.CommittedRates();
+    /** On the monotonic clock: when the newest record of a coordinator was read. */
+    #leadershipReadAt = Number.NEGATIVE_INFINITY;
 
     constructor(private readonly settings: platform.settings.ProcessSettings, private readonly log: eventLog.EventLog) {
         const now = () => this.#clock.wall();
@@ -120,7 +131,12 @@
             isPrepared: () => this.#configuration !== undefined && this.#submissions.loaded && !this.#shuttingDown,
         });
         this.#unstoredJobs = new unstoredJobs.UnstoredJobs({ report: jobs => this.#reportUnstoredJobs(jobs), log });
-        this.#jobs.onJobOrCancellation = entry => this.#coordinator?.applyJob(entry);
+        this.#jobs.onJobOrCancellation = entry => {
+            if (entry.job !== undefined) {
+                this.#committedRates.add(entry.job);
+            }
+            this.#coordinator?.applyJob(entry);
+        };
     }
 
     start(): void {
@@ -136,6 +152,7 @@
         this.#operatorRecords.start();
         this.#leaderElection.start();
         setInterval(() => this.#handOverIfCutOff(), handOverCheckInterval).unref();
+        setInterval(() => this.#committedRates.forgetOld(this.#clock.wall()), committedRatesSweepInterval).unref();
         void this.#startRelay();
         this.#metrics.watchEvents(this.log);
         this.#metrics.watchReads(this.#store.reads);
@@ -228,6 +245,14 @@
             isReady: () => this.#isReady(),
             isShuttingDown: () => this.#shuttingDown,
             startDelay: () => this.#leaderElection.newestLeadership?.startDelay ?? 0,
+            shedder: new intake.LoadShedder({
+                expectedWaits: () =>
+                    this.#clock.monotonic() - this.#leadershipReadAt <= maxWaitsAge
+                        ? this.#leaderElection.newestLeadership?.waits
+                        : undefined,
+                committedRates: this.#committedRates,
+            }),
+            random: Math.random,
             onUnstored: job => this.#unstoredJobs.add(job),
             count: (method, status, duration) => this.#metrics.countRequest(method, status, duration),
         });
@@ -339,6 +364,9 @@
         const isOwnProgress = this.#coordinator !== undefined && jobState.isProgressKey(record.key);
         const decoded = isOwnProgress ? undefined : jobState.decodeLedger(record.key, record.value);
         this.#leaderElection.applyRecord(decoded);
+        if (decoded?.kind === "leadership") {
+            this.#leadershipReadAt = this.#clock.monotonic();
+        }
         if (decoded?.kind === "machine") {
             // `tenure`: time in ms for which the coordinator of the epoch had coordinated when it gave the order.
             const { epoch, tenure } = decoded;
@@ -398,6 +426,8 @@
                 organisations: decoded.configuration.organisations.length,
             });
             this.#configuration = decoded.configuration;
+            const { organisations } = decoded.configuration;
+            this.#committedRates.setWeights(new Map(organisations.map(({ name, weight }) => [name, weight])));
             this.#coordinator?.applyConfiguration(decoded.configuration);
         }
     }
--- a/packages/scheduling/src/start-delay.ts
+++ b/packages/scheduling/src/start-delay.ts
@@ -65,10 +65,24 @@
  * every job is accepted. Jobs that are due later and long-running ones always are: the latter start before all others.
  */
 export function canMeetObjective(job: jobState.Job, policy: objective.QueuePolicy, startDelay: number): boolean {
+    return canEndBy(job, policy, startDelay, (_due, objectiveTime) => objectiveTime);
+}
+
+/** The same for the time until which the job's result is of use to its caller. */
+export function canBeOfUse(job: jobState.Job, policy: objective.QueuePolicy, startDelay: number): boolean {
+    return canEndBy(job, policy, startDelay, objective.computeExpiry);
+}
+
+function canEndBy(
+    job: jobState.Job,
+    policy: objective.QueuePolicy,
+    startDelay: number,
+    computeEnd: (due: number, objectiveTime: number) => number,
+): boolean {
     if (startDelay <= 0 || job.repetition !== undefined || job.steps.some(step => step.longRunning)) {
         return true;
     }
     const criticalPath = objective.computeCriticalPath(job, objective.estimateStepTimes(job, new Map()));
-    const allowed = objective.computeObjective(job, 0, criticalPath, policy) - jobState.findDueTime(job, 0);
-    return startDelay + criticalPath <= allowed;
+    const due = jobState.findDueTime(job, 0);
+    return startDelay + criticalPath <= computeEnd(due, objective.computeObjective(job, 0, criticalPath, policy)) - due;
 }
