Report what each organisation has waiting, running and refused

Cause: an operator couldn't tell why an organisation's jobs wait or are refused.

Change: the coordinator logs organisation-load once a second for each organisation and service, and capacity-short while it publishes waits; gauges of tasks and shares, and a counter of refusals by reason and organisation.

Measured by tests: one report a second, none without organisations.

--- a/packages/dispatch/src/coordinator.ts
+++ b/packages/dispatch/src/coordinator.ts
@@ -9,7 +9,6 @@
 import * as storeClient from "@catkinwharf/store";
 import * as timers from "node:timers/promises";
 import * as availability from "./availability.js";
-import * as capacityOutlook from "./capacity-outlook.js";
 import type * as clocks from "./clocks.js";
 import * as context from "./context.js";
 import * as demand from "./demand.js";
@@ -21,6 +20,7 @@
 import * as ledgerWriter from "./ledger-writer.js";
 import * as loadMeter from "./load-meter.js";
 import * as machineManager from "./machine-manager.js";
+import * as organisationMonitor from "./organisation-monitor.js";
 import * as placer from "./placer.js";
 import * as queueMeter from "./queue-meter.js";
 import * as quotaMeter from "./quota-meter.js";
@@ -77,6 +77,8 @@
     readonly onStepDown: (reason: string) => void;
     /** Receives the times in ms that the coordinator's activities take, for metrics. */
     readonly observeDuration: (activity: loadMeter.Activity, duration: number) => void;
+    /** Receives what each organisation has waiting and running in each service, for metrics. */
+    readonly observeOrganisations: (states: readonly organisationMonitor.OrganisationState[]) => void;
 }
 
 /**
@@ -125,6 +127,7 @@
     readonly #placer: placer.Placer;
     readonly #load: loadMeter.LoadMeter;
     readonly #queues: queueMeter.QueueMeter;
+    readonly #organisations: organisationMonitor.OrganisationMonitor;
     readonly #passCycle = new dutyCycle.DutyCycle(maxPassShare);
     readonly #startLimit = new scheduling.StartLimit();
     readonly #startDelay = new scheduling.StartDelayEstimate();
@@ -216,6 +219,15 @@
             relocateTask: server => this.#relocateTask(server),
             isPinned: server => relocation.isPinned(server),
         });
+        this.#organisations = new organisationMonitor.OrganisationMonitor({
+            registry: this.registry,
+            sessions: this.fleet.sessions,
+            configuration: options.configuration,
+            hasSpareMachines: () => this.#machineManager.hasSurplus,
+            clock,
+            log: options.log,
+            observe: states => options.observeOrganisations(states),
+        });
         this.#serverFollower = new storeClient.TopicFollower(
             store,
             {
@@ -426,6 +438,7 @@
             now,
             () => workCensus.describeQueues(this.registry.active.values(), this.#shared.clock.wall()),
         );
+        this.#organisations.report();
         if (now - this.#lastHeartbeatAt >= leaderElection.heartbeatInterval) {
             this.#lastHeartbeatAt = now;
             this.#updateStartDelay(now);
@@ -492,7 +505,7 @@
      * @param ordersSettled whether all orders for machines got a response before the resignation
      */
     #encodeLeadership(resigned: boolean, ordersSettled: boolean): platform.storeCalls.KeyedRecord {
-        const waits = this.#estimateWaits();
+        const waits = this.#organisations.estimateWaits();
         return jobState.encodeLeadership({
             epoch: this.options.claim.epoch,
             node: this.options.settings.node,
@@ -506,21 +519,6 @@
         });
     }
 
-    #estimateWaits(): jobState.ExpectedWaits | undefined {
-        const configuration = this.options.configuration();
-        const servers = [...this.fleet.sessions.values()];
-        return configuration === undefined || configuration.organisations.length === 0
-            ? undefined
-            : capacityOutlook.estimateWaits({
-                configuration,
-                candidates: this.registry.listCandidates(this.#shared.clock.wall()),
-                servers,
-                quota: quotaMeter.measureQuotaUsage(configuration, servers),
-                hasSpareMachines: this.#machineManager.hasSurplus,
-                isBeyondRate: job => this.registry.isBeyondRate(job),
-            });
-    }
-
     /** Starts the ready tasks of each service by rank, as far as its servers have room. */
     #runPass(): void {
         if (this.#stopped) {
--- a/packages/dispatch/src/index.ts
+++ b/packages/dispatch/src/index.ts
@@ -5,3 +5,4 @@
 export * from "./coordinator.js";
 export * from "./earlier-orders.js";
 export * from "./leader-election.js";
+export type { OrganisationState } from "./organisation-monitor.js";
--- a/packages/dispatch/src/testing/simulation.ts
+++ b/packages/dispatch/src/testing/simulation.ts
@@ -273,6 +273,7 @@
             serverBoots,
             onStepDown: () => undefined,
             observeDuration: () => undefined,
+            observeOrganisations: () => undefined,
         });
         this.#currentJobs = jobs;
         this.current = process as Process;
--- a/packages/intake/src/job-api.test.ts
+++ b/packages/intake/src/job-api.test.ts
@@ -90,6 +90,7 @@
         random: () => 0,
         onUnstored: () => {},
         count: () => {},
+        countRefusal: () => {},
     });
     const app = api.createApp();
     const server = http.createServer((message, response) =>
--- a/packages/intake/src/job-api.ts
+++ b/packages/intake/src/job-api.ts
@@ -62,6 +62,8 @@
     readonly onUnstored: (job: jobState.Job) => void;
     /** Counts a request in the metrics; `duration` is in ms. */
     readonly count: (method: string, status: string, duration: number) => void;
+    /** Counts a request that wasn't carried out in the metrics; `reason` is one of a few texts. */
+    readonly countRefusal: (reason: string, organisation: string | undefined) => void;
 }
 
 interface JobResponse {
@@ -71,8 +73,10 @@
     readonly retryAfter?: number;
     /** Authentication scheme for the WWW-Authenticate header. */
     readonly scheme?: string;
-    /** Why the request failed; logged only. */
+    /** Why the request failed; logged and counted only. */
     readonly reason?: string;
+    /** Organisation of a caller that was refused because of its organisation's rate or quota; logged and counted only. */
+    readonly organisation?: string | undefined;
 }
 
 interface JobRequest {
@@ -131,8 +135,15 @@
 const jobTooLarge: JobResponse = { status: 413, body: "", reason: "the job is too large for the store" };
 const unknownOutcome: JobResponse = { status: 504, body: "", reason: "the store gave no answer" };
 
-function createOverloadRefusal({ reason, wait }: loadShedder.Refusal, random: number): JobResponse {
-    return { status: 429, body: "", retryAfter: loadShedder.computeRetryAfter(wait, random), reason };
+/** Statuses whose reasons are few, so that they can be counted; the reason of a 400 may quote the request. */
+const refusalStatuses: ReadonlySet<number> = new Set([401, 413, 429, 503, 504]);
+
+function createOverloadRefusal(
+    { reason, wait }: loadShedder.Refusal,
+    organisation: string | undefined,
+    random: number,
+): JobResponse {
+    return { status: 429, body: "", retryAfter: loadShedder.computeRetryAfter(wait, random), reason, organisation };
 }
 
 function createKeyRefusal(fault: authentication.KeyFault): JobResponse {
@@ -227,6 +238,9 @@
         response.end(result.body);
         const duration = this.options.monotonicNow() - startedAt;
         this.options.count(message.method ?? "", String(result.status), duration);
+        if (refusalStatuses.has(result.status)) {
+            this.options.countRefusal(result.reason ?? "", result.organisation);
+        }
         this.#log(message, result, duration);
     }
 
@@ -239,6 +253,8 @@
             path: message.url,
             status: result.status,
             reason: result.reason,
+            organisation: result.organisation,
+            retryAfter: result.retryAfter,
             configuration: this.#routes?.version,
             duration: Math.round(duration),
         });
@@ -432,7 +448,7 @@
         if (known !== undefined) {
             return isVisible(known, request) ? accepted : idUnusable;
         }
-        return createOverloadRefusal(refusal, this.options.random());
+        return createOverloadRefusal(refusal, request.organisation, this.options.random());
     }
 
     async cancel(request: JobRequest): Promise<JobResponse> {
--- a/packages/node/src/entry-instance.ts
+++ b/packages/node/src/entry-instance.ts
@@ -255,6 +255,7 @@
             random: Math.random,
             onUnstored: job => this.#unstoredJobs.add(job),
             count: (method, status, duration) => this.#metrics.countRequest(method, status, duration),
+            countRefusal: (reason, organisation) => this.#metrics.countRefusal(reason, organisation),
         });
     }
 
@@ -465,6 +466,7 @@
             serverBoots: this.#serverBoots,
             onStepDown: () => this.#stepDown(),
             observeDuration: (activity, duration) => this.#metrics.observeCoordinator(activity, duration),
+            observeOrganisations: states => this.#metrics.observeOrganisations(states),
         });
         await this.#coordinator.start();
     }
@@ -492,6 +494,7 @@
     }
 
     #stepDown(): void {
+        this.#metrics.observeOrganisations([]); // Another process reports them.
         this.#coordinator = undefined;
         this.#leaderElection.leading = false;
         // Reads the progress records that were ignored while this process coordinated.
--- a/packages/node/src/metrics.ts
+++ b/packages/node/src/metrics.ts
@@ -1,6 +1,7 @@
 /**
  * Prometheus metrics of a process.
  */
+import type * as dispatch from "@catkinwharf/dispatch";
 import type * as eventLog from "@catkinwharf/event-log";
 import type * as store from "@catkinwharf/store";
 import * as http from "node:http";
@@ -33,6 +34,28 @@
         registers: [this.registry],
     });
 
+    readonly #refusals = new promClient.Counter({
+        name: "catkinwharf_refusals_total",
+        help: "Requests that weren't carried out, by the reason in their log line and the caller's organisation.",
+        labelNames: ["reason", "organisation"] as const,
+        registers: [this.registry],
+    });
+
+    readonly #organisationTasks = new promClient.Gauge({
+        name: "catkinwharf_organisation_tasks",
+        help: "Tasks by organisation, service and state: running, waiting, and of the waiting ones those beyond the"
+            + " committed rate, over the quota, or late. Only the coordinator has them.",
+        labelNames: ["organisation", "service", "state"] as const,
+        registers: [this.registry],
+    });
+
+    readonly #organisationShares = new promClient.Gauge({
+        name: "catkinwharf_organisation_share",
+        help: "Largest part of the capacity that an organisation has running, in any resource, divided by its weight.",
+        labelNames: ["organisation"] as const,
+        registers: [this.registry],
+    });
+
     /** Exposes the number of log events by name, including events whose lines were dropped. */
     watchEvents(log: eventLog.EventLog): void {
         const events = new promClient.Counter({
@@ -80,6 +103,27 @@
         this.#durations.observe({ method }, duration / 1000);
     }
 
+    /** @param organisation `undefined` if the request belongs to none, or its key wasn't accepted */
+    countRefusal(reason: string, organisation: string | undefined): void {
+        this.#refusals.inc({ reason, organisation: organisation ?? "" });
+    }
+
+    /** Replaces what the organisations have waiting and running; empty while this process doesn't coordinate. */
+    observeOrganisations(states: readonly dispatch.OrganisationState[]): void {
+        this.#organisationTasks.reset();
+        this.#organisationShares.reset();
+        for (const { organisation, service, share, ...counts } of states) {
+            const set = (state: string, count: number) =>
+                this.#organisationTasks.set({ organisation, service, state }, count);
+            set("waiting", counts.waitingTasks);
+            set("running", counts.runningTasks);
+            set("beyond-rate", counts.beyondRateTasks);
+            set("over-quota", counts.overQuotaTasks);
+            set("late", counts.lateTasks);
+            this.#organisationShares.set({ organisation }, share);
+        }
+    }
+
     /** @param duration time in ms that the coordinator's activity took */
     observeCoordinator(activity: string, duration: number): void {
         this.#coordinatorDurations.observe({ activity }, duration / 1000);
