--- a/packages/intake/src/testing/api.ts
+++ b/packages/intake/src/testing/api.ts
@@ -47,8 +47,11 @@
         isReady: () => true,
         isShuttingDown: () => false,
         startDelay: () => 0,
+        shedder: { findRefusal: () => undefined },
+        random: () => 0,
         onUnstored: () => undefined,
         count: () => undefined,
+        countRefusal: () => undefined,
         ...overrides,
     };
 }
