Let the soak draw organisations, and judge quotas and keys

Cause: no random faults were played with organisations. Two more rules are judged: starts above a quota by the runs of the servers, and submissions accepted, or runs, without a valid key.

--- a/packages/job-soak/src/bin/job-soak.ts
+++ b/packages/job-soak/src/bin/job-soak.ts
@@ -19,6 +19,9 @@
     interval = clipanion.Option.String("--interval", "700", {
         description: "Mean time in ms between the beginnings of two faults.",
     });
+    organisations = clipanion.Option.Boolean("--organisations", {
+        description: "Whether the deployment has organisations; drawn by the seed unless given.",
+    });
     only = clipanion.Option.String("--only", "", { description: "Names of faults to draw from, separated by commas." });
     program = clipanion.Option.String("--program", { description: "Program of the entry processes." });
     logs = clipanion.Option.String("--logs", { description: "Folder for the logs of the processes." });
@@ -35,22 +38,24 @@
                 machinesPerService: Number(this.machines),
                 rate: Number(this.rate),
                 faultInterval: Number(this.interval),
+                ...this.organisations === undefined ? {} : { hasOrganisations: this.organisations },
                 faultNames: this.only === "" ? undefined : this.only.split(","),
                 program: this.program === undefined ? undefined : path.resolve(this.program),
                 logFolder: this.logs === undefined ? undefined : path.join(this.logs, String(seed)),
                 onFault: line => this.verbose ? bench.print(line) : lines.push(line),
             });
-            const { duplicateRuns, concurrentCoordinators, ...counts } = summary;
+            const { duplicateRuns, concurrentCoordinators, quotaExcesses, foreignRequests, ...counts } = summary;
+            const kinds = [duplicateRuns, concurrentCoordinators, quotaExcesses, foreignRequests];
             bench.print(JSON.stringify({
                 seed,
                 twice: duplicateRuns.length,
                 one: concurrentCoordinators.length,
+                quota: quotaExcesses.length,
+                route: foreignRequests.length,
                 ...counts,
             }));
-            [...duplicateRuns.slice(0, maxPrinted), ...concurrentCoordinators.slice(0, maxPrinted)].forEach(
-                bench.print,
-            );
-            broken ||= duplicateRuns.length + concurrentCoordinators.length > 0;
+            kinds.flatMap(found => found.slice(0, maxPrinted)).forEach(bench.print);
+            broken ||= kinds.some(found => found.length > 0);
         }
         return broken ? 1 : 0;
     }
--- a/packages/job-soak/src/judgement.ts
+++ b/packages/job-soak/src/judgement.ts
@@ -8,6 +8,10 @@
     readonly duplicateRuns: readonly string[];
     /** Orders for machines, and terms, of two coordinators of which only one should have acted. */
     readonly concurrentCoordinators: readonly string[];
+    /** Starts that brought an organisation above its quota. */
+    readonly quotaExcesses: readonly string[];
+    /** Submissions that were accepted, or runs, without a valid key. */
+    readonly foreignRequests: readonly string[];
 }
 
 /** A process began to coordinate. */
--- a/packages/job-soak/src/load.ts
+++ b/packages/job-soak/src/load.ts
@@ -7,6 +7,7 @@
 import * as testUtils from "@catkinwharf/test-utils";
 import * as timers from "node:timers/promises";
 import * as undici from "undici";
+import type * as organisations from "./organisations.js";
 
 /** Time in ms for which a caller waits for a response. */
 const callTimeout = 3000;
@@ -33,6 +34,8 @@
     readonly isAsked: boolean;
     /** The process that gets the first call. */
     readonly firstProcess: number;
+    /** `undefined` without organisations. */
+    readonly credentials: organisations.Credentials | undefined;
 }
 
 export interface LoadOptions {
@@ -41,10 +44,18 @@
     readonly random: bench.RandomSource;
     /** Mean number of jobs per second. */
     readonly rate: number;
+    /** `undefined` if requests need no keys. */
+    readonly organisations: organisations.Organisations | undefined;
 }
 
+type Method = "POST" | "GET" | "DELETE";
+
+/** Thousandths of a core that each task demands. */
+const taskCpu = 500;
+
 export class Load {
     accepted = 0;
+    readonly acceptedRequests: organisations.AcceptedRequest[] = [];
     submitted = 0;
     #stopped = false;
     readonly #pools = new Map<string, undici.Pool>();
@@ -73,13 +84,20 @@
         const longRunning = random.next() < longRunningShare;
         const steps = Array.from({ length: longRunning ? 1 : 1 + random.nextBelow(3) }, (_, i) => ({
             tasks: 2 + random.nextBelow(7),
+            cpu: taskCpu,
             dependsOn: i === 0 ? [] : [i - 1],
             longRunning,
         }));
         const duration = longRunning ? undefined : Math.round(100 + random.nextExponential(500));
         const isCancelled = longRunning || random.next() < cancelledShare;
+        const id = this.submitted.toString(16).padStart(16, "0");
+        const credentials = this.options.organisations?.draw();
+        if (credentials !== undefined) {
+            this.options.organisations?.recordDemand(id, credentials, taskCpu);
+        }
         return {
-            id: this.submitted.toString(16).padStart(16, "0"),
+            id,
+            credentials,
             queue: random.pick(queues),
             body: platformStandIns.createJobBody({ duration }, ...steps),
             cancelAfter: isCancelled ? Math.round(random.nextExponential(longRunning ? 12_000 : 800)) : undefined,
@@ -90,12 +108,11 @@
     }
 
     async #followJob(plan: JobPlan): Promise<void> {
-        const target = `/${plan.queue}/${plan.id}`;
-        const status = await this.#call(plan.firstProcess, "POST", target, plan.body);
+        const status = await this.#call(plan, plan.firstProcess, "POST");
         if (status === 200) {
             this.accepted += 1;
         }
-        const events: [number, "POST" | "GET" | "DELETE"][] = [];
+        const events: [number, Method][] = [];
         if (plan.repeatAfter !== undefined && status === 200) {
             events.push([plan.repeatAfter, "POST"]);
         }
@@ -109,16 +126,22 @@
         for (const [after, method] of events.sort(([a], [b]) => a - b)) {
             await timers.setTimeout(after - waited);
             waited = after;
-            await this.#call(plan.firstProcess + 1, method, target, method === "POST" ? plan.body : undefined);
+            await this.#call(plan, plan.firstProcess + 1, method);
         }
     }
 
     /** Sends a call to one process after the other until one answers; returns the status, 0 if none did. */
-    async #call(first: number, method: "POST" | "GET" | "DELETE", target: string, body?: object): Promise<number> {
+    async #call(plan: JobPlan, first: number, method: Method): Promise<number> {
         const { processes } = this.options.deployment;
+        const { credentials } = plan;
         for (let attempt = 0; attempt < maxAttempts && !this.#stopped; attempt++) {
             const node = processes[(first + attempt) % processes.length]!;
-            const status = await this.#send(node, method, target, body);
+            const key = credentials === undefined ? undefined : this.options.organisations?.renew(credentials);
+            const sentAt = Date.now();
+            const status = await this.#send(plan, node, method, key);
+            if (method === "POST" && status === 200 && key !== undefined) {
+                this.acceptedRequests.push({ job: plan.id, key, sentAt });
+            }
             if (status !== 0 && status !== 429 && status < 500) {
                 return status;
             }
@@ -128,10 +151,10 @@
     }
 
     async #send(
+        { queue, id, body }: JobPlan,
         node: platformStandIns.EntryProcess,
-        method: "POST" | "GET" | "DELETE",
-        target: string,
-        body: object | undefined,
+        method: Method,
+        key: string | undefined,
     ): Promise<number> {
         let pool = this.#pools.get(node.name);
         if (pool === undefined) {
@@ -142,9 +165,13 @@
         try {
             const response = await pool.request({
                 method,
-                path: target,
-                headers: { "host": "queues.test", "x-deadline-ms": String(callTimeout) },
-                body: body === undefined ? undefined : JSON.stringify(body),
+                path: `/${queue}/${id}`,
+                headers: {
+                    "host": "queues.test",
+                    "x-deadline-ms": String(callTimeout),
+                    ...platformStandIns.createAuthorization(key),
+                },
+                body: method === "POST" ? JSON.stringify(body) : undefined,
                 signal: AbortSignal.timeout(callTimeout),
             });
             await response.body.dump();
--- a/packages/job-soak/src/soak.test.ts
+++ b/packages/job-soak/src/soak.test.ts
@@ -11,6 +11,7 @@
     const lines: string[] = [];
     const summary = await soak.runSoak({
         seed: 1,
+        hasOrganisations: false,
         duration: 30_000,
         processes: 4,
         machinesPerService: 4,
@@ -22,13 +23,18 @@
         onFault: line => lines.push(line),
         ...options,
     });
-    const broken = [...summary.duplicateRuns, ...summary.concurrentCoordinators];
+    const { duplicateRuns, concurrentCoordinators, quotaExcesses, foreignRequests } = summary;
+    const broken = [...duplicateRuns, ...concurrentCoordinators, ...quotaExcesses, ...foreignRequests];
     assert.equal(broken, [], lines.join("\n"));
     assert.ok(summary.accepted > 0 && summary.runs > 0 && summary.faults > 0);
 }
 
 suite("a task runs twice, or two processes coordinate, under random faults", () => assertRulesHold({}));
 
+suite("an organisation exceeds its quota, or is served without a valid key, under random faults", () => {
+    return assertRulesHold({ hasOrganisations: true, duration: 20_000 });
+});
+
 suite("two processes start each other's tasks, as the last heartbeat of a killed coordinator hides a claim", () => {
     return assertRulesHold({
         duration: 45_000,
--- a/packages/job-soak/src/soak.ts
+++ b/packages/job-soak/src/soak.ts
@@ -11,13 +11,22 @@
 import * as faults from "./faults.js";
 import * as judgement from "./judgement.js";
 import * as load from "./load.js";
+import * as organisations from "./organisations.js";
 
 const queues: readonly platformStandIns.QueueDescription[] = [
     { name: "quotes", service: "pricing" },
     { name: "receipts", service: "archive" },
 ];
 /** Bounds of the users' smaller deployments; named as in the settings file. */
-const bounds = { GraceS: 2, HoldMaxMs: 6000, LeaseMs: 3000, StopMs: 200, ConfigApplyMs: 2000, status_s: 120 };
+const bounds = {
+    GraceS: 2,
+    HoldMaxMs: 6000,
+    LeaseMs: 3000,
+    StopMs: 200,
+    ConfigApplyMs: 2000,
+    RevokeMs: 5000,
+    status_s: 120,
+};
 /** Time in ms without faults before the first one, and after the last. */
 const calmBefore = 2000;
 const calmAfter = 4000;
@@ -32,6 +41,8 @@
     readonly machinesPerService: number;
     /** Mean number of jobs per second. */
     readonly rate: number;
+    /** Whether the deployment has organisations; drawn by the seed unless given. */
+    readonly hasOrganisations?: boolean;
     /** Names of the faults to draw from; all unless given. */
     readonly faultNames: readonly string[] | undefined;
     /** Program of the entry processes, of this version unless given. */
@@ -47,6 +58,7 @@
     readonly submitted: number;
     readonly accepted: number;
     readonly runs: number;
+    readonly hasOrganisations: boolean;
 }
 
 /** A fault that is to begin. */
@@ -69,10 +81,15 @@
 
 /** Runs the soak; throws if the deployment doesn't start. */
 export async function runSoak(options: SoakOptions): Promise<SoakSummary> {
+    const drawn = new bench.RandomSource(options.seed + 2000);
+    const hasOrganisations = options.hasOrganisations ?? drawn.next() < 0.5;
+    const tenants = hasOrganisations ? new organisations.Organisations(drawn, bounds.RevokeMs) : undefined;
     const fronts = new Map<string, faults.FaultyFront>();
     const deployment: platformStandIns.StandInDeployment = new platformStandIns.StandInDeployment(queues, {
         program: options.program,
         bounds,
+        contracts: tenants === undefined ? [] : ["tenants"],
+        organisations: tenants?.present ?? [],
         openStore: async name => {
             const front = new faults.FaultyFront(deployment.store, new bench.RandomSource(options.seed + fronts.size));
             fronts.set(name, front);
@@ -86,6 +103,7 @@
         queues: queues.map(({ name }) => name),
         random: new bench.RandomSource(options.seed + 1000),
         rate: options.rate,
+        organisations: tenants,
     });
     const killProcesses = () => deployment.processes.forEach(({ child }) => child?.kill("SIGKILL"));
     process.once("exit", killProcesses);
@@ -94,21 +112,26 @@
             options.processes,
             Object.fromEntries(queues.map(({ service }) => [service, options.machinesPerService])),
         );
-        const loading = callers.run();
+        const loading = Promise.all([callers.run(), tenants?.run(deployment)]);
         await timers.setTimeout(calmBefore);
         const count = await injectFaults(options, deployment, fronts);
         await timers.setTimeout(calmAfter);
         callers.stop();
+        tenants?.stop();
         await loading;
+        const { history } = deployment.machines;
         const terms = faults.listTerms(deployment.processes, "coordinating");
         return {
-            duplicateRuns: judgement.findDuplicateRuns(deployment.machines.history, terms),
+            duplicateRuns: judgement.findDuplicateRuns(history, terms),
             concurrentCoordinators: judgement.findConcurrentCoordinators(deployment.machines.orders, terms),
+            quotaExcesses: tenants?.findQuotaExcesses(history) ?? [],
+            foreignRequests: tenants?.findForeignRequests(callers.acceptedRequests, history) ?? [],
+            hasOrganisations,
             faults: count,
             terms: terms.length,
             submitted: callers.submitted,
             accepted: callers.accepted,
-            runs: deployment.machines.history.length,
+            runs: history.length,
         };
     }
     finally {
--- a/packages/node/src/integration/organisations.test.ts
+++ b/packages/node/src/integration/organisations.test.ts
@@ -86,7 +86,7 @@
     assert.ok(Math.max(...refused) <= bounds.RevokeMs, `refused after ${refused.join()} ms`);
     assert.is(disconnects, 0);
     await Promise.all(clients.map(client => client.close()));
-    deployment.publishConfiguration();
+    deployment.publishConfiguration(queues, [a, b]);
 });
 
 suite("an organisation exceeds its quota as the coordinator is killed in the middle of a burst", async () => {
