--- a/packages/scheduling/src/reservations.ts
+++ b/packages/scheduling/src/reservations.ts
@@ -167,7 +167,11 @@
      * @param expectDuration returns the ms within which a task is expected to end
      */
     mayBackfill(step: jobState.Step, expectDuration: () => number): boolean {
-        if (!this.#reservedLoads.some(load => placing.hasRoom(load, step))) {
+        const isRoom = this.#reservedLoads.some(load => {
+            this.evaluatedPairs += 1;
+            return placing.hasRoom(load, step);
+        });
+        if (!isRoom) {
             return false;
         }
         const expectedDuration = expectDuration();
