Explain what each server lacks for a step that waits

Cause: nothing tells an operator why a step waits. Change: scheduling/explanation, pure: for each server what it lacks and when it is predicted to have room. Nothing calls it yet.

--- a/packages/scheduling/src/index.ts
+++ b/packages/scheduling/src/index.ts
@@ -7,6 +7,7 @@
  */
 export * from "./crashes.js";
 export * from "./delay-estimate.js";
+export * from "./explanation.js";
 export * from "./health.js";
 export * from "./objective.js";
 export * from "./pacing.js";
--- a/packages/scheduling/src/placing.ts
+++ b/packages/scheduling/src/placing.ts
@@ -186,7 +186,11 @@
         && (endsBefore(step, expectedDuration, timeLeft) || countTasks(spare, step) > 0);
 }
 
-function respectsReservation(server: ServerLoad, { step, stepKey, expectedDuration }: PlacementRequest): boolean {
+/** Whether a reservation of the server lets a task of the step start there. */
+export function respectsReservation(
+    server: ServerLoad,
+    { step, stepKey, expectedDuration }: PlacementRequest,
+): boolean {
     return server.reservation === undefined || server.reservation.stepKey === stepKey
         || mayBackfill(server, step, expectedDuration);
 }
--- a/packages/scheduling/src/reservations.ts
+++ b/packages/scheduling/src/reservations.ts
@@ -415,7 +415,7 @@
             if (!placing.willFit(load, step, stepKey)) {
                 continue;
             }
-            const wait = this.#findWait(load, step);
+            const wait = predictWait(load, this.#listEnds(load.id), step);
             if (wait !== undefined && wait < (best?.wait ?? Number.POSITIVE_INFINITY)) {
                 best = { parts: [this.#createPart(load, 1)], wait };
             }
@@ -423,20 +423,6 @@
         return best;
     }
 
-    /** Ms until the server is predicted to have room for one task of the step. */
-    #findWait(load: placing.ServerLoad, step: jobState.Step): number | undefined {
-        const free = { cpu: load.freeCpu, memory: load.freeMemory, accelerators: load.freeAccelerators };
-        let wait = 0;
-        for (const end of this.#listEnds(load.id)) {
-            if (placing.countTasks(free, step) > 0) {
-                return wait;
-            }
-            addDemand(free, end.step, 1);
-            wait = end.remaining;
-        }
-        return placing.countTasks(free, step) > 0 ? wait : undefined;
-    }
-
     /** The servers that will have room for all tasks of a gang first; of one rack, if its tasks slow each other down. */
     #searchGang(request: placing.PlacementRequest, loads: readonly placing.ServerLoad[]): Opening | undefined {
         const fitting = loads.filter(load => {
@@ -513,6 +499,28 @@
     }
 }
 
+/**
+ * Ms until the server is predicted to have room for one task of the step; `undefined` if waiting doesn't help.
+ *
+ * @param ends in ascending order of time
+ */
+export function predictWait(
+    load: placing.ServerLoad,
+    ends: readonly PredictedEnd[],
+    step: jobState.Step,
+): number | undefined {
+    const free = { cpu: load.freeCpu, memory: load.freeMemory, accelerators: load.freeAccelerators };
+    let wait = 0;
+    for (const end of ends) {
+        if (placing.countTasks(free, step) > 0) {
+            return wait;
+        }
+        addDemand(free, end.step, 1);
+        wait = end.remaining;
+    }
+    return placing.countTasks(free, step) > 0 ? wait : undefined;
+}
+
 function findLargestCapacity(outlooks: Iterable<ServerOutlook>): jobState.Demand {
     const largest = { cpu: 0, memory: 0, accelerators: 0 };
     for (const { capacity } of outlooks) {
