Bound the hold of jobs beyond the rate, and limit floors by quotas

Cause: a long job with much slack kept gaps empty that it couldn't use, for longer than the 3 s in which free capacity has to be used; the floor of a pool counted long-running tasks that a quota doesn't let run.

Change: a step holds others back only while its slack is between 2 s and -1 s; floors count what the quota lets run.

--- a/packages/dispatch/src/demand.test.ts
+++ b/packages/dispatch/src/demand.test.ts
@@ -185,6 +185,24 @@
     assert.ok(size >= 10 && size <= 13, `${size} cores`);
 });
 
+suite("a pool gets machines for as many long-running tasks as the quota lets run", () => {
+    const measureFloor = (configured: typeof organisations) => {
+        const { meter, registry } = createMeter();
+        const current = { ...configuration, organisations: configured };
+        meter.applyConfiguration(current);
+        registry.applyConfiguration(current);
+        const step = testing.createStep({ taskCount: 30, maxPerServer: 1, longRunning: true });
+        const { key, value } = jobState.encodeJob({ ...createJob(1), organisation: "unpaced", steps: [step] });
+        const table = new jobState.JobTable();
+        table.applySubmission(key, value);
+        table.entries.forEach(entry => registry.track(entry, 0));
+        registry.listCandidates(0);
+        return meter.list(current, 0, 0)[0]!.floor;
+    };
+    assert.is(measureFloor(organisations), 10);
+    assert.is(measureFloor([]), 30);
+});
+
 suite("what lies beyond a committed rate counts as little as expired jobs", () => {
     const free = organisations.map(organisation => ({
         ...organisation,
--- a/packages/dispatch/src/demand.ts
+++ b/packages/dispatch/src/demand.ts
@@ -281,7 +281,8 @@
             for (const ready of active.readiness?.steps ?? []) {
                 const step = active.job.steps[ready.step]!;
                 if (step.longRunning) {
-                    const needed = step.maxPerServer > 0 ? Math.ceil(step.taskCount / step.maxPerServer) : 1;
+                    const count = this.#quotaDemand.countRunnable(active.job.organisation, step);
+                    const needed = step.maxPerServer > 0 ? Math.ceil(count / step.maxPerServer) : 1;
                     floors.set(route.service, Math.max(floors.get(route.service) ?? 0, needed));
                 }
             }
--- a/packages/dispatch/src/rate-hold.ts
+++ b/packages/dispatch/src/rate-hold.ts
@@ -3,7 +3,8 @@
  * waits for room on a server.
  *
  * The order of candidates alone doesn't suffice: small tasks beyond the rate fit into each gap as it opens, so a larger
- * task within its rate never finds room. A step holds others back only until it is late, so for no longer than its slack.
+ * task within its rate never finds room. A step holds others back only near its latest start, and so for 3 s at most:
+ * gaps that it can't use would stay empty for the whole slack of a long job.
  */
 import * as scheduling from "@catkinwharf/scheduling";
 import type * as jobRegistry from "./job-registry.js";
@@ -11,6 +12,11 @@
 import * as runManager from "./run-manager.js";
 import type * as session from "./server-session.js";
 
+/** Slack in ms below which a step holds others back. */
+const maxHoldSlack = 2000;
+/** Slack in ms below which it doesn't any more: a job that has begun counts as on time though it is behind. */
+const minHoldSlack = -1000;
+
 /** Places candidates in the given order, see `Placer.place`, after `placedCount` tasks of others were placed. */
 type Place = (candidates: readonly jobRegistry.Candidate[], placedCount: number) => readonly placer.PlannedRun[];
 
@@ -52,7 +58,8 @@
     quota: scheduling.QuotaUsage,
 ): boolean {
     const step = active.job.steps[ready.step]!;
-    return rank.timeliness === scheduling.Timeliness.onTime && !rank.longRunning && !ready.alone && !step.gang
+    return rank.timeliness === scheduling.Timeliness.onTime
+        && rank.slack <= maxHoldSlack && rank.slack >= minHoldSlack && !rank.longRunning && !ready.alone && !step.gang
         && !open.some(load => scheduling.hasRoom(load, step))
         && open.some(load => scheduling.willHaveRoom(load, step))
         && quota.countAllowed(active.job.organisation, step, 1) > 0;
--- a/packages/scheduling/src/quota-demand.ts
+++ b/packages/scheduling/src/quota-demand.ts
@@ -5,6 +5,7 @@
  * rate; of its backlog counts what the rest of the quota can work off in the time in which pools work off theirs.
  */
 import type * as jobState from "@catkinwharf/job-state";
+import * as quota from "./quota.js";
 
 /** Resources that a quota limits. */
 const resources = ["cpu", "memory", "accelerators"] as const;
@@ -52,6 +53,12 @@
         return share;
     }
 
+    /** Number of the step's tasks that the organisation's quota lets run at a time. */
+    countRunnable(organisation: string | undefined, { demand, taskCount }: jobState.Step): number {
+        const usage = new quota.QuotaUsage(this.#limits);
+        return usage.countAllowed(organisation, { demand, gang: false }, taskCount);
+    }
+
     /**
      * Share of the ready work that counts as backlog beside the running work.
      *
