Test quotas while intents are stored late and starts of long-running tasks are repeated

Cause: leaving planned runs, or those whose start is unanswered, out of the sums failed no course. Change: a course for each.

--- a/packages/dispatch/src/quotas.test.ts
+++ b/packages/dispatch/src/quotas.test.ts
@@ -117,6 +117,25 @@
         },
         minDone: 60,
     },
+    "intents are stored late": {
+        play: async world => {
+            let count = 0;
+            world.holdsAppend = (_, carryOut) => {
+                count += 1;
+                if (count % 2 === 0) {
+                    return false;
+                }
+                world.time.schedule(carryOut, 400);
+                return true;
+            };
+            for (let i = 0; i < 30; i++) {
+                submitBurst(world, 2, {}, 1500);
+                await world.time.runUntil(world.time.now + 300);
+            }
+            world.holdsAppend = () => false;
+        },
+        minDone: 60,
+    },
     "starts get no answer": {
         play: async world => {
             let count = 0;
@@ -130,6 +149,21 @@
         },
         minDone: 60,
     },
+    "starts of long-running tasks get no answer, so that they are repeated": {
+        play: async world => {
+            world.decideFate = ({ kind }) =>
+                kind === "start" || kind === "renewal" ? { carriedOutAfter: 2, answered: kind !== "start" } : ordinary;
+            submitBurst(world, 6, { longRunning: true }, 100_000);
+            await world.time.runUntil(2000);
+            world.decideFate = ({ kind }) => kind === "start" ? { carriedOutAfter: 1200, answered: false } : ordinary;
+            submitBurst(world, 6, { longRunning: true }, 100_000);
+            await world.time.runUntil(6000);
+            world.decideFate = () => ordinary;
+            await world.time.runUntil(8000);
+            assert.is(world.quotaRule.measure("a").cpu, limit);
+        },
+        minDone: 0,
+    },
     "starts are carried out seconds later, and so are stops": {
         play: async world => {
             let count = 0;
--- a/packages/dispatch/src/testing/simulation.ts
+++ b/packages/dispatch/src/testing/simulation.ts
@@ -158,6 +158,11 @@
         this.time.uninstall();
     }
 
+    /** Decides which appends the store doesn't answer, see `MemoryLog`. */
+    set holdsAppend(holds: memoryStore.MemoryLog["holdsAppend"]) {
+        this.#topics.holdsAppend = holds;
+    }
+
     /** Appends that were stored, and their bytes. */
     get stored(): Readonly<memoryStore.MemoryLog["stored"]> {
         return this.#topics.stored;
