Count the coordinator's delay in the waits that refuse submissions

Cause: a task occupies its server for longer than its estimate, so the published waits were too low and jobs were accepted that ended late.

Change: the estimates add the measured delay of each task. The tenant burst test plays refusals, too.

Nothing was refused to the small organisations or without the burst.

--- a/packages/dispatch/src/capacity-outlook.test.ts
+++ b/packages/dispatch/src/capacity-outlook.test.ts
@@ -72,6 +72,7 @@
         servers: [server],
         quota: new scheduling.QuotaUsage(new Map(organisations.map(({ name, limit }) => [name, limit]))),
         hasSpareMachines: situation.hasSpareMachines === true,
+        taskDelay: 0,
         isBeyondRate: job => registry.isBeyondRate(job),
     });
 }
--- a/packages/dispatch/src/capacity-outlook.ts
+++ b/packages/dispatch/src/capacity-outlook.ts
@@ -27,6 +27,8 @@
     readonly quota: scheduling.QuotaUsage;
     /** Whether there are empty machines that no pool needs; a service that is short gets them. */
     readonly hasSpareMachines: boolean;
+    /** Ms for which a task occupies its server beyond its own time, and by which the start of a new job is delayed. */
+    readonly taskDelay: number;
     /** Whether a job lies beyond its organisation's committed rate. */
     readonly isBeyondRate: (job: jobState.Job) => boolean;
 }
@@ -59,7 +61,7 @@
 function estimateBeyondRateWait(
     service: string,
     candidates: readonly jobRegistry.Candidate[],
-    { servers, quota, isBeyondRate }: OutlookInput,
+    { servers, quota, taskDelay, isBeyondRate }: OutlookInput,
 ): number {
     let readyCpu = 0;
     let work = 0;
@@ -71,7 +73,7 @@
             const count = quota.countAllowed(active.job.organisation, step, ready.tasks.length);
             quota.add(active.job.organisation, step.demand, count);
             readyCpu += count * step.demand.cpu;
-            work += rank.longRunning ? 0 : count * step.demand.cpu * step.estimate;
+            work += rank.longRunning ? 0 : count * step.demand.cpu * (step.estimate + taskDelay);
         }
     }
     let capacity = 0;
@@ -87,11 +89,17 @@
             within += job === undefined || step.filler || isBeyondRate(job) ? 0 : step.demand.cpu;
         }
     }
-    return capacity === 0 || readyCpu <= free ? 0 : work / Math.max(minShareLeft * capacity, capacity - within);
+    return capacity === 0 || readyCpu <= free
+        ? 0
+        : work / Math.max(minShareLeft * capacity, capacity - within) + taskDelay;
 }
 
 /** Ms until the organisation's ready work that goes before a new job has started, by its quota. */
-function estimateQuotaWait(organisation: string, limit: jobState.Demand, { candidates, quota }: OutlookInput): number {
+function estimateQuotaWait(
+    organisation: string,
+    limit: jobState.Demand,
+    { candidates, quota, taskDelay }: OutlookInput,
+): number {
     const work = { cpu: 0, memory: 0, accelerators: 0 };
     const wanted = { ...quota.find(organisation) };
     for (const { active, ready, rank } of [...candidates.values()].flat()) {
@@ -104,9 +112,11 @@
         const step = active.job.steps[ready.step]!;
         for (const resource of resources) {
             wanted[resource] += ready.tasks.length * step.demand[resource];
-            work[resource] += ready.tasks.length * step.demand[resource] * step.estimate;
+            work[resource] += ready.tasks.length * step.demand[resource] * (step.estimate + taskDelay);
         }
     }
     const exceeded = resources.filter(resource => limit[resource] > 0 && wanted[resource] > limit[resource]);
-    return Math.max(0, ...exceeded.map(resource => work[resource] / limit[resource]));
+    return exceeded.length === 0
+        ? 0
+        : Math.max(...exceeded.map(resource => work[resource] / limit[resource])) + taskDelay;
 }
--- a/packages/dispatch/src/job-registry.ts
+++ b/packages/dispatch/src/job-registry.ts
@@ -133,6 +133,11 @@
         }
     }
 
+    /** Ms by which the coordinator and the way to the servers prolong each task: from its placement to the noticed end. */
+    get taskDelay(): number {
+        return this.#delay.current;
+    }
+
     /** Describes a job that isn't tracked, with the newest known route of its queue. */
     describe(job: jobState.Job): ArrivingJob {
         return {
--- a/packages/dispatch/src/organisation-monitor.ts
+++ b/packages/dispatch/src/organisation-monitor.ts
@@ -73,6 +73,7 @@
             servers,
             quota: quotaMeter.measureQuotaUsage(configuration, servers),
             hasSpareMachines: hasSpareMachines(),
+            taskDelay: registry.taskDelay,
             isBeyondRate: job => registry.isBeyondRate(job),
         });
         if (waits !== undefined) {
--- a/packages/dispatch/src/tenant-burst.test.ts
+++ b/packages/dispatch/src/tenant-burst.test.ts
@@ -1,4 +1,6 @@
 /** Whether the organisations that keep to their rates are served while a large one sends six times its usual load. */
+import type * as platform from "@catkinwharf/platform";
+import * as scheduling from "@catkinwharf/scheduling";
 import * as uvu from "uvu";
 import * as assert from "uvu/assert";
 import * as burstPlay from "./testing/burst-play.js";
@@ -27,10 +29,14 @@
     readonly committedFactor: number;
     /** Thousandths of a core; 0 for none. */
     readonly largeQuota: number;
+    /** Whether submissions are refused by the waits that the coordinator publishes. */
+    readonly refuses?: boolean;
 }
 
-/** Share on time of the jobs of the small organisations. */
-async function measureSmall({ seed, burstFactor, committedFactor, largeQuota }: Load): Promise<number> {
+/** Plays the load and returns its jobs. */
+async function playLoad(
+    { seed, burstFactor, committedFactor, largeQuota, refuses }: Load,
+): Promise<burstPlay.SimulatedJob[]> {
     const organisations = ["large", ...smallNames].map(name => ({
         name,
         keys: [],
@@ -48,8 +54,39 @@
             return Math.floor((usual * Math.min(now, submissionsEnd) + excess * burstTime) / 1000 + i * 0.37 % 1);
         },
     }));
-    const jobs = await burstPlay.play({ submitters, organisations, countServers: () => serverCount, end: playEnd });
-    return burstPlay.measureShareOnTime(jobs.filter(({ entry }) => entry.job!.organisation !== "large"));
+    const accepts = refuses === true ? createIntake(organisations) : undefined;
+    return await burstPlay.play({
+        submitters,
+        organisations,
+        countServers: () => serverCount,
+        end: playEnd,
+        ...(accepts === undefined ? {} : { accepts }),
+    });
+}
+
+/** Refuses jobs beyond the committed rate that can't meet their objective, as entry processes do. */
+function createIntake(
+    organisations: readonly platform.operatorRecords.Organisation[],
+): NonNullable<burstPlay.PlayOptions["accepts"]> {
+    const rates = new scheduling.CommittedRates();
+    rates.setWeights(new Map(organisations.map(({ name, weight }) => [name, weight])));
+    return (job, waits) => {
+        const wait = rates.wouldBeBeyond(job) ? waits?.beyondRate[burstPlay.route.service] ?? 0 : 0;
+        const isAccepted = scheduling.canMeetObjective(job, burstPlay.route, wait);
+        if (isAccepted) {
+            rates.add(job);
+        }
+        return isAccepted;
+    };
+}
+
+function isSmall({ entry }: burstPlay.SimulatedJob): boolean {
+    return entry.job!.organisation !== "large";
+}
+
+/** Share on time of the jobs of the small organisations. */
+async function measureSmall(load: Load): Promise<number> {
+    return burstPlay.measureShareOnTime((await playLoad(load)).filter(isSmall));
 }
 
 async function measureMean(load: Omit<Load, "seed">): Promise<number> {
@@ -76,4 +113,23 @@
     assert.ok(burst >= 0.82 * calm, `${burst.toFixed(3)} on time instead of ${calm.toFixed(3)}`);
 });
 
+suite(
+    "only jobs beyond the committed rate are refused, only in the burst, and few of those that would have been on time",
+    async () => {
+        const load = { seed: 2, committedFactor: 1.5, largeQuota: 0 };
+        const calm = await playLoad({ ...load, burstFactor: 1, refuses: true });
+        assert.ok(calm.every(({ accepted }) => accepted));
+        const burst = await playLoad({ ...load, burstFactor: 6, refuses: true });
+        const refused = burst.filter(({ accepted }) => !accepted);
+        assert.ok(refused.length >= 30, `${refused.length} refused`);
+        assert.not(refused.some(isSmall));
+        const countOnTime = (jobs: readonly burstPlay.SimulatedJob[]) => {
+            const large = jobs.filter(job => !isSmall(job));
+            return Math.round(burstPlay.measureShareOnTime(large) * large.length);
+        };
+        const without = countOnTime(await playLoad({ ...load, burstFactor: 6 }));
+        assert.ok(countOnTime(burst) >= 0.85 * without, `${countOnTime(burst)} on time instead of ${without}`);
+    },
+);
+
 suite.run();
--- a/packages/dispatch/src/testing/burst-play.ts
+++ b/packages/dispatch/src/testing/burst-play.ts
@@ -8,6 +8,7 @@
 import * as storeClient from "@catkinwharf/store";
 import * as neverthrow from "neverthrow";
 import * as timers from "node:timers/promises";
+import * as capacityOutlook from "../capacity-outlook.js";
 import * as jobRegistry from "../job-registry.js";
 import * as placer from "../placer.js";
 import * as quotaMeter from "../quota-meter.js";
@@ -28,6 +29,9 @@
 const arrivalDelay = 160;
 /** Time in ms from the end of a job until its caller is told: its status is stored, then read by the other processes. */
 const showDelay = 300;
+/** Time in ms between two publications of waits, and until the processes that refuse have read one. */
+const heartbeatInterval = 300;
+const readDelay = 160;
 const slackFactor = 1.6;
 const latencyAllowance = 600;
 
@@ -36,6 +40,7 @@
     /** Duration in ms of each task, by step. */
     readonly durations: readonly (readonly number[])[];
     endedAt: number | undefined;
+    accepted: boolean;
 }
 
 /** Deterministic random numbers from 0 to 1. */
@@ -82,6 +87,7 @@
         },
         durations,
         endedAt: undefined,
+        accepted: true,
     };
 }
 
@@ -128,6 +134,21 @@
     return server;
 }
 
+/** Route of all jobs of a play. */
+export const route: platform.operatorRecords.Route = {
+    name: "quotes",
+    host: "",
+    pathPrefix: "/",
+    service: "quotes",
+    priority: 0,
+    maxAttempts: 3,
+    slackFactor,
+    latencyAllowance,
+    timeout: 3000,
+    advice: undefined,
+    isPublic: false,
+};
+
 /** Who submits jobs in a play. */
 export interface Submitter {
     readonly organisation: string | undefined;
@@ -143,11 +164,14 @@
     readonly countServers: (now: number) => number;
     /** Ms after which the play ends. */
     readonly end: number;
+    /** Whether a submission is accepted, by the waits that the coordinator published last; all are by default. */
+    readonly accepts?: (job: jobState.Job, waits: jobState.ExpectedWaits | undefined) => boolean;
 }
 
 /** Plays the submissions and returns their jobs. */
 export async function play(options: PlayOptions): Promise<SimulatedJob[]> {
     let now = 0;
+    let waits: jobState.ExpectedWaits | undefined;
     const submitters = options.submitters.map(submitter => ({
         ...submitter,
         random: createRandom(submitter.seed),
@@ -164,19 +188,7 @@
     const registry = new jobRegistry.JobRegistry();
     const configuration: platform.operatorRecords.Configuration = {
         version: 1,
-        routes: [{
-            name: "quotes",
-            host: "",
-            pathPrefix: "/",
-            service: "quotes",
-            priority: 0,
-            maxAttempts: 3,
-            slackFactor,
-            latencyAllowance,
-            timeout: 3000,
-            advice: undefined,
-            isPublic: false,
-        }],
+        routes: [route],
         services: [],
         organisations: options.organisations,
         maxBodyBytes: 1,
@@ -229,7 +241,10 @@
             for (; submitter.count < countDue(now); submitter.count++) {
                 const job = createSimulatedJob(jobs.size + 1, now, random, organisation);
                 jobs.set(job.entry.id, job);
-                events.push({ at: now + arrivalDelay, handle: () => registry.track(job.entry, now) });
+                job.accepted = options.accepts?.(job.entry.job!, waits) ?? true;
+                if (job.accepted) {
+                    events.push({ at: now + arrivalDelay, handle: () => registry.track(job.entry, now) });
+                }
             }
         }
         for (const event of events.filter(other => other.at <= now)) {
@@ -237,6 +252,18 @@
             event.handle();
         }
         const present = servers.slice(0, options.countServers(now));
+        if (options.accepts !== undefined && now % heartbeatInterval === 0) {
+            const published = capacityOutlook.estimateWaits({
+                configuration,
+                candidates: registry.listCandidates(now),
+                servers: present,
+                quota: quotaMeter.measureQuotaUsage(configuration, servers),
+                hasSpareMachines: false,
+                taskDelay: registry.taskDelay,
+                isBeyondRate: job => registry.isBeyondRate(job),
+            });
+            events.push({ at: now + readDelay, handle: () => waits = published });
+        }
         const quota = quotaMeter.measureQuotaUsage(configuration, servers);
         const shares = quotaMeter.measureShares(configuration, present, quota);
         const candidates = registry.listCandidates(now, shares).get("quotes") ?? [];
