Estimate waits from the last list of candidates

Cause: listing and ranking 4,000 candidates anew for each heartbeat took as long as a placement pass, and the sums by organisation went through all of them for each organisation.

Change: the monitor uses the last pass's list without what was placed since, and sums in one go.

--- a/packages/dispatch/src/capacity-outlook.ts
+++ b/packages/dispatch/src/capacity-outlook.ts
@@ -40,8 +40,9 @@
         return undefined;
     }
     const quota: Record<string, number> = {};
+    const work = sumOnTimeWork(input);
     for (const { name, limit } of organisations) {
-        const wait = estimateQuotaWait(name, limit, input);
+        const wait = estimateQuotaWait(limit, input.quota.find(name), work.get(name), input.taskDelay);
         if (wait >= minWait) {
             quota[name] = Math.round(wait);
         }
@@ -94,29 +95,55 @@
         : work / Math.max(minShareLeft * capacity, capacity - within) + taskDelay;
 }
 
+/** Ready tasks of an organisation that go before those of a new job within its rate. */
+interface ReadyWork {
+    /** What they would occupy together. */
+    readonly demand: Record<keyof jobState.Demand, number>;
+    /** The same times the ms for which they occupy it. */
+    readonly work: Record<keyof jobState.Demand, number>;
+}
+
+/** Sums the ready tasks that can be on time, by organisation. */
+function sumOnTimeWork({ candidates, taskDelay }: OutlookInput): Map<string, ReadyWork> {
+    const sums = new Map<string, ReadyWork>();
+    for (const list of candidates.values()) {
+        for (const { active: { job }, ready, rank } of list) {
+            if (
+                job.organisation === undefined || rank.longRunning
+                || rank.timeliness !== scheduling.Timeliness.onTime
+            ) {
+                continue;
+            }
+            const step = job.steps[ready.step]!;
+            const sum = sums.get(job.organisation) ?? {
+                demand: { cpu: 0, memory: 0, accelerators: 0 },
+                work: { cpu: 0, memory: 0, accelerators: 0 },
+            };
+            sums.set(job.organisation, sum);
+            for (const resource of resources) {
+                const demand = ready.tasks.length * step.demand[resource];
+                sum.demand[resource] += demand;
+                sum.work[resource] += demand * (step.estimate + taskDelay);
+            }
+        }
+    }
+    return sums;
+}
+
 /** Ms until the organisation's ready work that goes before a new job has started, by its quota. */
 function estimateQuotaWait(
-    organisation: string,
     limit: jobState.Demand,
-    { candidates, quota, taskDelay }: OutlookInput,
+    usage: jobState.Demand,
+    ready: ReadyWork | undefined,
+    taskDelay: number,
 ): number {
-    const work = { cpu: 0, memory: 0, accelerators: 0 };
-    const wanted = { ...quota.find(organisation) };
-    for (const { active, ready, rank } of [...candidates.values()].flat()) {
-        if (
-            active.job.organisation !== organisation || rank.longRunning
-            || rank.timeliness !== scheduling.Timeliness.onTime
-        ) {
-            continue;
-        }
-        const step = active.job.steps[ready.step]!;
-        for (const resource of resources) {
-            wanted[resource] += ready.tasks.length * step.demand[resource];
-            work[resource] += ready.tasks.length * step.demand[resource] * (step.estimate + taskDelay);
-        }
+    if (ready === undefined) {
+        return 0;
     }
-    const exceeded = resources.filter(resource => limit[resource] > 0 && wanted[resource] > limit[resource]);
+    const exceeded = resources.filter(resource =>
+        limit[resource] > 0 && usage[resource] + ready.demand[resource] > limit[resource]
+    );
     return exceeded.length === 0
         ? 0
-        : Math.max(...exceeded.map(resource => work[resource] / limit[resource])) + taskDelay;
+        : Math.max(...exceeded.map(resource => ready.work[resource] / limit[resource])) + taskDelay;
 }
--- a/packages/dispatch/src/job-registry.ts
+++ b/packages/dispatch/src/job-registry.ts
@@ -51,6 +51,7 @@
     readonly #routes = new Map<string, jobState.RouteTerms>();
     readonly #delay = new scheduling.DelayEstimate();
     readonly #committedRates = new scheduling.CommittedRates();
+    #listed: ReadonlyMap<string, readonly Candidate[]> = new Map();
 
     applyConfiguration(configuration: platform.operatorRecords.Configuration): void {
         const { version } = configuration;
@@ -161,6 +162,19 @@
         this.active.delete(id);
     }
 
+    /**
+     * Candidates of the last list of which nothing has been placed since, by service: for figures that needn't be exact,
+     * as it takes tens of ms to list thousands anew.
+     */
+    listUnplaced(): Map<string, Candidate[]> {
+        return new Map(
+            [...this.#listed].map(([service, list]) => [
+                service,
+                list.filter(({ active }) => active.readiness !== undefined && this.active.has(active.entry.id)),
+            ]),
+        );
+    }
+
     /**
      * Candidates by service, each list in the order in which they should start.
      *
@@ -185,6 +199,7 @@
         for (const list of byService.values()) {
             list.sort((a, b) => scheduling.compareRanks(a.rank, b.rank));
         }
+        this.#listed = byService;
         return byService;
     }
 
--- a/packages/dispatch/src/organisation-monitor.test.ts
+++ b/packages/dispatch/src/organisation-monitor.test.ts
@@ -60,6 +60,7 @@
         observe: states => reported.push([...states]),
     });
     for (; now <= 2500; now += 100) {
+        registry.listCandidates(30_100);
         monitor.report();
     }
     assert.is(lines.length, reported.flat().length);
--- a/packages/dispatch/src/organisation-monitor.ts
+++ b/packages/dispatch/src/organisation-monitor.ts
@@ -61,7 +61,7 @@
 
     /** The waits to publish; `undefined` if there are none. */
     estimateWaits(): jobState.ExpectedWaits | undefined {
-        const { registry, clock, hasSpareMachines } = this.options;
+        const { registry, hasSpareMachines } = this.options;
         const configuration = this.options.configuration();
         if (configuration === undefined || configuration.organisations.length === 0) {
             return undefined;
@@ -69,7 +69,7 @@
         const servers = [...this.options.sessions.values()];
         const waits = capacityOutlook.estimateWaits({
             configuration,
-            candidates: registry.listCandidates(clock.wall()),
+            candidates: registry.listUnplaced(),
             servers,
             quota: quotaMeter.measureQuotaUsage(configuration, servers),
             hasSpareMachines: hasSpareMachines(),
@@ -140,7 +140,7 @@
                 }
             }
         }
-        for (const [service, candidates] of registry.listCandidates(wall, shares)) {
+        for (const [service, candidates] of registry.listUnplaced()) {
             for (const { active: { job }, ready, rank } of candidates) {
                 if (job.organisation === undefined) {
                     continue;
--- a/packages/dispatch/src/testing/burst-play.ts
+++ b/packages/dispatch/src/testing/burst-play.ts
@@ -255,7 +255,7 @@
         if (options.accepts !== undefined && now % heartbeatInterval === 0) {
             const published = capacityOutlook.estimateWaits({
                 configuration,
-                candidates: registry.listCandidates(now),
+                candidates: registry.listUnplaced(),
                 servers: present,
                 quota: quotaMeter.measureQuotaUsage(configuration, servers),
                 hasSpareMachines: false,
