--- a/packages/dispatch/src/job-registry.ts
+++ b/packages/dispatch/src/job-registry.ts
@@ -52,6 +52,7 @@
     readonly #routes = new Map<string, jobState.RouteTerms>();
     readonly #delay = new scheduling.DelayEstimate();
     readonly #committedRates = new scheduling.CommittedRates();
+    #listed: ReadonlyMap<string, readonly Candidate[]> = new Map();
 
     applyConfiguration(configuration: platform.operatorRecords.Configuration): void {
         const { version } = configuration;
@@ -135,6 +136,11 @@
         }
     }
 
+    /** Ms by which the coordinator and the way to the servers prolong each task: from its placement to the noticed end. */
+    get taskDelay(): number {
+        return this.#delay.current;
+    }
+
     /** Describes a job that isn't tracked, with the newest known route of its queue. */
     describe(job: jobState.Job): ArrivingJob {
         return {
@@ -158,6 +164,19 @@
         this.active.delete(id);
     }
 
+    /**
+     * Candidates of the last list of which nothing has been placed since, by service: for figures that needn't be exact,
+     * as it takes tens of ms to list thousands anew.
+     */
+    listUnplaced(): Map<string, Candidate[]> {
+        return new Map(
+            [...this.#listed].map(([service, list]) => [
+                service,
+                list.filter(({ active }) => active.readiness !== undefined && this.active.has(active.entry.id)),
+            ]),
+        );
+    }
+
     /**
      * Candidates by service, each list in the order in which they should start.
      *
@@ -182,6 +201,7 @@
         for (const list of byService.values()) {
             list.sort((a, b) => scheduling.compareRanks(a.rank, b.rank));
         }
+        this.#listed = byService;
         return byService;
     }
 
