Reserve a quarter of the servers at most, and filter them only for reservations

Cause: after 5 s each waiting large step filtered the list of servers in each pass, 8 ms of a core with 800 of them; and half of a small pool could be held for large tasks. Change: the list changes only for a step with a reservation; the limit is a quarter of the servers, or one.

--- a/packages/dispatch/src/placer.ts
+++ b/packages/dispatch/src/placer.ts
@@ -135,10 +135,7 @@
                 if (mayLookAhead && reservations.mayUpdate(stepKey, age)) {
                     this.#reserve(candidate, request, lookAhead, needsTickets ? permitted : open.map(one => one.load));
                 }
-                else if (isLarge) {
-                    reservations.bind(stepKey);
-                }
-                if (isLarge) {
+                if (isLarge && reservations.bind(stepKey)) {
                     loads = loads.filter(load => load.reservation === undefined);
                 }
                 if (mayReserve) {
--- a/packages/scheduling/src/reservations.ts
+++ b/packages/scheduling/src/reservations.ts
@@ -32,7 +32,7 @@
 /** Kinds of tasks that are remembered in a pass because they may not start on a reserved server. */
 const maxRejected = 16;
 
-/** When steps of one service get reservations; never for more steps than half of its servers. */
+/** When steps of one service get reservations; never for more steps than a quarter of its servers, or one. */
 export interface ReservationPolicy {
     /** Share of a server that a task, or a whole gang, demands more than to get a reservation, in one resource or more. */
     readonly minShare: number;
@@ -152,7 +152,8 @@
     #mayAdd(age: number): boolean {
         const { agedWait, maxAgedReservations, maxReservations } = this.policy;
         const limit = age >= agedWait ? maxAgedReservations : maxReservations;
-        return this.#reservations.size < Math.min(limit, Math.floor(this.#outlooks.size / 2));
+        const servers = this.#outlooks.size;
+        return servers > 1 && this.#reservations.size < Math.min(limit, Math.max(1, Math.floor(servers / 4)));
     }
 
     /** Servers that were reserved in this pass, also if they no longer are. */
@@ -316,12 +317,19 @@
         return this.#settle(stepKey, held, { ...own, parts: held.parts }, held.parts);
     }
 
-    /** Keeps the steps that are tried after this one in the pass off what it has reserved. */
-    bind(stepKey: string): void {
+    /**
+     * Keeps the steps that are tried after this one in the pass off what it has reserved. Returns whether it has a
+     * reservation.
+     */
+    bind(stepKey: string): boolean {
         const reservation = this.#reservations.get(stepKey);
-        if (reservation !== undefined) {
+        if (reservation === undefined) {
+            return false;
+        }
+        if (reservation.parts.some(({ serverId }) => this.#outlooks.get(serverId)!.load.reservation === undefined)) {
             this.#mark(stepKey, reservation);
         }
+        return true;
     }
 
     /** Ends the step's reservation. */
