--- a/scripts/run-tests.mjs
+++ b/scripts/run-tests.mjs
@@ -13,6 +13,8 @@
 const concurrency = 2;
 /** Time in ms after which a test file that has not exited is terminated and counts as failed. */
 const fileTimeoutMs = 300_000;
+/** Test files that load the machine; they run one at a time after all the others. */
+const isolatedFiles = /^abusive-.*\.test\.js$/;
 const knownFailuresFile = path.join(root, "KNOWN-RED.txt");
 
 function listTests() {
@@ -70,9 +72,10 @@
 }
 
 async function main() {
-    const pending = listTests();
+    const tests = listTests();
+    const isIsolated = file => isolatedFiles.test(path.basename(file));
     const results = [];
-    async function runWorker() {
+    async function runWorker(pending) {
         for (let file = pending.shift(); file !== undefined; file = pending.shift()) {
             const result = await runFile(file);
             results.push(result);
@@ -88,7 +91,9 @@
             }
         }
     }
-    await Promise.all(Array.from({ length: concurrency }, runWorker));
+    const shared = tests.filter(file => !isIsolated(file));
+    await Promise.all(Array.from({ length: concurrency }, () => runWorker(shared)));
+    await runWorker(tests.filter(isIsolated));
     const knownFailures = readKnownFailures();
     const passed = results.reduce((sum, result) => sum + result.passed, 0);
     const failed = results.reduce((sum, result) => sum + result.failed, 0);
