Bound what clients hold of an entry process

Change: package request-guard. Its decisions (limits from the machine, the connection that makes the least progress, the body that gives up its memory) have no I/O; RequestGuard applies them to the callers', readiness, metrics and relay servers. Refusals (408, 413, 503) are written by the handlers. The settings may state limits under RequestLimits; each connection closed early has a counter and a log line. Bodies are collected in blocks that are used again. Paths in log lines are cut at 256 characters.

--- a/packages/dispatch/src/testing/context.ts
+++ b/packages/dispatch/src/testing/context.ts
@@ -32,6 +32,8 @@
     },
     requiresKeys: false,
     strictRevocation: false,
+    requestLimits: {},
+    machine: { memory: undefined, descriptors: undefined },
 };
 
 /** Context of a coordinator, of epoch 1 unless stated, both of whose clocks show `now()`. */
--- a/packages/intake/src/job-api.ts
+++ b/packages/intake/src/job-api.ts
@@ -55,6 +55,8 @@
     readonly startDelay: () => number;
     /** Called with a job whose submission isn't known to be stored; its caller may send it again. */
     readonly onUnstored: (job: jobState.Job) => void;
+    /** Reads a body up to a size; `requestBody.readBody` unless given. */
+    readonly readBody?: requestBody.WatchedReader;
     /** Counts a request in the metrics; `duration` is in ms. */
     readonly count: (method: string, status: string, duration: number) => void;
 }
@@ -105,6 +107,9 @@
  */
 const maxUnknownKeyAge = 500;
 
+/** Characters of a path in a log line; the head of a request may have 16,384 bytes. */
+const maxLoggedPath = 256;
+
 const queueNotFound: JobResponse = { status: 404, body: "", reason: "no such queue" };
 const noConfiguration: JobResponse = { status: 503, body: "", retryAfter: 1, reason: "no configuration yet" };
 const storeUnavailable: JobResponse = {
@@ -121,6 +126,18 @@
 };
 /** The job's record would exceed what the store takes, and an append with it would be refused with all others in it. */
 const jobTooLarge: JobResponse = { status: 413, body: "", reason: "the job is too large for the store" };
+/** Responses to submissions whose body wasn't read completely, so that they weren't accepted. */
+const bodyRefusals: Readonly<Record<requestBody.BodyFault | requestBody.WatchFault, JobResponse>> = {
+    [requestBody.BodyFault.tooLarge]: { status: 413, body: "", reason: "the body is too large" },
+    [requestBody.WatchFault.fragmented]: { status: 413, body: "", reason: "the body has too many chunks" },
+    [requestBody.WatchFault.late]: { status: 408, body: "", reason: "the body took too long" },
+    [requestBody.WatchFault.noMemory]: { status: 503, body: "", retryAfter: 1, reason: "no memory for the body" },
+    [requestBody.BodyFault.incomplete]: {
+        status: 400,
+        body: "",
+        reason: "the connection closed before the end of the body",
+    },
+};
 const unknownOutcome: JobResponse = { status: 504, body: "", reason: "the store gave no answer" };
 /** Time in ms after which a caller may return who was refused because of the wait for the coordinator. */
 function createOverloadRefusal(startDelay: number): JobResponse {
@@ -202,7 +219,7 @@
             result = await this.#respond(message, startedAt);
         }
         catch (error) {
-            this.options.log.warn("request-broken", { path: message.url, error: String(error) });
+            this.options.log.warn("request-broken", { path: message.url?.slice(0, maxLoggedPath), error: String(error) });
             result = { status: 500, body: "", reason: "internal error" };
         }
         if (!message.complete) {
@@ -233,7 +250,7 @@
         }
         this.options.log.info("request-answered", {
             method: message.method,
-            path: message.url,
+            path: message.url?.slice(0, maxLoggedPath),
             status: result.status,
             reason: result.reason,
             configuration: this.#routes?.version,
@@ -356,12 +373,10 @@
 
     /** Submits a job; it is accepted only once the store has confirmed it. */
     async submit(request: JobRequest): Promise<JobResponse> {
-        const body = await requestBody.readBody(request.message, request.maxBodyBytes);
-        if (body === requestBody.BodyFault.tooLarge) {
-            return { status: 413, body: "", reason: "the body is too large" };
-        }
-        if (body === requestBody.BodyFault.incomplete) {
-            throw new Error("the connection closed before the end of the request body");
+        const readBody = this.options.readBody ?? requestBody.readBody;
+        const body = await readBody(request.message, request.maxBodyBytes);
+        if (typeof body === "string") {
+            return bodyRefusals[body];
         }
         const submission = platform.callerBodies.decodeSubmission(body);
         if (typeof submission === "string") {
--- a/packages/node/src/entry-instance.ts
+++ b/packages/node/src/entry-instance.ts
@@ -7,9 +7,10 @@
 import * as intake from "@catkinwharf/intake";
 import * as jobState from "@catkinwharf/job-state";
 import * as platform from "@catkinwharf/platform";
+import * as requestGuard from "@catkinwharf/request-guard";
 import * as scheduling from "@catkinwharf/scheduling";
 import * as store from "@catkinwharf/store";
-import * as http from "node:http";
+import type * as http from "node:http";
 import type * as net from "node:net";
 import * as timers from "node:timers/promises";
 import * as metrics from "./metrics.js";
@@ -65,6 +66,7 @@
     /** Unix time in ms; tells this process from earlier ones of the same node name. */
     readonly #processStart = Date.now();
     readonly #metrics = new metrics.Metrics();
+    readonly #guard: requestGuard.RequestGuard;
     readonly #servers: http.Server[] = [];
     /** Maintenance waves published by the operator, by number. */
     readonly #waves = new Map<number, platform.operatorRecords.Wave>();
@@ -83,10 +85,14 @@
     #handingOver = false;
     /** On the monotonic clock: when this process last began to coordinate. */
     #coordinatingSince = 0;
-    #activeRequests = 0;
 
     constructor(private readonly settings: platform.settings.ProcessSettings, private readonly log: eventLog.EventLog) {
         const now = () => this.#clock.wall();
+        this.#guard = new requestGuard.RequestGuard({
+            limits: requestGuard.guardLimits.deriveLimits(settings.machine, settings.requestLimits),
+            log,
+            now: () => this.#clock.monotonic(),
+        });
         this.#storeRoutes = new store.StoreRoutes(settings.storeAddress);
         this.#store = new store.StoreClient(this.#httpClient, this.#storeRoutes, log, now);
         this.#submissions = this.#createFollower(jobState.submissionsTopic, {
@@ -127,9 +133,10 @@
         const { capacity, storeAddress } = this.settings;
         this.log.info("started", { processStart: this.#processStart, store: storeAddress, capacity });
         const api = this.#createJobApi();
-        this.#listen(api, this.settings.callerAddress);
+        const { Port } = requestGuard.guardLimits;
+        this.#listen(api, Port.callers, this.settings.callerAddress);
         if (this.settings.readinessAddress !== this.settings.callerAddress) {
-            this.#listen(api, this.settings.readinessAddress);
+            this.#listen(api, Port.readiness, this.settings.readinessAddress);
         }
         this.#submissions.start();
         this.#ledger.start();
@@ -140,7 +147,12 @@
         this.#metrics.watchEvents(this.log);
         this.#metrics.watchReads(this.#store.reads);
         setInterval(() => this.#store.reads.report(this.log), readReportInterval).unref();
-        this.#metrics.serve(`${this.settings.ip}:${this.settings.internalPorts[0]}`, this.log);
+        this.#metrics.watchClosed(this.#guard.closed);
+        this.#metrics.serve(
+            `${this.settings.ip}:${this.settings.internalPorts[0]}`,
+            this.log,
+            handle => this.#guard.createServer(Port.metrics, () => 0, handle),
+        );
     }
 
     /**
@@ -163,10 +175,10 @@
         }
         this.#servers.forEach(server => server.close());
         this.#servers.forEach(server => server.closeIdleConnections());
-        while (this.#activeRequests > 0 && this.#clock.monotonic() - startedAt < servingTime + shutdownMargin / 2) {
+        while (this.#guard.countPending() > 0 && this.#clock.monotonic() - startedAt < servingTime + shutdownMargin / 2) {
             await timers.setTimeout(20);
         }
-        this.log.info("stopped", { requestsLeft: this.#activeRequests });
+        this.log.info("stopped", { requestsLeft: this.#guard.countPending() });
     }
 
     /** Resigns when this process coordinates and reaches the store only slowly, through peers. */
@@ -228,6 +240,7 @@
             isReady: () => this.#isReady(),
             isShuttingDown: () => this.#shuttingDown,
             startDelay: () => this.#leaderElection.newestLeadership?.startDelay ?? 0,
+            readBody: (message, maxBytes) => this.#guard.readBody(message, maxBytes),
             onUnstored: job => this.#unstoredJobs.add(job),
             count: (method, status, duration) => this.#metrics.countRequest(method, status, duration),
         });
@@ -242,14 +255,14 @@
             && this.#submissions.loaded && this.#ledger.loaded && !this.#isStoreUnavailable();
     }
 
-    #listen(api: intake.JobApi, address: string): void {
+    #listen(api: intake.JobApi, name: requestGuard.guardLimits.Port, address: string): void {
         const [host, port] = address.split(":");
-        const server = http.createServer((message, response) => {
-            this.#activeRequests += 1;
-            response.once("close", () => this.#activeRequests -= 1);
-            app.handler(message as never, response, undefined as never);
-        });
         const app = api.createApp();
+        const server = this.#guard.createServer(
+            name,
+            () => this.#configuration?.maxBodyBytes ?? platform.operatorRecords.defaultMaxBodyBytes,
+            (message, response) => app.handler(message as never, response, undefined as never),
+        );
         server.keepAliveTimeout = keepAliveTimeout;
         server.on("error", error => {
             this.log.warn("listen-failed", { address, error: String(error) });
@@ -318,6 +331,9 @@
                 this.#coordinator?.recordUnstored(jobState.decodeUnstoredJobs(encoded));
                 return this.#coordinator !== undefined;
             },
+            createServer: (maxBodyBytes, handle) =>
+                this.#guard.createServer(requestGuard.guardLimits.Port.relay, () => maxBodyBytes, handle),
+            readBody: (message, maxBytes) => this.#guard.readBody(message, maxBytes),
         });
         // The relay uses the last internal port; the first one serves the metrics.
         const port = this.settings.internalPorts[1];
--- a/packages/node/src/main.ts
+++ b/packages/node/src/main.ts
@@ -20,6 +20,9 @@
     if ("missing" in settings) {
         throw new Error(`${file}: setting ${settings.missing} is missing`);
     }
+    if ("invalid" in settings) {
+        throw new Error(`${file}: setting ${settings.invalid} ${settings.reason}`);
+    }
     return settings;
 }
 
--- a/packages/node/src/metrics.ts
+++ b/packages/node/src/metrics.ts
@@ -3,7 +3,7 @@
  */
 import type * as eventLog from "@catkinwharf/event-log";
 import type * as store from "@catkinwharf/store";
-import * as http from "node:http";
+import type * as http from "node:http";
 import * as promClient from "prom-client";
 
 /** Bucket boundaries in seconds of the histogram of response times. */
@@ -74,6 +74,20 @@
         });
     }
 
+    /** Exposes the connections that were closed early, by reason. */
+    watchClosed(closed: ReadonlyMap<string, number>): void {
+        const connections = new promClient.Counter({
+            name: "catkinwharf_connections_closed_total",
+            help: "Connections of clients that were closed early, by the limit that they exceeded.",
+            labelNames: ["reason"] as const,
+            registers: [this.registry],
+            collect: () => {
+                connections.reset();
+                closed.forEach((count, reason) => connections.inc({ reason }, count));
+            },
+        });
+    }
+
     /** @param duration time in ms from the request to its response */
     countRequest(method: string, status: string, duration: number): void {
         this.#requests.inc({ method, status });
@@ -85,10 +99,18 @@
         this.#coordinatorDurations.observe({ activity }, duration / 1000);
     }
 
-    /** Serves the metrics over HTTP in the Prometheus text format. */
-    serve(address: string, log: eventLog.EventLog): void {
+    /**
+     * Serves the metrics over HTTP in the Prometheus text format.
+     *
+     * @param createServer creates the server without starting to listen
+     */
+    serve(
+        address: string,
+        log: eventLog.EventLog,
+        createServer: (handle: http.RequestListener) => http.Server,
+    ): void {
         const [host, port] = address.split(":");
-        const server = http.createServer((_message, response) => {
+        const server = createServer((_message, response) => {
             void this.registry.metrics().then(text => {
                 response.setHeader("content-type", this.registry.contentType);
                 response.end(text);
--- a/packages/request-body/src/index.ts
+++ b/packages/request-body/src/index.ts
@@ -2,6 +2,9 @@
  * Reads the body of an incoming HTTP request, up to a size limit.
  */
 import type * as http from "node:http";
+import * as blockPool from "./block-pool.js";
+
+export * from "./block-pool.js";
 
 /** Why a body could not be read. */
 export const BodyFault = {
@@ -11,28 +14,93 @@
 } as const;
 export type BodyFault = (typeof BodyFault)[keyof typeof BodyFault];
 
+/** Why whoever watches over a body ended its reading. */
+export const WatchFault = {
+    /** The body wasn't complete within the time for it. */
+    late: "late",
+    /** The process has no memory for the body. */
+    noMemory: "no-memory",
+    /** The body arrived in too many chunks, each of which costs as much time as a large one. */
+    fragmented: "fragmented",
+} as const;
+export type WatchFault = (typeof WatchFault)[keyof typeof WatchFault];
+
+/** Reads a body of at most `maxBytes` under a watch. */
+export type WatchedReader = (
+    message: http.IncomingMessage,
+    maxBytes: number,
+) => Promise<Buffer | BodyFault | WatchFault>;
+
+/** What watches over a body while it is read. */
+export interface BodyWatch<Fault extends string> {
+    readonly pool: blockPool.BlockPool;
+    /** Called for each chunk. */
+    readonly onChunk: () => void;
+    /** Receives the function that ends the reading with a fault, before the first byte. */
+    readonly onStart: (cancel: (fault: Fault) => void) => void;
+    /** Called with the bytes of memory that the body takes whenever they change; 0 at its end. */
+    readonly onHold: (bytes: number) => void;
+}
+
+/** Bytes of unused blocks that are kept for bodies without a watch. */
+const maxFreeBytes = 1_048_576;
+const defaultPool = new blockPool.BlockPool(maxFreeBytes);
+
 /**
  * Reads the complete body if it has at most `maxBytes`. The rest of a larger body stays unread: the caller has to
  * discard it (`resume`) or close the connection.
  */
-export function readBody(message: http.IncomingMessage, maxBytes: number): Promise<Buffer | BodyFault> {
+export function readBody<Fault extends string = never>(
+    message: http.IncomingMessage,
+    maxBytes: number,
+    watch?: BodyWatch<Fault>,
+): Promise<Buffer | BodyFault | Fault> {
     if (Number(message.headers["content-length"] ?? 0) > maxBytes) {
         return Promise.resolve(BodyFault.tooLarge);
     }
+    const pool = watch?.pool ?? defaultPool;
     return new Promise(resolve => {
-        const chunks: Buffer[] = [];
+        const blocks: Buffer[] = [];
         let bytes = 0;
-        message.on("data", (chunk: Buffer) => {
-            bytes += chunk.byteLength;
-            if (bytes > maxBytes) {
+        let finished = false;
+        function finish(result: () => Buffer | BodyFault | Fault): void {
+            if (finished) {
+                return;
+            }
+            finished = true;
+            message.off("data", collect);
+            resolve(result());
+            pool.giveBack(blocks.splice(0));
+            watch?.onHold(0);
+        }
+        /** Copies the data, since a chunk of few bytes takes hundreds of bytes of memory. */
+        function collect(chunk: Buffer): void {
+            if (bytes + chunk.byteLength > maxBytes) {
                 message.pause();
-                resolve(BodyFault.tooLarge);
+                finish(() => BodyFault.tooLarge);
                 return;
             }
-            chunks.push(chunk);
+            const blockCount = blocks.length;
+            for (let copied = 0; copied < chunk.byteLength;) {
+                const used = bytes % blockPool.blockSize;
+                if (used === 0) {
+                    blocks.push(pool.take());
+                }
+                const count = chunk.copy(blocks.at(-1)!, used, copied);
+                copied += count;
+                bytes += count;
+            }
+            if (blocks.length > blockCount) {
+                watch?.onHold(blocks.length * blockPool.blockSize);
+            }
+            watch?.onChunk();
+        }
+        watch?.onStart(fault => finish(() => fault));
+        message.on("data", collect);
+        message.on("end", () => {
+            finish(() => message.complete ? Buffer.concat(blocks, bytes) : BodyFault.incomplete);
         });
-        message.on("end", () => resolve(message.complete ? Buffer.concat(chunks) : BodyFault.incomplete));
-        message.on("close", () => resolve(BodyFault.incomplete));
-        message.on("error", () => resolve(BodyFault.incomplete));
+        message.on("close", () => finish(() => BodyFault.incomplete));
+        message.on("error", () => finish(() => BodyFault.incomplete));
     });
 }
--- /dev/null
+++ b/packages/request-guard/src/guard-limits.ts
@@ -0,0 +1,97 @@
+/**
+ * Limits on what clients hold of a process, derived from its machine.
+ */
+
+export interface GuardLimits {
+    /** Bytes of all bodies that are being read. */
+    readonly bodyMemory: number;
+    /** Bytes of all responses that clients haven't read yet. */
+    readonly responseMemory: number;
+    /** Connections of all ports together. */
+    readonly connections: number;
+    /** Requests of one connection whose responses aren't written yet. */
+    readonly pipelinedRequests: number;
+    /** Requests on one connection, until it is closed with a response. */
+    readonly requestsPerConnection: number;
+    /** Chunks or segments in which a body may arrive. */
+    readonly bodyChunks: number;
+    /** Bytes of a request's head. */
+    readonly headerSize: number;
+    /** Time in ms from the first byte of a request's head to its end. */
+    readonly headerTimeout: number;
+    /** Time in ms from the end of a request's head to the end of its body. */
+    readonly bodyTimeout: number;
+    /** Time in ms from when a response is written until the client has read it. */
+    readonly responseTimeout: number;
+}
+
+/** What a process's machine has; `undefined` where the settings don't say. */
+export interface Machine {
+    /** In MB. */
+    readonly memory: number | undefined;
+    readonly descriptors: number | undefined;
+}
+
+/** The least of the known deployments. */
+const defaultMemory = 160;
+const defaultDescriptors = 4100;
+/** Descriptors that belong to files. */
+const fileDescriptors = 200;
+/** Share of the other descriptors for incoming connections; the others are for the store, peers and backend servers. */
+const incomingShare = 0.5;
+/** Connections for each MB of memory: a connection with a head of 16,384 bytes takes about 40 KB. */
+const connectionsPerMegabyte = 6;
+/**
+ * Share of the memory for bodies, and the same for responses: on the smallest machine a process at rest takes some 90
+ * of 160 MB, and the collector of the heap and the buffers of the sockets need most of the rest.
+ */
+const memoryShare = 1 / 16;
+/** Least budget in bytes: twice the largest body of a call to the relay. */
+const minMemory = 4_194_304;
+const bytesPerMegabyte = 1_048_576;
+
+/** Limits that no client inside the published limits reaches; `overrides` are those of the settings. */
+export function deriveLimits(machine: Machine, overrides: Partial<GuardLimits> = {}): GuardLimits {
+    const memory = machine.memory ?? defaultMemory;
+    const descriptors = Math.max(0, (machine.descriptors ?? defaultDescriptors) - fileDescriptors);
+    const budget = Math.max(minMemory, Math.floor(memory * bytesPerMegabyte * memoryShare));
+    const stated = Object.fromEntries(Object.entries(overrides).filter(([, value]) => value !== undefined));
+    return {
+        bodyMemory: budget,
+        responseMemory: budget,
+        connections: Math.max(
+            minConnections,
+            Math.min(Math.floor(descriptors * incomingShare), memory * connectionsPerMegabyte),
+        ),
+        // Callers of the platform don't pipeline.
+        pipelinedRequests: 32,
+        requestsPerConnection: 100_000,
+        // The largest body takes 180 segments of a usual link, one to the relay 1,440; a chunk costs some microseconds.
+        bodyChunks: 4096,
+        headerSize: 16_384,
+        // Published: 3,000 ms for a head; a body of 262,144 bytes takes 300 ms on a link of 7 Mbit/s.
+        headerTimeout: 6000,
+        bodyTimeout: 10_000,
+        responseTimeout: 15_000,
+        ...stated,
+    };
+}
+
+/** With fewer, a port would have less than one connection. */
+const minConnections = 32;
+
+/** Ports of a process. */
+export const Port = {
+    callers: "callers",
+    readiness: "readiness",
+    metrics: "metrics",
+    relay: "relay",
+} as const;
+export type Port = (typeof Port)[keyof typeof Port];
+
+/** Shares of the ports in the connections; the sum is 1, so that no port can take those of another one. */
+const portShares: Readonly<Record<Port, number>> = { callers: 0.625, readiness: 0.0625, metrics: 0.0625, relay: 0.25 };
+
+export function countPortConnections(limits: GuardLimits, port: Port): number {
+    return Math.max(1, Math.floor(limits.connections * portShares[port]));
+}
--- /dev/null
+++ b/packages/request-guard/src/request-guard.ts
@@ -0,0 +1,408 @@
+/**
+ * Applies the limits on clients to the HTTP servers of a process. The decisions are in connection-table.ts and
+ * memory-budget.ts; this module feeds them with what happens on the sockets, and closes connections.
+ */
+import type * as eventLog from "@catkinwharf/event-log";
+import * as requestBody from "@catkinwharf/request-body";
+import * as http from "node:http";
+import type * as net from "node:net";
+import * as connectionTable from "./connection-table.js";
+import * as guardLimits from "./guard-limits.js";
+import * as memoryBudget from "./memory-budget.js";
+
+export interface GuardOptions {
+    readonly limits: guardLimits.GuardLimits;
+    readonly log: eventLog.EventLog;
+    /** Monotonic time in ms. */
+    readonly now: () => number;
+}
+
+/** Time in ms between two checks of the time limits. */
+const checkInterval = 250;
+/** Lateness in ms of a check from which the clients' data may be waiting unread, so nothing is overdue. */
+const maxLateness = 1000;
+/**
+ * Time in ms after which a connection on which nothing was ever sent is closed; clients open some in advance. Also
+ * bounds a whole request, as the limits here are lower.
+ */
+const silentTimeout = 75_000;
+/** Bytes of a body that are discarded beyond the limit before the connection is closed. */
+const discardAllowance = 65_536;
+
+/** Faults with which the reading of a body ends, by the reason. */
+const bodyFaults = {
+    [connectionTable.CloseReason.bodyMemory]: requestBody.WatchFault.noMemory,
+    [connectionTable.CloseReason.bodyTimeout]: requestBody.WatchFault.late,
+    [connectionTable.CloseReason.bodyChunks]: requestBody.WatchFault.fragmented,
+} as const;
+
+interface GuardedRequest extends connectionTable.PendingRequest {
+    readonly message: http.IncomingMessage;
+    readonly response: http.ServerResponse;
+    readonly body: BodyHolder;
+    readonly unread: BodyHolder;
+    /** Bytes that had been received on the connection at the end of the head. */
+    readonly bytesBefore: number;
+    /** Parts in which the body has arrived so far. */
+    chunks: number;
+    /** Ends the reading of the body; `undefined` while nobody reads it. */
+    cancel: ((fault: requestBody.BodyFault | requestBody.WatchFault) => void) | undefined;
+    /** The response was handed to the operating system, or the connection was closed. */
+    finished: boolean;
+}
+
+interface BodyHolder extends memoryBudget.Holder {
+    readonly connection: GuardedConnection;
+    readonly request: () => GuardedRequest;
+}
+
+interface GuardedConnection extends connectionTable.Connection {
+    readonly socket: net.Socket;
+    readonly port: GuardedPort;
+    readonly address: string;
+    readonly requests: GuardedRequest[];
+    /** Bytes that had been received when the last request ended. */
+    idleBytes: number;
+}
+
+interface GuardedPort {
+    readonly name: guardLimits.Port;
+    readonly connections: Set<GuardedConnection>;
+    readonly maxConnections: number;
+    /** Largest body in bytes that a client may send. */
+    readonly maxBodyBytes: () => number;
+}
+
+/** A response that tells the guard how much of it is unread. */
+class GuardedResponse extends http.ServerResponse {
+    onEnded: (() => void) | undefined;
+
+    override end(...parts: unknown[]): this {
+        super.end(...parts as []);
+        this.onEnded?.();
+        return this;
+    }
+}
+
+export class RequestGuard {
+    /** Connections that were closed early, by reason. */
+    readonly closed = new Map<connectionTable.CloseReason, number>();
+    readonly #ports: GuardedPort[] = [];
+    readonly #connections = new WeakMap<net.Socket, GuardedConnection>();
+    readonly #requests = new WeakMap<http.IncomingMessage, GuardedRequest>();
+    readonly #bodies: memoryBudget.MemoryBudget<BodyHolder>;
+    readonly #unread: memoryBudget.MemoryBudget<BodyHolder>;
+    readonly #pool: requestBody.BlockPool;
+    #timer: NodeJS.Timeout | undefined;
+    #checkedAt = 0;
+
+    constructor(private readonly options: GuardOptions) {
+        this.#bodies = new memoryBudget.MemoryBudget(options.limits.bodyMemory);
+        this.#unread = new memoryBudget.MemoryBudget(options.limits.responseMemory);
+        this.#pool = new requestBody.BlockPool(options.limits.bodyMemory);
+    }
+
+    /** Creates a server whose clients are held to the limits, without starting to listen. */
+    createServer(name: guardLimits.Port, maxBodyBytes: () => number, handle: http.RequestListener): http.Server {
+        const { limits } = this.options;
+        const port: GuardedPort = {
+            name,
+            connections: new Set(),
+            maxConnections: guardLimits.countPortConnections(limits, name),
+            maxBodyBytes,
+        };
+        const server = http.createServer({
+            ServerResponse: GuardedResponse as typeof http.ServerResponse,
+            maxHeaderSize: limits.headerSize,
+            headersTimeout: silentTimeout,
+            requestTimeout: silentTimeout,
+        }, (message, response) => {
+            if (this.#addRequest(port, message, response as GuardedResponse)) {
+                handle(message, response);
+            }
+        });
+        server.maxRequestsPerSocket = limits.requestsPerConnection;
+        server.on("connection", socket => this.#addConnection(port, socket));
+        server.on("clientError", (error, socket) => this.#refuseHead(error, socket as net.Socket));
+        this.#ports.push(port);
+        if (this.#timer === undefined) {
+            this.#checkedAt = this.options.now();
+            this.#timer = setInterval(() => this.#check(), checkInterval).unref();
+        }
+        return server;
+    }
+
+    /** Reads a body within the limits of the process; a fault closes the connection after the response. */
+    async readBody(
+        message: http.IncomingMessage,
+        maxBytes: number,
+    ): Promise<Buffer | requestBody.BodyFault | requestBody.WatchFault> {
+        const request = this.#requests.get(message);
+        if (request === undefined) {
+            return requestBody.BodyFault.incomplete;
+        }
+        const result = await requestBody.readBody<requestBody.BodyFault | requestBody.WatchFault>(message, maxBytes, {
+            pool: this.#pool,
+            onChunk: () => {
+                request.chunks += 1;
+                if (request.chunks > this.options.limits.bodyChunks && request.cancel !== undefined) {
+                    // Doesn't read the rest, not even to discard it, since each chunk costs time.
+                    message.socket.pause();
+                    this.#refuseBody(request, connectionTable.CloseReason.bodyChunks);
+                }
+            },
+            onStart: cancel => request.cancel = cancel,
+            onHold: bytes => {
+                this.#bodies.set(request.body, bytes);
+                this.#freeBodies();
+            },
+        });
+        request.cancel = undefined;
+        if (typeof result === "string") {
+            request.response.shouldKeepAlive = false;
+        }
+        return result;
+    }
+
+    /** Number of requests to callers' ports that aren't answered yet. */
+    countPending(): number {
+        const ports = this.#ports.filter(({ name }) =>
+            name === guardLimits.Port.callers || name === guardLimits.Port.readiness
+        );
+        return ports.flatMap(({ connections }) => [...connections])
+            .reduce((sum, { requests }) => sum + requests.filter(request => !request.finished).length, 0);
+    }
+
+    #addConnection(port: GuardedPort, socket: net.Socket): void {
+        const now = this.options.now();
+        const connection: GuardedConnection = {
+            ...connectionTable.createConnection(now),
+            requests: [],
+            socket,
+            port,
+            address: socket.remoteAddress ?? "",
+            idleBytes: 0,
+        };
+        this.#connections.set(socket, connection);
+        const destroySoon = socket.destroySoon.bind(socket);
+        // Node calls it after a response that ends the connection. With unread data, closing at once would reset the
+        // connection before the client has read the response.
+        socket.destroySoon = () => {
+            if (connection.requests.every(request => request.message.complete)) {
+                destroySoon();
+                return;
+            }
+            connection.closingSince ??= this.options.now();
+            if (!socket.isPaused()) {
+                connection.requests.forEach(request => request.message.resume());
+            }
+            socket.end();
+        };
+        socket.once("close", () => {
+            port.connections.delete(connection);
+            for (const request of connection.requests) {
+                this.#bodies.set(request.body, 0);
+                this.#unread.set(request.unread, 0);
+            }
+        });
+        if (port.connections.size >= port.maxConnections) {
+            const victim = connectionTable.findLeastProgress(port.connections, now);
+            if (victim !== undefined) {
+                this.#close(victim, connectionTable.CloseReason.tooManyConnections);
+            }
+        }
+        port.connections.add(connection);
+    }
+
+    /** Registers a request; returns whether it may be handled. */
+    #addRequest(port: GuardedPort, message: http.IncomingMessage, response: GuardedResponse): boolean {
+        const connection = this.#connections.get(message.socket);
+        if (connection === undefined || message.socket.destroyed || connection.closingSince !== undefined) {
+            return false;
+        }
+        this.#dropFinished(connection);
+        if (connection.requests.length >= this.options.limits.pipelinedRequests) {
+            this.#close(connection, connectionTable.CloseReason.tooManyPipelined);
+            return false;
+        }
+        const now = this.options.now();
+        const createHolder = () => ({
+            address: connection.address,
+            since: now,
+            held: 0,
+            connection,
+            request: () => request,
+        });
+        const request: GuardedRequest = {
+            startedAt: now,
+            get bodyComplete() {
+                return message.complete;
+            },
+            respondedAt: undefined,
+            message,
+            response,
+            body: createHolder(),
+            unread: createHolder(),
+            bytesBefore: message.socket.bytesRead,
+            chunks: 0,
+            cancel: undefined,
+            finished: false,
+        };
+        connection.headSince = undefined;
+        connection.requests.push(request);
+        this.#requests.set(message, request);
+        response.onEnded = () => this.#addResponse(request);
+        response.once("close", () => {
+            this.#unread.set(request.unread, 0);
+            request.finished = true;
+            this.#dropFinished(connection);
+        });
+        if (Number(message.headers["content-length"] ?? 0) > port.maxBodyBytes()) {
+            response.shouldKeepAlive = false;
+        }
+        return true;
+    }
+
+    #addResponse(request: GuardedRequest): void {
+        if (request.respondedAt !== undefined || request.finished || request.message.socket.destroyed) {
+            return;
+        }
+        request.respondedAt = this.options.now();
+        this.#unread.set(request.unread, request.response.writableLength);
+        for (let excess = this.#unread.findExcess(); excess !== undefined; excess = this.#unread.findExcess()) {
+            this.#close(excess.connection, connectionTable.CloseReason.responseMemory);
+        }
+    }
+
+    /** Drops requests that have been received and answered. */
+    #dropFinished(connection: GuardedConnection): void {
+        const { requests, socket } = connection;
+        while (requests[0]?.finished === true && requests[0].message.complete) {
+            requests.shift();
+            if (requests.length === 0) {
+                connection.idleSince = this.options.now();
+                connection.idleBytes = socket.bytesRead;
+            }
+        }
+    }
+
+    #freeBodies(): void {
+        for (let excess = this.#bodies.findExcess(); excess !== undefined; excess = this.#bodies.findExcess()) {
+            this.#refuseBody(excess.request(), connectionTable.CloseReason.bodyMemory);
+        }
+    }
+
+    /** Lets the reader of the body refuse the request, or closes the connection if nobody reads it. */
+    #refuseBody(request: GuardedRequest, reason: keyof typeof bodyFaults): void {
+        const { cancel, body: { connection } } = request;
+        if (cancel === undefined) {
+            this.#close(connection, reason);
+            return;
+        }
+        request.cancel = undefined;
+        this.#record(connection, reason);
+        connection.closingSince = this.options.now();
+        cancel(bodyFaults[reason]);
+    }
+
+    /** Answers a head that is too large, too late or malformed. */
+    #refuseHead(error: Error & { readonly code?: string; }, socket: net.Socket): void {
+        const connection = this.#connections.get(socket);
+        if (connection === undefined || !socket.writable || error.code === "ECONNRESET") {
+            socket.destroy();
+            return;
+        }
+        const statuses: Readonly<Record<string, string>> = {
+            HPE_HEADER_OVERFLOW: "431 Request Header Fields Too Large",
+            ERR_HTTP_REQUEST_TIMEOUT: "408 Request Timeout",
+        };
+        this.#closeWith(
+            connection,
+            statuses[error.code ?? ""] ?? "400 Bad Request",
+            connectionTable.CloseReason.malformedHead,
+        );
+    }
+
+    /** Sends a response without a request, if no other one is due, and closes the connection. */
+    #closeWith(connection: GuardedConnection, status: string, reason: connectionTable.CloseReason): void {
+        if (connection.requests.length > 0) {
+            this.#close(connection, reason);
+            return;
+        }
+        if (connection.closingSince === undefined) {
+            this.#record(connection, reason);
+            connection.closingSince = this.options.now();
+            connection.socket.end(`HTTP/1.1 ${status}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`);
+        }
+    }
+
+    #close(connection: GuardedConnection, reason: connectionTable.CloseReason): void {
+        this.#record(connection, reason);
+        connection.port.connections.delete(connection);
+        for (const request of connection.requests) {
+            request.cancel?.(requestBody.BodyFault.incomplete);
+            this.#bodies.set(request.body, 0);
+            this.#unread.set(request.unread, 0);
+        }
+        connection.socket.destroy();
+    }
+
+    #record(connection: GuardedConnection, reason: connectionTable.CloseReason): void {
+        this.closed.set(reason, (this.closed.get(reason) ?? 0) + 1);
+        const { phase, since } = connectionTable.describePhase(connection);
+        this.options.log.warn("connection-closed-early", {
+            port: connection.port.name,
+            reason,
+            address: connection.address,
+            phase,
+            age: Math.round(this.options.now() - since),
+            connections: connection.port.connections.size,
+            bodyBytes: this.#bodies.held,
+            unreadBytes: this.#unread.held,
+        });
+    }
+
+    /** Closes the connections that exceed a time limit. */
+    #check(): void {
+        const now = this.options.now();
+        const late = now - this.#checkedAt > checkInterval + maxLateness;
+        this.#checkedAt = now;
+        if (late) {
+            return;
+        }
+        for (const port of this.#ports) {
+            for (const connection of port.connections) {
+                this.#checkConnection(connection, now);
+            }
+        }
+    }
+
+    #checkConnection(connection: GuardedConnection, now: number): void {
+        const { requests, socket, port } = connection;
+        this.#dropFinished(connection);
+        if (requests.length === 0 && connection.headSince === undefined && socket.bytesRead > connection.idleBytes) {
+            connection.headSince = now;
+        }
+        const [oldest] = requests;
+        if (
+            oldest?.finished === true
+            && socket.bytesRead - oldest.bytesBefore > port.maxBodyBytes() + discardAllowance
+        ) {
+            this.#close(connection, connectionTable.CloseReason.bodyTooLarge);
+            return;
+        }
+        const reason = connectionTable.findOverdue(connection, this.options.limits, now);
+        if (reason === "closed") {
+            socket.destroy();
+        }
+        else if (reason === connectionTable.CloseReason.headerTimeout) {
+            this.#closeWith(connection, "408 Request Timeout", reason);
+        }
+        else if (reason === connectionTable.CloseReason.bodyTimeout) {
+            this.#refuseBody(requests.find(request => !request.bodyComplete)!, reason);
+        }
+        else if (reason !== undefined) {
+            this.#close(connection, reason);
+        }
+    }
+}
--- a/packages/store/src/store-relay.ts
+++ b/packages/store/src/store-relay.ts
@@ -41,11 +41,16 @@
     readonly isCoordinating: () => boolean;
     /** Receives the encoded jobs that a peer couldn't store; returns whether this process coordinates. */
     readonly receiveUnstoredJobs: (encoded: Uint8Array) => boolean;
+    /** Creates the server without starting to listen; `http.createServer` unless given. */
+    readonly createServer?: (maxBodyBytes: number, handle: http.RequestListener) => http.Server;
+    /** Reads a body up to a size; `requestBody.readBody` unless given. */
+    readonly readBody?: requestBody.WatchedReader;
 }
 
 /** Creates the relay's HTTP server without starting to listen. */
 export function createRelay(options: RelayOptions): http.Server {
-    return http.createServer((message, response) => {
+    const createServer = options.createServer ?? ((_maxBytes, handle) => http.createServer(handle));
+    return createServer(maxBodyBytes, (message, response) => {
         if (message.url === coordinatingPath) {
             response.writeHead(options.isCoordinating() ? 204 : notForwardedStatus).end();
             return;
@@ -105,13 +110,17 @@
     return result.isOk() && result.value.status === 204;
 }
 
+function readBody(options: RelayOptions, message: http.IncomingMessage): ReturnType<requestBody.WatchedReader> {
+    return (options.readBody ?? requestBody.readBody)(message, maxBodyBytes);
+}
+
 interface RelayResponse {
     readonly status: number;
     readonly body: Uint8Array;
 }
 
 async function receiveUnstoredJobs(options: RelayOptions, message: http.IncomingMessage): Promise<RelayResponse> {
-    const encoded = await requestBody.readBody(message, maxBodyBytes);
+    const encoded = await readBody(options, message);
     const received = encoded instanceof Uint8Array && options.receiveUnstoredJobs(encoded);
     return { status: received ? 204 : notForwardedStatus, body: new Uint8Array() };
 }
@@ -121,8 +130,8 @@
     message: http.IncomingMessage,
 ): Promise<RelayResponse> {
     const emptyBody = new Uint8Array();
-    const body = await requestBody.readBody(message, maxBodyBytes);
-    if (body === requestBody.BodyFault.tooLarge) {
+    const body = await readBody(options, message);
+    if (typeof body === "string" && body !== requestBody.BodyFault.incomplete) {
         return { status: notForwardedStatus, body: emptyBody };
     }
     if (body === requestBody.BodyFault.incomplete) {
