Bound heads, chunks and unread responses by the memory that they take

Chunks of one byte kept the process busy for over 30 s.

A job that was accepted before isn't reported as refused when its repetition can't be read.

Unit tests of request-guard, request-body, platform, intake and the store's relay pass.

--- a/packages/intake/src/job-api.test.ts
+++ b/packages/intake/src/job-api.test.ts
@@ -3,6 +3,7 @@
 import * as jobState from "@catkinwharf/job-state";
 import * as jobStateTesting from "@catkinwharf/job-state/testing";
 import * as platformTesting from "@catkinwharf/platform/testing";
+import * as requestBody from "@catkinwharf/request-body";
 import * as testUtils from "@catkinwharf/test-utils";
 import * as http from "node:http";
 import * as uvu from "uvu";
@@ -35,6 +36,8 @@
     storeUnavailable?: boolean;
     /** Ms for which tasks wait for the coordinator; 0 by default. */
     startDelay?: number;
+    /** Why the body can't be read. */
+    bodyFault?: requestBody.BodyFault | requestBody.WatchFault;
     /** Records that were written. */
     written?: jobState.KeyedRecord[];
 }
@@ -84,6 +87,10 @@
         isReady: () => true,
         isShuttingDown: () => false,
         startDelay: () => view.startDelay ?? 0,
+        readBody: (message, maxBytes) =>
+            view.bodyFault === undefined
+                ? requestBody.readBody(message, maxBytes)
+                : Promise.resolve(view.bodyFault),
         onUnstored: () => {},
         count: () => {},
     });
@@ -190,6 +197,32 @@
     assert.is((await get(path, new jobState.JobTable(), unreadable, body)).status, 504);
 });
 
+suite(
+    "a submission is stored or reported as accepted although its body wasn't read, or an accepted job is refused",
+    async () => {
+        const { BodyFault, WatchFault } = requestBody;
+        const id = "00000000000000ac";
+        for (
+            const [bodyFault, status, repeated] of [
+                [BodyFault.tooLarge, 413, 413],
+                [WatchFault.late, 408, 200],
+                [WatchFault.noMemory, 503, 200],
+                [WatchFault.fragmented, 413, 200],
+            ] as const
+        ) {
+            const jobs = new jobState.JobTable();
+            const view: View = { age: 0, refresh: () => Promise.resolve(true), bodyFault, written: [] };
+            const body = platformTesting.createSubmissionBody(1);
+            const response = await get(`${route.pathPrefix}${id}`, jobs, view, body);
+            assert.is(response.status, status);
+            assert.is(response.retryAfter !== undefined, status === 503);
+            submit(jobs, id);
+            assert.is((await get(`${route.pathPrefix}${id}`, jobs, view, body)).status, repeated);
+            assert.is(view.written!.length, 0);
+        }
+    },
+);
+
 suite("callers are refused because a job is larger than a record of the store may be", async () => {
     const written: jobState.KeyedRecord[] = [];
     const view: View = { age: 0, refresh: () => Promise.resolve(true), written };
--- a/packages/intake/src/job-api.ts
+++ b/packages/intake/src/job-api.ts
@@ -219,7 +219,10 @@
             result = await this.#respond(message, startedAt);
         }
         catch (error) {
-            this.options.log.warn("request-broken", { path: message.url?.slice(0, maxLoggedPath), error: String(error) });
+            this.options.log.warn("request-broken", {
+                path: message.url?.slice(0, maxLoggedPath),
+                error: String(error),
+            });
             result = { status: 500, body: "", reason: "internal error" };
         }
         if (!message.complete) {
@@ -376,7 +379,11 @@
         const readBody = this.options.readBody ?? requestBody.readBody;
         const body = await readBody(request.message, request.maxBodyBytes);
         if (typeof body === "string") {
-            return bodyRefusals[body];
+            // An earlier attempt may have been accepted; then it isn't true that the job won't run.
+            const earlier = this.options.jobs.entries.get(request.id)?.job;
+            return body !== requestBody.BodyFault.tooLarge && earlier !== undefined && isVisible(earlier, request)
+                ? accepted
+                : bodyRefusals[body];
         }
         const submission = platform.callerBodies.decodeSubmission(body);
         if (typeof submission === "string") {
--- a/packages/node/src/entry-instance.ts
+++ b/packages/node/src/entry-instance.ts
@@ -175,7 +175,9 @@
         }
         this.#servers.forEach(server => server.close());
         this.#servers.forEach(server => server.closeIdleConnections());
-        while (this.#guard.countPending() > 0 && this.#clock.monotonic() - startedAt < servingTime + shutdownMargin / 2) {
+        while (
+            this.#guard.countPending() > 0 && this.#clock.monotonic() - startedAt < servingTime + shutdownMargin / 2
+        ) {
             await timers.setTimeout(20);
         }
         this.log.info("stopped", { requestsLeft: this.#guard.countPending() });
--- a/packages/request-guard/src/guard-limits.ts
+++ b/packages/request-guard/src/guard-limits.ts
@@ -3,7 +3,7 @@
  */
 
 export interface GuardLimits {
-    /** Bytes of all bodies that are being read. */
+    /** Bytes of all bodies that are being read, and of unusually large heads. */
     readonly bodyMemory: number;
     /** Bytes of all responses that clients haven't read yet. */
     readonly responseMemory: number;
@@ -39,13 +39,14 @@
 const fileDescriptors = 200;
 /** Share of the other descriptors for incoming connections; the others are for the store, peers and backend servers. */
 const incomingShare = 0.5;
-/** Connections for each MB of memory: a connection with a head of 16,384 bytes takes about 40 KB. */
-const connectionsPerMegabyte = 6;
+/** Connections for each MB of memory; one with an incomplete head of 16,384 bytes takes up to about 40 KB. */
+const connectionsPerMegabyte = 8;
 /**
- * Share of the memory for bodies, and the same for responses: on the smallest machine a process at rest takes some 90
- * of 160 MB, and the collector of the heap and the buffers of the sockets need most of the rest.
+ * Shares of the memory for bodies and for responses: on the smallest machine a process at rest takes some 90 of 160 MB,
+ * and the collector of the heap and the buffers of the sockets need most of the rest.
  */
-const memoryShare = 1 / 16;
+const bodyShare = 1 / 16;
+const responseShare = 1 / 8;
 /** Least budget in bytes: twice the largest body of a call to the relay. */
 const minMemory = 4_194_304;
 const bytesPerMegabyte = 1_048_576;
@@ -54,11 +55,11 @@
 export function deriveLimits(machine: Machine, overrides: Partial<GuardLimits> = {}): GuardLimits {
     const memory = machine.memory ?? defaultMemory;
     const descriptors = Math.max(0, (machine.descriptors ?? defaultDescriptors) - fileDescriptors);
-    const budget = Math.max(minMemory, Math.floor(memory * bytesPerMegabyte * memoryShare));
+    const computeBudget = (share: number) => Math.max(minMemory, Math.floor(memory * bytesPerMegabyte * share));
     const stated = Object.fromEntries(Object.entries(overrides).filter(([, value]) => value !== undefined));
     return {
-        bodyMemory: budget,
-        responseMemory: budget,
+        bodyMemory: computeBudget(bodyShare),
+        responseMemory: computeBudget(responseShare),
         connections: Math.max(
             minConnections,
             Math.min(Math.floor(descriptors * incomingShare), memory * connectionsPerMegabyte),
@@ -72,7 +73,7 @@
         // Published: 3,000 ms for a head; a body of 262,144 bytes takes 300 ms on a link of 7 Mbit/s.
         headerTimeout: 6000,
         bodyTimeout: 10_000,
-        responseTimeout: 15_000,
+        responseTimeout: 30_000,
         ...stated,
     };
 }
--- a/packages/request-guard/src/memory-budget.ts
+++ b/packages/request-guard/src/memory-budget.ts
@@ -5,8 +5,8 @@
 export interface Holder {
     /** Address of the client. */
     readonly address: string;
-    /** Monotonic time in ms since which it holds memory. */
-    readonly since: number;
+    /** Monotonic time in ms since which it holds memory, or since which it has made no progress. */
+    since: number;
     /** Bytes. */
     held: number;
 }
--- a/packages/request-guard/src/request-guard.ts
+++ b/packages/request-guard/src/request-guard.ts
@@ -43,6 +43,8 @@
     readonly unread: BodyHolder;
     /** Bytes that had been received on the connection at the end of the head. */
     readonly bytesBefore: number;
+    /** Bytes that the head takes. */
+    readonly headMemory: number;
     /** Parts in which the body has arrived so far. */
     chunks: number;
     /** Ends the reading of the body; `undefined` while nobody reads it. */
@@ -51,6 +53,30 @@
     finished: boolean;
 }
 
+/** Bytes of memory that a name or value of a head takes, beyond its text. */
+const fieldMemory = 64;
+/** Bytes of a usual head, which aren't counted. */
+const usualHeadMemory = 8192;
+
+/** A head with very many short fields takes many times its size; that of an ordinary request counts as 0. */
+function estimateHeadMemory({ rawHeaders }: http.IncomingMessage): number {
+    const memory = rawHeaders.length * fieldMemory;
+    return memory > usualHeadMemory ? memory : 0;
+}
+
+/**
+ * Ends the parsing of what a closed connection has sent. Without it, Node goes on to create the objects of all pipelined
+ * requests that it has received, some thousands, and an error for each. The parser isn't part of Node's documented
+ * interface; where it is another one, only this saving is lost.
+ */
+function stopParsing(socket: net.Socket): void {
+    const { parser } = socket as { readonly parser?: { onIncoming?: unknown; }; };
+    if (typeof parser?.onIncoming === "function") {
+        // By this result, the rest of the data isn't HTTP.
+        parser.onIncoming = () => 2;
+    }
+}
+
 interface BodyHolder extends memoryBudget.Holder {
     readonly connection: GuardedConnection;
     readonly request: () => GuardedRequest;
@@ -61,6 +87,8 @@
     readonly port: GuardedPort;
     readonly address: string;
     readonly requests: GuardedRequest[];
+    /** Bytes that the operating system had taken for sending at the last check. */
+    sentBytes: number;
     /** Bytes that had been received when the last request ended. */
     idleBytes: number;
 }
@@ -153,7 +181,7 @@
             },
             onStart: cancel => request.cancel = cancel,
             onHold: bytes => {
-                this.#bodies.set(request.body, bytes);
+                this.#bodies.set(request.body, request.finished ? 0 : request.headMemory + bytes);
                 this.#freeBodies();
             },
         });
@@ -181,6 +209,7 @@
             socket,
             port,
             address: socket.remoteAddress ?? "",
+            sentBytes: 0,
             idleBytes: 0,
         };
         this.#connections.set(socket, connection);
@@ -200,10 +229,7 @@
         };
         socket.once("close", () => {
             port.connections.delete(connection);
-            for (const request of connection.requests) {
-                this.#bodies.set(request.body, 0);
-                this.#unread.set(request.unread, 0);
-            }
+            connection.requests.forEach(request => this.#abandon(request));
         });
         if (port.connections.size >= port.maxConnections) {
             const victim = connectionTable.findLeastProgress(port.connections, now);
@@ -218,6 +244,7 @@
     #addRequest(port: GuardedPort, message: http.IncomingMessage, response: GuardedResponse): boolean {
         const connection = this.#connections.get(message.socket);
         if (connection === undefined || message.socket.destroyed || connection.closingSince !== undefined) {
+            stopParsing(message.socket);
             return false;
         }
         this.#dropFinished(connection);
@@ -244,6 +271,7 @@
             body: createHolder(),
             unread: createHolder(),
             bytesBefore: message.socket.bytesRead,
+            headMemory: estimateHeadMemory(message),
             chunks: 0,
             cancel: undefined,
             finished: false,
@@ -254,9 +282,15 @@
         response.onEnded = () => this.#addResponse(request);
         response.once("close", () => {
             this.#unread.set(request.unread, 0);
+            this.#bodies.set(request.body, 0);
             request.finished = true;
             this.#dropFinished(connection);
         });
+        this.#bodies.set(request.body, request.headMemory);
+        this.#freeBodies();
+        if (message.socket.destroyed) {
+            return false;
+        }
         if (Number(message.headers["content-length"] ?? 0) > port.maxBodyBytes()) {
             response.shouldKeepAlive = false;
         }
@@ -339,14 +373,23 @@
     #close(connection: GuardedConnection, reason: connectionTable.CloseReason): void {
         this.#record(connection, reason);
         connection.port.connections.delete(connection);
-        for (const request of connection.requests) {
-            request.cancel?.(requestBody.BodyFault.incomplete);
-            this.#bodies.set(request.body, 0);
-            this.#unread.set(request.unread, 0);
-        }
+        stopParsing(connection.socket);
+        connection.requests.forEach(request => this.#abandon(request));
         connection.socket.destroy();
     }
 
+    /** Frees what a request holds whose connection closes; its handler may still be waiting for something else. */
+    #abandon(request: GuardedRequest): void {
+        request.finished = true;
+        request.cancel?.(requestBody.BodyFault.incomplete);
+        this.#bodies.set(request.body, 0);
+        this.#unread.set(request.unread, 0);
+        if (request.headMemory > 0) {
+            request.message.rawHeaders = [];
+            request.message.headers = {};
+        }
+    }
+
     #record(connection: GuardedConnection, reason: connectionTable.CloseReason): void {
         this.closed.set(reason, (this.closed.get(reason) ?? 0) + 1);
         const { phase, since } = connectionTable.describePhase(connection);
@@ -377,9 +420,21 @@
         }
     }
 
+    /** Updates what the client hasn't read; one that goes on reading isn't the first whose connection is closed. */
+    #measureUnread(connection: GuardedConnection, now: number): void {
+        const sentBytes = connection.socket.bytesWritten - connection.socket.writableLength;
+        const progressed = sentBytes > connection.sentBytes;
+        connection.sentBytes = sentBytes;
+        for (const { unread, response } of connection.requests.filter(request => request.unread.held > 0)) {
+            unread.since = progressed ? now : unread.since;
+            this.#unread.set(unread, response.writableLength);
+        }
+    }
+
     #checkConnection(connection: GuardedConnection, now: number): void {
         const { requests, socket, port } = connection;
         this.#dropFinished(connection);
+        this.#measureUnread(connection, now);
         if (requests.length === 0 && connection.headSince === undefined && socket.bytesRead > connection.idleBytes) {
             connection.headSince = now;
         }
