Keep a quarter more instances in service than ran tasks at the peak

Change: a quarter more stay in service, and a new coordinator gives up what it hasn't seen in use more slowly.

--- a/packages/dispatch/src/machine-manager.ts
+++ b/packages/dispatch/src/machine-manager.ts
@@ -129,7 +129,7 @@
         const standby = demands.find(demand => demand.standby)?.service;
         const inService = instances.filter(instance => instance.pool !== standby);
         const atWork = inService.filter(instance => instance.emptySince === undefined).length;
-        this.#peakNeed.record(atWork, now, inService.length);
+        this.#peakNeed.record(scheduling.defaultPoolPolicy.peakHeadroom * atWork, now, inService.length);
         if (now - this.#lastReport >= reportInterval) {
             this.#lastReport = now;
             this.#logPools(demands, instances);
--- a/packages/scheduling/src/peak-need.ts
+++ b/packages/scheduling/src/peak-need.ts
@@ -40,14 +40,15 @@
     }
 
     /**
-     * Largest need of the window. Until a whole window has been observed, at least the share of the instances that were in
-     * service at first which the part of the window is that hasn't been observed.
+     * Largest need of the window. Until a whole window has been observed, the instances beyond it that were in service at
+     * first count by the part of the window that hasn't been observed.
      */
     find(now: number): number {
         if (this.#firstAt === undefined) {
             return Number.POSITIVE_INFINITY;
         }
+        const { needed } = this.#samples[0]!;
         const unobserved = 1 - (now - this.#firstAt) / this.window;
-        return Math.max(this.#samples[0]!.needed, unobserved > 0 ? unobserved * this.#firstInService : 0);
+        return unobserved <= 0 ? needed : needed + unobserved * Math.max(0, this.#firstInService - needed);
     }
 }
--- a/packages/scheduling/src/pools.ts
+++ b/packages/scheduling/src/pools.ts
@@ -63,6 +63,11 @@
      * follow one another.
      */
     readonly peakWindow: number;
+    /**
+     * Instances kept in service for each one that ran tasks at the peak: the next burst begins while the tasks of the last
+     * one still run, and may be larger.
+     */
+    readonly peakHeadroom: number;
     /**
      * Ms for which an instance has to be empty before it moves to another service's pool. When instances are scarce, it
      * moves at once.
@@ -84,6 +89,7 @@
     // Two moves, to the standby pool and back, cost as much as an empty instance does in about 2.3 s.
     emptyTimeBeforeStandby: 2300,
     peakWindow: 15_000,
+    peakHeadroom: 1.25,
     emptyTimeBeforeMove: 300,
     packingEfficiency: 0.85,
     minInstances: 2,
