End the wait for a job's record with the request

Cause: where organisations may use the same job IDs, an accepted submission waits up to 300 ms until its record has been read. JobTable kept the wait until that record arrived, so a process that never reads it kept one for each submission.

Change: waitForJob takes a signal, which removes the wait; the API sends it after 300 ms.

--- a/packages/intake/src/job-api.ts
+++ b/packages/intake/src/job-api.ts
@@ -493,7 +493,9 @@
     async #confirmOwner(request: JobRequest): Promise<JobResponse> {
         const { jobs, monotonicNow } = this.options;
         const until = Math.min(request.deadline, monotonicNow() + maxReadBackTime);
-        const owner = await this.#waitUntil(until, jobs.waitForJob(request.id));
+        const wait = new AbortController();
+        const owner = await this.#waitUntil(until, jobs.waitForJob(request.id, wait.signal));
+        wait.abort(); // A record that is never read would otherwise keep the wait in memory.
         if (owner === undefined || isRepetition(owner, request)) {
             return accepted;
         }
--- a/packages/job-state/src/job-table.ts
+++ b/packages/job-state/src/job-table.ts
@@ -42,7 +42,7 @@
     /** IDs of the jobs whose records were read from the topic. */
     readonly #readJobs = new Set<string>();
     /** Called once a record of the job has been read, by job ID. */
-    readonly #waiting = new Map<string, ((job: jobs.Job) => void)[]>();
+    readonly #waiting = new Map<string, Set<(job: jobs.Job) => void>>();
     /** Parts of progress, by job ID and key, whose job's record hasn't been read yet: they don't count without it. */
     readonly #pendingParts = new Map<string, Map<string, parts.ProgressPart>>();
 
@@ -81,12 +81,31 @@
         this.onJobOrCancellation(entry);
     }
 
-    /** Returns the job, once a record of it has been read from the topic. */
-    waitForJob(id: string): Promise<jobs.Job> {
+    /** Number of calls of `waitForJob` that wait. */
+    get waitingCount(): number {
+        return [...this.#waiting.values()].reduce((sum, { size }) => sum + size, 0);
+    }
+
+    /**
+     * Returns the job, once a record of it has been read from the topic.
+     *
+     * @param signal ends the wait; the promise then stays pending
+     */
+    waitForJob(id: string, signal: AbortSignal): Promise<jobs.Job> {
         const known = this.#readJobs.has(id) ? this.entries.get(id)?.job : undefined;
-        return known !== undefined
-            ? Promise.resolve(known)
-            : new Promise(resolve => void this.#waiting.set(id, [...this.#waiting.get(id) ?? [], resolve]));
+        if (known !== undefined) {
+            return Promise.resolve(known);
+        }
+        return new Promise(resolve => {
+            const waiting = this.#waiting.get(id) ?? new Set();
+            this.#waiting.set(id, waiting.add(resolve));
+            signal.addEventListener("abort", () => {
+                waiting.delete(resolve);
+                if (waiting.size === 0 && this.#waiting.get(id) === waiting) {
+                    this.#waiting.delete(id);
+                }
+            }, { once: true });
+        });
     }
 
     /**
