Keep no quota for steps behind long-running tasks

Cause: a step that its quota holds back keeps half of the quota from later steps of its organisation. Where long-running tasks occupy half of the quota or more, it can never start by waiting, and the later steps never got the rest of it. Also, for each gang that is too wide for the quota all servers were searched in each pass, for nothing.

Change: QuotaUsage.mayReserve decides by what remains once the tasks that end by themselves have ended, and is asked before the servers are searched.

--- a/packages/dispatch/src/placer.ts
+++ b/packages/dispatch/src/placer.ts
@@ -94,7 +94,7 @@
             const stepKey = runManager.formatStepKey(active.job.id, ready);
             if (allowed === 0) {
                 this.counts.overQuota += 1;
-                if (!quota.hasReserved(active.job.organisation!) && !hopeless.includes(step)) {
+                if (quota.mayReserve(active.job.organisation!, step, ready.tasks.length) && !hopeless.includes(step)) {
                     const request = { stepKey, step, tasks: ready.tasks, avoided: active.avoided, alone: ready.alone };
                     if (scheduling.chooseReservation(request, loads) === undefined) {
                         hopeless.recordUnplaced(step, loads);
--- a/packages/dispatch/src/quota-meter.ts
+++ b/packages/dispatch/src/quota-meter.ts
@@ -18,7 +18,11 @@
     }
     for (const server of servers) {
         for (const run of server.runs.values()) {
-            usage.add(run.entry.job?.organisation, run.step.demand);
+            const organisation = run.entry.job?.organisation;
+            usage.add(organisation, run.step.demand);
+            if (run.step.longRunning) {
+                usage.addLongRunning(organisation, run.step.demand);
+            }
         }
     }
     return usage;
--- a/packages/scheduling/src/quota.test.ts
+++ b/packages/scheduling/src/quota.test.ts
@@ -71,10 +71,24 @@
     less.reserve("a", large, 1);
     assert.is(less.countAllowed("a", step, 32), 1);
     const hopeless = createUsage(2);
+    assert.not(hopeless.mayReserve("a", fixtures.createStep({ ...step, gang: true }), 5));
     hopeless.reserve("a", fixtures.createStep({ ...step, gang: true }), 5);
     assert.is(hopeless.countAllowed("a", step, 1), 1);
 });
 
+suite("half of the quota is kept for a step that can't start before long-running tasks have ended", () => {
+    const large = fixtures.createStep({ demand: { cpu: 8000, memory: 0, accelerators: 0 } });
+    const usage = createUsage(2);
+    usage.addLongRunning("a", step.demand, 2);
+    assert.is(usage.countAllowed("a", large, 1), 0);
+    assert.not(usage.mayReserve("a", large, 1));
+    usage.reserve("a", large, 1);
+    assert.is(usage.countAllowed("a", step, 32), 1);
+    const ending = createUsage(2);
+    ending.addLongRunning("a", step.demand, 1);
+    assert.ok(ending.mayReserve("a", large, 1));
+});
+
 suite("organisations without a quota, and jobs without an organisation, are held back", () => {
     const usage = createUsage(3);
     assert.is(usage.countAllowed("b", step, 32), 32);
--- a/packages/scheduling/src/quota.ts
+++ b/packages/scheduling/src/quota.ts
@@ -21,6 +21,8 @@
 
 export class QuotaUsage {
     readonly #usages = new Map<string, OrganisationUsage>();
+    /** Part of the usages that doesn't end by itself. */
+    readonly #longRunning = new Map<string, OrganisationUsage>();
     /** Organisations of which a step that is held back has half of the quota reserved. */
     readonly #reserved = new Set<string>();
 
@@ -29,16 +31,16 @@
 
     /** Adds `count` runs of the organisation, each with this demand. */
     add(organisation: string | undefined, demand: jobState.Demand, count = 1): void {
-        if (organisation === undefined) {
-            return;
-        }
-        const usage = this.find(organisation);
-        resources.forEach(resource => usage[resource] += count * demand[resource]);
-        this.#usages.set(organisation, usage);
+        addTo(this.#usages, organisation, demand, count);
+    }
+
+    /** Marks `count` runs of the organisation that were added as long-running. */
+    addLongRunning(organisation: string | undefined, demand: jobState.Demand, count = 1): void {
+        addTo(this.#longRunning, organisation, demand, count);
     }
 
     find(organisation: string): OrganisationUsage {
-        return this.#usages.get(organisation) ?? { cpu: 0, memory: 0, accelerators: 0 };
+        return this.#usages.get(organisation) ?? createUsage();
     }
 
     /**
@@ -55,41 +57,75 @@
         if (organisation === undefined || limit === undefined) {
             return wanted;
         }
-        const usage = this.find(organisation);
-        const isBelowHalf = resources.every(resource => limit[resource] === 0 || usage[resource] < limit[resource] / 2);
-        const share = this.hasReserved(organisation) ? 0.5 : 1;
-        const fitting = countFitting(demand, limit, share, usage);
-        // What is reserved isn't for a task beyond the quota.
-        const extra = isBelowHalf && share === 1 ? 1 : 0;
-        if (gang) {
-            return fitting + extra >= wanted ? wanted : 0;
-        }
-        return Math.min(wanted, Math.max(fitting, extra));
+        const share = this.#reserved.has(organisation) ? 0.5 : 1;
+        return countStartable({ demand, gang }, wanted, limit, share, this.find(organisation));
     }
 
-    hasReserved(organisation: string): boolean {
-        return this.#reserved.has(organisation);
+    /**
+     * Whether `reserve` has an effect: nothing is kept for the organisation yet, and the step can start once the
+     * organisation's tasks that end by themselves have ended.
+     */
+    mayReserve(organisation: string, step: Pick<jobState.Step, "demand" | "gang">, wanted: number): boolean {
+        const limit = this.limits.get(organisation);
+        const remaining = this.#longRunning.get(organisation) ?? createUsage();
+        return limit !== undefined && !this.#reserved.has(organisation)
+            && countStartable(step, wanted, limit, 1, remaining) > 0;
     }
 
     /**
      * Keeps half of the quota for a step that it holds back, until the usage is summed anew: smaller tasks of the
-     * organisation would otherwise take each bit of it that becomes free. Nothing is kept for a gang that is too wide for
-     * the quota.
+     * organisation would otherwise take each bit of it that becomes free. Nothing is kept for a step that would still have
+     * to wait then: a gang that is too wide for the quota, or a step behind long-running tasks.
      */
-    reserve(organisation: string, { demand, gang }: Pick<jobState.Step, "demand" | "gang">, wanted: number): void {
-        const limit = this.limits.get(organisation);
-        if (limit !== undefined && (!gang || countFitting(demand, limit) + 1 >= wanted)) {
+    reserve(organisation: string, step: Pick<jobState.Step, "demand" | "gang">, wanted: number): void {
+        if (this.mayReserve(organisation, step, wanted)) {
             this.#reserved.add(organisation);
         }
     }
 }
 
+function createUsage(): OrganisationUsage {
+    return { cpu: 0, memory: 0, accelerators: 0 };
+}
+
+function addTo(
+    usages: Map<string, OrganisationUsage>,
+    organisation: string | undefined,
+    demand: jobState.Demand,
+    count: number,
+): void {
+    if (organisation === undefined) {
+        return;
+    }
+    const usage = usages.get(organisation) ?? createUsage();
+    resources.forEach(resource => usage[resource] += count * demand[resource]);
+    usages.set(organisation, usage);
+}
+
+/** Number of the step's tasks that may start beside the usage, at most `wanted`; see `QuotaUsage.countAllowed`. */
+function countStartable(
+    { demand, gang }: Pick<jobState.Step, "demand" | "gang">,
+    wanted: number,
+    limit: jobState.Demand,
+    share: number,
+    usage: jobState.Demand,
+): number {
+    const isBelowHalf = resources.every(resource => limit[resource] === 0 || usage[resource] < limit[resource] / 2);
+    const fitting = countFitting(demand, limit, share, usage);
+    // What is reserved isn't for a task beyond the quota.
+    const extra = isBelowHalf && share === 1 ? 1 : 0;
+    if (gang) {
+        return fitting + extra >= wanted ? wanted : 0;
+    }
+    return Math.min(wanted, Math.max(fitting, extra));
+}
+
 /** Number of tasks with this demand that fit beside the usage into a share of the limit. */
 function countFitting(
     demand: jobState.Demand,
     limit: jobState.Demand,
-    share = 1,
-    usage: jobState.Demand = { cpu: 0, memory: 0, accelerators: 0 },
+    share: number,
+    usage: jobState.Demand,
 ): number {
     const left = resources.map(resource =>
         limit[resource] === 0 || demand[resource] === 0
