Let jobs beyond the rate respect what those within have just reserved

Cause: placeByRate calls Placer.place a second time for the jobs beyond the rate, which begins the pass anew. Reservations younger than 2 s bind only steps that are tried after theirs in one call, so tasks beyond the rate started on the reserved servers. And a step that no server is permitted to run, by label or number of its tasks, kept jobs beyond the rate waiting although no task that ends could help it.

Change: a call for some of the candidates binds the reservations of those before them; the hold asks for a server that the step may run on.

--- a/packages/dispatch/src/look-ahead.ts
+++ b/packages/dispatch/src/look-ahead.ts
@@ -43,6 +43,21 @@
         );
     }
 
+    /** Keeps `candidate` and those after it off what the candidates before it have reserved. */
+    bindBefore(candidate: jobRegistry.Candidate | undefined, candidates: readonly jobRegistry.Candidate[]): void {
+        if (candidate === undefined || this.owners.size === 0) {
+            return;
+        }
+        for (const earlier of candidates) {
+            if (earlier === candidate) {
+                return;
+            }
+            if (this.owners.has(earlier.active)) {
+                this.reservations.bind(runManager.formatStepKey(earlier.active.job.id, earlier.ready));
+            }
+        }
+    }
+
     update(
         active: jobRegistry.ActiveJob,
         request: scheduling.PlacementRequest,
--- a/packages/dispatch/src/placer.ts
+++ b/packages/dispatch/src/placer.ts
@@ -62,7 +62,7 @@
      * @param quota what each organisation has running; updated
      * @param limit number of tasks that may be placed; a gang isn't divided and may exceed it
      * @param waiting all candidates of the service, where only some of them are placed now; the others keep their
-     * reservations
+     * reservations, and those before the ones that are placed bind them
      */
     place(
         candidates: readonly jobRegistry.Candidate[],
@@ -75,6 +75,7 @@
         const open = servers.filter(server => server.load.acceptsTasks);
         const byId = new Map(open.map(server => [server.entry.id, server]));
         const lookAhead = this.#beginPass(waiting, open);
+        lookAhead.bindBefore(candidates[0], waiting);
         const { reservations } = lookAhead;
         const wall = this.shared.clock.wall();
         let loads = open.map(server => server.load).filter(load => load.reservation === undefined);
--- a/packages/dispatch/src/rate-hold.test.ts
+++ b/packages/dispatch/src/rate-hold.test.ts
@@ -7,6 +7,7 @@
 import type * as jobRegistry from "./job-registry.js";
 import * as rateHold from "./rate-hold.js";
 import type * as session from "./server-session.js";
+import * as placementPlay from "./testing/placement-play.js";
 
 const suite = uvu.suite("rate hold");
 
@@ -15,6 +16,7 @@
     readonly step?: Partial<jobState.Step>;
     /** Cores that the organisation within its rate may use; 0 for no limit. */
     readonly quota?: number;
+    readonly labels?: readonly string[];
 }
 
 function createCandidate(
@@ -40,10 +42,12 @@
 }
 
 /** Whether a job beyond the rate is tried while one of 8 cores within it waits; the server has 4 of 16 cores free. */
-function isTried({ rank = {}, step = {}, quota = 0 }: Waiting): boolean {
+function isTried({ rank = {}, step = {}, quota = 0, labels = [] }: Waiting): boolean {
     const within = createCandidate("small", { demand: { cpu: 8000, memory: 0, accelerators: 0 }, ...step }, rank);
     const beyond = createCandidate("large", {}, { beyondRate: true });
     const load = {
+        labels,
+        runCountByStep: new Map(),
         acceptsTasks: true,
         freeCpu: 4000,
         freeMemory: 100,
@@ -73,6 +77,57 @@
     assert.ok(isTried({ step: { demand: { cpu: 2000, memory: 0, accelerators: 0 } } }));
 });
 
+suite("jobs beyond the rate wait for a step that may not run on any of the servers", () => {
+    const requiredLabel = "fast-disk";
+    assert.not(isTried({ step: { requiredLabel }, labels: [requiredLabel] }));
+    assert.ok(isTried({ step: { requiredLabel } }));
+});
+
+suite("a task beyond the rate starts on a server that a step within its rate has just reserved", () => {
+    const { registry, planner, manager } = placementPlay.createPlacing(() => 0);
+    const servers = [placementPlay.createServer("s0"), placementPlay.createServer("s1")];
+    const usage = new scheduling.QuotaUsage(new Map());
+    let lastId = 0;
+    const submit = (cpu: number, estimate: number, organisation: string) => {
+        const id = (++lastId).toString(16).padStart(16, "0");
+        const step = testing.createStep({ taskCount: 1, estimate, demand: { cpu, memory: 10, accelerators: 0 } });
+        const job = testing.createJob({ id, organisation, steps: [step], submittedAt: 0 });
+        registry.track({
+            id,
+            job,
+            cancelledAt: undefined,
+            progress: undefined,
+            storedStatus: undefined,
+            storedParts: new Set(),
+        }, 0);
+    };
+    const place = () => {
+        const candidates = (registry.listCandidates(0).get("quotes") ?? [])
+            .map(one => ({ ...one, rank: { ...one.rank, beyondRate: one.active.job.organisation === "large" } }))
+            .sort((a, b) => scheduling.compareRanks(a.rank, b.rank));
+        const planned = rateHold.placeByRate(
+            candidates,
+            servers,
+            usage,
+            part => planner.place(part, servers, usage, Number.POSITIVE_INFINITY, candidates),
+        );
+        planned.forEach(({ server, run }) => void manager.start(server, run));
+        return planned.map(({ server }) => server.entry.id);
+    };
+    // Each server has 2 cores left, one of them until 9 s, the other one until 20 s.
+    submit(14_000, 9000, "small");
+    submit(14_000, 20_000, "small");
+    assert.is(place().length, 2);
+    submit(15_000, 10_000, "small");
+    submit(2000, 30_000, "large");
+    submit(2000, 30_000, "large");
+    const started = place();
+    assert.is(started.length, 1);
+    const reserved = servers.filter(({ load }) => load.reservation !== undefined).map(({ entry }) => entry.id);
+    assert.is(reserved.length, 1);
+    assert.not(started.includes(reserved[0]!));
+});
+
 suite("a gap stays empty for the whole slack of a long job, or for one that is late", () => {
     assert.ok(isTried({ rank: { slack: 5000 } }));
     assert.ok(isTried({ rank: { slack: -1500, begun: true } }));
--- a/packages/dispatch/src/rate-hold.ts
+++ b/packages/dispatch/src/rate-hold.ts
@@ -61,6 +61,6 @@
     return rank.timeliness === scheduling.Timeliness.onTime
         && rank.slack <= maxHoldSlack && rank.slack >= minHoldSlack && !rank.longRunning && !ready.alone && !step.gang
         && !open.some(load => scheduling.hasRoom(load, step))
-        && open.some(load => scheduling.willHaveRoom(load, step))
+        && open.some(load => scheduling.willFit(load, step, runManager.formatStepKey(active.job.id, ready)))
         && quota.countAllowed(active.job.organisation, step, 1) > 0;
 }
