Split the placement of candidates into short functions

Cause: Placer.place decided on quotas, look-ahead, tickets and reservations and planned the runs in one function of over 130 lines.

Change: what a pass knows is a record, and each of these is a function of its own. No decision changes.

--- a/packages/dispatch/src/placer.ts
+++ b/packages/dispatch/src/placer.ts
@@ -36,6 +36,36 @@
 /** The same for the runs that a reservation waits for. */
 const endQuantile = 0.5;
 
+/** What a pass over the candidates of a service knows. */
+interface Pass {
+    /** Servers that accept tasks. */
+    readonly open: readonly session.ServerSession[];
+    readonly byId: ReadonlyMap<string, session.ServerSession>;
+    readonly lookAhead: lookAheads.LookAhead;
+    readonly quota: scheduling.QuotaUsage;
+    /** Unix time in ms. */
+    readonly wall: number;
+    /** Open servers without those that are reserved for other steps. */
+    loads: readonly scheduling.ServerLoad[];
+    /** Server that is reserved for the pass. */
+    reserved: scheduling.ServerLoad | undefined;
+    /** Steps that no server has room for. */
+    readonly shortages: scheduling.Shortages;
+    /** Steps that waiting doesn't help. */
+    readonly hopeless: scheduling.Shortages;
+}
+
+/** What a candidate may get if it fits nowhere. */
+interface Waiting {
+    /** Ms since the occurrence was due. */
+    readonly age: number;
+    readonly isLarge: boolean;
+    /** It may get a reservation that lasts, see `scheduling.Reservations`. */
+    readonly mayLookAhead: boolean;
+    /** It may get a server reserved for the pass. */
+    readonly mayReserve: boolean;
+}
+
 export class Placer {
     /** Of the pass that began last, over all services. */
     counts: PassCounts = { unplaced: 0, untried: 0, overQuota: 0 };
@@ -71,106 +101,27 @@
         limit = Number.POSITIVE_INFINITY,
         waiting = candidates,
     ): PlannedRun[] {
+        const pass = this.#beginPass(candidates, waiting, servers, quota);
         const planned: PlannedRun[] = [];
-        const open = servers.filter(server => server.load.acceptsTasks);
-        const byId = new Map(open.map(server => [server.entry.id, server]));
-        const lookAhead = this.#beginPass(waiting, open);
-        lookAhead.bindBefore(candidates[0], waiting);
-        const { reservations } = lookAhead;
-        const wall = this.shared.clock.wall();
-        let loads = open.map(server => server.load).filter(load => load.reservation === undefined);
-        let reserved: scheduling.ServerLoad | undefined;
-        const shortages = new scheduling.Shortages(scheduling.hasRoom);
-        /** Steps that waiting doesn't help. */
-        const hopeless = new scheduling.Shortages(scheduling.willHaveRoom);
         for (const [i, candidate] of candidates.entries()) {
             const left = limit - planned.length;
             if (left <= 0) {
                 this.counts.untried += candidates.length - i;
                 break;
             }
-            const { active, route, ready } = candidate;
-            const step = active.job.steps[ready.step]!;
-            const allowed = quota.countAllowed(active.job.organisation, step, ready.tasks.length);
-            const stepKey = runManager.formatStepKey(active.job.id, ready);
+            const { active: { job }, ready } = candidate;
+            const allowed = quota.countAllowed(job.organisation, job.steps[ready.step]!, ready.tasks.length);
             if (allowed === 0) {
                 this.counts.overQuota += 1;
-                if (quota.mayReserve(active.job.organisation!, step, ready.tasks.length) && !hopeless.includes(step)) {
-                    const request = { stepKey, step, tasks: ready.tasks, avoided: active.avoided, alone: ready.alone };
-                    if (scheduling.chooseReservation(request, loads) === undefined) {
-                        hopeless.recordUnplaced(step, loads);
-                    }
-                    else {
-                        quota.reserve(active.job.organisation!, step, ready.tasks.length);
-                    }
-                }
-                lookAhead.drop(active, ready);
+                this.#reserveQuota(pass, candidate);
                 continue;
             }
-            // One that starts alone may wait for a quiet server and not for room.
-            const mayWait = loads.length > 1 && !ready.alone;
-            const isLarge = reservations.isLarge(step, ready.tasks.length);
-            const age = wall - jobState.findDueTime(active.job, ready.occurrence);
-            const mayLookAhead = mayWait && isLarge && reservations.isOpen(age);
-            // A gang would need several servers.
-            const mayReserve = mayWait && !isLarge && reserved === undefined && reservations.size === 0 && !step.gang
-                && !hopeless.includes(step);
-            const isShort = shortages.includes(step);
-            const ownsReservation = lookAhead.owners.has(active);
-            const expectDuration = () => this.#predictDuration(active, ready.step);
-            const mayUseReserved = ownsReservation || reservations.mayBackfill(step, expectDuration);
-            if (isShort && !mayReserve && !mayLookAhead && !mayUseReserved) {
-                this.counts.unplaced += 1;
-                continue;
-            }
-            const needsTickets = route.advice !== undefined;
-            const permitted = needsTickets
-                ? this.#listPermitted(candidate, stepKey, open).filter(load => load !== reserved)
-                : mayUseReserved
-                ? [...loads, ...reservations.reservedLoads]
-                : loads;
-            const tasks = step.gang ? ready.tasks : ready.tasks.slice(0, Math.min(left, allowed));
-            const request = {
-                stepKey,
-                step,
-                tasks,
-                avoided: active.avoided,
-                alone: ready.alone,
-                expectedDuration: mayUseReserved ? expectDuration() : undefined,
-            };
-            const tried = !isShort || needsTickets ? permitted : reservations.reservedLoads;
-            const placements = isShort && !mayUseReserved
-                ? []
-                : scheduling.placeStep(request, ready.alone ? this.#listQuiet(active, tried, byId) : tried);
+            const placements = this.#placeCandidate(pass, candidate, Math.min(left, allowed));
             if (placements.length === 0) {
                 this.counts.unplaced += 1;
-                shortages.recordUnplaced(step, loads);
-                if (mayLookAhead && reservations.mayUpdate(stepKey, age)) {
-                    this.#reserve(candidate, request, lookAhead, needsTickets ? permitted : open.map(one => one.load));
-                }
-                if (isLarge && reservations.bind(stepKey)) {
-                    loads = loads.filter(load => load.reservation === undefined);
-                }
-                if (mayReserve) {
-                    hopeless.recordUnplaced(step, loads);
-                    reserved = scheduling.chooseReservation(request, permitted);
-                    loads = loads.filter(load => load !== reserved);
-                }
-                continue;
             }
-            this.backfilledTasks += placements.filter(({ server: { reservation } }) =>
-                reservation !== undefined && reservation.stepKey !== stepKey
-            ).length;
-            lookAhead.drop(active, ready); // Its other tasks wait anew.
-            quota.add(active.job.organisation, step.demand, placements.length);
-            this.#logPlaced(candidate, placements);
-            const gangRun = step.gang ? this.#nextGangRun(active, ready) : undefined;
-            for (const { task, server: load } of placements) {
-                const server = byId.get(load.id)!;
-                const runNumber = gangRun ?? this.#nextRun(active, ready.occurrence, task);
-                const ticket = needsTickets ? this.tickets.find(stepKey, server) : undefined;
-                const run = this.runs.plan(active, ready, task, runNumber, server, ticket);
-                planned.push({ server, run });
+            else {
+                planned.push(...this.#planRuns(pass, candidate, placements));
             }
         }
         return planned;
@@ -190,19 +141,146 @@
     /** Begins a pass over the candidates of a service. */
     #beginPass(
         candidates: readonly jobRegistry.Candidate[],
-        open: readonly session.ServerSession[],
-    ): lookAheads.LookAhead {
-        const service = candidates[0]?.route.service ?? "";
+        waiting: readonly jobRegistry.Candidate[],
+        servers: readonly session.ServerSession[],
+        quota: scheduling.QuotaUsage,
+    ): Pass {
+        const open = servers.filter(server => server.load.acceptsTasks);
+        const lookAhead = this.#findLookAhead(waiting[0]?.route.service ?? "");
+        const now = this.shared.clock.monotonic();
+        lookAhead.beginPass(waiting, open, run => this.#predictEnd(run, now), now);
+        lookAhead.bindBefore(candidates[0], waiting);
+        return {
+            open,
+            byId: new Map(open.map(server => [server.entry.id, server])),
+            lookAhead,
+            quota,
+            wall: this.shared.clock.wall(),
+            loads: open.map(server => server.load).filter(load => load.reservation === undefined),
+            reserved: undefined,
+            shortages: new scheduling.Shortages(scheduling.hasRoom),
+            hopeless: new scheduling.Shortages(scheduling.willHaveRoom),
+        };
+    }
+
+    #findLookAhead(service: string): lookAheads.LookAhead {
         let lookAhead = this.#lookAheads.get(service);
         if (lookAhead === undefined) {
             lookAhead = new lookAheads.LookAhead(this.reservationPolicy);
             this.#lookAheads.set(service, lookAhead);
         }
-        const now = this.shared.clock.monotonic();
-        lookAhead.beginPass(candidates, open, run => this.#predictEnd(run, now), now);
         return lookAhead;
     }
 
+    /** Keeps a part of the quota for a step that its quota holds back, if waiting helps the step. */
+    #reserveQuota({ quota, hopeless, loads, lookAhead }: Pass, { active, ready }: jobRegistry.Candidate): void {
+        const { organisation } = active.job;
+        const step = active.job.steps[ready.step]!;
+        if (quota.mayReserve(organisation!, step, ready.tasks.length) && !hopeless.includes(step)) {
+            const request = createRequest(active, ready, ready.tasks);
+            if (scheduling.chooseReservation(request, loads) === undefined) {
+                hopeless.recordUnplaced(step, loads);
+            }
+            else {
+                quota.reserve(organisation!, step, ready.tasks.length);
+            }
+        }
+        lookAhead.drop(active, ready);
+    }
+
+    /** Places as many of the candidate's tasks as fit, at most `count`; if none does, it may get a reservation. */
+    #placeCandidate(pass: Pass, candidate: jobRegistry.Candidate, count: number): readonly scheduling.Placement[] {
+        const { lookAhead: { owners, reservations }, shortages, open, byId } = pass;
+        const { active, route, ready } = candidate;
+        const step = active.job.steps[ready.step]!;
+        const waiting = describeWaiting(pass, candidate);
+        const isShort = shortages.includes(step);
+        const expectDuration = () => this.#predictDuration(active, ready.step);
+        const mayUseReserved = owners.has(active) || reservations.mayBackfill(step, expectDuration);
+        if (isShort && !waiting.mayReserve && !waiting.mayLookAhead && !mayUseReserved) {
+            return [];
+        }
+        const needsTickets = route.advice !== undefined;
+        const permitted = needsTickets
+            ? this.#listPermitted(candidate, runManager.formatStepKey(active.job.id, ready), open)
+                .filter(load => load !== pass.reserved)
+            : mayUseReserved
+            ? [...pass.loads, ...reservations.reservedLoads]
+            : pass.loads;
+        const request = {
+            ...createRequest(active, ready, step.gang ? ready.tasks : ready.tasks.slice(0, count)),
+            expectedDuration: mayUseReserved ? expectDuration() : undefined,
+        };
+        const tried = !isShort || needsTickets ? permitted : reservations.reservedLoads;
+        const placements = isShort && !mayUseReserved
+            ? []
+            : scheduling.placeStep(request, ready.alone ? this.#listQuiet(active, tried, byId) : tried);
+        if (placements.length === 0) {
+            shortages.recordUnplaced(step, pass.loads);
+            this.#reserveServers(pass, candidate, request, waiting, permitted);
+        }
+        return placements;
+    }
+
+    /**
+     * Reserves servers for a candidate that fits nowhere, as far as it may have some.
+     *
+     * @param permitted servers that were tried
+     */
+    #reserveServers(
+        pass: Pass,
+        candidate: jobRegistry.Candidate,
+        request: scheduling.PlacementRequest,
+        { age, isLarge, mayLookAhead, mayReserve }: Waiting,
+        permitted: readonly scheduling.ServerLoad[],
+    ): void {
+        const { lookAhead, open, hopeless } = pass;
+        const { reservations } = lookAhead;
+        const { step, stepKey } = request;
+        if (mayLookAhead && reservations.mayUpdate(stepKey, age)) {
+            const needsTickets = candidate.route.advice !== undefined;
+            this.#updateReservation(
+                candidate,
+                request,
+                lookAhead,
+                needsTickets ? permitted : open.map(one => one.load),
+            );
+        }
+        if (isLarge && reservations.bind(stepKey)) {
+            pass.loads = pass.loads.filter(load => load.reservation === undefined);
+        }
+        if (mayReserve) {
+            hopeless.recordUnplaced(step, pass.loads);
+            pass.reserved = scheduling.chooseReservation(request, permitted);
+            pass.loads = pass.loads.filter(load => load !== pass.reserved);
+        }
+    }
+
+    /** Plans the runs of the placed tasks, which count in the usage of the candidate's organisation from now on. */
+    #planRuns(
+        { lookAhead, quota, byId }: Pass,
+        candidate: jobRegistry.Candidate,
+        placements: readonly scheduling.Placement[],
+    ): PlannedRun[] {
+        const { active, route, ready } = candidate;
+        const step = active.job.steps[ready.step]!;
+        const stepKey = runManager.formatStepKey(active.job.id, ready);
+        this.backfilledTasks +=
+            placements.filter(({ server: { reservation } }) =>
+                reservation !== undefined && reservation.stepKey !== stepKey
+            ).length;
+        lookAhead.drop(active, ready); // Its other tasks wait anew.
+        quota.add(active.job.organisation, step.demand, placements.length);
+        this.#logPlaced(candidate, placements);
+        const gangRun = step.gang ? this.#nextGangRun(active, ready) : undefined;
+        return placements.map(({ task, server: load }) => {
+            const server = byId.get(load.id)!;
+            const runNumber = gangRun ?? this.#nextRun(active, ready.occurrence, task);
+            const ticket = route.advice === undefined ? undefined : this.tickets.find(stepKey, server);
+            return { server, run: this.runs.plan(active, ready, task, runNumber, server, ticket) };
+        });
+    }
+
     #predictDuration({ job }: jobRegistry.ActiveJob, step: number): number {
         return this.runTimes.predictRemaining(job.queue, step, job.steps[step]!.estimate, 0, backfillQuantile);
     }
@@ -219,7 +297,7 @@
         return { remaining, step };
     }
 
-    #reserve(
+    #updateReservation(
         { active, ready }: jobRegistry.Candidate,
         request: scheduling.PlacementRequest,
         lookAhead: lookAheads.LookAhead,
@@ -297,3 +375,38 @@
         return Math.max(...ready.tasks.map(task => this.#nextRun(active, ready.occurrence, task)));
     }
 }
+
+function createRequest(
+    active: jobRegistry.ActiveJob,
+    ready: scheduling.ReadyStep,
+    tasks: readonly number[],
+): scheduling.PlacementRequest {
+    return {
+        stepKey: runManager.formatStepKey(active.job.id, ready),
+        step: active.job.steps[ready.step]!,
+        tasks,
+        avoided: active.avoided,
+        alone: ready.alone,
+    };
+}
+
+function describeWaiting(
+    { lookAhead, loads, reserved, hopeless, wall }: Pass,
+    candidate: jobRegistry.Candidate,
+): Waiting {
+    const { active, ready } = candidate;
+    const { reservations } = lookAhead;
+    const step = active.job.steps[ready.step]!;
+    // One that starts alone may wait for a quiet server and not for room.
+    const mayWait = loads.length > 1 && !ready.alone;
+    const isLarge = reservations.isLarge(step, ready.tasks.length);
+    const age = wall - jobState.findDueTime(active.job, ready.occurrence);
+    return {
+        age,
+        isLarge,
+        mayLookAhead: mayWait && isLarge && reservations.isOpen(age),
+        // A gang would need several servers.
+        mayReserve: mayWait && !isLarge && reserved === undefined && reservations.size === 0 && !step.gang
+            && !hopeless.includes(step),
+    };
+}
