Search the servers once for each demand of steps within the rate

Cause: to decide whether jobs beyond the rate have to wait, each pass searched all servers for every step near its latest start, also for those that their quota holds back or that no server will have room for: work that grows with the product of steps and servers while an organisation is over its quota.

Change: the quota is checked before the servers, and demands without room are remembered for the pass.

--- a/packages/dispatch/src/rate-hold.test.ts
+++ b/packages/dispatch/src/rate-hold.test.ts
@@ -128,6 +128,38 @@
     assert.not(started.includes(reserved[0]!));
 });
 
+/** Number of looks at a server's room while 200 tasks of 8 cores within the rate wait for one of 100 servers. */
+function countLooks(quota: number, endingCpu: number): number {
+    let looks = 0;
+    const load = {
+        labels: [],
+        runCountByStep: new Map(),
+        get acceptsTasks() {
+            looks += 1;
+            return true;
+        },
+        freeCpu: 4000,
+        freeMemory: 100,
+        freeAccelerators: 0,
+        endingCpu,
+        endingMemory: 0,
+        endingAccelerators: 0,
+    };
+    const usage = new scheduling.QuotaUsage(new Map([["small", { cpu: 1000 * quota, memory: 0, accelerators: 0 }]]));
+    usage.add("small", { cpu: 1000, memory: 0, accelerators: 0 });
+    const demand = { cpu: 8000, memory: 0, accelerators: 0 };
+    const within = Array.from({ length: 200 }, () => createCandidate("small", { demand }, {}));
+    const beyond = createCandidate("large", {}, { beyondRate: true });
+    const servers = Array.from({ length: 100 }, () => ({ load }) as unknown as session.ServerSession);
+    rateHold.placeByRate([...within, beyond], servers, usage, () => []);
+    return looks;
+}
+
+suite("the servers are searched again for each step that waits for its quota, or that waiting doesn't help", () => {
+    assert.ok(countLooks(2, 12_000) <= 100, "held back by its quota");
+    assert.ok(countLooks(0, 0) <= 500, "too large");
+});
+
 suite("a gap stays empty for the whole slack of a long job, or for one that is late", () => {
     assert.ok(isTried({ rank: { slack: 5000 } }));
     assert.ok(isTried({ rank: { slack: -1500, begun: true } }));
--- a/packages/dispatch/src/rate-hold.ts
+++ b/packages/dispatch/src/rate-hold.ts
@@ -42,25 +42,44 @@
     for (const { run } of planned) {
         placedCounts.set(run.stepKey, (placedCounts.get(run.stepKey) ?? 0) + 1);
     }
-    const open = servers.flatMap(({ load }) => load.acceptsTasks ? load : []);
+    const search: Search = {
+        open: servers.flatMap(({ load }) => load.acceptsTasks ? load : []),
+        shortages: new scheduling.Shortages(scheduling.hasRoom),
+        hopeless: new scheduling.Shortages(scheduling.willHaveRoom),
+    };
     const isHeld = within.some(candidate => {
         const { active, ready } = candidate;
         const placed = placedCounts.get(runManager.formatStepKey(active.job.id, ready)) ?? 0;
-        return placed < ready.tasks.length && isWaitingForRoom(candidate, open, quota);
+        return placed < ready.tasks.length && isWaitingForRoom(candidate, search, quota);
     });
     return isHeld ? planned : [...planned, ...place(candidates.slice(firstBeyond), planned.length)];
 }
 
+/** The servers that accept tasks, and the demands for which a search has found none with room, now or later. */
+interface Search {
+    readonly open: readonly scheduling.ServerLoad[];
+    readonly shortages: scheduling.Shortages;
+    readonly hopeless: scheduling.Shortages;
+}
+
 /** Whether the candidate can be on time and has to wait only for other tasks to end. */
 function isWaitingForRoom(
     { active, ready, rank }: jobRegistry.Candidate,
-    open: readonly scheduling.ServerLoad[],
+    { open, shortages, hopeless }: Search,
     quota: scheduling.QuotaUsage,
 ): boolean {
     const step = active.job.steps[ready.step]!;
-    return rank.timeliness === scheduling.Timeliness.onTime
+    const mayHold = rank.timeliness === scheduling.Timeliness.onTime
         && rank.slack <= maxHoldSlack && rank.slack >= minHoldSlack && !rank.longRunning && !ready.alone && !step.gang
-        && !open.some(load => scheduling.hasRoom(load, step))
-        && open.some(load => scheduling.willFit(load, step, runManager.formatStepKey(active.job.id, ready)))
-        && quota.countAllowed(active.job.organisation, step, 1) > 0;
+        && quota.countAllowed(active.job.organisation, step, 1) > 0 && !hopeless.includes(step);
+    if (!mayHold) {
+        return false;
+    }
+    shortages.recordUnplaced(step, open);
+    if (!shortages.includes(step)) {
+        return false;
+    }
+    hopeless.recordUnplaced(step, open);
+    const stepKey = runManager.formatStepKey(active.job.id, ready);
+    return !hopeless.includes(step) && open.some(load => scheduling.willFit(load, step, stepKey));
 }
