Name the weight below which a run counts as older than any known

Cause: predictRemaining compared a weight with overdueShare, a share of the run's age that happens to have the same value.

Change: a constant of its own, with the same value.

Measured: run-time-prediction.test 6 of 6.

--- a/packages/scheduling/src/run-time-prediction.ts
+++ b/packages/scheduling/src/run-time-prediction.ts
@@ -22,6 +22,8 @@
 const maxStep = 15;
 /** Remaining time, as a share of its age, of a run that is older than any that is known. */
 const overdueShare = 0.5;
+/** Weight of the tasks that took longer than a run's age below which the run counts as older than any that is known. */
+const minWeightAbove = 0.5;
 
 interface Histogram {
     readonly counts: Float32Array;
@@ -80,7 +82,7 @@
         for (let i = first + 1; i < bucketCount; i++) {
             above += counts[i]!;
         }
-        if (above < overdueShare) {
+        if (above < minWeightAbove) {
             return overdueShare * age;
         }
         let left = quantile * above;
