Explain where a job would go now at the coordinator

Change: the relay port takes requests for explanations; a process that doesn't coordinate passes them on once. PlacementExplainer builds the answer from the registry, the sessions and copies of the servers' loads.

--- a/packages/dispatch/src/coordinator.ts
+++ b/packages/dispatch/src/coordinator.ts
@@ -21,6 +21,8 @@
 import * as loadMeter from "./load-meter.js";
 import * as machineManager from "./machine-manager.js";
 import * as organisationMonitor from "./organisation-monitor.js";
+import * as outcomes from "./outcomes.js";
+import * as placementExplainer from "./placement-explainer.js";
 import * as placer from "./placer.js";
 import * as queueMeter from "./queue-meter.js";
 import * as quotaMeter from "./quota-meter.js";
@@ -82,39 +84,6 @@
     readonly observeOrganisations: (states: readonly organisationMonitor.OrganisationState[]) => void;
 }
 
-/**
- * Run ends that count for a server's health, and whether as a success. The others say nothing about it: the coordinator
- * stopped the run, its lease expired, its server went away, or other members of its gang ended or weren't present.
- */
-const healthOutcomes: ReadonlyMap<jobState.RunEnd, boolean> = new Map([
-    [jobState.RunEnd.done, true],
-    [jobState.RunEnd.failed, false],
-]);
-
-function createHealthRecorder(clock: clocks.Clocks): runManager.RunManagerOptions["onEnd"] {
-    return (server, run, how) => {
-        const succeeded = healthOutcomes.get(how);
-        if (succeeded !== undefined && !run.step.longRunning) {
-            server.health.recordOutcome(succeeded, clock.monotonic());
-        }
-    };
-}
-
-/** Judges a settled job by its objective. */
-function judgeSettlement(active: jobRegistry.ActiveJob): queueMeter.Settlement {
-    const { job, progress, route, criticalPath } = active;
-    if (progress.status === jobState.JobStatus.failed || progress.status === jobState.JobStatus.cancelled) {
-        return progress.status;
-    }
-    const isOnTime = route === undefined
-        || progress.statusAt <= scheduling.computeObjective(job, 0, criticalPath, route);
-    return isOnTime
-        ? queueMeter.Settlement.onTime
-        : demand.isExpired(active, progress.statusAt)
-        ? queueMeter.Settlement.expired
-        : queueMeter.Settlement.late;
-}
-
 export class Coordinator {
     readonly registry = new jobRegistry.JobRegistry();
     readonly fleet: fleet.Fleet;
@@ -126,6 +95,7 @@
     readonly #tickets: ticketCache.TicketCache;
     readonly #sweeper: jobSweeper.JobSweeper;
     readonly #placer: placer.Placer;
+    readonly #explainer: placementExplainer.PlacementExplainer;
     readonly #load: loadMeter.LoadMeter;
     readonly #queues: queueMeter.QueueMeter;
     readonly #organisations: organisationMonitor.OrganisationMonitor;
@@ -177,7 +147,7 @@
             lateness: () => this.#load.lateness,
             schedulePass: () => this.#schedulePass(),
         };
-        const recordHealth = createHealthRecorder(clock);
+        const recordHealth = outcomes.createHealthRecorder(clock);
         this.#runManager = new runManager.RunManager({
             shared: this.#shared,
             registry: this.registry,
@@ -194,7 +164,7 @@
             describeStep: run => availability.describeStep(run, [...this.fleet.sessions.values()], clock.monotonic()),
             onPlanned: run => this.#queues.recordPlannedRun(run.entry.job!.queue, run.runNumber),
             onBegun: entry => this.#recordBegun(entry),
-            onSettled: active => this.#queues.recordSettled(active.job.queue, judgeSettlement(active)),
+            onSettled: active => this.#queues.recordSettled(active.job.queue, outcomes.judgeSettlement(active)),
         });
         this.fleet = new fleet.Fleet(this.#shared, {
             onLists: (server, lists, sentAt) => {
@@ -208,6 +178,14 @@
         this.#tickets = new ticketCache.TicketCache(this.#shared);
         this.#sweeper = new jobSweeper.JobSweeper(this.#shared, store);
         this.#placer = new placer.Placer(this.#shared, this.#runManager, this.#tickets, this.registry.runTimes);
+        this.#explainer = new placementExplainer.PlacementExplainer({
+            registry: this.registry,
+            sessions: this.fleet.sessions,
+            placer: this.#placer,
+            tickets: this.#tickets,
+            clock,
+            configuration: options.configuration,
+        });
         this.#demand = new demand.DemandMeter(this.registry, this.fleet);
         this.#machineManager = new machineManager.MachineManager({
             shared: this.#shared,
@@ -288,6 +266,11 @@
         this.#schedulePass();
     }
 
+    /** Explains placements; `undefined` while this coordinator starts no tasks. */
+    get explainer(): placementExplainer.PlacementExplainer | undefined {
+        return this.#takeoverDone && !this.#stopped ? this.#explainer : undefined;
+    }
+
     stop(): void {
         this.#stopped = true;
         clearInterval(this.#timer);
--- a/packages/dispatch/src/index.ts
+++ b/packages/dispatch/src/index.ts
@@ -6,3 +6,4 @@
 export * from "./earlier-orders.js";
 export * from "./leader-election.js";
 export type { OrganisationState } from "./organisation-monitor.js";
+export type { PlacementExplainer } from "./placement-explainer.js";
--- a/packages/dispatch/src/job-registry.ts
+++ b/packages/dispatch/src/job-registry.ts
@@ -101,11 +101,17 @@
         if (jobState.isSettled(entry.progress.status) && !jobState.hasRuns(entry.progress)) {
             return undefined;
         }
+        const active = this.#createActive(entry, job, entry.progress);
+        this.active.set(entry.id, active);
+        return active;
+    }
+
+    #createActive(entry: jobState.JobEntry, job: jobState.Job, progress: jobState.Progress): ActiveJob {
         const estimates = scheduling.estimateStepTimes(job, new Map());
-        const active: ActiveJob = {
+        return {
             entry,
             job,
-            progress: entry.progress,
+            progress,
             route: this.#routes.get(job.queue),
             criticalPath: scheduling.computeCriticalPath(job, estimates),
             remainingPaths: scheduling.computeRemainingPaths(job, estimates),
@@ -115,7 +121,21 @@
             crashedAt: undefined,
             readiness: undefined,
         };
-        this.active.set(entry.id, active);
+    }
+
+    /** Describes a job as if it were submitted now, without tracking it. */
+    preview(job: jobState.Job, wall: number): ActiveJob {
+        const progress = jobState.createProgress(wall);
+        const entry = {
+            id: job.id,
+            job,
+            cancelledAt: undefined,
+            progress,
+            storedStatus: undefined,
+            storedParts: new Set<string>(),
+        };
+        const active = this.#createActive(entry, job, progress);
+        active.route ??= job.route;
         return active;
     }
 
@@ -194,7 +214,7 @@
             }
             for (const ready of active.readiness!.steps) {
                 const list = byService.get(route.service) ?? [];
-                list.push({ active, route, ready, rank: this.#rank(active, route, ready, wall, shares) });
+                list.push({ active, route, ready, rank: this.rank(active, route, ready, wall, shares) });
                 byService.set(route.service, list);
             }
         }
@@ -205,13 +225,19 @@
         return byService;
     }
 
+    /** Whether a job that is submitted now would lie beyond its organisation's committed rate. */
+    wouldBeBeyondRate(job: jobState.Job): boolean {
+        return this.#committedRates.wouldBeBeyond(job);
+    }
+
     /** Ranks a ready step; for this its critical path begins with the step itself. */
-    #rank(
+    rank(
         active: ActiveJob,
         route: jobState.RouteTerms,
         ready: scheduling.ReadyStep,
         wall: number,
         shares: ReadonlyMap<string, number>,
+        beyondRate = this.isBeyondRate(active.job),
     ): scheduling.Rank {
         const work = {
             due: jobState.findDueTime(active.job, ready.occurrence),
@@ -221,7 +247,7 @@
             longRunning: active.job.steps[ready.step]!.longRunning,
             // A start that is under way counts, so that a job isn't passed over until its server confirms it.
             begun: active.progress.begun || jobState.hasRuns(active.progress),
-            beyondRate: this.isBeyondRate(active.job),
+            beyondRate,
             share: shares.get(active.job.organisation ?? "") ?? 0,
         };
         return scheduling.rank(work, route, wall);
--- a/packages/dispatch/src/look-ahead.ts
+++ b/packages/dispatch/src/look-ahead.ts
@@ -63,7 +63,7 @@
     }
 }
 
-function describeOutlook(
+export function describeOutlook(
     server: session.ServerSession,
     predictEnd: (run: session.ActiveRun) => scheduling.PredictedEnd,
 ): scheduling.ServerOutlook {
--- a/packages/dispatch/src/placer.ts
+++ b/packages/dispatch/src/placer.ts
@@ -116,7 +116,7 @@
                 && !hopeless.includes(step);
             const isShort = shortages.includes(step);
             const ownsReservation = lookAhead.owners.has(active);
-            const expectDuration = () => this.#predictDuration(active, ready.step);
+            const expectDuration = () => this.predictDuration(active, ready.step);
             const mayUseReserved = ownsReservation || reservations.mayBackfill(step, expectDuration);
             if (isShort && !mayReserve && !mayLookAhead && !mayUseReserved) {
                 this.counts.unplaced += 1;
@@ -186,6 +186,20 @@
         };
     }
 
+    /** Describes the servers for an explanation; their loads are copies, so that placing there changes nothing. */
+    describeOutlooks(servers: readonly session.ServerSession[]): scheduling.ServerOutlook[] {
+        const now = this.shared.clock.monotonic();
+        return servers.map(server => {
+            const outlook = lookAheads.describeOutlook(server, run => this.#predictEnd(run, now));
+            return { ...outlook, load: scheduling.copyLoad(outlook.load) };
+        });
+    }
+
+    /** Time in ms within which a task of the step is expected to end, for starting it on a reserved server. */
+    predictDuration({ job }: Pick<jobRegistry.ActiveJob, "job">, step: number): number {
+        return this.runTimes.predictRemaining(job.queue, step, job.steps[step]!.estimate, 0, backfillQuantile);
+    }
+
     /** Begins a pass over the candidates of a service. */
     #beginPass(
         candidates: readonly jobRegistry.Candidate[],
@@ -202,10 +216,6 @@
         return lookAhead;
     }
 
-    #predictDuration({ job }: jobRegistry.ActiveJob, step: number): number {
-        return this.runTimes.predictRemaining(job.queue, step, job.steps[step]!.estimate, 0, backfillQuantile);
-    }
-
     #predictEnd({ entry, position, step, plannedAt }: session.ActiveRun, now: number): scheduling.PredictedEnd {
         const age = Math.max(0, now - plannedAt);
         const remaining = this.runTimes.predictRemaining(
--- a/packages/intake/src/index.ts
+++ b/packages/intake/src/index.ts
@@ -1,6 +1,7 @@
 /**
  * HTTP API for callers to submit, query and cancel jobs.
  */
+export * from "./authentication.js";
 export * from "./job-api.js";
 export * from "./load-shedder.js";
 export * from "./route-table.js";
--- a/packages/intake/src/job-api.ts
+++ b/packages/intake/src/job-api.ts
@@ -181,7 +181,7 @@
 }
 
 /** Selects what a job's record keeps of the route of its queue. */
-function selectTerms(
+export function selectTerms(
     { service, priority, maxAttempts, slackFactor, latencyAllowance, advice }: platform.operatorRecords.Route,
     version: number,
 ): jobState.RouteTerms {
--- a/packages/node/src/entry-instance.ts
+++ b/packages/node/src/entry-instance.ts
@@ -12,6 +12,7 @@
 import * as http from "node:http";
 import type * as net from "node:net";
 import * as timers from "node:timers/promises";
+import * as explanations from "./explanations.js";
 import * as metrics from "./metrics.js";
 import * as unstoredJobs from "./unstored-jobs.js";
 
@@ -84,6 +85,8 @@
     /** Boots of the backend servers, as read from the ledger, by server ID. */
     readonly #serverBoots = new Map<string, jobState.ServerBoot>();
     readonly #unstoredJobs: unstoredJobs.UnstoredJobs;
+    readonly #explanations: explanations.Explanations;
+    readonly #shedder: intake.LoadShedder;
     #configuration: platform.operatorRecords.Configuration | undefined;
     #coordinator: dispatch.Coordinator | undefined;
     #shuttingDown = false;
@@ -131,6 +134,27 @@
             isPrepared: () => this.#configuration !== undefined && this.#submissions.loaded && !this.#shuttingDown,
         });
         this.#unstoredJobs = new unstoredJobs.UnstoredJobs({ report: jobs => this.#reportUnstoredJobs(jobs), log });
+        this.#shedder = new intake.LoadShedder({
+            expectedWaits: () =>
+                this.#clock.monotonic() - this.#leadershipReadAt <= maxWaitsAge
+                    ? this.#leaderElection.newestLeadership?.waits
+                    : undefined,
+            committedRates: this.#committedRates,
+        });
+        this.#explanations = new explanations.Explanations({
+            storeLimits: settings.storeLimits,
+            requiresKeys: settings.requiresKeys,
+            jobs: this.#jobs,
+            now,
+            configuration: () => this.#configuration,
+            startDelay: () => this.#leaderElection.newestLeadership?.startDelay ?? 0,
+            shedder: this.#shedder,
+            explainer: () => this.#coordinator?.explainer,
+            leads: () => this.#leaderElection.leading,
+            isInTouch: () => this.#isCoordinating(),
+            refreshJobs: () => this.#submissions.catchUp(),
+            forward: encoded => this.#forwardExplanation(encoded),
+        });
         this.#jobs.onJobOrCancellation = entry => {
             if (entry.job !== undefined) {
                 this.#committedRates.add(entry.job);
@@ -245,13 +269,7 @@
             isReady: () => this.#isReady(),
             isShuttingDown: () => this.#shuttingDown,
             startDelay: () => this.#leaderElection.newestLeadership?.startDelay ?? 0,
-            shedder: new intake.LoadShedder({
-                expectedWaits: () =>
-                    this.#clock.monotonic() - this.#leadershipReadAt <= maxWaitsAge
-                        ? this.#leaderElection.newestLeadership?.waits
-                        : undefined,
-                committedRates: this.#committedRates,
-            }),
+            shedder: this.#shedder,
             random: Math.random,
             onUnstored: job => this.#unstoredJobs.add(job),
             count: (method, status, duration) => this.#metrics.countRequest(method, status, duration),
@@ -330,6 +348,17 @@
             : undefined;
     }
 
+    /** Passes a request for an explanation on to the coordinator; `undefined` if it gives no answer. */
+    async #forwardExplanation(encoded: Uint8Array): Promise<store.RelayResponse | undefined> {
+        const peer = this.#peers.get(this.#leaderElection.newestLeadership?.node ?? "");
+        return peer === undefined ? undefined : store.forwardExplanation(this.#httpClient, peer.address, encoded);
+    }
+
+    /** Whether this process coordinates and the store serves it. */
+    #isCoordinating(): boolean {
+        return this.#leaderElection.leading && this.#clock.wall() - this.#store.lastSuccess < coordinatorStoreTimeout;
+    }
+
     /** Serves the relay for peers, and publishes its address to them. */
     async #startRelay(): Promise<void> {
         const relay = store.createRelay({
@@ -338,12 +367,12 @@
             routes: this.#storeRoutes,
             log: this.log,
             now: () => this.#clock.wall(),
-            isCoordinating: () =>
-                this.#leaderElection.leading && this.#clock.wall() - this.#store.lastSuccess < coordinatorStoreTimeout,
+            isCoordinating: () => this.#isCoordinating(),
             receiveUnstoredJobs: encoded => {
                 this.#coordinator?.recordUnstored(jobState.decodeUnstoredJobs(encoded));
                 return this.#coordinator !== undefined;
             },
+            explain: (encoded, forwarded) => this.#explanations.answer(encoded, forwarded),
         });
         // The relay uses the last internal port; the first one serves the metrics.
         const port = this.settings.internalPorts[1];
--- a/packages/scheduling/src/placing.ts
+++ b/packages/scheduling/src/placing.ts
@@ -175,6 +175,17 @@
     return willHaveRoom(server, step) && meetsRestrictions(server, step, stepKey);
 }
 
+/** Copies a load, so that tasks can be placed on the copy to see where they would go. */
+export function copyLoad(load: ServerLoad): ServerLoad {
+    const { reservation } = load;
+    const spare = reservation?.spare === undefined ? undefined : { ...reservation.spare };
+    return {
+        ...load,
+        runCountByStep: new Map(load.runCountByStep),
+        reservation: reservation === undefined ? undefined : { ...reservation, spare },
+    };
+}
+
 /** Whether the server has room for a task that ends before its reservation, or leaves room for that. */
 export function mayBackfill(server: ServerLoad, step: jobState.Step, expectedDuration: number | undefined): boolean {
     const { reservation } = server;
--- a/packages/store/src/store-relay.test.ts
+++ b/packages/store/src/store-relay.test.ts
@@ -48,6 +48,8 @@
         bodies.push(Buffer.from(encoded).toString("latin1"));
         return coordinating;
     },
+    explain: (encoded, forwarded) =>
+        Promise.resolve({ status: forwarded ? 200 : 503, body: Uint8Array.from(encoded).reverse() }),
 }));
 
 /** Creates a client whose direct route has timed out. */
@@ -105,6 +107,16 @@
     assert.is(await store.reportUnstoredJobs(httpClient, "127.0.0.1:1", new Uint8Array()), false);
 });
 
+suite("a request for an explanation goes to the store, or one that was passed on counts as a first one", async () => {
+    bodies.length = 0;
+    const forwarded = await store.forwardExplanation(httpClient, relayAddress, Buffer.from("abc"));
+    assert.equal([forwarded?.status, Buffer.from(forwarded!.body).toString()], [200, "cba"]);
+    const call = { method: "POST" as const, path: "/explain", headers: {}, body: Buffer.from("abc") };
+    assert.is((await httpClient.send(relayAddress, call, 1000))._unsafeUnwrap().status, 503);
+    assert.equal(bodies, []);
+    assert.is(await store.forwardExplanation(httpClient, "127.0.0.1:1", Buffer.from("abc")), undefined);
+});
+
 suite.after(() => {
     servers.forEach(server => {
         server.close();
--- a/packages/store/src/store-relay.ts
+++ b/packages/store/src/store-relay.ts
@@ -1,12 +1,13 @@
 /**
  * Serves requests of peers. It forwards a peer's calls to the store while the peer can't call the store directly but
  * this process can, tells peers that have not heard from the coordinator for a while whether this process coordinates,
- * and receives the jobs that peers couldn't store.
+ * receives the jobs that peers couldn't store, and answers operators who ask where a job would go.
  */
 import type * as eventLog from "@catkinwharf/event-log";
 import * as httpCalls from "@catkinwharf/http-calls";
 import * as platform from "@catkinwharf/platform";
 import * as requestBody from "@catkinwharf/request-body";
+import * as types from "@catkinwharf/types";
 import * as http from "node:http";
 import type * as storeRoutes from "./store-routes.js";
 
@@ -22,6 +23,9 @@
 /** Timeout in ms of both requests; a healthy peer responds within a few ms. */
 const peerTimeout = 250;
 
+/** Timeout in ms of a request for an explanation that is passed on; an operator waits for it. */
+const explanationTimeout = 1500;
+
 /** Maximum size in bytes of a forwarded body; the store accepts no larger one. */
 const maxBodyBytes = 2_097_152;
 /**
@@ -41,6 +45,12 @@
     readonly isCoordinating: () => boolean;
     /** Receives the encoded jobs that a peer couldn't store; returns whether this process coordinates. */
     readonly receiveUnstoredJobs: (encoded: Uint8Array) => boolean;
+    /**
+     * Explains where a job would go, see `types.ExplanationRequest`.
+     *
+     * @param forwarded whether a peer has passed the request on
+     */
+    readonly explain: (encoded: Uint8Array, forwarded: boolean) => Promise<RelayResponse>;
 }
 
 /** Creates the relay's HTTP server without starting to listen. */
@@ -50,8 +60,12 @@
             response.writeHead(options.isCoordinating() ? 204 : notForwardedStatus).end();
             return;
         }
+        const isExplanation = message.url === types.explanationPath
+            || message.url === types.forwardedExplanationPath;
         const handled = message.url === unstoredJobsPath
             ? receiveUnstoredJobs(options, message)
+            : isExplanation
+            ? explain(options, message)
             : forwardCall(options, message);
         void handled.then(({ status, body }) => {
             response.writeHead(status).end(body);
@@ -105,7 +119,17 @@
     return result.isOk() && result.value.status === 204;
 }
 
-interface RelayResponse {
+/** Passes a request for an explanation on to the coordinator; `undefined` without a complete response in time. */
+export async function forwardExplanation(
+    httpClient: Pick<httpCalls.HttpClient, "send">,
+    address: string,
+    encoded: Uint8Array,
+): Promise<RelayResponse | undefined> {
+    const call = { method: "POST" as const, path: types.forwardedExplanationPath, headers: {}, body: encoded };
+    return (await httpClient.send(address, call, explanationTimeout)).unwrapOr(undefined);
+}
+
+export interface RelayResponse {
     readonly status: number;
     readonly body: Uint8Array;
 }
@@ -116,6 +140,14 @@
     return { status: received ? 204 : notForwardedStatus, body: new Uint8Array() };
 }
 
+async function explain(options: RelayOptions, message: http.IncomingMessage): Promise<RelayResponse> {
+    const encoded = await requestBody.readBody(message, maxBodyBytes);
+    if (!(encoded instanceof Uint8Array)) {
+        throw new Error("the request for an explanation is too large or incomplete");
+    }
+    return options.explain(encoded, message.url === types.forwardedExplanationPath);
+}
+
 async function forwardCall(
     options: RelayOptions,
     message: http.IncomingMessage,
