Add the commands explain job and explain submission

Cause: operators could not ask where a job would go without sending it. Change: two commands that ask any entry process over its relay's port; they end with status 0, 1 or 2.

--- a/packages/cli/src/command-line.ts
+++ b/packages/cli/src/command-line.ts
@@ -3,6 +3,7 @@
  */
 import * as clipanion from "clipanion";
 import * as config from "./commands/config.js";
+import * as explainPlacement from "./commands/explain-placement.js";
 import * as explain from "./commands/explain.js";
 import * as log from "./commands/log.js";
 import * as move from "./commands/move.js";
@@ -31,6 +32,8 @@
     explain.ExplainInstance,
     explain.ExplainStop,
     explain.ExplainRequest,
+    explainPlacement.ExplainJob,
+    explainPlacement.ExplainSubmission,
     log.LogTail,
 ];
 
@@ -62,7 +65,9 @@
     }
     catch (thrown) {
         context.stderr.write(replaceValuePlaceholders(cli.error(thrown)));
-        return exitCode.ExitCode.invalid;
+        return explainPlacement.isPlacementCommand(argumentList)
+            ? exitCode.PlacementExitCode.unknown
+            : exitCode.ExitCode.invalid;
     }
 }
 
--- a/packages/cli/src/exit-code.ts
+++ b/packages/cli/src/exit-code.ts
@@ -15,4 +15,16 @@
     unauthorized: 5,
 } as const;
 
+/** Exit codes of `catkinwharf explain job` and `catkinwharf explain submission`. */
+export const PlacementExitCode = {
+    /** It can start now, is running, or has ended. */
+    starts: 0,
+    /** It waits, or would be refused. */
+    waits: 1,
+    /** Usage error, or nobody knows. */
+    unknown: 2,
+} as const;
+
+export type PlacementExitCode = (typeof PlacementExitCode)[keyof typeof PlacementExitCode];
+
 export type ExitCode = (typeof ExitCode)[keyof typeof ExitCode];
--- a/packages/cli/src/reporting-command.ts
+++ b/packages/cli/src/reporting-command.ts
@@ -60,6 +60,11 @@
     /** Runs the command and returns what is left to print. */
     protected abstract runCommand(): Promise<CommandResult>;
 
+    /** Exit code of an error. */
+    protected getErrorCode(fault: commandError.CommandFault): exitCode.ExitCode {
+        return commandError.faultExitCodes[fault];
+    }
+
     /** Sets the text that is replaced in all output. */
     protected registerSecret(secret: string): void {
         this.#secret = secret;
@@ -83,7 +88,7 @@
     }
 
     #printError(error: commandError.CommandError): exitCode.ExitCode {
-        const code = commandError.faultExitCodes[error.fault];
+        const code = this.getErrorCode(error.fault);
         const { fault, reason, nextStep, answer } = error;
         this.printDiagnostic(
             this.json
--- a/packages/cli/src/transport.ts
+++ b/packages/cli/src/transport.ts
@@ -20,10 +20,11 @@
     readonly reason: string;
 }
 
-/** URL of an operator port and the operator key. */
+/** URL of a port and the operator key. */
 export interface Endpoint {
     readonly url: URL;
-    readonly operatorKey: string;
+    /** `undefined` for a port that takes no key. */
+    readonly operatorKey: string | undefined;
 }
 
 /** A request to an operator port. */
@@ -85,7 +86,11 @@
 }
 
 function createHeaders(endpoint: Endpoint, request: HttpRequest): Record<string, string> {
-    const headers = { "accept": "application/json", "authorization": `Bearer ${endpoint.operatorKey}` };
+    const key = endpoint.operatorKey;
+    const headers = {
+        accept: "application/json",
+        ...key === undefined ? {} : { authorization: `Bearer ${key}` },
+    };
     return request.body === undefined ? headers : { ...headers, "content-type": "application/json" };
 }
 
