Explain what holds a step back by the last pass, and bound the requests

Cause: a step could be said to start although a pass keeps a server for another step, half of the quota is reserved, or steps within their rate wait for room; requests could take the coordinator's time without a bound. Change: the explainer heeds these as the placer does; a process answers four requests at a time at most.

--- a/packages/cli/src/placement-rendering.ts
+++ b/packages/cli/src/placement-rendering.ts
@@ -19,17 +19,19 @@
     notReady: "it isn't ready",
     quota: "the organisation's quota is in use",
     ticket: "it has no ticket of the advice service",
+    rate: "it is beyond the organisation's committed rate, and steps within theirs wait for room",
     servers: "no server has room for it and may take it",
 };
 
 export function renderExplanation(explanation: types.PlacementExplanation): string {
-    const { verdict, job, status, queue, service, refusal, nextDue, steps, stepsLeftOut } = explanation;
+    const { verdict, job, status, queue, service, refusal, startDelay, nextDue, steps, stepsLeftOut } = explanation;
     const subject = job === undefined ? "the submission" : `job ${job}`;
     return [
         `${subject} ${verdicts[verdict]}${status === undefined ? "" : ` (status ${status})`}`,
         ...refusal === undefined ? [] : [renderRefusal(refusal)],
         ...queue === undefined ? [] : [`queue ${queue}, service ${service ?? "unknown: the queue has no route"}`],
         ...renderOrganisation(explanation.organisation),
+        ...startDelay === undefined || startDelay === 0 ? [] : [`start delay of the coordinator: ${startDelay} ms`],
         ...nextDue === undefined ? [] : [`next occurrence due in ${nextDue} ms`],
         ...steps.flatMap(step => ["", ...renderStep(step)]),
         ...stepsLeftOut === 0 ? [] : ["", `${stepsLeftOut} more steps aren't shown`],
--- a/packages/dispatch/src/placement-explainer.ts
+++ b/packages/dispatch/src/placement-explainer.ts
@@ -10,6 +10,7 @@
 import type * as jobRegistry from "./job-registry.js";
 import type * as placer from "./placer.js";
 import * as quotaMeter from "./quota-meter.js";
+import * as rateHold from "./rate-hold.js";
 import * as runManager from "./run-manager.js";
 import type * as session from "./server-session.js";
 import type * as ticketCache from "./ticket-cache.js";
@@ -24,7 +25,7 @@
 export interface PlacementExplainerOptions {
     readonly registry: jobRegistry.JobRegistry;
     readonly sessions: ReadonlyMap<string, session.ServerSession>;
-    readonly placer: Pick<placer.Placer, "describeOutlooks" | "predictDuration">;
+    readonly placer: Pick<placer.Placer, "describeOutlooks" | "findKeptServer" | "predictDuration">;
     readonly tickets: Pick<ticketCache.TicketCache, "listPermitted">;
     readonly clock: clocks.Clocks;
     readonly configuration: () => platform.operatorRecords.Configuration | undefined;
@@ -37,7 +38,6 @@
     readonly beyondRate: boolean;
     readonly servers: readonly session.ServerSession[];
     readonly runs: readonly { readonly server: string; readonly run: session.ActiveRun; }[];
-    readonly quota: scheduling.QuotaUsage;
     readonly shares: ReadonlyMap<string, number>;
     /** Candidates of the service, in the order in which they are placed. */
     readonly queue: readonly jobRegistry.Candidate[];
@@ -104,7 +104,6 @@
                 [...server.runs.values()].filter(run => run.entry.id === job.id)
                     .map(run => ({ server: server.entry.id, run }))
             ),
-            quota,
             shares: quotaMeter.measureShares(configuration, all, quota),
             queue: registry.listUnplaced().get(service) ?? [],
             isKnown,
@@ -153,7 +152,7 @@
     }
 
     #explainStep(subject: Subject, { occurrence, step: index, ready }: UnfinishedStep): types.StepExplanation {
-        const { active, servers, quota } = subject;
+        const { active, servers } = subject;
         const { job, route } = active;
         const step = job.steps[index]!;
         const common = {
@@ -188,17 +187,25 @@
             alone: ready.alone,
             expectedDuration: this.options.placer.predictDuration(active, index),
         };
+        const before = this.#listBefore(subject, ready);
+        const quota = this.#measureQuota(job.organisation, servers, before);
         const allowed = quota.countAllowed(job.organisation, step, ready.tasks.length);
+        const isHeldByRate = subject.beyondRate && !step.longRunning && isHeld(subject.queue, servers, quota);
         // Tickets are requested only once a job has been submitted.
         const isLimitedByTickets = subject.isKnown && route?.advice !== undefined;
         const permitted = isLimitedByTickets ? this.options.tickets.listPermitted(stepKey, servers) : servers;
         const outlooks = this.options.placer.describeOutlooks(servers);
-        const explained = scheduling.explainStep(request, outlooks);
+        const kept = this.#findKeptServer(route?.service ?? "", before);
+        const explained = scheduling.explainStep(request, outlooks).map(one =>
+            one.server === kept?.server
+                ? { ...one, lacks: [...one.lacks, scheduling.Lack.reserved], reservedFor: kept.stepKey }
+                : one
+        );
         // A new copy of the loads: the explanation is of the servers before any of these tasks.
         const open = this.options.placer.describeOutlooks(permitted).map(({ load }) => load)
-            .filter(load => load.acceptsTasks);
+            .filter(load => load.acceptsTasks && load.id !== kept?.server);
         const tasks = step.gang ? ready.tasks : ready.tasks.slice(0, allowed);
-        const placements = allowed === 0 ? [] : scheduling.placeStep({ ...request, tasks }, open);
+        const placements = allowed === 0 || isHeldByRate ? [] : scheduling.placeStep({ ...request, tasks }, open);
         const own = explained.find(one => one.reservedFor === stepKey);
         const reservation = own === undefined ? undefined : {
             server: own.server,
@@ -208,6 +215,8 @@
             ? undefined
             : allowed === 0
             ? types.Blocker.quota
+            : isHeldByRate
+            ? types.Blocker.rate
             : permitted.length === 0 && servers.length > 0
             ? types.Blocker.ticket
             : types.Blocker.servers;
@@ -216,7 +225,7 @@
             readyTasks: ready.tasks.length,
             blocker,
             waitsForSteps: [],
-            stepsBefore: this.#countBefore(subject, ready),
+            stepsBefore: before.length,
             allowedByQuota: allowed,
             placements: placements.map(({ server }) => server.id),
             lackCounts: countLacks(explained),
@@ -231,18 +240,63 @@
         };
     }
 
-    /** Number of steps before this one in the queue of its service, by the last pass. */
-    #countBefore({ active, wall, beyondRate, shares, queue }: Subject, ready: scheduling.ReadyStep): number {
+    /** Steps before this one in the queue of its service, by the last pass. */
+    #listBefore(
+        { active, wall, beyondRate, shares, queue }: Subject,
+        ready: scheduling.ReadyStep,
+    ): readonly jobRegistry.Candidate[] {
         const position = queue.findIndex(one =>
             one.active === active && one.ready.occurrence === ready.occurrence && one.ready.step === ready.step
             && one.ready.alone === ready.alone
         );
         if (position !== -1 || active.route === undefined) {
-            return Math.max(0, position);
+            return queue.slice(0, Math.max(0, position));
         }
         const rank = this.options.registry.rank(active, active.route, ready, wall, shares, beyondRate);
-        return queue.filter(one => one.active !== active && scheduling.compareRanks(one.rank, rank) <= 0).length;
+        return queue.filter(one => one.active !== active && scheduling.compareRanks(one.rank, rank) <= 0);
+    }
+
+    /** What the organisations have running, with half of the quota reserved where a step before waits for it, as in a pass. */
+    #measureQuota(
+        organisation: string | undefined,
+        servers: readonly session.ServerSession[],
+        before: readonly jobRegistry.Candidate[],
+    ): scheduling.QuotaUsage {
+        const quota = quotaMeter.measureQuotaUsage(this.options.configuration(), this.options.sessions.values());
+        const open = servers.map(({ load }) => load).filter(load => load.acceptsTasks);
+        for (const { active, ready } of organisation === undefined ? [] : before) {
+            const step = active.job.steps[ready.step]!;
+            const isOwn = active.job.organisation === organisation;
+            if (isOwn && quota.countAllowed(organisation, step, ready.tasks.length) === 0) {
+                const stepKey = runManager.formatStepKey(active.job.id, ready);
+                const request = { stepKey, step, tasks: ready.tasks, avoided: active.avoided, alone: ready.alone };
+                if (scheduling.chooseReservation(request, open) !== undefined) {
+                    quota.reserve(organisation!, step, ready.tasks.length);
+                    break;
+                }
+            }
+        }
+        return quota;
     }
+
+    /** The server that the last pass kept for one of the steps before. */
+    #findKeptServer(service: string, before: readonly jobRegistry.Candidate[]): placer.KeptServer | undefined {
+        const kept = this.options.placer.findKeptServer(service);
+        const binds = before.some(({ active, ready }) =>
+            runManager.formatStepKey(active.job.id, ready) === kept?.stepKey
+        );
+        return binds ? kept : undefined;
+    }
+}
+
+/** Whether steps beyond their organisation's rate are held back, see `rateHold.placeByRate`. */
+function isHeld(
+    queue: readonly jobRegistry.Candidate[],
+    servers: readonly session.ServerSession[],
+    quota: scheduling.QuotaUsage,
+): boolean {
+    const open = servers.flatMap(({ load }) => load.acceptsTasks ? load : []);
+    return queue.some(one => !one.rank.beyondRate && rateHold.isWaitingForRoom(one, open, quota));
 }
 
 interface UnfinishedStep {
--- a/packages/dispatch/src/placer.ts
+++ b/packages/dispatch/src/placer.ts
@@ -31,6 +31,12 @@
     overQuota: number;
 }
 
+/** A server on which only one step's tasks might start during a pass. */
+export interface KeptServer {
+    readonly server: string;
+    readonly stepKey: string;
+}
+
 /** Share of the tasks of a step that end within their expected duration, where they may start on a reserved server. */
 const backfillQuantile = 0.8;
 /** The same for the runs that a reservation waits for. */
@@ -41,6 +47,8 @@
     counts: PassCounts = { unplaced: 0, untried: 0, overQuota: 0 };
     /** Tasks that started on a server that another step had reserved. */
     backfilledTasks = 0;
+    /** Server that the last pass over a service kept for one step, by service. */
+    readonly #keptServers = new Map<string, KeptServer>();
     /** By service. */
     readonly #lookAheads = new Map<string, lookAheads.LookAhead>();
 
@@ -154,6 +162,9 @@
                     hopeless.recordUnplaced(step, loads);
                     reserved = scheduling.chooseReservation(request, permitted);
                     loads = loads.filter(load => load !== reserved);
+                    if (reserved !== undefined) {
+                        this.#keptServers.set(route.service, { server: reserved.id, stepKey });
+                    }
                 }
                 continue;
             }
@@ -195,6 +206,11 @@
         });
     }
 
+    /** The server that the last pass over the service kept for one step. */
+    findKeptServer(service: string): KeptServer | undefined {
+        return this.#keptServers.get(service);
+    }
+
     /** Time in ms within which a task of the step is expected to end, for starting it on a reserved server. */
     predictDuration({ job }: Pick<jobRegistry.ActiveJob, "job">, step: number): number {
         return this.runTimes.predictRemaining(job.queue, step, job.steps[step]!.estimate, 0, backfillQuantile);
@@ -206,6 +222,7 @@
         open: readonly session.ServerSession[],
     ): lookAheads.LookAhead {
         const service = candidates[0]?.route.service ?? "";
+        this.#keptServers.delete(service);
         let lookAhead = this.#lookAheads.get(service);
         if (lookAhead === undefined) {
             lookAhead = new lookAheads.LookAhead(this.reservationPolicy);
--- a/packages/dispatch/src/rate-hold.ts
+++ b/packages/dispatch/src/rate-hold.ts
@@ -52,7 +52,7 @@
 }
 
 /** Whether the candidate can be on time and has to wait only for other tasks to end. */
-function isWaitingForRoom(
+export function isWaitingForRoom(
     { active, ready, rank }: jobRegistry.Candidate,
     open: readonly scheduling.ServerLoad[],
     quota: scheduling.QuotaUsage,
--- a/packages/node/src/entry-instance.ts
+++ b/packages/node/src/entry-instance.ts
@@ -152,7 +152,7 @@
             explainer: () => this.#coordinator?.explainer,
             leads: () => this.#leaderElection.leading,
             isInTouch: () => this.#isCoordinating(),
-            refreshJobs: () => this.#submissions.catchUp(),
+            refresh: async () => await this.#submissions.catchUp() && await this.#operatorRecords.catchUp(),
             forward: encoded => this.#forwardExplanation(encoded),
         });
         this.#jobs.onJobOrCancellation = entry => {
--- a/packages/node/src/explanations.ts
+++ b/packages/node/src/explanations.ts
@@ -30,12 +30,15 @@
     readonly leads: () => boolean;
     /** Whether this process coordinates and the store serves it. */
     readonly isInTouch: () => boolean;
-    /** Reads all submissions stored so far; false when the store could not be read. */
-    readonly refreshJobs: () => Promise<boolean>;
+    /** Reads all submissions and configurations stored so far; false when the store could not be read. */
+    readonly refresh: () => Promise<boolean>;
     /** Passes the request on to the coordinator; `undefined` if it gives no answer. */
     readonly forward: (encoded: Uint8Array) => Promise<store.RelayResponse | undefined>;
 }
 
+/** Requests that are answered at a time at most: each takes the coordinator's time, which callers' jobs need. */
+const maxRequests = 4;
+
 type Answer = types.PlacementExplanation | Failure;
 
 class Failure {
@@ -45,10 +48,25 @@
 type SubmissionRequest = Exclude<types.ExplanationRequest, { readonly job: string; }>;
 
 export class Explanations {
+    #requests = 0;
+
     constructor(private readonly options: ExplanationsOptions) {}
 
     /** @param forwarded whether a peer has passed the request on */
     async answer(encoded: Uint8Array, forwarded: boolean): Promise<store.RelayResponse> {
+        if (this.#requests >= maxRequests) {
+            return encode(new Failure(503, "the process is busy with other requests for explanations"));
+        }
+        this.#requests += 1;
+        try {
+            return await this.#answer(encoded, forwarded);
+        }
+        finally {
+            this.#requests -= 1;
+        }
+    }
+
+    async #answer(encoded: Uint8Array, forwarded: boolean): Promise<store.RelayResponse> {
         const request = decodeRequest(encoded);
         if (request === undefined) {
             return encode(new Failure(400, "the request names neither a job nor a queue with a submission"));
@@ -61,14 +79,15 @@
             return answer ?? encode(new Failure(503, error));
         }
         // What the coordinator knows may have been overtaken by another one's decisions once it has lost the store.
-        if (!this.options.isInTouch() || !await this.options.refreshJobs()) {
+        if (!this.options.isInTouch() || !await this.options.refresh()) {
             return encode(new Failure(503, "the coordinator is out of touch with the store, so its view is old"));
         }
         const explainer = this.options.explainer();
         if (explainer === undefined) {
             return encode(new Failure(503, "the coordinator is still taking over"));
         }
-        return encode("job" in request ? this.#explainJob(request.job) : this.#explainSubmission(request));
+        const answer = "job" in request ? this.#explainJob(request.job) : this.#explainSubmission(request);
+        return encode(answer instanceof Failure ? answer : { ...answer, startDelay: this.options.startDelay() });
     }
 
     #explainJob(id: string): Answer {
--- a/packages/types/src/placement-explanation.ts
+++ b/packages/types/src/placement-explanation.ts
@@ -40,6 +40,8 @@
     quota: "quota",
     /** A ticket of the advice service. */
     ticket: "ticket",
+    /** It is beyond its organisation's committed rate, and a step within its own waits for room and can be on time. */
+    rate: "rate",
     /** No server has room for it and may take it. */
     servers: "servers",
 } as const;
@@ -118,7 +120,11 @@
     readonly service?: string | undefined;
     readonly organisation?: OrganisationExplanation | undefined;
     /** The response to the submission. */
-    readonly refusal?: { readonly status: number; readonly reason: string; readonly wait?: number | undefined; } | undefined;
+    readonly refusal?:
+        | { readonly status: number; readonly reason: string; readonly wait?: number | undefined; }
+        | undefined;
+    /** Ms for which ready tasks wait because the coordinator can't start more at a time. */
+    readonly startDelay?: number | undefined;
     /** Ms until the next occurrence falls due. */
     readonly nextDue?: number | undefined;
     readonly steps: readonly StepExplanation[];
