--- a/packages/cli/src/explain-placement.test.ts
+++ b/packages/cli/src/explain-placement.test.ts
@@ -130,6 +130,17 @@
     assert.not.match(JSON.stringify(document), /key-[ab]/);
 });
 
+suite("a coordinator that the store doesn't serve answers from an old view", async () => {
+    const coordinator = deployment.findCoordinator()!;
+    deployment.store.mode = platformStandIns.StoreMode.busy;
+    await deployment.waitFor("the coordinator says that its view is old", async () => {
+        const { code, errors } = await run(coordinator, "job", holder);
+        return code === 2 && errors.includes("out of touch with the store, so its view is old");
+    });
+    deployment.store.mode = platformStandIns.StoreMode.up;
+    await deployment.waitFor("it answers again", async () => (await run(coordinator, "job", holder)).code === 0);
+});
+
 suite("a process without contact to the coordinator answers from an old view", async () => {
     const lost = deployment.findCoordinator()!;
     const other = deployment.processes.find(node => node !== lost)!;
--- a/packages/node/src/explanations.test.ts
+++ b/packages/node/src/explanations.test.ts
@@ -144,12 +144,15 @@
     assert.equal(await refusal({}, limited), [413, "the job is too large for the store"]);
 });
 
-suite("a submission that would be accepted is refused, or a repeated one isn't explained as the known job", async () => {
-    assert.equal((await ask(create())).document, { ...starts, startDelay: 0 });
-    assert.is((await ask(create(), { ...request, path: "/quotes/00000000000000bb" })).document.verdict, "starts");
-    assert.is((await ask(create(), { ...request, path: `/quotes/${known}` })).document.job, known);
-    assert.is((await ask(create(), { job: known })).document.job, known);
-});
+suite(
+    "a submission that would be accepted is refused, or a repeated one isn't explained as the known job",
+    async () => {
+        assert.equal((await ask(create())).document, { ...starts, startDelay: 0 });
+        assert.is((await ask(create(), { ...request, path: "/quotes/00000000000000bb" })).document.verdict, "starts");
+        assert.is((await ask(create(), { ...request, path: `/quotes/${known}` })).document.job, known);
+        assert.is((await ask(create(), { job: known })).document.job, known);
+    },
+);
 
 suite("an unknown job or organisation, or a malformed request, is explained", async () => {
     assert.equal(await ask(create(), { job: "00000000000000bb" }), {
@@ -158,7 +161,7 @@
     });
     assert.is((await ask(create(), { ...request, organisation: "b" })).status, 404);
     assert.is((await ask(create(), { ...request, path: "/open/" })).status, 400);
-    for (const malformed of ["", "null", "[]", "{}", "{\"job\":1}", "{\"host\":\"a\",\"path\":\"/\"}"]) {
+    for (const malformed of ["", "null", "[]", "{}", '{"job":1}', '{"host":"a","path":"/"}']) {
         assert.is((await ask(create(), malformed)).status, 400, malformed);
     }
 });
