--- a/packages/dispatch/src/placer.ts
+++ b/packages/dispatch/src/placer.ts
@@ -21,6 +21,12 @@
     readonly run: session.ActiveRun;
 }
 
+/** A server on which only one step's tasks might start during a pass. */
+export interface KeptServer {
+    readonly server: string;
+    readonly stepKey: string;
+}
+
 /** What became of the steps with ready tasks in one pass. */
 export interface PassCounts {
     /** Steps of which no task was placed, as no server had room or was allowed. */
@@ -73,6 +79,8 @@
     backfilledTasks = 0;
     /** By service. */
     readonly #lookAheads = new Map<string, lookAheads.LookAhead>();
+    /** Server that the last pass over a service kept for one step, by service. */
+    readonly #keptServers = new Map<string, KeptServer>();
 
     constructor(
         private readonly shared: context.CoordinatorContext,
@@ -138,6 +146,25 @@
         };
     }
 
+    /** Describes the servers for an explanation; their loads are copies, so that placing there changes nothing. */
+    describeOutlooks(servers: readonly session.ServerSession[]): scheduling.ServerOutlook[] {
+        const now = this.shared.clock.monotonic();
+        return servers.map(server => {
+            const outlook = lookAheads.describeOutlook(server, run => this.#predictEnd(run, now));
+            return { ...outlook, load: scheduling.copyLoad(outlook.load) };
+        });
+    }
+
+    /** The server that the last pass over the service kept for one step. */
+    findKeptServer(service: string): KeptServer | undefined {
+        return this.#keptServers.get(service);
+    }
+
+    /** Time in ms within which a task of the step is expected to end, for starting it on a reserved server. */
+    predictDuration({ job }: Pick<jobRegistry.ActiveJob, "job">, step: number): number {
+        return this.runTimes.predictRemaining(job.queue, step, job.steps[step]!.estimate, 0, backfillQuantile);
+    }
+
     /** Begins a pass over the candidates of a service. */
     #beginPass(
         candidates: readonly jobRegistry.Candidate[],
@@ -146,7 +173,9 @@
         quota: scheduling.QuotaUsage,
     ): Pass {
         const open = servers.filter(server => server.load.acceptsTasks);
-        const lookAhead = this.#findLookAhead(waiting[0]?.route.service ?? "");
+        const service = waiting[0]?.route.service ?? "";
+        this.#keptServers.delete(service);
+        const lookAhead = this.#findLookAhead(service);
         const now = this.shared.clock.monotonic();
         lookAhead.beginPass(waiting, open, run => this.#predictEnd(run, now), now);
         lookAhead.bindBefore(candidates[0], waiting);
@@ -195,7 +224,7 @@
         const step = active.job.steps[ready.step]!;
         const waiting = describeWaiting(pass, candidate);
         const isShort = shortages.includes(step);
-        const expectDuration = () => this.#predictDuration(active, ready.step);
+        const expectDuration = () => this.predictDuration(active, ready.step);
         const mayUseReserved = owners.has(active) || reservations.mayBackfill(step, expectDuration);
         if (isShort && !waiting.mayReserve && !waiting.mayLookAhead && !mayUseReserved) {
             return [];
@@ -252,6 +281,9 @@
         if (mayReserve) {
             hopeless.recordUnplaced(step, pass.loads);
             pass.reserved = scheduling.chooseReservation(request, permitted);
+            if (pass.reserved !== undefined) {
+                this.#keptServers.set(candidate.route.service, { server: pass.reserved.id, stepKey });
+            }
             pass.loads = pass.loads.filter(load => load !== pass.reserved);
         }
     }
@@ -281,10 +313,6 @@
         });
     }
 
-    #predictDuration({ job }: jobRegistry.ActiveJob, step: number): number {
-        return this.runTimes.predictRemaining(job.queue, step, job.steps[step]!.estimate, 0, backfillQuantile);
-    }
-
     #predictEnd({ entry, position, step, plannedAt }: session.ActiveRun, now: number): scheduling.PredictedEnd {
         const age = Math.max(0, now - plannedAt);
         const remaining = this.runTimes.predictRemaining(
--- a/packages/dispatch/src/rate-hold.ts
+++ b/packages/dispatch/src/rate-hold.ts
@@ -42,11 +42,7 @@
     for (const { run } of planned) {
         placedCounts.set(run.stepKey, (placedCounts.get(run.stepKey) ?? 0) + 1);
     }
-    const search: Search = {
-        open: servers.flatMap(({ load }) => load.acceptsTasks ? load : []),
-        shortages: new scheduling.Shortages(scheduling.hasRoom),
-        hopeless: new scheduling.Shortages(scheduling.willHaveRoom),
-    };
+    const search = createSearch(servers);
     const isHeld = within.some(candidate => {
         const { active, ready } = candidate;
         const placed = placedCounts.get(runManager.formatStepKey(active.job.id, ready)) ?? 0;
@@ -62,8 +58,16 @@
     readonly hopeless: scheduling.Shortages;
 }
 
+export function createSearch(servers: readonly session.ServerSession[]): Search {
+    return {
+        open: servers.flatMap(({ load }) => load.acceptsTasks ? load : []),
+        shortages: new scheduling.Shortages(scheduling.hasRoom),
+        hopeless: new scheduling.Shortages(scheduling.willHaveRoom),
+    };
+}
+
 /** Whether the candidate can be on time and has to wait only for other tasks to end. */
-function isWaitingForRoom(
+export function isWaitingForRoom(
     { active, ready, rank }: jobRegistry.Candidate,
     { open, shortages, hopeless }: Search,
     quota: scheduling.QuotaUsage,
