--- a/packages/dispatch/src/tenant-burst.test.ts
+++ b/packages/dispatch/src/organisation-burst.test.ts
@@ -5,7 +5,7 @@
 import * as assert from "uvu/assert";
 import * as burstPlay from "./testing/burst-play.js";
 
-const suite = uvu.suite("tenant burst");
+const suite = uvu.suite("organisation burst");
 
 /** Times in ms. */
 const burstStart = 2000;
--- a/packages/job-soak/src/soak.ts
+++ b/packages/job-soak/src/soak.ts
@@ -83,15 +83,15 @@
 export async function runSoak(options: SoakOptions): Promise<SoakSummary> {
     // The first numbers of successive seeds are close to each other, so none is drawn for this.
     const hasOrganisations = options.hasOrganisations ?? options.seed % 2 === 1;
-    const tenants = hasOrganisations
+    const customers = hasOrganisations
         ? new organisations.Organisations(new bench.RandomSource(options.seed + 2000), bounds.RevokeMs)
         : undefined;
     const fronts = new Map<string, faults.FaultyFront>();
     const deployment: platformStandIns.StandInDeployment = new platformStandIns.StandInDeployment(queues, {
         program: options.program,
         bounds,
-        contracts: tenants === undefined ? [] : ["tenants"],
-        organisations: tenants?.present ?? [],
+        contracts: customers === undefined ? [] : ["tenants"],
+        organisations: customers?.present ?? [],
         openStore: async name => {
             const front = new faults.FaultyFront(deployment.store, new bench.RandomSource(options.seed + fronts.size));
             fronts.set(name, front);
@@ -105,7 +105,7 @@
         queues: queues.map(({ name }) => name),
         random: new bench.RandomSource(options.seed + 1000),
         rate: options.rate,
-        organisations: tenants,
+        organisations: customers,
     });
     const killProcesses = () => deployment.processes.forEach(({ child }) => child?.kill("SIGKILL"));
     process.once("exit", killProcesses);
@@ -114,20 +114,20 @@
             options.processes,
             Object.fromEntries(queues.map(({ service }) => [service, options.machinesPerService])),
         );
-        const loading = Promise.all([callers.run(), tenants?.run(deployment)]);
+        const loading = Promise.all([callers.run(), customers?.run(deployment)]);
         await timers.setTimeout(calmBefore);
         const count = await injectFaults(options, deployment, fronts);
         await timers.setTimeout(calmAfter);
         callers.stop();
-        tenants?.stop();
+        customers?.stop();
         await loading;
         const { history } = deployment.machines;
         const terms = faults.listTerms(deployment.processes, "coordinating");
         return {
             duplicateRuns: judgement.findDuplicateRuns(history, terms),
             concurrentCoordinators: judgement.findConcurrentCoordinators(deployment.machines.orders, terms),
-            quotaExcesses: tenants?.findQuotaExcesses(history) ?? [],
-            foreignRequests: tenants?.findForeignRequests(callers.acceptedRequests, history) ?? [],
+            quotaExcesses: customers?.findQuotaExcesses(history) ?? [],
+            foreignRequests: customers?.findForeignRequests(callers.acceptedRequests, history) ?? [],
             hasOrganisations,
             faults: count,
             terms: terms.length,
