--- a/packages/scheduling/src/peak-need.ts
+++ b/packages/scheduling/src/peak-need.ts
@@ -1,7 +1,6 @@
 /**
- * Remembers how many instances all pools together needed at most in the recent past: how many ran tasks at the same time.
- * The target sizes of the pools say too much for it, since they allow for a burst's rise: on a calm day with 160 instances
- * at work at most, their sum reached 340 for moments, and twice as many as were used stayed in service.
+ * Remembers how many instances all pools together needed at most in the recent past. Callers record how many ran tasks at
+ * the same time, not the target sizes of the pools: these allow for a burst's rise, so their sum may exceed the fleet.
  *
  * The bursts of the queues alternate: the end of one is soon followed by another's beginning. An instance that is on
  * its way to standby can't be used for seconds, so a fleet that gives up idle instances between two bursts lacks them
--- a/packages/scheduling/src/pools.test.ts
+++ b/packages/scheduling/src/pools.test.ts
@@ -82,6 +82,19 @@
     assert.ok(toStandby[0]! >= 24_900 + policy.peakWindow, `moved to standby at ${toStandby[0]}`);
 });
 
+suite("no instance leaves before a whole window has been observed, or all unused ones leave at once", () => {
+    const peakNeed = new scheduling.PeakNeed(10_000);
+    assert.is(peakNeed.find(0), Number.POSITIVE_INFINITY);
+    peakNeed.record(20, 0, 100);
+    assert.is(peakNeed.find(0), 100);
+    assert.is(peakNeed.find(5000), 60);
+    peakNeed.record(40, 5000, 80);
+    assert.is(peakNeed.find(5000), 70);
+    assert.is(peakNeed.find(10_000), 40);
+    // The need that was seen last still counts; what was in service at first doesn't.
+    assert.is(peakNeed.find(14_000), 40);
+});
+
 suite("instances beyond the largest recent need move to standby", () => {
     const instances = ["a1", "a2", "a3", "a4", "a5"].map(id => fixtures.createInstance(id, "a", { emptySince: 0 }));
     const demands = [fixtures.createDemand("a"), standbyDemand];
