Log what is known of a server's boot where its starts and leases fail

Change: start-unanswered, start-refused, start-on-another-boot and server-unreachable say which boot the server listed and registered, when it last listed, and what its clock should read; lease-lapsed lists the runs with the clock reading that showed each on the boot. No logic is changed.

--- a/packages/dispatch/src/fleet.ts
+++ b/packages/dispatch/src/fleet.ts
@@ -597,7 +597,8 @@
             server.reachable = false;
             server.lostAt = this.shared.clock.monotonic();
             this.#updateEligibility(server);
-            this.shared.log.warn("server-unreachable", { server: server.entry.id, reason, runs: server.runs.size });
+            const contact = server.describeContact(server.lostAt);
+            this.shared.log.warn("server-unreachable", { reason, runs: server.runs.size, ...contact });
         }
     }
 
@@ -630,7 +631,11 @@
         if (server.runs.size > 0 && now >= server.computeLeaseExpiry()) {
             this.shared.log.info("lease-lapsed", {
                 server: server.entry.id,
-                runs: server.runs.size,
+                registeredBoot: server.entry.bootedAt,
+                // Each with its phase and, if a start or a list showed it on the boot, the clock reading.
+                runs: [...server.runs.values()].map(
+                    run => [run.name, run.phase, run.startClock, run.startedOnNextBoot],
+                ),
                 boot: server.bootId,
                 ...server.describeLease(now),
             });
--- a/packages/dispatch/src/run-manager.ts
+++ b/packages/dispatch/src/run-manager.ts
@@ -252,6 +252,7 @@
             }
             shared.log.warn("start-unanswered", {
                 task: run.name,
+                ...server.describeContact(shared.clock.monotonic()),
             });
             run.phase = session.RunPhase.uncertain;
             server.backoffUntil = shared.clock.monotonic() + refusalBackoff;
@@ -336,10 +337,10 @@
                 run.startedOnNextBoot = true;
                 shared.log.warn("start-on-another-boot", {
                     task: run.name,
-                    boot: run.bootId,
                     clock: answer.clock,
                     // On the clock of the boot for which the start was meant.
                     leaseEnd: Math.round(server.latestLeaseEnd),
+                    ...server.describeContact(shared.clock.monotonic()),
                 });
             }
             run.expectedInListsFrom ??= shared.clock.monotonic();
@@ -353,8 +354,8 @@
         }
         shared.log.info("start-refused", {
             task: run.name,
-            server: server.entry.id,
             answer,
+            ...server.describeContact(shared.clock.monotonic()),
         });
         server.backoffUntil = shared.clock.monotonic() + refusalBackoff;
         this.#dropRun(server, run, answer.kind);
--- a/packages/dispatch/src/server-session.ts
+++ b/packages/dispatch/src/server-session.ts
@@ -301,6 +301,22 @@
         return this.clockSample === undefined ? undefined : this.clockSample.server + now - this.clockSample.received;
     }
 
+    /**
+     * What is known of the server's boot, for the log: the boot that it listed and the one that it registered, the time in ms
+     * since its last list, and what its clock should read.
+     */
+    describeContact(now: number): object {
+        const clock = this.estimateClock(now);
+        return {
+            server: this.entry.id,
+            boot: this.bootedAt,
+            registeredBoot: this.entry.bootedAt,
+            reachable: this.reachable,
+            sinceAnswer: Math.round(now - this.lastAnswerAt),
+            expectedClock: clock === undefined ? undefined : Math.round(clock),
+        };
+    }
+
     /**
      * What the expiry of the lease is computed from, for the log. In ms: time up to `now`, on the monotonic clock, since the
      * last list or, before the first one, since the term began; lease that was left at the last list.
