Test starts that reach a server's next boot, and simulate silent restarts

Change: servers restart silently, with a clock that a test chooses; responses can be delayed; a start is late by the lease end that it names, as on the real servers.

--- a/packages/dispatch/src/testing/simulated-server.ts
+++ b/packages/dispatch/src/testing/simulated-server.ts
@@ -23,6 +23,8 @@
     readonly onEnded: (task: string) => void;
     /** A run of the task has done its work. */
     readonly onDone: (task: string) => void;
+    /** Reading in ms at which a server's clock begins in its next boot. */
+    readonly chooseClockStart: () => number;
 }
 
 interface SimulatedRun {
@@ -51,6 +53,10 @@
     bootedAt: number;
     readonly running = new Map<string, SimulatedRun>();
     #ended = false;
+    #down = false;
+    /** Number of crashes after which the polls under way stay without an answer. */
+    #crashCount = 0;
+    /** Time of the simulation at which the clock read 0. */
     #clockStart: number;
     #fencingToken = 0;
     #leaseEnd = 0;
@@ -64,7 +70,7 @@
         private readonly host: ServerHost,
         readonly registration: Omit<platform.operatorRecords.ServerRegistration, "draining" | "bootedAt">,
     ) {
-        this.#clockStart = host.time.now;
+        this.#clockStart = host.time.now - host.chooseClockStart();
         this.bootedAt = host.time.clock.wall();
     }
 
@@ -72,6 +78,11 @@
         return this.#ended;
     }
 
+    /** Whether the server has crashed and not started again yet. */
+    get down(): boolean {
+        return this.#down;
+    }
+
     get clock(): number {
         return Math.floor(this.host.time.now - this.#clockStart);
     }
@@ -85,14 +96,19 @@
         this.#ended = true;
     }
 
-    /** Crashes and starts again under the same ID. */
+    /** Crashes without a trace: calls under way and those that come until it starts again get no answer. */
+    crash(): void {
+        this.#down = true;
+        this.#crashCount += 1;
+        this.#endAllRuns();
+    }
+
+    /** Crashes, unless it has already, and starts again under the same ID. */
     reboot(): void {
-        this.#waiting = [];
-        for (const task of [...this.running.keys()]) {
-            this.#endRun(task, "lost", undefined);
-        }
+        this.#endAllRuns();
+        this.#down = false;
         this.bootedAt = this.host.time.clock.wall();
-        this.#clockStart = this.host.time.now;
+        this.#clockStart = this.host.time.now - this.host.chooseClockStart();
         this.#fencingToken = 0;
         this.#leaseEnd = 0;
         this.#ends = [];
@@ -100,6 +116,13 @@
         this.#highestEnded.clear();
     }
 
+    #endAllRuns(): void {
+        this.#waiting = [];
+        for (const task of [...this.running.keys()]) {
+            this.#endRun(task, "lost", undefined);
+        }
+    }
+
     /** Whatever has arrived meanwhile is handled, after leases that have expired. */
     thaw(): void {
         this.frozen = false;
@@ -113,7 +136,7 @@
             this.#delayed.push(() => this.receive(order, true, respond));
             return;
         }
-        if (this.#ended) {
+        if (this.#ended || this.#down) {
             return;
         }
         if (order.fencingToken < this.#fencingToken) {
@@ -151,7 +174,7 @@
         }
     }
 
-    #start({ task, run }: platformTesting.ServerOrder, respond: Respond): void {
+    #start({ task, run, leaseEnd }: platformTesting.ServerOrder, respond: Respond): void {
         const present = this.running.get(task);
         if (present?.number === run) {
             respond(platformTesting.createOrderResponse(this.#identity));
@@ -161,7 +184,7 @@
             respond(platformTesting.createOrderResponse(this.#identity, platform.serverCalls.Refusal.outdated));
             return;
         }
-        if (this.clock > this.#leaseEnd) {
+        if (this.clock > leaseEnd) {
             respond(platformTesting.createOrderResponse(this.#identity, platform.serverCalls.Refusal.late));
             return;
         }
@@ -217,8 +240,9 @@
     #list({ acknowledgedEnd, wait }: platformTesting.ServerOrder, respond: Respond): void {
         this.#ends = this.#ends.filter(({ number }) => number > acknowledgedEnd);
         let responded = false;
+        const crashCount = this.#crashCount;
         const answer = () => {
-            if (!responded && !this.#ended && !this.frozen) {
+            if (!responded && !this.#ended && !this.frozen && crashCount === this.#crashCount) {
                 responded = true;
                 const running = [...this.running].map(([task, run]) => ({
                     task,
--- a/packages/dispatch/src/testing/simulation.ts
+++ b/packages/dispatch/src/testing/simulation.ts
@@ -37,6 +37,8 @@
     /** Time in ms after which it is carried out; `undefined` if it never is. */
     readonly carriedOutAfter: number | undefined;
     readonly answered: boolean;
+    /** Time in ms for which the response is on its way; that of an ordinary one if there is none. */
+    readonly answeredAfter?: number;
     /** The server responds that it is unhealthy, and does nothing. */
     readonly refusedAsUnhealthy?: boolean;
 }
@@ -56,6 +58,16 @@
     /** Share of a core that the coordinator gets; its work takes no time if there is none. */
     readonly processorShare?: number;
     readonly storeLimits?: platform.settings.StoreLimits;
+    /** Reading in ms at which a server's clock begins in each boot; 0 if there is none. */
+    readonly chooseClockStart?: () => number;
+}
+
+/** Times in ms of a server's restart. */
+export interface RestartTimes {
+    /** For which it is down: no call gets an answer. */
+    readonly down: number;
+    /** From the start of the new boot until its entry is there. */
+    readonly registration: number;
 }
 
 /**
@@ -124,6 +136,7 @@
             onStarted: task => this.quotaRule.recordStart(task),
             onEnded: task => this.quotaRule.recordEnd(task),
             onDone: () => this.doneTasks += 1,
+            chooseClockStart: options.chooseClockStart ?? (() => 0),
         };
         const { processorShare } = options;
         this.#processor = processorShare === undefined
@@ -348,6 +361,29 @@
         this.register(server);
     }
 
+    /**
+     * The server crashes, and starts again under its ID, without anybody being told: polls under way stay without an answer,
+     * and a call on its way reaches the boot that is up by then.
+     */
+    restartSilently(server: simulatedServer.SimulatedServer, { down, registration }: RestartTimes): void {
+        const machine = this.findMachine(server);
+        server.crash();
+        machine.state = platform.machineCalls.MachineState.down;
+        this.time.schedule(() => {
+            if (machine.server === server && server.down) {
+                server.reboot();
+                machine.state = platform.machineCalls.MachineState.up;
+                this.time.schedule(() => this.#registerIfPresent(server), registration);
+            }
+        }, down);
+    }
+
+    #registerIfPresent(server: simulatedServer.SimulatedServer): void {
+        if (!server.ended && !server.down) {
+            this.register(server);
+        }
+    }
+
     register(server: simulatedServer.SimulatedServer): void {
         const { draining, bootedAt, registration } = server;
         this.#topics.append(platform.storeCalls.serversTopic, [
@@ -423,7 +459,7 @@
                 if (fate.answered && !process.dead) {
                     this.time.schedule(
                         () => this.#work(processorCost.response, () => resolve(neverthrow.ok(response))),
-                        ordinaryFate.carriedOutAfter!,
+                        fate.answeredAfter ?? ordinaryFate.carriedOutAfter!,
                     );
                 }
             };
@@ -443,7 +479,7 @@
                 id,
                 pool,
                 state,
-                server: server?.registration.id ?? "",
+                server: server?.down === false ? server.registration.id : "",
                 cpu: 64_000,
                 memory: 100_000,
             })));
