Give simulated servers whole boot times, so that restarted ones are used

Servers that started or restarted during a course were therefore never used, and no restart was noticed.

Change: boot times are whole numbers, as on the real servers.

--- a/packages/dispatch/src/testing/simulated-server.ts
+++ b/packages/dispatch/src/testing/simulated-server.ts
@@ -71,7 +71,7 @@
         readonly registration: Omit<platform.operatorRecords.ServerRegistration, "draining" | "bootedAt">,
     ) {
         this.#clockStart = host.time.now - host.chooseClockStart();
-        this.bootedAt = host.time.clock.wall();
+        this.bootedAt = Math.floor(host.time.clock.wall());
     }
 
     get ended(): boolean {
@@ -107,7 +107,7 @@
     reboot(): void {
         this.#endAllRuns();
         this.#down = false;
-        this.bootedAt = this.host.time.clock.wall();
+        this.bootedAt = Math.floor(this.host.time.clock.wall());
         this.#clockStart = this.host.time.now - this.host.chooseClockStart();
         this.#fencingToken = 0;
         this.#leaseEnd = 0;
