Judge whether tasks run twice in random courses of silent restarts and cuts

Change: servers restart silently and are cut off 0.1 to 3.5 s later; their clocks begin anywhere up to 9,000 s, from a sequence of its own; calls to a server that is down may reach its next boot; orders may be up to 12 s late; ordinary tasks of up to 25 s run beside the long-running ones. testing/single-run-rule.ts judges all tasks in every simulation.

--- a/packages/dispatch/src/testing/random-faults.ts
+++ b/packages/dispatch/src/testing/random-faults.ts
@@ -15,7 +15,7 @@
 
 /** Trouble on the way to some servers. */
 interface CallTrouble {
-    readonly kind: "cut" | "lost requests" | "lost answers" | "late orders";
+    readonly kind: "cut" | "lost requests" | "lost answers" | "late orders" | "later orders";
     readonly targets: ReadonlySet<string>;
     readonly until: number;
 }
@@ -24,6 +24,10 @@
     readonly seed: number;
     /** Servers and calls are disturbed, too, not only coordinators. */
     readonly disturbServers: boolean;
+    /** Servers restart silently and are cut off, their clocks begin anywhere, and ordinary tasks run, too. */
+    readonly restartServers?: boolean;
+    /** Orders are carried out up to 12 s late, too. */
+    readonly delayOrders?: boolean;
     /** Called once jobs can be submitted, with the numbers of the course. */
     readonly prepare?: (world: simulation.Simulation, random: () => number) => void;
 }
@@ -41,6 +45,25 @@
 const lostAnswerShare = 0.01;
 /** Share of the runs that fail by themselves. */
 const failingShare = 0.1;
+/** Number of entries of restarts in the list of faults, and the longest time in ms between two faults beside them. */
+const restartFaults = 8;
+const restartPause = 2500;
+/** Machines with room for ordinary tasks. */
+const additionalMachines = 4;
+/** Time in ms between two ordinary jobs. */
+const ordinaryJobInterval = 200;
+/** Share of the ordinary tasks that run for longer than the longest lease. */
+const longShare = 0.3;
+/** Upper limit in ms of the reading at which a server's clock begins. */
+const clockRange = 9_000_000;
+/** Share of the calls to a server that is down which its next boot carries out. */
+const heldUpShare = 0.6;
+
+/** Readings in ms at which the clocks of servers begin, of a sequence of their own. */
+function createClockStarts(seed: number): () => number {
+    const random = createRandom(seed + clockRange);
+    return () => Math.floor(random() * clockRange);
+}
 
 export class FaultyRun {
     readonly world: simulation.Simulation;
@@ -52,8 +75,9 @@
         this.#random = createRandom(options.seed);
         this.world = new simulation.Simulation({
             random: this.#random,
-            machineCount: this.#chooseInteger(7, 11),
+            machineCount: this.#chooseInteger(7, 11) + (options.restartServers === true ? additionalMachines : 0),
             chooseFailure: () => this.#random() < failingShare ? this.#choose(500, 20_000) : undefined,
+            ...options.restartServers === true ? { chooseClockStart: createClockStarts(options.seed) } : {},
         });
         this.world.decideFate = call => this.#decideFate(call);
     }
@@ -68,11 +92,15 @@
                 const cpu = this.#chooseInteger(8000, 24_000);
                 world.submit(String(i).padStart(16, "0"), this.#chooseInteger(4, 9), 1, cpu);
             }
+            if (this.options.restartServers === true) {
+                this.#scheduleOrdinaryJobs();
+            }
             this.options.prepare?.(world, this.#random);
             await world.time.runUntil(waveStart);
             this.#requestWaves();
+            const longestPause = this.options.restartServers === true ? restartPause : 6000;
             while (world.time.now < lastFault) {
-                await world.time.runUntil(world.time.now + this.#choose(500, 6000));
+                await world.time.runUntil(world.time.now + this.#choose(500, longestPause));
                 this.#disturb();
             }
             await world.time.runUntil(end);
@@ -83,6 +111,16 @@
         }
     }
 
+    #scheduleOrdinaryJobs(): void {
+        for (let at = 0, number = 1; at < lastFault; at += ordinaryJobInterval, number++) {
+            this.world.time.schedule(() => {
+                const duration = this.#random() < longShare ? this.#choose(11_000, 25_000) : this.#choose(200, 3000);
+                const taskCount = this.#chooseInteger(1, 4);
+                this.world.submitOrdinary(`b${String(number).padStart(15, "0")}`, taskCount, duration);
+            }, at);
+        }
+    }
+
     #requestWaves(): void {
         const ids = this.world.machines.map(({ id }) => id);
         const half = Math.ceil(ids.length / 2);
@@ -100,7 +138,12 @@
             () => this.#disturbCalls(),
             () => this.#disturbCalls(),
         ];
-        const faults = this.options.disturbServers ? [...coordinatorFaults, ...serverFaults] : coordinatorFaults;
+        const restarts = Array.from({ length: restartFaults }, () => () => this.#restartAndCutOff());
+        const faults = [
+            ...coordinatorFaults,
+            ...this.options.disturbServers ? serverFaults : [],
+            ...this.options.restartServers === true ? restarts : [],
+        ];
         faults[this.#chooseInteger(0, faults.length)]!();
     }
 
@@ -147,6 +190,26 @@
         }
     }
 
+    /** Servers restart under their IDs without notice; soon after, they are cut off and run on. */
+    #restartAndCutOff(): void {
+        const targets = new Set<string>();
+        const down = this.#choose(1, 1500);
+        for (let i = this.#chooseInteger(1, 4); i > 0; i--) {
+            const server = this.#chooseMachine()?.server;
+            if (server !== undefined) {
+                targets.add(server.registration.id);
+                this.world.restartSilently(server, { down, registration: this.#choose(100, 3000) });
+            }
+        }
+        const duration = this.#choose(3000, 14_000);
+        const delay = down + this.#choose(100, 3500);
+        this.#noteDisturbance(delay + duration);
+        this.world.time.schedule(
+            () => this.#troubles.unshift({ kind: "cut", targets, until: this.world.time.now + duration }),
+            delay,
+        );
+    }
+
     #freezeServer(): void {
         const server = this.#chooseMachine()?.server;
         if (server !== undefined) {
@@ -181,7 +244,8 @@
         const targets = this.world.machines.flatMap(({ server }) =>
             server !== undefined && this.#random() < 0.4 ? [server.registration.id] : []
         );
-        const kind = troubleKinds[this.#chooseInteger(0, troubleKinds.length)]!;
+        const kinds = this.options.delayOrders === true ? [...troubleKinds, "later orders"] as const : troubleKinds;
+        const kind = kinds[this.#chooseInteger(0, kinds.length)]!;
         this.#troubles = this.#troubles.filter(({ until }) => until > this.world.time.now);
         this.#troubles.push({ kind, targets: new Set(targets), until: this.world.time.now + duration });
     }
@@ -195,17 +259,29 @@
             "lost requests": () => ({ carriedOutAfter: undefined, answered: false }),
             "lost answers": () => ({ carriedOutAfter: 2, answered: false }),
             "late orders": () => isOrder ? { carriedOutAfter: this.#choose(800, 4000), answered: false } : undefined,
+            "later orders": () =>
+                isOrder ? { carriedOutAfter: this.#choose(2000, 12_000), answered: false } : undefined,
         };
         const affected = trouble !== undefined && (trouble.kind === "cut" || this.#random() < affectedShare);
-        const fate = affected ? fates[trouble.kind]() : undefined;
+        const fate = affected ? fates[trouble.kind]() : this.#decideHeldUp(target);
         return fate ?? { carriedOutAfter: this.#choose(1, 20), answered: this.#random() >= lostAnswerShare };
     }
 
+    /** A call to a server that is down may reach its next boot. */
+    #decideHeldUp(target: string): simulation.Fate | undefined {
+        const isDown = this.world.machines.some(({ server }) =>
+            server?.down === true && server.registration.id === target
+        );
+        return isDown && this.#random() < heldUpShare
+            ? { carriedOutAfter: this.#choose(1, 1500), answered: this.#random() < 0.7 }
+            : undefined;
+    }
+
     /** A machine whose server is up and not draining. */
     #chooseMachine(): simulation.Simulation["machines"][number] | undefined {
         const machine = this.world.machines[this.#chooseInteger(0, this.world.machines.length)]!;
         const { server } = machine;
-        return server === undefined || server.draining || server.frozen ? undefined : machine;
+        return server === undefined || server.draining || server.frozen || server.down ? undefined : machine;
     }
 
     #noteDisturbance(duration: number): void {
--- a/packages/dispatch/src/testing/simulated-server.ts
+++ b/packages/dispatch/src/testing/simulated-server.ts
@@ -2,6 +2,7 @@
 import * as platform from "@catkinwharf/platform";
 import * as platformTesting from "@catkinwharf/platform/testing";
 import type * as availabilityRule from "./availability-rule.js";
+import type * as singleRunRule from "./single-run-rule.js";
 import type * as virtualTime from "./virtual-time.js";
 
 /** Longest lease in ms that a server grants. */
@@ -18,6 +19,7 @@
     readonly chooseFailure: () => number | undefined;
     /** Time in ms until a run of the task has done its work; `undefined` for a long-running one. */
     readonly findDuration: (task: string) => number | undefined;
+    readonly singleRunRule: singleRunRule.SingleRunRule;
     /** A run of the task was started, or has ended for whatever reason. */
     readonly onStarted: (task: string) => void;
     readonly onEnded: (task: string) => void;
@@ -30,6 +32,7 @@
 interface SimulatedRun {
     readonly number: number;
     readonly startedAt: number;
+    readonly judged: singleRunRule.ServerRun;
     atWork: boolean;
     stopping: boolean;
 }
@@ -39,6 +42,9 @@
     readonly task: string;
     readonly run: number;
     readonly how: string;
+    readonly judged: singleRunRule.ServerRun;
+    /** The server's lease has expired since. */
+    lapsed: boolean;
 }
 
 type Respond = (response: platform.HttpResponse) => void;
@@ -168,6 +174,7 @@
 
     #checkLease(): void {
         if (!this.frozen && this.clock > this.#leaseEnd) {
+            this.#ends.forEach(end => end.lapsed = true);
             for (const task of [...this.running.keys()]) {
                 this.#endRun(task, "lapsed", this.host.isDisturbed() ? undefined : "lapse");
             }
@@ -189,12 +196,19 @@
             return;
         }
         const { time } = this.host;
-        const started: SimulatedRun = { number: run, startedAt: time.now, atWork: false, stopping: false };
+        const judged: singleRunRule.ServerRun = {
+            task,
+            number: run,
+            server: this.registration.id,
+            isUnderWay: () => this.running.get(task) === started && this.clock <= this.#leaseEnd,
+        };
+        const started: SimulatedRun = { number: run, startedAt: time.now, judged, atWork: false, stopping: false };
         if (present !== undefined) {
             this.host.onEnded(task); // The new run takes its place.
         }
         this.running.set(task, started);
         this.host.onStarted(task);
+        this.host.singleRunRule.recordStart(judged);
         const duration = this.host.findDuration(task);
         if (duration === undefined) {
             time.schedule(() => {
@@ -238,7 +252,7 @@
     }
 
     #list({ acknowledgedEnd, wait }: platformTesting.ServerOrder, respond: Respond): void {
-        this.#ends = this.#ends.filter(({ number }) => number > acknowledgedEnd);
+        this.#acknowledge(acknowledgedEnd);
         let responded = false;
         const crashCount = this.#crashCount;
         const answer = () => {
@@ -260,6 +274,16 @@
         this.host.time.schedule(answer, wait);
     }
 
+    #acknowledge(last: number): void {
+        const acknowledged = this.#ends.filter(({ number }) => number <= last);
+        this.#ends = this.#ends.filter(({ number }) => number > last);
+        for (const { judged, how, lapsed } of acknowledged) {
+            if (how === "done" && !lapsed) {
+                this.host.singleRunRule.recordAcknowledgement(judged);
+            }
+        }
+    }
+
     /** Of an ordinary task the share of its work that is done, of a long-running one how far it is available. */
     #computePercent(task: string, { startedAt, atWork }: SimulatedRun): number {
         const duration = this.host.findDuration(task);
@@ -281,7 +305,11 @@
             this.host.rule.recordOrderedEnd({ task, order, wasAtWork: run.atWork, counts });
         }
         this.#lastEnd += 1;
-        this.#ends.push({ number: this.#lastEnd, task, run: run.number, how });
+        const { number, judged } = run;
+        this.#ends.push({ number: this.#lastEnd, task, run: number, how, judged, lapsed: false });
+        if (how === "done") {
+            this.host.singleRunRule.recordDone(judged);
+        }
         this.#waiting.splice(0).forEach(answer => answer());
     }
 
--- a/packages/dispatch/src/testing/simulation.ts
+++ b/packages/dispatch/src/testing/simulation.ts
@@ -1,6 +1,7 @@
 /**
  * Coordinators, one after the other, with backend servers, machines and a store in memory, in virtual time. The servers
- * judge whether too many long-running tasks of a step are away at once, and whether organisations keep to their quotas.
+ * judge whether too many long-running tasks of a step are away at once, whether organisations keep to their quotas, and whether
+ * tasks run twice.
  */
 import type * as eventLog from "@catkinwharf/event-log";
 import * as httpCalls from "@catkinwharf/http-calls";
@@ -17,6 +18,7 @@
 import * as processor from "./processor.js";
 import * as quotaRule from "./quota-rule.js";
 import * as simulatedServer from "./simulated-server.js";
+import * as singleRunRule from "./single-run-rule.js";
 import * as virtualTime from "./virtual-time.js";
 
 export const service = "quotes";
@@ -106,6 +108,7 @@
     readonly time = new virtualTime.VirtualTime();
     readonly rule = new availabilityRule.AvailabilityRule(() => this.time.now);
     readonly quotaRule = new quotaRule.QuotaRule(() => this.time.now);
+    readonly singleRunRule = new singleRunRule.SingleRunRule(() => this.time.now);
     readonly log: LogLine[] = [];
     readonly machines: SimulatedMachine[] = [];
     /** Decides on each call; a test replaces it to disturb some. */
@@ -129,6 +132,7 @@
         this.#host = {
             time: this.time,
             rule: this.rule,
+            singleRunRule: this.singleRunRule,
             random: options.random,
             isDisturbed: () => this.time.now - this.disturbedUntil < disturbancePeriod,
             chooseFailure: options.chooseFailure ?? (() => undefined),
