Allow the longest lease for starts that a server's next boot may have got

Cause: the end of a lease is a time on the server's clock, which starts anew at an arbitrary value with each boot. A start that was meant for the boot before gave the next one the longest lease, 10 s. The coordinator went by the lease that it meant for the boot before, 4.5 s, although the answer to the start may show another boot, or there may be none. It saw the next boot only in a list, and the poll under way when a server falls silent fails after up to 2.7 s. It also took only a reading below the last one for another boot.

Change: the expiry is computed for each run. One that a list, or an answer with a reading that the known boot can give, shows on the known boot ends with the lease meant for it, as before. Any other one is kept for the longest lease after the last order that gives a lease. A server is in doubt from a start without an answer, an answer that the known boot can't have given or an entry of another boot until a list that is requested afterwards: it is asked at once, and gets no lease, start or acknowledgement meanwhile. So a lease meant for a lost boot is sent for 0.7 s instead of 2.7 s, and a silent restart is noticed sooner.

Two tests of leases-of-earlier-boots.test.ts brought their course about by repeats of a start to a server that doesn't respond, which are no longer sent. Now the one start is carried out after the restart; and that a coordinator without the store ends its repeats has a test of its own, which fails without the check.

--- a/packages/dispatch/src/coordinator.ts
+++ b/packages/dispatch/src/coordinator.ts
@@ -173,7 +173,7 @@
             },
             onRebooted: server => this.#runManager.endEarlierBoot(server),
             onCrash: crash => this.#runManager.recordCrash(crash),
-            onRunsLost: (server, how) => this.#runManager.endAll(server, how),
+            onRunsLost: (server, runs, how) => this.#runManager.endRuns(server, runs, how),
         }, options.serverBoots);
         this.#tickets = new ticketCache.TicketCache(this.#shared);
         this.#sweeper = new jobSweeper.JobSweeper(this.#shared, store);
@@ -394,7 +394,7 @@
 
     #isAwaitingServers(): boolean {
         for (const server of this.fleet.sessions.values()) {
-            if (!server.unlisted && server.clockSample === undefined) {
+            if (!server.unlisted && server.clock.sample === undefined) {
                 return true;
             }
         }
--- a/packages/dispatch/src/fleet.ts
+++ b/packages/dispatch/src/fleet.ts
@@ -8,6 +8,7 @@
 import * as scheduling from "@catkinwharf/scheduling";
 import * as timers from "node:timers/promises";
 import * as context from "./context.js";
+import * as lapsedRuns from "./lapsed-runs.js";
 import * as serverBoots from "./server-boots.js";
 import * as serverLosses from "./server-losses.js";
 import * as session from "./server-session.js";
@@ -22,14 +23,6 @@
     readonly lossTimes: readonly number[];
 }
 
-/** Runs of a server whose lease expired: whether the server had crashed shows when it is seen again. */
-interface LapsedRuns {
-    readonly bootedAt: number | undefined;
-    readonly runs: readonly session.StartedRun[];
-    /** On the monotonic clock. */
-    readonly lapsedAt: number;
-}
-
 /** Receives what servers report about their runs. */
 export interface FleetHandlers {
     /** A server listed its running and ended tasks; `sentAt` is when the renewal was sent, on the monotonic clock. */
@@ -43,10 +36,14 @@
     /** A server answered from another boot under the same ID. */
     readonly onRebooted: (server: session.ServerSession) => void;
     /**
-     * No run on the server can be running any more: another server has its address, its machine ended, or its lease
+     * These runs on the server can't be running any more: another server has its address, its machine ended, or its lease
      * expired.
      */
-    readonly onRunsLost: (server: session.ServerSession, how: jobState.RunEnd) => void;
+    readonly onRunsLost: (
+        server: session.ServerSession,
+        runs: readonly session.ActiveRun[],
+        how: jobState.RunEnd,
+    ) => void;
 }
 
 /** Time in ms for which a server with runs may delay its response until it has something to report. */
@@ -82,13 +79,9 @@
     readonly ends: session.EndProgress;
 }
 
-/** Time in ms for which the runs of an expired lease are remembered. */
-const lapsedRunsRetention = 120_000;
-
 export class Fleet {
     readonly sessions = new Map<string, session.ServerSession>();
-    /** By server ID; kept longer than sessions, as a crashed server may be unlisted until it is back. */
-    readonly #lapsedRuns = new Map<string, LapsedRuns>();
+    readonly #lapsedRuns = new lapsedRuns.LapsedRuns();
     readonly #boots: serverBoots.ServerBoots;
     readonly #leases: serverBoots.LeaseBounds;
     #stopped = false;
@@ -153,6 +146,7 @@
         known.entry = entry;
         known.unlisted = false;
         if (isNewBoot && !this.#stopped) {
+            known.doubtBoot(this.shared.clock.monotonic());
             this.#sendFencingToken(entry);
         }
         this.#updateEligibility(known);
@@ -246,7 +240,7 @@
             this.shared.termStartedAt,
             this.#leases,
         );
-        created.bootMayHoldOtherLease = this.#boots.find(entry.id)?.leaseEnd !== undefined;
+        created.leases.bootMayHoldOther = this.#boots.find(entry.id)?.leaseEnd !== undefined;
         created.lastAnswerAt = this.shared.clock.monotonic();
         this.sessions.set(entry.id, created);
         if (this.#started) {
@@ -257,8 +251,8 @@
 
     /** Updates whether the server may get new tasks. */
     #updateEligibility(server: session.ServerSession): void {
-        server.load.acceptsTasks = server.reachable && !server.unlisted && !server.entry.draining
-            && server.isRegistrationCurrent() && !server.reservedForOrder
+        server.load.acceptsTasks = server.reachable && !server.clock.isInDoubt && !server.unlisted
+            && !server.entry.draining && server.isRegistrationCurrent() && !server.reservedForOrder
             && !server.releasedByPool && !server.closed
             && server.startingAloneUntil === undefined && this.shared.clock.monotonic() >= server.backoffUntil;
     }
@@ -304,7 +298,10 @@
         }
         const decoded = platform.serverCalls.decodeLeaseRenewal(answer.value);
         if (decoded.kind === "lists" && decoded.bootedAt === server.bootedAt) {
-            server.lastClock = Math.max(server.lastClock, decoded.clock);
+            server.clock.latest = Math.max(server.clock.latest, decoded.clock);
+        }
+        else if (decoded.kind === "lists") {
+            server.doubtBoot(this.shared.clock.monotonic());
         }
         this.shared.schedulePass();
     }
@@ -336,15 +333,15 @@
     }
 
     async #pollOnce(server: session.ServerSession): Promise<void> {
-        const { clock, serverCalls, epoch } = this.shared;
+        const { clock, epoch } = this.shared;
         const sentAt = clock.monotonic();
-        const serverClock = server.estimateClock(sentAt);
+        const serverClock = server.clock.estimate(sentAt);
         // An unreachable server gets no new lease, so that its lease expires and its tasks can start elsewhere.
-        const mayExtendLease = server.reachable && this.shared.mayExtendLeases()
+        const mayExtendLease = server.reachable && !server.clock.isInDoubt && this.shared.mayExtendLeases()
             && this.#boots.isStored(server.entry.id, server.bootedAt);
         const leaseEnd = serverClock !== undefined && mayExtendLease ? serverClock + this.#leases.lease : undefined;
         const unstored = server.ends.lastProcessed > server.ends.lastStored;
-        const wait = serverClock === undefined || unstored || !server.reachable
+        const wait = serverClock === undefined || unstored || !server.reachable || server.clock.isInDoubt
             ? 0
             : server.runs.size === 0
             ? idlePollWait
@@ -353,7 +350,7 @@
             : busyPollWait;
         if (leaseEnd !== undefined) {
             this.#logLateRenewal(server, serverClock ?? 0);
-            server.latestLeaseEnd = Math.max(server.latestLeaseEnd, leaseEnd);
+            server.leases.recordOrder(leaseEnd, sentAt);
         }
         const { ends } = server;
         // A server that didn't respond may have rebooted, and one that does may reboot before it receives this call. It
@@ -367,8 +364,8 @@
         });
         const answer = serverClock === undefined
             ? await this.#sendFirstRenewal(server.entry.address, call)
-            : await serverCalls.send(server.entry.address, call, wait + context.serverCallTimeout);
-        if (this.#stopped) {
+            : await this.#sendPoll(server, call, wait);
+        if (this.#stopped || answer === undefined) {
             return;
         }
         if (answer.isErr()) {
@@ -382,6 +379,20 @@
         );
     }
 
+    /** Polls a server; `undefined` if the poll was interrupted while the server was to delay its response. */
+    async #sendPoll(
+        server: session.ServerSession,
+        call: platform.Call,
+        wait: number,
+    ): Promise<Awaited<ReturnType<httpCalls.HttpClient["send"]>> | undefined> {
+        const answer = this.shared.serverCalls.send(server.entry.address, call, wait + context.serverCallTimeout);
+        if (wait === 0) {
+            return answer;
+        }
+        const interrupted = new Promise<undefined>(resolve => server.interruptPoll = () => resolve(undefined));
+        return Promise.race([answer, interrupted]).finally(() => server.interruptPoll = undefined);
+    }
+
     /**
      * Asks a server for its clock, without which its lease can't be renewed. Little may be left of the lease when a
      * coordinator takes over, so the call is repeated beside the first one if that gets no response soon.
@@ -401,8 +412,8 @@
 
     /** Logs a renewal that is sent with little of the lease left. */
     #logLateRenewal(server: session.ServerSession, serverClock: number): void {
-        const left = server.latestLeaseEnd - serverClock;
-        if (server.latestLeaseEnd > 0 && left < lateRenewal && server.load.longRunningRunCount > 0) {
+        const left = server.leases.latestEnd - serverClock;
+        if (server.leases.latestEnd > 0 && left < lateRenewal && server.load.longRunningRunCount > 0) {
             this.shared.log.warn("lease-renewed-late", { server: server.entry.id, left: Math.round(left) });
         }
     }
@@ -439,7 +450,7 @@
             return;
         }
         const now = this.shared.clock.monotonic();
-        const isFirstAnswer = server.clockSample === undefined;
+        const isFirstAnswer = server.clock.sample === undefined;
         const isNextBoot = answer.bootedAt !== server.bootedAt;
         const holdsRuns = server.runs.size > 0;
         if (isNextBoot) {
@@ -450,7 +461,7 @@
         }
         else if (isNextBoot) {
             const boot = serverBoots.judgeNextBoot(answer, now - sent.sentAt, this.#leases);
-            server.otherLeaseEnd = boot.leaseEnd ?? 0;
+            server.leases.otherEnd = boot.leaseEnd ?? 0;
             this.#boots.record(server.entry.id, boot);
         }
         this.#boots.recordClock(server.entry.id, answer);
@@ -458,7 +469,7 @@
         server.recordList(answer.clock, now, this.shared.settings.bounds.stop, sent.sentAt);
         if (!server.reachable) {
             server.reachable = true;
-            this.#lapsedRuns.delete(server.entry.id); // The server is up in the boot under which they lapsed.
+            this.#lapsedRuns.forget(server.entry.id);
             this.#updateEligibility(server);
             this.shared.log.info("server-reached", { server: server.entry.id, service: server.entry.service });
             this.shared.schedulePass();
@@ -472,7 +483,7 @@
         const stored = this.#boots.find(server.entry.id);
         const boot = serverBoots.judgeFirstAnswer(stored, answer, holdsRuns, this.#leases);
         const lastOrdered = stored === undefined && !holdsRuns ? 0 : answer.clock + this.#leases.lease;
-        server.otherLeaseEnd = Math.max(lastOrdered, boot.leaseEnd ?? 0);
+        server.leases.otherEnd = Math.max(lastOrdered, boot.leaseEnd ?? 0);
         this.#boots.record(server.entry.id, boot);
     }
 
@@ -529,13 +540,13 @@
 
     /** Handles a response from another boot of the server: nothing that ran before it still runs. */
     #handleReboot(server: session.ServerSession, bootedAt: number | undefined): void {
-        const isFirstAnswer = server.bootedAt === undefined && server.clockSample === undefined;
+        const isFirstAnswer = server.bootedAt === undefined && server.clock.sample === undefined;
         const before = server.bootedAt;
-        const crashed = server.listStartedRuns().filter(({ run }) =>
+        const crashed = server.describeStartedRuns(server.runs.values()).filter(({ run }) =>
             !run.startedOnNextBoot && (!isFirstAnswer || isOtherBoot(run, bootedAt))
         );
         this.#reportCrash(server.entry.id, [
-            ...this.#takeLapsedRuns(server.entry.id, bootedAt),
+            ...this.#lapsedRuns.take(server.entry.id, bootedAt),
             ...server.entry.draining ? [] : crashed,
         ]);
         server.bootedAt = bootedAt;
@@ -553,12 +564,12 @@
         });
         server.recordReboot();
         if (bootedAt === undefined) {
-            this.handlers.onRunsLost(server, "lost");
+            this.handlers.onRunsLost(server, [...server.runs.values()], "lost");
         }
         else {
             this.handlers.onRebooted(server);
         }
-        server.lastClock = 0;
+        server.clock.latest = 0;
     }
 
     #reportCrash(id: string, runs: readonly session.StartedRun[]): void {
@@ -568,29 +579,6 @@
         }
     }
 
-    /** Takes the runs of an expired lease, if the server has another boot time since; else forgets them. */
-    #takeLapsedRuns(id: string, bootedAt: number | undefined): readonly session.StartedRun[] {
-        const lapsed = this.#lapsedRuns.get(id);
-        this.#lapsedRuns.delete(id);
-        return lapsed?.bootedAt === undefined || lapsed.bootedAt === bootedAt ? [] : lapsed.runs;
-    }
-
-    #rememberLapsedRuns(server: session.ServerSession, now: number): void {
-        if (server.entry.draining) {
-            return;
-        }
-        for (const [id, { lapsedAt }] of this.#lapsedRuns) {
-            if (now - lapsedAt >= lapsedRunsRetention) {
-                this.#lapsedRuns.delete(id);
-            }
-        }
-        this.#lapsedRuns.set(server.entry.id, {
-            bootedAt: server.bootedAt,
-            runs: server.listStartedRuns(),
-            lapsedAt: now,
-        });
-    }
-
     /** Marks the server as unreachable. Keeps its runs: even a refused connection may come from a partition. */
     #markUnreachable(server: session.ServerSession, reason: string): void {
         if (server.reachable) {
@@ -608,18 +596,19 @@
         if (server?.reachable === true) {
             return;
         }
+        const runs = [...server?.runs.values() ?? []];
         if (kind === serverLosses.LossKind.crash) {
-            const started = server?.entry.draining === false ? server.listStartedRuns() : [];
-            this.#reportCrash(id, [...this.#takeLapsedRuns(id, undefined), ...started]);
+            const started = server?.entry.draining === false ? server.describeStartedRuns(runs) : [];
+            this.#reportCrash(id, [...this.#lapsedRuns.take(id, undefined), ...started]);
         }
-        if (server === undefined || server.runs.size === 0) {
+        if (server === undefined || runs.length === 0) {
             return;
         }
         if (kind === serverLosses.LossKind.unlisted) {
-            this.#rememberLapsedRuns(server, this.shared.clock.monotonic());
+            this.#lapsedRuns.remember(server, runs, this.shared.clock.monotonic());
         }
-        this.shared.log.info("server-ended", { server: id, evidence, kind, runs: server.runs.size });
-        this.handlers.onRunsLost(server, "lost");
+        this.shared.log.info("server-ended", { server: id, evidence, kind, runs: runs.length });
+        this.handlers.onRunsLost(server, runs, "lost");
     }
 
     /** Ends the runs of an unreachable server once its lease has expired, and closes its session if it is unlisted. */
@@ -628,19 +617,19 @@
             return;
         }
         const now = this.shared.clock.monotonic();
-        if (server.runs.size > 0 && now >= server.computeLeaseExpiry()) {
+        const lapsed = server.runs.size === 0 ? [] : server.listLapsedRuns(now);
+        if (lapsed.length > 0) {
             this.shared.log.info("lease-lapsed", {
                 server: server.entry.id,
                 registeredBoot: server.entry.bootedAt,
                 // Each with its phase and, if a start or a list showed it on the boot, the clock reading.
-                runs: [...server.runs.values()].map(
-                    run => [run.name, run.phase, run.startClock, run.startedOnNextBoot],
-                ),
+                runs: lapsed.map(run => [run.name, run.phase, run.startClock, run.startedOnNextBoot]),
+                left: server.runs.size - lapsed.length,
                 boot: server.bootId,
                 ...server.describeLease(now),
             });
-            this.#rememberLapsedRuns(server, now);
-            this.handlers.onRunsLost(server, "lapsed");
+            this.#lapsedRuns.remember(server, lapsed, now);
+            this.handlers.onRunsLost(server, lapsed, "lapsed");
         }
         if (server.unlisted && server.runs.size === 0) {
             server.closed = true;
--- a/packages/dispatch/src/leases-of-earlier-boots.test.ts
+++ b/packages/dispatch/src/leases-of-earlier-boots.test.ts
@@ -9,6 +9,7 @@
 const submissionAt = 20_000;
 const takeoverTime = 1000;
 const step = 50;
+const leaseDuration = 4500;
 const jobId = "00000000000000aa";
 const task = `${jobId}.0.0.0`;
 
@@ -48,7 +49,8 @@
             target ||= call.kind === "start" ? call.target : "";
             const isLost = call.target === target && target !== "" && isCutOff
                 && (call.epoch === 2 || call.kind === "start" || call.kind === "renewal");
-            return { carriedOutAfter: isLost ? undefined : 2, answered: !isLost };
+            // The start is carried out once the server has started again.
+            return { carriedOutAfter: !isLost ? 2 : call.kind === "start" ? 1300 : undefined, answered: !isLost };
         };
         world.submit(jobId, 1, 1, 8000);
         await world.time.runUntil(submissionAt + 1200);
@@ -59,10 +61,7 @@
             call.target === target && call.kind === "renewal" && !seesNewBoot
                 ? { carriedOutAfter: undefined, answered: false }
                 : { carriedOutAfter: 2, answered: true };
-        while (!server.running.has(task)) {
-            await world.time.runUntil(world.time.now + step);
-        }
-        await world.time.runUntil(world.time.now + 400);
+        await world.time.runUntil(submissionAt + 1800);
         assert.ok(server.running.has(task));
         world.kill();
         await world.time.runUntil(world.time.now + takeoverTime);
@@ -94,22 +93,21 @@
             world.startCoordinator();
             await world.time.runUntil(submissionAt);
             let target = "";
-            let startsArrive = false;
             world.decideFate = call => {
                 target ||= call.kind === "start" ? call.target : "";
-                const isLost = call.target === target && target !== ""
-                    && (call.epoch === 2 || call.kind === "renewal" || !startsArrive);
-                return { carriedOutAfter: isLost ? undefined : 2, answered: !isLost };
+                const isLost = call.target === target && target !== "";
+                return { carriedOutAfter: !isLost ? 2 : call.kind === "start" ? 3400 : undefined, answered: !isLost };
             };
             world.submit(jobId, 1, 1, 8000);
             await world.time.runUntil(submissionAt + 1200);
-            world.rebootServer(world.machines.find(machine => machine.server?.registration.id === target)!.server!);
+            const server = world.machines.find(machine => machine.server?.registration.id === target)!.server!;
+            world.rebootServer(server);
             world.current!.reachesStore = false;
             await world.time.runUntil(submissionAt + 2200);
             world.startCoordinator();
             const takeoverAt = world.time.now;
-            world.time.schedule(() => startsArrive = true, 1200);
             assert.equal(await listDoubleRuns(world, takeoverAt), []);
+            assert.ok(server.hasRun(task));
         }
         finally {
             world.close();
@@ -117,6 +115,31 @@
     },
 );
 
+suite("a coordinator that the store has lost repeats a start without end, which may reach a next boot", async () => {
+    const world = new simulation.Simulation({ random: () => 0.5, machineCount: 3 });
+    try {
+        world.startCoordinator();
+        await world.time.runUntil(submissionAt);
+        const starts: number[] = [];
+        world.decideFate = ({ kind }) => {
+            if (kind === "start") {
+                starts.push(world.time.now);
+            }
+            return { carriedOutAfter: kind === "start" ? undefined : 2, answered: kind !== "start" };
+        };
+        world.submit(jobId, 1, 1, 8000);
+        await world.time.runUntil(submissionAt + 1200);
+        world.current!.reachesStore = false;
+        const lostAt = world.time.now;
+        await world.time.runUntil(lostAt + 12_000);
+        assert.ok(starts.some(at => at > lostAt + 3000));
+        assert.not.ok(starts.some(at => at > lostAt + leaseDuration));
+    }
+    finally {
+        world.close();
+    }
+});
+
 suite("a successor takes the longest lease for that of every server, and tasks idle after each takeover", async () => {
     const world = new simulation.Simulation({ random: () => 0.5, machineCount: 3 });
     try {
@@ -139,7 +162,7 @@
             await world.time.runUntil(world.time.now + step);
         }
         // An ordinary lease, which the last poll may have renewed at its end, and two retries to reach the server.
-        assert.ok(world.time.now - cutOffAt < 4500 + 1700 + 2 * 950, `${world.time.now - cutOffAt}`);
+        assert.ok(world.time.now - cutOffAt < leaseDuration + 1700 + 2 * 950, `${world.time.now - cutOffAt}`);
     }
     finally {
         world.close();
--- a/packages/dispatch/src/next-boot-starts.test.ts
+++ b/packages/dispatch/src/next-boot-starts.test.ts
@@ -135,6 +135,8 @@
     readonly isStartAnswered: boolean;
     /** Time in ms from the start until the server is cut off. */
     readonly cutOffAfter: number;
+    /** Whether polls of the next boot are lost, too, so that it isn't listed before the cut. */
+    readonly losesPolls: boolean;
     readonly isCoordinatorLost?: boolean;
 }
 
@@ -157,7 +159,8 @@
                 course.restart(called, options.clockStart, { down: 1, registration: options.registration });
                 return { carriedOutAfter: 2, answered: options.isStartAnswered };
             }
-            const isLost = called === target && target !== "" && (isCutOff || epoch === 2);
+            const isLost = called === target && target !== ""
+                && (isCutOff || epoch === 2 || kind === "renewal" && options.losesPolls);
             return isLost ? lostFate : undefined;
         };
         world.submitOrdinary(jobId, 1, duration);
@@ -166,7 +169,7 @@
         }
         await course.pass(options.cutOffAfter);
         assert.is(course.findServer(target).running.has(task), options.clockStart !== clockStarts.pastLease);
-        assert.not(world.log.some(({ event }) => event === "server-rebooted"));
+        assert.not(options.losesPolls && world.log.some(({ event }) => event === "server-rebooted"));
         isCutOff = true;
         if (options.isCoordinatorLost === true) {
             world.kill();
@@ -176,13 +179,14 @@
     });
 }
 
-/** Plays the course with each time of registration. */
-async function playCutOffs(options: Omit<CutCourse, "registration">): Promise<number[][]> {
+/** Plays the course with each time of registration, and with and without polls of the next boot; tells what ran twice. */
+async function playCutOffs(options: Omit<CutCourse, "registration" | "losesPolls">): Promise<number[][]> {
     const results: number[][] = [];
     for (const registration of registrations) {
-        results.push(await playCutOff({ ...options, registration }));
+        results.push(await playCutOff({ ...options, registration, losesPolls: true }));
+        results.push(await playCutOff({ ...options, registration, losesPolls: false }));
     }
-    return results;
+    return results.filter(twice => twice.length > 0);
 }
 
 const answered = { submittedAfter: 860, isStartAnswered: true, cutOffAfter: 1700 };
@@ -191,32 +195,32 @@
 suite(
     "a task runs twice, as its start got the longest lease from the server's next boot, which is cut off",
     async () => {
-        assert.equal(await playCutOffs({ ...answered, clockStart: clockStarts.lower }), [[], []]);
+        assert.equal(await playCutOffs({ ...answered, clockStart: clockStarts.lower }), []);
     },
 );
 
 suite("a task runs twice, as the clock of the server's next boot is only a little behind", async () => {
-    assert.equal(await playCutOffs({ ...answered, clockStart: clockStarts.betweenLastAndExpected }), [[], []]);
+    assert.equal(await playCutOffs({ ...answered, clockStart: clockStarts.betweenLastAndExpected }), []);
 });
 
 suite("a task runs twice, as the clock of the server's next boot is ahead", async () => {
-    assert.equal(await playCutOffs({ ...answered, clockStart: clockStarts.aheadOfExpected }), [[], []]);
-    assert.equal(await playCutOffs({ ...answered, clockStart: clockStarts.pastLease }), [[], []]);
+    assert.equal(await playCutOffs({ ...answered, clockStart: clockStarts.aheadOfExpected }), []);
+    assert.equal(await playCutOffs({ ...answered, clockStart: clockStarts.pastLease }), []);
 });
 
 suite("a task runs twice, as the answer of the server's next boot to its start was lost", async () => {
-    assert.equal(await playCutOffs({ ...unanswered, clockStart: clockStarts.lower }), [[], []]);
+    assert.equal(await playCutOffs({ ...unanswered, clockStart: clockStarts.lower }), []);
 });
 
 suite("a task runs twice, as the answer of a next boot whose clock is only a little behind was lost", async () => {
-    assert.equal(await playCutOffs({ ...unanswered, clockStart: clockStarts.betweenLastAndExpected }), [[], []]);
+    assert.equal(await playCutOffs({ ...unanswered, clockStart: clockStarts.betweenLastAndExpected }), []);
 });
 
 suite("a task runs twice, as a successor doesn't know of the next boot's lease", async () => {
     for (const clockStart of [clockStarts.lower, clockStarts.betweenLastAndExpected]) {
         const isCoordinatorLost = true;
-        assert.equal(await playCutOffs({ ...answered, clockStart, isCoordinatorLost }), [[], []]);
-        assert.equal(await playCutOffs({ ...unanswered, clockStart, isCoordinatorLost }), [[], []]);
+        assert.equal(await playCutOffs({ ...answered, clockStart, isCoordinatorLost }), []);
+        assert.equal(await playCutOffs({ ...unanswered, clockStart, isCoordinatorLost }), []);
     }
 });
 
@@ -285,13 +289,13 @@
                 target = called;
                 starts += 1;
                 if (starts === 1) {
-                    course.restart(called, clockStarts.lower, { down: 1000, registration: 60_000 });
-                    restartAt = now + 1000;
-                    return lostFate;
+                    course.restart(called, clockStarts.lower, { down: 600, registration: 60_000 });
+                    restartAt = now + 600;
+                    return { carriedOutAfter: 650, answered: false };
                 }
                 return { carriedOutAfter: 100, answered: isRepeatAnswered };
             }
-            if (kind === "list" && now < restartAt && now >= restartAt - 500) {
+            if (kind === "list" && now < restartAt && now >= restartAt - 600) {
                 return { carriedOutAfter: 2, answered: true, answeredAfter: Math.min(890, restartAt + 450 - now) };
             }
             return called === target && kind === "renewal" && now < restartAt + 3000 ? lostFate : undefined;
--- a/packages/dispatch/src/odd-answers.test.ts
+++ b/packages/dispatch/src/odd-answers.test.ts
@@ -77,7 +77,7 @@
         await poll(target);
         assert.is(countCalls(), 2);
         assert.not(server.reachable);
-        assert.is(server.clockSample, undefined);
+        assert.is(server.clock.sample, undefined);
         assert.is(server.bootedAt, 7);
         assert.is(server.runs.size, 1);
     });
--- a/packages/dispatch/src/odd-entries.test.ts
+++ b/packages/dispatch/src/odd-entries.test.ts
@@ -73,7 +73,7 @@
         onLists: ignore,
         onCrash: ignore,
         onRebooted: ignore,
-        onRunsLost: (_server, how) => void ends.push(how),
+        onRunsLost: (_server, _runs, how) => void ends.push(how),
     });
     return { fleet: created, addresses, closed, warnings, ends };
 }
--- a/packages/dispatch/src/run-manager.ts
+++ b/packages/dispatch/src/run-manager.ts
@@ -211,9 +211,13 @@
             return;
         }
         const now = shared.clock.monotonic();
-        const serverClock = server.estimateClock(now);
-        if (serverClock === undefined || run.entry.cancelledAt !== undefined || run.bootId !== server.bootId) {
-            this.#dropRun(server, run, "job cancelled or server rebooted before the start was sent");
+        const serverClock = server.clock.estimate(now);
+        if (serverClock === undefined || run.entry.cancelledAt !== undefined || !mayStart(server, run)) {
+            this.#dropRun(
+                server,
+                run,
+                "job cancelled, or server draining, rebooted or in doubt before the start was sent",
+            );
             return;
         }
         if (!shared.mayExtendLeases()) {
@@ -221,10 +225,10 @@
             return;
         }
         const leaseEnd = serverClock + context.computeLeaseDuration(shared.settings);
-        server.latestLeaseEnd = Math.max(server.latestLeaseEnd, leaseEnd);
+        server.leases.recordOrder(leaseEnd, now);
         run.phase = session.RunPhase.ordered;
         run.startSentAt = now;
-        const { lastClock } = server;
+        const earliest = server.clock.computeEarliestReading(now);
         this.#reserveStart(server, run);
         const call = platform.serverCalls.createStartCall(server.entry.id, {
             task: { jobId: run.entry.id, ...run.position },
@@ -256,10 +260,11 @@
             });
             run.phase = session.RunPhase.uncertain;
             server.backoffUntil = shared.clock.monotonic() + refusalBackoff;
+            server.doubtBoot(shared.clock.monotonic());
             await this.#resolveUnansweredStart(server, run, call);
             return;
         }
-        this.#handleStartAnswer(server, run, platform.serverCalls.decodeOrderResult(answer.value), lastClock);
+        this.#handleStartAnswer(server, run, platform.serverCalls.decodeOrderResult(answer.value), earliest);
     }
 
     /**
@@ -274,15 +279,18 @@
         const { shared } = this.options;
         const isUncertain = () =>
             run.phase === session.RunPhase.uncertain && this.#isCurrent(server, run) && !server.closed && !this.#ended;
-        while (run.step.longRunning && isUncertain() && mayStart(server, run)) {
+        const isOnKnownBoot = () => run.bootId === server.bootId && !server.entry.draining;
+        while (run.step.longRunning && isUncertain() && isOnKnownBoot()) {
             await timers.setTimeout(startRetryDelay);
-            if (!isUncertain() || !mayStart(server, run)) {
+            if (!isUncertain() || !isOnKnownBoot()) {
                 break;
             }
-            if (!shared.mayExtendLeases()) {
+            if (!shared.mayExtendLeases() || !mayStart(server, run)) {
                 continue; // A boot that started since would get a new lease by this call.
             }
-            const { lastClock } = server;
+            const now = shared.clock.monotonic();
+            const earliest = server.clock.computeEarliestReading(now);
+            server.leases.recordOrder(server.leases.latestEnd, now);
             const answer = await shared.serverCalls.send(server.entry.address, call, context.serverCallTimeout);
             if (answer.isErr() || !isUncertain()) {
                 continue;
@@ -292,7 +300,7 @@
                 continue; // An earlier attempt may have been carried out.
             }
             if (decoded.kind === "done") {
-                this.#handleStartAnswer(server, run, decoded, lastClock);
+                this.#handleStartAnswer(server, run, decoded, earliest);
                 return;
             }
             if (context.stepDownIfFenced(shared, server.entry.id, decoded)) {
@@ -320,26 +328,28 @@
         this.options.shared.writer.addToNextBatch(entry);
     }
 
-    /** @param lastClock latest reading of the server's clock when the start was sent */
+    /** @param earliest lowest reading that the known boot could give when the start was sent */
     #handleStartAnswer(
         server: session.ServerSession,
         run: session.ActiveRun,
         answer: platform.serverCalls.OrderResult,
-        lastClock: number,
+        earliest: number,
     ): void {
         const { shared } = this.options;
+        const clock = "clock" in answer ? answer.clock : undefined;
+        const isKnownBoot = clock === undefined || server.recordReading(clock, earliest, shared.clock.monotonic());
         if (answer.kind === "done") {
             this.#recordBegun(run.entry);
-            if (answer.clock !== undefined && server.recordClock(answer.clock, lastClock, shared.clock.monotonic())) {
-                run.startClock ??= answer.clock;
+            if (isKnownBoot) {
+                run.startClock ??= clock;
             }
-            else if (answer.clock !== undefined) {
+            else {
                 run.startedOnNextBoot = true;
                 shared.log.warn("start-on-another-boot", {
                     task: run.name,
-                    clock: answer.clock,
+                    clock,
                     // On the clock of the boot for which the start was meant.
-                    leaseEnd: Math.round(server.latestLeaseEnd),
+                    leaseEnd: Math.round(server.leases.latestEnd),
                     ...server.describeContact(shared.clock.monotonic()),
                 });
             }
@@ -498,7 +508,7 @@
     endEarlierBoot(server: session.ServerSession): void {
         const isUnconfirmed = (run: session.ActiveRun) =>
             unconfirmedPhases.has(run.phase) && run.expectedInListsFrom === undefined && run.startClock === undefined;
-        this.#endRuns(server, [...server.runs.values()].filter(run => !isUnconfirmed(run)), jobState.RunEnd.lost);
+        this.endRuns(server, [...server.runs.values()].filter(run => !isUnconfirmed(run)), jobState.RunEnd.lost);
     }
 
     /** Counts the crash of a server for the tasks that may have caused it, and fails the jobs of those that did. */
@@ -543,12 +553,8 @@
         }
     }
 
-    /** Ends all runs of a server on which none can be running any more. */
-    endAll(server: session.ServerSession, how: jobState.RunEnd): void {
-        this.#endRuns(server, [...server.runs.values()], how);
-    }
-
-    #endRuns(server: session.ServerSession, runs: readonly session.ActiveRun[], how: jobState.RunEnd): void {
+    /** Ends runs of a server that can't be running any more. */
+    endRuns(server: session.ServerSession, runs: readonly session.ActiveRun[], how: jobState.RunEnd): void {
         if (this.#ended) {
             return;
         }
@@ -581,7 +587,7 @@
             this.options.shared.log.info("stopping-run-listed", { task: run.name, percent: row.percent });
         }
         this.#recordBegun(run.entry);
-        run.startClock ??= server.lastClock;
+        run.startClock ??= server.clock.latest;
         this.#keepCheckpoint(run, row.checkpoint);
         if (run.percent !== row.percent) {
             run.percent = row.percent;
@@ -915,11 +921,11 @@
 }
 
 /**
- * Whether the start of the run may still be sent to the server: it has the same boot and isn't draining. A server that
- * isn't listed may still run the task, and if it is gone the run ends with its lease.
+ * Whether the start of the run may be sent to the server now: it has the same boot, as far as is known, and isn't draining. A
+ * server that isn't listed may still run the task, and if it is gone the run ends with its lease.
  */
 function mayStart(server: session.ServerSession, run: session.ActiveRun): boolean {
-    return run.bootId === server.bootId && !server.entry.draining;
+    return run.bootId === server.bootId && !server.clock.isInDoubt && !server.entry.draining;
 }
 
 function findStoredRun(history: jobState.TaskHistory, run: session.ActiveRun): jobState.Run | undefined {
--- a/packages/dispatch/src/server-boots.test.ts
+++ b/packages/dispatch/src/server-boots.test.ts
@@ -67,7 +67,7 @@
     const server = created.sessions.get("i-1")!;
     assert.is(server.bootedAt, 8);
     // A call with a lease end on the clock of the boot before may have reached the new one, which shortens it.
-    assert.ok(server.computeLeaseExpiry() >= server.lastAnswerAt + maxLease);
+    assert.ok(server.leases.computeExpiry(server.clock.sample!) >= server.lastAnswerAt + maxLease);
 });
 
 suite("a start without a confirmation runs on the new boot while its task runs elsewhere", async () => {
--- a/packages/dispatch/src/server-session.ts
+++ b/packages/dispatch/src/server-session.ts
@@ -4,7 +4,10 @@
 import type * as jobState from "@catkinwharf/job-state";
 import type * as platform from "@catkinwharf/platform";
 import * as scheduling from "@catkinwharf/scheduling";
+import * as context from "./context.js";
 import type * as serverBoots from "./server-boots.js";
+import * as serverClock from "./server-clock.js";
+import * as serverLeases from "./server-leases.js";
 
 /** State of a run as its coordinator knows it. */
 export const RunPhase = {
@@ -34,8 +37,8 @@
     /** Identifies the run by its task and number. */
     readonly name: string;
     readonly runNumber: number;
-    /** Server and boot on which the run was started, see `formatBootId`. */
-    readonly bootId: string;
+    /** Server and boot that listed the run or, before that, for which its start was meant; see `formatBootId`. */
+    bootId: string;
     phase: RunPhase;
     /**
      * On the monotonic clock: complete lists requested after this time that omit the run prove that it isn't on the
@@ -51,7 +54,7 @@
      * `undefined` before that, as a start without an answer may be carried out seconds later.
      */
     startClock: number | undefined;
-    /** A later boot of the server than the known one confirmed the start: it wasn't under way when the known one ended. */
+    /** Another boot of the server than the known one confirmed the start, and no list has shown the run since. */
     startedOnNextBoot: boolean;
     /** An earlier coordinator saw that the server outlasted the start. */
     readonly outlastedStart: boolean;
@@ -94,19 +97,12 @@
     readonly run: ActiveRun;
 }
 
-/** Lowest rate at which a server's clock may run, relative to this process's clock. */
-const minClockRate = 0.98;
-/** Ms after the end of a lease before the runs under it are considered gone. */
-const leaseExpiryMargin = 250;
-
 export class ServerSession {
     readonly runs = new Map<string, ActiveRun>();
     /** Boot time that the server reported; `undefined` until it has responded. */
     bootedAt: number | undefined;
-    /** Last reading of the server's clock, and when it was received on the monotonic clock. */
-    clockSample: { readonly server: number; readonly received: number; } | undefined;
-    /** Latest reading of the server's clock in a response of this boot: the server was up then. */
-    lastClock = 0;
+    readonly clock: serverClock.ServerClock;
+    readonly leases: serverLeases.ServerLeases;
     /** Reading of the server's clock in its newest list; 0 before the first. */
     #listClock = 0;
     /**
@@ -114,27 +110,12 @@
      * server's first list, since when it refuses their orders.
      */
     #earlierOrdersDoneAt: number | undefined;
-    /**
-     * On the monotonic clock: when a response was read that another boot than the known one gave; `undefined` if no list has
-     * to tell which.
-     */
-    #anotherBootSeenAt: number | undefined;
-    /** Latest lease end ever sent to the server, on the server's clock. */
-    latestLeaseEnd = 0;
-    /**
-     * On the server's clock: latest end of a lease that another coordinator's order, or one that was meant for an earlier
-     * boot, may have given it.
-     */
-    otherLeaseEnd = 0;
-    /**
-     * Whether the ledger names a lease that the server's newest boot may hold by an order for an earlier one. Without a clock
-     * reading its end isn't known, so it matters until the server has responded.
-     */
-    bootMayHoldOtherLease = false;
     /** Replaced when the server reboots: what belongs to the boot before must not be taken for the new one's. */
     ends = createEndProgress();
     /** Set when the server lists its runs, cleared when a poll fails or another server responds. */
     reachable = false;
+    /** Ends the wait for the response to the poll under way; `undefined` if none waits. */
+    interruptPoll: (() => void) | undefined;
     /** On the monotonic clock: when the server last responded, at first when the session was created. */
     lastAnswerAt: number;
     /** Whether the server is missing from the servers' topic. */
@@ -164,9 +145,11 @@
         public entry: platform.operatorRecords.ServerRegistration,
         readonly load: scheduling.ServerLoad,
         private readonly termStartedAt: number,
-        private readonly leases: serverBoots.LeaseBounds,
+        bounds: serverBoots.LeaseBounds,
     ) {
         this.lastAnswerAt = termStartedAt;
+        this.clock = new serverClock.ServerClock(context.serverCallTimeout);
+        this.leases = new serverLeases.ServerLeases(bounds, termStartedAt);
     }
 
     /** Ms from `now`, on the monotonic clock, until all runs should have ended; infinite with long-running tasks. */
@@ -202,9 +185,9 @@
         return isOrdinary && run.phase === RunPhase.running && scheduling.isStalled(sample, this.lastAnswerAt);
     }
 
-    /** Runs that may be under way on the server, with the time for which it was seen up since their start. */
-    listStartedRuns(): StartedRun[] {
-        return [...this.runs.values()]
+    /** Those of the runs that may be under way on the server, with the time for which it was seen up since their start. */
+    describeStartedRuns(runs: Iterable<ActiveRun>): StartedRun[] {
+        return [...runs]
             .filter(run => run.phase !== RunPhase.planned)
             .map(run => ({ run, jobId: run.entry.id, provenTime: this.computeProvenTime(run) }));
     }
@@ -220,7 +203,7 @@
 
     /** Ms for which the server is known to have been up since the run's start; 0 if nothing is known of the start. */
     computeProvenTime(run: ActiveRun): number {
-        const proven = run.startClock === undefined ? 0 : Math.round(this.lastClock - run.startClock);
+        const proven = run.startClock === undefined ? 0 : Math.round(this.clock.latest - run.startClock);
         return Math.max(run.outlastedStart ? scheduling.startupPeriod : 0, proven);
     }
 
@@ -244,42 +227,46 @@
      * @param sentAt on the monotonic clock: when the list was requested
      */
     recordList(clock: number, now: number, stopTime: number, sentAt = now): void {
-        if (this.#anotherBootSeenAt !== undefined && sentAt >= this.#anotherBootSeenAt) {
-            this.#anotherBootSeenAt = undefined;
-        }
-        this.clockSample = { server: clock, received: now };
-        this.lastClock = Math.max(this.lastClock, clock);
+        this.clock.recordList(clock, now, sentAt);
         this.lastAnswerAt = now;
         this.#listClock = clock;
         this.#earlierOrdersDoneAt ??= clock + stopTime;
     }
 
     /**
-     * Records the reading of the server's clock in a response to an order.
+     * Records the reading of the server's clock in a response to an order, and asks the server for a list if the known boot
+     * can't have given it.
      *
-     * @param earliest `lastClock` when the order was sent; a lower reading is of a later boot, whose clock began anew
+     * @param earliest `computeEarliestReading` of the clock when the order was sent
      * @param now on the monotonic clock
-     * @returns whether the known boot gave the response
+     * @returns whether the known boot may have given the response
      */
-    recordClock(clock: number, earliest: number, now: number): boolean {
-        if (clock < earliest) {
-            this.#anotherBootSeenAt = now;
-            return false;
+    recordReading(reading: number, earliest: number, now: number): boolean {
+        const isKnownBoot = this.clock.recordReading(reading, earliest, now);
+        if (!isKnownBoot) {
+            this.interruptPoll?.();
         }
-        this.lastClock = Math.max(this.lastClock, clock);
-        return true;
+        return isKnownBoot;
+    }
+
+    /**
+     * The server may be down, or in another boot than the known one, at `now` on the monotonic clock: until it has listed its
+     * runs again it gets no lease, no start and no acknowledgement.
+     */
+    doubtBoot(now: number): void {
+        this.clock.doubt(now);
+        this.interruptPoll?.();
     }
 
     /** Whether ends of the known boot may be acknowledged; another boot would take their numbers for its own ends'. */
     get mayAcknowledge(): boolean {
-        return this.reachable && this.#anotherBootSeenAt === undefined;
+        return this.reachable && !this.clock.isInDoubt;
     }
 
-    /** Forgets what belongs to the boot before, but for the runs and `lastClock`, by which these are judged. */
+    /** Forgets what belongs to the boot before, but for the runs and the latest reading, by which these are judged. */
     recordReboot(): void {
-        this.clockSample = undefined;
-        this.latestLeaseEnd = 0;
-        this.otherLeaseEnd = 0;
+        this.clock.recordReboot();
+        this.leases.recordReboot();
         this.ends = createEndProgress();
         this.#earlierOrdersDoneAt = undefined;
     }
@@ -289,62 +276,58 @@
      * they had a confirmation.
      */
     #mayHoldOtherLease(): boolean {
-        return this.bootMayHoldOtherLease || [...this.runs.values()].some(run => !run.outlastedStart);
+        return this.leases.bootMayHoldOther || [...this.runs.values()].some(run => !run.outlastedStart);
     }
 
     get bootId(): string {
         return formatBootId(this.entry.id, this.bootedAt);
     }
 
-    /** Estimate of the server's clock at `now`, on the monotonic clock; `undefined` before the first response. */
-    estimateClock(now: number): number | undefined {
-        return this.clockSample === undefined ? undefined : this.clockSample.server + now - this.clockSample.received;
-    }
-
     /**
      * What is known of the server's boot, for the log: the boot that it listed and the one that it registered, the time in ms
      * since its last list, and what its clock should read.
      */
     describeContact(now: number): object {
-        const clock = this.estimateClock(now);
+        const clock = this.clock.estimate(now);
         return {
             server: this.entry.id,
             boot: this.bootedAt,
             registeredBoot: this.entry.bootedAt,
             reachable: this.reachable,
+            inDoubt: this.clock.isInDoubt,
             sinceAnswer: Math.round(now - this.lastAnswerAt),
             expectedClock: clock === undefined ? undefined : Math.round(clock),
         };
     }
 
     /**
-     * What the expiry of the lease is computed from, for the log. In ms: time up to `now`, on the monotonic clock, since the
-     * last list or, before the first one, since the term began; lease that was left at the last list.
+     * What the expiry of the lease is computed from, for the log: in ms, the time up to `now`, on the monotonic clock, since
+     * the last list and what was left at it or, before the first list, the time since the term began.
      */
     describeLease(now: number): object {
-        const { clockSample, termStartedAt } = this;
-        return clockSample === undefined
-            ? { sinceTermStart: Math.round(now - termStartedAt) }
-            : {
-                sinceAnswer: Math.round(now - clockSample.received),
-                left: Math.round(this.latestLeaseEnd - clockSample.server),
-                leftOfOthers: Math.round(this.otherLeaseEnd - clockSample.server),
-            };
+        const { sample } = this.clock;
+        return sample === undefined
+            ? { sinceTermStart: Math.round(now - this.termStartedAt) }
+            : this.leases.describe(sample, now);
     }
 
-    /** On the monotonic clock: when all runs have certainly lost their lease, if no further lease is granted. */
-    computeLeaseExpiry(): number {
-        if (this.clockSample === undefined) {
-            // An earlier coordinator may have given a lease until one lease duration after this one's term began.
-            const last = this.#mayHoldOtherLease() ? this.leases.maxLease : this.leases.lease;
-            return this.termStartedAt + (this.leases.lease + last) / minClockRate + leaseExpiryMargin;
+    /** Runs whose lease has certainly expired at `now`, on the monotonic clock, if no further lease is granted. */
+    listLapsedRuns(now: number): ActiveRun[] {
+        const { sample } = this.clock;
+        if (sample === undefined) {
+            return now >= this.leases.computeInheritedExpiry(this.#mayHoldOtherLease()) ? [...this.runs.values()] : [];
         }
-        const { server, received } = this.clockSample;
-        const left = Math.max(0, this.latestLeaseEnd - server, this.otherLeaseEnd - server);
-        return received + left / minClockRate + leaseExpiryMargin;
+        const expiry = this.leases.computeExpiry(sample);
+        const nextBootExpiry = Math.max(expiry, this.leases.computeNextBootExpiry());
+        return [...this.runs.values()].filter(run => now >= (mayBeOnNextBoot(run) ? nextBootExpiry : expiry));
     }
 }
 
+/** Whether the start may have been carried out by a later boot of the server than the known one. */
+function mayBeOnNextBoot(run: ActiveRun): boolean {
+    return run.startClock === undefined && run.phase !== RunPhase.planned;
+}
+
 /** Identifies one boot of a server: "<server>@<boot time>". */
 export function formatBootId(id: string, bootedAt: number | undefined): string {
     return `${id}@${bootedAt ?? 0}`;
--- a/packages/dispatch/src/step-down.test.ts
+++ b/packages/dispatch/src/step-down.test.ts
@@ -82,7 +82,7 @@
 suite("a run of a later coordinator is forgotten, as a lease that a former one gave expires", () => {
     const former = plan();
     stepDown(former);
-    former.manager.endAll(former.server, jobState.RunEnd.lapsed);
+    former.manager.endRuns(former.server, [...former.server.runs.values()], jobState.RunEnd.lapsed);
     assert.equal(listRuns(former), ["1 on s2@7"]);
 });
 
--- a/packages/dispatch/src/testing/burst-play.ts
+++ b/packages/dispatch/src/testing/burst-play.ts
@@ -130,7 +130,7 @@
         { lease: 4500, maxLease: 6000 },
     );
     server.reachable = true;
-    server.clockSample = { server: 0, received: 0 };
+    server.clock.sample = { server: 0, received: 0 };
     return server;
 }
 
@@ -210,7 +210,7 @@
     const jobs = new Map<string, SimulatedJob>();
     const events: { readonly at: number; readonly handle: () => void; }[] = [];
     const end = (server: session.ServerSession, run: session.ActiveRun) => {
-        server.clockSample = { server: now, received: now };
+        server.clock.sample = { server: now, received: now };
         manager.applyLists(server, {
             kind: "lists",
             bootedAt: undefined,
--- a/packages/dispatch/src/testing/placement-play.ts
+++ b/packages/dispatch/src/testing/placement-play.ts
@@ -168,7 +168,7 @@
         { lease: 4500, maxLease: 6000 },
     );
     server.reachable = true;
-    server.clockSample = { server: 0, received: 0 };
+    server.clock.sample = { server: 0, received: 0 };
     return server;
 }
 
@@ -225,7 +225,7 @@
     run: session.ActiveRun,
     now: number,
 ): void {
-    server.clockSample = { server: now, received: now };
+    server.clock.sample = { server: now, received: now };
     manager.applyLists(server, {
         kind: "lists",
         bootedAt: undefined,
--- a/packages/dispatch/src/testing/simulated-server.ts
+++ b/packages/dispatch/src/testing/simulated-server.ts
@@ -69,6 +69,7 @@
     #ends: End[] = [];
     #lastEnd = 0;
     readonly #highestEnded = new Map<string, number>();
+    readonly #startedTasks = new Set<string>();
     #waiting: (() => void)[] = [];
     #delayed: (() => void)[] = [];
 
@@ -89,6 +90,11 @@
         return this.#down;
     }
 
+    /** Whether it has ever started the task, in any boot. */
+    hasRun(task: string): boolean {
+        return this.#startedTasks.has(task);
+    }
+
     get clock(): number {
         return Math.floor(this.host.time.now - this.#clockStart);
     }
@@ -207,6 +213,7 @@
             this.host.onEnded(task); // The new run takes its place.
         }
         this.running.set(task, started);
+        this.#startedTasks.add(task);
         this.host.onStarted(task);
         this.host.singleRunRule.recordStart(judged);
         const duration = this.host.findDuration(task);
