Send no call after its timeout that a paused process hadn't sent

Seen by reading: a call that waits for a connection when the process is paused got its time back afterwards, and was sent when the connection was ready. Its sender had checked just before the pause that it may send it: that its epoch is the newest (orders for machines, within 250 ms) or that its leases are its own (starts). Servers and the platform could get an order seconds after those of the successor; a server's next boot, which knows no fencing token, takes such a start. Cause: the extension of a timeout, which is meant for responses that the busy process couldn't read, applied to unsent calls. Change: an unsent call ends at its timeout as unsent, also if its connection is ready before the timer has run. The test of the extension kept the process busy before its call was sent; it now waits until the server has the call, and a second case with a response after the busy time needs the extension.

--- a/packages/http-calls/src/index.test.ts
+++ b/packages/http-calls/src/index.test.ts
@@ -17,6 +17,8 @@
 const timeout = 600;
 /** Time in ms that a response may take in addition while it keeps arriving. */
 const transferTime = 10_000;
+/** Time in ms after a response within which its connection can take the next call. */
+const idleDelay = 50;
 
 async function withServer(
     partsSent: number,
@@ -123,36 +125,103 @@
     },
 );
 
-suite("a response that arrived while the process was busy counts as timed out", async () => {
-    /** Times in ms. */
-    const responseDelay = 50;
-    const shortTimeout = 200;
-    const busyTime = 500;
-    // Another thread, since this one can't respond while it is busy.
-    const server = new workerThreads.Worker(
+/** Server in another thread, since this one can't respond while it is busy. */
+interface RemoteServer {
+    readonly address: string;
+    readonly countReceived: () => Promise<number>;
+    readonly close: () => Promise<unknown>;
+}
+
+/** @param responseDelay in ms */
+async function startRemoteServer(responseDelay: number): Promise<RemoteServer> {
+    const worker = new workerThreads.Worker(
         `const http = require("node:http");
         const { parentPort } = require("node:worker_threads");
-        const server = http.createServer((_, response) => setTimeout(() => response.end("x"), ${responseDelay}));
-        server.listen(0, "${testUtils.loopbackHost}", () => parentPort.postMessage(server.address().port));`,
+        let received = 0;
+        const server = http.createServer((_, response) => {
+            received += 1;
+            setTimeout(() => response.end("x"), ${responseDelay});
+        });
+        server.listen(0, "${testUtils.loopbackHost}", () => parentPort.postMessage(server.address().port));
+        parentPort.on("message", () => parentPort.postMessage(received));`,
         { eval: true },
     );
-    const port = await new Promise<number>(resolve => server.once("message", resolve));
-    const address = `${testUtils.loopbackHost}:${port}`;
-    const client = new httpCalls.HttpClient();
-    try {
-        assert.ok((await client.send(address, call, shortTimeout)).isOk());
-        const late = client.send(address, call, shortTimeout);
-        await timers.setImmediate(); // Lets the call be sent.
-        const busyUntil = performance.now() + busyTime;
-        while (performance.now() < busyUntil) {
-            // Keeps the event loop from reading the response.
+    const readMessage = () => new Promise<number>(resolve => worker.once("message", resolve));
+    return {
+        address: `${testUtils.loopbackHost}:${await readMessage()}`,
+        countReceived: () => {
+            const count = readMessage();
+            worker.postMessage("");
+            return count;
+        },
+        close: () => worker.terminate(),
+    };
+}
+
+async function waitUntilReceived(server: RemoteServer, count: number): Promise<void> {
+    while (await server.countReceived() < count) {
+        await timers.setTimeout(1);
+    }
+}
+
+/** Keeps the event loop from doing anything, as a pause of the process does. */
+function keepBusy(duration: number): void {
+    const busyUntil = performance.now() + duration;
+    while (performance.now() < busyUntil) {
+        // Nothing.
+    }
+}
+
+for (const responseDelay of [50, 600]) {
+    suite(`a response ${responseDelay} ms after a call counts as timed out, as the process was busy`, async () => {
+        /** Times in ms. */
+        const shortTimeout = 300;
+        const busyTime = 500;
+        const server = await startRemoteServer(responseDelay);
+        const client = new httpCalls.HttpClient();
+        try {
+            assert.ok((await client.send(server.address, call, 10 * timeout)).isOk());
+            await timers.setTimeout(idleDelay);
+            const late = client.send(server.address, call, shortTimeout);
+            await waitUntilReceived(server, 2);
+            keepBusy(busyTime);
+            const result = await late;
+            assert.ok(result.isOk(), result.isErr() ? result.error.reason : "");
+        }
+        finally {
+            client.closeConnections(server.address);
+            await server.close();
         }
-        const result = await late;
-        assert.ok(result.isOk(), result.isErr() ? result.error.reason : "");
+    });
+}
+
+suite("a call that a paused process hadn't sent by its timeout is sent when the process goes on", async () => {
+    /** Times in ms. */
+    const responseDelay = 50;
+    const shortTimeout = 200;
+    const pause = 500;
+    const server = await startRemoteServer(responseDelay);
+    const client = new httpCalls.HttpClient(1);
+    try {
+        const opening = client.send(server.address, call, shortTimeout);
+        keepBusy(pause); // The connection is opened meanwhile.
+        const unopened = await opening;
+        assert.ok(unopened.isErr() && unopened.error.fault === httpCalls.CallFault.unsent);
+        assert.ok((await client.send(server.address, call, shortTimeout)).isOk());
+        await timers.setTimeout(idleDelay);
+        const sent = client.send(server.address, call, shortTimeout);
+        const waiting = client.send(server.address, call, shortTimeout);
+        await waitUntilReceived(server, 2);
+        keepBusy(pause); // The connection becomes free meanwhile.
+        assert.ok((await sent).isOk());
+        const unsent = await waiting;
+        assert.ok(unsent.isErr() && unsent.error.timedOut && unsent.error.fault === httpCalls.CallFault.unsent);
+        await timers.setTimeout(responseDelay);
+        assert.is(await server.countReceived(), 2);
     }
     finally {
-        client.closeConnections(address);
-        await server.terminate();
+        client.closeConnections(server.address);
+        await server.close();
     }
 });
 
--- a/packages/http-calls/src/index.ts
+++ b/packages/http-calls/src/index.ts
@@ -55,7 +55,7 @@
      *
      * @param timeout in ms, from the start of the call to the end of the response; with `transferTime`, until the body
      * of the response begins to arrive, and then between any two parts of it. Time in which this process was too busy to
-     * handle the response doesn't count, up to the timeout's length.
+     * handle the response doesn't count, up to the timeout's length; a call that wasn't sent by the timeout never is.
      * @param transferTime longest time in ms that a large response may take in addition while it keeps arriving:
      * repeating the call would only add to what a slow link has to carry
      * @param abort ends the call when it is aborted before the body of the response begins to arrive; the call then counts
@@ -147,6 +147,8 @@
     #timerDueAt: number;
     /** Whether the timeout has been extended because this process was busy when it expired. */
     #extended = false;
+    /** On the monotonic clock, ms: the call may not be sent any more, as what allowed the caller to send it may have ended. */
+    readonly #sendableUntil: number;
     readonly #transferTimer: NodeJS.Timeout | undefined;
     readonly #parts: Buffer[] = [];
     #status = 0;
@@ -161,6 +163,7 @@
     ) {
         this.#timerDuration = timeout;
         this.#timerDueAt = performance.now() + timeout;
+        this.#sendableUntil = this.#timerDueAt;
         this.#timer = setTimeout(() => this.#handleTimeout(), timeout);
         this.#transferTimer = transferTime > 0
             ? setTimeout(() => this.#abort(), timeout + transferTime)
@@ -175,10 +178,15 @@
     }
 
     onRequestStart(controller: undici.Dispatcher.DispatchController): void {
-        this.#controller = controller;
+        // After a pause of this process, a connection may be ready before the timer has expired.
+        if (!this.#done && performance.now() > this.#sendableUntil) {
+            this.#abort();
+        }
         if (this.#done) {
             controller.abort(new Error("the call timed out before it was sent"));
+            return;
         }
+        this.#controller = controller;
     }
 
     onResponseStart(_controller: undici.Dispatcher.DispatchController, status: number): void {
@@ -220,12 +228,12 @@
     }
 
     /**
-     * Ends the call, or extends its timeout once by the time for which this process was busy. The event loop runs expired
-     * timers before it reads from connections, so a response that has arrived is read first.
+     * Ends the call, or if it was sent extends its timeout once by the time for which this process was busy. The event loop
+     * runs expired timers before it reads from connections, so a response that has arrived is read first.
      */
     #handleTimeout(): void {
         const lateness = performance.now() - this.#timerDueAt;
-        if (lateness >= minLateness && !this.#extended) {
+        if (this.#controller !== undefined && lateness >= minLateness && !this.#extended) {
             this.#extended = true;
             this.#timerDuration = Math.min(lateness, this.timeout);
             this.#timerDueAt = performance.now() + this.#timerDuration;
