Let a coordinator count its epoch as held only since its claim

Seen in virtual time: a process claimed and was paused for 3.4 s, and its successor claimed meanwhile. It then renewed the leases of a server that the successor didn't reach, for 4.5 s from the creation of its coordinator. The successor allows for one lease from its own claim; the server's task ran twice for 0.8 s. Cause: the writer to the ledger took its creation for the time at which its epoch was the newest, although that is known only of the claim. Reads of the takeover and a pause lie between. Change: a claim has the time at which it was first sent, and the writer begins with it. A takeover that takes longer than a lease renews leases only after its first append.

--- a/packages/dispatch/src/epoch-appender.ts
+++ b/packages/dispatch/src/epoch-appender.ts
@@ -25,7 +25,7 @@
     constructor(
         private readonly store: Pick<storeClient.StoreClient, "append">,
         private readonly topic: string,
-        private readonly claim: leaderElection.Claim,
+        private readonly claim: Pick<leaderElection.Claim, "epoch" | "sequence">,
         /** Receives what the store answered instead of storing an append. */
         private readonly onRefused: (outcome: string) => void,
     ) {
--- a/packages/dispatch/src/leader-election.ts
+++ b/packages/dispatch/src/leader-election.ts
@@ -65,6 +65,8 @@
     readonly epoch: number;
     /** Sequence number of the claim in the ledger; the term's next append has the number after it. */
     readonly sequence: number;
+    /** On the monotonic clock: when the claim was first sent; no later epoch had been claimed by then. */
+    readonly claimedAt: number;
 }
 
 /** What a process knows about the coordinator when it decides whether to claim. */
@@ -280,7 +282,7 @@
     }
 
     async #claim(jitter: number): Promise<void> {
-        const { ledger, log } = this.options;
+        const { ledger, log, clock } = this.options;
         const previous = this.newestLeadership;
         if (!await ledger.catchUp() || this.newestLeadership?.epoch !== previous?.epoch) {
             return;
@@ -292,7 +294,7 @@
         if (!await this.#fenceEarlierEpochs(epoch, end, jitter)) {
             return;
         }
-        const claim = { epoch, sequence: this.#firstSequence + 1 };
+        const claim = { epoch, sequence: this.#firstSequence + 1, claimedAt: clock.monotonic() };
         if (!await this.#storeClaim(claim)) {
             return;
         }
--- a/packages/dispatch/src/ledger-writer.ts
+++ b/packages/dispatch/src/ledger-writer.ts
@@ -56,12 +56,13 @@
     #writing = false;
     #stopped = false;
     readonly #appender: epochAppender.EpochAppender;
-    /** On the monotonic clock: this epoch was the newest then, as an append first sent then was stored after it. */
+    /** On the monotonic clock: this epoch was the newest then, as its claim or an append first sent then was stored after it. */
     heldAt: number;
 
     constructor(private readonly options: LedgerWriterOptions) {
-        const { store, claim, onRefused, now } = options;
-        this.heldAt = now();
+        const { store, claim, onRefused } = options;
+        // Not the present time: another process may have claimed while this one was paused or read what it takes over.
+        this.heldAt = claim.claimedAt;
         this.#appender = new epochAppender.EpochAppender(store, jobState.ledgerTopic, claim, onRefused);
     }
 
--- a/packages/dispatch/src/testing/context.ts
+++ b/packages/dispatch/src/testing/context.ts
@@ -41,12 +41,13 @@
     calls: httpCalls.HttpClient,
     store: storeClient.StoreClient,
     now: () => number,
-    claim: leaderElection.Claim = { epoch: 1, sequence: 0 },
+    { epoch, sequence }: Pick<leaderElection.Claim, "epoch" | "sequence"> = { epoch: 1, sequence: 0 },
 ): context.CoordinatorContext {
+    const claim = { epoch, sequence, claimedAt: now() };
     return {
         node: settings.node,
         claim,
-        epoch: claim.epoch,
+        epoch,
         termStartedAt: now(),
         settings,
         clock: { monotonic: now, wall: now },
@@ -71,7 +72,7 @@
     return new ledgerWriter.LedgerWriter({
         store,
         storeLimits: settings.storeLimits,
-        claim: { epoch: 1, sequence: 0 },
+        claim: { epoch: 1, sequence: 0, claimedAt: 0 },
         now: () => 0,
         log: eventLog.silentEventLog,
         onRefused: () => undefined,
--- a/packages/dispatch/src/testing/simulation.ts
+++ b/packages/dispatch/src/testing/simulation.ts
@@ -11,6 +11,7 @@
 import * as neverthrow from "neverthrow";
 import * as coordinator from "../coordinator.js";
 import * as earlierOrders from "../earlier-orders.js";
+import type * as leaderElection from "../leader-election.js";
 import * as availabilityRule from "./availability-rule.js";
 import * as contextTesting from "./context.js";
 import * as memoryStore from "./memory-store.js";
@@ -100,6 +101,7 @@
     decideFate: (call: CallDescription) => Fate = () => ordinaryFate;
     disturbedUntil = Number.NEGATIVE_INFINITY;
     current: Process | undefined;
+    #lastEpoch = 0;
     readonly #topics = new memoryStore.MemoryLog();
     readonly #jobs: jobState.Job[] = [];
     readonly #cancellations: jobState.KeyedRecord[] = [];
@@ -242,10 +244,15 @@
         this.current?.coordinator.applyWave(wave);
     }
 
-    /** Starts the next coordinator, which fences the one before. */
-    startCoordinator(): void {
-        const epoch = (this.current?.epoch ?? 0) + 1;
-        const claim = { epoch, sequence: 0 };
+    /**
+     * Starts the next coordinator, which fences the one before.
+     *
+     * @param pause time in ms for which its process is paused between its claim and the creation of the coordinator
+     */
+    startCoordinator(pause = 0): void {
+        this.#lastEpoch += 1;
+        const epoch = this.#lastEpoch;
+        const claim = { epoch, sequence: 0, claimedAt: this.time.clock.monotonic() };
         this.#topics.append(jobState.ledgerTopic, [], { producer: { name: jobState.ledgerProducer, ...claim } });
         const { clock } = this.time;
         const jobs = new jobState.JobTable();
@@ -259,7 +266,7 @@
         );
         const last = records.find(record => record.kind === "leadership")?.leadership;
         const waveProgress = new Map<number, jobState.WaveProgress>();
-        const orderTimes = new Map<string, number>();
+        const earlierOrderTimes = new Map<string, number>();
         const serverBoots = new Map<string, jobState.ServerBoot>();
         for (const record of records) {
             if (record.kind === "progress") {
@@ -276,7 +283,7 @@
             }
             else if (record.kind === "machine") {
                 const order = { epoch: record.epoch, tenure: record.tenure, readAt: clock.monotonic() };
-                orderTimes.set(record.id, earlierOrders.findLatestOrderTime(order, last, clock.monotonic()));
+                earlierOrderTimes.set(record.id, earlierOrders.findLatestOrderTime(order, last, clock.monotonic()));
             }
         }
         const process: { -readonly [Key in keyof Process]?: Process[Key]; } = {
@@ -284,7 +291,29 @@
             dead: false,
             reachesStore: true,
         };
-        const calls = this.#createCalls(process as Process);
+        const create = () =>
+            this.#createCoordinator(process as Process, claim, jobs, {
+                waveProgress,
+                earlierOrderTimes,
+                serverBoots,
+            });
+        if (pause === 0) {
+            create();
+        }
+        else {
+            this.time.schedule(create, pause);
+        }
+    }
+
+    #createCoordinator(
+        process: { -readonly [Key in keyof Process]: Process[Key]; },
+        claim: leaderElection.Claim,
+        jobs: jobState.JobTable,
+        ledger: Pick<coordinator.CoordinatorOptions, "waveProgress" | "serverBoots" | "earlierOrderTimes">,
+    ): void {
+        const { epoch } = process;
+        const { clock } = this.time;
+        const calls = this.#createCalls(process);
         process.coordinator = new coordinator.Coordinator({
             settings: {
                 ...contextTesting.settings,
@@ -305,15 +334,13 @@
             clock,
             configuration: () => this.#configuration,
             waves: this.#waves,
-            waveProgress,
-            earlierOrderTimes: orderTimes,
-            serverBoots,
+            ...ledger,
             onStepDown: () => undefined,
             observeDuration: () => undefined,
             observeOrganisations: () => undefined,
         });
         this.#currentJobs = jobs;
-        this.current = process as Process;
+        this.current = process;
         void process.coordinator.start();
     }
 
