Keep a run that a server's next boot confirmed after its list was requested

Callers could see: a task runs twice for up to the time between two polls.

Cause: at the first list of a server's next boot the coordinator ended every run whose start had been confirmed. The next boot may have confirmed it after it had made the list: responses on different connections overtake each other. The task was placed again at once, and the run stopped as unknown by the next list.

Change: what another boot confirmed, or any boot since the list was requested, is kept until a list that was requested afterwards omits it. A run that a boot lists is recorded on that boot, so that later crashes and coordinators judge it by the right one.

--- a/packages/dispatch/src/coordinator.ts
+++ b/packages/dispatch/src/coordinator.ts
@@ -171,7 +171,7 @@
                 this.#runManager.applyLists(server, lists, sentAt);
                 this.#paceFillers(server);
             },
-            onRebooted: server => this.#runManager.endEarlierBoot(server),
+            onRebooted: (server, sentAt) => this.#runManager.endEarlierBoot(server, sentAt),
             onCrash: crash => this.#runManager.recordCrash(crash),
             onRunsLost: (server, runs, how) => this.#runManager.endRuns(server, runs, how),
         }, options.serverBoots);
--- a/packages/dispatch/src/fleet.ts
+++ b/packages/dispatch/src/fleet.ts
@@ -33,8 +33,8 @@
     ) => void;
     /** A server crashed; called before `onRebooted` and `onRunsLost`. */
     readonly onCrash: (crash: ServerCrash) => void;
-    /** A server answered from another boot under the same ID. */
-    readonly onRebooted: (server: session.ServerSession) => void;
+    /** A server answered from another boot under the same ID; `sentAt` is as in `onLists`. */
+    readonly onRebooted: (server: session.ServerSession, sentAt: number) => void;
     /**
      * These runs on the server can't be running any more: another server has its address, its machine ended, or its lease
      * expired.
@@ -430,7 +430,7 @@
         sent: SentRenewal,
     ): Promise<void> {
         if (answer.kind === "another-boot") {
-            this.#handleReboot(server, undefined);
+            this.#handleReboot(server, undefined, sent.sentAt);
             server.reachable = false;
             this.#updateEligibility(server);
             await timers.setTimeout(unreachableRetryDelay);
@@ -454,7 +454,7 @@
         const isNextBoot = answer.bootedAt !== server.bootedAt;
         const holdsRuns = server.runs.size > 0;
         if (isNextBoot) {
-            this.#handleReboot(server, answer.bootedAt);
+            this.#handleReboot(server, answer.bootedAt, sent.sentAt);
         }
         if (isFirstAnswer) {
             this.#recordFirstBoot(server, answer, holdsRuns);
@@ -539,7 +539,7 @@
     }
 
     /** Handles a response from another boot of the server: nothing that ran before it still runs. */
-    #handleReboot(server: session.ServerSession, bootedAt: number | undefined): void {
+    #handleReboot(server: session.ServerSession, bootedAt: number | undefined, sentAt: number): void {
         const isFirstAnswer = server.bootedAt === undefined && server.clock.sample === undefined;
         const before = server.bootedAt;
         const crashed = server.describeStartedRuns(server.runs.values()).filter(({ run }) =>
@@ -567,7 +567,7 @@
             this.handlers.onRunsLost(server, [...server.runs.values()], "lost");
         }
         else {
-            this.handlers.onRebooted(server);
+            this.handlers.onRebooted(server, sentAt);
         }
         server.clock.latest = 0;
     }
--- a/packages/dispatch/src/next-boot-starts.test.ts
+++ b/packages/dispatch/src/next-boot-starts.test.ts
@@ -31,6 +31,7 @@
 const clockStarts = {
     lower: () => 0,
     betweenLastAndExpected: last => last + 5,
+    aheadByLatency: (_, expected) => expected + 300,
     aheadOfExpected: (_, expected) => expected + 1500,
     pastLease: (_, expected) => expected + 8_000_000,
 } as const satisfies Readonly<Record<string, ClockStart>>;
@@ -268,6 +269,10 @@
     assert.equal(await playOvertakenList(clockStarts.lower), []);
 });
 
+suite("a run is lost by an overtaken list of a next boot whose clock passes for that of the boot before", async () => {
+    assert.equal(await playOvertakenList(clockStarts.aheadByLatency), []);
+});
+
 suite("a run is lost by an overtaken list of a next boot whose clock is ahead", async () => {
     assert.equal(await playOvertakenList(clockStarts.aheadOfExpected), []);
 });
--- a/packages/dispatch/src/run-manager.ts
+++ b/packages/dispatch/src/run-manager.ts
@@ -501,14 +501,18 @@
     }
 
     /**
-     * Ends the runs that were on the boot before of a server. A start that wasn't confirmed, and of which no stop was,
-     * may still reach the new boot, so it is kept until one of them is answered. A run that was listed has ended, also if
-     * it was to be stopped.
+     * Ends the runs that were on the boot before of a server, by a list of the new one that was requested at `sentAt`, on the
+     * monotonic clock. A start that wasn't confirmed, and of which no stop was, may still reach the new boot, so it is kept
+     * until one of them is answered. One that was confirmed since `sentAt`, or by another boot, may be on the new one, and is
+     * kept until a list requested after that omits it. A run that was listed has ended, also if it was to be stopped.
      */
-    endEarlierBoot(server: session.ServerSession): void {
-        const isUnconfirmed = (run: session.ActiveRun) =>
-            unconfirmedPhases.has(run.phase) && run.expectedInListsFrom === undefined && run.startClock === undefined;
-        this.endRuns(server, [...server.runs.values()].filter(run => !isUnconfirmed(run)), jobState.RunEnd.lost);
+    endEarlierBoot(server: session.ServerSession, sentAt: number): void {
+        const mayBeOnNewBoot = (run: session.ActiveRun) =>
+            run.startedOnNextBoot || run.expectedInListsFrom !== undefined && run.expectedInListsFrom >= sentAt
+            || unconfirmedPhases.has(run.phase) && run.expectedInListsFrom === undefined
+                && run.startClock === undefined;
+        const ended = [...server.runs.values()].filter(run => !mayBeOnNewBoot(run));
+        this.endRuns(server, ended, jobState.RunEnd.lost);
     }
 
     /** Counts the crash of a server for the tasks that may have caused it, and fails the jobs of those that did. */
@@ -588,6 +592,7 @@
         }
         this.#recordBegun(run.entry);
         run.startClock ??= server.clock.latest;
+        this.#recordBoot(server, run);
         this.#keepCheckpoint(run, row.checkpoint);
         if (run.percent !== row.percent) {
             run.percent = row.percent;
@@ -611,6 +616,21 @@
         }
     }
 
+    /** Records that the run is on the boot that listed it, if the start was meant for another one. */
+    #recordBoot(server: session.ServerSession, run: session.ActiveRun): void {
+        run.startedOnNextBoot = false;
+        const occurrence = run.entry.progress?.occurrences.get(run.position.occurrence);
+        const history = occurrence?.histories.get(run.taskIndex);
+        if (run.bootId !== server.bootId && occurrence !== undefined && history !== undefined) {
+            run.bootId = server.bootId;
+            history.runs = history.runs.map(stored =>
+                stored.number === run.runNumber ? { ...stored, server: server.bootId } : stored
+            );
+            jobState.touchTask(occurrence, run.taskIndex);
+            this.options.shared.writer.markDirty(run.entry);
+        }
+    }
+
     /** Records for later coordinators, which didn't see the start, that the server has outlasted it. */
     #recordOutlastedStart(run: session.ActiveRun): void {
         if (!run.step.longRunning) {
--- a/packages/dispatch/src/server-boots.test.ts
+++ b/packages/dispatch/src/server-boots.test.ts
@@ -79,7 +79,7 @@
     const created = createFleet(
         [{ ClockMs: 90_000, born: 7 }, { ClockMs: 40, born: 8 }],
         () => 500,
-        rebooted => runs.endEarlierBoot(rebooted),
+        (rebooted, sentAt) => runs.endEarlierBoot(rebooted, sentAt),
     );
     const server = created.sessions.get("i-1")!;
     const { ordered, stopping, running } = session.RunPhase;
@@ -146,7 +146,7 @@
     const created = new fleet.Fleet(shared, {
         onLists: (one, answer, sentAt) => runs.applyLists(one, answer, sentAt),
         onCrash: ignore,
-        onRebooted: one => runs.endEarlierBoot(one),
+        onRebooted: (one, sentAt) => runs.endEarlierBoot(one, sentAt),
         onRunsLost: ignore,
     }, new Map([["i-1", { bootedAt: 7, leaseEnd: undefined }]]));
     created.applyRecord({ key: "i-1", value: Buffer.from(JSON.stringify(registration)) });
