Keep a start that may arrive after a list of machines that shows its server as lost

Callers could see: a task runs twice until its lease ends, 9.4 s in the test.

Cause: a list of machines without the server ended all of its runs, also one whose start may be carried out after the list was made, by the next boot of the server. A list shows what was at the time of its request, and nothing of the server's next life.

Change: a loss tells since when the server was gone, and a run whose start isn't known to be carried out and may arrive after that is kept until the longest lease has expired, a list of the server tells, or a later list of machines shows it as lost again.

--- a/packages/dispatch/src/fleet.ts
+++ b/packages/dispatch/src/fleet.ts
@@ -590,25 +590,36 @@
         }
     }
 
-    /** Ends the runs of a server that the list of machines shows as lost, unless it has responded since. */
-    handleLoss({ server: id, kind, evidence }: serverLosses.ServerLoss): void {
+    /**
+     * Ends the runs of a server that the list of machines shows as lost, unless it has responded since. A start that may
+     * arrive after the list was made may be carried out by the next boot of the server.
+     */
+    handleLoss({ server: id, kind, evidence, goneAt }: serverLosses.ServerLoss): void {
         const server = this.sessions.get(id);
         if (server?.reachable === true) {
             return;
         }
-        const runs = [...server?.runs.values() ?? []];
+        const ended = server === undefined
+            ? []
+            : [...server.runs.values()].filter(run => !session.mayStartAfter(run, goneAt));
         if (kind === serverLosses.LossKind.crash) {
-            const started = server?.entry.draining === false ? server.describeStartedRuns(runs) : [];
+            const started = server?.entry.draining === false ? server.describeStartedRuns(ended) : [];
             this.#reportCrash(id, [...this.#lapsedRuns.take(id, undefined), ...started]);
         }
-        if (server === undefined || runs.length === 0) {
+        if (server === undefined || ended.length === 0) {
             return;
         }
         if (kind === serverLosses.LossKind.unlisted) {
-            this.#lapsedRuns.remember(server, runs, this.shared.clock.monotonic());
-        }
-        this.shared.log.info("server-ended", { server: id, evidence, kind, runs: runs.length });
-        this.handlers.onRunsLost(server, runs, "lost");
+            this.#lapsedRuns.remember(server, ended, this.shared.clock.monotonic());
+        }
+        this.shared.log.info("server-ended", {
+            server: id,
+            evidence,
+            kind,
+            runs: ended.length,
+            left: server.runs.size - ended.length,
+        });
+        this.handlers.onRunsLost(server, ended, "lost");
     }
 
     /** Ends the runs of an unreachable server once its lease has expired, and closes its session if it is unlisted. */
--- a/packages/dispatch/src/next-boot-starts.test.ts
+++ b/packages/dispatch/src/next-boot-starts.test.ts
@@ -322,6 +322,33 @@
     assert.equal(await playOvertakenMachines(false), []);
 });
 
+suite("a start under way counts as lost by a list of machines that was made before the server's restart", async () => {
+    const twice = await play(async course => {
+        const { world } = course;
+        await course.settle(idlePollWait - 50);
+        let target = "";
+        // The idle poll under way fails right after the start, which the next boot carries out.
+        const down = 1300;
+        world.machines.forEach(({ server }) =>
+            course.restart(server!.registration.id, clockStarts.lower, { down, registration: 300 })
+        );
+        course.decide = ({ target: called, kind }) => {
+            if (kind === "start" && target === "") {
+                target = called;
+                return { carriedOutAfter: 650, answered: false };
+            }
+            return kind === "renewal" && called === target ? lostFate : undefined;
+        };
+        await course.pass(callTimeout);
+        world.submitOrdinary(jobId, 1, duration);
+        await course.pass(down - callTimeout + 100);
+        assert.ok(course.findServer(target).running.has(task));
+        assert.ok(world.log.some(({ event, fields }) => event === "server-unreachable" && fields["server"] === target));
+        return course.listDoubleRuns();
+    });
+    assert.equal(twice, []);
+});
+
 suite("the task of a server that is cut off without a restart idles for longer than an ordinary lease", async () => {
     for (const cutOffAfter of [0, 300, 600, 900]) {
         const idleness = await play(async course => {
--- a/packages/dispatch/src/relocation.test.ts
+++ b/packages/dispatch/src/relocation.test.ts
@@ -84,6 +84,7 @@
         expectedInListsFrom: 0,
         plannedAt: 0,
         startSentAt: 0,
+        startRepeatedAt: 0,
         startClock: undefined,
         startsAlone: false,
         outlastedStart: false,
--- a/packages/dispatch/src/run-manager.ts
+++ b/packages/dispatch/src/run-manager.ts
@@ -188,6 +188,7 @@
             plannedAt: now,
             startSentAt: now,
             startClock: undefined,
+            startRepeatedAt: undefined,
             startedOnNextBoot: false,
             percent: 0,
             percentChangedAt: now,
@@ -228,6 +229,7 @@
         server.leases.recordOrder(leaseEnd, now);
         run.phase = session.RunPhase.ordered;
         run.startSentAt = now;
+        run.startRepeatedAt = now;
         const earliest = server.clock.computeEarliestReading(now);
         this.#reserveStart(server, run);
         const call = platform.serverCalls.createStartCall(server.entry.id, {
@@ -291,6 +293,7 @@
             const now = shared.clock.monotonic();
             const earliest = server.clock.computeEarliestReading(now);
             server.leases.recordOrder(server.leases.latestEnd, now);
+            run.startRepeatedAt = now;
             const answer = await shared.serverCalls.send(server.entry.address, call, context.serverCallTimeout);
             if (answer.isErr() || !isUncertain()) {
                 continue;
--- a/packages/dispatch/src/server-losses.ts
+++ b/packages/dispatch/src/server-losses.ts
@@ -30,6 +30,8 @@
     readonly kind: LossKind;
     /** For the log. */
     readonly evidence: string;
+    /** On the monotonic clock: the server was gone then, but may have started again since under its ID. */
+    readonly goneAt: number;
 }
 
 /** What the coordinator knows of a server. */
@@ -107,7 +109,7 @@
             }
             // A server without a contact may be one whose runs ended with its lease; a crash of it still counts.
             const isNews = contact === undefined || contact.lastAnswerAt <= list.requestedAt;
-            const loss = isNews ? this.#judge(id, contact, rows, list.complete, orderedMachines) : undefined;
+            const loss = isNews ? this.#judge(id, contact, rows, list, orderedMachines) : undefined;
             if (loss !== undefined) {
                 losses.push(loss);
                 this.#machines.delete(id);
@@ -122,7 +124,7 @@
         server: string,
         contact: ServerContact | undefined,
         rows: ReadonlyMap<string, platform.machineCalls.Machine>,
-        complete: boolean,
+        { complete, requestedAt }: MachineList,
         orderedMachines: ReadonlySet<string>,
     ): ServerLoss | undefined {
         const machine = rows.get(this.#machines.get(server) ?? "");
@@ -130,7 +132,7 @@
             const isExplained = this.#orderedAway.has(server) || orderedMachines.has(machine.id)
                 || !unexplainedStates.has(machine.state);
             const kind = isExplained ? LossKind.ordered : LossKind.crash;
-            return { server, kind, evidence: `machine ${machine.id} is ${machine.state}` };
+            return { server, kind, evidence: `machine ${machine.id} is ${machine.state}`, goneAt: requestedAt };
         }
         if (!complete || this.#omittedAlive.has(server)) {
             return undefined;
@@ -139,6 +141,6 @@
         this.#missedLists.set(server, missed);
         return missed < missedListsUntilGone || (contact !== undefined && !contact.hasRuns)
             ? undefined
-            : { server, kind: LossKind.unlisted, evidence: `${missed} lists without it` };
+            : { server, kind: LossKind.unlisted, evidence: `${missed} lists without it`, goneAt: requestedAt };
     }
 }
--- a/packages/dispatch/src/server-session.ts
+++ b/packages/dispatch/src/server-session.ts
@@ -49,6 +49,8 @@
     readonly plannedAt: number;
     /** On the monotonic clock: when the start was sent, or the run was taken over. */
     startSentAt: number;
+    /** On the monotonic clock: when the start was last sent, `undefined` if not by this coordinator. */
+    startRepeatedAt: number | undefined;
     /**
      * On the server's clock: when it confirmed the start or, as seen by this coordinator, first listed the run;
      * `undefined` before that, as a start without an answer may be carried out seconds later.
@@ -323,6 +325,15 @@
     }
 }
 
+/**
+ * Whether the start may be carried out after `time`, on the monotonic clock, and so by a later boot than one that had ended
+ * by then.
+ */
+export function mayStartAfter(run: ActiveRun, time: number): boolean {
+    return mayBeOnNextBoot(run) && run.startRepeatedAt !== undefined
+        && run.startRepeatedAt + context.serverCallTimeout >= time;
+}
+
 /** Whether the start may have been carried out by a later boot of the server than the known one. */
 function mayBeOnNextBoot(run: ActiveRun): boolean {
     return run.startClock === undefined && run.phase !== RunPhase.planned;
