Let calls of the simulation fail with a broken connection

Cause: a crash that its host reports resets connections and refuses new ones; simulated calls could only stay without an answer until their timeout. Change: a fate may carry the failure of the connection.

--- a/packages/dispatch/src/testing/simulation.ts
+++ b/packages/dispatch/src/testing/simulation.ts
@@ -39,6 +39,8 @@
     readonly answered: boolean;
     /** The server responds that it is unhealthy, and does nothing. */
     readonly refusedAsUnhealthy?: boolean;
+    /** Resolves when the connection is refused or breaks; a call without a response fails then. */
+    readonly failure?: Promise<httpCalls.CallError>;
 }
 
 export interface CallDescription {
@@ -415,6 +417,7 @@
                 timeout,
             );
             const fate = this.decideFate(description);
+            void fate.failure?.then(error => resolve(neverthrow.err(error)));
             if (process.dead || fate.carriedOutAfter === undefined) {
                 return;
             }
