--- a/packages/dispatch/scripts/measure-restart-delay.mjs
+++ b/packages/dispatch/scripts/measure-restart-delay.mjs
@@ -8,7 +8,7 @@
 
 const seed = Number(process.argv[2] ?? 1);
 /** Losses of each kind; their times are spread over one long poll of a server without runs. */
-const lossCount = 48;
+const lossCount = 96;
 const pollTime = 2000;
 
 const { Loss } = restartDelayPlay;
--- a/packages/dispatch/src/testing/restart-delay-play.ts
+++ b/packages/dispatch/src/testing/restart-delay-play.ts
@@ -1,5 +1,5 @@
 /**
- * Plays the loss of two servers that run ordinary tasks, and measures when these tasks start again.
+ * Plays the loss of some servers that run ordinary tasks, and measures when these tasks start again.
  *
  * Small jobs arrive all the time, so starts are under way at the loss, and more are sent until the coordinator notices it.
  */
@@ -56,8 +56,9 @@
     readonly until: number;
 }
 
-const machineCount = 8;
-const lostMachineCount = 2;
+const machineCount = 10;
+/** Fewer that are busy, so that the rest has room for their tasks. */
+const lostMachines = { busy: 2, idle: 4 };
 /** Times in ms: when work begins to arrive, when the preparation is over, and from the loss to the end. */
 const workStart = 1000;
 const preparationEnd = 12_000;
@@ -163,7 +164,8 @@
         const fitting = this.world.machines.filter(({ server }) =>
             server !== undefined && (server.running.size === 0) === idle
         );
-        while (this.#lost.length < lostMachineCount && fitting.length > 0) {
+        const count = idle ? lostMachines.idle : lostMachines.busy;
+        while (this.#lost.length < count && fitting.length > 0) {
             const [machine] = fitting.splice(Math.floor(fitting.length * this.#random()), 1);
             this.#lost.push(machine!);
             this.#lostIds.add(machine!.server!.registration.id);
@@ -213,7 +215,8 @@
         const { time } = this.world;
         const sentAt = time.now;
         const delay = callTime.min + this.#random() * (callTime.max - callTime.min);
-        const isDisturbed = (until: number) => this.#isLost(target) && this.#isDisturbed(sentAt, until);
+        const isServerCall = kind !== "list";
+        const isDisturbed = (until: number) => isServerCall && this.#isLost(target) && this.#isDisturbed(sentAt, until);
         if (kind === "start" && this.#isLost(target)) {
             const confirmedAt = sentAt + delay + responseTime;
             this.#starts.push({ task, sentAt, confirmedAt: isDisturbed(confirmedAt) ? undefined : confirmedAt });
@@ -224,7 +227,9 @@
             get answered() {
                 return !isDisturbed(time.now);
             },
-            ...(this.course.loss === Loss.seenCrash ? { failure: this.#awaitFailure(target, sentAt) } : {}),
+            ...(isServerCall && this.course.loss === Loss.seenCrash
+                ? { failure: this.#awaitFailure(target, sentAt) }
+                : {}),
         };
     }
 
