Measure in production how long tasks of lost servers wait

Cause: operators see that a server is lost, but not what that costs its tasks. Change: restart-meter.ts follows the tasks of lost runs until their next start is confirmed; the histogram catkinwharf_restart_delay_seconds gets the times.

--- a/packages/dispatch/src/coordinator.ts
+++ b/packages/dispatch/src/coordinator.ts
@@ -28,6 +28,7 @@
 import * as quotaMeter from "./quota-meter.js";
 import * as rateHold from "./rate-hold.js";
 import * as relocation from "./relocation.js";
+import * as restartMeter from "./restart-meter.js";
 import * as runManager from "./run-manager.js";
 import * as session from "./server-session.js";
 import * as startableTasks from "./startable-tasks.js";
@@ -80,6 +81,8 @@
     readonly onStepDown: (reason: string) => void;
     /** Receives the times in ms that the coordinator's activities take, for metrics. */
     readonly observeDuration: (activity: loadMeter.Activity, duration: number) => void;
+    /** Receives the times in ms from a server's last list to the next start of each task that it lost, for metrics. */
+    readonly observeRestart: (delay: number) => void;
     /** Receives what each organisation has waiting and running in each service, for metrics. */
     readonly observeOrganisations: (states: readonly organisationMonitor.OrganisationState[]) => void;
 }
@@ -98,6 +101,7 @@
     readonly #explainer: placementExplainer.PlacementExplainer;
     readonly #load: loadMeter.LoadMeter;
     readonly #queues: queueMeter.QueueMeter;
+    readonly #restarts: restartMeter.RestartMeter;
     readonly #organisations: organisationMonitor.OrganisationMonitor;
     readonly #passCycle = new dutyCycle.DutyCycle(maxPassShare);
     readonly #startLimit = new scheduling.StartLimit();
@@ -119,6 +123,7 @@
         const stepDown = (reason: string) => this.#stepDown(reason);
         this.#load = new loadMeter.LoadMeter(options.log, options.observeDuration, clock.monotonic());
         this.#queues = new queueMeter.QueueMeter(options.log, clock.monotonic());
+        this.#restarts = new restartMeter.RestartMeter(options.observeRestart);
         this.#shared = {
             node: options.settings.node,
             claim,
@@ -136,7 +141,7 @@
                 now: () => clock.monotonic(),
                 log: options.log,
                 onRefused: outcome => stepDown(`the store refused an append of this epoch to the ledger: ${outcome}`),
-                onStatusStored: entry => this.#recordStored(entry),
+                onStatusStored: entry => outcomes.recordStored(this.#queues, entry, clock.wall()),
                 onUnstorable: entry => this.#failUnstorable(entry),
             }),
             jobs: options.jobs,
@@ -153,6 +158,7 @@
             registry: this.registry,
             onEnd: (server, run, how) => {
                 recordHealth(server, run, how);
+                this.#restarts.recordEnd(server, run, how);
                 this.#queues.recordRunEnd(run.entry.job!.queue, how);
             },
             onStartAnswered: duration => {
@@ -162,8 +168,11 @@
             },
             canSpare: run => availability.canSpare(run, [...this.fleet.sessions.values()], clock.monotonic()),
             describeStep: run => availability.describeStep(run, [...this.fleet.sessions.values()], clock.monotonic()),
-            onPlanned: run => this.#queues.recordPlannedRun(run.entry.job!.queue, run.runNumber),
-            onBegun: entry => this.#recordBegun(entry),
+            onPlanned: run => {
+                this.#restarts.recordPlanned(run);
+                this.#queues.recordPlannedRun(run.entry.job!.queue, run.runNumber);
+            },
+            onBegun: entry => outcomes.recordBegun(this.#queues, entry, clock.wall()),
             onSettled: active => this.#queues.recordSettled(active.job.queue, outcomes.judgeSettlement(active)),
         });
         this.fleet = new fleet.Fleet(this.#shared, {
@@ -423,6 +432,7 @@
             () => workCensus.describeQueues(this.registry.active.values(), this.#shared.clock.wall()),
         );
         this.#organisations.report();
+        this.#restarts.update();
         if (now - this.#lastHeartbeatAt >= leaderElection.heartbeatInterval) {
             this.#lastHeartbeatAt = now;
             this.#updateStartDelay(now);
@@ -565,19 +575,6 @@
         };
     }
 
-    #recordBegun(entry: jobState.JobEntry): void {
-        if (entry.job !== undefined) {
-            this.#queues.recordBegun(entry.job.queue, this.#shared.clock.wall() - entry.job.submittedAt);
-        }
-    }
-
-    #recordStored(entry: jobState.JobEntry): void {
-        const { job, progress } = entry;
-        if (job !== undefined && progress !== undefined && jobState.isSettled(progress.status)) {
-            this.#queues.recordStored(job.queue, this.#shared.clock.wall() - progress.statusAt);
-        }
-    }
-
     /**
      * Paces fillers, which run in the processor time that other tasks leave unused: slows them while the tail latency
      * of a serving task on the same server is near its target, and speeds them up again when it is well below.
--- a/packages/dispatch/src/outcomes.ts
+++ b/packages/dispatch/src/outcomes.ts
@@ -1,5 +1,6 @@
 /**
- * What the ends of runs and jobs count for: the health of servers, and whether a job met its objective.
+ * What the starts and ends of runs and jobs count for: the health of servers, the reports on queues, and whether a job met its
+ * objective.
  */
 import * as jobState from "@catkinwharf/job-state";
 import * as scheduling from "@catkinwharf/scheduling";
@@ -42,3 +43,17 @@
         ? queueMeter.Settlement.expired
         : queueMeter.Settlement.late;
 }
+
+/** Records for the reports on queues that a server confirmed the first start of a job; `wall` is Unix time in ms. */
+export function recordBegun(queues: queueMeter.QueueMeter, { job }: jobState.JobEntry, wall: number): void {
+    if (job !== undefined) {
+        queues.recordBegun(job.queue, wall - job.submittedAt);
+    }
+}
+
+/** Records for the reports on queues that the status of a job was stored, if that is final; `wall` is Unix time in ms. */
+export function recordStored(queues: queueMeter.QueueMeter, { job, progress }: jobState.JobEntry, wall: number): void {
+    if (job !== undefined && progress !== undefined && jobState.isSettled(progress.status)) {
+        queues.recordStored(job.queue, wall - progress.statusAt);
+    }
+}
--- a/packages/dispatch/src/testing/restart-delay-play.ts
+++ b/packages/dispatch/src/testing/restart-delay-play.ts
@@ -127,9 +127,9 @@
         world.time.schedule(() => this.#beginWork(), workFrom);
         await world.time.runUntil(this.#lossAt - choiceLead);
         this.#chooseServers();
+        let running: ReadonlySet<string> = new Set();
+        world.time.schedule(() => running = this.#listRunning(), this.#measuredFrom - world.time.now);
         world.time.schedule(() => this.#lose(), choiceLead);
-        await this.#observe(this.#measuredFrom - 1);
-        const running = new Set(this.#lost.flatMap(({ server }) => [...server?.running.keys() ?? []]));
         await this.#observe(this.#measuredFrom + observation);
         return this.#summarize(running);
     }
@@ -194,6 +194,11 @@
         this.#lost.forEach(losses[this.course.loss]);
     }
 
+    /** Tasks on the servers that are lost. */
+    #listRunning(): ReadonlySet<string> {
+        return new Set(this.#lost.flatMap(({ server }) => [...server?.running.keys() ?? []]));
+    }
+
     #crash(machine: simulation.Simulation["machines"][number]): void {
         const server = machine.server!;
         machine.server = undefined;
--- a/packages/dispatch/src/testing/simulation.ts
+++ b/packages/dispatch/src/testing/simulation.ts
@@ -97,6 +97,8 @@
     readonly rule = new availabilityRule.AvailabilityRule(() => this.time.now);
     readonly quotaRule = new quotaRule.QuotaRule(() => this.time.now);
     readonly log: LogLine[] = [];
+    /** Restart delays in ms that coordinators have reported for their metrics. */
+    readonly restartDelays: number[] = [];
     readonly machines: SimulatedMachine[] = [];
     /** Decides on each call; a test replaces it to disturb some. */
     decideFate: (call: CallDescription) => Fate = () => ordinaryFate;
@@ -313,6 +315,7 @@
             onStepDown: () => undefined,
             observeDuration: () => undefined,
             observeOrganisations: () => undefined,
+            observeRestart: delay => void this.restartDelays.push(delay),
         });
         this.#currentJobs = jobs;
         this.current = process as Process;
--- a/packages/node/src/entry-instance.ts
+++ b/packages/node/src/entry-instance.ts
@@ -514,6 +514,7 @@
             onStepDown: () => this.#stepDown(),
             observeDuration: (activity, duration) => this.#metrics.observeCoordinator(activity, duration),
             observeOrganisations: states => this.#metrics.observeOrganisations(states),
+            observeRestart: delay => this.#metrics.observeRestart(delay),
         });
         await this.#coordinator.start();
     }
--- a/packages/node/src/metrics.ts
+++ b/packages/node/src/metrics.ts
@@ -9,6 +9,8 @@
 
 /** Bucket boundaries in seconds of the histogram of response times. */
 const durationBuckets = [0.005, 0.01, 0.02, 0.05, 0.1, 0.25, 0.5, 1, 2, 4];
+/** A restart takes from some 100 ms to twice the longest lease. */
+const restartBuckets = [0.25, 0.5, 1, 2, 3, 4, 5, 6, 8, 10, 12, 16, 24];
 
 export class Metrics {
     readonly registry = new promClient.Registry();
@@ -34,6 +36,13 @@
         registers: [this.registry],
     });
 
+    readonly #restartDelays = new promClient.Histogram({
+        name: "catkinwharf_restart_delay_seconds",
+        help: "Time from the last list of a server that was lost to the confirmed next start of each of its tasks.",
+        buckets: restartBuckets,
+        registers: [this.registry],
+    });
+
     readonly #refusals = new promClient.Counter({
         name: "catkinwharf_refusals_total",
         help: "Requests that weren't carried out, by the reason in their log line and the caller's organisation.",
@@ -143,6 +152,11 @@
         this.#coordinatorDurations.observe({ activity }, duration / 1000);
     }
 
+    /** @param delay time in ms that a task of a lost server waited for its next start */
+    observeRestart(delay: number): void {
+        this.#restartDelays.observe(delay / 1000);
+    }
+
     /**
      * Serves the metrics over HTTP in the Prometheus text format.
      *
