--- a/packages/dispatch/src/testing/simulation.ts
+++ b/packages/dispatch/src/testing/simulation.ts
@@ -44,6 +44,8 @@
     readonly answeredAfter?: number;
     /** The server responds that it is unhealthy, and does nothing. */
     readonly refusedAsUnhealthy?: boolean;
+    /** Resolves when the connection is refused or breaks; a call without a response fails then. */
+    readonly failure?: Promise<httpCalls.CallError>;
 }
 
 export interface CallDescription {
@@ -111,6 +113,8 @@
     readonly quotaRule = new quotaRule.QuotaRule(() => this.time.now);
     readonly singleRunRule = new singleRunRule.SingleRunRule(() => this.time.now);
     readonly log: LogLine[] = [];
+    /** Restart delays in ms that coordinators have reported for their metrics. */
+    readonly restartDelays: number[] = [];
     readonly machines: SimulatedMachine[] = [];
     /** Decides on each call; a test replaces it to disturb some. */
     decideFate: (call: CallDescription) => Fate = () => ordinaryFate;
@@ -355,6 +359,7 @@
             onStepDown: () => undefined,
             observeDuration: () => undefined,
             observeOrganisations: () => undefined,
+            observeRestart: delay => void this.restartDelays.push(delay),
         });
         this.#currentJobs = jobs;
         this.current = process;
@@ -482,6 +487,7 @@
                 timeout,
             );
             const fate = this.decideFate(description);
+            void fate.failure?.then(error => resolve(neverthrow.err(error)));
             if (process.dead || fate.carriedOutAfter === undefined) {
                 return;
             }
