--- a/packages/dispatch/src/coordinator.ts
+++ b/packages/dispatch/src/coordinator.ts
@@ -11,8 +11,10 @@
 import * as availability from "./availability.js";
 import type * as clocks from "./clocks.js";
 import * as context from "./context.js";
+import * as crashCounter from "./crash-counter.js";
 import * as demand from "./demand.js";
 import * as dutyCycle from "./duty-cycle.js";
+import * as fillerPace from "./filler-pace.js";
 import * as fleet from "./fleet.js";
 import * as jobRegistry from "./job-registry.js";
 import * as jobSweeper from "./job-sweeper.js";
@@ -178,10 +180,15 @@
         this.fleet = new fleet.Fleet(this.#shared, {
             onLists: (server, lists, sentAt) => {
                 this.#runManager.applyLists(server, lists, sentAt);
-                this.#paceFillers(server);
+                fillerPace.paceFillers(this.#shared, server);
             },
             onRebooted: (server, sentAt) => this.#runManager.endEarlierBoot(server, sentAt),
-            onCrash: crash => this.#runManager.recordCrash(crash),
+            onCrash: crash =>
+                crashCounter.countCrash(crash, {
+                    shared: this.#shared,
+                    registry: this.registry,
+                    fail: active => this.#runManager.fail(active),
+                }),
             onRunsLost: (server, runs, how) => this.#runManager.endRuns(server, runs, how),
         }, options.serverBoots);
         this.#tickets = new ticketCache.TicketCache(this.#shared);
@@ -575,35 +582,6 @@
         };
     }
 
-    /**
-     * Paces fillers, which run in the processor time that other tasks leave unused: slows them while the tail latency
-     * of a serving task on the same server is near its target, and speeds them up again when it is well below.
-     */
-    #paceFillers(server: session.ServerSession): void {
-        const running = [...server.runs.values()].filter(run => run.phase === session.RunPhase.running);
-        const fillers = running.filter(run => run.step.filler);
-        if (fillers.length === 0) {
-            return;
-        }
-        // For a task with a target, `usage` is its tail latency.
-        const serving = running
-            .filter(run => run.step.tailTarget > 0)
-            .map(run => ({ tail: run.usage, target: run.step.tailTarget }));
-        for (const filler of fillers) {
-            const pace = scheduling.decidePace(serving, filler.pace);
-            if (pace !== filler.pace) {
-                this.#shared.log.info("filler-paced", {
-                    server: server.entry.id,
-                    step: filler.stepKey,
-                    from: filler.pace,
-                    to: pace,
-                    serving,
-                });
-                void this.#runManager.pace(server, filler, pace);
-            }
-        }
-    }
-
     async #startPlanned(planned: readonly placer.PlannedRun[]): Promise<void> {
         const plannedAt = this.#shared.clock.monotonic();
         if (!await this.#shared.writer.flush()) {
--- a/packages/dispatch/src/fleet.ts
+++ b/packages/dispatch/src/fleet.ts
@@ -2,7 +2,6 @@
  * Tracks the backend servers. A loop for each server renews its lease by long polling and collects which tasks run and
  * which have ended there.
  */
-import type * as httpCalls from "@catkinwharf/http-calls";
 import type * as jobState from "@catkinwharf/job-state";
 import * as platform from "@catkinwharf/platform";
 import * as scheduling from "@catkinwharf/scheduling";
@@ -11,6 +10,7 @@
 import * as lapsedRuns from "./lapsed-runs.js";
 import * as serverBoots from "./server-boots.js";
 import * as serverLosses from "./server-losses.js";
+import * as serverPoll from "./server-poll.js";
 import * as session from "./server-session.js";
 
 /** A crash of a server as it was noticed. */
@@ -60,8 +60,6 @@
  */
 const unstoredRetryDelay = 400;
 
-/** Time in ms after which a server's first renewal is repeated; servers usually respond within a few ms. */
-const firstRenewalRepeatDelay = 200;
 /** Longest pause in ms between two polls of a server while this process is busy. */
 const maxBusyPause = 150;
 /** Lateness in ms of this process's timers above which it counts as busy. */
@@ -333,7 +331,7 @@
     }
 
     async #pollOnce(server: session.ServerSession): Promise<void> {
-        const { clock, epoch } = this.shared;
+        const { clock, epoch, serverCalls } = this.shared;
         const sentAt = clock.monotonic();
         const serverClock = server.clock.estimate(sentAt);
         // An unreachable server gets no new lease, so that its lease expires and its tasks can start elsewhere.
@@ -363,8 +361,8 @@
             wait,
         });
         const answer = serverClock === undefined
-            ? await this.#sendFirstRenewal(server.entry.address, call)
-            : await this.#sendPoll(server, call, wait);
+            ? await serverPoll.sendFirstRenewal(serverCalls, server.entry.address, call)
+            : await serverPoll.sendPoll(serverCalls, server, call, wait);
         if (this.#stopped || answer === undefined) {
             return;
         }
@@ -379,37 +377,6 @@
         );
     }
 
-    /** Polls a server; `undefined` if the poll was interrupted while the server was to delay its response. */
-    async #sendPoll(
-        server: session.ServerSession,
-        call: platform.Call,
-        wait: number,
-    ): Promise<Awaited<ReturnType<httpCalls.HttpClient["send"]>> | undefined> {
-        const answer = this.shared.serverCalls.send(server.entry.address, call, wait + context.serverCallTimeout);
-        if (wait === 0) {
-            return answer;
-        }
-        const interrupted = new Promise<undefined>(resolve => server.interruptPoll = () => resolve(undefined));
-        return Promise.race([answer, interrupted]).finally(() => server.interruptPoll = undefined);
-    }
-
-    /**
-     * Asks a server for its clock, without which its lease can't be renewed. Little may be left of the lease when a
-     * coordinator takes over, so the call is repeated beside the first one if that gets no response soon.
-     */
-    async #sendFirstRenewal(address: string, call: platform.Call): ReturnType<httpCalls.HttpClient["send"]> {
-        const send = () => this.shared.serverCalls.send(address, call, context.serverCallTimeout);
-        const first = send();
-        const early = await Promise.race([first, timers.setTimeout(firstRenewalRepeatDelay)]);
-        if (early !== undefined) {
-            return early;
-        }
-        const second = send();
-        const firstIsFaster = await Promise.race([first.then(() => true), second.then(() => false)]);
-        const answer = await (firstIsFaster ? first : second);
-        return answer.isOk() ? answer : firstIsFaster ? second : first;
-    }
-
     /** Logs a renewal that is sent with little of the lease left. */
     #logLateRenewal(server: session.ServerSession, serverClock: number): void {
         const left = server.leases.latestEnd - serverClock;
--- a/packages/dispatch/src/run-manager.ts
+++ b/packages/dispatch/src/run-manager.ts
@@ -11,7 +11,6 @@
 import * as scheduling from "@catkinwharf/scheduling";
 import * as timers from "node:timers/promises";
 import * as context from "./context.js";
-import type * as fleet from "./fleet.js";
 import type * as jobRegistry from "./job-registry.js";
 import * as session from "./server-session.js";
 
@@ -444,28 +443,6 @@
         });
     }
 
-    /**
-     * Tells a filler at which pace to work. If that fails, the pace is decided and sent anew after the next lease
-     * renewal.
-     */
-    async pace(server: session.ServerSession, run: session.ActiveRun, percent: number): Promise<void> {
-        const { shared } = this.options;
-        const before = run.pace;
-        run.pace = percent;
-        const call = platform.serverCalls.createPaceCall(server.entry.id, {
-            task: { jobId: run.entry.id, ...run.position },
-            run: run.runNumber,
-            percent,
-            fencingToken: shared.epoch,
-        });
-        const answer = await shared.serverCalls.send(server.entry.address, call, context.serverCallTimeout);
-        if (answer.isErr() || platform.serverCalls.decodeOrderResult(answer.value).kind !== "done") {
-            run.pace = before;
-            // The server didn't respond, or refused.
-            shared.log.warn("pace-unanswered", { server: server.entry.id, step: run.stepKey, percent });
-        }
-    }
-
     /**
      * Applies the lists of running and ended tasks in a lease renewal; `sentAt` is when it was sent, on the monotonic
      * clock.
@@ -518,48 +495,6 @@
         this.endRuns(server, ended, jobState.RunEnd.lost);
     }
 
-    /** Counts the crash of a server for the tasks that may have caused it, and fails the jobs of those that did. */
-    recordCrash(crash: fleet.ServerCrash): void {
-        const { registry, shared } = this.options;
-        const suspects = crash.runs.filter(started => scheduling.isCrashSuspect(started));
-        const now = shared.clock.monotonic();
-        const evidence = scheduling.judgeCrash(suspects, crash.lossTimes, now);
-        shared.log.warn("server-crashed", {
-            server: crash.server,
-            runs: crash.runs.length,
-            epoch: shared.epoch,
-            suspects: suspects.map(started => started.run.name),
-            boots: [...new Set(suspects.map(started => started.run.bootId))],
-            evidence,
-        });
-        const counted = new Set<jobState.TaskHistory>();
-        for (const { run } of suspects) {
-            const active = registry.active.get(run.entry.id);
-            const occurrence = active?.progress.occurrences.get(run.position.occurrence);
-            const history = occurrence?.histories.get(run.taskIndex);
-            if (active === undefined || occurrence === undefined || history === undefined) {
-                continue;
-            }
-            const isOpen = occurrence.done[run.taskIndex] !== 1;
-            if (isOpen && !counted.has(history) && !isCrashCounted(history, run)) {
-                counted.add(history);
-                jobState.touchTask(occurrence, run.taskIndex);
-                scheduling.countCrash(history, evidence);
-                const stored = findStoredRun(history, run);
-                if (stored !== undefined) {
-                    stored.crashCounted = true;
-                }
-                active.crashedAt = now;
-                active.readiness = undefined;
-                shared.writer.markDirty(active.entry);
-                if (scheduling.crashesServers(history)) {
-                    shared.log.warn("task-given-up", { task: run.name, crashes: history.crashes });
-                    this.fail(active);
-                }
-            }
-        }
-    }
-
     /** Ends runs of a server that can't be running any more. */
     endRuns(server: session.ServerSession, runs: readonly session.ActiveRun[], how: jobState.RunEnd): void {
         if (this.#ended) {
@@ -641,7 +576,7 @@
         }
         const occurrence = run.entry.progress?.occurrences.get(run.position.occurrence);
         const history = occurrence?.histories.get(run.taskIndex);
-        const stored = history === undefined ? undefined : findStoredRun(history, run);
+        const stored = history?.runs.find(({ number }) => number === run.runNumber);
         if (occurrence !== undefined && stored !== undefined && stored.outlastedStart !== true) {
             stored.outlastedStart = true;
             jobState.touchTask(occurrence, run.taskIndex);
@@ -951,15 +886,6 @@
     return run.bootId === server.bootId && !server.clock.isInDoubt && !server.entry.draining;
 }
 
-function findStoredRun(history: jobState.TaskHistory, run: session.ActiveRun): jobState.Run | undefined {
-    return history.runs.find(({ number }) => number === run.runNumber);
-}
-
-/** Whether a crash is counted for the run, by this coordinator or an earlier one, and it wasn't seen on a server since. */
-function isCrashCounted(history: jobState.TaskHistory, run: session.ActiveRun): boolean {
-    return findStoredRun(history, run)?.crashCounted === true && run.startClock === undefined;
-}
-
 /** Key of one occurrence of a step: "<job>.<occurrence>.<step>". */
 export function formatStepKey(
     jobId: string,
--- /dev/null
+++ b/packages/dispatch/src/server-poll.ts
@@ -0,0 +1,52 @@
+/** Sends the calls with which the coordinator polls a backend server. */
+import type * as httpCalls from "@catkinwharf/http-calls";
+import type * as platform from "@catkinwharf/platform";
+import * as timers from "node:timers/promises";
+import * as context from "./context.js";
+import type * as session from "./server-session.js";
+
+type Answer = Awaited<ReturnType<httpCalls.HttpClient["send"]>>;
+
+/** Time in ms after which a server's first renewal is repeated; servers usually respond within a few ms. */
+const firstRenewalRepeatDelay = 200;
+
+/**
+ * Asks a server for its clock, without which its lease can't be renewed. Little may be left of the lease when a coordinator
+ * takes over, so the call is repeated beside the first one if that gets no response soon.
+ */
+export async function sendFirstRenewal(
+    client: httpCalls.HttpClient,
+    address: string,
+    call: platform.Call,
+): Promise<Answer> {
+    const send = () => client.send(address, call, context.serverCallTimeout);
+    const first = send();
+    const early = await Promise.race([first, timers.setTimeout(firstRenewalRepeatDelay)]);
+    if (early !== undefined) {
+        return early;
+    }
+    const second = send();
+    const firstIsFaster = await Promise.race([first.then(() => true), second.then(() => false)]);
+    const answer = await (firstIsFaster ? first : second);
+    return answer.isOk() ? answer : firstIsFaster ? second : first;
+}
+
+/**
+ * Polls a server that may delay its response.
+ *
+ * @param wait longest delay in ms
+ * @returns `undefined` if the wait was interrupted, because the response may not come any more
+ */
+export async function sendPoll(
+    client: httpCalls.HttpClient,
+    server: session.ServerSession,
+    call: platform.Call,
+    wait: number,
+): Promise<Answer | undefined> {
+    const answer = client.send(server.entry.address, call, wait + context.serverCallTimeout);
+    if (wait === 0) {
+        return answer;
+    }
+    const interrupted = new Promise<undefined>(resolve => server.interruptPoll = () => resolve(undefined));
+    return Promise.race([answer, interrupted]).finally(() => server.interruptPoll = undefined);
+}
