Stop starts that got no response in each later boot of their server

Callers could see: a task runs twice from the moment at which a late start is carried out until the server is asked for its runs.

Cause: a call without a response may be carried out seconds later. The stop that ended its run was confirmed by one boot, and the next one knows nothing of it; the same after a list of machines has ended the run.

A stop that comes first makes the server refuse the start.

--- a/packages/dispatch/src/run-manager.ts
+++ b/packages/dispatch/src/run-manager.ts
@@ -13,6 +13,7 @@
 import * as context from "./context.js";
 import type * as jobRegistry from "./job-registry.js";
 import * as session from "./server-session.js";
+import * as strayStarts from "./stray-starts.js";
 
 /** Time in ms between two attempts of a stop that wasn't confirmed. */
 const stopRetryDelay = 250;
@@ -81,8 +82,11 @@
     #ended = false;
     /** Runs that were planned and whose start has no response yet. */
     readonly #startsUnderWay = new Set<session.ActiveRun>();
+    readonly #strayStarts: strayStarts.StrayStarts;
 
-    constructor(private readonly options: RunManagerOptions) {}
+    constructor(private readonly options: RunManagerOptions) {
+        this.#strayStarts = new strayStarts.StrayStarts(options.shared);
+    }
 
     /** Number of runs that were planned and whose start has no response yet. */
     get startsUnderWay(): number {
@@ -243,6 +247,9 @@
         const answer = await shared.serverCalls.send(server.entry.address, call, context.serverCallTimeout);
         this.#startsUnderWay.delete(run);
         this.options.onStartAnswered(shared.clock.monotonic() - now);
+        if (answer.isErr() && answer.error.fault !== httpCalls.CallFault.unsent) {
+            this.#strayStarts.add(server, run);
+        }
         if (!this.#isCurrent(server, run)) {
             return;
         }
@@ -294,6 +301,9 @@
             server.leases.recordOrder(server.leases.latestEnd, now);
             run.startRepeatedAt = now;
             const answer = await shared.serverCalls.send(server.entry.address, call, context.serverCallTimeout);
+            if (answer.isErr()) {
+                this.#strayStarts.add(server, run);
+            }
             if (answer.isErr() || !isUncertain()) {
                 continue;
             }
@@ -452,6 +462,7 @@
         lists: Extract<platform.serverCalls.LeaseRenewalResult, { readonly kind: "lists"; }>,
         sentAt: number,
     ): void {
+        this.#strayStarts.stopInNewestBoot(server);
         const seen = new Set<string>();
         for (const row of lists.running) {
             const name = formatRunName(row.task, row.run);
