Go by the ordinary lease for starts that could only reach the known boot

Cause: most of these starts are sent on connections that have carried an answer of the known boot. A connection doesn't outlast its process, so the next boot gets no call from it; and one that can't be opened sends nothing, so that the task is placed elsewhere at once.

Change: an error of a call tells whether it was sent on a connection that had carried a response. Only a start on a new connection may have reached the next boot. Every answer with a clock reading, also to a stop, puts the server in doubt if the known boot can't have given it, so that such a connection is one to the known boot. The simulation can keep connections; the play that measures losses does.

--- a/packages/dispatch/src/relocation.test.ts
+++ b/packages/dispatch/src/relocation.test.ts
@@ -85,6 +85,7 @@
         plannedAt: 0,
         startSentAt: 0,
         startRepeatedAt: 0,
+        reachesKnownBootOnly: false,
         startClock: undefined,
         startsAlone: false,
         outlastedStart: false,
--- a/packages/dispatch/src/run-manager.ts
+++ b/packages/dispatch/src/run-manager.ts
@@ -192,6 +192,7 @@
             startSentAt: now,
             startClock: undefined,
             startRepeatedAt: undefined,
+            reachesKnownBootOnly: false,
             startedOnNextBoot: false,
             percent: 0,
             percentChangedAt: now,
@@ -254,6 +255,7 @@
             return;
         }
         if (answer.isErr()) {
+            run.reachesKnownBootOnly = answer.error.onUsedConnection;
             if (run.phase !== session.RunPhase.ordered) {
                 return; // The server has listed the run meanwhile, or it is being stopped.
             }
@@ -300,8 +302,11 @@
             const earliest = server.clock.computeEarliestReading(now);
             server.leases.recordOrder(server.leases.latestEnd, now);
             run.startRepeatedAt = now;
+            const { reachesKnownBootOnly } = run;
+            run.reachesKnownBootOnly = false;
             const answer = await shared.serverCalls.send(server.entry.address, call, context.serverCallTimeout);
             if (answer.isErr()) {
+                run.reachesKnownBootOnly = reachesKnownBootOnly && answer.error.onUsedConnection;
                 this.#strayStarts.add(server, run);
             }
             if (answer.isErr() || !isUncertain()) {
@@ -410,9 +415,13 @@
                 run: run.runNumber,
                 fencingToken: shared.epoch,
             });
+            const earliest = server.clock.computeEarliestReading(shared.clock.monotonic());
             const answer = await shared.serverCalls.send(server.entry.address, call, context.serverCallTimeout);
             if (answer.isOk()) {
                 const decoded = platform.serverCalls.decodeOrderResult(answer.value);
+                if ("clock" in decoded && decoded.clock !== undefined) {
+                    server.recordReading(decoded.clock, earliest, shared.clock.monotonic());
+                }
                 if (decoded.kind === "done") {
                     run.expectedInListsFrom = shared.clock.monotonic();
                     return;
--- a/packages/dispatch/src/server-session.ts
+++ b/packages/dispatch/src/server-session.ts
@@ -56,6 +56,8 @@
      * `undefined` before that, as a start without an answer may be carried out seconds later.
      */
     startClock: number | undefined;
+    /** Each time that its start was sent without getting a response, the connection could reach no boot but the known one. */
+    reachesKnownBootOnly: boolean;
     /** Another boot of the server than the known one confirmed the start, and no list has shown the run since. */
     startedOnNextBoot: boolean;
     /** An earlier coordinator saw that the server outlasted the start. */
@@ -336,7 +338,8 @@
 
 /** Whether the start may have been carried out by a later boot of the server than the known one. */
 function mayBeOnNextBoot(run: ActiveRun): boolean {
-    return run.startClock === undefined && run.phase !== RunPhase.planned;
+    return run.startClock === undefined && run.phase !== RunPhase.planned
+        && (run.startedOnNextBoot || !run.reachesKnownBootOnly);
 }
 
 /** Identifies one boot of a server: "<server>@<boot time>". */
--- a/packages/dispatch/src/testing/restart-delay-play.ts
+++ b/packages/dispatch/src/testing/restart-delay-play.ts
@@ -113,7 +113,7 @@
 
     constructor(private readonly course: LossCourse) {
         this.#random = randomFaults.createRandom(course.seed);
-        this.world = new simulation.Simulation({ random: this.#random, machineCount });
+        this.world = new simulation.Simulation({ random: this.#random, machineCount, keepsConnections: true });
         this.world.decideFate = call => this.#decideFate(call);
         this.#lossAt = preparationEnd + course.offset;
         this.#loss = new Promise(resolve => void this.world.time.schedule(resolve, this.#lossAt));
@@ -298,11 +298,13 @@
     layer: "http-calls",
     fault: httpCalls.CallFault.unanswered,
     timedOut: false,
+    onUsedConnection: true,
     reason: "connection reset",
 };
 const connectionRefused: httpCalls.CallError = {
     layer: "http-calls",
     fault: httpCalls.CallFault.unsent,
     timedOut: false,
+    onUsedConnection: false,
     reason: "connection refused",
 };
--- a/packages/dispatch/src/testing/simulation.ts
+++ b/packages/dispatch/src/testing/simulation.ts
@@ -14,6 +14,7 @@
 import * as earlierOrders from "../earlier-orders.js";
 import type * as leaderElection from "../leader-election.js";
 import * as availabilityRule from "./availability-rule.js";
+import * as connections from "./connections.js";
 import * as contextTesting from "./context.js";
 import * as memoryStore from "./memory-store.js";
 import * as processor from "./processor.js";
@@ -32,6 +33,8 @@
 export const maintenanceTime = 2000;
 /** Time in ms after a disturbance in which a lapsed lease may follow from it. */
 const disturbancePeriod = 3000;
+/** Time in ms after which a connection that can't be opened is given up. */
+const connectTimeout = 600;
 /** Time in ms after which a call that is carried out counts as late. */
 const lateAfter = 1000;
 
@@ -65,6 +68,11 @@
     readonly storeLimits?: platform.settings.StoreLimits;
     /** Reading in ms at which a server's clock begins in each boot; 0 if there is none. */
     readonly chooseClockStart?: () => number;
+    /**
+     * Whether processes keep connections to servers: a call on a used one reaches no later boot, and a new one can't be opened to
+     * a server that is down or cut off. Else every call gets a new one, which is always there.
+     */
+    readonly keepsConnections?: boolean;
 }
 
 /** Times in ms of a server's restart. */
@@ -96,6 +104,14 @@
     readonly fields: eventLog.Fields;
 }
 
+type Delivery = (late: boolean, respond: (response: platform.HttpResponse) => void) => void;
+
+interface CallConnection {
+    readonly canConnect: boolean;
+    /** Whether the connection has carried a response before; `undefined` if connections aren't simulated. */
+    readonly isUsed: boolean | undefined;
+}
+
 /** A coordinator's process. */
 interface Process {
     readonly coordinator: coordinator.Coordinator;
@@ -457,18 +473,36 @@
 
     #createCalls(process: Process): httpCalls.HttpClient {
         const calls = new httpCalls.HttpClient();
+        const pool = new connections.Connections();
         calls.send = (address, call, timeout) => {
             const isMachineCall = address === machinesAddress;
             const findServer = () =>
                 this.machines.find(machine => machine.server?.registration.address === address)?.server;
             const description = isMachineCall ? describeMachineCall(call) : describeServerCall(findServer(), call);
-            return this.#send(process, { ...description, epoch: process.epoch }, timeout, (late, respond) => {
+            const connection = this.options.keepsConnections === true && !isMachineCall
+                ? pool.take(address)
+                : undefined;
+            const deliver: Delivery = (late, respond) => {
                 if (isMachineCall) {
                     respond(this.#handleMachineCall(platformTesting.decodeMachineCall(call)));
                     return;
                 }
-                findServer()?.receive(platformTesting.decodeServerCall(call), late, respond);
-            });
+                const server = findServer();
+                if (connection === undefined || connection.leadsTo(server)) {
+                    server?.receive(platformTesting.decodeServerCall(call), late, response => {
+                        connection?.release(server);
+                        respond(response);
+                    });
+                }
+            };
+            const canConnect = connection === undefined || connection.isUsed || findServer()?.down === false;
+            const isUsed = connection?.isUsed;
+            return this.#send(
+                process,
+                { ...description, epoch: process.epoch },
+                { timeout, canConnect, isUsed },
+                deliver,
+            );
         };
         calls.closeConnections = () => undefined;
         return calls;
@@ -477,18 +511,22 @@
     #send(
         process: Process,
         description: CallDescription,
-        timeout: number,
-        deliver: (late: boolean, respond: (response: platform.HttpResponse) => void) => void,
+        { timeout, canConnect, isUsed }: CallConnection & { readonly timeout: number; },
+        deliver: Delivery,
     ): ReturnType<httpCalls.HttpClient["send"]> {
         return new Promise(resolve => {
+            const fate = this.decideFate(description);
+            const isUnsent = !canConnect || isUsed === false && fate.carriedOutAfter === undefined;
+            const error: httpCalls.CallError = isUnsent
+                ? { ...timedOut, fault: httpCalls.CallFault.unsent }
+                : { ...timedOut, onUsedConnection: isUsed === true };
             // A response that arrived earlier is handled earlier.
             this.time.schedule(
-                () => this.#work(processorCost.timer, () => resolve(neverthrow.err(timedOut))),
-                timeout,
+                () => this.#work(processorCost.timer, () => resolve(neverthrow.err(error))),
+                isUnsent ? Math.min(timeout, connectTimeout) : timeout,
             );
-            const fate = this.decideFate(description);
             void fate.failure?.then(error => resolve(neverthrow.err(error)));
-            if (process.dead || fate.carriedOutAfter === undefined) {
+            if (process.dead || isUnsent || fate.carriedOutAfter === undefined) {
                 return;
             }
             const late = fate.carriedOutAfter > lateAfter;
@@ -551,6 +589,7 @@
     layer: "http-calls",
     fault: httpCalls.CallFault.unanswered,
     timedOut: true,
+    onUsedConnection: false,
     reason: "timed out",
 };
 
--- a/packages/http-calls/src/index.ts
+++ b/packages/http-calls/src/index.ts
@@ -21,6 +21,11 @@
     readonly fault: CallFault;
     /** The call timed out; otherwise the connection was refused or closed by the other side or the network. */
     readonly timedOut: boolean;
+    /**
+     * The call was sent on a connection that had carried a response before, so it can only reach the process that gave that
+     * response; one that was started since under the same address isn't reached.
+     */
+    readonly onUsedConnection: boolean;
     readonly reason: string;
 }
 
@@ -76,14 +81,16 @@
             const abortEarly = () => handler.abortUnlessArriving();
             abort?.signal.addEventListener("abort", abortEarly);
             try {
-                this.#findPool(address).dispatch({
+                const options: CallOptions = {
                     method: call.method as undici.Dispatcher.HttpMethod,
                     path: call.path,
                     headers: call.headers,
                     body: call.body ?? null, // eslint-disable-line no-restricted-syntax -- undici's types
                     headersTimeout: 0,
                     bodyTimeout: 0,
-                }, handler);
+                    onDispatched: connection => handler.connection = connection,
+                };
+                this.#findPool(address).dispatch(options, handler);
             }
             catch (error) {
                 handler.fail(error); // The address or the path can't be one.
@@ -107,6 +114,7 @@
                 keepAliveTimeout: idleTimeout,
                 keepAliveMaxTimeout: idleTimeout,
                 connect: connectResettable,
+                factory: (origin, options) => new Connection(origin, options as undici.Client.Options),
             });
             this.#pools.set(address, pool);
         }
@@ -114,6 +122,32 @@
     }
 }
 
+interface CallOptions extends undici.Dispatcher.DispatchOptions {
+    /** Called when a connection of the pool gets the call, before it is sent. */
+    readonly onDispatched: (connection: Connection) => void;
+}
+
+/** One of a pool's connections, which is opened anew after it was closed. */
+class Connection extends undici.Client {
+    /** Whether the connection that is open has carried a response. */
+    hasResponded = false;
+
+    constructor(origin: URL, options: undici.Client.Options) {
+        super(origin, options);
+        const reset = () => this.hasResponded = false;
+        this.on("connect", reset);
+        this.on("disconnect", reset);
+    }
+
+    override dispatch(
+        options: undici.Dispatcher.DispatchOptions,
+        handler: undici.Dispatcher.DispatchHandler,
+    ): boolean {
+        (options as CallOptions).onDispatched(this);
+        return super.dispatch(options, handler);
+    }
+}
+
 const connectPlainly = undici.buildConnector({ timeout: connectTimeout });
 
 /**
@@ -152,6 +186,9 @@
     readonly #transferTimer: NodeJS.Timeout | undefined;
     readonly #parts: Buffer[] = [];
     #status = 0;
+    /** Has the call; `undefined` until one of the pool's does. */
+    connection: Connection | undefined;
+    #sentOnUsedConnection = false;
     #controller: undici.Dispatcher.DispatchController | undefined;
     #done = false;
 
@@ -187,6 +224,7 @@
             return;
         }
         this.#controller = controller;
+        this.#sentOnUsedConnection = this.connection?.hasResponded === true;
     }
 
     onResponseStart(_controller: undici.Dispatcher.DispatchController, status: number): void {
@@ -202,6 +240,9 @@
     }
 
     onResponseEnd(): void {
+        if (this.connection !== undefined) {
+            this.connection.hasResponded = true;
+        }
         const body = this.#parts.length === 1 ? this.#parts[0]! : Buffer.concat(this.#parts);
         this.#finish(neverthrow.ok({ status: this.#status, body: new Uint8Array(body) }));
     }
@@ -223,6 +264,7 @@
             // Nothing is sent before a connection takes the call, and nothing after it has failed.
             fault: this.#controller === undefined ? CallFault.unsent : CallFault.unanswered,
             timedOut: aborted || code === connectTimeoutCode,
+            onUsedConnection: this.#sentOnUsedConnection,
             reason: formatReason(aborted ? "timed out" : code !== "" ? code : String(error), received),
         };
     }
--- a/packages/store/src/store-client.test.ts
+++ b/packages/store/src/store-client.test.ts
@@ -23,6 +23,7 @@
         layer: "http-calls",
         fault: httpCalls.CallFault.unanswered,
         timedOut: true,
+        onUsedConnection: false,
         reason: "timed out",
     };
     const send: httpCalls.HttpClient["send"] = (address, _call, _timeout, abort = new AbortController()) => {
