--- a/packages/dispatch/src/next-boot-starts.test.ts
+++ b/packages/dispatch/src/next-boot-starts.test.ts
@@ -62,10 +62,17 @@
         this.world.startCoordinator();
         await this.world.time.runUntil(settledAt);
         const isDue = () => [...this.#polledAt.values()].every(at => at > settledAt);
-        while (!isDue()) {
+        await this.passUntil(isDue);
+        await this.pass(delay);
+    }
+
+    /** Lets time pass until the condition holds, which it must before long. */
+    async passUntil(isMet: () => boolean): Promise<void> {
+        const from = this.world.time.now;
+        while (!isMet()) {
+            assert.ok(this.world.time.now < from + observation, "the course isn't played");
             await this.pass(step);
         }
-        await this.pass(delay);
     }
 
     async pass(time: number): Promise<void> {
@@ -161,9 +168,7 @@
             return isLost ? lostFate : undefined;
         };
         world.submitOrdinary(jobId, 1, duration);
-        while (target === "") {
-            await course.pass(step);
-        }
+        await course.passUntil(() => target !== "");
         await course.pass(options.cutOffAfter);
         assert.is(course.findServer(target).running.has(task), options.clockStart !== clockStarts.pastLease);
         assert.not(world.log.some(({ event }) => event === "server-rebooted"));
@@ -240,9 +245,7 @@
             }
             return undefined;
         };
-        while (!polled) {
-            await course.pass(step);
-        }
+        await course.passUntil(() => polled);
         await course.pass(idlePollWait - step);
         others.forEach(server => {
             server.draining = true;
@@ -297,9 +300,7 @@
             return called === target && kind === "renewal" && now < restartAt + 3000 ? lostFate : undefined;
         };
         world.submit(jobId, 1, 1, 8000);
-        while (world.time.now < restartAt + 100) {
-            await course.pass(step);
-        }
+        await course.passUntil(() => world.time.now >= restartAt + 100);
         assert.ok(course.findServer(target).running.has(task));
         return course.listDoubleRuns();
     });
@@ -313,6 +314,30 @@
     assert.equal(await playOvertakenMachines(false), []);
 });
 
+suite("a start that was stopped on one boot of its server is carried out seconds later by the next one", async () => {
+    const twice = await play(async course => {
+        const { world } = course;
+        await course.settle(50);
+        let target = "";
+        course.decide = ({ target: called, kind }) => {
+            if (kind !== "start" || ![called, ""].includes(target)) {
+                return undefined;
+            }
+            if (target !== "") {
+                return { ...ordinaryFate, refusedAsUnhealthy: true }; // The task starts elsewhere.
+            }
+            target = called;
+            return { carriedOutAfter: 4500, answered: false };
+        };
+        world.submitOrdinary(jobId, 1, duration);
+        await course.pass(4000);
+        assert.is(course.countRuns(), 1, "the task runs elsewhere");
+        course.restart(target, clockStarts.lower, { down: 1, registration: 300 });
+        return course.listDoubleRuns();
+    });
+    assert.equal(twice, []);
+});
+
 suite("the task of a server that is cut off without a restart idles for longer than an ordinary lease", async () => {
     for (const cutOffAfter of [0, 300, 600, 900]) {
         const idleness = await play(async course => {
