Let the soak restart servers silently and cut them off

Cause: the soak's restarts closed all connections, no fault cut a server off right after a restart, and hardly a task ran for longer than the longest lease.

Change: `server-restart-silent`, and `servers-restarted-and-cut`, which restarts some servers silently, cuts them off 0.3 to 3 s later for 5 to 12 s, and sometimes kills the coordinator in between; at least half of the servers are left alone. The longest lease is the users' 10 s, and 6% of the jobs have tasks that outlast it.

--- a/packages/job-soak/src/faults.ts
+++ b/packages/job-soak/src/faults.ts
@@ -23,7 +23,7 @@
     /** The store as each process reaches it, by the name of the process. */
     readonly fronts: ReadonlyMap<string, FaultyFront>;
     readonly random: bench.RandomSource;
-    /** Processes that a fault has killed, paused or is restarting. */
+    /** Processes that a fault has killed, paused or is restarting, and servers that one is about to cut off. */
     readonly disturbed: Set<string>;
     readonly nextWave: () => number;
 }
@@ -87,6 +87,12 @@
     }
 }
 
+/** Longest time in ms for which a server that restarts carries out nothing. */
+const maxDarkTime = 700;
+/** Longest time in ms until a server registers its new boot: the users' interval of its reports. */
+const maxRegistrationDelay = 1500;
+/** Share of the servers that restarts with a cut leave alone, so that the load goes on. */
+const minServingShare = 0.5;
 /** Time in ms in which a throttled process runs once. */
 const throttlePeriod = 50;
 
@@ -280,7 +286,7 @@
 };
 
 function pickMachine({ deployment, random }: FaultContext): platformStandIns.Machine | undefined {
-    const up = [...deployment.machines.machines.values()].filter(machine => machine.server !== undefined);
+    const up = [...deployment.machines.machines.values()].filter(hasServer);
     return up.length === 0 ? undefined : random.pick(up);
 }
 
@@ -300,6 +306,74 @@
     return Promise.resolve(machine && { subject: machine.id, duration: 0, end: () => undefined });
 }
 
+/** @returns the time in ms until the next boot carries out calls */
+function restartSilently({ deployment, random }: FaultContext, machine: platformStandIns.Machine): number {
+    const darkTime = draw(random, 50, maxDarkTime);
+    deployment.machines.rebootSilently(machine, darkTime, draw(random, 0, maxRegistrationDelay));
+    return darkTime;
+}
+
+function restartServerSilently(context: FaultContext): Promise<ActiveFault | undefined> {
+    const machine = pickMachine(context);
+    if (machine === undefined) {
+        return Promise.resolve(undefined);
+    }
+    const darkTime = restartSilently(context, machine);
+    return Promise.resolve({ subject: `${machine.id}, dark for ${darkTime} ms`, duration: 0, end: () => undefined });
+}
+
+/** A machine whose server is up. */
+type ServingMachine = platformStandIns.Machine & { readonly server: platformStandIns.ServerStandIn; };
+
+function hasServer(machine: platformStandIns.Machine): machine is ServingMachine {
+    return machine.server !== undefined;
+}
+
+/** Picks machines that no other fault affects, so that at least `minServingShare` of them all serve. */
+function pickServingMachines({ deployment, random, disturbed }: FaultContext, share: number): ServingMachine[] {
+    const machines = [...deployment.machines.machines.values()].filter(hasServer);
+    const free = machines.filter(({ server }) =>
+        server.mode === platformStandIns.ServerMode.up && !disturbed.has(server.id)
+    );
+    const count = Math.floor(Math.min(share * machines.length, free.length - minServingShare * machines.length));
+    return Array.from({ length: Math.max(0, count) }, () => free.splice(random.nextBelow(free.length), 1)[0]!);
+}
+
+/**
+ * Restarts some servers silently and then cuts them off from all processes, perhaps before a coordinator has listed the new
+ * boots; what runs there goes on. Sometimes the coordinator is killed between the two.
+ */
+async function restartAndCutServers(context: FaultContext): Promise<ActiveFault | undefined> {
+    const { random, disturbed } = context;
+    const machines = pickServingMachines(context, 0.1 + 0.4 * random.next());
+    if (machines.length === 0) {
+        return undefined;
+    }
+    const servers = machines.map(({ server }) => server);
+    servers.forEach(({ id }) => disturbed.add(id));
+    machines.forEach(machine => restartSilently(context, machine));
+    const untilCut = draw(random, 300, 3000);
+    const untilKill = random.next() < 0.4 ? draw(random, 0, untilCut) : undefined;
+    await timers.setTimeout(untilKill ?? untilCut);
+    const killed = untilKill === undefined ? undefined : await killCoordinator(context);
+    void timers.setTimeout(killed?.duration ?? 0).then(killed?.end);
+    await timers.setTimeout(untilCut - (untilKill ?? untilCut));
+    for (const server of servers) {
+        server.mode = platformStandIns.ServerMode.silent;
+    }
+    const note = killed === undefined ? "" : `, ${killed.subject} killed after ${untilKill} ms`;
+    return {
+        subject: `${servers.map(({ id }) => id).join(", ")}, cut off after ${untilCut} ms${note}`,
+        duration: draw(random, 5000, 12_000),
+        end: () => {
+            for (const server of servers) {
+                server.mode = platformStandIns.ServerMode.up;
+                disturbed.delete(server.id);
+            }
+        },
+    };
+}
+
 function silenceServer(context: FaultContext): Promise<ActiveFault | undefined> {
     const server = pickMachine(context)?.server;
     if (server === undefined) {
@@ -413,6 +487,8 @@
     "store-drops-history": dropHistory,
     "server-crash": crashServer,
     "server-reboot": rebootServer,
+    "server-restart-silent": restartServerSilently,
+    "servers-restarted-and-cut": restartAndCutServers,
     "server-silent": silenceServer,
     "server-late-orders": delayOrders,
     "servers-cut": cutFromServers,
--- a/packages/job-soak/src/load.ts
+++ b/packages/job-soak/src/load.ts
@@ -22,6 +22,11 @@
 /** Of the jobs that run until they are cancelled. */
 const longRunningShare = 0.04;
 const statusShare = 0.3;
+/** Share of the jobs whose tasks run for longer than the longest lease that servers grant. */
+const lastingShare = 0.06;
+/** Tasks of such a job, and the most time in ms by which they outlast that lease. */
+const lastingTasks = 2;
+const maxExcess = 4000;
 
 interface JobPlan {
     readonly id: string;
@@ -44,6 +49,8 @@
     readonly random: bench.RandomSource;
     /** Mean number of jobs per second. */
     readonly rate: number;
+    /** Longest lease in ms that servers grant. */
+    readonly maxLease: number;
     /** `undefined` if requests need no keys. */
     readonly organisations: organisations.Organisations | undefined;
 }
@@ -79,16 +86,18 @@
     }
 
     #planJob(): JobPlan {
-        const { random, queues, deployment } = this.options;
+        const { random, queues, deployment, maxLease } = this.options;
         this.submitted += 1;
         const longRunning = random.next() < longRunningShare;
-        const steps = Array.from({ length: longRunning ? 1 : 1 + random.nextBelow(3) }, (_, i) => ({
-            tasks: 2 + random.nextBelow(7),
+        const isLasting = !longRunning && random.next() < lastingShare;
+        const steps = Array.from({ length: longRunning || isLasting ? 1 : 1 + random.nextBelow(3) }, (_, i) => ({
+            tasks: isLasting ? lastingTasks : 2 + random.nextBelow(7),
             cpu: taskCpu,
             dependsOn: i === 0 ? [] : [i - 1],
             longRunning,
         }));
-        const duration = longRunning ? undefined : Math.round(100 + random.nextExponential(500));
+        const minDuration = isLasting ? maxLease + random.nextBelow(maxExcess) : 100;
+        const duration = longRunning ? undefined : Math.round(minDuration + random.nextExponential(500));
         const isCancelled = longRunning || random.next() < cancelledShare;
         const id = this.submitted.toString(16).padStart(16, "0");
         const credentials = this.options.organisations?.draw();
--- a/packages/job-soak/src/soak.ts
+++ b/packages/job-soak/src/soak.ts
@@ -20,13 +20,15 @@
 /** Bounds of the users' smaller deployments; named as in the settings file. */
 const bounds = {
     GraceS: 2,
-    HoldMaxMs: 6000,
+    HoldMaxMs: 10_000,
     LeaseMs: 3000,
     StopMs: 200,
     ConfigApplyMs: 2000,
     RevokeMs: 5000,
     status_s: 120,
 };
+/** Latest reading in ms at which a server's clock begins. */
+const maxFirstClock = 9_000_000;
 /** Time in ms without faults before the first one, and after the last. */
 const calmBefore = 2000;
 const calmAfter = 4000;
@@ -99,12 +101,14 @@
             return front.front.address;
         },
     });
-    deployment.machines.maxLease = bounds.HoldMaxMs;
+    const clocks = new bench.RandomSource(options.seed + 3000);
+    deployment.machines.drawFirstClock = () => clocks.nextBelow(maxFirstClock);
     const callers = new load.Load({
         deployment,
         queues: queues.map(({ name }) => name),
         random: new bench.RandomSource(options.seed + 1000),
         rate: options.rate,
+        maxLease: bounds.HoldMaxMs,
         organisations: customers,
     });
     const killProcesses = () => deployment.processes.forEach(({ child }) => child?.kill("SIGKILL"));
