Test that tickets and denials hold for one boot of a server

Cause: nothing tested it; found right while looking for state of one boot that acts on the next. Change: a test of the ticket cache: answers that arrive after a restart are kept for the boot that was asked for.

--- a/packages/dispatch/src/ticket-cache.test.ts
+++ b/packages/dispatch/src/ticket-cache.test.ts
@@ -20,6 +20,8 @@
 const passes = 200;
 /** Time in ms of a call of the advice service. */
 const callTime = 1;
+/** Time in ms, above that after which tickets for a step are requested again. */
+const repeatDelay = 1050;
 const load = {
     acceptsTasks: true,
     freeCpu: 1000,
@@ -56,19 +58,21 @@
     } as unknown as jobRegistry.Candidate;
 }
 
-suite("a step never gets tickets, as the advice service refuses those of many steps before it", async () => {
-    const last = (hopelessSteps + 0xa00).toString(16).padStart(16, "0");
-    const calls = new AdviceCalls(last);
+function createCache(calls: httpCalls.HttpClient): ticketCache.TicketCache {
     const store = new memoryStore.MemoryStore(
         new memoryStore.MemoryLog(),
         new virtualTime.VirtualTime(),
         () => true,
     );
-    const shared = {
+    return new ticketCache.TicketCache({
         ...testing.createContext(calls, store, () => performance.now()),
         settings: { ...testing.settings, adviceAddress: "advice:1" },
-    };
-    const cache = new ticketCache.TicketCache(shared);
+    });
+}
+
+suite("a step never gets tickets, as the advice service refuses those of many steps before it", async () => {
+    const last = (hopelessSteps + 0xa00).toString(16).padStart(16, "0");
+    const cache = createCache(new AdviceCalls(last));
     const candidates = Array.from(
         { length: hopelessSteps + 1 },
         (_, i) => createCandidate((i + 0xa00).toString(16).padStart(16, "0")),
@@ -82,4 +86,30 @@
     assert.is(cache.find(candidates[0]!.active.job.id, server), undefined);
 });
 
+suite("a ticket or a denial of a server's earlier boot holds for the next one", async () => {
+    const id = "00000000000000aa";
+    const state = { entry: server.entry, bootId: "s1@1", load };
+    const rebooting = state as unknown as session.ServerSession;
+    const asked: string[] = [];
+    const calls = new httpCalls.HttpClient();
+    calls.send = async (_address, call) => {
+        asked.push(Buffer.from(call.body ?? "").toString());
+        await timers.setTimeout(callTime);
+        // The first answer, a ticket, is for the boot that was asked for; so is the second one, a denial.
+        state.bootId = `s1@${asked.length + 1}`;
+        return neverthrow.ok(platformTesting.createTickets(asked.length === 2 ? [] : [server.entry.id], 60_000));
+    };
+    const cache = createCache(calls);
+    const candidate = createCandidate(id);
+    for (let i = 1; i <= 3; i++) {
+        cache.startPass();
+        cache.request(candidate, id, [rebooting]);
+        await timers.setTimeout(repeatDelay);
+        assert.is(asked.length, i);
+        assert.is(cache.find(id, rebooting), undefined);
+    }
+    state.bootId = "s1@3";
+    assert.ok(cache.find(id, rebooting) !== undefined);
+});
+
 suite.run();
