Reset connections of the boot before in the stand-in and the simulation

Cause: the stand-in served calls of the next boot on connections that were opened to the boot before, which no process can do.

--- a/packages/dispatch/src/testing/connections.ts
+++ b/packages/dispatch/src/testing/connections.ts
@@ -7,6 +7,8 @@
     readonly isUsed: boolean;
     /** Whether calls on it reach the server as it is now. */
     readonly leadsTo: (server: simulatedServer.SimulatedServer | undefined) => boolean;
+    /** Whether the server resets it, as a later boot doesn't know it. */
+    readonly isResetBy: (server: simulatedServer.SimulatedServer | undefined) => boolean;
     /** The server has responded on it. */
     readonly release: (server: simulatedServer.SimulatedServer | undefined) => void;
 }
@@ -22,6 +24,7 @@
         return {
             isUsed: boot !== undefined,
             leadsTo: server => server?.down === false && (boot === undefined || server.bootedAt === boot),
+            isResetBy: server => server?.down === false && boot !== undefined && server.bootedAt !== boot,
             release: server => {
                 if (server !== undefined) {
                     idle.push(server.bootedAt);
--- a/packages/dispatch/src/testing/simulation.ts
+++ b/packages/dispatch/src/testing/simulation.ts
@@ -104,7 +104,7 @@
     readonly fields: eventLog.Fields;
 }
 
-type Delivery = (late: boolean, respond: (response: platform.HttpResponse) => void) => void;
+type Delivery = (late: boolean, respond: (response: platform.HttpResponse) => void, reset: () => void) => void;
 
 interface CallConnection {
     readonly canConnect: boolean;
@@ -482,13 +482,16 @@
             const connection = this.options.keepsConnections === true && !isMachineCall
                 ? pool.take(address)
                 : undefined;
-            const deliver: Delivery = (late, respond) => {
+            const deliver: Delivery = (late, respond, reset) => {
                 if (isMachineCall) {
                     respond(this.#handleMachineCall(platformTesting.decodeMachineCall(call)));
                     return;
                 }
                 const server = findServer();
-                if (connection === undefined || connection.leadsTo(server)) {
+                if (connection?.isResetBy(server) === true) {
+                    reset();
+                }
+                else if (connection === undefined || connection.leadsTo(server)) {
                     server?.receive(platformTesting.decodeServerCall(call), late, response => {
                         connection?.release(server);
                         respond(response);
@@ -538,10 +541,15 @@
                     );
                 }
             };
+            const reset = () =>
+                this.time.schedule(
+                    () => this.#work(processorCost.response, () => resolve(neverthrow.err(connectionReset))),
+                    ordinaryFate.carriedOutAfter!,
+                );
             const { carriedOutAfter, refusedAsUnhealthy } = fate;
             this.#work(processorCost.call, () =>
                 this.time.schedule(
-                    () => refusedAsUnhealthy === true ? respond(unhealthy) : deliver(late, respond),
+                    () => refusedAsUnhealthy === true ? respond(unhealthy) : deliver(late, respond, reset),
                     carriedOutAfter,
                 ));
         });
@@ -593,6 +601,14 @@
     reason: "timed out",
 };
 
+const connectionReset: httpCalls.CallError = {
+    layer: "http-calls",
+    fault: httpCalls.CallFault.unanswered,
+    timedOut: false,
+    onUsedConnection: true,
+    reason: "connection reset",
+};
+
 const initialConfiguration: platform.operatorRecords.Configuration = {
     version: 1,
     routes: [{
