Simulate connections in random courses, and retry at once after a reset

Cause: late orders of the random courses hopped from one boot to the next, which no connection allows; and after a silent restart each idle connection of the boot before cost a poll 250 ms. Change: a connection leads to the boot with which it was opened. A poll on a used connection that is reset is repeated at once.

--- a/packages/dispatch/src/fleet.ts
+++ b/packages/dispatch/src/fleet.ts
@@ -367,7 +367,9 @@
             return;
         }
         if (answer.isErr()) {
-            await this.#handleFailure(server, answer.error.reason);
+            const { reason, onUsedConnection, timedOut } = answer.error;
+            // A connection that was reset may be one of the boot before; the next one may already be up.
+            await this.#handleFailure(server, reason, onUsedConnection && !timedOut ? 0 : unreachableRetryDelay);
             return;
         }
         await this.#applyAnswer(
@@ -386,9 +388,13 @@
     }
 
     /** Handles a call without a response that can be used; returns when the next one is due. */
-    async #handleFailure(server: session.ServerSession, reason: string): Promise<void> {
+    async #handleFailure(
+        server: session.ServerSession,
+        reason: string,
+        retryDelay = unreachableRetryDelay,
+    ): Promise<void> {
         this.#markUnreachable(server, reason);
-        await timers.setTimeout(unreachableRetryDelay);
+        await timers.setTimeout(retryDelay);
     }
 
     async #applyAnswer(
--- a/packages/dispatch/src/testing/connections.ts
+++ b/packages/dispatch/src/testing/connections.ts
@@ -17,12 +17,14 @@
     /** Boot times to which idle connections lead, by address. */
     readonly #idle = new Map<string, number[]>();
 
-    take(address: string): Connection {
+    /** @param present the server that has the address; a new connection leads to its boot or, while it is down, to its next one */
+    take(address: string, present: simulatedServer.SimulatedServer | undefined): Connection {
         const idle = this.#idle.get(address) ?? [];
         this.#idle.set(address, idle);
-        const boot = idle.pop();
+        const idleBoot = idle.pop();
+        const boot = idleBoot ?? (present?.down === false ? present.bootedAt : undefined);
         return {
-            isUsed: boot !== undefined,
+            isUsed: idleBoot !== undefined,
             leadsTo: server => server?.down === false && (boot === undefined || server.bootedAt === boot),
             isResetBy: server => server?.down === false && boot !== undefined && server.bootedAt !== boot,
             release: server => {
--- a/packages/dispatch/src/testing/random-faults.ts
+++ b/packages/dispatch/src/testing/random-faults.ts
@@ -28,6 +28,8 @@
     readonly restartServers?: boolean;
     /** Orders are carried out up to 12 s late, too. */
     readonly delayOrders?: boolean;
+    /** See `SimulationOptions`; without it, a call of any age reaches the boot that is up. */
+    readonly keepsConnections?: boolean;
     /** Called once jobs can be submitted, with the numbers of the course. */
     readonly prepare?: (world: simulation.Simulation, random: () => number) => void;
 }
@@ -78,6 +80,7 @@
             machineCount: this.#chooseInteger(7, 11) + (options.restartServers === true ? additionalMachines : 0),
             chooseFailure: () => this.#random() < failingShare ? this.#choose(500, 20_000) : undefined,
             ...options.restartServers === true ? { chooseClockStart: createClockStarts(options.seed) } : {},
+            keepsConnections: options.keepsConnections === true,
         });
         this.world.decideFate = call => this.#decideFate(call);
     }
--- a/packages/dispatch/src/testing/simulation.ts
+++ b/packages/dispatch/src/testing/simulation.ts
@@ -107,7 +107,8 @@
 type Delivery = (late: boolean, respond: (response: platform.HttpResponse) => void, reset: () => void) => void;
 
 interface CallConnection {
-    readonly canConnect: boolean;
+    /** Whether the server is up, or was when the connection was opened. */
+    readonly isOpen: boolean;
     /** Whether the connection has carried a response before; `undefined` if connections aren't simulated. */
     readonly isUsed: boolean | undefined;
 }
@@ -480,7 +481,7 @@
                 this.machines.find(machine => machine.server?.registration.address === address)?.server;
             const description = isMachineCall ? describeMachineCall(call) : describeServerCall(findServer(), call);
             const connection = this.options.keepsConnections === true && !isMachineCall
-                ? pool.take(address)
+                ? pool.take(address, findServer())
                 : undefined;
             const deliver: Delivery = (late, respond, reset) => {
                 if (isMachineCall) {
@@ -498,14 +499,9 @@
                     });
                 }
             };
-            const canConnect = connection === undefined || connection.isUsed || findServer()?.down === false;
+            const isOpen = connection === undefined || connection.isUsed || findServer()?.down === false;
             const isUsed = connection?.isUsed;
-            return this.#send(
-                process,
-                { ...description, epoch: process.epoch },
-                { timeout, canConnect, isUsed },
-                deliver,
-            );
+            return this.#send(process, { ...description, epoch: process.epoch }, { timeout, isOpen, isUsed }, deliver);
         };
         calls.closeConnections = () => undefined;
         return calls;
@@ -514,12 +510,14 @@
     #send(
         process: Process,
         description: CallDescription,
-        { timeout, canConnect, isUsed }: CallConnection & { readonly timeout: number; },
+        { timeout, isOpen, isUsed }: CallConnection & { readonly timeout: number; },
         deliver: Delivery,
     ): ReturnType<httpCalls.HttpClient["send"]> {
         return new Promise(resolve => {
             const fate = this.decideFate(description);
-            const isUnsent = !canConnect || isUsed === false && fate.carriedOutAfter === undefined;
+            // While the server is down, a connection may be opened to its next boot.
+            const isUnsent = isUsed === false
+                && (fate.carriedOutAfter === undefined || !isOpen && fate.carriedOutAfter > connectTimeout);
             const error: httpCalls.CallError = isUnsent
                 ? { ...timedOut, fault: httpCalls.CallFault.unsent }
                 : { ...timedOut, onUsedConnection: isUsed === true };
