Don't blame a task for a crash before its start was sent

Callers could see: a job fails although its task never ran, as servers "crashed under it" twice.

Cause: at the first list of a next boot every run without a confirmed start was taken for one that was under way at the crash. Since a silent restart is noticed at once, that list often comes while starts that were sent to the new boot have no answer yet.

Evidence: next-boot-starts.test.ts "a task is blamed for a crash before its start was sent" fails before.

Change: a start that was sent after the new boot began, by its boot time, isn't a suspect.

--- a/packages/dispatch/src/fleet.ts
+++ b/packages/dispatch/src/fleet.ts
@@ -516,7 +516,8 @@
         const isFirstAnswer = server.bootedAt === undefined && server.clock.sample === undefined;
         const before = server.bootedAt;
         const crashed = server.describeStartedRuns(server.runs.values()).filter(({ run }) =>
-            !run.startedOnNextBoot && (!isFirstAnswer || isOtherBoot(run, bootedAt))
+            !run.startedOnNextBoot && !this.#isSentSince(run, bootedAt)
+            && (!isFirstAnswer || isOtherBoot(run, bootedAt))
         );
         this.#reportCrash(server.entry.id, [
             ...this.#lapsedRuns.take(server.entry.id, bootedAt),
@@ -545,6 +546,15 @@
         server.clock.latest = 0;
     }
 
+    /** Whether the start was sent after the boot had begun, so that it can't be the cause of the crash before. */
+    #isSentSince(run: session.ActiveRun, bootedAt: number | undefined): boolean {
+        const { clock } = this.shared;
+        const sentAt = run.startRepeatedAt === undefined
+            ? undefined
+            : clock.wall() - (clock.monotonic() - run.startRepeatedAt);
+        return sentAt !== undefined && bootedAt !== undefined && run.startClock === undefined && sentAt > bootedAt;
+    }
+
     #reportCrash(id: string, runs: readonly session.StartedRun[]): void {
         if (runs.length > 0) {
             const lossTimes = [...this.sessions.values()].flatMap(server => server.lostAt ?? []);
--- a/packages/dispatch/src/next-boot-starts.test.ts
+++ b/packages/dispatch/src/next-boot-starts.test.ts
@@ -375,6 +375,32 @@
     assert.equal(twice, []);
 });
 
+suite("a task is blamed for a crash before its start was sent", async () => {
+    await play(async course => {
+        const { world } = course;
+        await course.settle(860);
+        let target = "";
+        course.decide = ({ target: called, kind }) => {
+            if (kind !== "start" || target !== "") {
+                return undefined;
+            }
+            target = called;
+            return lostFate;
+        };
+        world.machines.forEach(({ server }) =>
+            course.restart(server!.registration.id, clockStarts.lower, { down: 1, registration: 300 })
+        );
+        await course.pass(100);
+        world.submitOrdinary(jobId, 1, duration);
+        await course.pass(1000);
+        assert.ok(world.log.some(({ event, fields }) => event === "server-rebooted" && fields["server"] === target));
+        const suspects = world.log.filter(({ event }) => event === "server-crashed").map(({ fields }) =>
+            fields["suspects"]
+        );
+        assert.equal(suspects.flat(), []);
+    });
+});
+
 suite("the task of a server that is cut off without a restart idles for longer than an ordinary lease", async () => {
     for (const cutOffAfter of [0, 300, 600, 900]) {
         const idleness = await play(async course => {
