Take a refusal at the address of another boot for no proof that runs are gone

Callers could see: a task runs twice, as its run counts as lost while it goes on.

Cause: an entry that an earlier boot of a server wrote late diverts the poll to its address. If another server has that by now, its answer that it isn't the expected one passed for proof that the known boot is gone.

Change: such an answer is a failed poll unless the entry is of the known boot, and the runs end with their lease.

Result: late-registrations.test.ts passes, and the tests of odd entries and answers.

--- a/packages/dispatch/src/fleet.ts
+++ b/packages/dispatch/src/fleet.ts
@@ -402,6 +402,11 @@
         answer: platform.serverCalls.LeaseRenewalResult,
         sent: SentRenewal,
     ): Promise<void> {
+        if (answer.kind === "another-boot" && !server.isRegistrationCurrent()) {
+            // It may be the address of an earlier boot, whose entry came late.
+            await this.#handleFailure(server, "another server at the address of another boot");
+            return;
+        }
         if (answer.kind === "another-boot") {
             this.#handleReboot(server, undefined, sent.sentAt);
             server.reachable = false;
