--- a/packages/job-soak/src/faults.ts
+++ b/packages/job-soak/src/faults.ts
@@ -345,7 +345,7 @@
  */
 async function restartAndCutServers(context: FaultContext): Promise<ActiveFault | undefined> {
     const { random, disturbed } = context;
-    const machines = pickServingMachines(context, 0.1 + 0.4 * random.next());
+    const machines = pickServingMachines(context, 0.2 + 0.3 * random.next());
     if (machines.length === 0) {
         return undefined;
     }
--- a/packages/job-soak/src/load.ts
+++ b/packages/job-soak/src/load.ts
@@ -23,9 +23,9 @@
 const longRunningShare = 0.04;
 const statusShare = 0.3;
 /** Share of the jobs whose tasks run for longer than the longest lease that servers grant. */
-const lastingShare = 0.06;
+const lastingShare = 0.15;
 /** Tasks of such a job, and the most time in ms by which they outlast that lease. */
-const lastingTasks = 2;
+const lastingTasks = 4;
 const maxExcess = 4000;
 
 interface JobPlan {
@@ -59,6 +59,8 @@
 
 /** Thousandths of a core that each task demands. */
 const taskCpu = 500;
+/** The same for tasks that outlast a lease, so that most of the room is left to short ones. */
+const lastingTaskCpu = 100;
 
 export class Load {
     accepted = 0;
@@ -90,9 +92,10 @@
         this.submitted += 1;
         const longRunning = random.next() < longRunningShare;
         const isLasting = !longRunning && random.next() < lastingShare;
+        const cpu = isLasting ? lastingTaskCpu : taskCpu;
         const steps = Array.from({ length: longRunning || isLasting ? 1 : 1 + random.nextBelow(3) }, (_, i) => ({
             tasks: isLasting ? lastingTasks : 2 + random.nextBelow(7),
-            cpu: taskCpu,
+            cpu,
             dependsOn: i === 0 ? [] : [i - 1],
             longRunning,
         }));
@@ -102,7 +105,7 @@
         const id = this.submitted.toString(16).padStart(16, "0");
         const credentials = this.options.organisations?.draw();
         if (credentials !== undefined) {
-            this.options.organisations?.recordDemand(id, credentials, taskCpu);
+            this.options.organisations?.recordDemand(id, credentials, cpu);
         }
         return {
             id,
--- a/packages/job-soak/src/soak.test.ts
+++ b/packages/job-soak/src/soak.test.ts
@@ -46,4 +46,14 @@
     });
 });
 
+suite("a task runs twice, as the coordinator misjudges the lease of a server that restarted unnoticed", () => {
+    return assertRulesHold({
+        duration: 25_000,
+        machinesPerService: 16,
+        rate: 12,
+        faultInterval: 2500,
+        faultNames: ["server-restart-silent", "servers-restarted-and-cut", "servers-restarted-and-cut"],
+    });
+});
+
 suite.run();
