Test a list of a next boot that is older than a start it confirmed

A test with real processes brings the case about; the new boot registers 3 s late, as while the store is slow, since its registration would keep starts away before.

--- a/packages/node/src/integration/silent-restarts.test.ts
+++ b/packages/node/src/integration/silent-restarts.test.ts
@@ -1,6 +1,6 @@
 /**
- * Guards against a second run of a task whose server restarted under its ID unnoticed and was cut off: the lease that it
- * got from an order for the boot before may be the longest one.
+ * Guards against a second run of a task that started on a server's next boot, of which the coordinator didn't know yet: its
+ * lease may be the longest one, and a list of that boot may be older than the start.
  */
 import * as platformStandIns from "@catkinwharf/platform-stand-ins";
 import * as timers from "node:timers/promises";
@@ -15,6 +15,8 @@
 const taskDuration = 1000 * (longestLease + 3);
 const darkTime = 100;
 const registrationDelay = 1500;
+/** The same while the store is slow. */
+const longRegistrationDelay = 3000;
 /** First clock readings of two servers and of the next boot of the first one, to which they are far ahead. */
 const firstClocks: readonly number[] = [5_000_000, 5_000_000, 10_000];
 
@@ -44,18 +46,27 @@
     await deployment.waitFor("the coordinator polls the server again", () => polls === 2);
 }
 
+/** Keeps one of the two servers from getting tasks. */
+async function drain(machine: platformStandIns.Machine): Promise<void> {
+    deployment.machines.drain(machine);
+    await deployment.waitFor("the other server gets no tasks", () => hasLogged("server-draining"));
+}
+
+async function submitLastingTask(): Promise<void> {
+    const body = platformStandIns.createJobBody({ duration: taskDuration }, { tasks: 1 });
+    await deployment.waitFor("the job is accepted", async () => {
+        return (await deployment.sendRequest(deployment.processes[0]!, "POST", jobPath, body))?.status === 200;
+    });
+}
+
 /** Restarts a server silently while it is being polled, and starts a lasting task there before the poll fails. */
 async function startOnNextBoot(): Promise<platformStandIns.ServerStandIn> {
     const [machine, other] = [...deployment.machines.machines.values()];
     const server = machine!.server!;
-    deployment.machines.drain(other!);
-    await deployment.waitFor("the other server gets no tasks", () => hasLogged("server-draining"));
+    await drain(other!);
     await waitForPoll(server);
     deployment.machines.rebootSilently(machine!, darkTime, registrationDelay);
-    const body = platformStandIns.createJobBody({ duration: taskDuration }, { tasks: 1 });
-    await deployment.waitFor("the job is accepted", async () => {
-        return (await deployment.sendRequest(deployment.processes[0]!, "POST", jobPath, body))?.status === 200;
-    });
+    await submitLastingTask();
     await deployment.waitFor("the task runs", () => server.runningTasks.length === 1);
     return server;
 }
@@ -86,4 +97,35 @@
     await assertStartsOnceGone();
 });
 
+suite(
+    "a task starts again while it runs on a next boot, whose list was made before the start and arrived after it",
+    async () => {
+        const [machine, other] = [...deployment.machines.machines.values()];
+        const server = machine!.server!;
+        await drain(other!);
+        let isRestarted = false;
+        server.findLateness = path => {
+            if (path === "/-/hold" && !isRestarted) {
+                isRestarted = true;
+                deployment.machines.rebootSilently(machine!, 0, longRegistrationDelay); // The next boot takes this poll.
+            }
+            return undefined;
+        };
+        let sendList: (() => void) | undefined;
+        server.holdResponse = async path => {
+            if (path === "/-/hold" && isRestarted && sendList === undefined) {
+                await new Promise<void>(resolve => sendList = resolve);
+            }
+        };
+        await deployment.waitFor("the next boot has made a list", () => sendList !== undefined);
+        await submitLastingTask();
+        await deployment.waitFor("the next boot has confirmed the start", () => hasLogged("start-on-another-boot"));
+        sendList!();
+        await deployment.waitFor("the coordinator has seen the restart", () => hasLogged("server-rebooted"));
+        await timers.setTimeout(1500);
+        assert.equal(deployment.findDuplicateRuns(), []);
+        assert.is(deployment.machines.history.length, 1);
+    },
+);
+
 suite.run();
