Allow a predecessor's last start its time on the way

Callers could see: a task runs twice for up to 0.4 s, on a boot that a successor never reaches.

Cause: before its first list of a server a coordinator counted the lease of its predecessor from the moment at which that one sent its last order. The order may arrive 0.7 s later.

Evidence: server-leases.test.ts fails before; by arithmetic 0.1 to 0.4 s were missing.

Change: where the longest lease may have been given, the timeout of the order is added.

Result: server-leases.test.ts 3 of 3, leases-of-earlier-boots.test.ts 4 of 4.

--- a/packages/dispatch/src/server-leases.ts
+++ b/packages/dispatch/src/server-leases.ts
@@ -67,7 +67,7 @@
      * @param mayHoldLongest whether an order may have reached a boot for which it wasn't meant
      */
     computeInheritedExpiry(mayHoldLongest: boolean): number {
-        const last = mayHoldLongest ? this.bounds.maxLease : this.bounds.lease;
+        const last = mayHoldLongest ? context.serverCallTimeout + this.bounds.maxLease : this.bounds.lease;
         return this.termStartedAt + (this.bounds.lease + last) / serverClock.minClockRate + expiryMargin;
     }
 
