--- a/packages/dispatch/src/fleet.ts
+++ b/packages/dispatch/src/fleet.ts
@@ -605,7 +605,7 @@
             evidence,
             kind,
             runs: ended.length,
-            left: server.runs.size - ended.length,
+            kept: server.runs.size - ended.length,
         });
         this.handlers.onRunsLost(server, ended, "lost");
     }
@@ -623,7 +623,7 @@
                 registeredBoot: server.entry.bootedAt,
                 // Each with its phase and, if a start or a list showed it on the boot, the clock reading.
                 runs: lapsed.map(run => [run.name, run.phase, run.startClock, run.startedOnNextBoot]),
-                left: server.runs.size - lapsed.length,
+                kept: server.runs.size - lapsed.length,
                 boot: server.bootId,
                 ...server.describeLease(now),
             });
