--- a/packages/dispatch/src/fleet.ts
+++ b/packages/dispatch/src/fleet.ts
@@ -363,6 +363,9 @@
         const answer = serverClock === undefined
             ? await serverPoll.sendFirstRenewal(serverCalls, server.entry.address, call)
             : await serverPoll.sendPoll(serverCalls, server, call, wait);
+        if (leaseEnd !== undefined && (answer === undefined || answer.isErr())) {
+            server.leases.recordArrival(clock.monotonic());
+        }
         if (this.#stopped || answer === undefined) {
             return;
         }
@@ -554,9 +557,9 @@
     /** Whether the start was sent after the boot had begun, so that it can't be the cause of the crash before. */
     #isSentSince(run: session.ActiveRun, bootedAt: number | undefined): boolean {
         const { clock } = this.shared;
-        const sentAt = run.startRepeatedAt === undefined
+        const sentAt = run.startLastSentAt === undefined
             ? undefined
-            : clock.wall() - (clock.monotonic() - run.startRepeatedAt);
+            : clock.wall() - (clock.monotonic() - run.startLastSentAt);
         return sentAt !== undefined && bootedAt !== undefined && run.startClock === undefined && sentAt > bootedAt;
     }
 
--- a/packages/dispatch/src/run-manager.ts
+++ b/packages/dispatch/src/run-manager.ts
@@ -191,7 +191,7 @@
             plannedAt: now,
             startSentAt: now,
             startClock: undefined,
-            startRepeatedAt: undefined,
+            startLastSentAt: undefined,
             reachesKnownBootOnly: false,
             startedOnNextBoot: false,
             percent: 0,
@@ -233,7 +233,7 @@
         server.leases.recordOrder(leaseEnd, now);
         run.phase = session.RunPhase.ordered;
         run.startSentAt = now;
-        run.startRepeatedAt = now;
+        run.startLastSentAt = now;
         const earliest = server.clock.computeEarliestReading(now);
         this.#reserveStart(server, run);
         const call = platform.serverCalls.createStartCall(server.entry.id, {
@@ -266,6 +266,7 @@
             }
             shared.log.warn("start-unanswered", {
                 task: run.name,
+                onUsedConnection: answer.error.onUsedConnection,
                 ...server.describeContact(shared.clock.monotonic()),
             });
             run.phase = session.RunPhase.uncertain;
@@ -301,7 +302,7 @@
             const now = shared.clock.monotonic();
             const earliest = server.clock.computeEarliestReading(now);
             server.leases.recordOrder(server.leases.latestEnd, now);
-            run.startRepeatedAt = now;
+            run.startLastSentAt = now;
             const { reachesKnownBootOnly } = run;
             run.reachesKnownBootOnly = false;
             const answer = await shared.serverCalls.send(server.entry.address, call, context.serverCallTimeout);
--- a/packages/dispatch/src/server-leases.ts
+++ b/packages/dispatch/src/server-leases.ts
@@ -15,8 +15,8 @@
 export class ServerLeases {
     /** Latest lease end ever sent to the known boot, on the server's clock. */
     #latestEnd = 0;
-    /** On the monotonic clock: when an order that gives a lease was last sent. */
-    #orderSentAt = Number.NEGATIVE_INFINITY;
+    /** On the monotonic clock: from then on no order that gives a lease, of those sent so far, arrives any more. */
+    #lastArrival = Number.NEGATIVE_INFINITY;
     /**
      * On the server's clock: latest end of a lease that another coordinator's order, or one that was meant for an earlier
      * boot, may have given it.
@@ -40,7 +40,16 @@
      */
     recordOrder(end: number, now: number): void {
         this.#latestEnd = Math.max(this.#latestEnd, end);
-        this.#orderSentAt = now;
+        this.recordArrival(now + context.serverCallTimeout);
+    }
+
+    /**
+     * An order that gives a lease got no response, and its connection was closed.
+     *
+     * @param now on the monotonic clock
+     */
+    recordArrival(now: number): void {
+        this.#lastArrival = Math.max(this.#lastArrival, now);
     }
 
     recordReboot(): void {
@@ -56,8 +65,7 @@
 
     /** The same for a later boot, which no list has shown, by the orders that were meant for the known one. */
     computeNextBootExpiry(): number {
-        return this.#orderSentAt + context.serverCallTimeout + this.bounds.maxLease / serverClock.minClockRate
-            + expiryMargin;
+        return this.#lastArrival + this.bounds.maxLease / serverClock.minClockRate + expiryMargin;
     }
 
     /**
@@ -77,7 +85,7 @@
             sinceAnswer: Math.round(now - received),
             left: Math.round(this.#latestEnd - server),
             leftOfOthers: Math.round(this.otherEnd - server),
-            sinceOrder: Math.round(now - this.#orderSentAt),
+            sinceArrival: Math.round(now - this.#lastArrival),
         };
     }
 }
--- a/packages/dispatch/src/server-poll.ts
+++ b/packages/dispatch/src/server-poll.ts
@@ -43,10 +43,16 @@
     call: platform.Call,
     wait: number,
 ): Promise<Answer | undefined> {
-    const answer = client.send(server.entry.address, call, wait + context.serverCallTimeout);
+    // A poll that is interrupted must not arrive any more, as it may give a lease.
+    const abort = new AbortController();
+    const answer = client.send(server.entry.address, call, wait + context.serverCallTimeout, abort);
     if (wait === 0) {
         return answer;
     }
     const interrupted = new Promise<undefined>(resolve => server.interruptPoll = () => resolve(undefined));
-    return Promise.race([answer, interrupted]).finally(() => server.interruptPoll = undefined);
+    const first = await Promise.race([answer, interrupted]).finally(() => server.interruptPoll = undefined);
+    if (first === undefined) {
+        abort.abort();
+    }
+    return first;
 }
--- a/packages/dispatch/src/server-session.ts
+++ b/packages/dispatch/src/server-session.ts
@@ -50,7 +50,7 @@
     /** On the monotonic clock: when the start was sent, or the run was taken over. */
     startSentAt: number;
     /** On the monotonic clock: when the start was last sent, `undefined` if not by this coordinator. */
-    startRepeatedAt: number | undefined;
+    startLastSentAt: number | undefined;
     /**
      * On the server's clock: when it confirmed the start or, as seen by this coordinator, first listed the run;
      * `undefined` before that, as a start without an answer may be carried out seconds later.
@@ -332,8 +332,8 @@
  * by then.
  */
 export function mayStartAfter(run: ActiveRun, time: number): boolean {
-    return mayBeOnNextBoot(run) && run.startRepeatedAt !== undefined
-        && run.startRepeatedAt + context.serverCallTimeout >= time;
+    return mayBeOnNextBoot(run) && run.startLastSentAt !== undefined
+        && run.startLastSentAt + context.serverCallTimeout >= time;
 }
 
 /** Whether the start may have been carried out by a later boot of the server than the known one. */
--- a/packages/dispatch/src/stray-starts.ts
+++ b/packages/dispatch/src/stray-starts.ts
@@ -14,7 +14,7 @@
     bootId: string;
 }
 
-/** Time in ms after its sending for which a start may still be carried out. */
+/** Time in ms after its sending for which a start is stopped in later boots. */
 const retention = 15_000;
 
 export class StrayStarts {
@@ -27,7 +27,7 @@
     add(server: session.ServerSession, run: session.ActiveRun): void {
         const now = this.shared.clock.monotonic();
         const kept = this.#list(server, now).filter(other => other.run !== run);
-        kept.push({ run, sentAt: run.startRepeatedAt ?? now, bootId: run.bootId });
+        kept.push({ run, sentAt: run.startLastSentAt ?? now, bootId: run.bootId });
         this.#starts.set(server.entry.id, kept);
     }
 
@@ -36,6 +36,7 @@
         for (const start of this.#list(server, this.shared.clock.monotonic())) {
             const { run } = start;
             if (start.bootId !== server.bootId && server.runs.get(run.name) !== run) {
+                const { bootId } = start;
                 start.bootId = server.bootId;
                 this.shared.log.info("stray-start-stopped", {
                     task: run.name,
@@ -47,7 +48,13 @@
                     run: run.runNumber,
                     fencingToken: this.shared.epoch,
                 });
-                void this.shared.serverCalls.send(server.entry.address, call, context.serverCallTimeout);
+                void this.shared.serverCalls.send(server.entry.address, call, context.serverCallTimeout).then(
+                    answer => {
+                        if (answer.isErr()) {
+                            start.bootId = bootId; // The next list repeats the stop.
+                        }
+                    },
+                );
             }
         }
     }
@@ -57,7 +64,7 @@
         if (starts === undefined) {
             return [];
         }
-        const kept = starts.filter(({ run, sentAt }) => run.startClock === undefined && now - sentAt < retention);
+        const kept = starts.filter(({ sentAt }) => now - sentAt < retention);
         if (kept.length === 0) {
             this.#starts.delete(entry.id);
         }
--- a/packages/dispatch/src/testing/simulation.ts
+++ b/packages/dispatch/src/testing/simulation.ts
@@ -475,7 +475,7 @@
     #createCalls(process: Process): httpCalls.HttpClient {
         const calls = new httpCalls.HttpClient();
         const pool = new connections.Connections();
-        calls.send = (address, call, timeout) => {
+        calls.send = (address, call, timeout, abort) => {
             const isMachineCall = address === machinesAddress;
             const findServer = () =>
                 this.machines.find(machine => machine.server?.registration.address === address)?.server;
@@ -488,6 +488,9 @@
                     respond(this.#handleMachineCall(platformTesting.decodeMachineCall(call)));
                     return;
                 }
+                if (abort?.signal.aborted === true) {
+                    return; // Its connection was closed before it arrived.
+                }
                 const server = findServer();
                 if (connection?.isResetBy(server) === true) {
                     reset();
