Wait for both processes before their explanations are compared

The test waits until the first one knows the server, and compares the answers of both; the message of the second isn't shown, so that this is the cause is suspected only. Change: the test waits for each process, and compares the errors first, so that a failure shows them. Nothing that it checked is left out.

--- a/packages/cli/src/explain-placement.test.ts
+++ b/packages/cli/src/explain-placement.test.ts
@@ -42,8 +42,8 @@
 /** Runs the command through each process, which have to agree; returns the exit code and the document. */
 async function explain(...args: readonly string[]): Promise<[number, types.PlacementExplanation]> {
     const results = await Promise.all(deployment.processes.map(node => run(node, ...args, "--json")));
+    assert.equal(results.map(({ errors }) => errors), ["", ""]);
     assert.is(results[0]!.code, results[1]!.code);
-    assert.is(results[0]!.errors, "");
     const documents = results.map(({ output }) => JSON.parse(output) as types.PlacementExplanation);
     assert.is(documents[0]!.verdict, documents[1]!.verdict);
     return [results[0]!.code, documents[0]!];
@@ -56,10 +56,11 @@
 
 suite("a submission that would start is said to wait, or it is sent", async () => {
     const file = writeBody(body(500, 2));
-    await deployment.waitFor("the server accepts tasks", async () => {
-        const result = await run(deployment.processes[0]!, ...submission, "/quotes/", file, "--organisation", "b");
-        return result.code === 0;
-    });
+    for (const node of deployment.processes) {
+        await deployment.waitFor("the server accepts tasks, as the process knows", async () => {
+            return (await run(node, ...submission, "/quotes/", file, "--organisation", "b")).code === 0;
+        });
+    }
     const [code, { verdict, organisation, steps, service }] = await explain(
         ...submission,
         "/quotes/",
