--- a/packages/dispatch/src/fleet.ts
+++ b/packages/dispatch/src/fleet.ts
@@ -371,8 +371,9 @@
         }
         if (answer.isErr()) {
             const { reason, onUsedConnection, timedOut } = answer.error;
-            // A connection that was reset may be one of the boot before; the next one may already be up.
-            await this.#handleFailure(server, reason, onUsedConnection && !timedOut ? 0 : unreachableRetryDelay);
+            // Such a connection may be one of the boot before; the next one may already be up.
+            const wasReset = onUsedConnection && !timedOut;
+            await this.#handleFailure(server, reason, wasReset ? 0 : unreachableRetryDelay);
             return;
         }
         await this.#applyAnswer(
@@ -554,7 +555,10 @@
         server.clock.latest = 0;
     }
 
-    /** Whether the start was sent after the boot had begun, so that it can't be the cause of the crash before. */
+    /**
+     * Whether the start was sent after the boot had begun, by the server's wall clock, so that it can't be the cause of the
+     * crash before.
+     */
     #isSentSince(run: session.ActiveRun, bootedAt: number | undefined): boolean {
         const { clock } = this.shared;
         const sentAt = run.startLastSentAt === undefined
--- a/packages/dispatch/src/server-leases.ts
+++ b/packages/dispatch/src/server-leases.ts
@@ -72,7 +72,8 @@
      * The same before this coordinator's first list of the server: an earlier coordinator may have given a lease until one
      * lease duration after this one's term began.
      *
-     * @param mayHoldLongest whether an order may have reached a boot for which it wasn't meant
+     * @param mayHoldLongest whether an order may have reached a boot for which it wasn't meant: the longest lease counts from
+     * its arrival, an ordinary one ends at a time that was set when it was sent
      */
     computeInheritedExpiry(mayHoldLongest: boolean): number {
         const last = mayHoldLongest ? context.serverCallTimeout + this.bounds.maxLease : this.bounds.lease;
