Log every start without a response, and lists of machines that end no run

Change: start-unanswered for each such start, with the boot, its age and the phase of its run; server-ended also where all runs of the server are kept.

--- a/packages/dispatch/src/fleet.ts
+++ b/packages/dispatch/src/fleet.ts
@@ -601,7 +601,7 @@
             const started = server?.entry.draining === false ? server.describeStartedRuns(ended) : [];
             this.#reportCrash(id, [...this.#lapsedRuns.take(id, undefined), ...started]);
         }
-        if (server === undefined || ended.length === 0) {
+        if (server === undefined || server.runs.size === 0) {
             return;
         }
         if (kind === serverLosses.LossKind.unlisted) {
--- a/packages/dispatch/src/run-manager.ts
+++ b/packages/dispatch/src/run-manager.ts
@@ -250,6 +250,7 @@
         this.options.onStartAnswered(shared.clock.monotonic() - now);
         if (answer.isErr() && answer.error.fault !== httpCalls.CallFault.unsent) {
             this.#strayStarts.add(server, run);
+            this.#logUnanswered(server, run, answer.error.onUsedConnection);
         }
         if (!this.#isCurrent(server, run)) {
             return;
@@ -264,11 +265,6 @@
                 server.backoffUntil = shared.clock.monotonic() + refusalBackoff;
                 return;
             }
-            shared.log.warn("start-unanswered", {
-                task: run.name,
-                onUsedConnection: answer.error.onUsedConnection,
-                ...server.describeContact(shared.clock.monotonic()),
-            });
             run.phase = session.RunPhase.uncertain;
             server.backoffUntil = shared.clock.monotonic() + refusalBackoff;
             server.doubtBoot(shared.clock.monotonic());
@@ -309,6 +305,7 @@
             if (answer.isErr()) {
                 run.reachesKnownBootOnly = reachesKnownBootOnly && answer.error.onUsedConnection;
                 this.#strayStarts.add(server, run);
+                this.#logUnanswered(server, run, answer.error.onUsedConnection);
             }
             if (answer.isErr() || !isUncertain()) {
                 continue;
@@ -331,6 +328,20 @@
         }
     }
 
+    /** Logs each start that may be carried out late, also of a run that has ended meanwhile. */
+    #logUnanswered(server: session.ServerSession, run: session.ActiveRun, onUsedConnection: boolean): void {
+        const { clock, log } = this.options.shared;
+        const now = clock.monotonic();
+        log.warn("start-unanswered", {
+            task: run.name,
+            phase: run.phase,
+            meantFor: run.bootId,
+            sentBefore: Math.round(now - (run.startLastSentAt ?? now)),
+            onUsedConnection,
+            ...server.describeContact(now),
+        });
+    }
+
     /** Records that a server confirmed a start of the job, by its response or by listing a run or its end. */
     #recordBegun(entry: jobState.JobEntry): void {
         const { progress } = entry;
