Fence a coordinator's own earlier calls to a server that a next boot may carry out

Cause: calls to a server carry its ID, which is the same in each of its lives, and one fencing token for a whole term. A call without a response may be carried out seconds later, by the next life, also after that one was listed: a start whose run had been ended, a renewal that extends the lease, an acknowledgement, a pace. What a list didn't show counted as gone. Change: each server has a fencing token of its own, which rises when a call to it gets no response or another boot shows. A list that was answered under a higher token settles the earlier calls: it shows what they have done, and the boot refuses them from then on. Epochs are multiples of 65,536, which leaves room for these tokens. A start without a response is repeated on its server once a list settles it, instead of being stopped and sent elsewhere, so that no other server has the task if a later boot carries the first one out; an unhealthy server gives it up. The stops in each later boot (stray-starts) are gone; their tests stay. Why it works: the order of two calls no longer depends on when they arrive, in each boot that has been listed. Not covered: a boot that hasn't been listed knows no token (KNOWN-RED).

--- a/packages/dispatch/src/context.ts
+++ b/packages/dispatch/src/context.ts
@@ -4,7 +4,7 @@
 import type * as eventLog from "@catkinwharf/event-log";
 import type * as httpCalls from "@catkinwharf/http-calls";
 import type * as jobState from "@catkinwharf/job-state";
-import * as platform from "@catkinwharf/platform";
+import type * as platform from "@catkinwharf/platform";
 import type * as clocks from "./clocks.js";
 import type * as leaderElection from "./leader-election.js";
 import type * as ledgerWriter from "./ledger-writer.js";
@@ -12,7 +12,7 @@
 export interface CoordinatorContext {
     readonly node: string;
     readonly claim: leaderElection.Claim;
-    /** Epoch of this coordinator's term; also the fencing token of all its orders. */
+    /** Epoch of this coordinator's term; also the fencing token of its orders for machines, and the lowest one for servers. */
     readonly epoch: number;
     /**
      * On the monotonic clock: when this coordinator was created, after its claim was stored and its predecessors
@@ -45,27 +45,13 @@
     readonly schedulePass: () => void;
 }
 
-/**
- * Steps down when a server refused an order or a lease renewal because it has seen a higher fencing token, which only a
- * newer coordinator can have sent. Returns whether that was the case.
- */
-export function stepDownIfFenced(
-    shared: CoordinatorContext,
-    server: string,
-    answer: platform.serverCalls.OrderResult | platform.serverCalls.LeaseRenewalResult,
-): boolean {
-    const fenced = answer.kind === "refused" && answer.reason === platform.serverCalls.Refusal.fenced;
-    if (fenced) {
-        shared.stepDown(`server ${server} has seen a higher fencing token`);
-    }
-    return fenced;
-}
-
 /**
  * Timeout in ms of a call that starts, stops or paces a run, and of a lease renewal beyond the time for which the
  * server may delay its response; servers usually respond within a few ms.
  */
 export const serverCallTimeout = 700;
+/** Longest time in ms from the sending of a call to when a server carries it out, if it doesn't respond to it. */
+export const maxCallLateness = 12_000;
 /**
  * Duration in ms of a lease, which covers all runs on a server: once it has expired, their tasks may be started on
  * other servers. Long enough to outlast a change of coordinator, short enough that the tasks of a partitioned server
--- a/packages/dispatch/src/coordinator.ts
+++ b/packages/dispatch/src/coordinator.ts
@@ -178,8 +178,8 @@
             onSettled: active => this.#queues.recordSettled(active.job.queue, outcomes.judgeSettlement(active)),
         });
         this.fleet = new fleet.Fleet(this.#shared, {
-            onLists: (server, lists, sentAt) => {
-                this.#runManager.applyLists(server, lists, sentAt);
+            onLists: (server, lists, sent) => {
+                this.#runManager.applyLists(server, lists, sent);
                 fillerPace.paceFillers(this.#shared, server);
             },
             onRebooted: (server, sentAt) => this.#runManager.endEarlierBoot(server, sentAt),
--- a/packages/dispatch/src/filler-pace.ts
+++ b/packages/dispatch/src/filler-pace.ts
@@ -46,9 +46,12 @@
         task: { jobId: run.entry.id, ...run.position },
         run: run.runNumber,
         percent,
-        fencingToken: shared.epoch,
+        fencingToken: server.fence.use(),
     });
     const answer = await shared.serverCalls.send(server.entry.address, call, context.serverCallTimeout);
+    if (answer.isErr()) {
+        server.fence.raise(); // Else the order could be carried out after a later one.
+    }
     if (answer.isErr() || platform.serverCalls.decodeOrderResult(answer.value).kind !== "done") {
         run.pace = before;
         // The server didn't respond, or refused.
--- a/packages/dispatch/src/fleet.ts
+++ b/packages/dispatch/src/fleet.ts
@@ -9,6 +9,7 @@
 import * as context from "./context.js";
 import * as lapsedRuns from "./lapsed-runs.js";
 import * as serverBoots from "./server-boots.js";
+import * as serverFence from "./server-fence.js";
 import * as serverLosses from "./server-losses.js";
 import * as serverPoll from "./server-poll.js";
 import * as session from "./server-session.js";
@@ -25,15 +26,15 @@
 
 /** Receives what servers report about their runs. */
 export interface FleetHandlers {
-    /** A server listed its running and ended tasks; `sentAt` is when the renewal was sent, on the monotonic clock. */
+    /** A server listed its running and ended tasks. */
     readonly onLists: (
         server: session.ServerSession,
         lists: Extract<platform.serverCalls.LeaseRenewalResult, { readonly kind: "lists"; }>,
-        sentAt: number,
+        sent: SentRenewal,
     ) => void;
     /** A server crashed; called before `onRebooted` and `onRunsLost`. */
     readonly onCrash: (crash: ServerCrash) => void;
-    /** A server answered from another boot under the same ID; `sentAt` is as in `onLists`. */
+    /** A server answered from another boot under the same ID, to a renewal that was sent at `sentAt`. */
     readonly onRebooted: (server: session.ServerSession, sentAt: number) => void;
     /**
      * These runs on the server can't be running any more: another server has its address, its machine ended, or its lease
@@ -68,9 +69,11 @@
 const lateRenewal = 1000;
 
 /** A lease renewal as it was sent. */
-interface SentRenewal {
+export interface SentRenewal {
     /** On the monotonic clock. */
     readonly sentAt: number;
+    /** Fencing token with which it was sent. */
+    readonly token: number;
     /** 0 if it acknowledges none. */
     readonly acknowledgedEnd: number;
     /** Ends of the boot to which the acknowledgement applies. */
@@ -82,6 +85,7 @@
     readonly #lapsedRuns = new lapsedRuns.LapsedRuns();
     readonly #boots: serverBoots.ServerBoots;
     readonly #leases: serverBoots.LeaseBounds;
+    readonly #tokens: serverFence.TermTokens;
     #stopped = false;
     #started = false;
 
@@ -93,6 +97,7 @@
     ) {
         const { settings } = shared;
         this.#leases = { lease: context.computeLeaseDuration(settings), maxLease: settings.bounds.maxLease };
+        this.#tokens = new serverFence.TermTokens(shared.epoch);
         this.#boots = new serverBoots.ServerBoots(shared, this.#leases, storedBoots);
     }
 
@@ -145,26 +150,13 @@
         known.unlisted = false;
         if (isNewBoot && !this.#stopped) {
             known.doubtBoot(this.shared.clock.monotonic());
-            this.#sendFencingToken(entry);
+            // The response to the poll under way may not come any more.
+            void serverPoll.sendFencingToken(this.shared, known);
         }
         this.#updateEligibility(known);
         this.shared.schedulePass();
     }
 
-    /**
-     * Makes a new boot refuse late orders of earlier coordinators, which it would carry out until the next poll: it has
-     * forgotten the fencing token, and the response to the poll under way may not come any more.
-     */
-    #sendFencingToken({ id, address }: platform.operatorRecords.ServerRegistration): void {
-        const call = platform.serverCalls.createLeaseRenewalCall(id, {
-            fencingToken: this.shared.epoch,
-            acknowledgedEnd: 0,
-            leaseEnd: undefined,
-            wait: 0,
-        });
-        void this.shared.serverCalls.send(address, call, context.serverCallTimeout);
-    }
-
     /** Logs a change of what decides which tasks fit on the server. */
     #logChange(before: platform.operatorRecords.ServerRegistration, after: typeof before): void {
         if (describeCapacity(before) !== describeCapacity(after)) {
@@ -237,6 +229,7 @@
             load,
             this.shared.termStartedAt,
             this.#leases,
+            this.#tokens,
         );
         created.leases.bootMayHoldOther = this.#boots.find(entry.id)?.leaseEnd !== undefined;
         created.lastAnswerAt = this.shared.clock.monotonic();
@@ -279,19 +272,12 @@
     }
 
     async #confirmLoneStart(server: session.ServerSession): Promise<void> {
-        const { serverCalls, epoch, log } = this.shared;
-        const call = platform.serverCalls.createLeaseRenewalCall(server.entry.id, {
-            fencingToken: epoch,
-            acknowledgedEnd: 0,
-            leaseEnd: undefined,
-            wait: 0,
-        });
         server.confirmingLoneStart = true;
-        const answer = await serverCalls.send(server.entry.address, call, context.serverCallTimeout);
+        const answer = await serverPoll.sendFencingToken(this.shared, server);
         server.confirmingLoneStart = false;
         server.startingAloneUntil = undefined;
         if (answer.isErr()) {
-            log.info("start-unconfirmed", { server: server.entry.id, reason: answer.error.reason });
+            this.shared.log.info("start-unconfirmed", { server: server.entry.id, reason: answer.error.reason });
             return;
         }
         const decoded = platform.serverCalls.decodeLeaseRenewal(answer.value);
@@ -331,7 +317,7 @@
     }
 
     async #pollOnce(server: session.ServerSession): Promise<void> {
-        const { clock, epoch, serverCalls } = this.shared;
+        const { clock, serverCalls } = this.shared;
         const sentAt = clock.monotonic();
         const serverClock = server.clock.estimate(sentAt);
         // An unreachable server gets no new lease, so that its lease expires and its tasks can start elsewhere.
@@ -354,8 +340,9 @@
         // A server that didn't respond may have rebooted, and one that does may reboot before it receives this call. It
         // would take a number of the boot before for one of its own ends, so none is sent without need.
         const acknowledgedEnd = server.mayAcknowledge && ends.lastStored > ends.lastAcknowledged ? ends.lastStored : 0;
+        const token = leaseEnd !== undefined || acknowledgedEnd > 0 ? server.fence.use() : server.fence.token;
         const call = platform.serverCalls.createLeaseRenewalCall(server.entry.id, {
-            fencingToken: epoch,
+            fencingToken: token,
             acknowledgedEnd,
             leaseEnd,
             wait,
@@ -363,8 +350,11 @@
         const answer = serverClock === undefined
             ? await serverPoll.sendFirstRenewal(serverCalls, server.entry.address, call)
             : await serverPoll.sendPoll(serverCalls, server, call, wait);
-        if (leaseEnd !== undefined && (answer === undefined || answer.isErr())) {
-            server.leases.recordArrival(clock.monotonic());
+        if (answer === undefined || answer.isErr()) {
+            server.fence.raise();
+            if (leaseEnd !== undefined) {
+                server.leases.recordArrival(clock.monotonic());
+            }
         }
         if (this.#stopped || answer === undefined) {
             return;
@@ -379,7 +369,7 @@
         await this.#applyAnswer(
             server,
             platform.serverCalls.decodeLeaseRenewal(answer.value),
-            { sentAt, acknowledgedEnd, ends },
+            { sentAt, token, acknowledgedEnd, ends },
         );
     }
 
@@ -422,7 +412,7 @@
             await this.#handleFailure(server, "malformed response");
             return;
         }
-        if (context.stepDownIfFenced(this.shared, server.entry.id, answer)) {
+        if (server.handleFencing(this.shared, answer, sent.token)) {
             return;
         }
         if (answer.kind !== "lists") {
@@ -456,7 +446,10 @@
             this.shared.log.info("server-reached", { server: server.entry.id, service: server.entry.service });
             this.shared.schedulePass();
         }
-        this.handlers.onLists(server, answer, sent.sentAt);
+        this.handlers.onLists(server, answer, sent);
+        if (isNextBoot && server.fence.isUsed) {
+            server.doubtBoot(now); // Calls under way may have been meant for the boot before.
+        }
         await Promise.all([this.#waitUntilEndsStored(server), this.#waitUntilBootStored(server)]);
     }
 
--- a/packages/dispatch/src/leader-election.ts
+++ b/packages/dispatch/src/leader-election.ts
@@ -14,6 +14,7 @@
 import * as crypto from "node:crypto";
 import * as timers from "node:timers/promises";
 import type * as clocks from "./clocks.js";
+import * as serverFence from "./server-fence.js";
 
 /** Time in ms between two heartbeats of the coordinator. */
 export const heartbeatInterval = 300;
@@ -289,7 +290,7 @@
         }
         // The same epoch's newest heartbeat, which has the longest tenure.
         const lastBeforeClaim = this.newestLeadership;
-        const epoch = Math.max(lastBeforeClaim?.epoch ?? 0, this.#takenEpoch) + 1;
+        const epoch = serverFence.computeNextEpoch(Math.max(lastBeforeClaim?.epoch ?? 0, this.#takenEpoch));
         const end = ledger.nextOffset;
         if (!await this.#fenceEarlierEpochs(epoch, end, jitter)) {
             return;
--- a/packages/dispatch/src/run-manager.ts
+++ b/packages/dispatch/src/run-manager.ts
@@ -13,12 +13,12 @@
 import * as context from "./context.js";
 import type * as jobRegistry from "./job-registry.js";
 import * as session from "./server-session.js";
-import * as strayStarts from "./stray-starts.js";
+import * as startCalls from "./start-calls.js";
 
 /** Time in ms between two attempts of a stop that wasn't confirmed. */
 const stopRetryDelay = 250;
-/** Time in ms between two attempts of a start that wasn't confirmed. */
-const startRetryDelay = 250;
+/** Time in ms between two checks whether a start that wasn't confirmed may be repeated. */
+const startRetryDelay = 50;
 /** Time in ms for which a server gets no starts after one that failed or was refused. */
 const refusalBackoff = 300;
 
@@ -82,11 +82,8 @@
     #ended = false;
     /** Runs that were planned and whose start has no response yet. */
     readonly #startsUnderWay = new Set<session.ActiveRun>();
-    readonly #strayStarts: strayStarts.StrayStarts;
 
-    constructor(private readonly options: RunManagerOptions) {
-        this.#strayStarts = new strayStarts.StrayStarts(options.shared);
-    }
+    constructor(private readonly options: RunManagerOptions) {}
 
     /** Number of runs that were planned and whose start has no response yet. */
     get startsUnderWay(): number {
@@ -192,7 +189,8 @@
             startSentAt: now,
             startClock: undefined,
             startLastSentAt: undefined,
-            reachesKnownBootOnly: false,
+            startToken: undefined,
+            strayStartSentAt: Number.NEGATIVE_INFINITY,
             startedOnNextBoot: false,
             percent: 0,
             percentChangedAt: now,
@@ -215,9 +213,7 @@
         if (run.phase !== session.RunPhase.planned || !this.#isCurrent(server, run)) {
             return;
         }
-        const now = shared.clock.monotonic();
-        const serverClock = server.clock.estimate(now);
-        if (serverClock === undefined || run.entry.cancelledAt !== undefined || !mayStart(server, run)) {
+        if (server.clock.sample === undefined || run.entry.cancelledAt !== undefined || !mayStart(server, run)) {
             this.#dropRun(
                 server,
                 run,
@@ -229,34 +225,16 @@
             this.#dropRun(server, run, "the intent was stored too long ago");
             return;
         }
-        const leaseEnd = serverClock + context.computeLeaseDuration(shared.settings);
-        server.leases.recordOrder(leaseEnd, now);
         run.phase = session.RunPhase.ordered;
-        run.startSentAt = now;
-        run.startLastSentAt = now;
-        const earliest = server.clock.computeEarliestReading(now);
         this.#reserveStart(server, run);
-        const call = platform.serverCalls.createStartCall(server.entry.id, {
-            task: { jobId: run.entry.id, ...run.position },
-            run: run.runNumber,
-            payload: run.entry.job!.payload,
-            leaseEnd,
-            fencingToken: shared.epoch,
-            checkpoint: run.checkpoint,
-            ticket: run.ticket,
-        });
-        const answer = await shared.serverCalls.send(server.entry.address, call, context.serverCallTimeout);
+        const sent = await startCalls.sendStart(shared, server, run);
+        const { answer } = sent;
         this.#startsUnderWay.delete(run);
-        this.options.onStartAnswered(shared.clock.monotonic() - now);
-        if (answer.isErr() && answer.error.fault !== httpCalls.CallFault.unsent) {
-            this.#strayStarts.add(server, run);
-            this.#logUnanswered(server, run, answer.error.onUsedConnection);
-        }
+        this.options.onStartAnswered(shared.clock.monotonic() - sent.sentAt);
         if (!this.#isCurrent(server, run)) {
             return;
         }
         if (answer.isErr()) {
-            run.reachesKnownBootOnly = answer.error.onUsedConnection;
             if (run.phase !== session.RunPhase.ordered) {
                 return; // The server has listed the run meanwhile, or it is being stopped.
             }
@@ -268,80 +246,56 @@
             run.phase = session.RunPhase.uncertain;
             server.backoffUntil = shared.clock.monotonic() + refusalBackoff;
             server.doubtBoot(shared.clock.monotonic());
-            await this.#resolveUnansweredStart(server, run, call);
+            await this.#resolveUnansweredStart(server, run);
             return;
         }
-        this.#handleStartAnswer(server, run, platform.serverCalls.decodeOrderResult(answer.value), earliest);
+        this.#handleStartAnswer(server, run, sent, platform.serverCalls.decodeOrderResult(answer.value));
     }
 
     /**
-     * Finds out what became of a start without a response. That of a long-running task is repeated, which changes nothing
-     * if the server has carried it out: a stop could end the task when it is at work and others of its step are away.
+     * Finds out what became of a start without a response, by the server's next list. If it hasn't been carried out, it is
+     * repeated there: if a later boot carries it out after all, no other server has the task. That of a long-running task is
+     * repeated until it is answered, as a stop could end the task when it is at work and others of its step are away.
      */
-    async #resolveUnansweredStart(
-        server: session.ServerSession,
-        run: session.ActiveRun,
-        call: platform.Call,
-    ): Promise<void> {
+    async #resolveUnansweredStart(server: session.ServerSession, run: session.ActiveRun): Promise<void> {
         const { shared } = this.options;
+        const repeatsUntil = run.startSentAt + context.maxCallLateness;
         const isUncertain = () =>
             run.phase === session.RunPhase.uncertain && this.#isCurrent(server, run) && !server.closed && !this.#ended;
-        const isOnKnownBoot = () => run.bootId === server.bootId && !server.entry.draining;
-        while (run.step.longRunning && isUncertain() && isOnKnownBoot()) {
+        const mayRepeat = () =>
+            isUncertain() && run.bootId === server.bootId && !server.entry.draining
+            && (run.step.longRunning || shared.clock.monotonic() < repeatsUntil) && run.entry.cancelledAt === undefined;
+        while (mayRepeat()) {
             await timers.setTimeout(startRetryDelay);
-            if (!isUncertain() || !isOnKnownBoot()) {
+            if (!mayRepeat()) {
                 break;
             }
             if (!shared.mayExtendLeases() || !mayStart(server, run)) {
                 continue; // A boot that started since would get a new lease by this call.
             }
-            const now = shared.clock.monotonic();
-            const earliest = server.clock.computeEarliestReading(now);
-            server.leases.recordOrder(server.leases.latestEnd, now);
-            run.startLastSentAt = now;
-            const { reachesKnownBootOnly } = run;
-            run.reachesKnownBootOnly = false;
-            const answer = await shared.serverCalls.send(server.entry.address, call, context.serverCallTimeout);
-            if (answer.isErr()) {
-                run.reachesKnownBootOnly = reachesKnownBootOnly && answer.error.onUsedConnection;
-                this.#strayStarts.add(server, run);
-                this.#logUnanswered(server, run, answer.error.onUsedConnection);
-            }
-            if (answer.isErr() || !isUncertain()) {
+            const sent = await startCalls.sendStart(shared, server, run);
+            if (sent.answer.isErr()) {
+                server.doubtBoot(shared.clock.monotonic());
                 continue;
             }
-            const decoded = platform.serverCalls.decodeOrderResult(answer.value);
-            if (decoded.kind === "not-done" && unhealthyStatuses.has(decoded.status)) {
-                continue; // An earlier attempt may have been carried out.
+            if (!isUncertain()) {
+                break;
             }
+            const decoded = platform.serverCalls.decodeOrderResult(sent.answer.value);
             if (decoded.kind === "done") {
-                this.#handleStartAnswer(server, run, decoded, earliest);
+                this.#handleStartAnswer(server, run, sent, decoded);
                 return;
             }
-            if (context.stepDownIfFenced(shared, server.entry.id, decoded)) {
-                return;
+            const isUnhealthy = decoded.kind === "not-done" && unhealthyStatuses.has(decoded.status);
+            if (!(isUnhealthy && run.step.longRunning) && !server.handleFencing(shared, decoded, sent.token)) {
+                break;
             }
-            break; // Refused, but an earlier attempt may still arrive, so it has to be stopped.
         }
         if (isUncertain()) {
             void this.stop(server, run, StopCause.startUnanswered);
         }
     }
 
-    /** Logs each start that may be carried out late, also of a run that has ended meanwhile. */
-    #logUnanswered(server: session.ServerSession, run: session.ActiveRun, onUsedConnection: boolean): void {
-        const { clock, log } = this.options.shared;
-        const now = clock.monotonic();
-        log.warn("start-unanswered", {
-            task: run.name,
-            phase: run.phase,
-            meantFor: run.bootId,
-            sentBefore: Math.round(now - (run.startLastSentAt ?? now)),
-            onUsedConnection,
-            ...server.describeContact(now),
-        });
-    }
-
     /** Records that a server confirmed a start of the job, by its response or by listing a run or its end. */
     #recordBegun(entry: jobState.JobEntry): void {
         const { progress } = entry;
@@ -357,12 +311,11 @@
         this.options.shared.writer.addToNextBatch(entry);
     }
 
-    /** @param earliest lowest reading that the known boot could give when the start was sent */
     #handleStartAnswer(
         server: session.ServerSession,
         run: session.ActiveRun,
+        { earliest, token }: startCalls.SentStart,
         answer: platform.serverCalls.OrderResult,
-        earliest: number,
     ): void {
         const { shared } = this.options;
         const clock = "clock" in answer ? answer.clock : undefined;
@@ -388,7 +341,7 @@
             }
             return;
         }
-        if (context.stepDownIfFenced(shared, server.entry.id, answer)) {
+        if (server.handleFencing(shared, answer, token) && !server.fence.isOwn(token)) {
             return;
         }
         shared.log.info("start-refused", {
@@ -422,10 +375,11 @@
                 continue;
             }
             this.#logStop(server, run, cause, decidedAt);
+            const { token } = server.fence;
             const call = platform.serverCalls.createStopCall(server.entry.id, {
                 task: { jobId: run.entry.id, ...run.position },
                 run: run.runNumber,
-                fencingToken: shared.epoch,
+                fencingToken: token,
             });
             const earliest = server.clock.computeEarliestReading(shared.clock.monotonic());
             const answer = await shared.serverCalls.send(server.entry.address, call, context.serverCallTimeout);
@@ -438,7 +392,7 @@
                     run.expectedInListsFrom = shared.clock.monotonic();
                     return;
                 }
-                if (context.stepDownIfFenced(shared, server.entry.id, decoded)) {
+                if (server.handleFencing(shared, decoded, token) && !server.fence.isOwn(token)) {
                     return;
                 }
             }
@@ -475,15 +429,14 @@
     }
 
     /**
-     * Applies the lists of running and ended tasks in a lease renewal; `sentAt` is when it was sent, on the monotonic
-     * clock.
+     * Applies the lists of running and ended tasks in a lease renewal, with the time at which it was sent, on the monotonic
+     * clock, and its fencing token.
      */
     applyLists(
         server: session.ServerSession,
         lists: Extract<platform.serverCalls.LeaseRenewalResult, { readonly kind: "lists"; }>,
-        sentAt: number,
+        { sentAt, token }: { readonly sentAt: number; readonly token: number; },
     ): void {
-        this.#strayStarts.stopInNewestBoot(server);
         const seen = new Set<string>();
         for (const row of lists.running) {
             const name = formatRunName(row.task, row.run);
@@ -503,8 +456,16 @@
         }
         for (const [name, run] of server.runs) {
             const expected = run.expectedInListsFrom !== undefined && run.expectedInListsFrom < sentAt;
-            if (expected && lists.complete && !seen.has(name)) {
-                this.#endRun(server, run, jobState.RunEnd.lost, "", { listed, processed: server.ends.lastProcessed });
+            // One that isn't to be stopped is started again on the boot for which it was meant.
+            const refused = session.isStartSettled(run, token) && unconfirmedPhases.has(run.phase)
+                && (run.phase === session.RunPhase.stopping || run.bootId !== server.bootId);
+            if ((expected || refused) && lists.complete && !seen.has(name)) {
+                const evidence = {
+                    listed,
+                    processed: server.ends.lastProcessed,
+                    startRefusedFrom: refused ? token : undefined,
+                };
+                this.#endRun(server, run, jobState.RunEnd.lost, "", evidence);
             }
             else if (run.bootId !== server.bootId && run.phase === session.RunPhase.inherited) {
                 this.#endRun(server, run, jobState.RunEnd.lost, "", { bootedAt: server.bootedAt });
@@ -673,7 +634,7 @@
         const call = platform.serverCalls.createStopCall(server.entry.id, {
             task: row.task,
             run: row.run,
-            fencingToken: shared.epoch,
+            fencingToken: server.fence.token,
         });
         void shared.serverCalls.send(server.entry.address, call, context.serverCallTimeout);
     }
--- a/packages/dispatch/src/server-clock.ts
+++ b/packages/dispatch/src/server-clock.ts
@@ -53,7 +53,7 @@
     }
 
     /**
-     * Records the reading in a response to an order. One that the known boot can't have given puts the server in doubt.
+     * Records the reading in a response to an order, unless the known boot can't have given it.
      *
      * @param earliest `computeEarliestReading` when the order was sent
      * @param now on the monotonic clock
@@ -62,7 +62,6 @@
     recordReading(reading: number, earliest: number, now: number): boolean {
         const estimate = this.estimate(now);
         if (reading < earliest || estimate !== undefined && reading > estimate + this.maxLead) {
-            this.doubt(now);
             return false;
         }
         this.latest = Math.max(this.latest, reading);
--- a/packages/dispatch/src/server-leases.ts
+++ b/packages/dispatch/src/server-leases.ts
@@ -65,7 +65,12 @@
 
     /** The same for a later boot, which no list has shown, by the orders that were meant for the known one. */
     computeNextBootExpiry(): number {
-        return this.#lastArrival + this.bounds.maxLease / serverClock.minClockRate + expiryMargin;
+        return this.computeLongestExpiry(this.#lastArrival);
+    }
+
+    /** On the monotonic clock: when the longest lease by an order that arrived at `time` has certainly expired. */
+    computeLongestExpiry(time: number): number {
+        return time + this.bounds.maxLease / serverClock.minClockRate + expiryMargin;
     }
 
     /**
--- a/packages/dispatch/src/server-poll.ts
+++ b/packages/dispatch/src/server-poll.ts
@@ -1,6 +1,6 @@
 /** Sends the calls with which the coordinator polls a backend server. */
 import type * as httpCalls from "@catkinwharf/http-calls";
-import type * as platform from "@catkinwharf/platform";
+import * as platform from "@catkinwharf/platform";
 import * as timers from "node:timers/promises";
 import * as context from "./context.js";
 import type * as session from "./server-session.js";
@@ -31,6 +31,20 @@
     return answer.isOk() ? answer : firstIsFaster ? second : first;
 }
 
+/** Asks a server for its list at once, and makes it refuse late calls with a lower fencing token. */
+export function sendFencingToken(
+    { serverCalls }: Pick<context.CoordinatorContext, "serverCalls">,
+    { entry, fence }: session.ServerSession,
+): Promise<Answer> {
+    const call = platform.serverCalls.createLeaseRenewalCall(entry.id, {
+        fencingToken: fence.token,
+        acknowledgedEnd: 0,
+        leaseEnd: undefined,
+        wait: 0,
+    });
+    return serverCalls.send(entry.address, call, context.serverCallTimeout);
+}
+
 /**
  * Polls a server that may delay its response.
  *
--- a/packages/dispatch/src/server-session.ts
+++ b/packages/dispatch/src/server-session.ts
@@ -2,11 +2,12 @@
  * The coordinator's view of one backend server: its boot, clock, lease and runs.
  */
 import type * as jobState from "@catkinwharf/job-state";
-import type * as platform from "@catkinwharf/platform";
+import * as platform from "@catkinwharf/platform";
 import * as scheduling from "@catkinwharf/scheduling";
 import * as context from "./context.js";
 import type * as serverBoots from "./server-boots.js";
 import * as serverClock from "./server-clock.js";
+import * as serverFence from "./server-fence.js";
 import * as serverLeases from "./server-leases.js";
 
 /** State of a run as its coordinator knows it. */
@@ -51,13 +52,18 @@
     startSentAt: number;
     /** On the monotonic clock: when the start was last sent, `undefined` if not by this coordinator. */
     startLastSentAt: number | undefined;
+    /** Fencing token with which it was last sent; `undefined` if not by this coordinator. */
+    startToken: number | undefined;
     /**
      * On the server's clock: when it confirmed the start or, as seen by this coordinator, first listed the run;
      * `undefined` before that, as a start without an answer may be carried out seconds later.
      */
     startClock: number | undefined;
-    /** Each time that its start was sent without getting a response, the connection could reach no boot but the known one. */
-    reachesKnownBootOnly: boolean;
+    /**
+     * On the monotonic clock: when a start was last sent that a later boot of the server may carry out, as it got no response
+     * on a connection that may lead there. Negative infinity if there is none.
+     */
+    strayStartSentAt: number;
     /** Another boot of the server than the known one confirmed the start, and no list has shown the run since. */
     startedOnNextBoot: boolean;
     /** An earlier coordinator saw that the server outlasted the start. */
@@ -106,6 +112,7 @@
     /** Boot time that the server reported; `undefined` until it has responded. */
     bootedAt: number | undefined;
     readonly clock: serverClock.ServerClock;
+    readonly fence: serverFence.ServerFence;
     readonly leases: serverLeases.ServerLeases;
     /** Reading of the server's clock in its newest list; 0 before the first. */
     #listClock = 0;
@@ -150,8 +157,10 @@
         readonly load: scheduling.ServerLoad,
         private readonly termStartedAt: number,
         bounds: serverBoots.LeaseBounds,
+        tokens: serverFence.TermTokens,
     ) {
         this.lastAnswerAt = termStartedAt;
+        this.fence = new serverFence.ServerFence(tokens);
         this.clock = new serverClock.ServerClock(context.serverCallTimeout);
         this.leases = new serverLeases.ServerLeases(bounds, termStartedAt);
     }
@@ -248,20 +257,39 @@
     recordReading(reading: number, earliest: number, now: number): boolean {
         const isKnownBoot = this.clock.recordReading(reading, earliest, now);
         if (!isKnownBoot) {
-            this.interruptPoll?.();
+            this.doubtBoot(now);
         }
         return isKnownBoot;
     }
 
     /**
      * The server may be down, or in another boot than the known one, at `now` on the monotonic clock: until it has listed its
-     * runs again it gets no lease, no start and no acknowledgement.
+     * runs again it gets no lease, no start and no acknowledgement. That list settles all calls that were sent before.
      */
     doubtBoot(now: number): void {
         this.clock.doubt(now);
+        this.fence.raise();
         this.interruptPoll?.();
     }
 
+    /**
+     * Handles a refusal of a call because the server has got a higher fencing token: if this coordinator didn't send that one,
+     * only a newer one can have, so this one steps down. Returns whether the call was refused so.
+     *
+     * @param token with which the call was sent
+     */
+    handleFencing(
+        shared: Pick<context.CoordinatorContext, "stepDown">,
+        answer: platform.serverCalls.OrderResult | platform.serverCalls.LeaseRenewalResult,
+        token: number,
+    ): boolean {
+        const isFenced = answer.kind === "refused" && answer.reason === platform.serverCalls.Refusal.fenced;
+        if (isFenced && !this.fence.isOwn(token)) {
+            shared.stepDown(`server ${this.entry.id} has seen a higher fencing token`);
+        }
+        return isFenced;
+    }
+
     /** Whether ends of the known boot may be acknowledged; another boot would take their numbers for its own ends'. */
     get mayAcknowledge(): boolean {
         return this.reachable && !this.clock.isInDoubt;
@@ -323,23 +351,23 @@
         }
         const expiry = this.leases.computeExpiry(sample);
         const nextBootExpiry = Math.max(expiry, this.leases.computeNextBootExpiry());
-        return [...this.runs.values()].filter(run => now >= (mayBeOnNextBoot(run) ? nextBootExpiry : expiry));
+        return [...this.runs.values()].filter(run =>
+            now >= Math.max(
+                run.startedOnNextBoot ? nextBootExpiry : expiry,
+                this.leases.computeLongestExpiry(run.strayStartSentAt + context.serverCallTimeout),
+            )
+        );
     }
 }
 
-/**
- * Whether the start may be carried out after `time`, on the monotonic clock, and so by a later boot than one that had ended
- * by then.
- */
-export function mayStartAfter(run: ActiveRun, time: number): boolean {
-    return mayBeOnNextBoot(run) && run.startLastSentAt !== undefined
-        && run.startLastSentAt + context.serverCallTimeout >= time;
+/** Whether a boot of the server that began after `time`, on the monotonic clock, may carry the start out. */
+export function mayStartAfter({ strayStartSentAt }: ActiveRun, time: number): boolean {
+    return strayStartSentAt + context.maxCallLateness >= time;
 }
 
-/** Whether the start may have been carried out by a later boot of the server than the known one. */
-function mayBeOnNextBoot(run: ActiveRun): boolean {
-    return run.startClock === undefined && run.phase !== RunPhase.planned
-        && (run.startedOnNextBoot || !run.reachesKnownBootOnly);
+/** Whether the server's list, which was requested with a fencing token, shows what has become of the run's start. */
+export function isStartSettled({ startToken }: ActiveRun, listToken: number): boolean {
+    return startToken !== undefined && startToken < listToken;
 }
 
 /** Identifies one boot of a server: "<server>@<boot time>". */
--- a/packages/dispatch/src/testing/burst-play.ts
+++ b/packages/dispatch/src/testing/burst-play.ts
@@ -14,6 +14,7 @@
 import * as quotaMeter from "../quota-meter.js";
 import * as rateHold from "../rate-hold.js";
 import * as runManager from "../run-manager.js";
+import * as serverFence from "../server-fence.js";
 import * as session from "../server-session.js";
 import * as ticketCache from "../ticket-cache.js";
 import * as testing from "./context.js";
@@ -128,6 +129,7 @@
         },
         0,
         { lease: 4500, maxLease: 6000 },
+        new serverFence.TermTokens(0),
     );
     server.reachable = true;
     server.clock.sample = { server: 0, received: 0 };
@@ -224,7 +226,7 @@
                 checkpoint: "",
             }],
             complete: false,
-        }, now);
+        }, { sentAt: now, token: 0 });
         const job = jobs.get(run.entry.id)!;
         if (run.entry.progress?.status === jobState.JobStatus.completed) {
             job.endedAt ??= now + showDelay;
--- a/packages/dispatch/src/testing/placement-play.ts
+++ b/packages/dispatch/src/testing/placement-play.ts
@@ -14,6 +14,7 @@
 import * as jobRegistry from "../job-registry.js";
 import * as placer from "../placer.js";
 import * as runManager from "../run-manager.js";
+import * as serverFence from "../server-fence.js";
 import * as session from "../server-session.js";
 import * as ticketCache from "../ticket-cache.js";
 import * as context from "./context.js";
@@ -166,6 +167,7 @@
         },
         0,
         { lease: 4500, maxLease: 6000 },
+        new serverFence.TermTokens(0),
     );
     server.reachable = true;
     server.clock.sample = { server: 0, received: 0 };
@@ -239,7 +241,7 @@
             checkpoint: "",
         }],
         complete: false,
-    }, now);
+    }, { sentAt: now, token: 0 });
 }
 
 export async function play({ seed, policy, serverCount, overload, classes }: PlayOptions): Promise<PlayReport> {
--- a/packages/dispatch/src/testing/simulation.ts
+++ b/packages/dispatch/src/testing/simulation.ts
@@ -13,6 +13,7 @@
 import * as coordinator from "../coordinator.js";
 import * as earlierOrders from "../earlier-orders.js";
 import type * as leaderElection from "../leader-election.js";
+import * as serverFence from "../server-fence.js";
 import * as availabilityRule from "./availability-rule.js";
 import * as connections from "./connections.js";
 import * as contextTesting from "./context.js";
@@ -290,7 +291,11 @@
     startCoordinator(pause = 0): void {
         this.#lastEpoch += 1;
         const epoch = this.#lastEpoch;
-        const claim = { epoch, sequence: 0, claimedAt: this.time.clock.monotonic() };
+        const claim = {
+            epoch: epoch * serverFence.tokensPerEpoch,
+            sequence: 0,
+            claimedAt: this.time.clock.monotonic(),
+        };
         this.#topics.append(jobState.ledgerTopic, [], { producer: { name: jobState.ledgerProducer, ...claim } });
         const { clock } = this.time;
         const jobs = new jobState.JobTable();
