--- a/packages/dispatch/src/testing/simulation.ts
+++ b/packages/dispatch/src/testing/simulation.ts
@@ -45,6 +45,8 @@
     readonly answered: boolean;
     /** Time in ms for which the response is on its way; that of an ordinary one if there is none. */
     readonly answeredAfter?: number;
+    /** The server has received the call before it carries it out: the end of its connection changes nothing. */
+    readonly outlastsConnection?: boolean;
     /** The server responds that it is unhealthy, and does nothing. */
     readonly refusedAsUnhealthy?: boolean;
     /** Resolves when the connection is refused or breaks; a call without a response fails then. */
@@ -104,7 +106,11 @@
     readonly fields: eventLog.Fields;
 }
 
-type Delivery = (late: boolean, respond: (response: platform.HttpResponse) => void, reset: () => void) => void;
+type Delivery = (
+    fate: Fate,
+    respond: (response: platform.HttpResponse) => void,
+    reset: () => void,
+) => void;
 
 interface CallConnection {
     /** Whether the server is up, or was when the connection was opened. */
@@ -483,15 +489,16 @@
             const connection = this.options.keepsConnections === true && !isMachineCall
                 ? pool.take(address, findServer())
                 : undefined;
-            const deliver: Delivery = (late, respond, reset) => {
+            const deliver: Delivery = ({ carriedOutAfter, outlastsConnection }, respond, reset) => {
                 if (isMachineCall) {
                     respond(this.#handleMachineCall(platformTesting.decodeMachineCall(call)));
                     return;
                 }
-                if (abort?.signal.aborted === true) {
+                if (abort?.signal.aborted === true && outlastsConnection !== true) {
                     return; // Its connection was closed before it arrived.
                 }
                 const server = findServer();
+                const late = carriedOutAfter! > lateAfter;
                 if (connection?.isResetBy(server) === true) {
                     reset();
                 }
@@ -533,7 +540,6 @@
             if (process.dead || isUnsent || fate.carriedOutAfter === undefined) {
                 return;
             }
-            const late = fate.carriedOutAfter > lateAfter;
             const respond = (response: platform.HttpResponse) => {
                 if (fate.answered && !process.dead) {
                     this.time.schedule(
@@ -550,7 +556,7 @@
             const { carriedOutAfter, refusedAsUnhealthy } = fate;
             this.#work(processorCost.call, () =>
                 this.time.schedule(
-                    () => refusedAsUnhealthy === true ? respond(unhealthy) : deliver(late, respond, reset),
+                    () => refusedAsUnhealthy === true ? respond(unhealthy) : deliver(fate, respond, reset),
                     carriedOutAfter,
                 ));
         });
