Soak: calls that reach a server's later lives, and tokens counted within an epoch

Cause: no fault of the soak delays calls of servers that restart, and the soak takes a run's fencing token for the epoch of its coordinator, which no longer holds once a coordinator counts its tokens up from its epoch.

Change: the fault servers-restarted-before-late-calls delays a share of the calls to some servers by 2 to 12 s, restarts these silently once or twice and then cuts them off. A token belongs to the highest epoch among the terms that isn't above it, which is the same as before for versions that use the epoch itself.

--- a/packages/job-soak/src/faults.ts
+++ b/packages/job-soak/src/faults.ts
@@ -5,7 +5,7 @@
 import * as jobState from "@catkinwharf/job-state";
 import * as platformStandIns from "@catkinwharf/platform-stand-ins";
 import * as timers from "node:timers/promises";
-import type * as judgement from "./judgement.js";
+import * as judgement from "./judgement.js";
 
 const { StoreFault } = platformStandIns;
 
@@ -91,6 +91,11 @@
 const maxDarkTime = 700;
 /** Longest time in ms until a server registers its new boot: the users' interval of its reports. */
 const maxRegistrationDelay = 1500;
+/** In ms: by how much servers carry out calls of a former life late, and for how long before the first restart they get these. */
+const formerLifeLateness = { min: 2000, max: 12_000 };
+const formerLifeCalls = { min: 200, max: 1500 };
+/** Longest time in ms between two restarts of a server, and from the last one until all its calls are carried out in time. */
+const maxLifeTime = 2000;
 /** Share of the servers that restarts with a cut leave alone, so that the load goes on. */
 const minServingShare = 0.5;
 /** Time in ms in which a throttled process runs once. */
@@ -343,35 +348,62 @@
  * Restarts some servers silently and then cuts them off from all processes, perhaps before a coordinator has listed the new
  * boots; what runs there goes on. Sometimes the coordinator is killed between the two.
  */
-async function restartAndCutServers(context: FaultContext): Promise<ActiveFault | undefined> {
-    const { random, disturbed } = context;
-    const machines = pickServingMachines(context, 0.2 + 0.3 * random.next());
-    if (machines.length === 0) {
-        return undefined;
-    }
-    const servers = machines.map(({ server }) => server);
-    servers.forEach(({ id }) => disturbed.add(id));
+function createRestartAndCut(
+    restartServers: (context: FaultContext, machines: readonly ServingMachine[]) => void | Promise<void>,
+): Fault {
+    return async context => {
+        const { random, disturbed } = context;
+        const machines = pickServingMachines(context, 0.2 + 0.3 * random.next());
+        if (machines.length === 0) {
+            return undefined;
+        }
+        const servers = machines.map(({ server }) => server);
+        servers.forEach(({ id }) => disturbed.add(id));
+        await restartServers(context, machines);
+        const untilCut = draw(random, 300, 3000);
+        const untilKill = random.next() < 0.4 ? draw(random, 0, untilCut) : undefined;
+        await timers.setTimeout(untilKill ?? untilCut);
+        const killed = untilKill === undefined ? undefined : await killCoordinator(context);
+        void timers.setTimeout(killed?.duration ?? 0).then(killed?.end);
+        await timers.setTimeout(untilCut - (untilKill ?? untilCut));
+        for (const server of servers) {
+            server.mode = platformStandIns.ServerMode.silent;
+        }
+        const note = killed === undefined ? "" : `, ${killed.subject} killed after ${untilKill} ms`;
+        return {
+            subject: `${servers.map(({ id }) => id).join(", ")}, cut off after ${untilCut} ms${note}`,
+            duration: draw(random, 5000, 12_000),
+            end: () => {
+                for (const server of servers) {
+                    server.mode = platformStandIns.ServerMode.up;
+                    disturbed.delete(server.id);
+                }
+            },
+        };
+    };
+}
+
+function restartOnce(context: FaultContext, machines: readonly ServingMachine[]): void {
     machines.forEach(machine => restartSilently(context, machine));
-    const untilCut = draw(random, 300, 3000);
-    const untilKill = random.next() < 0.4 ? draw(random, 0, untilCut) : undefined;
-    await timers.setTimeout(untilKill ?? untilCut);
-    const killed = untilKill === undefined ? undefined : await killCoordinator(context);
-    void timers.setTimeout(killed?.duration ?? 0).then(killed?.end);
-    await timers.setTimeout(untilCut - (untilKill ?? untilCut));
+}
+
+/** Restarts the servers once or twice; a share of their calls is carried out late, by whichever boot is up then. */
+async function restartBeforeLateCalls(context: FaultContext, machines: readonly ServingMachine[]): Promise<void> {
+    const { random } = context;
+    const share = 0.2 + 0.6 * random.next();
+    const servers = machines.map(({ server }) => server);
     for (const server of servers) {
-        server.mode = platformStandIns.ServerMode.silent;
+        server.findLateness = () =>
+            random.next() < share ? draw(random, formerLifeLateness.min, formerLifeLateness.max) : undefined;
+    }
+    await timers.setTimeout(draw(random, formerLifeCalls.min, formerLifeCalls.max));
+    for (let restarts = 1 + random.nextBelow(2); restarts > 0; restarts--) {
+        restartOnce(context, machines.filter(({ server }, i) => server === servers[i]));
+        await timers.setTimeout(draw(random, 0, maxLifeTime));
+    }
+    for (const server of servers) {
+        server.findLateness = () => undefined;
     }
-    const note = killed === undefined ? "" : `, ${killed.subject} killed after ${untilKill} ms`;
-    return {
-        subject: `${servers.map(({ id }) => id).join(", ")}, cut off after ${untilCut} ms${note}`,
-        duration: draw(random, 5000, 12_000),
-        end: () => {
-            for (const server of servers) {
-                server.mode = platformStandIns.ServerMode.up;
-                disturbed.delete(server.id);
-            }
-        },
-    };
 }
 
 function silenceServer(context: FaultContext): Promise<ActiveFault | undefined> {
@@ -418,7 +450,10 @@
     const servers = [...deployment.machines.machines.values()].flatMap(machine => machine.server ?? [])
         .filter(() => random.next() < share);
     for (const server of servers) {
-        server.isCutOff = token => listTerms([node], "claimed").some(term => term.epoch === token);
+        server.isCutOff = token =>
+            judgement.findTerms(token, listTerms(deployment.processes, "claimed")).some(term =>
+                term.node === node.name
+            );
     }
     return Promise.resolve({
         subject: `${node.name} from ${servers.length} servers`,
@@ -488,7 +523,8 @@
     "server-crash": crashServer,
     "server-reboot": rebootServer,
     "server-restart-silent": restartServerSilently,
-    "servers-restarted-and-cut": restartAndCutServers,
+    "servers-restarted-and-cut": createRestartAndCut(restartOnce),
+    "servers-restarted-before-late-calls": createRestartAndCut(restartBeforeLateCalls),
     "server-silent": silenceServer,
     "server-late-orders": delayOrders,
     "servers-cut": cutFromServers,
--- a/packages/job-soak/src/judgement.test.ts
+++ b/packages/job-soak/src/judgement.test.ts
@@ -31,6 +31,30 @@
     assert.match(judgement.findDuplicateRuns([createRun({}), later], terms)[0]!, /entry-1.* while .*entry-0/);
 });
 
+suite("a token is taken for one of another epoch, whether the coordinator counts its tokens or uses its epoch", () => {
+    const counted = [{ epoch: 65_536, node: "entry-0" }, { epoch: 131_072, node: "entry-1" }];
+    const findNodes = (token: number, known: readonly judgement.Term[]) =>
+        judgement.findTerms(token, known).map(({ node }) => node);
+    assert.equal([1, 2].map(token => findNodes(token, terms)), [["entry-0"], ["entry-1"]]);
+    assert.equal([65_536, 131_071, 131_072, 131_073].map(token => findNodes(token, counted)), [
+        ["entry-0"],
+        ["entry-0"],
+        ["entry-1"],
+        ["entry-1"],
+    ]);
+    assert.equal(findNodes(2, [...terms, { epoch: 2, node: "entry-2" }]), ["entry-1", "entry-2"]);
+    assert.equal(findNodes(3, counted), []);
+});
+
+suite("a duplicate is named after another process than the one that ordered it with a later token", () => {
+    const counted = [{ epoch: 65_536, node: "entry-0" }, { epoch: 131_072, node: "entry-1" }];
+    const earlier = createRun({ fencingToken: 65_540 });
+    const later = createRun({ run: 2, server: "i-2", startedAt: 150, fencingToken: 131_075 });
+    const found = judgement.findDuplicateRuns([earlier, later], counted);
+    assert.is(found.length, 1);
+    assert.match(found[0]!, /entry-1.* while .*entry-0/);
+});
+
 suite("a run that starts after an acknowledged end as done is a duplicate", () => {
     const later = createRun({ run: 2, startedAt: 250 });
     assert.is(judgement.findDuplicateRuns([createRun({ acknowledgedAt: 220 }), later], terms).length, 1);
--- a/packages/job-soak/src/judgement.ts
+++ b/packages/job-soak/src/judgement.ts
@@ -52,11 +52,23 @@
     return found;
 }
 
+/**
+ * Finds the terms of the epoch to which a fencing token belongs: the highest one that isn't above it, as a coordinator counts
+ * its tokens up from its epoch, or always uses the epoch.
+ */
+export function findTerms(fencingToken: number, terms: readonly Term[]): Term[] {
+    const epoch = Math.max(...terms.map(term => term.epoch).filter(candidate => candidate <= fencingToken));
+    return terms.filter(term => term.epoch === epoch);
+}
+
 function describeRun(run: platformStandIns.RunRecord, terms: readonly Term[]): string {
-    const nodes = terms.filter(term => term.epoch === run.fencingToken).map(term => term.node);
+    const ordering = findTerms(run.fencingToken, terms);
+    const nodes = ordering.map(term => term.node);
     const end = run.endedAt === undefined ? "" : `, ${run.how} after ${run.endedAt - run.startedAt} ms`;
     const acknowledged = run.acknowledgedAt === undefined ? "" : `, acknowledged at ${run.acknowledgedAt}`;
-    return `run ${run.run} [${run.server}, epoch ${run.fencingToken} of ${nodes.join(" and ")}, `
+    return `run ${run.run} [${run.server}, token ${run.fencingToken} of epoch ${ordering[0]?.epoch}, ${
+        nodes.join(" and ")
+    }, `
         + `started at ${run.startedAt}${end}${acknowledged}]`;
 }
 
