Random courses in which later lives of a server carry out delayed calls of all kinds

Cause: the random courses delay starts and stops only, apart from restarts, so late acknowledgements and renewals didn't show.

Change: an option delays all calls to servers for 1.5 s before they restart silently and are cut off; without it, the courses draw the same numbers as before.

--- a/packages/dispatch/src/calls-of-a-former-life.test.ts
+++ b/packages/dispatch/src/calls-of-a-former-life.test.ts
@@ -4,6 +4,7 @@
  */
 import * as uvu from "uvu";
 import * as assert from "uvu/assert";
+import * as randomFaults from "./testing/random-faults.js";
 import * as simulation from "./testing/simulation.js";
 
 const suite = uvu.suite("calls of a former life");
@@ -251,4 +252,20 @@
     await course.assertRunsOnce(1);
 });
 
+suite("a task runs twice in a random course with calls of all kinds that later lives carry out", async () => {
+    const found: string[] = [];
+    for (const seed of Array.from({ length: 20 }, (_, i) => i + 1)) {
+        const run = new randomFaults.FaultyRun({
+            seed,
+            disturbServers: true,
+            restartServers: true,
+            delaysFormerCalls: true,
+        });
+        await run.play();
+        const { violations } = run.world.singleRunRule;
+        found.push(...violations.map(violation => `seed ${seed}: ${JSON.stringify(violation)}`));
+    }
+    assert.equal(found, []);
+});
+
 suite.run();
--- a/packages/dispatch/src/testing/random-faults.ts
+++ b/packages/dispatch/src/testing/random-faults.ts
@@ -15,7 +15,7 @@
 
 /** Trouble on the way to some servers. */
 interface CallTrouble {
-    readonly kind: "cut" | "lost requests" | "lost answers" | "late orders" | "later orders";
+    readonly kind: "cut" | "lost requests" | "lost answers" | "late orders" | "later orders" | "later calls";
     readonly targets: ReadonlySet<string>;
     readonly until: number;
 }
@@ -28,6 +28,8 @@
     readonly restartServers?: boolean;
     /** Orders are carried out up to 12 s late, too. */
     readonly delayOrders?: boolean;
+    /** Calls to servers that are about to restart, of all kinds, are carried out up to 12 s late, also by later boots. */
+    readonly delaysFormerCalls?: boolean;
     /** See `SimulationOptions`; without it, a call of any age reaches the boot that is up. */
     readonly keepsConnections?: boolean;
     /** Called once jobs can be submitted, with the numbers of the course. */
@@ -60,6 +62,8 @@
 const clockRange = 9_000_000;
 /** Share of the calls to a server that is down which its next boot carries out. */
 const heldUpShare = 0.6;
+/** Time in ms before a restart in which calls are delayed. */
+const delayBeforeRestart = 1500;
 
 /** Readings in ms at which the clocks of servers begin, of a sequence of their own. */
 function createClockStarts(seed: number): () => number {
@@ -197,16 +201,31 @@
     #restartAndCutOff(): void {
         const targets = new Set<string>();
         const down = this.#choose(1, 1500);
+        const lead = this.options.delaysFormerCalls === true ? delayBeforeRestart : 0;
         for (let i = this.#chooseInteger(1, 4); i > 0; i--) {
-            const server = this.#chooseMachine()?.server;
+            const machine = this.#chooseMachine();
+            const server = machine?.server;
             if (server !== undefined) {
                 targets.add(server.registration.id);
-                this.world.restartSilently(server, { down, registration: this.#choose(100, 3000) });
+                const times = { down, registration: this.#choose(100, 3000) };
+                if (lead === 0) {
+                    this.world.restartSilently(server, times);
+                }
+                else {
+                    this.world.time.schedule(() => {
+                        if (machine?.server === server && !server.down) {
+                            this.world.restartSilently(server, times);
+                        }
+                    }, lead);
+                }
             }
         }
         const duration = this.#choose(3000, 14_000);
-        const delay = down + this.#choose(100, 3500);
+        const delay = lead + down + this.#choose(100, 3500);
         this.#noteDisturbance(delay + duration);
+        if (lead > 0) {
+            this.#troubles.unshift({ kind: "later calls", targets, until: this.world.time.now + lead + down });
+        }
         this.world.time.schedule(
             () => this.#troubles.unshift({ kind: "cut", targets, until: this.world.time.now + duration }),
             delay,
@@ -264,6 +283,11 @@
             "late orders": () => isOrder ? { carriedOutAfter: this.#choose(800, 4000), answered: false } : undefined,
             "later orders": () =>
                 isOrder ? { carriedOutAfter: this.#choose(2000, 12_000), answered: false } : undefined,
+            "later calls": () => ({
+                carriedOutAfter: this.#choose(2000, 12_000),
+                answered: false,
+                outlastsConnection: true,
+            }),
         };
         const affected = trouble !== undefined && (trouble.kind === "cut" || this.#random() < affectedShare);
         const fate = affected ? fates[trouble.kind]() : this.#decideHeldUp(target);
