Wait for the longest lease after a start that a responding server hasn't carried out

Cause: a start that got no response, and that a list of its boot omits under a higher token, is one that the server carries out late, if at all. When the server was lost after a repeat of it had been confirmed, the run counted as ended with the lease of the known boot, and the next boot carried out the first start. Nothing else waits longer: the list shows that the server responds, so a mere cut isn't such a case.

--- a/packages/dispatch/src/run-manager.ts
+++ b/packages/dispatch/src/run-manager.ts
@@ -190,7 +190,9 @@
             startClock: undefined,
             startLastSentAt: undefined,
             startToken: undefined,
+            startUnderWaySince: Number.NEGATIVE_INFINITY,
             strayStartSentAt: Number.NEGATIVE_INFINITY,
+            strayUntil: Number.NEGATIVE_INFINITY,
             startedOnNextBoot: false,
             percent: 0,
             percentChangedAt: now,
@@ -456,17 +458,20 @@
         }
         for (const [name, run] of server.runs) {
             const expected = run.expectedInListsFrom !== undefined && run.expectedInListsFrom < sentAt;
-            // One that isn't to be stopped is started again on the boot for which it was meant.
-            const refused = session.isStartSettled(run, token) && unconfirmedPhases.has(run.phase)
-                && (run.phase === session.RunPhase.stopping || run.bootId !== server.bootId);
-            if ((expected || refused) && lists.complete && !seen.has(name)) {
+            const settled = session.isStartSettled(run, token) && unconfirmedPhases.has(run.phase);
+            const repeatable = run.phase !== session.RunPhase.stopping && run.bootId === server.bootId;
+            if ((expected || settled && !repeatable) && lists.complete && !seen.has(name)) {
                 const evidence = {
                     listed,
                     processed: server.ends.lastProcessed,
-                    startRefusedFrom: refused ? token : undefined,
+                    startRefusedFrom: settled ? token : undefined,
                 };
                 this.#endRun(server, run, jobState.RunEnd.lost, "", evidence);
             }
+            else if (settled && lists.complete && !seen.has(name)) {
+                // The server responds, so this start is one that a later boot may yet carry out.
+                run.strayUntil = (run.startLastSentAt ?? sentAt) + context.maxCallLateness;
+            }
             else if (run.bootId !== server.bootId && run.phase === session.RunPhase.inherited) {
                 this.#endRun(server, run, jobState.RunEnd.lost, "", { bootedAt: server.bootedAt });
             }
--- a/packages/dispatch/src/server-session.ts
+++ b/packages/dispatch/src/server-session.ts
@@ -59,11 +59,18 @@
      * `undefined` before that, as a start without an answer may be carried out seconds later.
      */
     startClock: number | undefined;
+    /** On the monotonic clock: when the start was sent that has no response yet; negative infinity if there is none. */
+    startUnderWaySince: number;
     /**
      * On the monotonic clock: when a start was last sent that a later boot of the server may carry out, as it got no response
      * on a connection that may lead there. Negative infinity if there is none.
      */
     strayStartSentAt: number;
+    /**
+     * On the monotonic clock: latest time at which a later boot of an unreachable server counts as carrying such a start out,
+     * or one that the server hadn't carried out when it listed its runs.
+     */
+    strayUntil: number;
     /** Another boot of the server than the known one confirmed the start, and no list has shown the run since. */
     startedOnNextBoot: boolean;
     /** An earlier coordinator saw that the server outlasted the start. */
@@ -354,15 +361,20 @@
         return [...this.runs.values()].filter(run =>
             now >= Math.max(
                 run.startedOnNextBoot ? nextBootExpiry : expiry,
-                this.leases.computeLongestExpiry(run.strayStartSentAt + context.serverCallTimeout),
+                this.leases.computeLongestExpiry(
+                    Math.max(run.strayUntil, run.startUnderWaySince + context.serverCallTimeout),
+                ),
             )
         );
     }
 }
 
 /** Whether a boot of the server that began after `time`, on the monotonic clock, may carry the start out. */
-export function mayStartAfter({ strayStartSentAt }: ActiveRun, time: number): boolean {
-    return strayStartSentAt + context.maxCallLateness >= time;
+export function mayStartAfter(
+    { startUnderWaySince, strayStartSentAt, strayUntil }: ActiveRun,
+    time: number,
+): boolean {
+    return Math.max(strayUntil, Math.max(startUnderWaySince, strayStartSentAt) + context.maxCallLateness) >= time;
 }
 
 /** Whether the server's list, which was requested with a fencing token, shows what has become of the run's start. */
--- a/packages/dispatch/src/start-calls.ts
+++ b/packages/dispatch/src/start-calls.ts
@@ -26,11 +26,10 @@
     const leaseEnd = (server.clock.estimate(sentAt) ?? 0) + context.computeLeaseDuration(shared.settings);
     const token = server.fence.use();
     const earliest = server.clock.computeEarliestReading(sentAt);
-    const { strayStartSentAt } = run;
     server.leases.recordOrder(leaseEnd, sentAt);
     run.startSentAt = sentAt;
     run.startLastSentAt = sentAt;
-    run.strayStartSentAt = sentAt;
+    run.startUnderWaySince = sentAt;
     run.startToken = token;
     run.percentChangedAt = sentAt;
     const call = platform.serverCalls.createStartCall(server.entry.id, {
@@ -43,11 +42,12 @@
         ticket: run.ticket,
     });
     const answer = await shared.serverCalls.send(server.entry.address, call, context.serverCallTimeout);
-    const isUnsent = answer.isErr() && answer.error.fault === httpCalls.CallFault.unsent;
-    if (answer.isOk() || isUnsent || answer.error.onUsedConnection) {
-        run.strayStartSentAt = strayStartSentAt;
-    }
-    if (answer.isErr() && !isUnsent) {
+    run.startUnderWaySince = Number.NEGATIVE_INFINITY;
+    if (answer.isErr() && answer.error.fault !== httpCalls.CallFault.unsent) {
+        if (!answer.error.onUsedConnection) {
+            run.strayStartSentAt = sentAt;
+            run.strayUntil = Math.max(run.strayUntil, sentAt + context.serverCallTimeout);
+        }
         server.fence.raise();
         const now = shared.clock.monotonic();
         // Also of a run that has ended meanwhile, as its start may be carried out late.
