Repeat a predecessor's unanswered starts, pause between repeats, count all crashes

And faults of: a run that is kept after a list of machines wasn't reported as a crash, so a task that crashes its server was never given up; a server that resets each start got 200 of them in 10 s; a task that starts alone was repeated beside others; the time of the repeats counted as the task's duration; a gang's member was repeated alone.

--- a/packages/dispatch/src/run-manager.ts
+++ b/packages/dispatch/src/run-manager.ts
@@ -17,8 +17,10 @@
 
 /** Time in ms between two attempts of a stop that wasn't confirmed. */
 const stopRetryDelay = 250;
-/** Time in ms between two checks whether a start that wasn't confirmed may be repeated. */
-const startRetryDelay = 50;
+/** Time in ms between two attempts of a start that wasn't confirmed. */
+const startRetryDelay = 250;
+/** Time in ms between two checks whether such a start may be repeated. */
+const startCheckInterval = 50;
 /** Time in ms for which a server gets no starts after one that failed or was refused. */
 const refusalBackoff = 300;
 
@@ -266,18 +268,22 @@
             run.phase === session.RunPhase.uncertain && this.#isCurrent(server, run) && !server.closed && !this.#ended;
         const mayRepeat = () =>
             isUncertain() && run.bootId === server.bootId && !server.entry.draining
-            && (run.step.longRunning || shared.clock.monotonic() < repeatsUntil) && run.entry.cancelledAt === undefined;
+            && (run.step.longRunning || !run.step.gang && shared.clock.monotonic() < repeatsUntil)
+            && run.entry.cancelledAt === undefined;
         while (mayRepeat()) {
-            await timers.setTimeout(startRetryDelay);
+            await timers.setTimeout(startCheckInterval);
             if (!mayRepeat()) {
                 break;
             }
             if (!shared.mayExtendLeases() || !mayStart(server, run)) {
                 continue; // A boot that started since would get a new lease by this call.
             }
+            run.measuresDuration = false;
+            this.#reserveStart(server, run);
             const sent = await startCalls.sendStart(shared, server, run);
             if (sent.answer.isErr()) {
                 server.doubtBoot(shared.clock.monotonic());
+                await timers.setTimeout(startRetryDelay);
                 continue;
             }
             if (!isUncertain()) {
@@ -298,6 +304,19 @@
         }
     }
 
+    /**
+     * The earlier coordinator may have sent the start, without a response: it is repeated like those of this one, as a later boot
+     * of the server may carry it out.
+     */
+    #repeatInherited(server: session.ServerSession, run: session.ActiveRun): void {
+        const history = run.entry.progress?.occurrences.get(run.position.occurrence)?.histories.get(run.taskIndex);
+        run.checkpoint = history?.checkpoint ?? "";
+        run.phase = session.RunPhase.uncertain;
+        run.expectedInListsFrom = undefined;
+        run.strayUntil = run.plannedAt + context.maxCallLateness;
+        void this.#resolveUnansweredStart(server, run);
+    }
+
     /** Records that a server confirmed a start of the job, by its response or by listing a run or its end. */
     #recordBegun(entry: jobState.JobEntry): void {
         const { progress } = entry;
@@ -458,6 +477,10 @@
         }
         for (const [name, run] of server.runs) {
             const expected = run.expectedInListsFrom !== undefined && run.expectedInListsFrom < sentAt;
+            if (lists.complete && !seen.has(name) && server.mayHaveUnansweredStart(run)) {
+                this.#repeatInherited(server, run);
+                continue;
+            }
             const settled = session.isStartSettled(run, token) && unconfirmedPhases.has(run.phase);
             const repeatable = run.phase !== session.RunPhase.stopping && run.bootId === server.bootId;
             if ((expected || settled && !repeatable) && lists.complete && !seen.has(name)) {
--- a/packages/dispatch/src/server-losses.ts
+++ b/packages/dispatch/src/server-losses.ts
@@ -32,6 +32,8 @@
     readonly evidence: string;
     /** On the monotonic clock: the server was gone then, but may have started again since under its ID. */
     readonly goneAt: number;
+    /** Its machine is listed with another server, so it won't start again. */
+    readonly replaced: boolean;
 }
 
 /** What the coordinator knows of a server. */
@@ -132,7 +134,13 @@
             const isExplained = this.#orderedAway.has(server) || orderedMachines.has(machine.id)
                 || !unexplainedStates.has(machine.state);
             const kind = isExplained ? LossKind.ordered : LossKind.crash;
-            return { server, kind, evidence: `machine ${machine.id} is ${machine.state}`, goneAt: requestedAt };
+            return {
+                server,
+                kind,
+                evidence: `machine ${machine.id} is ${machine.state}`,
+                goneAt: requestedAt,
+                replaced: machine.server !== "",
+            };
         }
         if (!complete || this.#omittedAlive.has(server)) {
             return undefined;
@@ -141,6 +149,12 @@
         this.#missedLists.set(server, missed);
         return missed < missedListsUntilGone || (contact !== undefined && !contact.hasRuns)
             ? undefined
-            : { server, kind: LossKind.unlisted, evidence: `${missed} lists without it`, goneAt: requestedAt };
+            : {
+                server,
+                kind: LossKind.unlisted,
+                evidence: `${missed} lists without it`,
+                goneAt: requestedAt,
+                replaced: false,
+            };
     }
 }
--- a/packages/dispatch/src/server-session.ts
+++ b/packages/dispatch/src/server-session.ts
@@ -76,7 +76,7 @@
     /** An earlier coordinator saw that the server outlasted the start. */
     readonly outlastedStart: boolean;
     /** This coordinator started it without a checkpoint, so the time to its end is the duration of the task. */
-    readonly measuresDuration: boolean;
+    measuresDuration: boolean;
     checkpoint: string;
     /**
      * From the server's last list: percentage of the work done, or for a long-running task of availability; 100 is
@@ -318,6 +318,12 @@
         return this.leases.bootMayHoldOther || [...this.runs.values()].some(run => !run.outlastedStart);
     }
 
+    /** Whether an inherited run that the server's list omits is one whose start may have got no response from that boot. */
+    mayHaveUnansweredStart(run: ActiveRun): boolean {
+        return run.phase === RunPhase.inherited && run.bootId === this.bootId && run.startClock === undefined
+            && !run.outlastedStart && !run.step.gang && !this.entry.draining;
+    }
+
     get bootId(): string {
         return formatBootId(this.entry.id, this.bootedAt);
     }
