--- a/packages/job-soak/src/soak.test.ts
+++ b/packages/job-soak/src/soak.test.ts
@@ -56,4 +56,14 @@
     });
 });
 
+suite("a task runs twice, as a later life of a server carries out calls that were meant for a former one", () => {
+    return assertRulesHold({
+        duration: 20_000,
+        machinesPerService: 16,
+        rate: 12,
+        faultInterval: 2500,
+        faultNames: ["servers-restarted-before-late-calls"],
+    });
+});
+
 suite.run();
