Drop an unused function, and a remark on the choice of a number

Cause: findEpoch has no user, and the comment of tokensPerEpoch told how long its tokens last in a case. Change: both are gone. Result: packages/dispatch compiles; no behaviour changes.

--- a/packages/dispatch/src/server-fence.ts
+++ b/packages/dispatch/src/server-fence.ts
@@ -7,8 +7,8 @@
  */
 
 /**
- * Number of tokens that belong to an epoch, so distance between the epochs of successive terms. The epoch is the first of its
- * tokens. With half a second for each, they last for nine hours of calls without a response; then the last one stays in use.
+ * Number of tokens that belong to an epoch, and so the distance between the epochs of successive terms. The epoch is the first of
+ * its tokens. Once they are used up, the last one stays in use.
  */
 export const tokensPerEpoch = 65_536;
 
@@ -17,11 +17,6 @@
     return (Math.floor(last / tokensPerEpoch) + 1) * tokensPerEpoch;
 }
 
-/** The epoch to which a fencing token belongs. */
-export function findEpoch(token: number): number {
-    return token - token % tokensPerEpoch;
-}
-
 /** The tokens of one term. */
 export class TermTokens {
     /** Highest token that a server may have got. */
