Bound the repeats of starts, and count the crash under a kept run once

Cause, found by the review: a run that is kept after the loss of its server was counted as a crash at the loss and, after it had lapsed, again when the server was back, so a sound job failed. A long-running task whose server refuses starts as unhealthy was repeated there without end, and without a pause. Repeats of inherited runs carry no ticket, and none looked at where the configuration sends the queue. Change: a counted run carries a mark. Queues with the advice service, and those that moved to another service, get no repeats.

--- a/packages/dispatch/src/fleet.ts
+++ b/packages/dispatch/src/fleet.ts
@@ -591,9 +591,9 @@
             ? []
             : [...server.runs.values()].filter(run => replaced || !session.mayStartAfter(run, goneAt));
         if (kind === serverLosses.LossKind.crash) {
-            // Also those that are kept; none is counted again once its next boot shows.
             const started = server?.entry.draining === false ? server.describeStartedRuns(server.runs.values()) : [];
             this.#reportCrash(id, [...this.#lapsedRuns.take(id, undefined), ...started]);
+            started.forEach(({ run }) => run.crashReported = true);
         }
         const isNews = ended.length > 0 || kind !== serverLosses.LossKind.unlisted;
         if (server === undefined || server.runs.size === 0 || !isNews) {
--- a/packages/dispatch/src/relocation.test.ts
+++ b/packages/dispatch/src/relocation.test.ts
@@ -101,6 +101,7 @@
         pace: 100,
         ticket: undefined,
         startedOnNextBoot: false,
+        crashReported: false,
         measuresDuration: true,
     };
     server.runs.set(String(index), run);
--- a/packages/dispatch/src/run-manager.ts
+++ b/packages/dispatch/src/run-manager.ts
@@ -1,8 +1,9 @@
 /**
  * Manages the runs of tasks: intents, starts, stops and ends.
  *
- * A start is sent only after its intent is stored. A run whose start got no response is stopped first, or if its task is
- * long-running its start is repeated; only once the stop is confirmed or the server's lease has expired may the task be
+ * A start is sent only after its intent is stored. A start without a response is repeated on its server once a list shows that it
+ * wasn't carried out, or its run is stopped;
+ * only once the stop is confirmed or the server's lease has expired may the task be
  * started elsewhere.
  */
 import * as httpCalls from "@catkinwharf/http-calls";
@@ -24,9 +25,6 @@
 /** Time in ms for which a server gets no starts after one that failed or was refused. */
 const refusalBackoff = 300;
 
-/** Statuses by which an unhealthy server refuses an order. */
-const unhealthyStatuses: ReadonlySet<number> = new Set([429, 503]);
-
 /** Phases of a run whose start may be on its way to the server. */
 const unconfirmedPhases: ReadonlySet<session.RunPhase> = new Set([
     session.RunPhase.ordered,
@@ -196,6 +194,7 @@
             strayStartSentAt: Number.NEGATIVE_INFINITY,
             strayUntil: Number.NEGATIVE_INFINITY,
             startedOnNextBoot: false,
+            crashReported: false,
             percent: 0,
             percentChangedAt: now,
             usage: undefined,
@@ -217,7 +216,7 @@
         if (run.phase !== session.RunPhase.planned || !this.#isCurrent(server, run)) {
             return;
         }
-        if (server.clock.sample === undefined || run.entry.cancelledAt !== undefined || !mayStart(server, run)) {
+        if (server.clock.sample === undefined || run.entry.cancelledAt !== undefined || !server.mayStart(run)) {
             this.#dropRun(
                 server,
                 run,
@@ -258,8 +257,8 @@
 
     /**
      * Finds out what became of a start without a response, by the server's next list. If it hasn't been carried out, it is
-     * repeated there: if a later boot carries it out after all, no other server has the task. That of a long-running task is
-     * repeated until it is answered, as a stop could end the task when it is at work and others of its step are away.
+     * repeated there: if a later boot carries it out after all, no other server has the task. A server that refuses the repeats
+     * loses it, as does one that doesn't respond to them for long; as it hasn't carried out the start, a stop ends nothing.
      */
     async #resolveUnansweredStart(server: session.ServerSession, run: session.ActiveRun): Promise<void> {
         const { shared } = this.options;
@@ -268,14 +267,15 @@
             run.phase === session.RunPhase.uncertain && this.#isCurrent(server, run) && !server.closed && !this.#ended;
         const mayRepeat = () =>
             isUncertain() && run.bootId === server.bootId && !server.entry.draining
-            && (run.step.longRunning || !run.step.gang && shared.clock.monotonic() < repeatsUntil)
+            && this.#findRoute(run)?.service === server.entry.service
+            && !run.step.gang && shared.clock.monotonic() < repeatsUntil
             && run.entry.cancelledAt === undefined;
         while (mayRepeat()) {
             await timers.setTimeout(startCheckInterval);
             if (!mayRepeat()) {
                 break;
             }
-            if (!shared.mayExtendLeases() || !mayStart(server, run)) {
+            if (!shared.mayExtendLeases() || !server.mayStart(run)) {
                 continue; // A boot that started since would get a new lease by this call.
             }
             run.measuresDuration = false;
@@ -287,17 +287,17 @@
                 continue;
             }
             if (!isUncertain()) {
-                break;
+                return;
             }
             const decoded = platform.serverCalls.decodeOrderResult(sent.answer.value);
             if (decoded.kind === "done") {
                 this.#handleStartAnswer(server, run, sent, decoded);
                 return;
             }
-            const isUnhealthy = decoded.kind === "not-done" && unhealthyStatuses.has(decoded.status);
-            if (!(isUnhealthy && run.step.longRunning) && !server.handleFencing(shared, decoded, sent.token)) {
+            if (!server.handleFencing(shared, decoded, sent.token)) {
                 break;
             }
+            await timers.setTimeout(startRetryDelay);
         }
         if (isUncertain()) {
             void this.stop(server, run, StopCause.startUnanswered);
@@ -477,7 +477,10 @@
         }
         for (const [name, run] of server.runs) {
             const expected = run.expectedInListsFrom !== undefined && run.expectedInListsFrom < sentAt;
-            if (lists.complete && !seen.has(name) && server.mayHaveUnansweredStart(run)) {
+            if (
+                lists.complete && !seen.has(name) && server.mayHaveUnansweredStart(run)
+                && this.#findRoute(run)?.advice === undefined
+            ) {
                 this.#repeatInherited(server, run);
                 continue;
             }
@@ -894,19 +897,15 @@
         }
     }
 
+    #findRoute({ entry }: session.ActiveRun): jobState.RouteTerms | undefined {
+        return this.options.registry.active.get(entry.id)?.route;
+    }
+
     #isCurrent(server: session.ServerSession, run: session.ActiveRun): boolean {
         return !this.#ended && server.runs.get(run.name) === run;
     }
 }
 
-/**
- * Whether the start of the run may be sent to the server now: it has the same boot, as far as is known, and isn't draining. A
- * server that isn't listed may still run the task, and if it is gone the run ends with its lease.
- */
-function mayStart(server: session.ServerSession, run: session.ActiveRun): boolean {
-    return run.bootId === server.bootId && !server.clock.isInDoubt && !server.entry.draining;
-}
-
 /** Key of one occurrence of a step: "<job>.<occurrence>.<step>". */
 export function formatStepKey(
     jobId: string,
--- a/packages/dispatch/src/server-session.ts
+++ b/packages/dispatch/src/server-session.ts
@@ -71,6 +71,8 @@
      * or one that the server hadn't carried out when it listed its runs.
      */
     strayUntil: number;
+    /** A crash of the server under the run was counted, and the run is kept as its start may arrive later. */
+    crashReported: boolean;
     /** Another boot of the server than the known one confirmed the start, and no list has shown the run since. */
     startedOnNextBoot: boolean;
     /** An earlier coordinator saw that the server outlasted the start. */
@@ -208,7 +210,7 @@
     /** Those of the runs that may be under way on the server, with the time for which it was seen up since their start. */
     describeStartedRuns(runs: Iterable<ActiveRun>): StartedRun[] {
         return [...runs]
-            .filter(run => run.phase !== RunPhase.planned)
+            .filter(run => run.phase !== RunPhase.planned && !run.crashReported)
             .map(run => ({ run, jobId: run.entry.id, provenTime: this.computeProvenTime(run) }));
     }
 
@@ -318,6 +320,14 @@
         return this.leases.bootMayHoldOther || [...this.runs.values()].some(run => !run.outlastedStart);
     }
 
+    /**
+     * Whether the start of the run may be sent now: the server has the same boot, as far as is known, and isn't draining. One that
+     * isn't listed may still run the task, and if it is gone the run ends with its lease.
+     */
+    mayStart(run: ActiveRun): boolean {
+        return run.bootId === this.bootId && !this.clock.isInDoubt && !this.entry.draining;
+    }
+
     /** Whether an inherited run that the server's list omits is one whose start may have got no response from that boot. */
     mayHaveUnansweredStart(run: ActiveRun): boolean {
         return run.phase === RunPhase.inherited && run.bootId === this.bootId && run.startClock === undefined
