--- a/packages/job-soak/src/faults.ts
+++ b/packages/job-soak/src/faults.ts
@@ -98,6 +98,8 @@
 const maxLifeTime = 2000;
 /** Share of the servers that restarts with a cut leave alone, so that the load goes on. */
 const minServingShare = 0.5;
+/** Time in ms between two looks for new terms in the logs, which would take too long at every call. */
+const termsInterval = 100;
 /** Time in ms in which a throttled process runs once. */
 const throttlePeriod = 50;
 
@@ -449,16 +451,17 @@
     const share = 0.3 + 0.7 * random.next();
     const servers = [...deployment.machines.machines.values()].flatMap(machine => machine.server ?? [])
         .filter(() => random.next() < share);
+    const { name } = node;
+    let terms = listTerms(deployment.processes, "claimed");
+    const timer = setInterval(() => terms = listTerms(deployment.processes, "claimed"), termsInterval);
     for (const server of servers) {
-        server.isCutOff = token =>
-            judgement.findTerms(token, listTerms(deployment.processes, "claimed")).some(term =>
-                term.node === node.name
-            );
+        server.isCutOff = token => judgement.findTerms(token, terms).some(term => term.node === name);
     }
     return Promise.resolve({
-        subject: `${node.name} from ${servers.length} servers`,
+        subject: `${name} from ${servers.length} servers`,
         duration: draw(random, 500, 9000),
         end: () => {
+            clearInterval(timer);
             for (const server of servers) {
                 server.isCutOff = () => false;
             }
