--- a/packages/dispatch/src/run-manager.ts
+++ b/packages/dispatch/src/run-manager.ts
@@ -2,8 +2,7 @@
  * Manages the runs of tasks: intents, starts, stops and ends.
  *
  * A start is sent only after its intent is stored. A start without a response is repeated on its server once a list shows that it
- * wasn't carried out, or its run is stopped;
- * only once the stop is confirmed or the server's lease has expired may the task be
+ * wasn't carried out, or its run is stopped. Only once the stop is confirmed or the server's lease has expired may the task be
  * started elsewhere.
  */
 import * as httpCalls from "@catkinwharf/http-calls";
