--- a/packages/dispatch/src/relocation.test.ts
+++ b/packages/dispatch/src/relocation.test.ts
@@ -89,6 +89,7 @@
         startLastSentAt: 0,
         startToken: undefined,
         startUnderWaySince: Number.NEGATIVE_INFINITY,
+        startWasReset: false,
         strayStartSentAt: Number.NEGATIVE_INFINITY,
         strayUntil: Number.NEGATIVE_INFINITY,
         startClock: undefined,
--- a/packages/dispatch/src/run-manager.ts
+++ b/packages/dispatch/src/run-manager.ts
@@ -190,6 +190,7 @@
             startLastSentAt: undefined,
             startToken: undefined,
             startUnderWaySince: Number.NEGATIVE_INFINITY,
+            startWasReset: false,
             strayStartSentAt: Number.NEGATIVE_INFINITY,
             strayUntil: Number.NEGATIVE_INFINITY,
             startedOnNextBoot: false,
@@ -493,7 +494,7 @@
                 };
                 this.#endRun(server, run, jobState.RunEnd.lost, "", evidence);
             }
-            else if (settled && lists.complete && !seen.has(name)) {
+            else if (settled && lists.complete && !seen.has(name) && !run.startWasReset) {
                 // The server responds, so this start is one that a later boot may yet carry out.
                 run.strayUntil = (run.startLastSentAt ?? sentAt) + context.maxCallLateness;
             }
--- a/packages/dispatch/src/server-session.ts
+++ b/packages/dispatch/src/server-session.ts
@@ -61,6 +61,8 @@
     startClock: number | undefined;
     /** On the monotonic clock: when the start was sent that has no response yet; negative infinity if there is none. */
     startUnderWaySince: number;
+    /** The last start went out on a connection of an earlier boot, which was reset, so that no later boot gets it. */
+    startWasReset: boolean;
     /**
      * On the monotonic clock: when a start was last sent that a later boot of the server may carry out, as it got no response
      * on a connection that may lead there. Negative infinity if there is none.
--- a/packages/dispatch/src/start-calls.ts
+++ b/packages/dispatch/src/start-calls.ts
@@ -43,6 +43,7 @@
     });
     const answer = await shared.serverCalls.send(server.entry.address, call, context.serverCallTimeout);
     run.startUnderWaySince = Number.NEGATIVE_INFINITY;
+    run.startWasReset = answer.isErr() && answer.error.onUsedConnection && !answer.error.timedOut;
     if (answer.isErr() && answer.error.fault !== httpCalls.CallFault.unsent) {
         if (!answer.error.onUsedConnection) {
             run.strayStartSentAt = sentAt;
