Take back that runs are kept for 12 s, and repeated by a successor

Gone are the wait of 12 s after a list of machines, the longer lease of a run with an earlier start, the repeats of inherited runs, and the crash counts of kept runs.

--- a/packages/dispatch/src/context.ts
+++ b/packages/dispatch/src/context.ts
@@ -50,7 +50,7 @@
  * server may delay its response; servers usually respond within a few ms.
  */
 export const serverCallTimeout = 700;
-/** Longest time in ms from the sending of a call to when a server carries it out, if it doesn't respond to it. */
+/** Longest time in ms for which servers are known to carry out a call late, if they don't respond to it. */
 export const maxCallLateness = 12_000;
 /**
  * Duration in ms of a lease, which covers all runs on a server: once it has expired, their tasks may be started on
--- a/packages/dispatch/src/fleet.ts
+++ b/packages/dispatch/src/fleet.ts
@@ -582,21 +582,19 @@
      * Ends the runs of a server that the list of machines shows as lost, unless it has responded since. A start that may
      * arrive after the list was made may be carried out by the next boot of the server.
      */
-    handleLoss({ server: id, kind, evidence, goneAt, replaced }: serverLosses.ServerLoss): void {
+    handleLoss({ server: id, kind, evidence, goneAt }: serverLosses.ServerLoss): void {
         const server = this.sessions.get(id);
         if (server?.reachable === true) {
             return;
         }
         const ended = server === undefined
             ? []
-            : [...server.runs.values()].filter(run => replaced || !session.mayStartAfter(run, goneAt));
+            : [...server.runs.values()].filter(run => !session.mayStartAfter(run, goneAt));
         if (kind === serverLosses.LossKind.crash) {
-            const started = server?.entry.draining === false ? server.describeStartedRuns(server.runs.values()) : [];
+            const started = server?.entry.draining === false ? server.describeStartedRuns(ended) : [];
             this.#reportCrash(id, [...this.#lapsedRuns.take(id, undefined), ...started]);
-            started.forEach(({ run }) => run.crashReported = true);
         }
-        const isNews = ended.length > 0 || kind !== serverLosses.LossKind.unlisted;
-        if (server === undefined || server.runs.size === 0 || !isNews) {
+        if (server === undefined || server.runs.size === 0) {
             return;
         }
         if (kind === serverLosses.LossKind.unlisted) {
--- a/packages/dispatch/src/relocation.test.ts
+++ b/packages/dispatch/src/relocation.test.ts
@@ -88,10 +88,7 @@
         startSentAt: 0,
         startLastSentAt: 0,
         startToken: undefined,
-        startUnderWaySince: Number.NEGATIVE_INFINITY,
-        startWasReset: false,
-        strayStartSentAt: Number.NEGATIVE_INFINITY,
-        strayUntil: Number.NEGATIVE_INFINITY,
+        reachesKnownBootOnly: false,
         startClock: undefined,
         startsAlone: false,
         outlastedStart: false,
@@ -102,7 +99,6 @@
         pace: 100,
         ticket: undefined,
         startedOnNextBoot: false,
-        crashReported: false,
         measuresDuration: true,
     };
     server.runs.set(String(index), run);
--- a/packages/dispatch/src/run-manager.ts
+++ b/packages/dispatch/src/run-manager.ts
@@ -189,12 +189,8 @@
             startClock: undefined,
             startLastSentAt: undefined,
             startToken: undefined,
-            startUnderWaySince: Number.NEGATIVE_INFINITY,
-            startWasReset: false,
-            strayStartSentAt: Number.NEGATIVE_INFINITY,
-            strayUntil: Number.NEGATIVE_INFINITY,
+            reachesKnownBootOnly: false,
             startedOnNextBoot: false,
-            crashReported: false,
             percent: 0,
             percentChangedAt: now,
             usage: undefined,
@@ -304,19 +300,6 @@
         }
     }
 
-    /**
-     * The earlier coordinator may have sent the start, without a response: it is repeated like those of this one, as a later boot
-     * of the server may carry it out.
-     */
-    #repeatInherited(server: session.ServerSession, run: session.ActiveRun): void {
-        const history = run.entry.progress?.occurrences.get(run.position.occurrence)?.histories.get(run.taskIndex);
-        run.checkpoint = history?.checkpoint ?? "";
-        run.phase = session.RunPhase.uncertain;
-        run.expectedInListsFrom = undefined;
-        run.strayUntil = run.plannedAt + context.maxCallLateness;
-        void this.#resolveUnansweredStart(server, run);
-    }
-
     /** Records that a server confirmed a start of the job, by its response or by listing a run or its end. */
     #recordBegun(entry: jobState.JobEntry): void {
         const { progress } = entry;
@@ -477,13 +460,6 @@
         }
         for (const [name, run] of server.runs) {
             const expected = run.expectedInListsFrom !== undefined && run.expectedInListsFrom < sentAt;
-            if (
-                lists.complete && !seen.has(name) && server.mayHaveUnansweredStart(run)
-                && this.#findRoute(run)?.advice === undefined
-            ) {
-                this.#repeatInherited(server, run);
-                continue;
-            }
             const settled = session.isStartSettled(run, token) && unconfirmedPhases.has(run.phase);
             const repeatable = run.phase !== session.RunPhase.stopping && run.bootId === server.bootId;
             if ((expected || settled && !repeatable) && lists.complete && !seen.has(name)) {
@@ -494,10 +470,6 @@
                 };
                 this.#endRun(server, run, jobState.RunEnd.lost, "", evidence);
             }
-            else if (settled && lists.complete && !seen.has(name) && !run.startWasReset) {
-                // The server responds, so this start is one that a later boot may yet carry out.
-                run.strayUntil = (run.startLastSentAt ?? sentAt) + context.maxCallLateness;
-            }
             else if (run.bootId !== server.bootId && run.phase === session.RunPhase.inherited) {
                 this.#endRun(server, run, jobState.RunEnd.lost, "", { bootedAt: server.bootedAt });
             }
--- a/packages/dispatch/src/server-leases.ts
+++ b/packages/dispatch/src/server-leases.ts
@@ -65,12 +65,7 @@
 
     /** The same for a later boot, which no list has shown, by the orders that were meant for the known one. */
     computeNextBootExpiry(): number {
-        return this.computeLongestExpiry(this.#lastArrival);
-    }
-
-    /** On the monotonic clock: when the longest lease by an order that arrived at `time` has certainly expired. */
-    computeLongestExpiry(time: number): number {
-        return time + this.bounds.maxLease / serverClock.minClockRate + expiryMargin;
+        return this.#lastArrival + this.bounds.maxLease / serverClock.minClockRate + expiryMargin;
     }
 
     /**
--- a/packages/dispatch/src/server-losses.ts
+++ b/packages/dispatch/src/server-losses.ts
@@ -32,8 +32,6 @@
     readonly evidence: string;
     /** On the monotonic clock: the server was gone then, but may have started again since under its ID. */
     readonly goneAt: number;
-    /** Its machine is listed with another server, so it won't start again. */
-    readonly replaced: boolean;
 }
 
 /** What the coordinator knows of a server. */
@@ -134,13 +132,7 @@
             const isExplained = this.#orderedAway.has(server) || orderedMachines.has(machine.id)
                 || !unexplainedStates.has(machine.state);
             const kind = isExplained ? LossKind.ordered : LossKind.crash;
-            return {
-                server,
-                kind,
-                evidence: `machine ${machine.id} is ${machine.state}`,
-                goneAt: requestedAt,
-                replaced: machine.server !== "",
-            };
+            return { server, kind, evidence: `machine ${machine.id} is ${machine.state}`, goneAt: requestedAt };
         }
         if (!complete || this.#omittedAlive.has(server)) {
             return undefined;
@@ -149,12 +141,6 @@
         this.#missedLists.set(server, missed);
         return missed < missedListsUntilGone || (contact !== undefined && !contact.hasRuns)
             ? undefined
-            : {
-                server,
-                kind: LossKind.unlisted,
-                evidence: `${missed} lists without it`,
-                goneAt: requestedAt,
-                replaced: false,
-            };
+            : { server, kind: LossKind.unlisted, evidence: `${missed} lists without it`, goneAt: requestedAt };
     }
 }
--- a/packages/dispatch/src/server-session.ts
+++ b/packages/dispatch/src/server-session.ts
@@ -59,22 +59,8 @@
      * `undefined` before that, as a start without an answer may be carried out seconds later.
      */
     startClock: number | undefined;
-    /** On the monotonic clock: when the start was sent that has no response yet; negative infinity if there is none. */
-    startUnderWaySince: number;
-    /** The last start went out on a connection of an earlier boot, which was reset, so that no later boot gets it. */
-    startWasReset: boolean;
-    /**
-     * On the monotonic clock: when a start was last sent that a later boot of the server may carry out, as it got no response
-     * on a connection that may lead there. Negative infinity if there is none.
-     */
-    strayStartSentAt: number;
-    /**
-     * On the monotonic clock: latest time at which a later boot of an unreachable server counts as carrying such a start out,
-     * or one that the server hadn't carried out when it listed its runs.
-     */
-    strayUntil: number;
-    /** A crash of the server under the run was counted, and the run is kept as its start may arrive later. */
-    crashReported: boolean;
+    /** Each time that its start was sent without getting a response, the connection could reach no boot but the known one. */
+    reachesKnownBootOnly: boolean;
     /** Another boot of the server than the known one confirmed the start, and no list has shown the run since. */
     startedOnNextBoot: boolean;
     /** An earlier coordinator saw that the server outlasted the start. */
@@ -212,7 +198,7 @@
     /** Those of the runs that may be under way on the server, with the time for which it was seen up since their start. */
     describeStartedRuns(runs: Iterable<ActiveRun>): StartedRun[] {
         return [...runs]
-            .filter(run => run.phase !== RunPhase.planned && !run.crashReported)
+            .filter(run => run.phase !== RunPhase.planned)
             .map(run => ({ run, jobId: run.entry.id, provenTime: this.computeProvenTime(run) }));
     }
 
@@ -330,12 +316,6 @@
         return run.bootId === this.bootId && !this.clock.isInDoubt && !this.entry.draining;
     }
 
-    /** Whether an inherited run that the server's list omits is one whose start may have got no response from that boot. */
-    mayHaveUnansweredStart(run: ActiveRun): boolean {
-        return run.phase === RunPhase.inherited && run.bootId === this.bootId && run.startClock === undefined
-            && !run.outlastedStart && !run.step.gang && !this.entry.draining;
-    }
-
     get bootId(): string {
         return formatBootId(this.entry.id, this.bootedAt);
     }
@@ -376,23 +356,23 @@
         }
         const expiry = this.leases.computeExpiry(sample);
         const nextBootExpiry = Math.max(expiry, this.leases.computeNextBootExpiry());
-        return [...this.runs.values()].filter(run =>
-            now >= Math.max(
-                run.startedOnNextBoot ? nextBootExpiry : expiry,
-                this.leases.computeLongestExpiry(
-                    Math.max(run.strayUntil, run.startUnderWaySince + context.serverCallTimeout),
-                ),
-            )
-        );
+        return [...this.runs.values()].filter(run => now >= (mayBeOnNextBoot(run) ? nextBootExpiry : expiry));
     }
 }
 
-/** Whether a boot of the server that began after `time`, on the monotonic clock, may carry the start out. */
-export function mayStartAfter(
-    { startUnderWaySince, strayStartSentAt, strayUntil }: ActiveRun,
-    time: number,
-): boolean {
-    return Math.max(strayUntil, Math.max(startUnderWaySince, strayStartSentAt) + context.maxCallLateness) >= time;
+/**
+ * Whether the start may be carried out after `time`, on the monotonic clock, and so by a later boot than one that had ended
+ * by then.
+ */
+export function mayStartAfter(run: ActiveRun, time: number): boolean {
+    return mayBeOnNextBoot(run) && run.startLastSentAt !== undefined
+        && run.startLastSentAt + context.serverCallTimeout >= time;
+}
+
+/** Whether the start may have been carried out by a later boot of the server than the known one. */
+function mayBeOnNextBoot(run: ActiveRun): boolean {
+    return run.startClock === undefined && run.phase !== RunPhase.planned
+        && (run.startedOnNextBoot || !run.reachesKnownBootOnly);
 }
 
 /** Whether the server's list, which was requested with a fencing token, shows what has become of the run's start. */
--- a/packages/dispatch/src/start-calls.ts
+++ b/packages/dispatch/src/start-calls.ts
@@ -29,7 +29,8 @@
     server.leases.recordOrder(leaseEnd, sentAt);
     run.startSentAt = sentAt;
     run.startLastSentAt = sentAt;
-    run.startUnderWaySince = sentAt;
+    const reachedKnownBootOnly = run.reachesKnownBootOnly || run.startToken === undefined;
+    run.reachesKnownBootOnly = false;
     run.startToken = token;
     run.percentChangedAt = sentAt;
     const call = platform.serverCalls.createStartCall(server.entry.id, {
@@ -42,13 +43,10 @@
         ticket: run.ticket,
     });
     const answer = await shared.serverCalls.send(server.entry.address, call, context.serverCallTimeout);
-    run.startUnderWaySince = Number.NEGATIVE_INFINITY;
-    run.startWasReset = answer.isErr() && answer.error.onUsedConnection && !answer.error.timedOut;
+    if (answer.isErr()) {
+        run.reachesKnownBootOnly = reachedKnownBootOnly && answer.error.onUsedConnection;
+    }
     if (answer.isErr() && answer.error.fault !== httpCalls.CallFault.unsent) {
-        if (!answer.error.onUsedConnection) {
-            run.strayStartSentAt = sentAt;
-            run.strayUntil = Math.max(run.strayUntil, sentAt + context.serverCallTimeout);
-        }
         server.fence.raise();
         const now = shared.clock.monotonic();
         // Also of a run that has ended meanwhile, as its start may be carried out late.
