Log how many bodies and chunks clients have on the way

A line connection-closed-early said what the bodies that were read take, but neither how many bodies are on the way, each of which may leave a receive buffer unread, nor in how many chunks. Both are counted now; no limit changes.

--- a/packages/request-guard/src/memory-budget.ts
+++ b/packages/request-guard/src/memory-budget.ts
@@ -7,7 +7,7 @@
     readonly address: string;
     /** Monotonic time in ms since which it holds memory, or since which it has made no progress. */
     since: number;
-    /** Bytes. */
+    /** Bytes, or the count that the budget is for. */
     held: number;
 }
 
--- a/packages/request-guard/src/request-guard.ts
+++ b/packages/request-guard/src/request-guard.ts
@@ -41,12 +41,14 @@
     readonly response: http.ServerResponse;
     readonly body: BodyHolder;
     readonly unread: BodyHolder;
+    /** Holds 1 from the end of the head to the end of the body. */
+    readonly arrival: BodyHolder;
+    /** Holds the number of chunks or segments in which the body has arrived, while it is read. */
+    readonly fragments: BodyHolder;
     /** Bytes that had been received on the connection at the end of the head. */
     readonly bytesBefore: number;
     /** Bytes that the head takes. */
     readonly headMemory: number;
-    /** Parts in which the body has arrived so far. */
-    chunks: number;
     /** The body is over the limit. */
     oversized: boolean;
     /** Ends the reading of the body; `undefined` while nobody reads it. */
@@ -66,6 +68,10 @@
     return memory > usualHeadMemory ? memory : 0;
 }
 
+function hasBody({ headers }: http.IncomingMessage): boolean {
+    return headers["transfer-encoding"] !== undefined || Number(headers["content-length"] ?? 0) > 0;
+}
+
 /**
  * Ends the parsing of what a closed connection has sent. Without it, Node goes on to create the objects of all pipelined
  * requests that it has received, some thousands, and an error for each. The parser isn't part of Node's documented
@@ -122,6 +128,9 @@
     readonly #requests = new WeakMap<http.IncomingMessage, GuardedRequest>();
     readonly #bodies: memoryBudget.MemoryBudget<BodyHolder>;
     readonly #unread: memoryBudget.MemoryBudget<BodyHolder>;
+    /** Bodies whose end hasn't arrived, and those that are refused and whose connection isn't closed yet. */
+    readonly #arriving = new memoryBudget.MemoryBudget<BodyHolder>(Number.POSITIVE_INFINITY);
+    readonly #fragments = new memoryBudget.MemoryBudget<BodyHolder>(Number.POSITIVE_INFINITY);
     readonly #pool: requestBody.BlockPool;
     #timer: NodeJS.Timeout | undefined;
     #checkedAt = 0;
@@ -174,8 +183,8 @@
         const result = await requestBody.readBody<requestBody.BodyFault | requestBody.WatchFault>(message, maxBytes, {
             pool: this.#pool,
             onChunk: () => {
-                request.chunks += 1;
-                if (request.chunks > this.options.limits.bodyChunks && request.cancel !== undefined) {
+                this.#fragments.set(request.fragments, request.finished ? 0 : request.fragments.held + 1);
+                if (request.fragments.held > this.options.limits.bodyChunks && request.cancel !== undefined) {
                     // Doesn't read the rest, not even to discard it, since each chunk costs time.
                     message.socket.pause();
                     this.#refuseBody(request, connectionTable.CloseReason.bodyChunks);
@@ -188,6 +197,7 @@
             },
         });
         request.cancel = undefined;
+        this.#fragments.set(request.fragments, 0);
         if (typeof result === "string") {
             request.oversized ||= result === requestBody.BodyFault.tooLarge;
             request.response.shouldKeepAlive = false;
@@ -277,9 +287,10 @@
             response,
             body: createHolder(),
             unread: createHolder(),
+            arrival: createHolder(),
+            fragments: createHolder(),
             bytesBefore: message.socket.bytesRead,
             headMemory: estimateHeadMemory(message),
-            chunks: 0,
             oversized: Number(message.headers["content-length"] ?? 0) > port.maxBodyBytes(),
             cancel: undefined,
             finished: false,
@@ -294,6 +305,10 @@
             request.finished = true;
             this.#dropFinished(connection);
         });
+        if (hasBody(message)) {
+            this.#arriving.set(request.arrival, 1);
+            message.once("end", () => this.#arriving.set(request.arrival, 0));
+        }
         this.#bodies.set(request.body, request.headMemory);
         this.#freeBodies();
         if (message.socket.destroyed) {
@@ -392,6 +407,8 @@
         request.cancel?.(requestBody.BodyFault.incomplete);
         this.#bodies.set(request.body, 0);
         this.#unread.set(request.unread, 0);
+        this.#arriving.set(request.arrival, 0);
+        this.#fragments.set(request.fragments, 0);
         if (request.headMemory > 0) {
             request.message.rawHeaders = [];
             request.message.headers = {};
@@ -408,7 +425,9 @@
             phase,
             age: Math.round(this.options.now() - since),
             connections: connection.port.connections.size,
+            bodies: this.#arriving.held,
             bodyBytes: this.#bodies.held,
+            bodyChunks: this.#fragments.held,
             unreadBytes: this.#unread.held,
         });
     }
