Bound what the kernel and Node hold of chunked bodies

Clients that sent many chunked bodies at once ended a process, which ran out of memory; and a single body of legal size in more than 4,096 chunks was refused with 413.

Cause: memory was bounded only where the process holds it. The limit of chunks for each body bounded no sum.

Change: unfinished bodies share a budget of receive buffers, and refused ones give theirs up first; fewer connections wait to be accepted; a refused body isn't read any further; the guard reads a body from the end of its head on and counts it until its handler takes it. Small chunks of all bodies share a budget over time in place of the limit for each body.

Unit tests of request-guard, request-body and intake's job-api pass.

--- a/packages/intake/src/job-api.ts
+++ b/packages/intake/src/job-api.ts
@@ -150,7 +150,6 @@
 /** Responses to submissions whose body wasn't read completely, so that they weren't accepted. */
 const bodyRefusals: Readonly<Record<requestBody.BodyFault | requestBody.WatchFault, JobResponse>> = {
     [requestBody.BodyFault.tooLarge]: { status: 413, body: "", reason: "the body is too large" },
-    [requestBody.WatchFault.fragmented]: { status: 413, body: "", reason: "the body has too many chunks" },
     [requestBody.WatchFault.late]: { status: 408, body: "", reason: "the body took too long" },
     [requestBody.WatchFault.noMemory]: { status: 503, body: "", retryAfter: 1, reason: "no memory for the body" },
     [requestBody.BodyFault.incomplete]: {
--- a/packages/node/src/entry-instance.ts
+++ b/packages/node/src/entry-instance.ts
@@ -315,7 +315,13 @@
             process.exitCode = 1;
             setTimeout(() => process.exit(), 100); // In ms: leaves time for writing the log line.
         });
-        server.listen(Number(port), host, () => this.log.info("listening", { address: formatAddress(server) }));
+        this.#guard.listen(
+            server,
+            name,
+            host!,
+            Number(port),
+            () => this.log.info("listening", { address: formatAddress(server) }),
+        );
         this.#servers.push(server);
     }
 
@@ -396,7 +402,7 @@
         const port = this.settings.internalPorts[1];
         relay.on("error", error => this.log.warn("relay-unavailable", { port, error: String(error) }));
         relay.keepAliveTimeout = keepAliveTimeout;
-        relay.listen(port, this.settings.ip);
+        this.#guard.listen(relay, requestGuard.guardLimits.Port.relay, this.settings.ip, port);
         const record = jobState.encodeNode({
             node: this.settings.node,
             address: `${this.settings.ip}:${port}`,
--- a/packages/request-body/src/index.ts
+++ b/packages/request-body/src/index.ts
@@ -18,10 +18,8 @@
 export const WatchFault = {
     /** The body wasn't complete within the time for it. */
     late: "late",
-    /** The process has no memory for the body. */
+    /** The process has no memory for the body, or no time for its chunks. */
     noMemory: "no-memory",
-    /** The body arrived in too many chunks, each of which costs as much time as a large one. */
-    fragmented: "fragmented",
 } as const;
 export type WatchFault = (typeof WatchFault)[keyof typeof WatchFault];
 
@@ -34,8 +32,8 @@
 /** What watches over a body while it is read. */
 export interface BodyWatch<Fault extends string> {
     readonly pool: blockPool.BlockPool;
-    /** Called for each chunk. */
-    readonly onChunk: () => void;
+    /** Called for each chunk with its size. */
+    readonly onChunk: (bytes: number) => void;
     /** Receives the function that ends the reading with a fault, before the first byte. */
     readonly onStart: (cancel: (fault: Fault) => void) => void;
     /** Called with the bytes of memory that the body takes whenever they change; 0 at its end. */
@@ -68,13 +66,15 @@
                 return;
             }
             finished = true;
-            message.off("data", collect);
             resolve(result());
             pool.giveBack(blocks.splice(0));
             watch?.onHold(0);
         }
         /** Copies the data, since a chunk of few bytes takes hundreds of bytes of memory. */
         function collect(chunk: Buffer): void {
+            if (finished) {
+                return;
+            }
             if (bytes + chunk.byteLength > maxBytes) {
                 message.pause();
                 finish(() => BodyFault.tooLarge);
@@ -93,7 +93,7 @@
             if (blocks.length > blockCount) {
                 watch?.onHold(blocks.length * blockPool.blockSize);
             }
-            watch?.onChunk();
+            watch?.onChunk(chunk.byteLength);
         }
         watch?.onStart(fault => finish(() => fault));
         message.on("data", collect);
--- a/packages/request-guard/src/connection-table.ts
+++ b/packages/request-guard/src/connection-table.ts
@@ -32,6 +32,8 @@
     tooManyPipelined: "too-many-pipelined",
     bodyMemory: "body-memory",
     bodyChunks: "body-chunks",
+    /** The kernel may hold too much of bodies that are on the way. */
+    arrivingMemory: "arriving-memory",
     responseMemory: "response-memory",
     /** More of a body was sent than any body may have. */
     bodyTooLarge: "body-too-large",
--- a/packages/request-guard/src/guard-limits.ts
+++ b/packages/request-guard/src/guard-limits.ts
@@ -13,7 +13,11 @@
     readonly pipelinedRequests: number;
     /** Requests on one connection, until it is closed with a response. */
     readonly requestsPerConnection: number;
-    /** Chunks or segments in which a body may arrive. */
+    /** Bytes that the kernel may hold of all bodies whose end hasn't arrived. */
+    readonly arrivingMemory: number;
+    /** Connections of all ports together that wait to be accepted, with a receive buffer each. */
+    readonly waitingConnections: number;
+    /** Small chunks or segments of all bodies together within 10 s. */
     readonly bodyChunks: number;
     /** Bytes of a request's head. */
     readonly headerSize: number;
@@ -47,6 +51,11 @@
  */
 const bodyShare = 1 / 16;
 const responseShare = 1 / 8;
+/** Bytes that the kernel receives on a connection that isn't read: Linux's default of a receive buffer. */
+export const receiveBuffer = 131_072;
+/** Shares of the memory for what the kernel has received of unfinished bodies, and on connections that wait. */
+const arrivingShare = 1 / 32;
+const waitingShare = 1 / 8;
 /** Least budget in bytes: twice the largest body of a call to the relay. */
 const minMemory = 4_194_304;
 const bytesPerMegabyte = 1_048_576;
@@ -67,8 +76,10 @@
         // Callers of the platform don't pipeline.
         pipelinedRequests: 32,
         requestsPerConnection: 100_000,
-        // The largest body takes 180 segments of a usual link, one to the relay 1,440; a chunk costs some microseconds.
-        bodyChunks: 4096,
+        arrivingMemory: computeBudget(arrivingShare),
+        waitingConnections: Math.floor(computeBudget(waitingShare) / receiveBuffer),
+        // Twice the largest body in chunks of one byte.
+        bodyChunks: 524_288,
         headerSize: 16_384,
         // Published: 3,000 ms for a head; a body of 262,144 bytes takes 300 ms on a link of 7 Mbit/s.
         headerTimeout: 6000,
@@ -93,6 +104,11 @@
 /** Shares of the ports in the connections; the sum is 1, so that no port can take those of another one. */
 const portShares: Readonly<Record<Port, number>> = { callers: 0.625, readiness: 0.0625, metrics: 0.0625, relay: 0.25 };
 
+/** Connections that may wait on a port until they are accepted. */
+export function countWaitingConnections(limits: GuardLimits, port: Port): number {
+    return Math.max(1, Math.floor(limits.waitingConnections * portShares[port]));
+}
+
 export function countPortConnections(limits: GuardLimits, port: Port): number {
     return Math.max(1, Math.floor(limits.connections * portShares[port]));
 }
--- a/packages/request-guard/src/memory-budget.ts
+++ b/packages/request-guard/src/memory-budget.ts
@@ -56,4 +56,14 @@
         }
         return [...byAddress.values()].reduce((most, found) => found.held > most.held ? found : most).oldest;
     }
+
+    /** The item that holds most, of several the oldest one; `undefined` while all together are within the budget. */
+    findLargest(): Item | undefined {
+        if (this.#held <= this.limit) {
+            return undefined;
+        }
+        return [...this.#holders].reduce((found, item) =>
+            item.held > found.held || (item.held === found.held && item.since < found.since) ? item : found
+        );
+    }
 }
--- a/packages/request-guard/src/request-guard.ts
+++ b/packages/request-guard/src/request-guard.ts
@@ -6,6 +6,7 @@
 import * as requestBody from "@catkinwharf/request-body";
 import * as http from "node:http";
 import type * as net from "node:net";
+import * as chunkBudget from "./chunk-budget.js";
 import * as connectionTable from "./connection-table.js";
 import * as guardLimits from "./guard-limits.js";
 import * as memoryBudget from "./memory-budget.js";
@@ -33,7 +34,7 @@
 const bodyFaults = {
     [connectionTable.CloseReason.bodyMemory]: requestBody.WatchFault.noMemory,
     [connectionTable.CloseReason.bodyTimeout]: requestBody.WatchFault.late,
-    [connectionTable.CloseReason.bodyChunks]: requestBody.WatchFault.fragmented,
+    [connectionTable.CloseReason.bodyChunks]: requestBody.WatchFault.noMemory,
 } as const;
 
 interface GuardedRequest extends connectionTable.PendingRequest {
@@ -41,17 +42,23 @@
     readonly response: http.ServerResponse;
     readonly body: BodyHolder;
     readonly unread: BodyHolder;
-    /** Holds 1 from the end of the head to the end of the body. */
+    /** Holds what the kernel may have received of the body, from the end of the head to the end of the body. */
     readonly arrival: BodyHolder;
-    /** Holds the number of chunks or segments in which the body has arrived, while it is read. */
-    readonly fragments: BodyHolder;
     /** Bytes that had been received on the connection at the end of the head. */
     readonly bytesBefore: number;
     /** Bytes that the head takes. */
     readonly headMemory: number;
+    /** Small chunks in which the body has arrived so far. */
+    smallChunks: number;
+    /** The body is refused because of its chunks, the rest of which would take time even to discard. */
+    fragmented: boolean;
+    /** The reading of the body has ended with a fault. */
+    refused: boolean;
     /** The body is over the limit. */
     oversized: boolean;
-    /** Ends the reading of the body; `undefined` while nobody reads it. */
+    /** The body, or the fault with which its reading has ended. */
+    reading: Promise<Buffer | requestBody.BodyFault | requestBody.WatchFault> | undefined;
+    /** Ends the reading of the body; `undefined` once it has ended. */
     cancel: ((fault: requestBody.BodyFault | requestBody.WatchFault) => void) | undefined;
     /** The response was handed to the operating system, or the connection was closed. */
     finished: boolean;
@@ -68,8 +75,11 @@
     return memory > usualHeadMemory ? memory : 0;
 }
 
-function hasBody({ headers }: http.IncomingMessage): boolean {
-    return headers["transfer-encoding"] !== undefined || Number(headers["content-length"] ?? 0) > 0;
+/** Bytes that the kernel may receive of a body before they are read. */
+function estimateArriving({ headers }: http.IncomingMessage): number {
+    return headers["transfer-encoding"] === undefined
+        ? Math.min(Number(headers["content-length"] ?? 0), guardLimits.receiveBuffer)
+        : guardLimits.receiveBuffer;
 }
 
 /**
@@ -128,9 +138,9 @@
     readonly #requests = new WeakMap<http.IncomingMessage, GuardedRequest>();
     readonly #bodies: memoryBudget.MemoryBudget<BodyHolder>;
     readonly #unread: memoryBudget.MemoryBudget<BodyHolder>;
-    /** Bodies whose end hasn't arrived, and those that are refused and whose connection isn't closed yet. */
-    readonly #arriving = new memoryBudget.MemoryBudget<BodyHolder>(Number.POSITIVE_INFINITY);
-    readonly #fragments = new memoryBudget.MemoryBudget<BodyHolder>(Number.POSITIVE_INFINITY);
+    /** Bodies whose end hasn't arrived; those that are refused hold their share until the connection closes. */
+    readonly #arriving: memoryBudget.MemoryBudget<BodyHolder>;
+    readonly #chunks: chunkBudget.ChunkBudget;
     readonly #pool: requestBody.BlockPool;
     #timer: NodeJS.Timeout | undefined;
     #checkedAt = 0;
@@ -138,6 +148,8 @@
     constructor(private readonly options: GuardOptions) {
         this.#bodies = new memoryBudget.MemoryBudget(options.limits.bodyMemory);
         this.#unread = new memoryBudget.MemoryBudget(options.limits.responseMemory);
+        this.#arriving = new memoryBudget.MemoryBudget(options.limits.arrivingMemory);
+        this.#chunks = new chunkBudget.ChunkBudget(options.limits.bodyChunks, options.now());
         this.#pool = new requestBody.BlockPool(options.limits.bodyMemory);
     }
 
@@ -177,34 +189,54 @@
         maxBytes: number,
     ): Promise<Buffer | requestBody.BodyFault | requestBody.WatchFault> {
         const request = this.#requests.get(message);
-        if (request === undefined) {
+        if (request === undefined || request.finished) {
             return requestBody.BodyFault.incomplete;
         }
-        const result = await requestBody.readBody<requestBody.BodyFault | requestBody.WatchFault>(message, maxBytes, {
-            pool: this.#pool,
-            onChunk: () => {
-                this.#fragments.set(request.fragments, request.finished ? 0 : request.fragments.held + 1);
-                if (request.fragments.held > this.options.limits.bodyChunks && request.cancel !== undefined) {
-                    // Doesn't read the rest, not even to discard it, since each chunk costs time.
-                    message.socket.pause();
-                    this.#refuseBody(request, connectionTable.CloseReason.bodyChunks);
-                }
-            },
-            onStart: cancel => request.cancel = cancel,
-            onHold: bytes => {
-                this.#bodies.set(request.body, request.finished ? 0 : request.headMemory + bytes);
-                this.#freeBodies();
+        const result = await (request.reading ?? this.#startReading(request));
+        request.reading = undefined;
+        this.#bodies.set(request.body, request.finished ? 0 : request.headMemory);
+        return typeof result !== "string" && result.byteLength > maxBytes ? requestBody.BodyFault.tooLarge : result;
+    }
+
+    /**
+     * Reads the body from the end of the head on: until its handler asks for it, which may wait for the store first, Node
+     * would keep each chunk as an object of its own.
+     */
+    async #startReading(request: GuardedRequest): Promise<Buffer | requestBody.BodyFault | requestBody.WatchFault> {
+        const { message, body: { connection: { port } } } = request;
+        const result = await requestBody.readBody<requestBody.BodyFault | requestBody.WatchFault>(
+            message,
+            port.maxBodyBytes(),
+            {
+                pool: this.#pool,
+                onChunk: bytes => this.#countChunk(request, bytes),
+                onStart: cancel => request.cancel = cancel,
+                onHold: bytes => {
+                    this.#bodies.set(request.body, request.finished ? 0 : request.headMemory + bytes);
+                    this.#freeBodies();
+                },
             },
-        });
+        );
         request.cancel = undefined;
-        this.#fragments.set(request.fragments, 0);
+        if (request.finished) {
+            return requestBody.BodyFault.incomplete;
+        }
         if (typeof result === "string") {
-            request.oversized ||= result === requestBody.BodyFault.tooLarge;
+            request.refused = true;
             request.response.shouldKeepAlive = false;
+            return result;
         }
+        // Counts until the handler takes it.
+        this.#bodies.set(request.body, request.headMemory + result.byteLength);
+        this.#freeBodies();
         return result;
     }
 
+    /** Listens with a bound on the connections that wait to be accepted. */
+    listen(server: http.Server, name: guardLimits.Port, host: string, port: number, onListening?: () => void): void {
+        server.listen(port, host, guardLimits.countWaitingConnections(this.options.limits, name), onListening);
+    }
+
     /** Number of requests to callers' ports that aren't answered yet. */
     countPending(): number {
         const ports = this.#ports.filter(({ name }) =>
@@ -230,12 +262,13 @@
         // Node calls it after a response that ends the connection. With unread data, closing at once would reset the
         // connection before the client has read the response.
         socket.destroySoon = () => {
-            if (connection.requests.every(request => request.message.complete)) {
+            if (connection.requests.every(request => request.message.complete || request.fragmented)) {
                 destroySoon();
                 return;
             }
             connection.closingSince ??= this.options.now();
-            if (connection.requests.some(request => request.oversized)) {
+            this.#holdClosing(connection);
+            if (connection.requests.some(request => request.oversized || request.refused)) {
                 // Reading it, even to discard it, would take memory faster than the collector frees it.
                 socket.pause();
             }
@@ -288,10 +321,13 @@
             body: createHolder(),
             unread: createHolder(),
             arrival: createHolder(),
-            fragments: createHolder(),
             bytesBefore: message.socket.bytesRead,
             headMemory: estimateHeadMemory(message),
+            smallChunks: 0,
+            fragmented: false,
+            refused: false,
             oversized: Number(message.headers["content-length"] ?? 0) > port.maxBodyBytes(),
+            reading: undefined,
             cancel: undefined,
             finished: false,
         };
@@ -303,17 +339,23 @@
             this.#unread.set(request.unread, 0);
             this.#bodies.set(request.body, 0);
             request.finished = true;
+            request.cancel?.(requestBody.BodyFault.incomplete);
             this.#dropFinished(connection);
         });
-        if (hasBody(message)) {
-            this.#arriving.set(request.arrival, 1);
+        const arriving = estimateArriving(message);
+        if (arriving > 0) {
+            this.#arriving.set(request.arrival, arriving);
             message.once("end", () => this.#arriving.set(request.arrival, 0));
+            this.#closeArriving();
         }
         this.#bodies.set(request.body, request.headMemory);
         this.#freeBodies();
         if (message.socket.destroyed) {
             return false;
         }
+        if (arriving > 0) {
+            request.reading = this.#startReading(request);
+        }
         if (request.oversized) {
             response.shouldKeepAlive = false;
         }
@@ -349,6 +391,33 @@
         }
     }
 
+    #countChunk(request: GuardedRequest, bytes: number): void {
+        if (!chunkBudget.isSmall(bytes) || request.cancel === undefined) {
+            return;
+        }
+        request.smallChunks += 1;
+        if (!this.#chunks.take(request.smallChunks, this.options.now())) {
+            request.fragmented = true;
+            this.#refuseBody(request, connectionTable.CloseReason.bodyChunks);
+        }
+    }
+
+    /** Counts a connection that closes with a whole receive buffer, and as the first that gives it up. */
+    #holdClosing({ requests }: GuardedConnection): void {
+        for (const { arrival } of requests.filter(request => request.arrival.held > 0)) {
+            arrival.since = Number.NEGATIVE_INFINITY;
+            this.#arriving.set(arrival, guardLimits.receiveBuffer);
+        }
+        this.#closeArriving();
+    }
+
+    /** Closes connections with unfinished bodies, those that are refused already first. */
+    #closeArriving(): void {
+        for (let excess = this.#arriving.findLargest(); excess !== undefined; excess = this.#arriving.findLargest()) {
+            this.#close(excess.connection, connectionTable.CloseReason.arrivingMemory);
+        }
+    }
+
     /** Lets the reader of the body refuse the request, or closes the connection if nobody reads it. */
     #refuseBody(request: GuardedRequest, reason: keyof typeof bodyFaults): void {
         const { cancel, body: { connection } } = request;
@@ -405,10 +474,10 @@
     #abandon(request: GuardedRequest): void {
         request.finished = true;
         request.cancel?.(requestBody.BodyFault.incomplete);
+        request.reading = undefined;
         this.#bodies.set(request.body, 0);
         this.#unread.set(request.unread, 0);
         this.#arriving.set(request.arrival, 0);
-        this.#fragments.set(request.fragments, 0);
         if (request.headMemory > 0) {
             request.message.rawHeaders = [];
             request.message.headers = {};
@@ -425,9 +494,9 @@
             phase,
             age: Math.round(this.options.now() - since),
             connections: connection.port.connections.size,
-            bodies: this.#arriving.held,
+            arrivingBytes: this.#arriving.held,
             bodyBytes: this.#bodies.held,
-            bodyChunks: this.#fragments.held,
+            chunksLeft: this.#chunks.left,
             unreadBytes: this.#unread.held,
         });
     }
