Log how much is known of the starts that a crash is put down to

Change: server-crashed describes the suspects' starts (confirmed, listed, no response, inherited), when they were sent, and the crashes that counted before; task-given-up names each of them. No decision changes.

--- a/packages/dispatch/src/crash-counter.ts
+++ b/packages/dispatch/src/crash-counter.ts
@@ -2,6 +2,7 @@
 import * as jobState from "@catkinwharf/job-state";
 import * as scheduling from "@catkinwharf/scheduling";
 import type * as context from "./context.js";
+import * as crashRecords from "./crash-records.js";
 import type * as fleet from "./fleet.js";
 import type * as jobRegistry from "./job-registry.js";
 
@@ -24,9 +25,16 @@
         suspects: suspects.map(started => started.run.name),
         boots: [...new Set(suspects.map(started => started.run.bootId))],
         evidence,
+        starts: crashRecords.describeSuspects(
+            suspects,
+            ({ entry, position, taskIndex }) =>
+                registry.active.get(entry.id)?.progress.occurrences.get(position.occurrence)?.histories.get(taskIndex),
+            now,
+        ),
     });
     const counted = new Set<jobState.TaskHistory>();
-    for (const { run } of suspects) {
+    for (const suspect of suspects) {
+        const { run } = suspect;
         const active = registry.active.get(run.entry.id);
         const occurrence = active?.progress.occurrences.get(run.position.occurrence);
         const history = occurrence?.histories.get(run.taskIndex);
@@ -40,6 +48,12 @@
         if (isOpen && !counted.has(history) && !isCounted) {
             counted.add(history);
             jobState.touchTask(occurrence, run.taskIndex);
+            crashRecords.recordCrash(history, {
+                ...crashRecords.describeStart(suspect, now),
+                server: crash.server,
+                evidence,
+                suspects: suspects.length,
+            });
             scheduling.countCrash(history, evidence);
             if (stored !== undefined) {
                 stored.crashCounted = true;
@@ -48,7 +62,7 @@
             active.readiness = undefined;
             shared.writer.markDirty(active.entry);
             if (scheduling.crashesServers(history)) {
-                shared.log.warn("task-given-up", { task: run.name, crashes: history.crashes });
+                shared.log.warn("task-given-up", { task: run.name, ...crashRecords.describeCrashes(history) });
                 fail(active);
             }
         }
--- a/packages/dispatch/src/crashes-of-replaced-servers.test.ts
+++ b/packages/dispatch/src/crashes-of-replaced-servers.test.ts
@@ -40,6 +40,12 @@
                 events.includes("task-given-up"),
                 `${events.filter(event => event === "server-crashed").length} crashes`,
             );
+            const { fields } = world.log.find(({ event }) => event === "task-given-up")!;
+            const records = fields["records"] as { readonly start: string; readonly evidence: string; }[];
+            assert.equal(records.map(({ start, evidence }) => [start, evidence]), [
+                ["no response", "sole"],
+                ["no response", "sole"],
+            ]);
         }
         finally {
             world.close();
--- a/packages/dispatch/src/relocation.test.ts
+++ b/packages/dispatch/src/relocation.test.ts
@@ -99,6 +99,7 @@
         pace: 100,
         ticket: undefined,
         startedOnNextBoot: false,
+        startEvidence: "confirmed",
         measuresDuration: true,
     };
     server.runs.set(String(index), run);
--- a/packages/dispatch/src/run-manager.ts
+++ b/packages/dispatch/src/run-manager.ts
@@ -187,6 +187,9 @@
             plannedAt: now,
             startSentAt: now,
             startClock: undefined,
+            startEvidence: origin.phase === session.RunPhase.inherited
+                ? session.StartEvidence.inherited
+                : session.StartEvidence.none,
             startLastSentAt: undefined,
             startToken: undefined,
             reachesKnownBootOnly: false,
@@ -326,6 +329,7 @@
         const isKnownBoot = clock === undefined || server.recordReading(clock, earliest, shared.clock.monotonic());
         if (answer.kind === "done") {
             this.#recordBegun(run.entry);
+            run.startEvidence = session.StartEvidence.confirmed;
             if (isKnownBoot) {
                 run.startClock ??= clock;
             }
@@ -525,6 +529,7 @@
             this.options.shared.log.info("stopping-run-listed", { task: run.name, percent: row.percent });
         }
         this.#recordBegun(run.entry);
+        run.startEvidence = session.StartEvidence.listed;
         run.startClock ??= server.clock.latest;
         this.#recordBoot(server, run);
         this.#keepCheckpoint(run, row.checkpoint);
--- a/packages/dispatch/src/server-session.ts
+++ b/packages/dispatch/src/server-session.ts
@@ -27,6 +27,19 @@
 } as const;
 export type RunPhase = (typeof RunPhase)[keyof typeof RunPhase];
 
+/** How the start of a run is known, for the log. */
+export const StartEvidence = {
+    /** This coordinator sent it, and knows of no response. */
+    none: "no response",
+    /** The server confirmed it. */
+    confirmed: "confirmed",
+    /** A list of the server has shown the run. */
+    listed: "listed",
+    /** An earlier coordinator may have sent it, and this one knows nothing of it yet. */
+    inherited: "inherited",
+} as const;
+export type StartEvidence = (typeof StartEvidence)[keyof typeof StartEvidence];
+
 export interface ActiveRun {
     readonly entry: jobState.JobEntry;
     readonly position: jobState.TaskPosition;
@@ -59,6 +72,7 @@
      * `undefined` before that, as a start without an answer may be carried out seconds later.
      */
     startClock: number | undefined;
+    startEvidence: StartEvidence;
     /** Each time that its start was sent without getting a response, the connection could reach no boot but the known one. */
     reachesKnownBootOnly: boolean;
     /** Another boot of the server than the known one confirmed the start, and no list has shown the run since. */
@@ -102,6 +116,12 @@
 /** A run that was under way on a server that crashed. */
 export interface StartedRun extends scheduling.CrashedRun {
     readonly run: ActiveRun;
+    /** As it was when the loss was noticed. */
+    readonly phase: RunPhase;
+    /** On the monotonic clock: when the server was found unreachable; `undefined` if it wasn't. */
+    readonly lostAt: number | undefined;
+    /** On the monotonic clock: when the server last listed its runs. */
+    readonly listedAt: number;
 }
 
 export class ServerSession {
@@ -199,7 +219,14 @@
     describeStartedRuns(runs: Iterable<ActiveRun>): StartedRun[] {
         return [...runs]
             .filter(run => run.phase !== RunPhase.planned)
-            .map(run => ({ run, jobId: run.entry.id, provenTime: this.computeProvenTime(run) }));
+            .map(run => ({
+                run,
+                jobId: run.entry.id,
+                provenTime: this.computeProvenTime(run),
+                phase: run.phase,
+                lostAt: this.reachable ? undefined : this.lostAt,
+                listedAt: this.lastAnswerAt,
+            }));
     }
 
     /** Number of runs that were started, or are to be, so short a time before `now` that they may crash the server. */
