Log why tasks wait although servers have room, and runs that nothing ends

Cause: when a task isn't started again, coordinator-load counts unplaced steps, but names neither the task nor what it waits for. Change: tasks-waiting and runs-stuck, each 3 s at most, ten rows each, with the reason. No decision changes. Result: waiting-tasks.test.js (3) passes: a server out of reach, a quota, a run that no session has.

--- a/packages/dispatch/src/coordinator.ts
+++ b/packages/dispatch/src/coordinator.ts
@@ -35,6 +35,7 @@
 import * as session from "./server-session.js";
 import * as startableTasks from "./startable-tasks.js";
 import * as ticketCache from "./ticket-cache.js";
+import * as waitingTasks from "./waiting-tasks.js";
 import * as workCensus from "./work-census.js";
 
 /** Time in ms between an event and the placement pass that handles it; one pass handles all events of that time. */
@@ -105,6 +106,7 @@
     readonly #queues: queueMeter.QueueMeter;
     readonly #restarts: restartMeter.RestartMeter;
     readonly #organisations: organisationMonitor.OrganisationMonitor;
+    readonly #waitingTasks: waitingTasks.WaitingTasks;
     readonly #passCycle = new dutyCycle.DutyCycle(maxPassShare);
     readonly #startLimit = new scheduling.StartLimit();
     readonly #startDelay = new scheduling.StartDelayEstimate();
@@ -223,6 +225,15 @@
             log: options.log,
             observe: states => options.observeOrganisations(states),
         });
+        this.#waitingTasks = new waitingTasks.WaitingTasks({
+            registry: this.registry,
+            sessions: this.fleet.sessions,
+            tickets: this.#tickets,
+            configuration: options.configuration,
+            clock,
+            log: options.log,
+            maxLease: options.settings.bounds.maxLease,
+        });
         this.#serverFollower = new storeClient.TopicFollower(
             store,
             {
@@ -447,6 +458,7 @@
         }
         if (this.#takeoverDone) {
             this.#machineManager.tick();
+            this.#waitingTasks.report();
         }
         for (const active of [...this.registry.active.values()]) {
             if (jobState.isSettled(active.progress.status)) {
