Log at a takeover on which kinds of servers inherited runs are, and jobs without a route

Cause: coordinating gives one number of runs, which doesn't tell those that can be asked for from those that end with a lease only. Change: inheritedRuns (listed, otherBoot, unlisted) and jobsWithoutRoute in coordinating. No decision changes. Result: work-census.test.js (1) passes.

--- a/packages/dispatch/src/coordinator.ts
+++ b/packages/dispatch/src/coordinator.ts
@@ -268,6 +268,7 @@
             await timers.setTimeout(tickInterval);
         }
         this.#inheritAllRuns();
+        const inheritedRuns = workCensus.countInheritedRuns(this.fleet.sessions.values());
         this.fleet.start();
         this.#machineManager.prepare();
         this.#serverFollower.start();
@@ -288,6 +289,8 @@
             jobs: this.registry.active.size,
             servers: this.fleet.sessions.size,
             runs: this.#countRuns(),
+            inheritedRuns,
+            jobsWithoutRoute: workCensus.countJobsWithoutRoute(this.registry.active.values()),
             took: clock.monotonic() - this.#shared.termStartedAt,
         });
         this.#schedulePass();
--- a/packages/dispatch/src/fleet.ts
+++ b/packages/dispatch/src/fleet.ts
@@ -651,7 +651,7 @@
 }
 
 /** Whether the run was started on a known boot of its server other than this one. */
-function isOtherBoot(run: session.ActiveRun, bootedAt: number | undefined): boolean {
-    const startedOn = session.parseBootTime(run.bootId);
+export function isOtherBoot({ bootId }: Pick<session.ActiveRun, "bootId">, bootedAt: number | undefined): boolean {
+    const startedOn = session.parseBootTime(bootId);
     return startedOn !== undefined && bootedAt !== undefined && startedOn !== bootedAt;
 }
