Log when a process is first ready, after reading how much, and why its readiness changes

Change: first-ready (ms since the start; records, bytes and time by topic) and readiness-changed (configuration, submissions, ledger, store, shutting down), checked each 50 ms. No decision changes.

--- a/packages/node/src/entry-instance.ts
+++ b/packages/node/src/entry-instance.ts
@@ -15,6 +15,7 @@
 import * as timers from "node:timers/promises";
 import * as explanations from "./explanations.js";
 import * as metrics from "./metrics.js";
+import * as readiness from "./readiness.js";
 import * as unstoredJobs from "./unstored-jobs.js";
 
 /** Time in ms of a long poll at the store; limits how long an unresponsive connection goes unnoticed. */
@@ -52,6 +53,8 @@
  * coordinator nobody knows how long jobs wait.
  */
 const maxWaitsAge = 1500;
+/** Time in ms between two checks whether the readiness has changed, for the log. */
+const readinessCheckInterval = 50;
 /** Time in ms between two removals of old submissions from the count for committed rates. */
 const committedRatesSweepInterval = 10_000;
 
@@ -89,6 +92,7 @@
     readonly #unstoredJobs: unstoredJobs.UnstoredJobs;
     readonly #explanations: explanations.Explanations;
     readonly #shedder: intake.LoadShedder;
+    readonly #readiness: readiness.ReadinessLog;
     #configuration: platform.operatorRecords.Configuration | undefined;
     #coordinator: dispatch.Coordinator | undefined;
     #shuttingDown = false;
@@ -161,6 +165,12 @@
             refresh: async () => await this.#submissions.catchUp() && await this.#operatorRecords.catchUp(),
             forward: encoded => this.#forwardExplanation(encoded),
         });
+        this.#readiness = new readiness.ReadinessLog({
+            log,
+            now: () => this.#clock.monotonic(),
+            followers: [this.#operatorRecords, this.#submissions, this.#ledger],
+            reads: this.#store.reads,
+        });
         this.#jobs.onJobOrCancellation = entry => {
             if (entry.job !== undefined) {
                 this.#committedRates.add(entry.job);
@@ -183,6 +193,7 @@
         this.#operatorRecords.start();
         this.#leaderElection.start();
         setInterval(() => this.#handOverIfCutOff(), handOverCheckInterval).unref();
+        setInterval(() => this.#readiness.update(this.#listHindrances()), readinessCheckInterval).unref();
         setInterval(() => this.#committedRates.forgetOld(this.#clock.wall()), committedRatesSweepInterval).unref();
         void this.#startRelay();
         this.#metrics.watchEvents(this.log);
@@ -296,9 +307,22 @@
         return this.#store.isUnavailable(this.#clock.wall());
     }
 
+    /** Why this process isn't ready; empty if it is. */
+    #listHindrances(): readiness.Hindrance[] {
+        const { Hindrance } = readiness;
+        return [
+            ...(this.#shuttingDown ? [Hindrance.shuttingDown] : []),
+            ...(this.#configuration === undefined ? [Hindrance.configuration] : []),
+            ...(this.#submissions.loaded ? [] : [Hindrance.submissions]),
+            ...(this.#ledger.loaded ? [] : [Hindrance.ledger]),
+            ...(this.#isStoreUnavailable() ? [Hindrance.store] : []),
+        ];
+    }
+
     #isReady(): boolean {
-        return !this.#shuttingDown && this.#configuration !== undefined
-            && this.#submissions.loaded && this.#ledger.loaded && !this.#isStoreUnavailable();
+        const hindrances = this.#listHindrances();
+        this.#readiness.update(hindrances);
+        return hindrances.length === 0;
     }
 
     #listen(api: intake.JobApi, name: requestGuard.guardLimits.Port, address: string): void {
--- a/packages/store/src/topic-follower.ts
+++ b/packages/store/src/topic-follower.ts
@@ -38,7 +38,17 @@
 /** Attempts to read a page of the newest records before the reload is given up and begins anew. */
 const maxPageAttempts = 5;
 
+/** What a follower has read. */
+export interface ReadProgress {
+    /** Records that were received, also those that weren't applied. */
+    readonly records: number;
+    /** Time in ms spent on reading the newest records, failed attempts included. */
+    readonly loadTime: number;
+}
+
 export class TopicFollower {
+    #records = 0;
+    #loadTime = 0;
     /** Offset of the next record to apply; `undefined` until the newest records have been read. */
     #nextOffset: number | undefined;
     /** Unix time in ms at which this follower was last known to have read the whole topic. */
@@ -57,6 +67,14 @@
         private readonly now: () => number,
     ) {}
 
+    get topic(): string {
+        return this.options.topic;
+    }
+
+    get progress(): ReadProgress {
+        return { records: this.#records, loadTime: this.#loadTime };
+    }
+
     get loaded(): boolean {
         return this.#nextOffset !== undefined;
     }
@@ -154,6 +172,7 @@
             this.log.warn("topic-reloaded", { topic: this.options.topic, from });
             return await this.#reload() ? "more" : "failed";
         }
+        this.#records += result.value.records.length;
         const newest = this.options.newestOnly === true ? findNewestOffsets(result.value.records) : undefined;
         for (const { offset, record } of result.value.records) {
             if (offset !== this.#nextOffset) {
@@ -191,7 +210,11 @@
 
     /** Reads the newest records now, or waits for the read in progress; false when the store could not be read. */
     #reload(): Promise<boolean> {
-        this.#reloading ??= this.#readNewest().finally(() => this.#reloading = undefined);
+        const startedAt = this.now();
+        this.#reloading ??= this.#readNewest().finally(() => {
+            this.#reloading = undefined;
+            this.#loadTime += Math.max(0, this.now() - startedAt);
+        });
         return this.#reloading;
     }
 
@@ -224,6 +247,7 @@
             // Records stored after the first page was read are read again by offset, so that none is missed.
             end ??= page.end;
             records.push(...page.records);
+            this.#records += page.records.length;
             if (!page.more) {
                 break;
             }
