Log what each answer to a caller waited for

Cause: a 503 after nearly the caller's whole time doesn't tell whether the process read the store or lacked processor time. Change: waitedFor (configuration, submissions, append, in ms) in request-answered; successful reads of 500 ms and more get a line.

--- a/packages/intake/src/job-api.test.ts
+++ b/packages/intake/src/job-api.test.ts
@@ -1,4 +1,5 @@
 /** Guards against answers to callers that come from an outdated view of the jobs, or that come too late. */
+import * as eventLog from "@catkinwharf/event-log";
 import * as jobState from "@catkinwharf/job-state";
 import * as jobStateTesting from "@catkinwharf/job-state/testing";
 import * as platformTesting from "@catkinwharf/platform/testing";
@@ -12,6 +13,8 @@
 const { route } = testing;
 
 interface View {
+    /** Receives the fields of each line. */
+    readonly logged?: eventLog.Fields[];
     /** Ms since the process last knew all submissions and all progress. */
     age: number;
     /** Reads the topics to their ends. */
@@ -40,6 +43,7 @@
     let routes = [route];
     const options = testing.createOptions({
         jobs,
+        log: { ...eventLog.silentEventLog, info: (_event, fields) => void view.logged?.push(fields) },
         writer: {
             write: (record: jobState.KeyedRecord) => {
                 view.written?.push(record);
@@ -102,6 +106,20 @@
     }
 });
 
+suite("a late response doesn't tell what it waited for", async () => {
+    const logged: eventLog.Fields[] = [];
+    const refresh = () => new Promise<boolean>(() => {}); // Never ends.
+    const path = `${route.pathPrefix}00000000000000ab`;
+    await get(path, new jobState.JobTable(), { age: 0, refresh, logged });
+    const waited = logged[0]?.["waitedFor"] as { readonly submissions: number; };
+    assert.equal(Object.keys(waited), ["submissions"]);
+    assert.ok(waited.submissions >= 300 && waited.submissions <= (logged[0]!["duration"] as number) + 1);
+    const jobs = new jobState.JobTable();
+    await get(path, jobs, { age: 0, refresh: () => Promise.resolve(true), storeUnavailable: true, logged }, "[]");
+    assert.is(logged[1]?.["status"], 400);
+    assert.is(logged[1]?.["waitedFor"], undefined);
+});
+
 suite("a request is handled by a configuration that is older than allowed", async () => {
     const jobs = new jobState.JobTable();
     const behind: View = { age: 0, refresh: () => Promise.resolve(true), configurationAge: 5000 };
--- a/packages/intake/src/job-api.ts
+++ b/packages/intake/src/job-api.ts
@@ -68,6 +68,15 @@
     readonly countRefusal: (reason: string, organisation: string | undefined) => void;
 }
 
+/** What a response waits for, besides the request's body. */
+const WaitCause = {
+    configuration: "configuration",
+    /** Submissions, or for a pending count the progress of jobs, that this process hadn't read. */
+    submissions: "submissions",
+    append: "append",
+} as const;
+type WaitCause = (typeof WaitCause)[keyof typeof WaitCause];
+
 interface JobResponse {
     readonly status: number;
     readonly body: string;
@@ -128,6 +137,8 @@
  * organisations may submit a job with the same ID. Processes read new records at least every 150 ms, or are behind.
  */
 const maxReadBackTime = 300;
+/** Duration in ms from which on a successful read is logged. */
+const slowRead = 500;
 /** Characters of a path in a log line; the head of a request may have 16,384 bytes. */
 const maxLoggedPath = 256;
 
@@ -246,6 +257,8 @@
 
 export class JobApi {
     readonly #authenticator: authentication.Authenticator;
+    /** Ms for which the response to a request has waited, by cause, for the log. */
+    readonly #waits = new WeakMap<http.IncomingMessage, Partial<Record<WaitCause, number>>>();
     #routes: { readonly version: number; readonly table: routeTable.RouteTable; } | undefined;
 
     constructor(private readonly options: JobApiOptions) {
@@ -300,7 +313,7 @@
     }
 
     #log(message: http.IncomingMessage, result: JobResponse, duration: number): void {
-        if (message.method === "GET" && result.status === 200) {
+        if (message.method === "GET" && result.status === 200 && duration < slowRead) {
             return; // Successful reads change nothing, so they are only counted.
         }
         this.options.log.info("request-answered", {
@@ -312,6 +325,7 @@
             retryAfter: result.retryAfter,
             configuration: this.#routes?.version,
             duration: Math.round(duration),
+            waitedFor: this.#waits.get(message),
         });
     }
 
@@ -334,7 +348,7 @@
         const deadline = computeDeadline(message, startedAt, match.route.timeout);
         // The name of a route is that of its queue.
         if (match.rest === "" && message.method === "GET") {
-            return this.#countPending(match.route.name, deadline);
+            return this.#countPending(match.route.name, message, deadline);
         }
         const handler = handlers[message.method ?? ""];
         if (handler === undefined) {
@@ -430,18 +444,19 @@
             return true;
         }
         const deadline = computeDeadline(message, startedAt, defaultTimeout);
-        return await this.#waitUntil(deadline, this.options.refreshConfiguration()) === true;
+        const read = this.options.refreshConfiguration();
+        return await this.#waitFor(message, WaitCause.configuration, deadline, read) === true;
     }
 
     /** Counts from a view that is fresh enough, which takes reading the store while this process is behind. */
-    async #countPending(queue: string, deadline: number): Promise<JobResponse> {
+    async #countPending(queue: string, message: http.IncomingMessage, deadline: number): Promise<JobResponse> {
         const { submissionsAge, progressAge } = this.options.measureDataAge();
         if (Math.max(submissionsAge, progressAge) > maxCountAge) {
             if (this.options.isStoreUnavailable()) {
                 return storeUnavailable;
             }
             const reads = Promise.all([this.options.refreshJobs(), this.options.refreshProgress()]);
-            if ((await this.#waitUntil(deadline, reads))?.every(Boolean) !== true) {
+            if ((await this.#waitFor(message, WaitCause.submissions, deadline, reads))?.every(Boolean) !== true) {
                 return behindStore;
             }
         }
@@ -511,7 +526,12 @@
         const { jobs, monotonicNow } = this.options;
         const until = Math.min(request.deadline, monotonicNow() + maxReadBackTime);
         const wait = new AbortController();
-        const owner = await this.#waitUntil(until, jobs.waitForJob(request.id, wait.signal));
+        const owner = await this.#waitFor(
+            request.message,
+            WaitCause.submissions,
+            until,
+            jobs.waitForJob(request.id, wait.signal),
+        );
         wait.abort(); // A record that is never read would otherwise keep the wait in memory.
         if (owner === undefined || isRepetition(owner, request)) {
             return accepted;
@@ -547,7 +567,8 @@
         request: JobRequest,
         deadline: number,
     ): Promise<JobResponse | undefined> {
-        if (await this.#waitUntil(deadline, this.options.refreshJobs()) !== true) {
+        const read = this.options.refreshJobs();
+        if (await this.#waitFor(request.message, WaitCause.submissions, deadline, read) !== true) {
             return undefined;
         }
         const known = this.options.jobs.entries.get(request.id)?.job;
@@ -590,7 +611,10 @@
             refused: storeUnavailable,
             unknown: unknownOutcome,
         };
-        return outcomes[await this.options.writer.write(record, request.deadline, appliesAtOnce)];
+        const startedAt = this.options.monotonicNow();
+        const outcome = await this.options.writer.write(record, request.deadline, appliesAtOnce);
+        this.#recordWait(request.message, WaitCause.append, startedAt);
+        return outcomes[outcome];
     }
 
     /**
@@ -603,7 +627,8 @@
     async #findEntry(request: JobRequest): Promise<jobState.JobEntry | undefined | "behind-store"> {
         let entry = this.options.jobs.entries.get(request.id);
         if (entry?.job === undefined) {
-            if (await this.#waitUntil(request.deadline, this.options.refreshJobs()) !== true) {
+            const read = this.options.refreshJobs();
+            if (await this.#waitFor(request.message, WaitCause.submissions, request.deadline, read) !== true) {
                 return "behind-store";
             }
             entry = this.options.jobs.entries.get(request.id);
@@ -612,8 +637,20 @@
         return isShown ? entry : undefined;
     }
 
+    #recordWait(message: http.IncomingMessage, cause: WaitCause, startedAt: number): void {
+        const before = this.#waits.get(message);
+        const time = Math.round(this.options.monotonicNow() - startedAt);
+        this.#waits.set(message, { ...before, [cause]: (before?.[cause] ?? 0) + time });
+    }
+
     /** The result of `work`; `undefined` if it isn't there by the deadline, a monotonic time in ms. */
-    async #waitUntil<Result>(deadline: number, work: Promise<Result>): Promise<Result | undefined> {
+    async #waitFor<Result>(
+        message: http.IncomingMessage,
+        cause: WaitCause,
+        deadline: number,
+        work: Promise<Result>,
+    ): Promise<Result | undefined> {
+        const startedAt = this.options.monotonicNow();
         const timeout = new AbortController();
         const expired = timers.setTimeout(Math.max(0, deadline - this.options.monotonicNow()), undefined, {
             signal: timeout.signal,
@@ -623,6 +660,7 @@
         }
         finally {
             timeout.abort();
+            this.#recordWait(message, cause, startedAt);
         }
     }
 }
