Judge in the soak of the jobs whether accepted jobs are lost, under faults of whole racks

Racks lose their power or are cut off, also in turn; all processes are killed at the end; some jobs can't be done.

--- a/packages/job-soak/src/bin/job-soak.ts
+++ b/packages/job-soak/src/bin/job-soak.ts
@@ -22,6 +22,15 @@
     organisations = clipanion.Option.Boolean("--organisations", {
         description: "Whether the deployment has organisations; with odd seeds unless given.",
     });
+    racks = clipanion.Option.String("--racks", "8000", {
+        description: "Mean time in ms between the beginnings of two faults of whole racks; 0 for none.",
+    });
+    killAll = clipanion.Option.Boolean("--kill-all", true, {
+        description: "Kill all processes at once when the other faults have ended.",
+    });
+    faultyJobs = clipanion.Option.Boolean("--faulty-jobs", true, {
+        description: "Submit some jobs whose tasks fail or crash their servers.",
+    });
     only = clipanion.Option.String("--only", "", { description: "Names of faults to draw from, separated by commas." });
     program = clipanion.Option.String("--program", { description: "Program of the entry processes." });
     logs = clipanion.Option.String("--logs", { description: "Folder for the logs of the processes." });
@@ -38,18 +47,23 @@
                 machinesPerService: Number(this.machines),
                 rate: Number(this.rate),
                 faultInterval: Number(this.interval),
+                ...this.racks === "0" ? {} : { rackFaultInterval: Number(this.racks) },
+                killsAllAtEnd: this.killAll,
+                hasFaultyJobs: this.faultyJobs,
                 ...this.organisations === undefined ? {} : { hasOrganisations: this.organisations },
                 faultNames: this.only === "" ? undefined : this.only.split(","),
                 program: this.program === undefined ? undefined : path.resolve(this.program),
                 logFolder: this.logs === undefined ? undefined : path.join(this.logs, String(seed)),
                 onFault: line => this.verbose ? bench.print(line) : lines.push(line),
             });
-            const { duplicateRuns, concurrentCoordinators, quotaExcesses, foreignRequests, ...counts } = summary;
-            const kinds = [duplicateRuns, concurrentCoordinators, quotaExcesses, foreignRequests];
+            const { duplicateRuns, concurrentCoordinators, lostJobs, quotaExcesses, foreignRequests, ...counts } =
+                summary;
+            const kinds = [duplicateRuns, concurrentCoordinators, lostJobs, quotaExcesses, foreignRequests];
             bench.print(JSON.stringify({
                 seed,
                 twice: duplicateRuns.length,
                 one: concurrentCoordinators.length,
+                lost: lostJobs.length,
                 quota: quotaExcesses.length,
                 route: foreignRequests.length,
                 ...counts,
--- a/packages/job-soak/src/faults.ts
+++ b/packages/job-soak/src/faults.ts
@@ -5,6 +5,7 @@
 import * as jobState from "@catkinwharf/job-state";
 import * as platformStandIns from "@catkinwharf/platform-stand-ins";
 import * as timers from "node:timers/promises";
+import * as groups from "./groups.js";
 import * as judgement from "./judgement.js";
 
 const { StoreFault } = platformStandIns;
@@ -100,6 +101,11 @@
 const minServingShare = 0.5;
 /** Time in ms between two looks for new terms in the logs, which would take too long at every call. */
 const termsInterval = 100;
+/** In ms: for how long a rack is dark, and from when one is back until the next one is dark; both at once for a short time at most. */
+const minDarkness = 1000;
+const maxDarkness = 6000;
+const maxRackOverlap = 500;
+const maxRackGap = 1500;
 /** Time in ms in which a throttled process runs once. */
 const throttlePeriod = 50;
 
@@ -505,6 +511,67 @@
     return killOne(context);
 }
 
+/** Racks of the machines, each with those of its machines that have a server. */
+function groupByRack({ deployment }: FaultContext): ServingMachine[][] {
+    return [...groups.groupBy([...deployment.machines.machines.values()], ({ rack }) => rack).values()]
+        .map(machines => machines.filter(hasServer));
+}
+
+/** Takes the power of machines; returns how to give it back. */
+function darken({ deployment, random }: FaultContext, machines: readonly ServingMachine[]): () => void {
+    const restores = machines.map(machine => deployment.machines.cutPower(machine));
+    const keepsIds = random.next() < 0.5;
+    return () => restores.forEach(restore => restore(keepsIds));
+}
+
+/** A rack loses its power, and all its servers with it, and gets it back. */
+function darkenRack(context: FaultContext): Promise<ActiveFault | undefined> {
+    const machines = context.random.pick(groupByRack(context));
+    const restore = darken(context, machines);
+    return Promise.resolve({
+        subject: machines.map(({ id }) => id).join(", "),
+        duration: draw(context.random, minDarkness, maxDarkness),
+        end: restore,
+    });
+}
+
+/** The same of one rack after the other, each one about when the one before is back. */
+async function darkenRacksInTurn(context: FaultContext): Promise<ActiveFault | undefined> {
+    const { random } = context;
+    const racks = groupByRack(context).length;
+    const first = random.nextBelow(racks);
+    for (let i = 1; i < racks; i++) {
+        const restore = darken(context, groupByRack(context)[(first + i) % racks]!);
+        const duration = draw(random, minDarkness, maxDarkness);
+        void timers.setTimeout(duration).then(restore);
+        await timers.setTimeout(duration + draw(random, -maxRackOverlap, maxRackGap));
+    }
+    const last = darken(context, groupByRack(context)[first]!);
+    return {
+        subject: `${racks} racks`,
+        duration: Math.max(draw(random, minDarkness, maxDarkness), maxRackOverlap),
+        end: last,
+    };
+}
+
+/** The servers of a rack can't be reached for a while; what runs there goes on. */
+function cutRackOff(context: FaultContext): Promise<ActiveFault | undefined> {
+    const servers = context.random.pick(groupByRack(context)).map(({ server }) => server);
+    servers.forEach(server => server.mode = platformStandIns.ServerMode.silent);
+    return Promise.resolve({
+        subject: servers.map(({ id }) => id).join(", "),
+        duration: draw(context.random, minDarkness, maxDarkness),
+        end: () => servers.forEach(server => server.mode = platformStandIns.ServerMode.up),
+    });
+}
+
+/** Faults of whole racks. */
+export const rackFaults: Readonly<Record<string, Fault>> = {
+    "rack-dark": darkenRack,
+    "racks-dark-in-turn": darkenRacksInTurn,
+    "rack-cut-off": cutRackOff,
+};
+
 export const faults: Readonly<Record<string, Fault>> = {
     "kill": killOne,
     "kill-in-series": killInSeries,
--- a/packages/job-soak/src/judgement.ts
+++ b/packages/job-soak/src/judgement.ts
@@ -2,12 +2,15 @@
  * Judges a run by what the backend servers and the machine control saw.
  */
 import type * as platformStandIns from "@catkinwharf/platform-stand-ins";
+import * as groups from "./groups.js";
 
 export interface Judgement {
     /** Pairs of runs of one task of which only one should have been started. */
     readonly duplicateRuns: readonly string[];
     /** Orders for machines, and terms, of two coordinators of which only one should have acted. */
     readonly concurrentCoordinators: readonly string[];
+    /** Accepted jobs that a process doesn't know, or that haven't ended as they should. */
+    readonly lostJobs: readonly string[];
     /** Starts that brought an organisation above its quota. */
     readonly quotaExcesses: readonly string[];
     /** Submissions that were accepted, or runs, without a valid key. */
@@ -30,14 +33,8 @@
     history: readonly platformStandIns.RunRecord[],
     terms: readonly Term[],
 ): string[] {
-    const byTask = new Map<string, platformStandIns.RunRecord[]>();
-    for (const run of history) {
-        const runs = byTask.get(run.task) ?? [];
-        runs.push(run);
-        byTask.set(run.task, runs);
-    }
     const found: string[] = [];
-    for (const [task, runs] of byTask) {
+    for (const [task, runs] of groups.groupBy(history, run => run.task)) {
         runs.forEach((earlier, i) => {
             for (const later of runs.slice(i + 1)) {
                 const overlaps = earlier.endedAt === undefined || later.startedAt < earlier.endedAt;
@@ -96,18 +93,10 @@
             last.set(order.machine, order);
         }
     }
-    for (const [epoch, nodes] of groupByEpoch(terms)) {
-        if (nodes.length > 1) {
-            found.push(`epoch ${epoch}: coordinated by ${nodes.join(" and ")}`);
+    for (const [epoch, shared] of groups.groupBy(terms, term => term.epoch)) {
+        if (shared.length > 1) {
+            found.push(`epoch ${epoch}: coordinated by ${shared.map(({ node }) => node).join(" and ")}`);
         }
     }
     return found;
 }
-
-function groupByEpoch(terms: readonly Term[]): Map<number, string[]> {
-    const byEpoch = new Map<number, string[]>();
-    for (const { epoch, node } of terms) {
-        byEpoch.set(epoch, [...byEpoch.get(epoch) ?? [], node]);
-    }
-    return byEpoch;
-}
--- a/packages/job-soak/src/load.ts
+++ b/packages/job-soak/src/load.ts
@@ -7,6 +7,7 @@
 import * as testUtils from "@catkinwharf/test-utils";
 import * as timers from "node:timers/promises";
 import * as undici from "undici";
+import type * as lostJobs from "./lost-jobs.js";
 import type * as organisations from "./organisations.js";
 
 /** Time in ms for which a caller waits for a response. */
@@ -32,6 +33,8 @@
     readonly id: string;
     readonly queue: string;
     readonly body: object;
+    readonly steps: readonly lostJobs.JobStep[];
+    readonly longRunning: boolean;
     /** Ms after its submission; `undefined` for a job that isn't cancelled. */
     readonly cancelAfter: number | undefined;
     /** The same for a second submission. */
@@ -51,30 +54,50 @@
     readonly rate: number;
     /** Longest lease in ms that servers grant. */
     readonly maxLease: number;
+    /** Draws the jobs that can't be done, as their tasks fail or crash their servers; none unless given. */
+    readonly faultyJobs?: bench.RandomSource | undefined;
     /** `undefined` if requests need no keys. */
     readonly organisations: organisations.Organisations | undefined;
 }
 
 type Method = "POST" | "GET" | "DELETE";
 
+/** A job that was accepted, and what has become of its cancellation. */
+export interface AcceptedJob extends lostJobs.SubmittedJob {
+    cancellation: lostJobs.Cancellation;
+    readonly plan: JobPlan;
+}
+
+interface Answer {
+    /** 0 if there was none. */
+    readonly status: number;
+    readonly state: string | undefined;
+}
+
+/** Shares of the jobs whose runs all fail, and of those of which a task crashes each server that starts it. */
+const failingShare = 0.02;
+const crashingShare = 0.01;
 /** Thousandths of a core that each task demands. */
 const taskCpu = 500;
 /** The same for tasks that outlast a lease, so that most of the room is left to short ones. */
 const lastingTaskCpu = 100;
 
 export class Load {
-    accepted = 0;
+    readonly accepted = new Map<string, AcceptedJob>();
     readonly acceptedRequests: organisations.AcceptedRequest[] = [];
     submitted = 0;
     #stopped = false;
+    /** Answers, while jobs were submitted, that an accepted job doesn't exist. */
+    readonly denials: string[] = [];
     readonly #pools = new Map<string, undici.Pool>();
+    readonly #callsUnderWay = new Set<Promise<number>>();
 
     constructor(private readonly options: LoadOptions) {}
 
     /** Submits jobs until `stop` is called. */
     async run(): Promise<void> {
         while (!this.#stopped) {
-            void this.#followJob(this.#planJob());
+            void this.#followJob(this.#makeFaulty(this.#planJob()));
             await timers.setTimeout(this.options.random.nextExponential(1000 / this.options.rate));
         }
     }
@@ -83,6 +106,16 @@
         this.#stopped = true;
     }
 
+    /** Waits for the calls that were under way when it was stopped. */
+    async drain(): Promise<void> {
+        await Promise.all(this.#callsUnderWay);
+    }
+
+    /** Asks a process for the state of a job, as a caller would. */
+    async ask({ plan }: AcceptedJob, node: platformStandIns.EntryProcess): Promise<Answer> {
+        return this.#send(plan, node, "GET", this.#findKey(plan));
+    }
+
     close(): void {
         this.#pools.forEach(pool => void pool.destroy());
     }
@@ -112,6 +145,8 @@
             credentials,
             queue: random.pick(queues),
             body: platformStandIns.createJobBody({ duration }, ...steps),
+            steps,
+            longRunning,
             cancelAfter: isCancelled ? Math.round(random.nextExponential(longRunning ? 12_000 : 800)) : undefined,
             repeatAfter: random.next() < repeatedShare ? 500 + random.nextBelow(6000) : undefined,
             isAsked: random.next() < statusShare,
@@ -119,10 +154,21 @@
         };
     }
 
+    /** Makes some jobs ones that can't be done. */
+    #makeFaulty(plan: JobPlan): JobPlan {
+        const drawn = this.options.faultyJobs?.next() ?? 1;
+        const isFailing = drawn < failingShare;
+        if (plan.longRunning || !isFailing && drawn >= failingShare + crashingShare) {
+            return plan;
+        }
+        const script = isFailing ? { duration: 100, fails: true } : { duration: 100, crashingTasks: [0] };
+        return { ...plan, body: platformStandIns.createJobBody(script, ...plan.steps) };
+    }
+
     async #followJob(plan: JobPlan): Promise<void> {
         const status = await this.#call(plan, plan.firstProcess, "POST");
         if (status === 200) {
-            this.accepted += 1;
+            this.accepted.set(plan.id, this.#describeAccepted(plan));
         }
         const events: [number, Method][] = [];
         if (plan.repeatAfter !== undefined && status === 200) {
@@ -142,18 +188,43 @@
         }
     }
 
+    #describeAccepted(plan: JobPlan): AcceptedJob {
+        const { id, queue, steps, longRunning, credentials } = plan;
+        return { id, queue, steps, longRunning, organisation: credentials?.organisation, cancellation: "none", plan };
+    }
+
+    #findKey({ credentials }: JobPlan): string | undefined {
+        return credentials === undefined ? undefined : this.options.organisations?.renew(credentials);
+    }
+
+    #call(plan: JobPlan, first: number, method: Method): Promise<number> {
+        const call = this.#callUntilAnswered(plan, first, method);
+        this.#callsUnderWay.add(call);
+        void call.finally(() => this.#callsUnderWay.delete(call));
+        return call;
+    }
+
     /** Sends a call to one process after the other until one answers; returns the status, 0 if none did. */
-    async #call(plan: JobPlan, first: number, method: Method): Promise<number> {
+    async #callUntilAnswered(plan: JobPlan, first: number, method: Method): Promise<number> {
         const { processes } = this.options.deployment;
-        const { credentials } = plan;
+        const job = this.accepted.get(plan.id);
         for (let attempt = 0; attempt < maxAttempts && !this.#stopped; attempt++) {
             const node = processes[(first + attempt) % processes.length]!;
-            const key = credentials === undefined ? undefined : this.options.organisations?.renew(credentials);
+            const key = this.#findKey(plan);
             const sentAt = Date.now();
-            const status = await this.#send(plan, node, method, key);
+            if (method === "DELETE" && job?.cancellation === "none") {
+                job.cancellation = "sent";
+            }
+            const { status } = await this.#send(plan, node, method, key);
             if (method === "POST" && status === 200 && key !== undefined) {
                 this.acceptedRequests.push({ job: plan.id, key, sentAt });
             }
+            if (method === "DELETE" && status === 200 && job !== undefined) {
+                job.cancellation = "acknowledged";
+            }
+            if (method !== "POST" && status === 410 && job !== undefined) {
+                this.denials.push(`${plan.id}: ${node.name} answered ${method} with 410, though the job was accepted`);
+            }
             if (status !== 0 && status !== 429 && status < 500) {
                 return status;
             }
@@ -167,7 +238,7 @@
         node: platformStandIns.EntryProcess,
         method: Method,
         key: string | undefined,
-    ): Promise<number> {
+    ): Promise<Answer> {
         let pool = this.#pools.get(node.name);
         if (pool === undefined) {
             const origin = `http://${testUtils.loopbackHost}:${node.callerPort}`;
@@ -186,11 +257,13 @@
                 body: method === "POST" ? JSON.stringify(body) : undefined,
                 signal: AbortSignal.timeout(callTimeout),
             });
-            await response.body.dump();
-            return response.statusCode;
+            const text = await response.body.text();
+            const isState = method === "GET" && response.statusCode === 200;
+            const state = isState ? (JSON.parse(text) as { readonly State?: string; }).State : undefined;
+            return { status: response.statusCode, state };
         }
         catch {
-            return 0; // No answer; the call is repeated elsewhere.
+            return { status: 0, state: undefined }; // No answer; the call is repeated elsewhere.
         }
     }
 }
--- a/packages/job-soak/src/organisations.ts
+++ b/packages/job-soak/src/organisations.ts
@@ -133,6 +133,14 @@
         }
     }
 
+    /** Whether the organisation's running tasks take half of its quota or more, so that others of it may have to wait. */
+    isHalfUsed(name: string | undefined, running: readonly string[], findCpu: (task: string) => number): boolean {
+        const limit = this.present.find(organisation => organisation.name === name)?.cpuLimit;
+        const used = running.filter(task => this.#demands.get(task.slice(0, task.indexOf(".")))?.organisation === name)
+            .reduce((sum, task) => sum + findCpu(task), 0);
+        return limit !== undefined && used * 2 >= limit;
+    }
+
     findQuotaExcesses(history: readonly platformStandIns.RunRecord[]): string[] {
         const findDemand = (task: string) => this.#demands.get(task.slice(0, task.indexOf(".")));
         const findLimit = (organisation: string, at: number) =>
--- a/packages/job-soak/src/soak.ts
+++ b/packages/job-soak/src/soak.ts
@@ -9,6 +9,7 @@
 import * as path from "node:path";
 import * as timers from "node:timers/promises";
 import * as faults from "./faults.js";
+import * as inquiry from "./inquiry.js";
 import * as judgement from "./judgement.js";
 import * as load from "./load.js";
 import * as organisations from "./organisations.js";
@@ -29,6 +30,8 @@
 };
 /** Latest reading in ms at which a server's clock begins. */
 const maxFirstClock = 9_000_000;
+/** Racks of the machines. */
+const rackCount = 3;
 /** Time in ms without faults before the first one, and after the last. */
 const calmBefore = 2000;
 const calmAfter = 4000;
@@ -45,7 +48,13 @@
     readonly rate: number;
     /** Whether the deployment has organisations; with odd seeds unless given. */
     readonly hasOrganisations?: boolean;
-    /** Names of the faults to draw from; all unless given. */
+    /** Mean time in ms between the beginnings of two faults of whole racks; none unless given. */
+    readonly rackFaultInterval?: number;
+    /** Whether all processes are killed at once when the other faults have ended. */
+    readonly killsAllAtEnd?: boolean;
+    /** Whether some jobs can't be done, as their tasks fail or crash their servers. */
+    readonly hasFaultyJobs?: boolean;
+    /** Names of the faults to draw from, but for those of whole racks; all unless given. */
     readonly faultNames: readonly string[] | undefined;
     /** Program of the entry processes, of this version unless given. */
     readonly program: string | undefined;
@@ -71,11 +80,24 @@
     readonly seed: number;
 }
 
-function planFaults({ seed, duration, faultInterval, faultNames }: SoakOptions): PlannedFault[] {
-    const random = new bench.RandomSource(seed);
+function planFaults({ seed, duration, faultInterval, rackFaultInterval, faultNames }: SoakOptions): PlannedFault[] {
     const names = faultNames ?? Object.keys(faults.faults);
+    const planned = drawFaults(new bench.RandomSource(seed), names, faultInterval, duration);
+    // Their draws change none of the others.
+    const ofRacks = rackFaultInterval === undefined
+        ? []
+        : drawFaults(new bench.RandomSource(seed + 5000), Object.keys(faults.rackFaults), rackFaultInterval, duration);
+    return [...planned, ...ofRacks].sort((a, b) => a.at - b.at);
+}
+
+function drawFaults(
+    random: bench.RandomSource,
+    names: readonly string[],
+    interval: number,
+    duration: number,
+): PlannedFault[] {
     const planned: PlannedFault[] = [];
-    for (let at = 0; at < duration; at += random.nextExponential(faultInterval)) {
+    for (let at = 0; at < duration; at += random.nextExponential(interval)) {
         planned.push({ at, name: random.pick(names), seed: random.nextBelow(2 ** 31) });
     }
     return planned;
@@ -102,6 +124,7 @@
         },
     });
     const clocks = new bench.RandomSource(options.seed + 3000);
+    deployment.machines.rackCount = rackCount;
     deployment.machines.drawFirstClock = () => clocks.nextBelow(maxFirstClock);
     const callers = new load.Load({
         deployment,
@@ -110,6 +133,7 @@
         rate: options.rate,
         maxLease: bounds.HoldMaxMs,
         organisations: customers,
+        faultyJobs: options.hasFaultyJobs === true ? new bench.RandomSource(options.seed + 4000) : undefined,
     });
     const killProcesses = () => deployment.processes.forEach(({ child }) => child?.kill("SIGKILL"));
     process.once("exit", killProcesses);
@@ -125,18 +149,26 @@
         callers.stop();
         customers?.stop();
         await loading;
+        await callers.drain();
+        const lostJobs = await inquiry.findLostJobs({
+            deployment,
+            callers,
+            organisations: customers,
+            services: new Map(queues.map(({ name, service }) => [name, service])),
+        });
         const { history } = deployment.machines;
         const terms = faults.listTerms(deployment.processes, "coordinating");
         return {
             duplicateRuns: judgement.findDuplicateRuns(history, terms),
             concurrentCoordinators: judgement.findConcurrentCoordinators(deployment.machines.orders, terms),
+            lostJobs: [...callers.denials, ...lostJobs],
             quotaExcesses: customers?.findQuotaExcesses(history) ?? [],
             foreignRequests: customers?.findForeignRequests(callers.acceptedRequests, history) ?? [],
             hasOrganisations,
             faults: count,
             terms: terms.length,
             submitted: callers.submitted,
-            accepted: callers.accepted,
+            accepted: callers.accepted.size,
             runs: history.length,
         };
     }
@@ -162,7 +194,7 @@
     const inject = async ({ name, seed }: PlannedFault) => {
         const random = new bench.RandomSource(seed);
         const context = { deployment, fronts, random, disturbed, nextWave: () => wave += 1 };
-        const active = await faults.faults[name]!(context);
+        const active = await { ...faults.faults, ...faults.rackFaults }[name]!(context);
         if (active === undefined) {
             return;
         }
@@ -178,6 +210,9 @@
     }
     await Promise.all(injections);
     await timers.setTimeout(Math.max(0, options.duration - (performance.now() - beganAt)));
+    if (options.killsAllAtEnd === true) {
+        await inject({ at: options.duration, name: "kill-all", seed: options.seed });
+    }
     return count;
 }
 
