--- a/packages/dispatch/src/job-sweeper.test.ts
+++ b/packages/dispatch/src/job-sweeper.test.ts
@@ -2,6 +2,7 @@
 import * as httpCalls from "@catkinwharf/http-calls";
 import * as jobState from "@catkinwharf/job-state";
 import * as jobTesting from "@catkinwharf/job-state/testing";
+import * as platformTesting from "@catkinwharf/platform/testing";
 import * as timers from "node:timers/promises";
 import * as uvu from "uvu";
 import * as assert from "uvu/assert";
@@ -12,6 +13,15 @@
 
 const suite = uvu.suite("job sweeper");
 const job = jobTesting.createJob();
+const route: jobState.RouteTerms = {
+    version: 1,
+    service: "frontend",
+    priority: 0,
+    maxAttempts: 3,
+    slackFactor: 4,
+    latencyAllowance: 1000,
+    advice: undefined,
+};
 /** Time in ms for the appends, and one in which an append without an answer is repeated. */
 const settlingTime = 100;
 const repeatTime = 1500;
@@ -23,25 +33,28 @@
     wall: number;
 }
 
-/** A store with a settled job, and the sweeper of a coordinator that knows it; the clocks stand still. */
+/** A store with settled jobs, and the sweeper of a coordinator that knows them; the clocks stand still. */
 function createSweeper(
     topics: memoryStore.MemoryLog,
     clock: TestClock,
     mayExtendLeases = () => true,
+    settled: readonly jobState.Job[] = [job],
 ): jobSweeper.JobSweeper {
-    const progress = jobState.createProgress(0);
-    progress.status = jobState.JobStatus.completed;
-    topics.append(jobState.submissionsTopic, [jobState.encodeJob(job)]);
-    topics.append(jobState.ledgerTopic, [jobState.encodeProgress(job.id, progress)]);
     const store = new memoryStore.MemoryStore(topics, new virtualTime.VirtualTime(), () => true);
     const shared = {
         ...testing.createContext(new httpCalls.HttpClient(), store, () => 0),
         clock: { monotonic: () => clock.monotonic, wall: () => clock.wall },
         mayExtendLeases,
     };
-    const { key, value } = jobState.encodeJob(job);
-    shared.jobs.applySubmission(key, value);
-    shared.jobs.applyProgress(job.id, progress);
+    for (const { id, ...fields } of settled) {
+        const progress = jobState.createProgress(0);
+        progress.status = jobState.JobStatus.completed;
+        const record = jobState.encodeJob({ id, ...fields });
+        topics.append(jobState.submissionsTopic, [record]);
+        topics.append(jobState.ledgerTopic, [jobState.encodeProgress(id, progress)]);
+        shared.jobs.applySubmission(record.key, record.value);
+        shared.jobs.applyProgress(id, progress);
+    }
     return new jobSweeper.JobSweeper(shared, store);
 }
 
@@ -139,4 +152,36 @@
     },
 );
 
+/** Bytes that a process reads of both topics when it starts. */
+function measureStart(topics: memoryStore.MemoryLog): number {
+    return [jobState.submissionsTopic, jobState.ledgerTopic]
+        .reduce((sum, topic) => sum + platformTesting.encodeNewestPage(topics.listNewest(topic)).length, 0);
+}
+
+/** Jobs of a long day of a large deployment, the link of its small processes in bytes/s, and for how long callers wait, in ms. */
+const dayJobCount = 4500;
+const slowLink = 7_000_000 / 8;
+const callerTimeout = 3000;
+
+for (const count of [1000, 10_000]) {
+    suite(`no caller is answered in time after a restart, as all of ${count} ended jobs are read whole`, async () => {
+        const topics = new memoryStore.MemoryLog();
+        const steps = [{}, { taskCount: 20, dependsOn: [0], checkpointed: true }].map(jobTesting.createStep);
+        const ended = Array.from({ length: count }, (_, i) =>
+            jobTesting.createJob({
+                id: i.toString(16).padStart(16, "0"),
+                route,
+                payload: "x".repeat(2400),
+                steps,
+                submittedAt: 1_769_163_213_773 + i,
+            }));
+        const sweeper = createSweeper(topics, { monotonic: 0, wall: 0 }, () => true, ended);
+        await sweeper.sweep();
+        sweeper.stop();
+        const perJob = measureStart(topics) / count;
+        const time = perJob * dayJobCount / slowLink * 1000;
+        assert.ok(time < callerTimeout, `${Math.round(perJob)} bytes a job: ${Math.round(time)} ms for a long day`);
+    });
+}
+
 suite.run();
