Shorten what is stored of ended jobs

It says by itself that the job has ended, wins over submissions that come later, and keeps what callers, demand and committed rates need. The ledger's record stays as long as it, for a submission that is carried out after it.

--- a/packages/dispatch/src/demand.test.ts
+++ b/packages/dispatch/src/demand.test.ts
@@ -108,6 +108,42 @@
     assert.ok(restore(mixed, wall) <= 2 * measured, `${restore(mixed, wall)} instead of ${measured}`);
 });
 
+suite("a successor finds another demand than its predecessor, as jobs have ended and are stored in short", () => {
+    const steps = [
+        testing.createStep({ taskCount: 3, estimate: 900 }),
+        testing.createStep({ taskCount: 7, demand: { cpu: 250, memory: 9000, accelerators: 2 }, dependsOn: [0] }),
+        testing.createStep({ taskCount: 2, longRunning: true, estimate: 4000, dependsOn: [0] }),
+        testing.createStep({ taskCount: 5, filler: true, dependsOn: [0, 1] }),
+    ];
+    const restore = (organisation: string | undefined, encode: (job: jobState.Job) => jobState.KeyedRecord) => {
+        const { meter, registry } = createMeter();
+        const current = {
+            ...configuration,
+            organisations,
+            routes: [{ ...route, name: "quotes", host: "", pathPrefix: "/", timeout: 1000, isPublic: false }],
+        };
+        meter.applyConfiguration(current);
+        registry.applyConfiguration(current);
+        const table = new jobState.JobTable();
+        for (let i = 0; i < 300; i++) {
+            const { key, value } = encode({ ...createJob(i), organisation, steps, submittedAt: 20 * i });
+            table.applySubmission(key, value);
+        }
+        table.entries.forEach(entry => registry.track(entry, 0));
+        meter.restoreArrivals([...table.entries.values()].flatMap(({ job }) => job ?? []), 6000, 6000);
+        const { arrivingCores, allowedWait } = meter.list(current, 6000, 6000)[0]!;
+        return { arrivingCores, allowedWait };
+    };
+    for (const organisation of [undefined, "paced", "unpaced"]) {
+        const before = restore(organisation, jobState.encodeJob);
+        assert.ok(before.arrivingCores > 1, `${before.arrivingCores}`);
+        assert.equal(
+            restore(organisation, job => jobState.encodeEndedJob(job, jobState.JobStatus.completed)),
+            before,
+        );
+    }
+});
+
 /** Records jobs of one core-second each from 0 until `end`, with `rateAt` of them a second. */
 function recordArrivals(rateAt: (now: number) => number, end: number): demand.DemandMeter {
     const { meter, registry } = createMeter();
--- a/packages/dispatch/src/job-registry.ts
+++ b/packages/dispatch/src/job-registry.ts
@@ -82,7 +82,7 @@
 
     /**
      * Returns the job, added if it is new. `undefined` while its submission hasn't been read, or if it is settled and
-     * has no runs.
+     * has no runs, which the short form of its submission shows by itself.
      *
      * @param wall Unix time in ms
      */
@@ -96,6 +96,9 @@
             return undefined;
         }
         this.#committedRates.add(job); // Settled ones count, too: they were submitted.
+        if (entry.finalStatus !== undefined) {
+            return undefined;
+        }
         this.#learnRoute(job);
         entry.progress ??= jobState.createProgress(wall);
         if (jobState.isSettled(entry.progress.status) && !jobState.hasRuns(entry.progress)) {
--- a/packages/dispatch/src/job-sweeper.test.ts
+++ b/packages/dispatch/src/job-sweeper.test.ts
@@ -6,6 +6,7 @@
 import * as timers from "node:timers/promises";
 import * as uvu from "uvu";
 import * as assert from "uvu/assert";
+import type * as context from "./context.js";
 import * as jobSweeper from "./job-sweeper.js";
 import * as testing from "./testing/context.js";
 import * as memoryStore from "./testing/memory-store.js";
@@ -40,6 +41,15 @@
     mayExtendLeases = () => true,
     settled: readonly jobState.Job[] = [job],
 ): jobSweeper.JobSweeper {
+    return createProcess(topics, clock, mayExtendLeases, settled).sweeper;
+}
+
+function createProcess(
+    topics: memoryStore.MemoryLog,
+    clock: TestClock = { monotonic: 0, wall: 0 },
+    mayExtendLeases = () => true,
+    settled: readonly jobState.Job[] = [job],
+): { sweeper: jobSweeper.JobSweeper; shared: context.CoordinatorContext; } {
     const store = new memoryStore.MemoryStore(topics, new virtualTime.VirtualTime(), () => true);
     const shared = {
         ...testing.createContext(new httpCalls.HttpClient(), store, () => 0),
@@ -55,7 +65,7 @@
         shared.jobs.applySubmission(record.key, record.value);
         shared.jobs.applyProgress(id, progress);
     }
-    return new jobSweeper.JobSweeper(shared, store);
+    return { sweeper: new jobSweeper.JobSweeper(shared, store), shared };
 }
 
 /** The same, when the job is due to be removed by the next sweep. */
@@ -152,6 +162,104 @@
     },
 );
 
+/** Kinds of the newest records of the submissions topic: job, ended, cancellation. */
+function listKinds(topics: memoryStore.MemoryLog): (string | undefined)[] {
+    return topics.listNewest(jobState.submissionsTopic)
+        .map(({ record }) => jobState.decodeSubmission(record!.key, record!.value)?.kind);
+}
+
+suite(
+    "the submission of a job is shortened while a run of it may be under way, or before its status is stored",
+    async () => {
+        const topics = new memoryStore.MemoryLog();
+        const { sweeper, shared } = createProcess(topics);
+        const entry = shared.jobs.entries.get(job.id)!;
+        const progress = entry.progress!;
+        const occurrence = jobState.getOrCreateOccurrence(progress, job, 0);
+        const history = jobState.getOrCreateHistory(occurrence, 0);
+        history.runs = [{ number: 1, server: "s1@0" }];
+        await sweeper.sweep();
+        history.runs = [];
+        for (const status of [jobState.JobStatus.queued, jobState.JobStatus.running]) {
+            progress.status = entry.storedStatus = status;
+            await sweeper.sweep();
+        }
+        progress.status = jobState.JobStatus.completed;
+        await sweeper.sweep();
+        assert.equal(listKinds(topics), ["job"]);
+        entry.storedStatus = progress.status;
+        await sweeper.sweep();
+        sweeper.stop();
+        assert.equal(listKinds(topics), ["ended"]);
+    },
+);
+
+suite("a successor finds runs in the progress of a job of which only the short form is left", async () => {
+    const topics = new memoryStore.MemoryLog();
+    const { sweeper, shared } = createProcess(topics);
+    let carryOut: (() => void) | undefined;
+    topics.holdsAppend = ({ topic }, carryOutLate) => {
+        carryOut = carryOutLate;
+        return topic === jobState.ledgerTopic;
+    };
+    shared.writer.markDirty(shared.jobs.entries.get(job.id)!); // As its last run ended just now.
+    void sweeper.sweep();
+    await timers.setTimeout(settlingTime);
+    const kinds = listKinds(topics);
+    carryOut!();
+    topics.holdsAppend = () => false;
+    await timers.setTimeout(repeatTime);
+    sweeper.stop();
+    assert.equal([kinds, listKinds(topics)], [["job"], ["ended"]]);
+});
+
+suite("the submission of an ended job is read for minutes, as it was carried out after its short form", async () => {
+    const topics = new memoryStore.MemoryLog();
+    const { sweeper, shared } = createProcess(topics);
+    await sweeper.sweep();
+    assert.equal(listKinds(topics), ["ended"]);
+    await sweeper.sweep();
+    assert.is(topics.list(jobState.submissionsTopic).length, 2);
+    const { key, value } = jobState.encodeJob(job);
+    topics.append(jobState.submissionsTopic, [{ key, value }]);
+    shared.jobs.applySubmission(key, value);
+    await sweeper.sweep();
+    sweeper.stop();
+    assert.equal(listKinds(topics), ["ended"]);
+});
+
+suite("the cancellation of an ended job stays stored, or its status is lost with it", async () => {
+    const topics = new memoryStore.MemoryLog();
+    const { sweeper, shared } = createProcess(topics);
+    const { key, value } = jobState.encodeCancellation(job.id, 0);
+    topics.append(jobState.submissionsTopic, [{ key, value }]);
+    shared.jobs.applySubmission(key, value);
+    const entry = shared.jobs.entries.get(job.id)!;
+    entry.progress!.status = entry.storedStatus = jobState.JobStatus.cancelled;
+    assert.equal(listKinds(topics), ["job", "cancellation"]);
+    await sweeper.sweep();
+    sweeper.stop();
+    assert.equal(listKinds(topics), ["ended"]);
+    const successor = new jobState.JobTable();
+    topics.listNewest(jobState.submissionsTopic)
+        .forEach(({ record }) => successor.applySubmission(record!.key, record!.value));
+    assert.is(successor.findStatus(job.id), jobState.JobStatus.cancelled);
+});
+
+suite("an ended job of which no progress is left stays stored for good", async () => {
+    const topics = new memoryStore.MemoryLog();
+    const clock = { monotonic: 0, wall: 0 };
+    const { sweeper, shared } = createProcess(topics, clock);
+    await sweeper.sweep();
+    shared.jobs.clearProgress();
+    topics.append(jobState.ledgerTopic, jobState.encodeProgressTombstones(job.id, []));
+    await sweeper.sweep();
+    clock.monotonic = clock.wall = retention;
+    await sweeper.sweep();
+    sweeper.stop();
+    assert.equal(listKinds(topics), []);
+});
+
 /** Bytes that a process reads of both topics when it starts. */
 function measureStart(topics: memoryStore.MemoryLog): number {
     return [jobState.submissionsTopic, jobState.ledgerTopic]
--- a/packages/dispatch/src/job-sweeper.ts
+++ b/packages/dispatch/src/job-sweeper.ts
@@ -1,5 +1,10 @@
 /**
- * Removes settled jobs from memory and from the store once their status no longer has to be reported to callers.
+ * Shortens what is stored of ended jobs, and removes them from memory and from the store once their status no longer has
+ * to be reported to callers.
+ *
+ * Every process that starts reads what is stored of all jobs. The short form takes the place of a job's submission once its
+ * final status is in the ledger, and says by itself that the job has ended. The ledger keeps the status all the same: an
+ * append of the submission that got no answer may be carried out after the short form.
  *
  * A job's submission is removed before its progress: a submission without progress is a new job to the next coordinator,
  * which would run it again. How long a job has been settled is measured on the monotonic clock, from when this
@@ -7,14 +12,17 @@
  * wrong, and a request that comes again after the removal is a new job.
  */
 import * as jobState from "@catkinwharf/job-state";
-import type * as storeClient from "@catkinwharf/store";
+import * as platform from "@catkinwharf/platform";
+import * as storeClient from "@catkinwharf/store";
 import type * as context from "./context.js";
 import * as epochAppender from "./epoch-appender.js";
 
 /** How long a settled job is kept, as a multiple of the time for which its status must be reported. */
 const retentionFactor = 1.5;
-/** Most jobs that one append removes. */
-const maxJobsPerAppend = 200;
+/** Most records in one append, in addition to the store's limits. */
+const maxRecordsPerAppend = 400;
+/** Most jobs that one append removes, with two records each. */
+const maxJobsPerRemoval = maxRecordsPerAppend / 2;
 
 export class JobSweeper {
     readonly #appender: epochAppender.EpochAppender;
@@ -27,7 +35,7 @@
             store,
             jobState.submissionsTopic,
             shared.claim,
-            outcome => shared.stepDown(`the store refused to remove jobs under this epoch: ${outcome}`),
+            outcome => shared.stepDown(`the store refused to shorten or remove jobs under this epoch: ${outcome}`),
         );
     }
 
@@ -36,24 +44,64 @@
     }
 
     /**
-     * Removes the jobs that are due, unless an earlier call still does or there may be a successor: only the ledger refuses
-     * the appends of an earlier epoch from the claim on, the submissions topic not before the successor's first removal.
+     * Shortens and removes the jobs that are due, unless an earlier call still does or there may be a successor: only the
+     * ledger refuses the appends of an earlier epoch from the claim on, the submissions topic not before the successor's
+     * first one.
      */
     async sweep(): Promise<void> {
         if (this.#sweeping || !this.shared.mayExtendLeases()) {
             return;
         }
         this.#sweeping = true;
+        if (await this.#shorten()) {
+            await this.#remove();
+        }
+        this.#sweeping = false;
+    }
+
+    /** Replaces the submissions of ended jobs by their short form; false once this coordinator can't any more. */
+    async #shorten(): Promise<boolean> {
+        const { jobs, writer, log } = this.shared;
+        const found = jobs.listShortenable();
+        if (found.length === 0) {
+            return true;
+        }
+        // What is stored of a job may still show runs that this coordinator knows to be over.
+        if (!await writer.flush()) {
+            return false;
+        }
+        const ended = new Set(jobs.listShortenable());
+        const due = found.filter(entry => ended.has(entry));
+        const records = due.flatMap(entry => shortenRecords(entry));
+        const bytes = records.reduce((sum, record) => sum + platform.storeCalls.measureRecord(record), 0);
+        while (records.length > 0) {
+            const batch = this.#takeBatch(records);
+            if (!await this.#appender.append(batch)) {
+                return false;
+            }
+            batch.forEach(({ key, value }) => jobs.applySubmission(key, value, false));
+        }
+        log.info("jobs-shortened", { jobs: due.length, bytes });
+        return true;
+    }
+
+    #takeBatch(records: platform.storeCalls.KeyedRecord[]): platform.storeCalls.KeyedRecord[] {
+        const batch = new storeClient.RecordBatch(this.shared.settings.storeLimits);
+        const count = records.slice(0, maxRecordsPerAppend).findIndex(record => !batch.add(record));
+        return records.splice(0, count === -1 ? maxRecordsPerAppend : count);
+    }
+
+    async #remove(): Promise<void> {
         const { jobs, settings, clock, log, writer } = this.shared;
         const now = clock.monotonic();
         this.#seenSettledAt = new Map(jobs.listSettled().map(id => [id, this.#seenSettledAt.get(id) ?? now]));
         const due = [...this.#seenSettledAt]
             .filter(([, seenAt]) => now - seenAt >= retentionFactor * settings.bounds.status)
             .map(([id]) => id);
-        for (let i = 0; i < due.length; i += maxJobsPerAppend) {
-            const ids = due.slice(i, i + maxJobsPerAppend);
+        for (let i = 0; i < due.length; i += maxJobsPerRemoval) {
+            const ids = due.slice(i, i + maxJobsPerRemoval);
             if (!await this.#appender.append(ids.flatMap(id => jobState.encodeJobTombstones(id)))) {
-                break;
+                return;
             }
             for (const id of ids) {
                 const storedParts = jobs.entries.get(id)?.storedParts ?? [];
@@ -62,6 +110,17 @@
             }
             log.info("jobs-forgotten", { jobs: ids.length });
         }
-        this.#sweeping = false;
     }
 }
+
+/** Records that take the place of those of an ended job; the short form comes first, as it shows a cancelled job, too. */
+function shortenRecords(
+    { id, job, cancelledAt, finalStatus, progress }: jobState.JobEntry,
+): platform.storeCalls.KeyedRecord[] {
+    const status = finalStatus ?? progress?.status;
+    if (job === undefined || status === undefined) {
+        return [];
+    }
+    const shortened = jobState.encodeEndedJob(job, status);
+    return cancelledAt === undefined ? [shortened] : [shortened, jobState.encodeCancellationTombstone(id)];
+}
--- a/packages/dispatch/src/placement-explainer.ts
+++ b/packages/dispatch/src/placement-explainer.ts
@@ -59,7 +59,7 @@
                 ? entry.progress?.status
                 : jobState.JobStatus.cancelled;
             const { job } = entry;
-            const service = active?.route?.service ?? job.route?.service;
+            const service = this.options.registry.describe(job).route?.service;
             const organisation = this.#explainOrganisation(job, this.options.registry.isBeyondRate(job));
             return {
                 verdict: types.Verdict.ended,
--- a/packages/dispatch/src/removed-jobs.test.ts
+++ b/packages/dispatch/src/removed-jobs.test.ts
@@ -1,4 +1,4 @@
-/** A job whose removal a process couldn't read isn't run again by it. */
+/** An ended job isn't run again, whatever a process reads of its short form and of its removal. */
 import * as eventLog from "@catkinwharf/event-log";
 import * as jobState from "@catkinwharf/job-state";
 import * as jobTesting from "@catkinwharf/job-state/testing";
@@ -94,6 +94,63 @@
     assert.is(world.jobs.findStatus(job.id), undefined);
 });
 
+const submitted = jobState.encodeJob(job);
+const shortened = jobState.encodeEndedJob(job, jobState.JobStatus.completed);
+const completed = encodeCompleted(job.id);
+const [removed] = jobState.encodeJobTombstones(job.id);
+const removedProgress = jobState.encodeProgressTombstones(job.id, []);
+
+for (
+    const [what, submissions, ledger, status] of [
+        ["its progress was removed first", [submitted, shortened], [completed, ...removedProgress], "completed"],
+        [
+            "its progress can't be read",
+            [submitted, shortened],
+            [{ key: completed.key, value: Buffer.of(255) }],
+            "completed",
+        ],
+        [
+            "its submission was carried out after its short form",
+            [submitted, shortened, submitted],
+            [completed],
+            "completed",
+        ],
+        ["its short form came without a submission", [shortened], [completed], "completed"],
+        [
+            "its coordinator was lost before it removed its progress",
+            [submitted, shortened, removed!],
+            [completed],
+            undefined,
+        ],
+        ["it was removed", [submitted, shortened, removed!], [completed, ...removedProgress], undefined],
+    ] as const
+) {
+    suite(`an ended job runs again, as ${what}`, async () => {
+        for (const expired of [false, true]) {
+            const world = new World();
+            world.topics.append(jobState.submissionsTopic, submissions);
+            world.topics.append(jobState.ledgerTopic, ledger);
+            world.expired = expired;
+            await world.catchUp();
+            assert.equal(world.listStartable(), []);
+            assert.is(world.jobs.findStatus(job.id), status);
+            assert.is(world.jobs.countUnfinished(job.queue).pending, 0);
+        }
+    });
+}
+
+suite("a process that has read an ended job's short form takes its submission for a new job", async () => {
+    const world = new World();
+    world.topics.append(jobState.submissionsTopic, [submitted, shortened]);
+    await world.catchUp();
+    world.topics.append(jobState.submissionsTopic, [submitted]);
+    await world.catchUp();
+    assert.equal(world.listStartable(), []);
+    assert.is(world.jobs.findStatus(job.id), jobState.JobStatus.completed);
+    // Those that start later would read the submission.
+    assert.equal(world.jobs.listShortenable().map(({ id }) => id), [job.id]);
+});
+
 suite("a job that exists is dropped, as its record among the newest ones can't be read", async () => {
     const world = new World();
     world.topics.append(jobState.submissionsTopic, [jobState.encodeJob(job)]);
--- a/packages/dispatch/src/testing/simulation.ts
+++ b/packages/dispatch/src/testing/simulation.ts
@@ -310,6 +310,9 @@
             jobs.applySubmission(key, value);
         }
         this.#cancellations.forEach(({ key, value }) => jobs.applySubmission(key, value));
+        this.#topics.listNewest(jobState.submissionsTopic).forEach(({ record }) =>
+            jobs.applySubmission(record!.key, record!.value)
+        );
         const records = this.#topics.listNewest(jobState.ledgerTopic).flatMap(({ record }) =>
             jobState.decodeLedger(record!.key, record!.value) ?? []
         );
--- a/packages/intake/src/authentication.test.ts
+++ b/packages/intake/src/authentication.test.ts
@@ -112,6 +112,12 @@
     return jobState.encodeJob(jobStateTesting.createJob({ id: jobId, queue, organisation, payload: "first" }));
 }
 
+/** The same, once the job has ended and only its short form is stored. */
+function createEndedJobOf(organisation: string | undefined, queue = route.name): jobState.KeyedRecord {
+    const job = jobStateTesting.createJob({ id: jobId, queue, organisation, payload: "first" });
+    return jobState.encodeEndedJob(job, jobState.JobStatus.completed);
+}
+
 function readMessage({ body: text }: testing.Received): string {
     return String((JSON.parse(text) as { readonly Error?: unknown; }).Error);
 }
@@ -280,16 +286,58 @@
     assert.is((await upgraded.send("POST", jobPath, "Token key-a")).status, 200);
 });
 
-for (const when of ["before", "after"] as const) {
+suite(
+    "an ended job is told from a new or a foreign one by its submission, of which the short form is left",
+    async () => {
+        const paths = [jobPath, publicRoute.pathPrefix + jobId];
+        const keys = ["Token key-a", "Token key-a2", "Token key-b"];
+        for (
+            const [organisation, queue] of [["a", route.name], [undefined, route.name], [undefined, publicRoute.name]]
+        ) {
+            const answers = await Promise.all([false, true].map(async isShortened => {
+                const process = new Process();
+                process.read(createJobOf(organisation, queue));
+                const progress = jobState.createProgress(0);
+                progress.status = jobState.JobStatus.completed;
+                process.jobs.applyProgress(jobId, progress);
+                if (isShortened) {
+                    process.read(createEndedJobOf(organisation, queue));
+                    process.jobs.clearProgress();
+                }
+                const received: unknown[] = [];
+                for (const method of ["GET", "DELETE", "POST"]) {
+                    for (const path of paths) {
+                        for (const key of keys) {
+                            const answer = await process.send(method, path, key);
+                            received.push([method, path, key, answer.status, answer.body]);
+                        }
+                    }
+                }
+                return [received, process.written];
+            }));
+            assert.equal(answers[1], answers[0]);
+            assert.equal(answers[1]?.[1], []);
+        }
+    },
+);
+
+for (
+    const [when, first] of [
+        ["before", createJobOf("a")],
+        ["after", createJobOf("a")],
+        ["after", createEndedJobOf("a")],
+    ] as const
+) {
+    const form = jobState.decodeSubmission(first.key, first.value)!.kind;
     suite(
-        `a job is accepted although another organisation's came first, read just ${when} the append's answer`,
+        `a job is accepted although another organisation's came first, read (${form}) just ${when} the append's answer`,
         async () => {
             const process = new Process();
             process.onAppend = records => {
                 if (process.written.length > 1) {
                     return;
                 }
-                const apply = () => [createJobOf("a"), ...records].forEach(record => process.read(record));
+                const apply = () => [first, ...records].forEach(record => process.read(record));
                 if (when === "before") {
                     apply();
                 }
@@ -301,7 +349,7 @@
             assert.is(process.jobs.entries.get(jobId)?.job?.organisation, "a");
             assert.is((await process.send("GET", jobPath, "Token key-b")).status, 410);
             // Processes that start later read only the newest record.
-            assert.equal(process.written.at(-1), createJobOf("a"));
+            assert.equal(process.written.at(-1), first);
             assert.equal(process.unstored, []);
         },
     );
--- a/packages/intake/src/job-api.ts
+++ b/packages/intake/src/job-api.ts
@@ -517,7 +517,11 @@
             return accepted;
         }
         this.options.log.warn("job-id-conflict", { job: request.id, queue: owner.queue });
-        await this.#write(jobState.encodeJob(owner), request);
+        const finalStatus = jobs.entries.get(owner.id)?.finalStatus;
+        const record = finalStatus === undefined
+            ? jobState.encodeJob(owner)
+            : jobState.encodeEndedJob(owner, finalStatus);
+        await this.#write(record, request);
         return idUnusable;
     }
 
--- a/packages/job-state/src/job-table.ts
+++ b/packages/job-state/src/job-table.ts
@@ -10,7 +10,13 @@
 /** Everything known about one job. Records of the two topics arrive in any order, so any of them may come first. */
 export interface JobEntry {
     readonly id: string;
+    /** Once `finalStatus` is known, without the payload and all but the demand of the steps. */
     job: jobs.Job | undefined;
+    /**
+     * Status of a job whose submission was replaced by its short form, as its final status was stored and no run was under
+     * way. It holds whatever else is known of the job.
+     */
+    finalStatus?: jobs.JobStatus;
     /** Unix time in ms of the first cancellation; `undefined` if the job hasn't been cancelled. */
     cancelledAt: number | undefined;
     progress: progress.Progress | undefined;
@@ -39,6 +45,8 @@
     onJobOrCancellation: JobListener = () => undefined;
     /** Number of records of the submissions topic that couldn't be decoded. */
     unreadableCount = 0;
+    /** IDs of the jobs whose newest known record is a submission, not its short form. */
+    readonly #submitted = new Set<string>();
     /** IDs of the jobs whose records were read from the topic. */
     readonly #readJobs = new Set<string>();
     /** Called once a record of the job has been read, by job ID. */
@@ -47,7 +55,8 @@
     readonly #pendingParts = new Map<string, Map<string, parts.ProgressPart>>();
 
     /**
-     * Applies a record of the submissions topic. Of several records of a job, or cancellations, the first wins.
+     * Applies a record of the submissions topic. Of several submissions of a job, or cancellations, the first wins; the
+     * short form of an ended job wins over all of them.
      *
      * @param isRead whether it was read from the topic; this process may also know that it has just stored the record
      */
@@ -65,9 +74,17 @@
             this.unreadableCount += 1;
             return;
         }
-        if (record.kind === "job") {
+        if (record.kind !== "cancellation") {
             const entry = this.#getOrCreate(record.job.id);
-            entry.job ??= record.job;
+            if (record.kind === "ended") {
+                entry.job = record.job;
+                entry.finalStatus = record.status;
+                this.#submitted.delete(entry.id);
+            }
+            else {
+                entry.job ??= record.job;
+                this.#submitted.add(entry.id);
+            }
             if (isRead) {
                 this.#readJobs.add(entry.id);
                 this.#waiting.get(entry.id)?.forEach(resolve => resolve(entry.job!));
@@ -127,6 +144,7 @@
 
     #remove(id: string): void {
         this.entries.delete(id);
+        this.#submitted.delete(id);
         this.#readJobs.delete(id);
         this.#pendingParts.delete(id);
     }
@@ -183,7 +201,7 @@
         if (entry?.job === undefined) {
             return undefined;
         }
-        const status = entry.storedStatus ?? jobs.JobStatus.queued;
+        const status = entry.finalStatus ?? entry.storedStatus ?? jobs.JobStatus.queued;
         return entry.cancelledAt !== undefined && !progress.isSettled(status) ? jobs.JobStatus.cancelled : status;
     }
 
@@ -192,8 +210,7 @@
         let begunWithoutResult = 0;
         for (const entry of this.entries.values()) {
             if (
-                entry.job?.queue !== queue || entry.cancelledAt !== undefined
-                || (entry.progress !== undefined && progress.isSettled(entry.progress.status))
+                entry.job?.queue !== queue || entry.cancelledAt !== undefined || isSettled(entry)
             ) {
                 continue;
             }
@@ -209,9 +226,15 @@
 
     /** IDs of the settled jobs. */
     listSettled(): string[] {
-        return [...this.entries.values()].filter(({ progress: current }) =>
-            current !== undefined && progress.isSettled(current.status)
-        ).map(({ id }) => id);
+        return [...this.entries.values()].filter(isSettled).map(({ id }) => id);
+    }
+
+    /**
+     * Jobs whose submission isn't needed any more: their final status is stored, and no run of them may be under way. Also
+     * those whose short form was replaced, by a submission that came again or was carried out late.
+     */
+    listShortenable(): JobEntry[] {
+        return [...this.#submitted].flatMap(id => this.entries.get(id) ?? []).filter(isOver);
     }
 
     #getOrCreate(id: string): JobEntry {
@@ -230,3 +253,13 @@
         return entry;
     }
 }
+
+function isSettled({ finalStatus, progress: current }: JobEntry): boolean {
+    return finalStatus !== undefined || (current !== undefined && progress.isSettled(current.status));
+}
+
+function isOver({ finalStatus, progress: current, storedStatus }: JobEntry): boolean {
+    return finalStatus !== undefined
+        || (current !== undefined && progress.isSettled(current.status) && storedStatus === current.status
+            && !progress.hasRuns(current));
+}
--- a/packages/job-state/src/records.test.ts
+++ b/packages/job-state/src/records.test.ts
@@ -1,4 +1,5 @@
 /** Decoding restores what was encoded and skips anything else; a job table applies the records of both topics. */
+import * as cbor from "cbor-x";
 import * as fastCheck from "fast-check";
 import * as uvu from "uvu";
 import * as assert from "uvu/assert";
@@ -217,6 +218,23 @@
     assert.equal(jobState.decodeLedger(key, value), { kind: "server", id: "i-1", boot: undefined });
 });
 
+suite("an earlier version starts tasks of an ended job, of which it reads the short form", () => {
+    const steps = [testing.createStep({ taskCount: 3 }), testing.createStep({ dependsOn: [0], filler: true })];
+    const ended = testing.createJob({ organisation: "a", payload: "text", steps, submittedAt: 1_769_163_213_773 });
+    const { key, value } = jobState.encodeEndedJob(ended, jobState.JobStatus.failed);
+    assert.is(key, jobState.encodeJob(ended).key);
+    assert.ok(value.length < 120, `${value.length} bytes`);
+    const { id, queue, organisation, submittedAt } = ended;
+    const { e, w, ...known } = cbor.decode(value) as Record<string, unknown>;
+    assert.equal(known, { id, queue, organisation, submittedAt, steps: [] });
+    const expected = { kind: "ended", job: { ...ended, payload: "" }, status: "failed" };
+    assert.equal(jobState.decodeSubmission(key, value), expected);
+    for (const [odd, steps] of [[{ w: 1 }, []], [{ w: [["1"], [1], w] }, []], [{ e: "running" }], [{ e: 3 }]]) {
+        const record = jobState.decodeSubmission(key, cbor.encode({ ...known, e, w, ...odd }));
+        assert.equal(record, steps && { ...expected, job: { ...expected.job, steps } });
+    }
+});
+
 suite("a run is restored with what is known of its start and of the crash of its server", () => {
     const runs: jobState.Run[] = [
         { number: 1, server: "i-1@7" },
--- a/packages/job-state/src/records.ts
+++ b/packages/job-state/src/records.ts
@@ -2,12 +2,13 @@
  * Codec of the records in the store's keyed topics.
  *
  * Every process appends to the submissions topic: the jobs and cancellations that it receives from callers, and its own
- * address. The coordinator removes settled jobs from it.
+ * address. The coordinator replaces the jobs that have ended by a short form, and removes them later.
  *
  * Only the coordinator appends to the ledger: its identity, the progress of jobs and maintenance waves, the boots of the
  * backend servers, and its orders to move or maintain machines, the instances on which these run.
  */
 import * as cbor from "cbor-x";
+import * as endedJob from "./ended-job.js";
 import * as jobs from "./job.js";
 import * as codec from "./occurrence-codec.js";
 import * as parts from "./progress-parts.js";
@@ -69,6 +70,8 @@
 
 export type SubmissionRecord =
     | { readonly kind: "job"; readonly job: jobs.Job; }
+    /** What is left of a job whose final status is stored. */
+    | { readonly kind: "ended"; readonly job: jobs.Job; readonly status: jobs.JobStatus; }
     | { readonly kind: "cancellation"; readonly id: string; readonly cancelledAt: number; };
 
 export type LedgerRecord =
@@ -129,6 +132,8 @@
     readonly p?: readonly [number, number, readonly progress.OccurrenceRange[]];
 }
 
+const finalStatuses: ReadonlySet<unknown> = new Set(Object.values(jobs.JobStatus).filter(progress.isSettled));
+
 /** Without the extensions of cbor-x: objects become plain CBOR maps, byte arrays plain byte strings. */
 const cborCodec = new cbor.Encoder({ useRecords: false, tagUint8Array: false });
 
@@ -141,13 +146,22 @@
     return { key: formatJobKey(job.id), value: cborCodec.encode(job) };
 }
 
+/** Encodes the short form of an ended job, which replaces its submission; `status` must be final. */
+export function encodeEndedJob(job: jobs.Job, status: jobs.JobStatus): KeyedRecord {
+    return { key: formatJobKey(job.id), value: cborCodec.encode(endedJob.shortenJob(job, status)) };
+}
+
 export function encodeCancellation(id: string, cancelledAt: number): KeyedRecord {
     return { key: KeyPrefix.cancellation + id, value: cborCodec.encode({ cancelledAt }) };
 }
 
 /** Tombstones of a job and of its cancellation, for the submissions topic. */
 export function encodeJobTombstones(id: string): KeyedRecord[] {
-    return [formatJobKey(id), KeyPrefix.cancellation + id].map(key => ({ key, value: new Uint8Array() }));
+    return [encodeTombstone(formatJobKey(id)), encodeCancellationTombstone(id)];
+}
+
+export function encodeCancellationTombstone(id: string): KeyedRecord {
+    return encodeTombstone(KeyPrefix.cancellation + id);
 }
 
 /** Tombstones of a job's progress and of its parts, for the ledger. */
@@ -276,7 +290,7 @@
 }
 
 /**
- * Decodes a job or a cancellation from the submissions topic; `undefined` for any other record. Callers try
+ * Decodes a job, also an ended one, or a cancellation from the submissions topic; `undefined` for any other record. Callers try
  * `decodeNode` and `decodeJobTombstone` first, which decode the other kinds.
  */
 export function decodeSubmission(key: string, value: Uint8Array): SubmissionRecord | undefined {
@@ -285,7 +299,12 @@
         return undefined;
     }
     if (key.startsWith(KeyPrefix.job) && isJob(decoded)) {
-        return { kind: "job", job: selectKnownFields(decoded) };
+        if (!("e" in decoded)) {
+            return { kind: "job", job: selectKnownFields(decoded) };
+        }
+        return isEndedJob(decoded)
+            ? { kind: "ended", job: endedJob.restoreEndedJob(decoded), status: decoded.e }
+            : undefined;
     }
     if (key.startsWith(KeyPrefix.cancellation) && isObject(decoded) && typeof decoded["cancelledAt"] === "number") {
         return {
@@ -422,6 +441,10 @@
         && hasTaskCounts(value["steps"]);
 }
 
+function isEndedJob(job: object): job is endedJob.StoredEndedJob {
+    return "e" in job && finalStatuses.has(job.e);
+}
+
 /** Whether the steps have numbers of tasks that this process has memory for; earlier versions stored any. */
 function hasTaskCounts(steps: readonly unknown[]): boolean {
     const counts = steps.map(step => isObject(step) ? step["taskCount"] : undefined);
