Play the loss of all processes with ended jobs that are stored in short

Cause: the loss of all processes was tested with whole submissions only. Change: the test in real processes also waits for the short form of a completed and of a cancelled job, and asks, cancels and submits them again after the loss; each of it also without the short form.

--- a/packages/node/src/integration/jobs.test.ts
+++ b/packages/node/src/integration/jobs.test.ts
@@ -114,18 +114,48 @@
     assert.is(longRuns.filter(run => run.endedAt === undefined).length, 2);
 });
 
-suite("after all processes are killed and the store drops its history, jobs are known and continue", async () => {
-    await deployment.start(2, { dispatch: 2 });
-    const completed = await submit(createJobBody({ duration: 20 }));
-    await waitForStatus(completed, "completed");
-    const unfinished = await submit(createJobBody({ duration: 1200 }));
-    await Promise.all(deployment.processes.map(node => deployment.kill(node)));
-    deployment.store.dropHistory();
-    deployment.processes.forEach(node => deployment.launch(node));
-    await waitForStatus(unfinished, "completed");
-    await waitForStatus(completed, "completed");
-    assert.equal(deployment.findDuplicateRuns(), []);
-});
+for (const isShortened of [false, true]) {
+    const form = isShortened ? ", but for a short form of ended jobs" : "";
+    suite(
+        `after all processes are killed and the store drops its history${form}, jobs are known and continue`,
+        async () => {
+            await deployment.start(2, { dispatch: 2 });
+            const completed = await submit(createJobBody({ duration: 20 }));
+            await waitForStatus(completed, "completed");
+            const cancelled = await submit(createJobBody({ duration: 60_000 }));
+            await waitForStatus(cancelled, "running");
+            await deployment.sendRequest(deployment.processes[0]!, "DELETE", cancelled);
+            if (isShortened) {
+                await deployment.waitFor(
+                    "both are stored in short",
+                    () =>
+                        [completed, cancelled].every(jobPath =>
+                            deployment.store.listValues(jobState.submissionsTopic, `j:${jobPath.slice(8)}`).length === 2
+                        ),
+                );
+            }
+            const unfinished = await submit(createJobBody({ duration: 1200 }));
+            await Promise.all(deployment.processes.map(node => deployment.kill(node)));
+            deployment.store.dropHistory();
+            deployment.processes.forEach(node => deployment.launch(node));
+            await waitForStatus(unfinished, "completed");
+            await waitForStatus(completed, "completed");
+            await waitForStatus(cancelled, "cancelled");
+            const { history } = deployment.machines;
+            const runCount = history.length;
+            for (const method of ["POST", "DELETE"] as const) {
+                for (const jobPath of [completed, cancelled]) {
+                    const body = method === "POST" ? createJobBody({ duration: 20 }) : undefined;
+                    const answer = await deployment.sendRequest(deployment.processes[1]!, method, jobPath, body);
+                    assert.is(answer?.status, 200);
+                }
+            }
+            await waitForStatus(await submit(createJobBody({ duration: 20 })), "completed");
+            assert.is(history.length, runCount + 2); // Two tasks of the last job.
+            assert.equal(deployment.findDuplicateRuns(), []);
+        },
+    );
+}
 
 suite("each epoch has one coordinator, even when several processes claim it at once", async () => {
     await deployment.start(5, { dispatch: 1 });
