Send no start of a job that a later coordinator has ended

Cause: a coordinator that was succeeded and doesn't know it yet reads the short form of a job in place of its payload. A start that it has planned, or repeats, would carry no payload. Found by reading. Change: it drops such starts, as those of cancelled jobs. The test of the step-down also plans on a server that isn't draining: on the draining one no start was ever sent, so two of its tests showed nothing.

--- a/packages/dispatch/src/run-manager.ts
+++ b/packages/dispatch/src/run-manager.ts
@@ -212,11 +212,11 @@
         if (run.phase !== session.RunPhase.planned || !this.#isCurrent(server, run)) {
             return;
         }
-        if (server.clock.sample === undefined || run.entry.cancelledAt !== undefined || !server.mayStart(run)) {
+        if (server.clock.sample === undefined || isOver(run.entry) || !server.mayStart(run)) {
             this.#dropRun(
                 server,
                 run,
-                "job cancelled, or server draining, rebooted or in doubt before the start was sent",
+                "job over, or server draining, rebooted or in doubt before the start was sent",
             );
             return;
         }
@@ -265,7 +265,7 @@
             isUncertain() && run.bootId === server.bootId && !server.entry.draining
             && this.#findRoute(run)?.service === server.entry.service
             && !run.step.gang && shared.clock.monotonic() < repeatsUntil
-            && run.entry.cancelledAt === undefined;
+            && !isOver(run.entry);
         while (mayRepeat()) {
             await timers.setTimeout(startCheckInterval);
             if (!mayRepeat()) {
@@ -878,6 +878,11 @@
     }
 }
 
+/** Whether no task of the job may start any more. A later coordinator may have ended it, and its payload may be gone. */
+function isOver({ cancelledAt, finalStatus }: jobState.JobEntry): boolean {
+    return cancelledAt !== undefined || finalStatus !== undefined;
+}
+
 /** Key of one occurrence of a step: "<job>.<occurrence>.<step>". */
 export function formatStepKey(
     jobId: string,
--- a/packages/dispatch/src/step-down.test.ts
+++ b/packages/dispatch/src/step-down.test.ts
@@ -43,6 +43,7 @@
         onRunsLost: ignore,
     });
     const server = servers.createUnlistedSession("s1");
+    server.entry = { ...server.entry, draining: false };
     server.recordList(5, 0, 0);
     const { key, value } = jobState.encodeJob(job);
     shared.jobs.applySubmission(key, value);
@@ -94,6 +95,18 @@
     assert.is(former.answers.length, 0);
 });
 
+suite(
+    "a start is sent without the payload, as a later coordinator has ended the job and stored it in short",
+    async () => {
+        const former = plan();
+        const { key, value } = jobState.encodeEndedJob(job, jobState.JobStatus.completed);
+        former.jobs.applySubmission(key, value);
+        void former.manager.start(former.server, former.run);
+        await timers.setImmediate();
+        assert.is(former.answers.length, 0);
+    },
+);
+
 suite("a start is sent long after its intent was stored, as the process was suspended", async () => {
     const suspended = plan(false);
     void suspended.manager.start(suspended.server, suspended.run);
