Remove cancellations of jobs that are gone

Cause: a cancellation that got no answer may be carried out after the removal of its job. Nothing removed it, so every process that starts reads it, 84 bytes each, for as long as the deployment lasts. Change: a job of which there is nothing but a cancellation is removed as a settled one, after 1.5 times status_s.

--- a/packages/dispatch/src/job-sweeper.test.ts
+++ b/packages/dispatch/src/job-sweeper.test.ts
@@ -246,6 +246,25 @@
     assert.is(successor.findStatus(job.id), jobState.JobStatus.cancelled);
 });
 
+suite("a cancellation that was carried out after the removal of its job stays stored for good", async () => {
+    const topics = new memoryStore.MemoryLog();
+    const clock = { monotonic: 0, wall: 0 };
+    const { sweeper, shared } = createProcess(topics, clock, () => true, []);
+    const running = { ...job, id: "00000000000000ff" };
+    const records = [
+        jobState.encodeCancellation(job.id, 0),
+        jobState.encodeJob(running),
+        jobState.encodeCancellation(running.id, 0),
+    ];
+    topics.append(jobState.submissionsTopic, records);
+    records.forEach(({ key, value }) => shared.jobs.applySubmission(key, value));
+    await sweeper.sweep();
+    clock.monotonic = retention;
+    await sweeper.sweep();
+    sweeper.stop();
+    assert.equal(listKinds(topics), ["job", "cancellation"]);
+});
+
 suite("an ended job of which no progress is left stays stored for good", async () => {
     const topics = new memoryStore.MemoryLog();
     const clock = { monotonic: 0, wall: 0 };
--- a/packages/job-state/src/job-table.ts
+++ b/packages/job-state/src/job-table.ts
@@ -224,9 +224,9 @@
         return { pending, begunWithoutResult };
     }
 
-    /** IDs of the settled jobs. */
+    /** IDs of the settled jobs, and of those of which there is nothing but a cancellation. */
     listSettled(): string[] {
-        return [...this.entries.values()].filter(isSettled).map(({ id }) => id);
+        return [...this.entries.values()].filter(entry => isSettled(entry) || isOrphaned(entry)).map(({ id }) => id);
     }
 
     /**
@@ -258,6 +258,11 @@
     return finalStatus !== undefined || (current !== undefined && progress.isSettled(current.status));
 }
 
+/** Whether the job has been removed: a cancellation without an answer may be carried out afterwards. */
+function isOrphaned({ job, progress: current, cancelledAt }: JobEntry): boolean {
+    return job === undefined && current === undefined && cancelledAt !== undefined;
+}
+
 function isOver({ finalStatus, progress: current, storedStatus }: JobEntry): boolean {
     return finalStatus !== undefined
         || (current !== undefined && progress.isSettled(current.status) && storedStatus === current.status
