Remove jobs before others are shortened, not after it

Shortening may wait for the store, and a coordinator that was paused meanwhile then removed jobs that only its successor may remove. Found by reading.

--- a/packages/dispatch/src/job-sweeper.test.ts
+++ b/packages/dispatch/src/job-sweeper.test.ts
@@ -162,6 +162,25 @@
     },
 );
 
+suite("a job of the successor is removed, as a coordinator wakes that was paused while it shortened jobs", async () => {
+    const topics = new memoryStore.MemoryLog();
+    const clock = { monotonic: 0, wall: 0 };
+    let isHeld = true;
+    const { sweeper, shared } = createProcess(topics, clock, () => isHeld);
+    await sweeper.sweep();
+    const { key, value } = jobState.encodeJob(job);
+    topics.append(jobState.submissionsTopic, [{ key, value }]);
+    shared.jobs.applySubmission(key, value);
+    topics.holdsAppend = () => {
+        clock.monotonic = clock.wall = retention;
+        isHeld = false;
+        return false;
+    };
+    await sweeper.sweep();
+    sweeper.stop();
+    assert.equal(listKinds(topics), ["ended"]);
+});
+
 /** Kinds of the newest records of the submissions topic: job, ended, cancellation. */
 function listKinds(topics: memoryStore.MemoryLog): (string | undefined)[] {
     return topics.listNewest(jobState.submissionsTopic)
--- a/packages/dispatch/src/job-sweeper.ts
+++ b/packages/dispatch/src/job-sweeper.ts
@@ -44,31 +44,27 @@
     }
 
     /**
-     * Shortens and removes the jobs that are due, unless an earlier call still does or there may be a successor: only the
+     * Removes and shortens the jobs that are due, unless an earlier call still does or there may be a successor: only the
      * ledger refuses the appends of an earlier epoch from the claim on, the submissions topic not before the successor's
-     * first one.
+     * first one. Removal comes first, before there may be one; what is shortened has ended whoever coordinates.
      */
     async sweep(): Promise<void> {
         if (this.#sweeping || !this.shared.mayExtendLeases()) {
             return;
         }
         this.#sweeping = true;
-        if (await this.#shorten()) {
-            await this.#remove();
-        }
+        await this.#remove();
+        await this.#shorten();
         this.#sweeping = false;
     }
 
-    /** Replaces the submissions of ended jobs by their short form; false once this coordinator can't any more. */
-    async #shorten(): Promise<boolean> {
+    /** Replaces the submissions of ended jobs by their short form. */
+    async #shorten(): Promise<void> {
         const { jobs, writer, log } = this.shared;
         const found = jobs.listShortenable();
-        if (found.length === 0) {
-            return true;
-        }
         // What is stored of a job may still show runs that this coordinator knows to be over.
-        if (!await writer.flush()) {
-            return false;
+        if (found.length === 0 || !await writer.flush()) {
+            return;
         }
         const ended = new Set(jobs.listShortenable());
         const due = found.filter(entry => ended.has(entry));
@@ -77,12 +73,11 @@
         while (records.length > 0) {
             const batch = this.#takeBatch(records);
             if (!await this.#appender.append(batch)) {
-                return false;
+                return;
             }
             batch.forEach(({ key, value }) => jobs.applySubmission(key, value, false));
         }
         log.info("jobs-shortened", { jobs: due.length, bytes });
-        return true;
     }
 
     #takeBatch(records: platform.storeCalls.KeyedRecord[]): platform.storeCalls.KeyedRecord[] {
--- a/packages/job-state/src/records.ts
+++ b/packages/job-state/src/records.ts
@@ -290,8 +290,8 @@
 }
 
 /**
- * Decodes a job, also an ended one, or a cancellation from the submissions topic; `undefined` for any other record. Callers try
- * `decodeNode` and `decodeJobTombstone` first, which decode the other kinds.
+ * Decodes a job, also an ended one, or a cancellation from the submissions topic; `undefined` for any other record.
+ * Callers try `decodeNode` and `decodeJobTombstone` first, which decode the other kinds.
  */
 export function decodeSubmission(key: string, value: Uint8Array): SubmissionRecord | undefined {
     const decoded = decode(value);
