Judge a job by what servers saw when its answer came, and tell late jobs from lost ones

Change: runs are looked up with each answer; a job that was idle when it was asked for and goes on within 5 s is printed as late, not as lost.

--- a/packages/job-soak/src/bin/job-soak.ts
+++ b/packages/job-soak/src/bin/job-soak.ts
@@ -56,14 +56,15 @@
                 logFolder: this.logs === undefined ? undefined : path.join(this.logs, String(seed)),
                 onFault: line => this.verbose ? bench.print(line) : lines.push(line),
             });
-            const { duplicateRuns, concurrentCoordinators, lostJobs, quotaExcesses, foreignRequests, ...counts } =
-                summary;
+            const { duplicateRuns, concurrentCoordinators, lostJobs, lateJobs, ...others } = summary;
+            const { quotaExcesses, foreignRequests, ...counts } = others;
             const kinds = [duplicateRuns, concurrentCoordinators, lostJobs, quotaExcesses, foreignRequests];
             bench.print(JSON.stringify({
                 seed,
                 twice: duplicateRuns.length,
                 one: concurrentCoordinators.length,
                 lost: lostJobs.length,
+                late: lateJobs.length,
                 quota: quotaExcesses.length,
                 route: foreignRequests.length,
                 ...counts,
--- a/packages/job-soak/src/inquiry.ts
+++ b/packages/job-soak/src/inquiry.ts
@@ -16,7 +16,7 @@
 /** Time in ms between two rounds of questions. */
 const questionInterval = 1000;
 const parallelQuestions = 8;
-/** Time in ms for which lost jobs are watched on, to tell those that are only late. */
+/** Time in ms for which jobs that nothing happens to are watched on, to tell those that a change of the coordinator held up. */
 const watchTime = 5000;
 
 export interface InquiryOptions {
@@ -27,6 +27,13 @@
     readonly services: ReadonlyMap<string, string>;
 }
 
+/** A line for each job that isn't as it should be. */
+export interface LostJobs {
+    readonly lost: readonly string[];
+    /** Jobs that were idle for too long when they were asked for, and then went on. */
+    readonly late: readonly string[];
+}
+
 /** When each job, and each task of a lasting one, was last at work or had no room, in ms by `performance.now()`. */
 class IdlenessMeter {
     readonly #lastBusy = new Map<string, number>();
@@ -96,10 +103,8 @@
 /**
  * Asks each process for each job: once all have ended as they should, or once the processes have had their time to recover. A
  * process whose answer isn't as it should be then is asked again until that time.
- *
- * @returns a line for each job that is lost
  */
-export async function findLostJobs(options: InquiryOptions): Promise<string[]> {
+export async function findLostJobs(options: InquiryOptions): Promise<LostJobs> {
     const { deployment: { processes }, callers } = options;
     const meter = new IdlenessMeter(options);
     const deadline = performance.now() + recoveryTime;
@@ -136,6 +141,8 @@
     readonly question: Question;
     /** The job has ended as it should, or is a lasting one that is at work. */
     readonly isSettled: boolean;
+    /** The job is open, and wrong only in that nothing happens to it. */
+    readonly isIdle: boolean;
     /** What is wrong with the answer. */
     readonly fault: string | undefined;
 }
@@ -147,16 +154,26 @@
 ): Promise<Finding[]> {
     const findings: Finding[] = [];
     const left = [...questions];
-    const runs = groups.groupBy(deployment.machines.history, ({ task }) => findJob(task));
+    const { history } = deployment.machines;
     const work = async () => {
         for (let question = left.pop(); question !== undefined; question = left.pop()) {
             const { job, node } = question;
             const { status, state } = await callers.ask(job, node);
             const fault = status !== 200 || state === undefined
                 ? status === 0 ? "no answer" : `status ${status}`
-                : lostJobs.judgeState(state, job, runs.get(job.id) ?? [], meter.measure(job));
-            const isOver = state !== "queued" && state !== "running" || meter.isAtWork(job);
-            findings.push({ question, isSettled: fault === undefined && isOver, fault });
+                : lostJobs.judgeState(
+                    state,
+                    job,
+                    history.filter(({ task }) => findJob(task) === job.id),
+                    meter.measure(job),
+                );
+            const isOpen = state === "queued" || state === "running";
+            findings.push({
+                question,
+                isSettled: fault === undefined && (!isOpen || meter.isAtWork(job)),
+                isIdle: isOpen && job.cancellation !== "acknowledged" && !job.longRunning,
+                fault,
+            });
         }
     };
     await Promise.all(Array.from({ length: parallelQuestions }, work));
@@ -167,15 +184,18 @@
     return fault !== undefined;
 }
 
-/** A line for each job, which says whether it goes on after all. */
-async function describeLost(findings: readonly Finding[], meter: IdlenessMeter): Promise<string[]> {
+/** Watches the jobs on, and writes a line for each. */
+async function describeLost(findings: readonly Finding[], meter: IdlenessMeter): Promise<LostJobs> {
     if (findings.length === 0) {
-        return [];
+        return { lost: [], late: [] };
     }
     await timers.setTimeout(watchTime);
-    return [...groups.groupBy(findings, ({ question }) => question.job)].map(([job, own]) => {
-        const faults = own.map(({ question, fault }) => `${question.node.name}: ${fault}`).join("; ");
-        const goesOn = meter.measure(job).idleTime < watchTime;
-        return `${job.id}: ${faults}${goesOn ? `; at work within ${watchTime} ms` : ""}`;
-    });
+    const lines = [...groups.groupBy(findings, ({ question }) => question.job)].map(([job, own]) => ({
+        line: `${job.id}: ${own.map(({ question, fault }) => `${question.node.name}: ${fault}`).join("; ")}`,
+        isLate: own.every(({ isIdle }) => isIdle) && meter.measure(job).idleTime < watchTime,
+    }));
+    return {
+        lost: lines.flatMap(({ line, isLate }) => isLate ? [] : [line]),
+        late: lines.flatMap(({ line, isLate }) => isLate ? [line] : []),
+    };
 }
--- a/packages/job-soak/src/soak.ts
+++ b/packages/job-soak/src/soak.ts
@@ -64,6 +64,8 @@
 }
 
 export interface SoakSummary extends judgement.Judgement {
+    /** Jobs that went on only after they should have, see `inquiry.LostJobs`; no rule counts them. */
+    readonly lateJobs: readonly string[];
     readonly faults: number;
     readonly terms: number;
     readonly submitted: number;
@@ -150,7 +152,7 @@
         customers?.stop();
         await loading;
         await callers.drain();
-        const lostJobs = await inquiry.findLostJobs({
+        const { lost, late } = await inquiry.findLostJobs({
             deployment,
             callers,
             organisations: customers,
@@ -161,7 +163,8 @@
         return {
             duplicateRuns: judgement.findDuplicateRuns(history, terms),
             concurrentCoordinators: judgement.findConcurrentCoordinators(deployment.machines.orders, terms),
-            lostJobs: [...callers.denials, ...lostJobs],
+            lostJobs: [...callers.denials, ...lost],
+            lateJobs: late,
             quotaExcesses: customers?.findQuotaExcesses(history) ?? [],
             foreignRequests: customers?.findForeignRequests(callers.acceptedRequests, history) ?? [],
             hasOrganisations,
