--- a/packages/job-soak/src/bin/job-soak.ts
+++ b/packages/job-soak/src/bin/job-soak.ts
@@ -55,7 +55,11 @@
                 program: this.program === undefined ? undefined : path.resolve(this.program),
                 logFolder: this.logs === undefined ? undefined : path.join(this.logs, String(seed)),
                 onFault: line => this.verbose ? bench.print(line) : lines.push(line),
-            });
+            }).catch((error: unknown) => bench.print(`seed ${seed}: ${String(error)}`));
+            if (summary === undefined) {
+                broken = true;
+                continue;
+            }
             const { duplicateRuns, concurrentCoordinators, lostJobs, lateJobs, ...others } = summary;
             const { quotaExcesses, foreignRequests, ...counts } = others;
             const kinds = [duplicateRuns, concurrentCoordinators, lostJobs, quotaExcesses, foreignRequests];
--- a/packages/job-soak/src/load.ts
+++ b/packages/job-soak/src/load.ts
@@ -35,6 +35,7 @@
     readonly body: object;
     readonly steps: readonly lostJobs.JobStep[];
     readonly longRunning: boolean;
+    readonly crashesServers: boolean;
     /** Ms after its submission; `undefined` for a job that isn't cancelled. */
     readonly cancelAfter: number | undefined;
     /** The same for a second submission. */
@@ -147,6 +148,7 @@
             body: platformStandIns.createJobBody({ duration }, ...steps),
             steps,
             longRunning,
+            crashesServers: false,
             cancelAfter: isCancelled ? Math.round(random.nextExponential(longRunning ? 12_000 : 800)) : undefined,
             repeatAfter: random.next() < repeatedShare ? 500 + random.nextBelow(6000) : undefined,
             isAsked: random.next() < statusShare,
@@ -162,7 +164,7 @@
             return plan;
         }
         const script = isFailing ? { duration: 100, fails: true } : { duration: 100, crashingTasks: [0] };
-        return { ...plan, body: platformStandIns.createJobBody(script, ...plan.steps) };
+        return { ...plan, crashesServers: !isFailing, body: platformStandIns.createJobBody(script, ...plan.steps) };
     }
 
     async #followJob(plan: JobPlan): Promise<void> {
@@ -189,8 +191,9 @@
     }
 
     #describeAccepted(plan: JobPlan): AcceptedJob {
-        const { id, queue, steps, longRunning, credentials } = plan;
-        return { id, queue, steps, longRunning, organisation: credentials?.organisation, cancellation: "none", plan };
+        const { id, queue, steps, longRunning, crashesServers, credentials } = plan;
+        const organisation = credentials?.organisation;
+        return { id, queue, steps, longRunning, crashesServers, organisation, cancellation: "none", plan };
     }
 
     #findKey({ credentials }: JobPlan): string | undefined {
--- a/packages/job-soak/src/lost-jobs.test.ts
+++ b/packages/job-soak/src/lost-jobs.test.ts
@@ -10,6 +10,7 @@
     queue: "quotes",
     steps: [{ tasks: 2, cpu: 500 }],
     longRunning: false,
+    crashesServers: false,
     organisation: undefined,
     cancellation: "none",
 };
@@ -51,6 +52,7 @@
     assert.is(isLost("failed", [...failed, createRun(1, "failed")]), true);
     assert.is(isLost("failed", [...failed, createRun(0, "failed")]), false);
     assert.is(isLost("failed", crashed), false);
+    assert.is(isLost("failed", crashed.slice(1), { crashesServers: true }), false);
     assert.is(isLost("failed", crashed.slice(1)), true);
     assert.is(isLost("failed", [...crashed, createRun(1, "lapsed")]), true);
     assert.is(isLost("failed", [...crashed, createRun(1, "crashed", 5000)]), true);
--- a/packages/job-soak/src/lost-jobs.ts
+++ b/packages/job-soak/src/lost-jobs.ts
@@ -19,6 +19,8 @@
     readonly queue: string;
     readonly steps: readonly JobStep[];
     readonly longRunning: boolean;
+    /** A task of it crashes each server that starts it, so the job is rightly given up. */
+    readonly crashesServers: boolean;
     readonly organisation: string | undefined;
     readonly cancellation: Cancellation;
 }
@@ -49,7 +51,8 @@
         const tasks = countTasks(job);
         return job.longRunning || done < tasks ? `completed, though ${done} of ${tasks} tasks are done` : undefined;
     },
-    failed: (_job, runs) => hasCauseToFail(runs) ? undefined : `failed without cause; ${describeEnds(runs)}`,
+    failed: (job, runs) =>
+        job.crashesServers || hasCauseToFail(runs) ? undefined : `failed without cause; ${describeEnds(runs)}`,
     cancelled: job => job.cancellation === "none" ? "cancelled, though nobody cancelled it" : undefined,
     queued: judgeOpen,
     running: judgeOpen,
--- a/packages/job-soak/src/soak.ts
+++ b/packages/job-soak/src/soak.ts
@@ -105,7 +105,7 @@
     return planned;
 }
 
-/** Runs the soak; throws if the deployment doesn't start. */
+/** Runs the soak; throws if the deployment doesn't start, or a process doesn't start again as another program has its port. */
 export async function runSoak(options: SoakOptions): Promise<SoakSummary> {
     // The first numbers of successive seeds are close to each other, so none is drawn for this.
     const hasOrganisations = options.hasOrganisations ?? options.seed % 2 === 1;
@@ -152,6 +152,7 @@
         customers?.stop();
         await loading;
         await callers.drain();
+        assertPortsFree(deployment.processes);
         const { lost, late } = await inquiry.findLostJobs({
             deployment,
             callers,
@@ -219,6 +220,14 @@
     return count;
 }
 
+/** Ports are free again while a process is down, and other programs of the machine draw from the same range. */
+function assertPortsFree(processes: readonly platformStandIns.EntryProcess[]): void {
+    const failed = processes.find(({ lines }) => lines.some(line => line.includes('"event":"listen-failed"')));
+    if (failed !== undefined) {
+        throw new Error(`${failed.name} couldn't listen, as another program had taken its port: nothing is judged`);
+    }
+}
+
 function writeLogs(folder: string | undefined, deployment: platformStandIns.StandInDeployment): void {
     if (folder === undefined) {
         return;
