--- a/packages/job-soak/src/bin/job-soak.ts
+++ b/packages/job-soak/src/bin/job-soak.ts
@@ -55,15 +55,20 @@
                 program: this.program === undefined ? undefined : path.resolve(this.program),
                 logFolder: this.logs === undefined ? undefined : path.join(this.logs, String(seed)),
                 onFault: line => this.verbose ? bench.print(line) : lines.push(line),
-            });
-            const { duplicateRuns, concurrentCoordinators, lostJobs, quotaExcesses, foreignRequests, ...counts } =
-                summary;
+            }).catch((error: unknown) => bench.print(`seed ${seed}: ${String(error)}`));
+            if (summary === undefined) {
+                broken = true;
+                continue;
+            }
+            const { duplicateRuns, concurrentCoordinators, lostJobs, lateJobs, ...others } = summary;
+            const { quotaExcesses, foreignRequests, ...counts } = others;
             const kinds = [duplicateRuns, concurrentCoordinators, lostJobs, quotaExcesses, foreignRequests];
             bench.print(JSON.stringify({
                 seed,
                 twice: duplicateRuns.length,
                 one: concurrentCoordinators.length,
                 lost: lostJobs.length,
+                late: lateJobs.length,
                 quota: quotaExcesses.length,
                 route: foreignRequests.length,
                 ...counts,
