--- a/packages/intake/src/job-api.test.ts
+++ b/packages/intake/src/job-api.test.ts
@@ -188,6 +188,61 @@
     },
 );
 
+suite(
+    "a question about a job waits for reads that never end, or goes to peers although this process knows",
+    async () => {
+        const path = `${route.pathPrefix}00000000000000ab`;
+        const jobs = new jobState.JobTable();
+        const written: jobState.KeyedRecord[] = [];
+        let answer: jobState.KnownAnswer | undefined;
+        let askedCount = 0;
+        const options = testing.createOptions({
+            jobs,
+            writer: {
+                write: (record: jobState.KeyedRecord) => {
+                    written.push(record);
+                    return Promise.resolve("stored");
+                },
+            } as unknown as intake.SubmissionWriter,
+            hasRead: () => false,
+            refreshJobs: () => new Promise<boolean>(() => {}),
+            refreshProgress: () => new Promise<boolean>(() => {}),
+            measureDataAge: () => ({ submissionsAge: 5000, progressAge: 5000, configurationAge: 0 }),
+            askPeers: () => {
+                askedCount += 1;
+                return Promise.resolve(answer === undefined ? undefined : { node: "peer", answer });
+            },
+        });
+        const send = (method: string, target = path) => testing.send(options, { method, path: target });
+        const startedAt = performance.now();
+        for (const refused of [await send("GET"), await send("DELETE"), await send("GET", route.pathPrefix)]) {
+            assert.equal([refused.status, refused.headers["retry-after"], refused.headers.connection], [
+                503,
+                "1",
+                "close",
+            ]);
+        }
+        assert.ok(performance.now() - startedAt < route.timeout);
+        answer = { kind: "status", status: jobState.JobStatus.running };
+        assert.equal(JSON.parse((await send("GET")).body), { State: "running" });
+        assert.is((await send("DELETE")).status, 200);
+        assert.equal(written.map(({ key }) => key), ["c:00000000000000ab"]); // Stored before it was acknowledged.
+        jobs.applySubmission(written[0]!.key, written[0]!.value);
+        assert.equal(JSON.parse((await send("GET")).body), { State: "cancelled" }); // The peer hasn't read it yet.
+        answer = { kind: "no-job" };
+        assert.is((await send("GET")).status, 410);
+        assert.is((await send("DELETE")).status, 410);
+        answer = { kind: "count", pending: 7 };
+        assert.equal(JSON.parse((await send("GET", route.pathPrefix)).body), { Pending: 7 });
+        assert.is(written.length, 1);
+        const asked = askedCount;
+        submit(jobs, "00000000000000ab");
+        jobs.applyProgress("00000000000000ab", jobState.createProgress(0));
+        assert.equal(JSON.parse((await send("GET")).body), { State: "cancelled" });
+        assert.is(askedCount, asked);
+    },
+);
+
 suite("callers are refused because a job is larger than a record of the store may be", async () => {
     const written: jobState.KeyedRecord[] = [];
     const view: View = { age: 0, refresh: () => Promise.resolve(true), written };
--- a/packages/intake/src/job-api.ts
+++ b/packages/intake/src/job-api.ts
@@ -8,10 +8,11 @@
 import * as scheduling from "@catkinwharf/scheduling";
 import * as store from "@catkinwharf/store";
 import type * as http from "node:http";
-import * as timers from "node:timers/promises";
 import * as polka from "polka";
 import * as authentication from "./authentication.js";
+import * as limitedWait from "./limited-wait.js";
 import * as loadShedder from "./load-shedder.js";
+import * as questionAnswerer from "./question-answerer.js";
 import * as routeTable from "./route-table.js";
 import * as submissionWriter from "./submission-writer.js";
 
@@ -29,6 +30,14 @@
     readonly refreshJobs: () => Promise<boolean>;
     /** Reads the progress of all jobs stored so far; false when the store could not be read. */
     readonly refreshProgress: () => Promise<boolean>;
+    /** Whether this process has read the newest submissions and all progress since its start. */
+    readonly hasRead: () => boolean;
+    /**
+     * Asks peers what this process can't tell yet; `undefined` if none of them can.
+     *
+     * @param deadline monotonic time in ms
+     */
+    readonly askPeers: (question: jobState.Question, deadline: number) => Promise<PeerAnswer | undefined>;
     /** Reads the newest configuration; false when the store could not be read. */
     readonly refreshConfiguration: () => Promise<boolean>;
     /** Age in ms up to which a process's view of the configuration may decide on a request. */
@@ -68,6 +77,13 @@
     readonly countRefusal: (reason: string, organisation: string | undefined) => void;
 }
 
+/** What a peer said. */
+export interface PeerAnswer {
+    /** Name of its process. */
+    readonly node: string;
+    readonly answer: jobState.KnownAnswer;
+}
+
 interface JobResponse {
     readonly status: number;
     readonly body: string;
@@ -77,10 +93,31 @@
     readonly scheme?: string;
     /** Why the request failed; logged and counted only. */
     readonly reason?: string;
+    /** Process that answered in place of this one; logged only. */
+    readonly answeredBy?: string;
     /** Organisation of a caller that was refused because of its organisation's rate or quota; logged and counted only. */
     readonly organisation?: string | undefined;
 }
 
+/** When a request arrived, and what its response has waited for since. */
+interface Arrival {
+    /** On the monotonic clock. */
+    readonly startedAt: number;
+    /** Ms by what was waited for; logged only. */
+    readonly waits: Partial<Record<Wait, number>>;
+}
+
+const Wait = {
+    configuration: "configuration",
+    /** Reads of the submissions, and of the progress where it matters. */
+    jobs: "jobs",
+    /** Peers that were asked, or the reads if they ended first. */
+    peers: "peers",
+    /** The record of an accepted job, until it was read back. */
+    owner: "owner",
+} as const;
+type Wait = (typeof Wait)[keyof typeof Wait];
+
 interface JobRequest {
     readonly id: string;
     readonly route: platform.operatorRecords.Route;
@@ -91,8 +128,7 @@
     /** Version of the configuration that has the route. */
     readonly version: number;
     readonly message: http.IncomingMessage;
-    /** On the monotonic clock. */
-    readonly startedAt: number;
+    readonly arrival: Arrival;
     /** Monotonic time in ms by which the response has to be sent. */
     readonly deadline: number;
     readonly maxBodyBytes: number;
@@ -108,14 +144,18 @@
  */
 const outageRetryAfter = 1;
 
-/** Share of a route's latency allowance for which a submission may be held before it is refused for lack of capacity. */
-const maxRefusalShare = 0.25;
-
 /**
- * Age in ms up to which this process's view of the jobs is good enough for a queue's pending count, by the platform's
- * protocol.
+ * Share of the caller's time limit after which a question that couldn't be answered is refused, so that the caller can still
+ * ask another entry instance.
  */
-const maxCountAge = 2000;
+const answerShare = 2 / 3;
+/** Time in ms for which a question waits for this process's own reads before peers are asked as well. */
+const ownReadTime = 300;
+/** Duration in ms from which on a successful read is logged. */
+const slowAnswer = 500;
+
+/** Share of a route's latency allowance for which a submission may be held before it is refused for lack of capacity. */
+const maxRefusalShare = 0.25;
 
 /**
  * Age in ms up to which the configuration decides that a key is unknown. Bounds the reads that requests with wrong keys
@@ -145,6 +185,7 @@
     retryAfter: outageRetryAfter,
     reason: "this process is behind the store",
 };
+const stillReading: JobResponse = { ...behindStore, reason: "this process is still reading what is stored" };
 /** The job's record would exceed what the store takes, and an append with it would be refused with all others in it. */
 const jobTooLarge: JobResponse = { status: 413, body: "", reason: "the job is too large for the store" };
 /** Responses to submissions whose body wasn't read completely, so that they weren't accepted. */
@@ -203,9 +244,9 @@
     return { version, service, priority, maxAttempts, slackFactor, latencyAllowance, advice };
 }
 
-/** Whether the caller may know of the job: it belongs to the caller's organisation or to none. */
-function isVisible(job: jobState.Job, { organisation }: Pick<JobRequest, "organisation">): boolean {
-    return job.organisation === undefined || job.organisation === organisation;
+/** Monotonic time in ms by which a question is answered or refused, where the response to it has to be sent by `deadline`. */
+function computeAnswerTime({ startedAt }: Arrival, deadline: number): number {
+    return startedAt + (deadline - startedAt) * answerShare;
 }
 
 /**
@@ -226,6 +267,17 @@
     return route.pathPrefix + (rest === "" || platform.callerBodies.isJobId(rest) ? rest : "(no job ID)");
 }
 
+/** From what a question is answered: this process's own view, or what a peer said. */
+type Source = "own" | PeerAnswer;
+
+/** `response` is what the caller gets if there is no status. */
+interface FoundStatus {
+    readonly status?: jobState.JobStatus | undefined;
+    /** Peer that gave it; `undefined` if this process did. */
+    readonly answeredBy?: string;
+    readonly response: JobResponse;
+}
+
 type Handler = (api: JobApi, request: JobRequest) => Promise<JobResponse>;
 
 const handlers: Readonly<Record<string, Handler>> = {
@@ -265,10 +317,10 @@
     }
 
     async #handle(message: http.IncomingMessage, response: http.ServerResponse): Promise<void> {
-        const startedAt = this.options.monotonicNow();
+        const arrival: Arrival = { startedAt: this.options.monotonicNow(), waits: {} };
         let result: JobResponse;
         try {
-            result = await this.#respond(message, startedAt);
+            result = await this.#respond(message, arrival);
         }
         catch (error) {
             this.options.log.warn("request-broken", { path: this.#describePath(message), error: String(error) });
@@ -284,23 +336,25 @@
         if (result.scheme !== undefined) {
             response.setHeader("www-authenticate", result.scheme);
         }
-        if (this.options.isShuttingDown()) {
+        // An open connection stays with its process; a new one leads to another process.
+        if (this.options.isShuttingDown() || (result.status === 503 && !this.options.hasRead())) {
             response.setHeader("connection", "close");
         }
         if (result.body !== "") {
             response.setHeader("content-type", "application/json");
         }
         response.end(result.body);
-        const duration = this.options.monotonicNow() - startedAt;
+        const duration = this.options.monotonicNow() - arrival.startedAt;
         this.options.count(message.method ?? "", String(result.status), duration);
         if (refusalStatuses.has(result.status)) {
             this.options.countRefusal(result.reason ?? "", result.organisation);
         }
-        this.#log(message, result, duration);
+        this.#log(message, result, arrival.waits, duration);
     }
 
-    #log(message: http.IncomingMessage, result: JobResponse, duration: number): void {
-        if (message.method === "GET" && result.status === 200) {
+    #log(message: http.IncomingMessage, result: JobResponse, waits: Arrival["waits"], duration: number): void {
+        const isOrdinary = result.answeredBy === undefined && duration < slowAnswer;
+        if (message.method === "GET" && result.status === 200 && isOrdinary) {
             return; // Successful reads change nothing, so they are only counted.
         }
         this.options.log.info("request-answered", {
@@ -311,6 +365,8 @@
             organisation: result.organisation,
             retryAfter: result.retryAfter,
             configuration: this.#routes?.version,
+            answeredBy: result.answeredBy,
+            waits: Object.keys(waits).length === 0 ? undefined : waits,
             duration: Math.round(duration),
         });
     }
@@ -325,16 +381,16 @@
     }
 
     /** Returns the response to a request: the pending count of a queue, or what the handler of the method returns. */
-    async #respond(message: http.IncomingMessage, startedAt: number): Promise<JobResponse> {
-        const admission = await this.#admit(message, startedAt);
+    async #respond(message: http.IncomingMessage, arrival: Arrival): Promise<JobResponse> {
+        const admission = await this.#admit(message, arrival);
         if (!admission.admitted) {
             return admission.response;
         }
         const { match, organisation, configuration } = admission;
-        const deadline = computeDeadline(message, startedAt, match.route.timeout);
+        const deadline = computeDeadline(message, arrival.startedAt, match.route.timeout);
         // The name of a route is that of its queue.
         if (match.rest === "" && message.method === "GET") {
-            return this.#countPending(match.route.name, deadline);
+            return this.#countPending(match.route.name, arrival, deadline);
         }
         const handler = handlers[message.method ?? ""];
         if (handler === undefined) {
@@ -350,16 +406,16 @@
             mayConflict: this.#authenticator.hasOrganisations(configuration),
             version: configuration.version,
             message,
-            startedAt,
+            arrival,
             deadline,
             maxBodyBytes: configuration.maxBodyBytes,
         });
     }
 
     /** Finds the queue of a request, and the organisation that sent it if the queue isn't public. */
-    async #admit(message: http.IncomingMessage, startedAt: number): Promise<Admission> {
+    async #admit(message: http.IncomingMessage, arrival: Arrival): Promise<Admission> {
         const refuse = (response: JobResponse) => ({ admitted: false as const, response });
-        if (!await this.#refreshConfiguration(message, startedAt, this.options.maxConfigurationAge)) {
+        if (!await this.#refreshConfiguration(message, arrival, this.options.maxConfigurationAge)) {
             return refuse(behindStore);
         }
         let configuration = this.options.configuration();
@@ -375,7 +431,7 @@
             // A configuration with the key may just have been published.
             if (
                 this.options.isStoreUnavailable()
-                || !await this.#refreshConfiguration(message, startedAt, maxUnknownKeyAge)
+                || !await this.#refreshConfiguration(message, arrival, maxUnknownKeyAge)
             ) {
                 return refuse(behindStore);
             }
@@ -423,26 +479,34 @@
      *
      * @returns whether the configuration may decide on the request
      */
-    async #refreshConfiguration(message: http.IncomingMessage, startedAt: number, maxAge: number): Promise<boolean> {
+    async #refreshConfiguration(message: http.IncomingMessage, arrival: Arrival, maxAge: number): Promise<boolean> {
         const { configuration, measureDataAge, isStoreUnavailable } = this.options;
         const isFresh = configuration() === undefined || measureDataAge().configurationAge <= maxAge;
         if (isFresh || isStoreUnavailable()) {
             return true;
         }
-        const deadline = computeDeadline(message, startedAt, defaultTimeout);
-        return await this.#waitUntil(deadline, this.options.refreshConfiguration()) === true;
+        const deadline = computeDeadline(message, arrival.startedAt, defaultTimeout);
+        const until = message.method === "POST" ? deadline : computeAnswerTime(arrival, deadline);
+        const refreshed = this.options.refreshConfiguration();
+        return await this.#waitUntil(until, refreshed, arrival, Wait.configuration) === true;
     }
 
-    /** Counts from a view that is fresh enough, which takes reading the store while this process is behind. */
-    async #countPending(queue: string, deadline: number): Promise<JobResponse> {
+    /** Counts from a view that is fresh enough, which takes reading the store or asking peers while this process is behind. */
+    async #countPending(queue: string, arrival: Arrival, deadline: number): Promise<JobResponse> {
         const { submissionsAge, progressAge } = this.options.measureDataAge();
-        if (Math.max(submissionsAge, progressAge) > maxCountAge) {
+        if (Math.max(submissionsAge, progressAge) > questionAnswerer.maxCountAge) {
             if (this.options.isStoreUnavailable()) {
                 return storeUnavailable;
             }
             const reads = Promise.all([this.options.refreshJobs(), this.options.refreshProgress()]);
-            if ((await this.#waitUntil(deadline, reads))?.every(Boolean) !== true) {
-                return behindStore;
+            const read = reads.then(results => results.every(Boolean));
+            const source = await this.#findSource({ kind: "count", queue }, read, arrival, deadline);
+            if (source === undefined) {
+                return this.#describeDelay();
+            }
+            if (source !== "own" && source.answer.kind === "count") {
+                const body = platform.callerBodies.encodePendingJobs(source.answer.pending);
+                return { status: 200, body, answeredBy: source.node };
             }
         }
         const counts = this.options.jobs.countUnfinished(queue);
@@ -463,7 +527,7 @@
         }
         if (request.organisation !== undefined) {
             // The body may have taken long to arrive, and the key may have been revoked meanwhile.
-            const admission = await this.#admit(request.message, request.startedAt);
+            const admission = await this.#admit(request.message, request.arrival);
             if (!admission.admitted) {
                 return admission.response;
             }
@@ -511,7 +575,8 @@
         const { jobs, monotonicNow } = this.options;
         const until = Math.min(request.deadline, monotonicNow() + maxReadBackTime);
         const wait = new AbortController();
-        const owner = await this.#waitUntil(until, jobs.waitForJob(request.id, wait.signal));
+        const read = jobs.waitForJob(request.id, wait.signal);
+        const owner = await this.#waitUntil(until, read, request.arrival, Wait.owner);
         wait.abort(); // A record that is never read would otherwise keep the wait in memory.
         if (owner === undefined || isRepetition(owner, request)) {
             return accepted;
@@ -547,7 +612,7 @@
         request: JobRequest,
         deadline: number,
     ): Promise<JobResponse | undefined> {
-        if (await this.#waitUntil(deadline, this.options.refreshJobs()) !== true) {
+        if (await this.#waitUntil(deadline, this.options.refreshJobs(), request.arrival, Wait.jobs) !== true) {
             return undefined;
         }
         const known = this.options.jobs.entries.get(request.id)?.job;
@@ -558,30 +623,24 @@
     }
 
     async cancel(request: JobRequest): Promise<JobResponse> {
-        const entry = await this.#findEntry(request);
-        if (entry === "behind-store") {
-            return behindStore;
-        }
-        if (entry === undefined) {
-            return jobNotFound;
+        const { status, answeredBy, response } = await this.#findStatus(request);
+        if (status === undefined) {
+            return response;
         }
-        const status = this.options.jobs.findStatus(request.id);
-        if (entry.cancelledAt !== undefined || (status !== undefined && jobState.isSettled(status))) {
-            return accepted;
+        if (jobState.isSettled(status)) {
+            return { ...accepted, ...answeredBy === undefined ? {} : { answeredBy } };
         }
         if (this.options.isStoreUnavailable()) {
             return storeUnavailable;
         }
-        return this.#write(jobState.encodeCancellation(request.id, this.options.now()), request);
+        const written = await this.#write(jobState.encodeCancellation(request.id, this.options.now()), request);
+        return { ...written, ...answeredBy === undefined ? {} : { answeredBy } };
     }
 
     async getStatus(request: JobRequest): Promise<JobResponse> {
-        const entry = await this.#findEntry(request);
-        if (entry === "behind-store") {
-            return behindStore;
-        }
-        const status = entry === undefined ? undefined : this.options.jobs.findStatus(request.id);
-        return status === undefined ? jobNotFound : { status: 200, body: platform.callerBodies.encodeStatus(status) };
+        const { status, answeredBy, response } = await this.#findStatus(request);
+        const body = status === undefined ? undefined : platform.callerBodies.encodeStatus(status);
+        return body === undefined ? response : { status: 200, body, ...answeredBy === undefined ? {} : { answeredBy } };
     }
 
     async #write(record: jobState.KeyedRecord, request: JobRequest, appliesAtOnce = true): Promise<JobResponse> {
@@ -594,35 +653,92 @@
     }
 
     /**
-     * Finds a job of the queue. When its submission hasn't been read yet, the submissions are read first, because
-     * another entry instance may just have accepted it. An entry without a job holds a cancellation or progress that
-     * was read before the submission.
+     * Finds the status of a job of the queue. A job that this process knows is answered about at once. One that it doesn't
+     * know may just have been accepted by another entry instance, so that the submissions are read or peers are asked.
+     */
+    async #findStatus(request: JobRequest): Promise<FoundStatus> {
+        const { jobs } = this.options;
+        const { id, organisation, arrival, deadline, route: { name: queue } } = request;
+        const entry = jobs.entries.get(id);
+        const isKnown = entry?.job !== undefined && (entry.storedStatus !== undefined || this.options.hasRead());
+        if (!isKnown) {
+            const question = { kind: "status", id, queue, organisation } as const;
+            const source = await this.#findSource(question, this.options.refreshJobs(), arrival, deadline);
+            if (source !== undefined && source !== "own") {
+                return this.#takeAnswer(id, source);
+            }
+            // Without an answer, what little is known has to do.
+            if (source === undefined && jobs.entries.get(id)?.job === undefined) {
+                return { response: this.#describeDelay() };
+            }
+        }
+        const job = jobs.entries.get(id)?.job;
+        const isShown = job !== undefined && questionAnswerer.isShown(job, { queue, organisation });
+        return { status: isShown ? jobs.findStatus(id) : undefined, response: jobNotFound };
+    }
+
+    #takeAnswer(id: string, { node, answer }: PeerAnswer): FoundStatus {
+        if (answer.kind !== "status") {
+            return { answeredBy: node, response: { ...jobNotFound, answeredBy: node } };
+        }
+        // The peer may not have read a cancellation that this process has stored.
+        const isCancelled = this.options.jobs.entries.get(id)?.cancelledAt !== undefined;
+        const status = isCancelled && !jobState.isSettled(answer.status) ? jobState.JobStatus.cancelled : answer.status;
+        return { status, answeredBy: node, response: jobNotFound };
+    }
+
+    /** Why a question can't be answered now. */
+    #describeDelay(): JobResponse {
+        return this.options.hasRead() ? behindStore : stillReading;
+    }
+
+    /**
+     * Finds out from what to answer a question: from this process's own view, once `read` has brought it up to date, or
+     * from a peer's. A process that has not read what is stored asks peers at once, and doesn't wait for its own reads
+     * when they can't tell.
      *
-     * @returns "behind-store" when the store could not be read in time
+     * @returns `undefined` if neither can answer early enough
      */
-    async #findEntry(request: JobRequest): Promise<jobState.JobEntry | undefined | "behind-store"> {
-        let entry = this.options.jobs.entries.get(request.id);
-        if (entry?.job === undefined) {
-            if (await this.#waitUntil(request.deadline, this.options.refreshJobs()) !== true) {
-                return "behind-store";
+    async #findSource(
+        question: jobState.Question,
+        read: Promise<boolean>,
+        arrival: Arrival,
+        deadline: number,
+    ): Promise<Source | undefined> {
+        const until = computeAnswerTime(arrival, deadline);
+        const isReading = !this.options.hasRead();
+        if (!isReading) {
+            const ownUntil = Math.min(until, this.options.monotonicNow() + ownReadTime);
+            if (await this.#waitUntil(ownUntil, read, arrival, Wait.jobs) === true) {
+                return "own";
             }
-            entry = this.options.jobs.entries.get(request.id);
         }
-        const isShown = entry?.job?.queue === request.route.name && isVisible(entry.job, request);
-        return isShown ? entry : undefined;
+        const own = read.then((isRead): Source | undefined => isRead && this.options.hasRead() ? "own" : undefined);
+        const asked: Promise<Source | undefined> = this.options.askPeers(question, until);
+        const either = Promise.race([
+            own.then(source => source ?? asked),
+            asked.then(source => source ?? (isReading ? undefined : own)),
+        ]);
+        return this.#waitUntil(until, either, arrival, Wait.peers);
     }
 
-    /** The result of `work`; `undefined` if it isn't there by the deadline, a monotonic time in ms. */
-    async #waitUntil<Result>(deadline: number, work: Promise<Result>): Promise<Result | undefined> {
-        const timeout = new AbortController();
-        const expired = timers.setTimeout(Math.max(0, deadline - this.options.monotonicNow()), undefined, {
-            signal: timeout.signal,
-        }).catch(() => undefined);
+    /**
+     * The result of `work`; `undefined` if it isn't there by the deadline, a monotonic time in ms. The time is added to what
+     * the response has waited for.
+     */
+    async #waitUntil<Result>(
+        deadline: number,
+        work: Promise<Result>,
+        { waits }: Arrival,
+        wait: Wait,
+    ): Promise<Result | undefined> {
+        const { monotonicNow } = this.options;
+        const startedAt = monotonicNow();
         try {
-            return await Promise.race([work, expired]);
+            return await limitedWait.waitFor(deadline - startedAt, work);
         }
         finally {
-            timeout.abort();
+            waits[wait] = (waits[wait] ?? 0) + Math.round(monotonicNow() - startedAt);
         }
     }
 }
--- a/packages/intake/src/testing/api.ts
+++ b/packages/intake/src/testing/api.ts
@@ -38,6 +38,8 @@
         configuration: () => createConfiguration(),
         refreshJobs: () => Promise.resolve(true),
         refreshProgress: () => Promise.resolve(true),
+        hasRead: () => true,
+        askPeers: () => Promise.resolve(undefined),
         refreshConfiguration: () => Promise.resolve(true),
         maxConfigurationAge: 2000,
         requiresKeys: false,
--- a/packages/job-state/src/index.ts
+++ b/packages/job-state/src/index.ts
@@ -5,4 +5,5 @@
 export * from "./job.js";
 export { maxCheckpointSize, type ProgressPart } from "./progress-parts.js";
 export * from "./progress.js";
+export * from "./questions.js";
 export * from "./records.js";
--- a/packages/job-state/src/records.ts
+++ b/packages/job-state/src/records.ts
@@ -15,6 +15,8 @@
 
 export const submissionsTopic = "keyed.submissions";
 export const ledgerTopic = "keyed.ledger";
+/** Addresses of the processes, which the submissions hold as well: small, so that it is read at once after a start. */
+export const peersTopic = "keyed.peers";
 /**
  * Producer name under which coordinators append to the ledger. The store refuses an append under it whose epoch is
  * lower than one that it has seen, so a replaced coordinator can't append any more.
@@ -483,7 +485,7 @@
     return { key: nodePrefix + node, value: cborCodec.encode({ address, capacity }) };
 }
 
-/** Decodes the address of a process from the submissions topic; `undefined` for any other record. */
+/** Decodes the address of a process from the submissions or the peers topic; `undefined` for any other record. */
 export function decodeNode(key: string, value: Uint8Array): NodeAddress | undefined {
     if (!key.startsWith(nodePrefix)) {
         return undefined;
--- a/packages/node/scripts/answers-after-restart.mjs
+++ b/packages/node/scripts/answers-after-restart.mjs
@@ -3,6 +3,7 @@
  * store: one large process and small ones with slow links lose their power and start again.
  *
  * Usage: node packages/node/scripts/answers-after-restart.mjs [--jobs 1000] [--bandwidth 875000] [--small 2]
+ *     [--program FILE]
  */
 import * as platformStandIns from "@catkinwharf/platform-stand-ins";
 import * as os from "node:os";
@@ -16,6 +17,8 @@
         /** Bytes per second of the small processes' links. */
         bandwidth: { type: "string", default: "875000" },
         small: { type: "string", default: "2" },
+        /** Program of the processes, to compare with another version's. */
+        program: { type: "string" },
     },
 });
 /** Time in ms for which a caller waits for an answer. */
@@ -68,7 +71,10 @@
     return Math.round(performance.now() - startedAt);
 }
 
-const restarted = new slowRestart.SlowRestart(Number(values.small));
+const restarted = new slowRestart.SlowRestart(
+    Number(values.small),
+    values.program === undefined ? {} : { program: values.program },
+);
 const { deployment } = restarted;
 const calls = {};
 const respond = deployment.store.respond.bind(deployment.store);
--- a/packages/node/src/entry-instance.ts
+++ b/packages/node/src/entry-instance.ts
@@ -15,6 +15,8 @@
 import * as timers from "node:timers/promises";
 import * as explanations from "./explanations.js";
 import * as metrics from "./metrics.js";
+import * as peerDirectory from "./peer-directory.js";
+import * as peerQuestions from "./peer-questions.js";
 import * as unstoredJobs from "./unstored-jobs.js";
 
 /** Time in ms of a long poll at the store; limits how long an unresponsive connection goes unnoticed. */
@@ -25,8 +27,6 @@
 const coordinatorLedgerReadDelay = 500;
 /** Time in ms before a new coordinator retries to read the submissions and the ledger. */
 const takeoverRetryDelay = 100;
-/** Time in ms before a process retries to publish its relay's address to its peers. */
-const announceRetryDelay = 500;
 /** Time in ms between two lines about the reads of the store. */
 const readReportInterval = 1000;
 /** Time in ms without a successful store call after which a coordinator stops telling peers that it coordinates. */
@@ -63,8 +63,10 @@
     readonly #jobs = new jobState.JobTable();
     readonly #store: store.StoreClient;
     readonly #storeRoutes: store.StoreRoutes;
-    /** Addresses of the peers' relays and the peers' capacities, by node name. */
-    readonly #peers = new Map<string, jobState.NodeAddress>();
+    /** Addresses of the peers' relays and the peers' capacities. */
+    readonly #directory: peerDirectory.PeerDirectory;
+    readonly #peerQuestions: peerQuestions.PeerQuestions;
+    readonly #questionAnswerer: intake.QuestionAnswerer;
     readonly #submissions: store.TopicFollower;
     /** Follows the ledger, in which the coordinator records leadership, progress of jobs, machine orders and waves. */
     readonly #ledger: store.TopicFollower;
@@ -109,6 +111,26 @@
         });
         this.#storeRoutes = new store.StoreRoutes(settings.storeAddress);
         this.#store = new store.StoreClient(this.#httpClient, this.#storeRoutes, log, now);
+        this.#directory = new peerDirectory.PeerDirectory({
+            store: this.#store,
+            own: {
+                node: settings.node,
+                // The relay uses the last internal port; the first one serves the metrics.
+                address: `${settings.ip}:${settings.internalPorts[1]}`,
+                capacity: settings.capacity,
+            },
+            monotonicNow: () => this.#clock.monotonic(),
+            isShuttingDown: () => this.#shuttingDown,
+            onChange: () => this.#updateRelayPeers(),
+        });
+        this.#peerQuestions = new peerQuestions.PeerQuestions({
+            listPeers: () => this.#listPeers(),
+            findPeers: () => this.#directory.refresh(),
+            send: (...call) => store.sendQuestion(this.#httpClient, ...call),
+            monotonicNow: () => this.#clock.monotonic(),
+            random: Math.random,
+            count: outcome => this.#metrics.countQuestion(outcome),
+        });
         this.#submissions = this.#createFollower(jobState.submissionsTopic, {
             apply: record => this.#applySubmission(record),
             reset: keys => this.#jobs.dropRemoved(keys),
@@ -125,6 +147,14 @@
         this.#operatorRecords = this.#createFollower(platform.storeCalls.operatorTopic, {
             apply: record => this.#applyOperator(record),
         }, () => 0);
+        this.#questionAnswerer = new intake.QuestionAnswerer({
+            jobs: this.#jobs,
+            hasRead: () => this.#hasRead(),
+            refreshJobs: () => this.#submissions.catchUp(),
+            refreshProgress: () => this.#ledger.catchUp(),
+            isStoreUnavailable: () => this.#isStoreUnavailable(),
+            measureDataAge: () => this.#measureDataAge(),
+        });
         this.#leaderElection = new dispatch.LeaderElection({
             node: settings.node,
             processStart: this.#processStart,
@@ -275,11 +305,9 @@
             requiresKeys: this.settings.requiresKeys,
             maxKeyAge: this.settings.strictRevocation ? this.settings.bounds.revocation : undefined,
             isStoreUnavailable: () => this.#isStoreUnavailable(),
-            measureDataAge: () => ({
-                submissionsAge: this.#clock.wall() - this.#submissions.caughtUpAt,
-                progressAge: this.#clock.wall() - this.#ledger.caughtUpAt,
-                configurationAge: this.#clock.wall() - this.#operatorRecords.caughtUpAt,
-            }),
+            hasRead: () => this.#hasRead(),
+            askPeers: (question, deadline) => this.#peerQuestions.ask(question, deadline),
+            measureDataAge: () => this.#measureDataAge(),
             isReady: () => this.#isReady(),
             isShuttingDown: () => this.#shuttingDown,
             startDelay: () => this.#leaderElection.newestLeadership?.startDelay ?? 0,
@@ -298,7 +326,21 @@
 
     #isReady(): boolean {
         return !this.#shuttingDown && this.#configuration !== undefined
-            && this.#submissions.loaded && this.#ledger.loaded && !this.#isStoreUnavailable();
+            && this.#hasRead() && !this.#isStoreUnavailable();
+    }
+
+    /** Whether the newest submissions and all progress have been read. */
+    #hasRead(): boolean {
+        return this.#submissions.loaded && this.#ledger.loaded;
+    }
+
+    #measureDataAge(): ReturnType<intake.JobApiOptions["measureDataAge"]> {
+        const now = this.#clock.wall();
+        return {
+            submissionsAge: now - this.#submissions.caughtUpAt,
+            progressAge: now - this.#ledger.caughtUpAt,
+            configurationAge: now - this.#operatorRecords.caughtUpAt,
+        };
     }
 
     #listen(api: intake.JobApi, name: requestGuard.guardLimits.Port, address: string): void {
@@ -327,32 +369,31 @@
 
     /** Applies a record of the submissions topic, which also holds the addresses of the processes' relays. */
     #applySubmission(record: platform.storeCalls.KeyedRecord): void {
-        const peer = jobState.decodeNode(record.key, record.value);
-        if (peer === undefined) {
+        if (!this.#directory.apply(record)) {
             this.#jobs.applySubmission(record.key, record.value);
-            return;
-        }
-        if (peer.node !== this.settings.node) {
-            this.#peers.set(peer.node, peer);
-            this.#updateRelayPeers();
         }
     }
 
     #updateRelayPeers(): void {
+        this.#storeRoutes.setPeers(this.#listPeers());
+    }
+
+    #listPeers(): peerQuestions.AskedPeer[] {
         const capacities = this.#listPeerCapacities();
-        this.#storeRoutes.setPeers([...this.#peers.values()].map(({ address, capacity }) => ({
+        return [...this.#directory.peers.values()].map(({ node, address, capacity }) => ({
+            node,
             address,
             large: scheduling.isLargeProcess(capacity, capacities),
-        })));
+        }));
     }
 
     #listPeerCapacities(): jobState.ProcessCapacity[] {
-        return [...this.#peers.values()].map(({ capacity }) => capacity);
+        return [...this.#directory.peers.values()].map(({ capacity }) => capacity);
     }
 
     /** Asks a peer whether it coordinates; `undefined` when its address isn't known. */
     async #probeCoordinator(node: string): Promise<store.ProbeResult | undefined> {
-        const peer = this.#peers.get(node);
+        const peer = this.#directory.peers.get(node);
         return peer === undefined ? undefined : store.probeCoordinator(this.#httpClient, peer.address);
     }
 
@@ -362,7 +403,7 @@
             this.#coordinator.recordUnstored(jobs);
             return this.settings.node;
         }
-        const peer = this.#peers.get(this.#leaderElection.newestLeadership?.node ?? "");
+        const peer = this.#directory.peers.get(this.#leaderElection.newestLeadership?.node ?? "");
         const encoded = jobState.encodeUnstoredJobs(jobs);
         return peer !== undefined && await store.reportUnstoredJobs(this.#httpClient, peer.address, encoded)
             ? peer.node
@@ -371,7 +412,7 @@
 
     /** Passes a request for an explanation on to the coordinator; `undefined` if it gives no answer. */
     async #forwardExplanation(encoded: Uint8Array): Promise<store.RelayResponse | undefined> {
-        const peer = this.#peers.get(this.#leaderElection.newestLeadership?.node ?? "");
+        const peer = this.#directory.peers.get(this.#leaderElection.newestLeadership?.node ?? "");
         return peer === undefined ? undefined : store.forwardExplanation(this.#httpClient, peer.address, encoded);
     }
 
@@ -397,20 +438,24 @@
                 this.#guard.createServer(requestGuard.guardLimits.Port.relay, () => maxBodyBytes, handle),
             readBody: (message, maxBytes) => this.#guard.readBody(message, maxBytes),
             explain: (encoded, forwarded) => this.#explanations.answer(encoded, forwarded),
+            answerQuestion: encoded => this.#answerQuestion(encoded),
         });
-        // The relay uses the last internal port; the first one serves the metrics.
         const port = this.settings.internalPorts[1];
         relay.on("error", error => this.log.warn("relay-unavailable", { port, error: String(error) }));
         relay.keepAliveTimeout = keepAliveTimeout;
         this.#guard.listen(relay, requestGuard.guardLimits.Port.relay, this.settings.ip, port);
-        const record = jobState.encodeNode({
-            node: this.settings.node,
-            address: `${this.settings.ip}:${port}`,
-            capacity: this.settings.capacity,
-        });
-        while (!this.#shuttingDown && (await this.#store.append(jobState.submissionsTopic, [record])).isErr()) {
-            await timers.setTimeout(announceRetryDelay);
+        await this.#directory.start();
+    }
+
+    /** Answers an encoded question of a peer; `undefined` if it can't be read. */
+    async #answerQuestion(encoded: Uint8Array): Promise<Uint8Array | undefined> {
+        const question = jobState.decodeQuestion(encoded);
+        if (question === undefined) {
+            return undefined;
         }
+        const answer = await this.#questionAnswerer.answer(question);
+        this.#metrics.countPeerQuestion(answer.kind);
+        return jobState.encodeQuestionAnswer(answer);
     }
 
     #applyLedger(record: platform.storeCalls.KeyedRecord): void {
--- a/packages/node/src/metrics.ts
+++ b/packages/node/src/metrics.ts
@@ -3,9 +3,11 @@
  */
 import type * as dispatch from "@catkinwharf/dispatch";
 import type * as eventLog from "@catkinwharf/event-log";
+import type * as jobState from "@catkinwharf/job-state";
 import type * as store from "@catkinwharf/store";
 import type * as http from "node:http";
 import * as promClient from "prom-client";
+import type * as peerQuestions from "./peer-questions.js";
 
 /** Bucket boundaries in seconds of the histogram of response times. */
 const durationBuckets = [0.005, 0.01, 0.02, 0.05, 0.1, 0.25, 0.5, 1, 2, 4];
@@ -50,6 +52,20 @@
         registers: [this.registry],
     });
 
+    readonly #questions = new promClient.Counter({
+        name: "catkinwharf_questions_passed_on_total",
+        help: "Questions of callers about jobs that this process passed on to peers, by outcome.",
+        labelNames: ["outcome"] as const,
+        registers: [this.registry],
+    });
+
+    readonly #peerQuestions = new promClient.Counter({
+        name: "catkinwharf_peer_questions_total",
+        help: "Questions that peers passed on to this process, by the kind of its answer.",
+        labelNames: ["answer"] as const,
+        registers: [this.registry],
+    });
+
     readonly #organisationTasks = new promClient.Gauge({
         name: "catkinwharf_organisation_tasks",
         help: "Tasks by organisation, service and state: running, waiting, and of the waiting ones those beyond the"
@@ -131,6 +147,14 @@
         this.#refusals.inc({ reason, organisation: organisation ?? "" });
     }
 
+    countQuestion(outcome: peerQuestions.QuestionOutcome): void {
+        this.#questions.inc({ outcome });
+    }
+
+    countPeerQuestion(answer: jobState.QuestionAnswer["kind"]): void {
+        this.#peerQuestions.inc({ answer });
+    }
+
     /** Replaces what the organisations have waiting and running; empty while this process doesn't coordinate. */
     observeOrganisations(states: readonly dispatch.OrganisationState[]): void {
         this.#organisationTasks.reset();
--- a/packages/store/src/store-relay.test.ts
+++ b/packages/store/src/store-relay.test.ts
@@ -50,6 +50,7 @@
     },
     explain: (encoded, forwarded) =>
         Promise.resolve({ status: forwarded ? 200 : 503, body: Uint8Array.from(encoded).reverse() }),
+    answerQuestion: encoded => Promise.resolve(encoded.length > 0 ? Uint8Array.from(encoded).reverse() : undefined),
 }));
 
 /** Creates a client whose direct route has timed out. */
@@ -117,6 +118,16 @@
     assert.is(await store.forwardExplanation(httpClient, "127.0.0.1:1", Buffer.from("abc")), undefined);
 });
 
+suite("a question goes to the store, or a peer that can't read it or is gone counts as having answered", async () => {
+    bodies.length = 0;
+    const ask = (address: string, question: string) =>
+        store.sendQuestion(httpClient, address, Buffer.from(question), 1000);
+    assert.is(Buffer.from((await ask(relayAddress, "abc"))!).toString(), "cba");
+    assert.is(await ask(relayAddress, ""), undefined);
+    assert.is(await ask("127.0.0.1:1", "abc"), undefined);
+    assert.equal(bodies, []);
+});
+
 suite.after(() => {
     servers.forEach(server => {
         server.close();
--- a/packages/store/src/store-relay.ts
+++ b/packages/store/src/store-relay.ts
@@ -1,7 +1,8 @@
 /**
  * Serves requests of peers. It forwards a peer's calls to the store while the peer can't call the store directly but
  * this process can, tells peers that have not heard from the coordinator for a while whether this process coordinates,
- * receives the jobs that peers couldn't store, and answers operators who ask where a job would go.
+ * receives the jobs that peers couldn't store, answers what peers ask for their callers, and operators who ask where a job
+ * would go.
  */
 import type * as eventLog from "@catkinwharf/event-log";
 import * as httpCalls from "@catkinwharf/http-calls";
@@ -20,7 +21,9 @@
 const coordinatingPath = "/coordinating";
 /** Path under which a process reports jobs that it couldn't store. */
 const unstoredJobsPath = "/unstored-jobs";
-/** Timeout in ms of both requests; a healthy peer responds within a few ms. */
+/** Path under which a process answers what a peer asks about jobs for its callers. */
+const questionPath = "/question";
+/** Timeout in ms of the first two requests; a healthy peer responds within a few ms. */
 const peerTimeout = 250;
 
 /** Timeout in ms of a request for an explanation that is passed on; an operator waits for it. */
@@ -55,6 +58,8 @@
      * @param forwarded whether a peer has passed the request on
      */
     readonly explain: (encoded: Uint8Array, forwarded: boolean) => Promise<RelayResponse>;
+    /** Answers an encoded question of a peer; `undefined` if it can't be read. */
+    readonly answerQuestion: (encoded: Uint8Array) => Promise<Uint8Array | undefined>;
 }
 
 /** Creates the relay's HTTP server without starting to listen. */
@@ -71,6 +76,8 @@
             ? receiveUnstoredJobs(options, message)
             : isExplanation
             ? explain(options, message)
+            : message.url === questionPath
+            ? answerQuestion(options, message)
             : forwardCall(options, message);
         void handled.then(({ status, body }) => {
             response.writeHead(status).end(body);
@@ -138,6 +145,18 @@
     return (await httpClient.send(address, call, explanationTimeout)).unwrapOr(undefined);
 }
 
+/** Asks a peer about jobs; returns its encoded answer, `undefined` without one within `timeout` ms. */
+export async function sendQuestion(
+    httpClient: Pick<httpCalls.HttpClient, "send">,
+    address: string,
+    encoded: Uint8Array,
+    timeout: number,
+): Promise<Uint8Array | undefined> {
+    const call = { method: "POST" as const, path: questionPath, headers: {}, body: encoded };
+    const response = (await httpClient.send(address, call, timeout)).unwrapOr(undefined);
+    return response?.status === 200 ? response.body : undefined; // A peer of an earlier version doesn't know the path.
+}
+
 export interface RelayResponse {
     readonly status: number;
     readonly body: Uint8Array;
@@ -157,6 +176,14 @@
     return options.explain(encoded, message.url === types.forwardedExplanationPath);
 }
 
+async function answerQuestion(options: RelayOptions, message: http.IncomingMessage): Promise<RelayResponse> {
+    const encoded = await readBody(options, message);
+    const answer = encoded instanceof Uint8Array ? await options.answerQuestion(encoded) : undefined;
+    return answer === undefined
+        ? { status: notForwardedStatus, body: new Uint8Array() }
+        : { status: 200, body: answer };
+}
+
 async function forwardCall(
     options: RelayOptions,
     message: http.IncomingMessage,
