--- a/packages/node/scripts/answers-after-restart.mjs
+++ b/packages/node/scripts/answers-after-restart.mjs
@@ -3,7 +3,7 @@
  * store: one large process and small ones with slow links lose their power and start again.
  *
  * Usage: node packages/node/scripts/answers-after-restart.mjs [--jobs 1000] [--bandwidth 875000] [--small 2]
- *     [--program FILE]
+ *     [--program FILE] [--lines]
  */
 import * as platformStandIns from "@catkinwharf/platform-stand-ins";
 import * as os from "node:os";
@@ -19,6 +19,8 @@
         small: { type: "string", default: "2" },
         /** Program of the processes, to compare with another version's. */
         program: { type: "string" },
+        /** Also prints what the processes logged after the start. */
+        lines: { type: "boolean", default: false },
     },
 });
 /** Time in ms for which a caller waits for an answer. */
@@ -40,14 +42,20 @@
     }
 }
 
-/** Asks for each job until it is answered about; returns the times in ms after `startedAt` and the refusals. */
-async function measure(node, startedAt) {
+/** Unix time in ms at which the process began to run, as it has logged; a busy machine starts it late. */
+function findStart(node) {
+    const line = node.lines.find(text => text.includes('"event":"started"'));
+    return JSON.parse(line).processStart;
+}
+
+/** Asks for each job until it is answered about; returns the times in ms after the start of the process, and the refusals. */
+async function measure(node) {
     const refusals = [];
     const answeredAt = await Promise.all(paths.map(async path => {
         for (;;) {
             const { status, duration } = await ask(node, path);
             if (status === 200) {
-                return performance.now() - startedAt;
+                return Date.now() - findStart(node);
             }
             if (status !== 0) {
                 refusals.push(duration);
@@ -57,6 +65,7 @@
     }));
     return {
         node: node.name,
+        startedAfter: findStart(node) - launchedAt,
         firstAnswer: Math.round(Math.min(...answeredAt)),
         allAnswered: Math.round(Math.max(...answeredAt)),
         refusals: refusals.length,
@@ -64,11 +73,23 @@
     };
 }
 
-async function waitUntilRead(node, startedAt) {
+/** Counts the reasons of the refusals that a process has logged. */
+function countReasons(node) {
+    const reasons = {};
+    for (const line of node.lines.filter(text => text.includes('"event":"request-answered"'))) {
+        const { status, reason } = JSON.parse(line);
+        if (status !== 200) {
+            reasons[reason] = (reasons[reason] ?? 0) + 1;
+        }
+    }
+    return reasons;
+}
+
+async function waitUntilRead(node) {
     while (!restarted.hasRead(node)) {
         await new Promise(resolve => setTimeout(resolve, 20));
     }
-    return Math.round(performance.now() - startedAt);
+    return Date.now() - findStart(node);
 }
 
 const restarted = new slowRestart.SlowRestart(
@@ -99,13 +120,18 @@
 for (const key of Object.keys(calls)) {
     delete calls[key];
 }
+const launchedAt = Date.now();
 restarted.launch(Number(values.bandwidth));
-const startedAt = performance.now();
 const [answers, readAfter] = await Promise.all([
-    Promise.all(deployment.processes.map(node => measure(node, startedAt))),
-    Promise.all(deployment.processes.map(node => waitUntilRead(node, startedAt))),
+    Promise.all(deployment.processes.map(node => measure(node))),
+    Promise.all(deployment.processes.map(node => waitUntilRead(node))),
 ]);
 console.log(JSON.stringify({ ...values, load: [loadBefore, os.loadavg()[0]].map(load => Math.round(load)) }));
-answers.forEach((answer, i) => console.log(JSON.stringify({ ...answer, readAfter: readAfter[i] })));
+answers.forEach((answer, i) =>
+    console.log(JSON.stringify({ ...answer, readAfter: readAfter[i], reasons: countReasons(deployment.processes[i]) }))
+);
 Object.entries(calls).sort().forEach(([call, counted]) => console.log(call, JSON.stringify(counted)));
+if (values.lines) {
+    deployment.processes.forEach(node => node.lines.forEach(line => console.log(line)));
+}
 await restarted.stop();
--- a/packages/node/src/entry-instance.ts
+++ b/packages/node/src/entry-instance.ts
@@ -329,9 +329,9 @@
             && this.#hasRead() && !this.#isStoreUnavailable();
     }
 
-    /** Whether the newest submissions and all progress have been read. */
+    /** Whether the newest submissions and all progress have been read, also those stored while that took long. */
     #hasRead(): boolean {
-        return this.#submissions.loaded && this.#ledger.loaded;
+        return this.#submissions.upToDate && this.#ledger.upToDate;
     }
 
     #measureDataAge(): ReturnType<intake.JobApiOptions["measureDataAge"]> {
--- a/packages/store/src/topic-follower.test.ts
+++ b/packages/store/src/topic-follower.test.ts
@@ -40,8 +40,42 @@
     follower.stop();
     assert.equal(applied, ["a", "b"]);
     assert.equal([follower.loaded, follower.nextOffset, follower.caughtUpAt], [true, 5, 700]);
+    assert.ok(follower.upToDate);
 });
 
+suite(
+    "a follower counts as up to date after a load that took seconds, or its next read waits for a record",
+    async () => {
+        let now = 0;
+        const waits: number[] = [];
+        let respond = (_result: store.ReadResult) => {};
+        const source: Pick<store.StoreClient, "read" | "readNewest"> = {
+            readNewest: () => {
+                now += 16_000;
+                return Promise.resolve(neverthrow.ok(page));
+            },
+            read: async (_topic, _from, wait) => {
+                waits.push(wait);
+                return neverthrow.ok(await new Promise<store.ReadResult>(resolve => respond = resolve));
+            },
+        };
+        const options = { topic: "t", handlers: { apply: () => {} }, wait: 1000, pause: () => 0 };
+        const follower = new store.TopicFollower(source, options, log, () => now);
+        follower.start();
+        await new Promise(resolve => setTimeout(resolve, 10));
+        assert.equal([follower.loaded, follower.upToDate, waits], [true, false, [0]]);
+        respond({ kind: "records", records: [{ offset: 5, record: { key: "c", value } }], end: 7 });
+        await new Promise(resolve => setTimeout(resolve, 10));
+        assert.equal([follower.upToDate, waits], [false, [0, 0]]);
+        respond({ kind: "records", records: [{ offset: 6, record: { key: "d", value } }], end: 7 });
+        await new Promise(resolve => setTimeout(resolve, 10));
+        assert.equal([follower.upToDate, waits], [true, [0, 0, 1000]]);
+        follower.requestReload();
+        assert.is(follower.upToDate, false);
+        follower.stop();
+    },
+);
+
 suite("skips records already applied, and reloads the newest ones after the store dropped unread records", async () => {
     // The record at offset 4 is already among the newest records.
     const records = [4, 5].map(offset => ({ offset, record: { key: `k${offset}`, value } }));
--- a/packages/store/src/topic-follower.ts
+++ b/packages/store/src/topic-follower.ts
@@ -43,6 +43,8 @@
     #nextOffset: number | undefined;
     /** Unix time in ms at which this follower was last known to have read the whole topic. */
     caughtUpAt = 0;
+    /** The last load of the newest records took so long that there may be many later ones, which haven't been read yet. */
+    #lagging = false;
     #running = true;
     #reloading: Promise<boolean> | undefined;
     /** The catch-up that is under way. */
@@ -61,6 +63,11 @@
         return this.#nextOffset !== undefined;
     }
 
+    /** Whether the newest records have been read, and what was stored while that took long. */
+    get upToDate(): boolean {
+        return this.loaded && !this.#lagging;
+    }
+
     /** Offset of the next record to apply; 0 until the newest records have been read. */
     get nextOffset(): number {
         return this.#nextOffset ?? 0;
@@ -124,7 +131,7 @@
                 continue;
             }
             const previousOffset = this.#nextOffset;
-            const outcome = await this.#readOnce(this.options.wait);
+            const outcome = await this.#readOnce(this.#lagging ? 0 : this.options.wait);
             if (outcome === "failed") {
                 await timers.setTimeout(retryDelay);
             }
@@ -168,6 +175,7 @@
         if (this.#nextOffset !== undefined && this.#nextOffset >= result.value.end) {
             // Records may have taken long to arrive; a response without any is small.
             this.caughtUpAt = result.value.records.length === 0 ? this.now() : sentAt;
+            this.#lagging = false;
             return "end";
         }
         return "more";
@@ -249,6 +257,7 @@
         });
         this.#nextOffset = end;
         this.caughtUpAt = startedAt;
+        this.#lagging = this.now() - startedAt > this.options.wait;
         return true;
     }
 }
