--- a/packages/intake/src/question-answerer.ts
+++ b/packages/intake/src/question-answerer.ts
@@ -19,8 +19,11 @@
     readonly measureDataAge: () => { readonly submissionsAge: number; readonly progressAge: number; };
 }
 
-/** Time in ms that a question may take until its answer arrives; a healthy peer takes a few ms. */
-export const questionTimeout = 600;
+/**
+ * Time in ms that a question may take until its answer arrives, by kind. A healthy peer takes a few ms, but a small
+ * process's link may be full of what it reads; and a count ages on its way.
+ */
+export const questionTimeouts: Readonly<Record<jobState.Question["kind"], number>> = { status: 1200, count: 600 };
 /** Time in ms for which a question may wait for reads of the store. */
 const maxReadTime = 400;
 /**
@@ -56,8 +59,7 @@
     async #answerCount({ queue }: jobState.CountQuestion): Promise<jobState.QuestionAnswer> {
         const { measureDataAge, refreshJobs, refreshProgress } = this.options;
         const { submissionsAge, progressAge } = measureDataAge();
-        // The answer ages on its way.
-        const isFresh = Math.max(submissionsAge, progressAge) <= maxCountAge - questionTimeout;
+        const isFresh = Math.max(submissionsAge, progressAge) <= maxCountAge - questionTimeouts.count;
         return isFresh || await this.#read(refreshJobs, refreshProgress)
             ? { kind: "count", pending: this.options.jobs.countUnfinished(queue).pending }
             : untold;
--- a/packages/node/src/entry-instance.ts
+++ b/packages/node/src/entry-instance.ts
@@ -125,6 +125,7 @@
         });
         this.#peerQuestions = new peerQuestions.PeerQuestions({
             listPeers: () => this.#listPeers(),
+            hasRead: () => this.#hasRead(),
             findPeers: () => this.#directory.refresh(),
             send: (...call) => store.sendQuestion(this.#httpClient, ...call),
             monotonicNow: () => this.#clock.monotonic(),
--- a/packages/node/src/peer-questions.test.ts
+++ b/packages/node/src/peer-questions.test.ts
@@ -16,9 +16,11 @@
     readonly asked: string[] = [];
     readonly outcomes: peerQuestions.QuestionOutcome[] = [];
     found = 0;
+    hasRead = false;
     readonly questions = new peerQuestions.PeerQuestions({
         listPeers: () =>
             Object.keys(this.peers).map(node => ({ node, address: node, large: node.startsWith("large") })),
+        hasRead: () => this.hasRead,
         findPeers: () => {
             this.found += 1;
             return Promise.resolve();
@@ -83,6 +85,10 @@
     const answers = await Promise.all(Array.from({ length: 100 }, () => world.ask()));
     assert.equal(answers, Array(100).fill(undefined));
     assert.ok(world.asked.length <= 128);
+    const slowStore = new World({ a: { kind: "untold" }, b: { kind: "untold" }, c: { kind: "untold" } });
+    slowStore.hasRead = true;
+    assert.is(await slowStore.ask(), undefined);
+    assert.is(slowStore.asked.length, 2);
     assert.is(world.outcomes.filter(outcome => outcome === "refused").length, 36);
 });
 
--- a/packages/node/src/peer-questions.ts
+++ b/packages/node/src/peer-questions.ts
@@ -18,6 +18,8 @@
 
 export interface PeerQuestionsOptions {
     readonly listPeers: () => readonly AskedPeer[];
+    /** Whether this process has read what is stored since its start. */
+    readonly hasRead: () => boolean;
     /** Learns the addresses of peers; called when none is known that answers. */
     readonly findPeers: () => Promise<void>;
     /** Sends an encoded question; returns the encoded answer, `undefined` if none arrives within `timeout` ms. */
@@ -43,8 +45,10 @@
 /** Questions of this process that are under way at most; peers are kept from the crowd of its callers. */
 const maxQuestions = 64;
 /** Peers that are asked one question at a time, and in all. */
-const maxAskedAtOnce = 2;
+const maxAskedAtOnce = 3;
 const maxAsked = 6;
+/** The same in all when this process has read what is stored: then the store is probably slow for its peers, too. */
+const maxAskedOfStore = 2;
 /** Time in ms after which the next peer is asked as well; a healthy one answers within a few ms. */
 const staggerDelay = 150;
 /** Time in ms for which a peer that gave no answer isn't asked. */
@@ -94,17 +98,23 @@
         const asked = new Set<string>();
         const underWay = new Set<Promise<intake.PeerAnswer | undefined>>();
         const encoded = jobState.encodeQuestion(question);
+        const mostAsked = this.options.hasRead() ? maxAskedOfStore : maxAsked;
         if (this.options.listPeers().every(({ address }) => this.#findAvoidance(address, question)?.silent === true)) {
             await intake.waitFor(deadline - this.options.monotonicNow(), this.options.findPeers());
         }
         for (;;) {
             const timeLeft = deadline - this.options.monotonicNow();
-            const peer = underWay.size < maxAskedAtOnce && asked.size < maxAsked && timeLeft > 0
+            const peer = underWay.size < maxAskedAtOnce && asked.size < mostAsked && timeLeft > 0
                 ? this.#choosePeer(asked, question)
                 : undefined;
             if (peer !== undefined) {
                 asked.add(peer.address);
-                const call = this.#askPeer(peer, question, encoded, Math.min(timeLeft, intake.questionTimeout));
+                const call = this.#askPeer(
+                    peer,
+                    question,
+                    encoded,
+                    Math.min(timeLeft, intake.questionTimeouts[question.kind]),
+                );
                 underWay.add(call);
                 void call.finally(() => underWay.delete(call));
             }
