--- a/packages/intake/src/job-api.ts
+++ b/packages/intake/src/job-api.ts
@@ -95,7 +95,7 @@
     /** Why the request failed; logged and counted only. */
     readonly reason?: string;
     /** Process that answered in place of this one; logged only. */
-    readonly answeredBy?: string;
+    readonly answeredBy?: string | undefined;
     /** Organisation of a caller that was refused because of its organisation's rate or quota; logged and counted only. */
     readonly organisation?: string | undefined;
 }
@@ -279,7 +279,7 @@
 interface FoundStatus {
     readonly status?: jobState.JobStatus | undefined;
     /** Peer that gave it; `undefined` if this process did. */
-    readonly answeredBy?: string;
+    readonly answeredBy?: string | undefined;
     readonly response: JobResponse;
 }
 
@@ -633,19 +633,20 @@
             return response;
         }
         if (jobState.isSettled(status)) {
-            return { ...accepted, ...answeredBy === undefined ? {} : { answeredBy } };
+            return { ...accepted, answeredBy };
         }
         if (this.options.isStoreUnavailable()) {
             return storeUnavailable;
         }
         const written = await this.#write(jobState.encodeCancellation(request.id, this.options.now()), request);
-        return { ...written, ...answeredBy === undefined ? {} : { answeredBy } };
+        return { ...written, answeredBy };
     }
 
     async getStatus(request: JobRequest): Promise<JobResponse> {
         const { status, answeredBy, response } = await this.#findStatus(request);
-        const body = status === undefined ? undefined : platform.callerBodies.encodeStatus(status);
-        return body === undefined ? response : { status: 200, body, ...answeredBy === undefined ? {} : { answeredBy } };
+        return status === undefined
+            ? response
+            : { status: 200, body: platform.callerBodies.encodeStatus(status), answeredBy };
     }
 
     async #write(record: jobState.KeyedRecord, request: JobRequest, appliesAtOnce = true): Promise<JobResponse> {
--- a/packages/node/src/peer-questions.test.ts
+++ b/packages/node/src/peer-questions.test.ts
@@ -82,14 +82,14 @@
 
 suite("a crowd of questions is passed on at once", async () => {
     const world = new World({ large: "hangs", small: "hangs" });
-    const answers = await Promise.all(Array.from({ length: 100 }, () => world.ask()));
-    assert.equal(answers, Array(100).fill(undefined));
-    assert.ok(world.asked.length <= 128);
+    const answers = await Promise.all(Array.from({ length: 600 }, () => world.ask()));
+    assert.equal(answers, Array(600).fill(undefined));
+    assert.ok(world.asked.length <= 48);
     const slowStore = new World({ a: { kind: "untold" }, b: { kind: "untold" }, c: { kind: "untold" } });
     slowStore.hasRead = true;
     assert.is(await slowStore.ask(), undefined);
     assert.is(slowStore.asked.length, 2);
-    assert.is(world.outcomes.filter(outcome => outcome === "refused").length, 36);
+    assert.is(world.outcomes.filter(outcome => outcome === "refused").length, 76);
 });
 
 suite("an answer that can't be read, or one to another question, counts", () => {
--- a/packages/node/src/peer-questions.ts
+++ b/packages/node/src/peer-questions.ts
@@ -8,6 +8,7 @@
 import * as intake from "@catkinwharf/intake";
 import * as jobState from "@catkinwharf/job-state";
 import * as timers from "node:timers/promises";
+import * as pQueue from "p-queue";
 
 export interface AskedPeer {
     readonly node: string;
@@ -37,13 +38,15 @@
     answered: "answered",
     /** No peer answered, or none could tell. */
     untold: "untold",
-    /** Too many were under way. */
+    /** Too many waited. */
     refused: "refused",
 } as const;
 export type QuestionOutcome = (typeof QuestionOutcome)[keyof typeof QuestionOutcome];
 
-/** Questions of this process that are under way at most; peers are kept from the crowd of its callers. */
-const maxQuestions = 64;
+/** Questions of this process that are under way at a time; peers are kept from the crowd of its callers. */
+const maxUnderWay = 24;
+/** Questions that wait for those at most. */
+const maxWaiting = 500;
 /** Peers that are asked one question at a time, and in all. */
 const maxAskedAtOnce = 3;
 const maxAsked = 6;
@@ -64,7 +67,7 @@
 }
 
 export class PeerQuestions {
-    #underWay = 0;
+    readonly #queue = new pQueue.default({ concurrency: maxUnderWay });
     /** Peers that aren't asked for a while, by kind of question and address. */
     readonly #avoided: Readonly<Record<jobState.Question["kind"], Map<string, Avoidance>>> = {
         status: new Map(),
@@ -79,22 +82,19 @@
      * @param deadline monotonic time in ms
      */
     async ask(question: jobState.Question, deadline: number): Promise<intake.PeerAnswer | undefined> {
-        if (this.#underWay >= maxQuestions) {
+        if (this.#queue.size >= maxWaiting) {
             this.options.count(QuestionOutcome.refused);
             return undefined;
         }
-        this.#underWay += 1;
-        try {
-            const answer = await this.#ask(question, deadline);
-            this.options.count(answer === undefined ? QuestionOutcome.untold : QuestionOutcome.answered);
-            return answer;
-        }
-        finally {
-            this.#underWay -= 1;
-        }
+        const answer = await this.#queue.add(() => this.#ask(question, deadline));
+        this.options.count(answer === undefined ? QuestionOutcome.untold : QuestionOutcome.answered);
+        return answer;
     }
 
     async #ask(question: jobState.Question, deadline: number): Promise<intake.PeerAnswer | undefined> {
+        if (this.options.monotonicNow() >= deadline) {
+            return undefined; // It has waited for too long.
+        }
         const asked = new Set<string>();
         const underWay = new Set<Promise<intake.PeerAnswer | undefined>>();
         const encoded = jobState.encodeQuestion(question);
