Shorten jobs by what is stored of them, without a write of the ledger

Change: a job's entry says whether its newest stored progress is that of a settled job without runs, from the record that was read or stored; a record in parts never is.

--- a/packages/dispatch/src/job-registry.ts
+++ b/packages/dispatch/src/job-registry.ts
@@ -101,7 +101,7 @@
         }
         this.#learnRoute(job);
         entry.progress ??= jobState.createProgress(wall);
-        if (jobState.isSettled(entry.progress.status) && !jobState.hasRuns(entry.progress)) {
+        if (jobState.isOver(entry.progress)) {
             return undefined;
         }
         const active = this.#createActive(entry, job, entry.progress);
--- a/packages/dispatch/src/job-sweeper.test.ts
+++ b/packages/dispatch/src/job-sweeper.test.ts
@@ -192,21 +192,23 @@
     async () => {
         const topics = new memoryStore.MemoryLog();
         const { sweeper, shared } = createProcess(topics);
-        const entry = shared.jobs.entries.get(job.id)!;
-        const progress = entry.progress!;
+        const progress = shared.jobs.entries.get(job.id)!.progress!;
         const occurrence = jobState.getOrCreateOccurrence(progress, job, 0);
         const history = jobState.getOrCreateHistory(occurrence, 0);
         history.runs = [{ number: 1, server: "s1@0" }];
         await sweeper.sweep();
+        shared.jobs.applyProgress(job.id, progress);
         history.runs = [];
+        await sweeper.sweep();
         for (const status of [jobState.JobStatus.queued, jobState.JobStatus.running]) {
-            progress.status = entry.storedStatus = status;
+            progress.status = status;
+            shared.jobs.applyProgress(job.id, progress);
             await sweeper.sweep();
         }
         progress.status = jobState.JobStatus.completed;
         await sweeper.sweep();
         assert.equal(listKinds(topics), ["job"]);
-        entry.storedStatus = progress.status;
+        shared.jobs.applyProgress(job.id, progress);
         await sweeper.sweep();
         sweeper.stop();
         assert.equal(listKinds(topics), ["ended"]);
@@ -221,13 +223,19 @@
         carryOut = carryOutLate;
         return topic === jobState.ledgerTopic;
     };
-    shared.writer.markDirty(shared.jobs.entries.get(job.id)!); // As its last run ended just now.
-    void sweeper.sweep();
+    const entry = shared.jobs.entries.get(job.id)!;
+    const history = jobState.getOrCreateHistory(jobState.getOrCreateOccurrence(entry.progress!, job, 0), 0);
+    history.runs = [{ number: 1, server: "s1@0" }];
+    shared.jobs.applyProgress(job.id, entry.progress!);
+    history.runs = []; // As it ended just now.
+    shared.writer.markDirty(entry);
     await timers.setTimeout(settlingTime);
+    await sweeper.sweep();
     const kinds = listKinds(topics);
     carryOut!();
     topics.holdsAppend = () => false;
     await timers.setTimeout(repeatTime);
+    await sweeper.sweep();
     sweeper.stop();
     assert.equal([kinds, listKinds(topics)], [["job"], ["ended"]]);
 });
--- a/packages/dispatch/src/job-sweeper.ts
+++ b/packages/dispatch/src/job-sweeper.ts
@@ -60,14 +60,8 @@
 
     /** Replaces the submissions of ended jobs by their short form. */
     async #shorten(): Promise<void> {
-        const { jobs, writer, log } = this.shared;
-        const found = jobs.listShortenable();
-        // What is stored of a job may still show runs that this coordinator knows to be over.
-        if (found.length === 0 || !await writer.flush()) {
-            return;
-        }
-        const ended = new Set(jobs.listShortenable());
-        const due = found.filter(entry => ended.has(entry));
+        const { jobs, log } = this.shared;
+        const due = jobs.listShortenable();
         const records = due.flatMap(entry => shortenRecords(entry));
         const bytes = records.reduce((sum, record) => sum + platform.storeCalls.measureRecord(record), 0);
         while (records.length > 0) {
@@ -77,7 +71,9 @@
             }
             batch.forEach(({ key, value }) => jobs.applySubmission(key, value, false));
         }
-        log.info("jobs-shortened", { jobs: due.length, bytes });
+        if (due.length > 0) {
+            log.info("jobs-shortened", { jobs: due.length, bytes });
+        }
     }
 
     #takeBatch(records: platform.storeCalls.KeyedRecord[]): platform.storeCalls.KeyedRecord[] {
--- a/packages/dispatch/src/ledger-writer.ts
+++ b/packages/dispatch/src/ledger-writer.ts
@@ -20,6 +20,8 @@
 interface ShownStatus {
     readonly entry: jobState.JobEntry;
     readonly status: jobState.JobStatus;
+    /** The record shows a settled job without runs. */
+    readonly isOver: boolean;
 }
 
 interface PendingRecord {
@@ -133,9 +135,10 @@
         this.#writing = false;
     }
 
-    #showStatus({ entry, status }: ShownStatus): void {
+    #showStatus({ entry, status, isOver }: ShownStatus): void {
         const changed = entry.storedStatus !== status;
         entry.storedStatus = status;
+        entry.endStored = isOver;
         if (changed) {
             this.options.onStatusStored(entry);
         }
@@ -172,7 +175,7 @@
             return [];
         }
         const { storeLimits, onUnstorable } = this.options;
-        const shown = { entry, status: progress.status };
+        const shown = { entry, status: progress.status, isOver: jobState.isOver(progress) };
         const taken = jobState.takeProgressRecords(job, progress, storedParts, storeLimits.recordSize);
         if ([...taken.parts, taken.job].every(record => storeClient.isStorable(record, storeLimits))) {
             return [
--- a/packages/job-state/src/job-table.ts
+++ b/packages/job-state/src/job-table.ts
@@ -25,6 +25,8 @@
      * are shown only this one, because the next coordinator may not learn of anything else.
      */
     storedStatus: jobs.JobStatus | undefined;
+    /** That record shows a settled job without runs, so a successor has nothing left to do for it. */
+    endStored?: boolean;
     /** Keys of the records in the ledger that hold parts of the progress. */
     readonly storedParts: Set<string>;
 }
@@ -166,6 +168,7 @@
             this.#pendingParts.delete(id);
         }
         entry.storedStatus = current.status;
+        entry.endStored = layout === undefined && progress.isOver(current);
     }
 
     /** Applies a record of a part of a job's progress; `undefined` for a part that is obsolete. */
@@ -190,6 +193,7 @@
         for (const entry of this.entries.values()) {
             entry.progress = undefined;
             entry.storedStatus = undefined;
+            entry.endStored = false;
             entry.storedParts.clear();
         }
         this.#pendingParts.clear();
@@ -230,11 +234,11 @@
     }
 
     /**
-     * Jobs whose submission isn't needed any more: their final status is stored, and no run of them may be under way. Also
-     * those whose short form was replaced, by a submission that came again or was carried out late.
+     * Jobs whose submission isn't needed any more: their final status is stored, and no run of them may be under way, also by
+     * what is stored. Also those whose short form was replaced, by a submission that came again or was carried out late.
      */
     listShortenable(): JobEntry[] {
-        return [...this.#submitted].flatMap(id => this.entries.get(id) ?? []).filter(isOver);
+        return [...this.#submitted].flatMap(id => this.entries.get(id) ?? []).filter(isShortenable);
     }
 
     #getOrCreate(id: string): JobEntry {
@@ -263,8 +267,6 @@
     return job === undefined && current === undefined && cancelledAt !== undefined;
 }
 
-function isOver({ finalStatus, progress: current, storedStatus }: JobEntry): boolean {
-    return finalStatus !== undefined
-        || (current !== undefined && progress.isSettled(current.status) && storedStatus === current.status
-            && !progress.hasRuns(current));
+function isShortenable({ finalStatus, progress: current, endStored }: JobEntry): boolean {
+    return finalStatus !== undefined || (endStored === true && current !== undefined && progress.isOver(current));
 }
--- a/packages/job-state/src/progress.ts
+++ b/packages/job-state/src/progress.ts
@@ -228,6 +228,11 @@
         || status === jobs.JobStatus.cancelled;
 }
 
+/** Whether the status is final and no run may be under way. */
+export function isOver(progress: Progress): boolean {
+    return isSettled(progress.status) && !hasRuns(progress);
+}
+
 /** Whether all tasks of all occurrences are done. */
 export function isComplete(progress: Progress, job: jobs.Job): boolean {
     const occurrenceCount = jobs.countOccurrences(job);
--- a/packages/job-state/src/records.ts
+++ b/packages/job-state/src/records.ts
@@ -203,9 +203,8 @@
  * again.
  */
 export function encodeProgress(id: string, current: progress.Progress): KeyedRecord {
-    const isOver = progress.isSettled(current.status) && !progress.hasRuns(current);
     return encodeStored(id, current, {
-        o: isOver
+        o: progress.isOver(current)
             ? []
             : [...current.occurrences].map(([occurrence, occurrenceProgress]) =>
                 codec.encodeOccurrence(occurrence, occurrenceProgress)
@@ -245,7 +244,7 @@
     recordSize: number,
 ): ProgressRecords {
     const { id } = job;
-    if (progress.isSettled(current.status) && !progress.hasRuns(current)) {
+    if (progress.isOver(current)) {
         const obsolete = [...storedParts].map(encodeTombstone);
         storedParts.clear();
         return { parts: [], job: encodeStatus(id, current), obsolete };
