--- a/packages/node/src/integration/answers-while-reading.test.ts
+++ b/packages/node/src/integration/answers-while-reading.test.ts
@@ -53,7 +53,7 @@
     await restarted.kill();
     restarted.storeCompleted(storedJobs);
     restarted.launch(bandwidth);
-    await deployment.waitFor("the large process has read the jobs", () => restarted.isReady(large));
+    await deployment.waitFor("the large process has read the jobs", () => deployment.isReady(large));
     for (const node of small) {
         await deployment.waitFor("a small process knows the queues", async () => {
             return (await deployment.sendRequest(node, "GET", "/none/"))?.status === 404;
--- a/packages/node/src/integration/cut-off-coordinator.test.ts
+++ b/packages/node/src/integration/cut-off-coordinator.test.ts
@@ -62,8 +62,9 @@
             return countLines(cutOff!, "coordinating") > before[0]!;
         });
         deployment.launch(peer!);
-        await deployment.waitFor("its peer serves callers", async () => {
-            return (await deployment.sendRequest(peer!, "GET", "/quotes/"))?.status === 200;
+        await deployment.waitFor("its peer serves callers from what it has read", async () => {
+            return await deployment.isReady(peer!)
+                && (await deployment.sendRequest(peer!, "GET", "/quotes/"))?.status === 200;
         });
         deployment.store.delay = storeLatency;
         proxy.cut();
--- a/packages/node/src/integration/slow-restart.ts
+++ b/packages/node/src/integration/slow-restart.ts
@@ -89,12 +89,6 @@
         }
     }
 
-    /** Whether the platform's check of the process passes. */
-    async isReady(node: platformStandIns.EntryProcess): Promise<boolean> {
-        const response = await fetch(`http://127.0.0.1:${node.readinessPort}/-/readyz`).catch(() => undefined);
-        return response?.status === 200;
-    }
-
     /** Whether the process has read the submissions since its start. */
     hasRead(node: platformStandIns.EntryProcess): boolean {
         return node.lines.some(line =>
--- a/packages/node/src/peer-directory.ts
+++ b/packages/node/src/peer-directory.ts
@@ -45,9 +45,14 @@
         return true;
     }
 
-    /** Reads the addresses, and stores that of this process where the topics lack it. */
+    /** Reads the addresses, and stores that of this process; among the submissions at once, as peers follow those. */
     async start(): Promise<void> {
         const record = jobState.encodeNode(this.options.own);
+        await Promise.all([this.#store(jobState.submissionsTopic, record), this.#announce(record)]);
+    }
+
+    /** Stores the address of this process in the small topic, unless it is there already. */
+    async #announce(record: platform.storeCalls.KeyedRecord): Promise<void> {
         while (!this.options.isShuttingDown() && !await this.#read()) {
             await timers.setTimeout(retryDelay);
         }
@@ -55,7 +60,6 @@
         if (announced === undefined || !Buffer.from(announced).equals(record.value)) {
             await this.#store(jobState.peersTopic, record);
         }
-        await this.#store(jobState.submissionsTopic, record);
     }
 
     /** Reads the addresses again, unless that was done just now. */
