--- a/packages/node/src/peer-questions.test.ts
+++ b/packages/node/src/peer-questions.test.ts
@@ -85,6 +85,10 @@
     const answers = await Promise.all(Array.from({ length: 600 }, () => world.ask()));
     assert.equal(answers, Array(600).fill(undefined));
     assert.ok(world.asked.length <= 48);
+    world.now += 5000;
+    world.asked.length = 0;
+    await Promise.all(Array.from({ length: 20 }, () => world.ask()));
+    assert.equal([...world.asked].sort(), ["large", "small"]); // One question each finds out whether they are back.
     const slowStore = new World({ a: { kind: "untold" }, b: { kind: "untold" }, c: { kind: "untold" } });
     slowStore.hasRead = true;
     assert.is(await slowStore.ask(), undefined);
--- a/packages/node/src/peer-questions.ts
+++ b/packages/node/src/peer-questions.ts
@@ -3,7 +3,8 @@
  * time, and for a bounded number of questions at a time.
  *
  * A peer that doesn't answer, among them one of an earlier version, isn't asked for a while; nor, for a shorter one, is a
- * peer that hasn't read enough itself. When no peer is left, the question ends at once.
+ * peer that hasn't read enough itself. After that it gets one question, and the others once it has answered that. When no
+ * peer is left, the question ends at once.
  */
 import * as intake from "@catkinwharf/intake";
 import * as jobState from "@catkinwharf/job-state";
@@ -66,6 +67,11 @@
     readonly silent: boolean;
 }
 
+/** Time in ms for which a peer isn't asked. */
+function findBackoff(silent: boolean): number {
+    return silent ? silenceBackoff : untoldBackoff;
+}
+
 export class PeerQuestions {
     readonly #queue = new pQueue.default({ concurrency: maxUnderWay });
     /** Peers that aren't asked for a while, by kind of question and address. */
@@ -138,14 +144,18 @@
         encoded: Uint8Array,
         timeout: number,
     ): Promise<intake.PeerAnswer | undefined> {
+        const avoided = this.#avoided[question.kind];
+        const before = avoided.get(address);
+        if (before !== undefined) {
+            this.#avoid(address, question, before.silent); // Until it has answered this question.
+        }
         const received = await this.options.send(address, encoded, timeout);
         const answer = received === undefined ? undefined : jobState.decodeQuestionAnswer(received, question);
         if (answer === undefined || answer.kind === "untold") {
-            const silent = answer === undefined;
-            const backoff = silent ? silenceBackoff : untoldBackoff;
-            this.#avoided[question.kind].set(address, { until: this.options.monotonicNow() + backoff, silent });
+            this.#avoid(address, question, answer === undefined);
             return undefined;
         }
+        avoided.delete(address);
         return { node, answer };
     }
 
@@ -159,6 +169,10 @@
         return candidates[Math.floor(this.options.random() * candidates.length)];
     }
 
+    #avoid(address: string, { kind }: jobState.Question, silent: boolean): void {
+        this.#avoided[kind].set(address, { until: this.options.monotonicNow() + findBackoff(silent), silent });
+    }
+
     #findAvoidance(address: string, { kind }: jobState.Question): Avoidance | undefined {
         const avoidance = this.#avoided[kind].get(address);
         return avoidance !== undefined && this.options.monotonicNow() < avoidance.until ? avoidance : undefined;
