--- a/packages/job-soak/src/lost-jobs.ts
+++ b/packages/job-soak/src/lost-jobs.ts
@@ -47,7 +47,7 @@
 
 const judges: Readonly<Record<string, Judge>> = {
     completed: (job, runs) => {
-        const done = new Set(runs.filter(({ how }) => how === "done").map(({ task }) => task)).size;
+        const done = countDone(runs);
         const tasks = countTasks(job);
         return job.longRunning || done < tasks ? `completed, though ${done} of ${tasks} tasks are done` : undefined;
     },
@@ -81,11 +81,17 @@
     if (job.cancellation === "acknowledged") {
         return `open, though it was cancelled; ${describeEnds(runs)}`;
     }
-    const waits = job.longRunning ? longestAbsence > maxAbsence : idleTime > maxIdleTime;
     const time = Math.round(job.longRunning ? longestAbsence : idleTime);
-    return waits
-        ? `open, and nothing of it or one of its tasks not at work for ${time} ms; ${describeEnds(runs)}`
-        : undefined;
+    if (time <= (job.longRunning ? maxAbsence : maxIdleTime)) {
+        return undefined;
+    }
+    return countDone(runs) === countTasks(job)
+        ? `shown as open, though all its tasks have been done for ${time} ms`
+        : `open, and nothing of it or one of its tasks not at work for ${time} ms; ${describeEnds(runs)}`;
+}
+
+function countDone(runs: readonly platformStandIns.RunRecord[]): number {
+    return new Set(runs.filter(({ how }) => how === "done").map(({ task }) => task)).size;
 }
 
 function countTasks({ steps }: SubmittedJob): number {
