Play losses of racks in virtual time, which fail jobs that crash nothing

Cause: no simulation lost several servers in turn under short tasks, and none judged how each job ends. Change: the servers of a rack fall dark one after the other and return in a later boot, four times a course, with or without names of racks and a takeover; each job has to end as it should. Tasks may crash their servers in the same play.

--- a/packages/dispatch/src/testing/simulated-server.ts
+++ b/packages/dispatch/src/testing/simulated-server.ts
@@ -21,8 +21,10 @@
     readonly findDuration: (task: string) => number | undefined;
     readonly singleRunRule: singleRunRule.SingleRunRule;
     /** A run of the task was started, or has ended for whatever reason. */
-    readonly onStarted: (task: string) => void;
+    readonly onStarted: (task: string, server: SimulatedServer) => void;
     readonly onEnded: (task: string) => void;
+    /** A run of the task has failed by itself. */
+    readonly onFailed: (task: string) => void;
     /** A run of the task has done its work. */
     readonly onDone: (task: string) => void;
     /** Reading in ms at which a server's clock begins in its next boot. */
@@ -214,7 +216,7 @@
         }
         this.running.set(task, started);
         this.#startedTasks.add(task);
-        this.host.onStarted(task);
+        this.host.onStarted(task, this);
         this.host.singleRunRule.recordStart(judged);
         const duration = this.host.findDuration(task);
         if (duration === undefined) {
@@ -237,11 +239,14 @@
         if (failure !== undefined) {
             time.schedule(() => {
                 if (this.running.get(task) === started) {
+                    this.host.onFailed(task);
                     this.#endRun(task, "failed", undefined);
                 }
             }, failure);
         }
-        respond(platformTesting.createOrderResponse(this.#identity));
+        if (!this.#down) {
+            respond(platformTesting.createOrderResponse(this.#identity));
+        }
     }
 
     #stop({ task, run }: platformTesting.ServerOrder, late: boolean, respond: Respond): void {
--- a/packages/dispatch/src/testing/simulation.ts
+++ b/packages/dispatch/src/testing/simulation.ts
@@ -1,7 +1,7 @@
 /**
  * Coordinators, one after the other, with backend servers, machines and a store in memory, in virtual time. The servers
- * judge whether too many long-running tasks of a step are away at once, whether organisations keep to their quotas, and whether
- * tasks run twice.
+ * judge whether too many long-running tasks of a step are away at once, whether organisations keep to their quotas, whether
+ * tasks run twice, and whether jobs end as they should.
  */
 import type * as eventLog from "@catkinwharf/event-log";
 import * as httpCalls from "@catkinwharf/http-calls";
@@ -17,6 +17,7 @@
 import * as availabilityRule from "./availability-rule.js";
 import * as connections from "./connections.js";
 import * as contextTesting from "./context.js";
+import * as jobEndRule from "./job-end-rule.js";
 import * as memoryStore from "./memory-store.js";
 import * as processor from "./processor.js";
 import * as quotaRule from "./quota-rule.js";
@@ -76,6 +77,8 @@
      * a server that is down or cut off. Else every call gets a new one, which is always there.
      */
     readonly keepsConnections?: boolean;
+    /** Number of racks, over which the machines are spread; no rack is known if there is none. */
+    readonly rackCount?: number;
 }
 
 /** Times in ms of a server's restart. */
@@ -94,6 +97,7 @@
 
 interface SimulatedMachine {
     readonly id: string;
+    readonly rack: string;
     pool: string;
     state: platform.machineCalls.MachineState;
     server: simulatedServer.SimulatedServer | undefined;
@@ -136,6 +140,7 @@
     readonly rule = new availabilityRule.AvailabilityRule(() => this.time.now);
     readonly quotaRule = new quotaRule.QuotaRule(() => this.time.now);
     readonly singleRunRule = new singleRunRule.SingleRunRule(() => this.time.now);
+    readonly jobEndRule = new jobEndRule.JobEndRule(initialConfiguration.routes[0]!.maxAttempts);
     readonly log: LogLine[] = [];
     /** Restart delays in ms that coordinators have reported for their metrics. */
     readonly restartDelays: number[] = [];
@@ -157,6 +162,8 @@
     readonly #durations = new Map<string, number>();
     /** Number of tasks that servers have done. */
     doneTasks = 0;
+    /** Called when a server has started a task; a test replaces it to crash some. */
+    onStarted: (task: string, server: simulatedServer.SimulatedServer) => void = () => undefined;
 
     constructor(private readonly options: SimulationOptions) {
         this.#host = {
@@ -167,8 +174,12 @@
             isDisturbed: () => this.time.now - this.disturbedUntil < disturbancePeriod,
             chooseFailure: options.chooseFailure ?? (() => undefined),
             findDuration: task => this.#durations.get(task.slice(0, task.indexOf("."))),
-            onStarted: task => this.quotaRule.recordStart(task),
+            onStarted: (task, server) => {
+                this.quotaRule.recordStart(task);
+                this.onStarted(task, server);
+            },
             onEnded: task => this.quotaRule.recordEnd(task),
+            onFailed: task => this.jobEndRule.recordFailure(task),
             onDone: () => this.doneTasks += 1,
             chooseClockStart: options.chooseClockStart ?? (() => 0),
         };
@@ -180,6 +191,7 @@
         for (let i = 0; i < options.machineCount; i++) {
             const machine: SimulatedMachine = {
                 id: `m${i}`,
+                rack: options.rackCount === undefined ? "" : `r${i % options.rackCount}`,
                 pool: service,
                 state: platform.machineCalls.MachineState.up,
                 server: undefined,
@@ -252,6 +264,18 @@
         this.#applyJob(job);
     }
 
+    /** What callers are told at the end of each ordinary job, by ID; those that must not be cancelled. */
+    listWrongEnds(): string[] {
+        const statuses = new Map<string, string>();
+        for (const { record } of this.#topics.listNewest(jobState.ledgerTopic)) {
+            const decoded = jobState.decodeLedger(record!.key, record!.value);
+            if (decoded?.kind === "progress") {
+                statuses.set(decoded.id, decoded.progress.status);
+            }
+        }
+        return this.jobEndRule.judge([...this.#durations.keys()], statuses);
+    }
+
     /** Publishes a configuration with these organisations. */
     configure(organisations: readonly platform.operatorRecords.Organisation[]): void {
         this.#configuration = { ...this.#configuration, version: this.#configuration.version + 1, organisations };
@@ -414,7 +438,7 @@
             memory: 100_000,
             accelerators: 0,
             labels: [],
-            rack: "",
+            rack: machine.rack,
         });
         this.register(machine.server);
     }
