Give a task up only for crashes that its own starts can have caused

Cause: a start that got no response counted as a crash of its task when its server was dark already, joint losses were judged by what was noticed in the second before, and two or three such counts failed the job. A loss that a later boot showed was never joint. Change: suspicion only makes a task start alone. A lone start is sent to a server that has just responded, so it counts also if it gets no response; any other unanswered start counts for nothing. Neighbours in the rack are asked whether they are up. A confirmed lone start is stored, so a successor counts it; the crash of one boot counts once for a task.

--- a/packages/dispatch/src/coordinator.ts
+++ b/packages/dispatch/src/coordinator.ts
@@ -96,6 +96,7 @@
     readonly #runManager: runManager.RunManager;
     readonly #serverFollower: storeClient.TopicFollower;
     readonly #machineManager: machineManager.MachineManager;
+    readonly #crashes: crashCounter.CrashCounter;
     readonly #demand: demand.DemandMeter;
     readonly #tickets: ticketCache.TicketCache;
     readonly #sweeper: jobSweeper.JobSweeper;
@@ -183,14 +184,15 @@
                 fillerPace.paceFillers(this.#shared, server);
             },
             onRebooted: (server, sentAt) => this.#runManager.endEarlierBoot(server, sentAt),
-            onCrash: crash =>
-                crashCounter.countCrash(crash, {
-                    shared: this.#shared,
-                    registry: this.registry,
-                    fail: active => this.#runManager.fail(active),
-                }),
+            onCrash: crash => this.#crashes.count(crash),
             onRunsLost: (server, runs, how) => this.#runManager.endRuns(server, runs, how),
         }, options.serverBoots);
+        this.#crashes = new crashCounter.CrashCounter({
+            shared: this.#shared,
+            registry: this.registry,
+            fleet: () => this.fleet,
+            fail: active => this.#runManager.fail(active),
+        });
         this.#tickets = new ticketCache.TicketCache(this.#shared);
         this.#sweeper = new jobSweeper.JobSweeper(this.#shared, store);
         this.#placer = new placer.Placer(this.#shared, this.#runManager, this.#tickets, this.registry.runTimes);
@@ -465,6 +467,7 @@
         this.#stopStalled();
         this.#relocateFromDraining();
         this.fleet.confirmLoneStarts();
+        this.#crashes.update();
         this.#schedulePass();
     }
 
--- a/packages/dispatch/src/fleet.ts
+++ b/packages/dispatch/src/fleet.ts
@@ -8,6 +8,7 @@
 import * as timers from "node:timers/promises";
 import * as context from "./context.js";
 import * as lapsedRuns from "./lapsed-runs.js";
+import * as outageLog from "./outage-log.js";
 import * as serverBoots from "./server-boots.js";
 import * as serverFence from "./server-fence.js";
 import * as serverLosses from "./server-losses.js";
@@ -20,8 +21,7 @@
     readonly server: string;
     /** Runs that were under way. */
     readonly runs: readonly session.StartedRun[];
-    /** When each server was last found unreachable or rebooted, on the monotonic clock. */
-    readonly lossTimes: readonly number[];
+    readonly outage: scheduling.Outage;
 }
 
 /** Receives what servers report about their runs. */
@@ -65,6 +65,8 @@
 const maxBusyPause = 150;
 /** Lateness in ms of this process's timers above which it counts as busy. */
 const busyLateness = 80;
+/** Time in ms within which a server that is up responds to a call that needn't wait. */
+const promptResponseTime = 100;
 /** Ms left of a lease below which its renewal is logged as late. */
 const lateRenewal = 1000;
 
@@ -83,6 +85,7 @@
 export class Fleet {
     readonly sessions = new Map<string, session.ServerSession>();
     readonly #lapsedRuns = new lapsedRuns.LapsedRuns();
+    readonly #outages = new outageLog.OutageLog();
     readonly #boots: serverBoots.ServerBoots;
     readonly #leases: serverBoots.LeaseBounds;
     readonly #tokens: serverFence.TermTokens;
@@ -182,7 +185,7 @@
             service: "",
             address: "",
             availabilityZone: "",
-            draining: true,
+            draining: false,
             remaining: 0,
             cpu: 0,
             memory: 0,
@@ -273,23 +276,27 @@
 
     async #confirmLoneStart(server: session.ServerSession): Promise<void> {
         server.confirmingLoneStart = true;
-        const answer = await serverPoll.sendFencingToken(this.shared, server);
+        await serverPoll.confirmBoot(this.shared, server);
         server.confirmingLoneStart = false;
         server.startingAloneUntil = undefined;
-        if (answer.isErr()) {
-            this.shared.log.info("start-unconfirmed", { server: server.entry.id, reason: answer.error.reason });
-            return;
-        }
-        const decoded = platform.serverCalls.decodeLeaseRenewal(answer.value);
-        if (decoded.kind === "lists" && decoded.bootedAt === server.bootedAt) {
-            server.clock.latest = Math.max(server.clock.latest, decoded.clock);
-        }
-        else if (decoded.kind === "lists") {
-            server.doubtBoot(this.shared.clock.monotonic());
-        }
         this.shared.schedulePass();
     }
 
+    /** Asks the other servers of the rack that haven't responded since the outage whether they are up. */
+    confirmNeighbours(outage: scheduling.Outage): void {
+        for (const server of this.sessions.values()) {
+            const isNeighbour = server.entry.rack === outage.rack && server.entry.id !== outage.server;
+            if (isNeighbour && server.mayAcknowledge && (server.clock.respondedAt ?? 0) <= outage.lostBy) {
+                void serverPoll.confirmBoot(this.shared, server);
+            }
+        }
+    }
+
+    /** The losses of contact with servers in the last minutes. */
+    get outages(): readonly scheduling.Outage[] {
+        return this.#outages.outages;
+    }
+
     async #pollServer(server: session.ServerSession): Promise<void> {
         while (!this.#stopped && !server.closed) {
             if (server.entry.address !== "") {
@@ -360,6 +367,9 @@
             return;
         }
         if (answer.isErr()) {
+            if (wait === 0) {
+                server.clock.recordUnanswered(sentAt);
+            }
             const { reason, onUsedConnection, timedOut } = answer.error;
             // Such a connection may be one of the boot before; the next one may already be up.
             const wasReset = onUsedConnection && !timedOut;
@@ -439,6 +449,8 @@
         this.#boots.recordClock(server.entry.id, answer);
         this.#recordAcknowledgement(server, sent);
         server.recordList(answer.clock, now, this.shared.settings.bounds.stop, sent.sentAt);
+        server.outage = undefined;
+        server.goneAt = undefined;
         if (!server.reachable) {
             server.reachable = true;
             this.#lapsedRuns.forget(server.entry.id);
@@ -518,18 +530,23 @@
         const isFirstAnswer = server.bootedAt === undefined && server.clock.sample === undefined;
         const before = server.bootedAt;
         const crashed = server.describeStartedRuns(server.runs.values()).filter(({ run }) =>
-            !run.startedOnNextBoot && !this.#isSentSince(run, bootedAt)
+            !run.startedOnNextBoot && !this.#isSentSince(run, bootedAt, server.goneAt)
             && (!isFirstAnswer || isOtherBoot(run, bootedAt))
         );
-        this.#reportCrash(server.entry.id, [
-            ...this.#lapsedRuns.take(server.entry.id, bootedAt),
-            ...server.entry.draining ? [] : crashed,
-        ]);
+        const stored = this.#boots.find(server.entry.id);
+        if (!isFirstAnswer || stored !== undefined && stored.bootedAt !== bootedAt) {
+            this.#noteOutage(server);
+        }
+        const lapsed = this.#lapsedRuns.take(server.entry.id, bootedAt);
+        this.#reportCrash(
+            server.entry.id,
+            [...lapsed.runs, ...server.entry.draining ? [] : crashed],
+            server.outage ?? lapsed.outage,
+        );
         server.bootedAt = bootedAt;
         if (isFirstAnswer) {
             return;
         }
-        server.lostAt = this.shared.clock.monotonic();
         this.shared.log.info("server-rebooted", {
             server: server.entry.id,
             bootedAt,
@@ -549,31 +566,58 @@
     }
 
     /**
-     * Whether the start was sent after the boot had begun, by the server's wall clock, so that it can't be the cause of the
-     * crash before.
+     * Whether the start was sent after the boot before was gone or, by the server's wall clock, this one had begun, so that it
+     * can't be the cause of the crash.
      */
-    #isSentSince(run: session.ActiveRun, bootedAt: number | undefined): boolean {
+    #isSentSince(run: session.ActiveRun, bootedAt: number | undefined, goneAt = Number.POSITIVE_INFINITY): boolean {
         const { clock } = this.shared;
-        const sentAt = run.startLastSentAt === undefined
-            ? undefined
-            : clock.wall() - (clock.monotonic() - run.startLastSentAt);
-        return sentAt !== undefined && bootedAt !== undefined && run.startClock === undefined && sentAt > bootedAt;
+        const { startClock, startLastSentAt } = run;
+        if (startLastSentAt === undefined || startClock !== undefined) {
+            return false;
+        }
+        const sentAt = clock.wall() - (clock.monotonic() - startLastSentAt);
+        return startLastSentAt > goneAt || bootedAt !== undefined && sentAt > bootedAt;
     }
 
-    #reportCrash(id: string, runs: readonly session.StartedRun[]): void {
+    #reportCrash(id: string, runs: readonly session.StartedRun[], outage: scheduling.Outage | undefined): void {
         if (runs.length > 0) {
-            const lossTimes = [...this.sessions.values()].flatMap(server => server.lostAt ?? []);
-            this.handlers.onCrash({ server: id, runs, lossTimes });
+            const unseen = {
+                server: id,
+                rack: "",
+                lastSeenAt: this.shared.termStartedAt,
+                lostBy: this.shared.clock.monotonic(),
+                hasLoneStart: false,
+            };
+            this.handlers.onCrash({ server: id, runs, outage: outage ?? unseen });
+        }
+    }
+
+    /** Notes that the server is lost, unless that is noted already or explained by an order. */
+    #noteOutage(server: session.ServerSession): void {
+        if (server.outage !== undefined) {
+            return;
+        }
+        const { entry, clock, lastAnswerAt } = server;
+        const answeredBy = (clock.unansweredAt ?? Number.POSITIVE_INFINITY) + promptResponseTime;
+        server.outage = {
+            server: entry.id,
+            rack: entry.rack,
+            lastSeenAt: clock.respondedAt ?? lastAnswerAt,
+            lostBy: Math.min(this.shared.clock.monotonic(), answeredBy),
+            hasLoneStart: server.hasLoneStart(),
+        };
+        if (!entry.draining && !server.reservedForOrder) {
+            this.#outages.add(server.outage);
         }
     }
 
     /** Marks the server as unreachable. Keeps its runs: even a refused connection may come from a partition. */
     #markUnreachable(server: session.ServerSession, reason: string): void {
+        this.#noteOutage(server);
         if (server.reachable) {
             server.reachable = false;
-            server.lostAt = this.shared.clock.monotonic();
             this.#updateEligibility(server);
-            const contact = server.describeContact(server.lostAt);
+            const contact = server.describeContact(this.shared.clock.monotonic());
             this.shared.log.warn("server-unreachable", { reason, runs: server.runs.size, ...contact });
         }
     }
@@ -590,11 +634,21 @@
         const ended = server === undefined
             ? []
             : [...server.runs.values()].filter(run => !session.mayStartAfter(run, goneAt));
+        const started = server?.entry.draining === false ? server.describeStartedRuns(ended) : [];
+        if (kind === serverLosses.LossKind.unlisted) {
+            // Its machine isn't known, but no order takes away a server under a task that it has just got.
+            const alone = started.filter(({ run, isCertain }) => run.startsAlone && isCertain);
+            this.#reportCrash(id, alone, server?.outage);
+        }
         if (kind === serverLosses.LossKind.crash) {
-            const started = server?.entry.draining === false ? server.describeStartedRuns(ended) : [];
-            this.#reportCrash(id, [...this.#lapsedRuns.take(id, undefined), ...started]);
+            const lapsed = this.#lapsedRuns.take(id, undefined);
+            this.#reportCrash(id, [...lapsed.runs, ...started], server?.outage ?? lapsed.outage);
+        }
+        if (server === undefined) {
+            return;
         }
-        if (server === undefined || server.runs.size === 0) {
+        server.goneAt = goneAt;
+        if (server.runs.size === 0) {
             return;
         }
         if (kind === serverLosses.LossKind.unlisted) {
--- a/packages/dispatch/src/lost-racks.test.ts
+++ b/packages/dispatch/src/lost-racks.test.ts
@@ -26,4 +26,35 @@
     assert.equal(await listWrongEnds(courses), []);
 });
 
+suite("a job fails whose tasks never failed, as a second rack follows the first", async () => {
+    const courses = [
+        { seed: 1002, lostServers: 2, interval: 0, killsCoordinator: false, secondRackAfter: 1500 },
+        { seed: 1004, lostServers: 3, interval: 0, killsCoordinator: false, secondRackAfter: 1000 },
+        { seed: 1005, lostServers: 3, interval: 0, killsCoordinator: false, secondRackAfter: 1500 },
+    ];
+    assert.equal(await listWrongEnds(courses), []);
+});
+
+suite("a task that crashes its servers starts on a sixth one, or other jobs fail beside it", async () => {
+    const { confirmed, replaced, silent } = rackLossPlay.Crash;
+    const courses = [
+        { seed: 1001, crash: confirmed, calm: true, killsCoordinator: false },
+        { seed: 1004, crash: confirmed, calm: true, killsCoordinator: true },
+        { seed: 1007, crash: confirmed, calm: false, killsCoordinator: false },
+        { seed: 1010, crash: confirmed, calm: false, killsCoordinator: true },
+        { seed: 1013, crash: silent, calm: true, killsCoordinator: false },
+        { seed: 1025, crash: replaced, calm: true, killsCoordinator: false },
+    ];
+    for (const course of courses) {
+        const { wrongEnds, crashes } = await rackLossPlay.playRackLosses({
+            lostServers: 3,
+            interval: 100,
+            deadlyJobs: 5,
+            ...course,
+        });
+        assert.equal(wrongEnds, [], `seed ${course.seed}`);
+        assert.ok(Math.max(...crashes) <= 5, `seed ${course.seed}: ${crashes.join()}`);
+    }
+});
+
 suite.run();
--- a/packages/dispatch/src/relocation.test.ts
+++ b/packages/dispatch/src/relocation.test.ts
@@ -91,6 +91,7 @@
         reachesKnownBootOnly: false,
         startClock: undefined,
         startsAlone: false,
+        isStartCertain: false,
         outlastedStart: false,
         checkpoint: "",
         percent,
--- a/packages/dispatch/src/run-manager.ts
+++ b/packages/dispatch/src/run-manager.ts
@@ -12,6 +12,7 @@
 import * as timers from "node:timers/promises";
 import * as context from "./context.js";
 import type * as jobRegistry from "./job-registry.js";
+import * as serverPoll from "./server-poll.js";
 import * as session from "./server-session.js";
 import * as startCalls from "./start-calls.js";
 
@@ -191,6 +192,7 @@
             startToken: undefined,
             reachesKnownBootOnly: false,
             startedOnNextBoot: false,
+            isStartCertain: identity.startConfirmed === true,
             percent: 0,
             percentChangedAt: now,
             usage: undefined,
@@ -206,13 +208,24 @@
         }
     }
 
+    /**
+     * Whether the server is up. A task that starts alone isn't sent to one that is lost already: its loss would look as if the
+     * task had caused it.
+     */
+    async #isUp(server: session.ServerSession): Promise<boolean> {
+        const { shared } = this.options;
+        return server.clock.hasJustResponded(shared.clock.monotonic()) || await serverPoll.confirmBoot(shared, server);
+    }
+
     /** Starts a run whose intent is stored. */
     async start(server: session.ServerSession, run: session.ActiveRun): Promise<void> {
         const { shared } = this.options;
+        const isUp = !run.startsAlone || await this.#isUp(server);
         if (run.phase !== session.RunPhase.planned || !this.#isCurrent(server, run)) {
             return;
         }
-        if (server.clock.sample === undefined || run.entry.cancelledAt !== undefined || !server.mayStart(run)) {
+        const isOpen = isUp && server.clock.sample !== undefined && server.mayStart(run);
+        if (!isOpen || run.entry.cancelledAt !== undefined) {
             this.#dropRun(
                 server,
                 run,
@@ -274,6 +287,9 @@
             if (!shared.mayExtendLeases() || !server.mayStart(run)) {
                 continue; // A boot that started since would get a new lease by this call.
             }
+            if (run.startsAlone && !(await this.#isUp(server) && mayRepeat() && server.mayStart(run))) {
+                continue;
+            }
             run.measuresDuration = false;
             this.#reserveStart(server, run);
             const sent = await startCalls.sendStart(shared, server, run);
@@ -328,6 +344,9 @@
             this.#recordBegun(run.entry);
             if (isKnownBoot) {
                 run.startClock ??= clock;
+                if (run.startsAlone) {
+                    this.#recordStart(run, "startConfirmed");
+                }
             }
             else {
                 run.startedOnNextBoot = true;
@@ -461,6 +480,7 @@
         for (const [name, run] of server.runs) {
             const expected = run.expectedInListsFrom !== undefined && run.expectedInListsFrom < sentAt;
             const settled = session.isStartSettled(run, token) && unconfirmedPhases.has(run.phase);
+            run.isStartCertain &&= !settled || seen.has(name);
             const repeatable = run.phase !== session.RunPhase.stopping && run.bootId === server.bootId;
             if ((expected || settled && !repeatable) && lists.complete && !seen.has(name)) {
                 const evidence = {
@@ -533,9 +553,11 @@
             run.percentChangedAt = this.options.shared.clock.monotonic();
         }
         run.usage = row.usage;
-        if (!scheduling.isCrashSuspect({ jobId: run.entry.id, provenTime: server.computeProvenTime(run) })) {
+        if (!scheduling.isCrashSuspect({ provenTime: server.computeProvenTime(run) })) {
             this.#clearCrashes(run);
-            this.#recordOutlastedStart(run);
+            if (run.step.longRunning) {
+                this.#recordStart(run, "outlastedStart");
+            }
         }
     }
 
@@ -565,16 +587,13 @@
         }
     }
 
-    /** Records for later coordinators, which didn't see the start, that the server has outlasted it. */
-    #recordOutlastedStart(run: session.ActiveRun): void {
-        if (!run.step.longRunning) {
-            return;
-        }
+    /** Records for later coordinators, which didn't see the start, that the server has got it or has outlasted it. */
+    #recordStart(run: session.ActiveRun, key: "startConfirmed" | "outlastedStart"): void {
         const occurrence = run.entry.progress?.occurrences.get(run.position.occurrence);
         const history = occurrence?.histories.get(run.taskIndex);
         const stored = history?.runs.find(({ number }) => number === run.runNumber);
-        if (occurrence !== undefined && stored !== undefined && stored.outlastedStart !== true) {
-            stored.outlastedStart = true;
+        if (occurrence !== undefined && stored !== undefined && stored[key] !== true) {
+            stored[key] = true;
             jobState.touchTask(occurrence, run.taskIndex);
             this.options.shared.writer.markDirty(run.entry);
         }
@@ -587,6 +606,7 @@
         if (occurrence !== undefined && history !== undefined && history.crashes > 0) {
             jobState.touchTask(occurrence, run.taskIndex);
             scheduling.clearCrashes(history);
+            history.runs.forEach(stored => stored.startConfirmed = false);
             this.options.shared.writer.markDirty(run.entry);
         }
     }
--- a/packages/dispatch/src/server-clock.ts
+++ b/packages/dispatch/src/server-clock.ts
@@ -8,6 +8,8 @@
 
 /** Lowest rate at which a server's clock may run, relative to this process's clock. */
 export const minClockRate = 0.98;
+/** Longest time in ms since its last response for which a server counts as up. */
+const maxResponseAge = 100;
 /** Readings are in whole ms. */
 const readingPrecision = 1;
 
@@ -22,6 +24,13 @@
     sample: ClockSample | undefined;
     /** Latest reading of this boot: the server was up then. */
     latest = 0;
+    /** On the monotonic clock: when the known boot last responded; `undefined` before that. */
+    respondedAt: number | undefined;
+    /**
+     * On the monotonic clock: when the first call since then was sent that the server should have answered at once, and didn't;
+     * `undefined` if there is none.
+     */
+    unansweredAt: number | undefined;
     /** On the monotonic clock: when something last showed that the server may be down or in another boot. */
     #doubtedAt: number | undefined;
 
@@ -49,7 +58,7 @@
             this.#doubtedAt = undefined;
         }
         this.sample = { server: reading, received: now };
-        this.latest = Math.max(this.latest, reading);
+        this.recordLatest(reading, now);
     }
 
     /**
@@ -64,10 +73,29 @@
         if (reading < earliest || estimate !== undefined && reading > estimate + this.maxLead) {
             return false;
         }
-        this.latest = Math.max(this.latest, reading);
+        this.recordLatest(reading, now);
         return true;
     }
 
+    /** Records the reading in a response of the known boot, received at `now` on the monotonic clock. */
+    recordLatest(reading: number, now: number): void {
+        this.latest = Math.max(this.latest, reading);
+        this.respondedAt = now;
+        this.unansweredAt = undefined;
+    }
+
+    /** Whether the known boot has responded so shortly before `now`, on the monotonic clock, that it counts as up. */
+    hasJustResponded(now: number): boolean {
+        return this.respondedAt !== undefined && now - this.respondedAt <= maxResponseAge;
+    }
+
+    /** A call sent at `sentAt`, on the monotonic clock, which the server should have answered at once, got no response. */
+    recordUnanswered(sentAt: number): void {
+        if (this.respondedAt === undefined || sentAt > this.respondedAt) {
+            this.unansweredAt = Math.min(sentAt, this.unansweredAt ?? sentAt);
+        }
+    }
+
     /** Only a list that is requested from `now` on, on the monotonic clock, tells again which boot is up. */
     doubt(now: number): void {
         this.#doubtedAt = now;
@@ -80,5 +108,6 @@
     /** Another boot has listed its runs. `latest` stays until the runs of the boot before have been judged by it. */
     recordReboot(): void {
         this.sample = undefined;
+        this.unansweredAt = undefined;
     }
 }
--- a/packages/dispatch/src/server-poll.ts
+++ b/packages/dispatch/src/server-poll.ts
@@ -45,6 +45,32 @@
     return serverCalls.send(entry.address, call, context.serverCallTimeout);
 }
 
+/**
+ * Asks a server whether the known boot is up. If it doesn't respond, or another boot does, the server is in doubt.
+ *
+ * @returns whether the known boot is up
+ */
+export async function confirmBoot(
+    shared: Pick<context.CoordinatorContext, "serverCalls" | "clock" | "log">,
+    server: session.ServerSession,
+): Promise<boolean> {
+    const sentAt = shared.clock.monotonic();
+    const answer = await sendFencingToken(shared, server);
+    const now = shared.clock.monotonic();
+    if (answer.isErr()) {
+        server.clock.recordUnanswered(sentAt);
+    }
+    const decoded = answer.isOk() ? platform.serverCalls.decodeLeaseRenewal(answer.value) : undefined;
+    if (decoded?.kind === "lists" && decoded.bootedAt === server.bootedAt) {
+        server.clock.recordLatest(decoded.clock, now);
+        return true;
+    }
+    const reason = answer.isErr() ? answer.error.reason : decoded?.kind;
+    shared.log.info("boot-unconfirmed", { reason, ...server.describeContact(now) });
+    server.doubtBoot(now);
+    return false;
+}
+
 /**
  * Polls a server that may delay its response.
  *
--- a/packages/dispatch/src/server-session.ts
+++ b/packages/dispatch/src/server-session.ts
@@ -79,6 +79,11 @@
     usage: number | undefined;
     /** No other task may start on its server until it has outlasted its start. */
     readonly startsAlone: boolean;
+    /**
+     * The server has got the start, as far as is known: an earlier coordinator saw so, or it starts alone, so it was last sent
+     * right after a response of the server, and no list has shown that it wasn't carried out.
+     */
+    isStartCertain: boolean;
     /** Percentage of its full pace at which a filler was told to work. */
     pace: number;
     /** Ticket for the start; `undefined` if the queue's route requires none. */
@@ -102,6 +107,8 @@
 /** A run that was under way on a server that crashed. */
 export interface StartedRun extends scheduling.CrashedRun {
     readonly run: ActiveRun;
+    /** The server had certainly got its start. */
+    readonly isCertain: boolean;
 }
 
 export class ServerSession {
@@ -138,8 +145,10 @@
     startingAloneUntil: number | undefined;
     /** The server is being asked that. */
     confirmingLoneStart = false;
-    /** On the monotonic clock: when the server was last found unreachable or rebooted; `undefined` if never. */
-    lostAt: number | undefined;
+    /** Since when the server is lost; `undefined` while it lists its runs. */
+    outage: scheduling.Outage | undefined;
+    /** On the monotonic clock: a list of machines shows that the known boot was gone then; `undefined` if none does. */
+    goneAt: number | undefined;
     readonly health = new scheduling.ServerHealth();
     /** Gets no new tasks because an order to maintain or move its machine is planned or in flight. */
     reservedForOrder = false;
@@ -199,7 +208,18 @@
     describeStartedRuns(runs: Iterable<ActiveRun>): StartedRun[] {
         return [...runs]
             .filter(run => run.phase !== RunPhase.planned)
-            .map(run => ({ run, jobId: run.entry.id, provenTime: this.computeProvenTime(run) }));
+            .map(run => ({
+                run,
+                provenTime: this.computeProvenTime(run),
+                isCertain: run.isStartCertain || run.startClock !== undefined && !run.startedOnNextBoot,
+            }));
+    }
+
+    /** Whether a task that starts alone may have crashed the server, as far as it was seen up since. */
+    hasLoneStart(): boolean {
+        return this.describeStartedRuns(this.runs.values()).some(started =>
+            started.run.startsAlone && started.isCertain && scheduling.isCrashSuspect(started)
+        );
     }
 
     /** Number of runs that were started, or are to be, so short a time before `now` that they may crash the server. */
--- a/packages/dispatch/src/start-calls.ts
+++ b/packages/dispatch/src/start-calls.ts
@@ -32,6 +32,7 @@
     const reachedKnownBootOnly = run.reachesKnownBootOnly || run.startToken === undefined;
     run.reachesKnownBootOnly = false;
     run.startToken = token;
+    run.isStartCertain = run.startsAlone; // Only a server that has just responded gets such a start.
     run.percentChangedAt = sentAt;
     const call = platform.serverCalls.createStartCall(server.entry.id, {
         task: { jobId: run.entry.id, ...run.position },
@@ -48,6 +49,7 @@
     }
     if (answer.isErr() && answer.error.fault !== httpCalls.CallFault.unsent) {
         server.fence.raise();
+        server.clock.recordUnanswered(sentAt);
         const now = shared.clock.monotonic();
         // Also of a run that has ended meanwhile, as its start may be carried out late.
         shared.log.warn("start-unanswered", {
--- a/packages/job-state/src/occurrence-codec.ts
+++ b/packages/job-state/src/occurrence-codec.ts
@@ -11,10 +11,13 @@
     readonly l: number;
     /** `failures`. */
     readonly f: number;
-    /** `crashes`, `soleCrashes` and `startsAlone`; absent when there were no crashes. */
-    readonly x?: readonly [number, number, boolean];
-    /** `runs`: number and server of each, then `outlastedStart` and `crashCounted` up to the last that is true. */
-    readonly r: readonly (readonly [number, string, boolean?, boolean?])[];
+    /**
+     * `crashes`, `blame`, `startsAlone` and `certainCrashes`; absent when there were no crashes. Earlier versions have no
+     * fourth, and as second the crashes whose suspects were all of one job, which are no blame.
+     */
+    readonly x?: readonly [number, number, boolean, number?];
+    /** `runs`: number and server of each, then `outlastedStart`, `crashCounted` and `startConfirmed` up to the last that is true. */
+    readonly r: readonly (readonly [number, string, ...boolean[]])[];
     /** `checkpoint`. */
     readonly c: string;
 }
@@ -67,7 +70,9 @@
                 l: history.lastRun,
                 f: history.failures,
                 ...history.crashes > 0
-                    ? { x: [history.crashes, history.soleCrashes, history.startsAlone] as const }
+                    ? {
+                        x: [history.crashes, history.blame, history.startsAlone, history.certainCrashes] as const,
+                    }
                     : {},
                 r: history.runs.map(encodeRun),
                 c: history.checkpoint,
@@ -108,23 +113,26 @@
 function isFirstRun(history: progress.TaskHistory): boolean {
     return history.runs.length === 1 && history.runs[0]!.number === 1 && history.lastRun === 1
         && history.failures === 0 && history.crashes === 0 && !history.startsAlone && history.checkpoint === ""
-        && history.runs[0]!.outlastedStart !== true && history.runs[0]!.crashCounted !== true;
+        && history.runs[0]!.outlastedStart !== true && history.runs[0]!.crashCounted !== true
+        && history.runs[0]!.startConfirmed !== true;
 }
 
-function encodeRun({ number, server, outlastedStart, crashCounted }: progress.Run): StoredHistory["r"][number] {
-    return crashCounted === true
-        ? [number, server, outlastedStart === true, true]
-        : outlastedStart === true
-        ? [number, server, true]
-        : [number, server];
+function encodeRun(
+    { number, server, outlastedStart, crashCounted, startConfirmed }: progress.Run,
+): StoredHistory["r"][number] {
+    const flags = [outlastedStart === true, crashCounted === true, startConfirmed === true];
+    return [number, server, ...flags.slice(0, flags.lastIndexOf(true) + 1)];
 }
 
-function restoreRun([number, server, outlastedStart, crashCounted]: StoredHistory["r"][number]): progress.Run {
+function restoreRun(
+    [number, server, outlastedStart, crashCounted, startConfirmed]: StoredHistory["r"][number],
+): progress.Run {
     return {
         number,
         server,
         ...outlastedStart === true ? { outlastedStart } : {},
         ...crashCounted === true ? { crashCounted } : {},
+        ...startConfirmed === true ? { startConfirmed } : {},
     };
 }
 
@@ -147,8 +155,10 @@
             lastRun: task.l,
             failures: task.f,
             crashes: task.x?.[0] ?? 0,
-            soleCrashes: task.x?.[1] ?? 0,
+            certainCrashes: task.x?.[3] ?? 0,
+            blame: task.x?.[3] === undefined ? 0 : task.x[1],
             startsAlone: task.x?.[2] ?? false,
+            awaitsJudgement: false,
             runs: task.r.map(restoreRun),
             checkpoint: task.c,
         });
@@ -159,8 +169,10 @@
                 lastRun: 1,
                 failures: 0,
                 crashes: 0,
-                soleCrashes: 0,
+                certainCrashes: 0,
+                blame: 0,
                 startsAlone: false,
+                awaitsJudgement: false,
                 runs: [{ number: 1, server }],
                 checkpoint: "",
             });
--- a/packages/job-state/src/progress.ts
+++ b/packages/job-state/src/progress.ts
@@ -26,6 +26,8 @@
      * server.
      */
     crashCounted?: boolean;
+    /** The server has got the start. Only recorded for a task that starts alone, until it has outlasted its start. */
+    startConfirmed?: boolean;
 }
 
 /**
@@ -39,10 +41,14 @@
     failures: number;
     /** Number of server crashes that the task may have caused since a server last outlasted its start. */
     crashes: number;
-    /** Those of them that no task of another job can have caused. */
-    soleCrashes: number;
+    /** Those of them before which the server had certainly got the start. */
+    certainCrashes: number;
+    /** How far these speak against the task, see `scheduling/crashes`. */
+    blame: number;
     /** No other task may start on the same server beside it, so that the cause of another crash is certain. */
     startsAlone: boolean;
+    /** It isn't known yet whether a crash was a lone one, and the task isn't started before that; not stored. */
+    awaitsJudgement: boolean;
     /** Runs that may be under way; more than one only for a speculative step. */
     runs: Run[];
     /** Newest checkpoint that a backend server reported, passed unchanged to the next run; empty for none. */
@@ -206,7 +212,17 @@
     touchTask(progress, task);
     let found = progress.histories.get(task);
     if (found === undefined) {
-        found = { lastRun: 0, failures: 0, crashes: 0, soleCrashes: 0, startsAlone: false, runs: [], checkpoint: "" };
+        found = {
+            lastRun: 0,
+            failures: 0,
+            crashes: 0,
+            certainCrashes: 0,
+            blame: 0,
+            startsAlone: false,
+            awaitsJudgement: false,
+            runs: [],
+            checkpoint: "",
+        };
         progress.histories.set(task, found);
     }
     return found;
--- a/packages/scheduling/src/ready.ts
+++ b/packages/scheduling/src/ready.ts
@@ -105,7 +105,10 @@
     });
 }
 
-/** Tasks of a step, whose first one is `firstTask`, that aren't done and have no run that may be under way. */
+/**
+ * Tasks of a step, whose first one is `firstTask`, that aren't done, have no run that may be under way, and don't wait for the
+ * judgement of a crash.
+ */
 function listStartable(
     step: jobState.Step,
     occurrenceProgress: jobState.OccurrenceProgress | undefined,
@@ -113,8 +116,9 @@
 ): number[] {
     const startable: number[] = [];
     for (let task = firstTask; task < firstTask + step.taskCount; task++) {
-        const hasNoRun = (occurrenceProgress?.histories.get(task)?.runs.length ?? 0) === 0;
-        if (occurrenceProgress?.done[task] !== 1 && hasNoRun) {
+        const history = occurrenceProgress?.histories.get(task);
+        const mayStart = history === undefined || history.runs.length === 0 && !history.awaitsJudgement;
+        if (occurrenceProgress?.done[task] !== 1 && mayStart) {
             startable.push(task);
         }
     }
