--- a/packages/dispatch/src/crash-records.ts
+++ b/packages/dispatch/src/crash-records.ts
@@ -3,7 +3,6 @@
  * stored history has the numbers alone, so those that earlier coordinators counted have no record here.
  */
 import type * as jobState from "@catkinwharf/job-state";
-import type * as scheduling from "@catkinwharf/scheduling";
 import type * as session from "./server-session.js";
 
 /** Suspects whose starts are described in a line; all are named. */
@@ -25,7 +24,9 @@
 
 export interface CrashRecord extends SuspectedStart {
     readonly server: string;
-    readonly evidence: scheduling.CrashEvidence;
+    /** As they were judged when the crash was noticed, see `scheduling.CrashSigns`. */
+    readonly lone: boolean;
+    readonly joint: boolean;
     /** Number of suspects. */
     readonly suspects: number;
 }
@@ -60,16 +61,18 @@
     });
 }
 
-/** The crashes that count for the task: their number, how many it alone can have caused, and the records of them. */
+/** The crashes that count for the task, how far they speak against it, and the records of them. */
 export function describeCrashes(history: jobState.TaskHistory): object {
-    const { crashes, soleCrashes } = history;
-    return { crashes, soleCrashes, records: listRecords(history) };
+    return { ...describeCounts(history), records: listRecords(history) };
 }
 
 /** In short, for a line with many suspects. */
 function countEarlier(history: jobState.TaskHistory): object {
-    const { crashes, soleCrashes } = history;
-    return { crashes, soleCrashes, evidence: listRecords(history).map(({ evidence }) => evidence) };
+    return { ...describeCounts(history), servers: listRecords(history).map(({ server }) => server) };
+}
+
+function describeCounts({ crashes, certainCrashes, blame }: jobState.TaskHistory): object {
+    return { crashes, certain: certainCrashes, blame };
 }
 
 /** Notes a crash that is about to be counted in the history. */
