--- a/packages/node/scripts/answers-after-restart.mjs
+++ b/packages/node/scripts/answers-after-restart.mjs
@@ -43,9 +43,14 @@
 }
 
 /** Unix time in ms at which the process began to run, as it has logged; a busy machine starts it late. */
-function findStart(node) {
-    const line = node.lines.find(text => text.includes('"event":"started"'));
-    return JSON.parse(line).processStart;
+async function findStart(node) {
+    for (;;) {
+        const line = node.lines.find(text => text.includes('"event":"started"'));
+        if (line !== undefined) {
+            return JSON.parse(line).processStart;
+        }
+        await new Promise(resolve => setTimeout(resolve, 20));
+    }
 }
 
 /** Asks for each job until it is answered about; returns the times in ms after the start of the process, and the refusals. */
@@ -55,7 +60,7 @@
         for (;;) {
             const { status, duration } = await ask(node, path);
             if (status === 200) {
-                return Date.now() - findStart(node);
+                return Date.now();
             }
             if (status !== 0) {
                 refusals.push(duration);
@@ -63,11 +68,12 @@
             await new Promise(resolve => setTimeout(resolve, status === 0 ? 20 : 200));
         }
     }));
+    const startedAt = await findStart(node);
     return {
         node: node.name,
-        startedAfter: findStart(node) - launchedAt,
-        firstAnswer: Math.round(Math.min(...answeredAt)),
-        allAnswered: Math.round(Math.max(...answeredAt)),
+        startedAfter: startedAt - launchedAt,
+        firstAnswer: Math.min(...answeredAt) - startedAt,
+        allAnswered: Math.max(...answeredAt) - startedAt,
         refusals: refusals.length,
         longestRefusal: Math.round(Math.max(0, ...refusals)),
     };
@@ -89,7 +95,8 @@
     while (!restarted.hasRead(node)) {
         await new Promise(resolve => setTimeout(resolve, 20));
     }
-    return Date.now() - findStart(node);
+    const readAt = Date.now();
+    return readAt - await findStart(node);
 }
 
 const restarted = new slowRestart.SlowRestart(
