--- a/packages/intake/src/job-api.ts
+++ b/packages/intake/src/job-api.ts
@@ -11,6 +11,7 @@
 import * as timers from "node:timers/promises";
 import * as polka from "polka";
 import * as authentication from "./authentication.js";
+import * as jobResponses from "./job-responses.js";
 import * as limitedWait from "./limited-wait.js";
 import * as loadShedder from "./load-shedder.js";
 import * as questionAnswerer from "./question-answerer.js";
@@ -85,21 +86,6 @@
     readonly answer: jobState.KnownAnswer;
 }
 
-interface JobResponse {
-    readonly status: number;
-    readonly body: string;
-    /** Value of the Retry-After header, in seconds. */
-    readonly retryAfter?: number;
-    /** Authentication scheme for the WWW-Authenticate header. */
-    readonly scheme?: string;
-    /** Why the request failed; logged and counted only. */
-    readonly reason?: string;
-    /** Process that answered in place of this one; logged only. */
-    readonly answeredBy?: string | undefined;
-    /** Organisation of a caller that was refused because of its organisation's rate or quota; logged and counted only. */
-    readonly organisation?: string | undefined;
-}
-
 /** When a request arrived, and what its response has waited for since. */
 interface Arrival {
     /** On the monotonic clock. */
@@ -140,12 +126,6 @@
 const responseMargin = 60;
 /** Time in ms for which a caller that names no timeout waits, before its route is known. */
 const defaultTimeout = 3000;
-/**
- * Value of Retry-After in seconds while the store is unavailable. By then, the store has probably recovered; if not,
- * the retry may reach another entry instance.
- */
-const outageRetryAfter = 1;
-
 /**
  * Share of the caller's time limit after which a question that couldn't be answered is refused, so that the caller can still
  * ask another entry instance.
@@ -177,65 +157,9 @@
 /** Characters of a path in a log line; the head of a request may have 16,384 bytes. */
 const maxLoggedPath = 256;
 
-const queueNotFound: JobResponse = { status: 404, body: "", reason: "no such queue" };
-const noConfiguration: JobResponse = { status: 503, body: "", retryAfter: 1, reason: "no configuration yet" };
-const storeUnavailable: JobResponse = {
-    status: 503,
-    body: "",
-    retryAfter: outageRetryAfter,
-    reason: "the store is out of reach",
-};
-const behindStore: JobResponse = {
-    status: 503,
-    body: "",
-    retryAfter: outageRetryAfter,
-    reason: "this process is behind the store",
-};
-const stillReading: JobResponse = { ...behindStore, reason: "this process is still reading what is stored" };
-/** The job's record would exceed what the store takes, and an append with it would be refused with all others in it. */
-const jobTooLarge: JobResponse = { status: 413, body: "", reason: "the job is too large for the store" };
-/** Responses to submissions whose body wasn't read completely, so that they weren't accepted. */
-const bodyRefusals: Readonly<Record<requestBody.BodyFault | requestBody.WatchFault, JobResponse>> = {
-    [requestBody.BodyFault.tooLarge]: { status: 413, body: "", reason: "the body is too large" },
-    [requestBody.WatchFault.late]: { status: 408, body: "", reason: "the body took too long" },
-    [requestBody.WatchFault.noMemory]: { status: 503, body: "", retryAfter: 1, reason: "no memory for the body" },
-    [requestBody.BodyFault.incomplete]: {
-        status: 400,
-        body: "",
-        reason: "the connection closed before the end of the body",
-    },
-};
-const unknownOutcome: JobResponse = { status: 504, body: "", reason: "the store gave no answer" };
-
 /** Statuses whose reasons are few, so that they can be counted; the reason of a 400 may quote the request. */
 const refusalStatuses: ReadonlySet<number> = new Set([401, 413, 429, 503, 504]);
 
-function createOverloadRefusal(
-    { reason, wait }: loadShedder.Refusal,
-    organisation: string | undefined,
-    random: number,
-): JobResponse {
-    const isBusy = reason === loadShedder.RefusalReason.coordinatorBusy;
-    const retryAfter = isBusy ? Math.ceil(wait / 1000) : loadShedder.computeRetryAfter(wait, random);
-    return { status: 429, body: "", retryAfter, reason, organisation };
-}
-
-function createKeyRefusal(fault: authentication.KeyFault): JobResponse {
-    return {
-        status: 401,
-        body: platform.callerBodies.encodeError(fault),
-        scheme: platform.callerBodies.authenticationScheme,
-        reason: fault,
-    };
-}
-
-/** A job of another organisation has the ID; callers aren't told so. */
-const idUnusable: JobResponse = { status: 400, body: "", reason: "the job ID belongs to another organisation" };
-
-/** Status 410, because 404 stands for an unknown queue. */
-const jobNotFound: JobResponse = { status: 410, body: "", reason: "no such job" };
-const accepted: JobResponse = { status: 200, body: "{}" };
-
 /** Monotonic time in ms by which the response has to be sent; `timeout` in ms holds if the caller names none. */
 function computeDeadline(message: http.IncomingMessage, startedAt: number, timeout: number): number {
     const named = Number(message.headers[platform.callerBodies.timeoutHeader] ?? timeout);
@@ -281,10 +205,10 @@
     readonly status?: jobState.JobStatus | undefined;
     /** Peer that gave it; `undefined` if this process did. */
     readonly answeredBy?: string | undefined;
-    readonly response: JobResponse;
+    readonly response: jobResponses.JobResponse;
 }
 
-type Handler = (api: JobApi, request: JobRequest) => Promise<JobResponse>;
+type Handler = (api: JobApi, request: JobRequest) => Promise<jobResponses.JobResponse>;
 
 const handlers: Readonly<Record<string, Handler>> = {
     POST: (api, request) => api.submit(request),
@@ -300,7 +224,7 @@
         readonly organisation: string | undefined;
         readonly configuration: platform.operatorRecords.Configuration;
     }
-    | { readonly admitted: false; readonly response: JobResponse; };
+    | { readonly admitted: false; readonly response: jobResponses.JobResponse; };
 
 export class JobApi {
     readonly #authenticator: authentication.Authenticator;
@@ -324,7 +248,7 @@
 
     async #handle(message: http.IncomingMessage, response: http.ServerResponse): Promise<void> {
         const arrival: Arrival = { startedAt: this.options.monotonicNow(), waits: {} };
-        let result: JobResponse;
+        let result: jobResponses.JobResponse;
         try {
             result = await this.#respond(message, arrival);
         }
@@ -358,7 +282,12 @@
         this.#log(message, result, arrival.waits, duration);
     }
 
-    #log(message: http.IncomingMessage, result: JobResponse, waits: Arrival["waits"], duration: number): void {
+    #log(
+        message: http.IncomingMessage,
+        result: jobResponses.JobResponse,
+        waits: Arrival["waits"],
+        duration: number,
+    ): void {
         const isOrdinary = result.answeredBy === undefined && duration < slowAnswer;
         if (message.method === "GET" && result.status === 200 && isOrdinary) {
             return; // Successful reads change nothing, so they are only counted.
@@ -387,7 +316,7 @@
     }
 
     /** Returns the response to a request: the pending count of a queue, or what the handler of the method returns. */
-    async #respond(message: http.IncomingMessage, arrival: Arrival): Promise<JobResponse> {
+    async #respond(message: http.IncomingMessage, arrival: Arrival): Promise<jobResponses.JobResponse> {
         const admission = await this.#admit(message, arrival);
         if (!admission.admitted) {
             return admission.response;
@@ -420,17 +349,17 @@
 
     /** Finds the queue of a request, and the organisation that sent it if the queue isn't public. */
     async #admit(message: http.IncomingMessage, arrival: Arrival): Promise<Admission> {
-        const refuse = (response: JobResponse) => ({ admitted: false as const, response });
+        const refuse = (response: jobResponses.JobResponse) => ({ admitted: false as const, response });
         if (!await this.#refreshConfiguration(message, arrival, this.options.maxConfigurationAge)) {
-            return refuse(behindStore);
+            return refuse(jobResponses.behindStore);
         }
         let configuration = this.options.configuration();
         if (configuration === undefined) {
-            return refuse(noConfiguration);
+            return refuse(jobResponses.noConfiguration);
         }
         let match = this.#findRoute(message, configuration);
         if (match === undefined) {
-            return refuse(queueNotFound);
+            return refuse(jobResponses.queueNotFound);
         }
         let caller = this.#authenticator.authenticate(message.headers.authorization, match.route, configuration);
         if (!caller.accepted && caller.fault === authentication.KeyFault.unknown) {
@@ -439,20 +368,20 @@
                 this.options.isStoreUnavailable()
                 || !await this.#refreshConfiguration(message, arrival, maxUnknownKeyAge)
             ) {
-                return refuse(behindStore);
+                return refuse(jobResponses.behindStore);
             }
             configuration = this.options.configuration()!;
             match = this.#findRoute(message, configuration);
             if (match === undefined) {
-                return refuse(queueNotFound);
+                return refuse(jobResponses.queueNotFound);
             }
             caller = this.#authenticator.authenticate(message.headers.authorization, match.route, configuration);
         }
         if (!caller.accepted) {
-            return refuse(createKeyRefusal(caller.fault));
+            return refuse(jobResponses.createKeyRefusal(caller.fault));
         }
         if (this.#areKeysOutdated(match.route, configuration)) {
-            return refuse(behindStore);
+            return refuse(jobResponses.behindStore);
         }
         return { admitted: true, match, organisation: caller.organisation, configuration };
     }
@@ -498,11 +427,11 @@
     }
 
     /** Counts from a view that is fresh enough, which takes reading the store or asking peers while this process is behind. */
-    async #countPending(queue: string, arrival: Arrival, deadline: number): Promise<JobResponse> {
+    async #countPending(queue: string, arrival: Arrival, deadline: number): Promise<jobResponses.JobResponse> {
         const { submissionsAge, progressAge } = this.options.measureDataAge();
         if (Math.max(submissionsAge, progressAge) > questionAnswerer.maxCountAge) {
             if (this.options.isStoreUnavailable()) {
-                return storeUnavailable;
+                return jobResponses.storeUnavailable;
             }
             const reads = Promise.all([this.options.refreshJobs(), this.options.refreshProgress()]);
             const read = reads.then(results => results.every(Boolean));
@@ -521,15 +450,15 @@
     }
 
     /** Submits a job; it is accepted only once the store has confirmed it. */
-    async submit(request: JobRequest): Promise<JobResponse> {
+    async submit(request: JobRequest): Promise<jobResponses.JobResponse> {
         const readBody = this.options.readBody ?? requestBody.readBody;
         const body = await readBody(request.message, request.maxBodyBytes);
         if (typeof body === "string") {
             // An earlier attempt may have been accepted; then it isn't true that the job won't run.
             const earlier = this.options.jobs.entries.get(request.id)?.job;
             return body !== requestBody.BodyFault.tooLarge && earlier !== undefined && isRepetition(earlier, request)
-                ? accepted
-                : bodyRefusals[body];
+                ? jobResponses.accepted
+                : jobResponses.bodyRefusals[body];
         }
         if (request.organisation !== undefined) {
             // The body may have taken long to arrive, and the key may have been revoked meanwhile.
@@ -544,7 +473,7 @@
         }
         const known = this.options.jobs.entries.get(request.id)?.job;
         if (known !== undefined) {
-            return isRepetition(known, request) ? accepted : idUnusable;
+            return isRepetition(known, request) ? jobResponses.accepted : jobResponses.idUnusable;
         }
         const job: jobState.Job = {
             id: request.id,
@@ -556,20 +485,20 @@
         };
         const record = jobState.encodeJob(job);
         if (!store.isStorable(record, this.options.storeLimits)) {
-            return jobTooLarge;
+            return jobResponses.jobTooLarge;
         }
         const refused = await this.#refuseOverload(job, request);
         if (refused !== undefined) {
             return refused;
         }
         const response = this.options.isStoreUnavailable()
-            ? storeUnavailable
+            ? jobResponses.storeUnavailable
             : await this.#write(record, request, !request.mayConflict);
-        if (response !== accepted) {
+        if (response !== jobResponses.accepted) {
             this.options.onUnstored(job);
             return response;
         }
-        return request.mayConflict ? this.#confirmOwner(request) : accepted;
+        return request.mayConflict ? this.#confirmOwner(request) : jobResponses.accepted;
     }
 
     /**
@@ -577,7 +506,7 @@
      * one counts. A process that starts later reads only the newest one, so the first is stored again. A process that is
      * too far behind to tell accepts the job: refusing it wouldn't keep it from running.
      */
-    async #confirmOwner(request: JobRequest): Promise<JobResponse> {
+    async #confirmOwner(request: JobRequest): Promise<jobResponses.JobResponse> {
         const { jobs, monotonicNow } = this.options;
         const until = Math.min(request.deadline, monotonicNow() + maxReadBackTime);
         const wait = new AbortController();
@@ -585,7 +514,7 @@
         const owner = await this.#waitUntil(until, read, request.arrival, Wait.owner);
         wait.abort(); // A record that is never read would otherwise keep the wait in memory.
         if (owner === undefined || isRepetition(owner, request)) {
-            return accepted;
+            return jobResponses.accepted;
         }
         this.options.log.warn("job-id-conflict", { job: request.id, queue: owner.queue });
         const finalStatus = jobs.entries.get(owner.id)?.finalStatus;
@@ -593,15 +522,15 @@
             ? jobState.encodeJob(owner)
             : jobState.encodeEndedJob(owner, finalStatus);
         await this.#write(record, request);
-        return idUnusable;
+        return jobResponses.idUnusable;
     }
 
     /** The response to a job that can't be served in time; `undefined` if the job may be accepted. */
-    async #refuseOverload(job: jobState.Job, request: JobRequest): Promise<JobResponse | undefined> {
+    async #refuseOverload(job: jobState.Job, request: JobRequest): Promise<jobResponses.JobResponse | undefined> {
         const startDelay = this.options.startDelay();
         if (!scheduling.canMeetObjective(job, request.route, startDelay)) {
             const refusal = { reason: loadShedder.RefusalReason.coordinatorBusy, wait: startDelay };
-            return await this.#refuseUnlessAccepted(refusal, request, request.deadline) ?? unknownOutcome;
+            return await this.#refuseUnlessAccepted(refusal, request, request.deadline) ?? jobResponses.unknownOutcome;
         }
         const refusal = this.options.shedder.findRefusal(job, request.route);
         if (refusal === undefined || this.options.isStoreUnavailable()) {
@@ -621,44 +550,48 @@
         refusal: loadShedder.Refusal,
         request: JobRequest,
         deadline: number,
-    ): Promise<JobResponse | undefined> {
+    ): Promise<jobResponses.JobResponse | undefined> {
         if (await this.#waitUntil(deadline, this.options.refreshJobs(), request.arrival, Wait.jobs) !== true) {
             return undefined;
         }
         const known = this.options.jobs.entries.get(request.id)?.job;
         if (known !== undefined) {
-            return isRepetition(known, request) ? accepted : idUnusable;
+            return isRepetition(known, request) ? jobResponses.accepted : jobResponses.idUnusable;
         }
-        return createOverloadRefusal(refusal, request.organisation, this.options.random());
+        return jobResponses.createOverloadRefusal(refusal, request.organisation, this.options.random());
     }
 
-    async cancel(request: JobRequest): Promise<JobResponse> {
+    async cancel(request: JobRequest): Promise<jobResponses.JobResponse> {
         const { status, answeredBy, response } = await this.#findStatus(request);
         if (status === undefined) {
             return response;
         }
         if (jobState.isSettled(status)) {
-            return { ...accepted, answeredBy };
+            return { ...jobResponses.accepted, answeredBy };
         }
         if (this.options.isStoreUnavailable()) {
-            return storeUnavailable;
+            return jobResponses.storeUnavailable;
         }
         const written = await this.#write(jobState.encodeCancellation(request.id, this.options.now()), request);
         return { ...written, answeredBy };
     }
 
-    async getStatus(request: JobRequest): Promise<JobResponse> {
+    async getStatus(request: JobRequest): Promise<jobResponses.JobResponse> {
         const { status, answeredBy, response } = await this.#findStatus(request);
         return status === undefined
             ? response
             : { status: 200, body: platform.callerBodies.encodeStatus(status), answeredBy };
     }
 
-    async #write(record: jobState.KeyedRecord, request: JobRequest, appliesAtOnce = true): Promise<JobResponse> {
-        const outcomes: Readonly<Record<submissionWriter.WriteOutcome, JobResponse>> = {
-            stored: accepted,
-            refused: storeUnavailable,
-            unknown: unknownOutcome,
+    async #write(
+        record: jobState.KeyedRecord,
+        request: JobRequest,
+        appliesAtOnce = true,
+    ): Promise<jobResponses.JobResponse> {
+        const outcomes: Readonly<Record<submissionWriter.WriteOutcome, jobResponses.JobResponse>> = {
+            stored: jobResponses.accepted,
+            refused: jobResponses.storeUnavailable,
+            unknown: jobResponses.unknownOutcome,
         };
         const startedAt = this.options.monotonicNow();
         const outcome = await this.options.writer.write(record, request.deadline, appliesAtOnce);
@@ -689,22 +622,22 @@
         }
         const job = jobs.entries.get(id)?.job;
         const isShown = job !== undefined && questionAnswerer.isShown(job, { queue, organisation });
-        return { status: isShown ? jobs.findStatus(id) : undefined, response: jobNotFound };
+        return { status: isShown ? jobs.findStatus(id) : undefined, response: jobResponses.jobNotFound };
     }
 
     #takeAnswer(id: string, { node, answer }: PeerAnswer): FoundStatus {
         if (answer.kind !== "status") {
-            return { answeredBy: node, response: { ...jobNotFound, answeredBy: node } };
+            return { answeredBy: node, response: { ...jobResponses.jobNotFound, answeredBy: node } };
         }
         // The peer may not have read a cancellation that this process has stored.
         const isCancelled = this.options.jobs.entries.get(id)?.cancelledAt !== undefined;
         const status = isCancelled && !jobState.isSettled(answer.status) ? jobState.JobStatus.cancelled : answer.status;
-        return { status, answeredBy: node, response: jobNotFound };
+        return { status, answeredBy: node, response: jobResponses.jobNotFound };
     }
 
     /** Why a question can't be answered now. */
-    #describeDelay(): JobResponse {
-        return this.options.hasRead() ? behindStore : stillReading;
+    #describeDelay(): jobResponses.JobResponse {
+        return this.options.hasRead() ? jobResponses.behindStore : jobResponses.stillReading;
     }
 
     /**
