--- a/packages/cli/src/placement-rendering.ts
+++ b/packages/cli/src/placement-rendering.ts
@@ -18,6 +18,7 @@
 const blockers: Readonly<Record<types.Blocker, string>> = {
     notReady: "it isn't ready",
     quota: "the organisation's quota is in use",
+    runs: "the coordinator has as many runs under way as it has memory for",
     ticket: "it has no ticket of the advice service",
     rate: "it is beyond the organisation's committed rate, and steps within theirs wait for room",
     servers: "no server has room for it and may take it",
--- a/packages/dispatch/src/capacity-outlook.ts
+++ b/packages/dispatch/src/capacity-outlook.ts
@@ -71,7 +71,7 @@
         const goesBefore = rank.timeliness === scheduling.Timeliness.onTime
             || (rank.timeliness === scheduling.Timeliness.late && !rank.beyondRate);
         if (goesBefore && !step.filler) {
-            const count = quota.countAllowed(active.job.organisation, step, ready.tasks.length);
+            const count = quota.countAllowed(active.job.organisation, step, ready.tasks.size);
             quota.add(active.job.organisation, step.demand, count);
             readyCpu += count * step.demand.cpu;
             work += rank.longRunning ? 0 : count * step.demand.cpu * (step.estimate + taskDelay);
@@ -121,7 +121,7 @@
             };
             sums.set(job.organisation, sum);
             for (const resource of resources) {
-                const demand = ready.tasks.length * step.demand[resource];
+                const demand = ready.tasks.size * step.demand[resource];
                 sum.demand[resource] += demand;
                 sum.work[resource] += demand * (step.estimate + taskDelay);
             }
--- a/packages/dispatch/src/coordinator.ts
+++ b/packages/dispatch/src/coordinator.ts
@@ -63,6 +63,8 @@
     readonly claim: leaderElection.Claim;
     /** Unix time in ms; tells this process from an earlier one of the same node. */
     readonly processStart: number;
+    /** Number of runs that this process has memory for. */
+    readonly runLimit: number;
     readonly store: storeClient.StoreClient;
     readonly calls: httpCalls.HttpClient;
     /** For calls to backend servers. */
@@ -197,7 +199,10 @@
         });
         this.#tickets = new ticketCache.TicketCache(this.#shared);
         this.#sweeper = new jobSweeper.JobSweeper(this.#shared, store);
-        this.#placer = new placer.Placer(this.#shared, this.#runManager, this.#tickets, this.registry.runTimes);
+        this.#placer = new placer.Placer(this.#shared, this.#runManager, this.#tickets, this.registry.runTimes, {
+            limit: options.runLimit,
+            countUnderWay: () => workCensus.countRuns(this.fleet.sessions.values()),
+        });
         this.#explainer = new placementExplainer.PlacementExplainer({
             registry: this.registry,
             sessions: this.fleet.sessions,
@@ -231,6 +236,7 @@
             registry: this.registry,
             sessions: this.fleet.sessions,
             tickets: this.#tickets,
+            placer: this.#placer,
             configuration: options.configuration,
             clock,
             log: options.log,
@@ -280,8 +286,7 @@
             await timers.setTimeout(firstAnswersPollInterval);
         }
         this.#takeoverDone = true;
-        const submitted = [...this.options.jobs.entries.values()].flatMap(({ job }) => job ?? []);
-        this.#demand.restoreArrivals(submitted, clock.monotonic(), clock.wall());
+        this.#demand.restoreArrivals(this.options.jobs.listJobs(), clock.monotonic(), clock.wall());
         const knowsDemand = [...this.registry.active.values()].some(active => active.route !== undefined);
         // Jobs found at the takeover make the demand known from now on.
         this.#demand.demandKnownSince = knowsDemand ? clock.monotonic() : undefined;
@@ -290,7 +295,7 @@
             capacity: this.options.settings.capacity,
             jobs: this.registry.active.size,
             servers: this.fleet.sessions.size,
-            runs: this.#countRuns(),
+            runs: workCensus.countRuns(this.fleet.sessions.values()),
             inheritedRuns,
             jobsWithoutRoute: workCensus.countJobsWithoutRoute(this.registry.active.values()),
             took: clock.monotonic() - this.#shared.termStartedAt,
@@ -326,9 +331,7 @@
     applyConfiguration(configuration: platform.operatorRecords.Configuration): void {
         this.registry.applyConfiguration(configuration);
         this.#demand.applyConfiguration(configuration);
-        for (const entry of this.options.jobs.entries.values()) {
-            this.applyJob(entry);
-        }
+        this.options.jobs.entries.forEach(entry => this.applyJob(entry));
     }
 
     applyWave(wave: platform.operatorRecords.Wave): void {
@@ -504,10 +507,6 @@
         return quotaMeter.measureQuotaUsage(this.options.configuration(), this.fleet.sessions.values());
     }
 
-    #countRuns(): number {
-        return [...this.fleet.sessions.values()].reduce((sum, server) => sum + server.runs.size, 0);
-    }
-
     /** Stops runs without progress, so that their tasks start on other servers. */
     #stopStalled(): void {
         for (const server of this.fleet.sessions.values()) {
@@ -564,10 +563,10 @@
         const byRank = [...this.registry.listCandidates(this.#shared.clock.wall(), shares)]
             .sort(([, a], [, b]) => scheduling.compareRanks(a[0]!.rank, b[0]!.rank));
         this.#tickets.startPass();
-        this.#placer.counts = { unplaced: 0, untried: 0, overQuota: 0 };
+        this.#placer.counts = { unplaced: 0, untried: 0, overQuota: 0, overRunLimit: 0 };
         for (const [service, candidates] of byRank) {
             const pool = servers.get(service) ?? [];
-            const left = room - planned.length;
+            const left = scheduling.computeServiceRoom(room, planned.length);
             planned.push(
                 ...rateHold.placeByRate(
                     candidates,
@@ -595,7 +594,7 @@
             readyTasks: workCensus.countReadyTasks(this.registry.active.values()),
             ...this.#placer.describe(),
             startDelay: Math.round(this.#startDelay.current),
-            runs: this.#countRuns(),
+            runs: workCensus.countRuns(this.fleet.sessions.values()),
             reachableServers: servers.filter(server => server.reachable).length,
         };
     }
--- a/packages/dispatch/src/crash-counter.ts
+++ b/packages/dispatch/src/crash-counter.ts
@@ -177,7 +177,7 @@
         const occurrence = active?.progress.occurrences.get(run.position.occurrence);
         const history = this.#findHistory(run);
         return active === undefined || occurrence === undefined || history === undefined
-                || occurrence.done[run.taskIndex] === 1
+                || occurrence.done.has(run.taskIndex)
             ? undefined
             : { isCertain, active, occurrence, history, run, started };
     }
--- a/packages/dispatch/src/demand.ts
+++ b/packages/dispatch/src/demand.ts
@@ -236,7 +236,7 @@
             let work = 0;
             for (const ready of active.readiness?.steps ?? []) {
                 const step = active.job.steps[ready.step]!;
-                work += step.longRunning ? 0 : ready.tasks.length * measureTask(step, memoryPerCpu);
+                work += step.longRunning ? 0 : ready.tasks.size * measureTask(step, memoryPerCpu);
             }
             const weight = isExpired(active, wall)
                 ? expiredJobWeight
--- a/packages/dispatch/src/job-registry.ts
+++ b/packages/dispatch/src/job-registry.ts
@@ -248,6 +248,7 @@
             criticalPath: active.remainingPaths[ready.step]!
                 + active.remainingSteps[ready.step]! * this.#delay.current,
             longRunning: active.job.steps[ready.step]!.longRunning,
+            readyTasks: ready.tasks.size,
             // A start that is under way counts, so that a job isn't passed over until its server confirms it.
             begun: active.progress.begun || jobState.hasRuns(active.progress),
             beyondRate,
--- a/packages/dispatch/src/ledger-writer.test.ts
+++ b/packages/dispatch/src/ledger-writer.test.ts
@@ -125,7 +125,7 @@
     assert.ok(store.stored - sizeOfAll < 0.02 * sizeOfAll, `${store.stored - sizeOfAll} of ${sizeOfAll}`);
     for (const partsFirst of [true, false]) {
         const restored = restore(store, partsFirst).entries.get(entry.id)!.progress!.occurrences.get(0)!;
-        assert.is(restored.doneCount, 1);
+        assert.is(restored.done.size, 1);
         assert.is(restored.histories.size, 7199);
         restored.histories.forEach((history, task) => assert.equal(history, occurrence.histories.get(task)));
     }
@@ -180,8 +180,9 @@
     assert.is(store.refusals, 0);
     assert.is(store.records.size, 1 + open);
     const restored = restore(store, true).entries.get(job.id)!.progress!;
-    assert.is(restored.occurrences.size, 20_000);
-    assert.equal([...restored.occurrences.values()].filter(({ doneCount }) => doneCount === 0).length, open);
+    assert.is(restored.finished.size, 20_000 - open);
+    assert.is(restored.occurrences.size, open);
+    assert.ok([...restored.occurrences].every(([i, { done }]) => done.size === 0 && !restored.finished.has(i)));
 });
 
 suite("nothing is stored any more because the progress of one wave exceeds the size of a record", async () => {
--- a/packages/dispatch/src/limited-backlogs.ts
+++ b/packages/dispatch/src/limited-backlogs.ts
@@ -43,7 +43,7 @@
         const factor = weight / this.findHorizon(service);
         for (const { step, tasks } of readiness?.steps ?? []) {
             if (!job.steps[step]!.longRunning) {
-                addStep(ready, job.steps[step]!, factor * tasks.length);
+                addStep(ready, job.steps[step]!, factor * tasks.size);
             }
         }
         readyByService.set(service, (readyByService.get(service) ?? 0) + weight * coreSeconds);
--- a/packages/dispatch/src/load-meter.test.ts
+++ b/packages/dispatch/src/load-meter.test.ts
@@ -11,6 +11,7 @@
     unplacedSteps: 0,
     untriedSteps: 0,
     stepsOverQuota: 0,
+    stepsOverRunLimit: 0,
     backfilledTasks: 0,
     startDelay: 0,
     runs: 4,
--- a/packages/dispatch/src/load-meter.ts
+++ b/packages/dispatch/src/load-meter.ts
@@ -35,6 +35,8 @@
     readonly untriedSteps: number;
     /** Those of which no task may start before others of their organisation have ended. */
     readonly stepsOverQuota: number;
+    /** Those of which no task may start before other runs have ended, as the coordinator has no memory for more. */
+    readonly stepsOverRunLimit: number;
     /** Tasks that this coordinator has started on servers that other steps had reserved. */
     readonly backfilledTasks: number;
     /** Ms for which a task that becomes ready now waits because of the limit on starts. */
--- a/packages/dispatch/src/organisation-monitor.ts
+++ b/packages/dispatch/src/organisation-monitor.ts
@@ -145,7 +145,7 @@
                 if (job.organisation === undefined) {
                     continue;
                 }
-                const count = ready.tasks.length;
+                const count = ready.tasks.size;
                 const step = job.steps[ready.step]!;
                 const allowed = quota.countAllowed(job.organisation, step, count);
                 // What may start is counted as if it had, so that of what remains only the excess is over the quota.
--- a/packages/dispatch/src/placement-explainer.ts
+++ b/packages/dispatch/src/placement-explainer.ts
@@ -19,13 +19,18 @@
 const maxSteps = 8;
 /** Servers that are named for a step at most; the others are counted by what they lack. */
 const maxServers = 50;
+/** Tasks of a step that are placed for an answer at most, unless they form a gang. */
+const maxPlacements = 1000;
 
 const noAmounts = { cpu: 0, memory: 0, accelerators: 0 };
 
 export interface PlacementExplainerOptions {
     readonly registry: jobRegistry.JobRegistry;
     readonly sessions: ReadonlyMap<string, session.ServerSession>;
-    readonly placer: Pick<placer.Placer, "describeOutlooks" | "findKeptServer" | "predictDuration">;
+    readonly placer: Pick<
+        placer.Placer,
+        "countAllowedRuns" | "describeOutlooks" | "findKeptServer" | "predictDuration"
+    >;
     readonly tickets: Pick<ticketCache.TicketCache, "listPermitted">;
     readonly clock: clocks.Clocks;
     readonly configuration: () => platform.operatorRecords.Configuration | undefined;
@@ -182,14 +187,14 @@
         const request = {
             stepKey,
             step,
-            tasks: ready.tasks,
+            tasks: [],
             avoided: active.avoided,
             alone: ready.alone,
             expectedDuration: this.options.placer.predictDuration(active, index),
         };
         const before = this.#listBefore(subject, ready);
         const quota = this.#measureQuota(job.organisation, servers, before);
-        const allowed = quota.countAllowed(job.organisation, step, ready.tasks.length);
+        const allowed = quota.countAllowed(job.organisation, step, ready.tasks.size);
         const isHeldByRate = subject.beyondRate && !step.longRunning && isHeld(subject.queue, servers, quota);
         // Tickets are requested only once a job has been submitted.
         const isLimitedByTickets = subject.isKnown && route?.advice !== undefined;
@@ -204,8 +209,9 @@
         // A new copy of the loads: the explanation is of the servers before any of these tasks.
         const open = this.options.placer.describeOutlooks(permitted).map(({ load }) => load)
             .filter(load => load.acceptsTasks && load.id !== kept?.server);
-        const tasks = step.gang ? ready.tasks : ready.tasks.slice(0, allowed);
-        const placements = allowed === 0 || isHeldByRate ? [] : scheduling.placeStep({ ...request, tasks }, open);
+        const startable = this.options.placer.countAllowedRuns({ active, ready }, allowed);
+        const tasks = ready.tasks.take(step.gang ? startable : Math.min(startable, maxPlacements));
+        const placements = startable === 0 || isHeldByRate ? [] : scheduling.placeStep({ ...request, tasks }, open);
         const own = explained.find(one => one.reservedFor === stepKey);
         const reservation = own === undefined ? undefined : {
             server: own.server,
@@ -215,6 +221,8 @@
             ? undefined
             : allowed === 0
             ? types.Blocker.quota
+            : startable === 0
+            ? types.Blocker.runs
             : isHeldByRate
             ? types.Blocker.rate
             : permitted.length === 0 && servers.length > 0
@@ -222,7 +230,7 @@
             : types.Blocker.servers;
         return {
             ...common,
-            readyTasks: ready.tasks.length,
+            readyTasks: ready.tasks.size,
             blocker,
             waitsForSteps: [],
             stepsBefore: before.length,
@@ -267,11 +275,11 @@
         for (const { active, ready } of organisation === undefined ? [] : before) {
             const step = active.job.steps[ready.step]!;
             const isOwn = active.job.organisation === organisation;
-            if (isOwn && quota.countAllowed(organisation, step, ready.tasks.length) === 0) {
+            if (isOwn && quota.countAllowed(organisation, step, ready.tasks.size) === 0) {
                 const stepKey = runManager.formatStepKey(active.job.id, ready);
-                const request = { stepKey, step, tasks: ready.tasks, avoided: active.avoided, alone: ready.alone };
+                const request = { stepKey, step, tasks: [], avoided: active.avoided, alone: ready.alone };
                 if (scheduling.chooseReservation(request, open) !== undefined) {
-                    quota.reserve(organisation!, step, ready.tasks.length);
+                    quota.reserve(organisation!, step, ready.tasks.size);
                     break;
                 }
             }
@@ -324,10 +332,9 @@
 }
 
 function isComplete({ job, progress }: jobRegistry.ActiveJob, occurrence: number, step: number): boolean {
-    const done = progress.occurrences.get(occurrence)?.done;
-    const first = jobState.findFirstTask(job, step);
-    return done !== undefined
-        && Array.from({ length: job.steps[step]!.taskCount }, (_, i) => done[first + i]).every(flag => flag === 1);
+    const { taskCount } = job.steps[step]!;
+    const done = progress.occurrences.get(occurrence)?.done.countIn(jobState.findFirstTask(job, step), taskCount);
+    return progress.finished.has(occurrence) || done === taskCount;
 }
 
 function findUnfinishedDependencies(active: jobRegistry.ActiveJob, occurrence: number, step: number): number[] {
--- a/packages/dispatch/src/placer.ts
+++ b/packages/dispatch/src/placer.ts
@@ -35,8 +35,19 @@
     untried: number;
     /** Steps of which no task may start before others of their organisation have ended. */
     overQuota: number;
+    /** Steps of which no task may start before other runs have ended, as the coordinator has no memory for more. */
+    overRunLimit: number;
 }
 
+/** What bounds the runs that a coordinator has under way. */
+export interface RunLimit {
+    readonly limit: number;
+    /** Number of runs of all jobs that are under way. */
+    readonly countUnderWay: () => number;
+}
+
+const noRunLimit: RunLimit = { limit: Number.POSITIVE_INFINITY, countUnderWay: () => 0 };
+
 /** Share of the tasks of a step that end within their expected duration, where they may start on a reserved server. */
 const backfillQuantile = 0.8;
 /** The same for the runs that a reservation waits for. */
@@ -49,6 +60,7 @@
     readonly byId: ReadonlyMap<string, session.ServerSession>;
     readonly lookAhead: lookAheads.LookAhead;
     readonly quota: scheduling.QuotaUsage;
+    readonly runs: scheduling.RunBudget;
     /** Unix time in ms. */
     readonly wall: number;
     /** Open servers without those that are reserved for other steps. */
@@ -74,7 +86,7 @@
 
 export class Placer {
     /** Of the pass that began last, over all services. */
-    counts: PassCounts = { unplaced: 0, untried: 0, overQuota: 0 };
+    counts: PassCounts = { unplaced: 0, untried: 0, overQuota: 0, overRunLimit: 0 };
     /** Tasks that started on a server that another step had reserved. */
     backfilledTasks = 0;
     /** By service. */
@@ -87,6 +99,7 @@
         private readonly runs: runManager.RunManager,
         private readonly tickets: ticketCache.TicketCache,
         private readonly runTimes = new scheduling.RunTimePrediction(),
+        private readonly runLimit = noRunLimit,
         private readonly reservationPolicy = scheduling.defaultReservationPolicy,
     ) {}
 
@@ -118,30 +131,39 @@
                 break;
             }
             const { active: { job }, ready } = candidate;
-            const allowed = quota.countAllowed(job.organisation, job.steps[ready.step]!, ready.tasks.length);
+            const allowed = quota.countAllowed(job.organisation, job.steps[ready.step]!, ready.tasks.size);
             if (allowed === 0) {
                 this.counts.overQuota += 1;
                 this.#reserveQuota(pass, candidate);
                 continue;
             }
-            const placements = this.#placeCandidate(pass, candidate, Math.min(left, allowed));
+            const bounded = this.#boundRuns(pass.runs, candidate, allowed);
+            if (bounded === 0) {
+                this.counts.overRunLimit += 1;
+                continue;
+            }
+            const placements = this.#placeCandidate(pass, candidate, Math.min(left, bounded));
             if (placements.length === 0) {
                 this.counts.unplaced += 1;
             }
             else {
-                planned.push(...this.#planRuns(pass, candidate, placements));
+                this.#planRuns(pass, candidate, placements).forEach(run => planned.push(run));
             }
         }
         return planned;
     }
 
     /** For the coordinator's report of its load. */
-    describe(): Pick<loadMeter.WorkState, "unplacedSteps" | "untriedSteps" | "stepsOverQuota" | "backfilledTasks"> {
-        const { unplaced, untried, overQuota } = this.counts;
+    describe(): Pick<
+        loadMeter.WorkState,
+        "unplacedSteps" | "untriedSteps" | "stepsOverQuota" | "stepsOverRunLimit" | "backfilledTasks"
+    > {
+        const { unplaced, untried, overQuota, overRunLimit } = this.counts;
         return {
             unplacedSteps: unplaced,
             untriedSteps: untried,
             stepsOverQuota: overQuota,
+            stepsOverRunLimit: overRunLimit,
             backfilledTasks: this.backfilledTasks,
         };
     }
@@ -155,6 +177,11 @@
         });
     }
 
+    /** Number of the step's tasks that the limit on runs lets start now, at most `wanted`. */
+    countAllowedRuns(candidate: Pick<jobRegistry.Candidate, "active" | "ready">, wanted: number): number {
+        return this.#boundRuns(this.#beginRunBudget(), candidate, wanted);
+    }
+
     /** The server that the last pass over the service kept for one step. */
     findKeptServer(service: string): KeptServer | undefined {
         return this.#keptServers.get(service);
@@ -184,6 +211,7 @@
             byId: new Map(open.map(server => [server.entry.id, server])),
             lookAhead,
             quota,
+            runs: this.#beginRunBudget(),
             wall: this.shared.clock.wall(),
             loads: open.map(server => server.load).filter(load => load.reservation === undefined),
             reserved: undefined,
@@ -192,6 +220,20 @@
         };
     }
 
+    #beginRunBudget(): scheduling.RunBudget {
+        return new scheduling.RunBudget(this.runLimit.limit, this.runLimit.countUnderWay());
+    }
+
+    /** Number of the candidate's tasks that may start by the limit on runs, at most `wanted`. */
+    #boundRuns(
+        budget: scheduling.RunBudget,
+        { active, ready }: Pick<jobRegistry.Candidate, "active" | "ready">,
+        wanted: number,
+    ): number {
+        const { gang } = active.job.steps[ready.step]!;
+        return budget.countAllowed(jobState.countRuns(active.progress), wanted, gang);
+    }
+
     #findLookAhead(service: string): lookAheads.LookAhead {
         let lookAhead = this.#lookAheads.get(service);
         if (lookAhead === undefined) {
@@ -205,13 +247,13 @@
     #reserveQuota({ quota, hopeless, loads, lookAhead }: Pass, { active, ready }: jobRegistry.Candidate): void {
         const { organisation } = active.job;
         const step = active.job.steps[ready.step]!;
-        if (quota.mayReserve(organisation!, step, ready.tasks.length) && !hopeless.includes(step)) {
-            const request = createRequest(active, ready, ready.tasks);
+        if (quota.mayReserve(organisation!, step, ready.tasks.size) && !hopeless.includes(step)) {
+            const request = createRequest(active, ready, 0);
             if (scheduling.chooseReservation(request, loads) === undefined) {
                 hopeless.recordUnplaced(step, loads);
             }
             else {
-                quota.reserve(organisation!, step, ready.tasks.length);
+                quota.reserve(organisation!, step, ready.tasks.size);
             }
         }
         lookAhead.drop(active, ready);
@@ -237,7 +279,7 @@
             ? [...pass.loads, ...reservations.reservedLoads]
             : pass.loads;
         const request = {
-            ...createRequest(active, ready, step.gang ? ready.tasks : ready.tasks.slice(0, count)),
+            ...createRequest(active, ready, step.gang ? ready.tasks.size : count),
             expectedDuration: mayUseReserved ? expectDuration() : undefined,
         };
         const tried = !isShort || needsTickets ? permitted : reservations.reservedLoads;
@@ -290,7 +332,7 @@
 
     /** Plans the runs of the placed tasks, which count in the usage of the candidate's organisation from now on. */
     #planRuns(
-        { lookAhead, quota, byId }: Pass,
+        { lookAhead, quota, runs, byId }: Pass,
         candidate: jobRegistry.Candidate,
         placements: readonly scheduling.Placement[],
     ): PlannedRun[] {
@@ -303,6 +345,7 @@
             ).length;
         lookAhead.drop(active, ready); // Its other tasks wait anew.
         quota.add(active.job.organisation, step.demand, placements.length);
+        runs.add(placements.length);
         this.#logPlaced(candidate, placements);
         const gangRun = step.gang ? this.#nextGangRun(active, ready) : undefined;
         return placements.map(({ task, server: load }) => {
@@ -370,7 +413,7 @@
             step: ready.step,
             occurrence: ready.occurrence,
             tasks: placements.length,
-            of: ready.tasks.length,
+            of: ready.tasks.size,
             servers: [...new Set(placements.map(placement => placement.server.id))],
             slack: Math.round(rank.slack),
             age: this.shared.clock.wall() - active.job.submittedAt,
@@ -389,7 +432,7 @@
         const step = candidate.active.job.steps[candidate.ready.step]!;
         const permitted = this.tickets.listPermitted(stepKey, open);
         const serversWithRoom = permitted.filter(server => scheduling.fits(server.load, step, stepKey)).length;
-        if (serversWithRoom < candidate.ready.tasks.length) {
+        if (serversWithRoom < candidate.ready.tasks.size) {
             this.tickets.request(candidate, stepKey, open);
         }
         return permitted.map(server => server.load);
@@ -400,19 +443,24 @@
     }
 
     #nextGangRun(active: jobRegistry.ActiveJob, ready: scheduling.ReadyStep): number {
-        return Math.max(...ready.tasks.map(task => this.#nextRun(active, ready.occurrence, task)));
+        let run = 1;
+        for (const task of ready.tasks) {
+            run = Math.max(run, this.#nextRun(active, ready.occurrence, task));
+        }
+        return run;
     }
 }
 
+/** @param count number of tasks that are requested, the first ones that are ready */
 function createRequest(
     active: jobRegistry.ActiveJob,
     ready: scheduling.ReadyStep,
-    tasks: readonly number[],
+    count: number,
 ): scheduling.PlacementRequest {
     return {
         stepKey: runManager.formatStepKey(active.job.id, ready),
         step: active.job.steps[ready.step]!,
-        tasks,
+        tasks: ready.tasks.take(count),
         avoided: active.avoided,
         alone: ready.alone,
     };
@@ -427,7 +475,7 @@
     const step = active.job.steps[ready.step]!;
     // One that starts alone may wait for a quiet server and not for room.
     const mayWait = loads.length > 1 && !ready.alone;
-    const isLarge = reservations.isLarge(step, ready.tasks.length);
+    const isLarge = reservations.isLarge(step, ready.tasks.size);
     const age = wall - jobState.findDueTime(active.job, ready.occurrence);
     return {
         age,
--- a/packages/dispatch/src/rate-hold.test.ts
+++ b/packages/dispatch/src/rate-hold.test.ts
@@ -27,7 +27,7 @@
     const job = testing.createJob({ id: "00000000000000aa", organisation, steps: [testing.createStep(step)] });
     return {
         active: { job },
-        ready: { occurrence: 0, step: 0, tasks: [0], alone: false },
+        ready: { occurrence: 0, step: 0, tasks: jobState.IndexRanges.of([0]), alone: false },
         rank: {
             longRunning: false,
             priority: 0,
--- a/packages/dispatch/src/rate-hold.ts
+++ b/packages/dispatch/src/rate-hold.ts
@@ -46,7 +46,7 @@
     const isHeld = within.some(candidate => {
         const { active, ready } = candidate;
         const placed = placedCounts.get(runManager.formatStepKey(active.job.id, ready)) ?? 0;
-        return placed < ready.tasks.length && isWaitingForRoom(candidate, search, quota);
+        return placed < ready.tasks.size && isWaitingForRoom(candidate, search, quota);
     });
     return isHeld ? planned : [...planned, ...place(candidates.slice(firstBeyond), planned.length)];
 }
--- a/packages/dispatch/src/run-manager.ts
+++ b/packages/dispatch/src/run-manager.ts
@@ -11,6 +11,7 @@
 import * as scheduling from "@catkinwharf/scheduling";
 import * as timers from "node:timers/promises";
 import * as context from "./context.js";
+import * as exhaustedAttempts from "./exhausted-attempts.js";
 import type * as jobRegistry from "./job-registry.js";
 import * as serverPoll from "./server-poll.js";
 import * as session from "./server-session.js";
@@ -633,7 +634,7 @@
         const taskIndex = jobState.findFirstTask(active.job, row.task.step) + row.task.index;
         const occurrence = jobState.getOrCreateOccurrence(active.progress, active.job, row.task.occurrence);
         const history = jobState.getOrCreateHistory(occurrence, taskIndex);
-        if (occurrence.done[taskIndex] === 1 || history.runs.length > 0 || active.entry.cancelledAt !== undefined) {
+        if (occurrence.done.has(taskIndex) || history.runs.length > 0 || active.entry.cancelledAt !== undefined) {
             this.#stopUnknownRun(server, row, step);
             return undefined;
         }
@@ -754,6 +755,7 @@
                 provenTime: server.computeProvenTime(run),
             });
         }
+        jobState.dropEndedHistory(occurrence, run.taskIndex);
         this.options.onEnd(server, run, how);
         active.readiness = undefined;
         shared.writer.markDirty(active.entry);
@@ -782,19 +784,8 @@
 
     /** Fails a job whose route became known only after a task had used up its attempts. */
     failIfExhausted(active: jobRegistry.ActiveJob): void {
-        const { job, progress, route } = active;
-        if (route === undefined || jobState.isSettled(progress.status)) {
-            return;
-        }
-        for (const { done, histories } of progress.occurrences.values()) {
-            for (const [taskIndex, history] of histories) {
-                const open = done[taskIndex] !== 1 && history.runs.length === 0;
-                const { longRunning } = job.steps[jobState.findStep(job, taskIndex)]!;
-                if (open && !longRunning && history.failures >= route.maxAttempts) {
-                    this.#settle(active, jobState.JobStatus.failed);
-                    return;
-                }
-            }
+        if (exhaustedAttempts.hasExhaustedTask(active)) {
+            this.#settle(active, jobState.JobStatus.failed);
         }
     }
 
@@ -802,8 +793,11 @@
         const occurrence = jobState.getOrCreateOccurrence(active.progress, active.job, occurrenceNumber);
         const first = jobState.findFirstTask(active.job, active.job.steps.indexOf(step));
         // The tasks of a gang make progress only together, so the end of one ends all.
-        const tasks = step.gang ? Array.from({ length: step.taskCount }, (_, i) => first + i) : [taskIndex];
-        tasks.forEach(other => jobState.markDone(occurrence, other));
+        const ended = step.gang ? occurrence.done.complement(first, step.taskCount) : [taskIndex];
+        for (const other of ended) {
+            jobState.markDone(occurrence, other);
+            jobState.dropEndedHistory(occurrence, other);
+        }
         active.readiness = undefined;
         if (jobState.isComplete(active.progress, active.job)) {
             this.#settle(active, jobState.JobStatus.completed);
@@ -841,8 +835,8 @@
         for (const [number, occurrence] of progress.occurrences) {
             job.steps.forEach((step, i) => {
                 const first = jobState.findFirstTask(job, i);
-                const done = occurrence.done.subarray(first, first + step.taskCount);
-                if (step.gang && done.includes(1) && done.includes(0)) {
+                const doneCount = occurrence.done.countIn(first, step.taskCount);
+                if (step.gang && doneCount > 0 && doneCount < step.taskCount) {
                     this.#markDone(active, number, first, step);
                 }
             });
@@ -891,6 +885,7 @@
         if (occurrence !== undefined && history !== undefined) {
             jobState.touchTask(occurrence, run.taskIndex);
             history.runs = history.runs.filter(other => other.number !== run.runNumber);
+            jobState.dropEndedHistory(occurrence, run.taskIndex);
         }
     }
 
--- a/packages/dispatch/src/startable-tasks.test.ts
+++ b/packages/dispatch/src/startable-tasks.test.ts
@@ -1,4 +1,5 @@
 /** Guards against jobs that are refused as the coordinator seems slow, while tasks wait for their quota or for servers. */
+import * as jobState from "@catkinwharf/job-state";
 import * as jobTesting from "@catkinwharf/job-state/testing";
 import * as scheduling from "@catkinwharf/scheduling";
 import * as uvu from "uvu";
@@ -21,7 +22,7 @@
     const jobs = organisations.map(organisation => ({
         job: jobTesting.createJob({ organisation, steps: [jobTesting.createStep({ taskCount: 20 })] }),
         readiness: {
-            steps: [{ occurrence: 0, step: 0, tasks: Array.from({ length: 20 }, (_, i) => i), alone: false }],
+            steps: [{ occurrence: 0, step: 0, tasks: new jobState.IndexRanges([[0, 20]]), alone: false }],
             nextDue: undefined,
         },
         route,
--- a/packages/dispatch/src/startable-tasks.ts
+++ b/packages/dispatch/src/startable-tasks.ts
@@ -18,7 +18,7 @@
     for (const { job, readiness, route } of jobs) {
         for (const { step, tasks } of route === undefined ? [] : readiness?.steps ?? []) {
             const { demand, gang } = job.steps[step]!;
-            const count = quota.countAllowed(job.organisation, { demand, gang }, tasks.length);
+            const count = quota.countAllowed(job.organisation, { demand, gang }, tasks.size);
             quota.add(job.organisation, demand, count);
             const list = ready.get(route!.service) ?? [];
             list.push({ count, cpu: demand.cpu });
--- a/packages/dispatch/src/step-down.test.ts
+++ b/packages/dispatch/src/step-down.test.ts
@@ -49,7 +49,7 @@
     shared.jobs.applySubmission(key, value);
     const entry = shared.jobs.entries.get(job.id)!;
     const active = registry.track(entry, 0)!;
-    const ready = { occurrence: 0, step: 0, tasks: [0], alone: false };
+    const ready = { occurrence: 0, step: 0, tasks: jobState.IndexRanges.of([0]), alone: false };
     const run = manager.plan(active, ready, 0, 1, server, undefined);
     return { manager, server, run, answers, jobs: shared.jobs, writer: shared.writer };
 }
--- a/packages/dispatch/src/testing/placement-play.ts
+++ b/packages/dispatch/src/testing/placement-play.ts
@@ -217,7 +217,11 @@
         describeStep: () => ({}),
     });
     const tickets = new ticketCache.TicketCache(shared);
-    return { registry, manager, planner: new placer.Placer(shared, manager, tickets, registry.runTimes, policy) };
+    return {
+        registry,
+        manager,
+        planner: new placer.Placer(shared, manager, tickets, registry.runTimes, undefined, policy),
+    };
 }
 
 /** Reports the end of a run to the coordinator. */
--- a/packages/dispatch/src/testing/simulation.ts
+++ b/packages/dispatch/src/testing/simulation.ts
@@ -70,6 +70,8 @@
     /** Share of a core that the coordinator gets; its work takes no time if there is none. */
     readonly processorShare?: number;
     readonly storeLimits?: platform.settings.StoreLimits;
+    /** Number of runs that a coordinator may have under way; unlimited unless given. */
+    readonly runLimit?: number;
     /** Reading in ms at which a server's clock begins in each boot; 0 if there is none. */
     readonly chooseClockStart?: () => number;
     /**
@@ -398,6 +400,7 @@
             },
             claim,
             processStart: epoch,
+            runLimit: this.options.runLimit ?? Number.POSITIVE_INFINITY,
             store: new memoryStore.MemoryStore(
                 this.#topics,
                 this.time,
--- a/packages/dispatch/src/ticket-cache.test.ts
+++ b/packages/dispatch/src/ticket-cache.test.ts
@@ -1,5 +1,6 @@
 /** Tickets are requested for every step in turn, whatever becomes of the requests of others. */
 import * as httpCalls from "@catkinwharf/http-calls";
+import * as jobState from "@catkinwharf/job-state";
 import * as jobTesting from "@catkinwharf/job-state/testing";
 import type * as platform from "@catkinwharf/platform";
 import * as platformTesting from "@catkinwharf/platform/testing";
@@ -54,7 +55,7 @@
     return {
         active: { job, entry: { id, cancelledAt: undefined } },
         route: { advice: { decision: 1, perServer: 1, validity: 1000 } },
-        ready: { occurrence: 0, step: 0, tasks: [0], alone: false },
+        ready: { occurrence: 0, step: 0, tasks: jobState.IndexRanges.of([0]), alone: false },
     } as unknown as jobRegistry.Candidate;
 }
 
--- a/packages/dispatch/src/waiting-tasks.ts
+++ b/packages/dispatch/src/waiting-tasks.ts
@@ -9,6 +9,7 @@
 import type * as clocks from "./clocks.js";
 import * as context from "./context.js";
 import type * as jobRegistry from "./job-registry.js";
+import type * as placer from "./placer.js";
 import * as quotaMeter from "./quota-meter.js";
 import * as runManager from "./run-manager.js";
 import * as session from "./server-session.js";
@@ -30,6 +31,8 @@
     /** None of the servers with room accepts tasks. */
     noServerOpen: "no server open",
     overQuota: "over quota",
+    /** The coordinator has as many runs under way as it has memory for. */
+    overRunLimit: "over run limit",
     noTicket: "no ticket",
     /** Other steps have reserved the servers with room. */
     reserved: "reserved",
@@ -59,6 +62,7 @@
     readonly registry: Pick<jobRegistry.JobRegistry, "active" | "isBeyondRate">;
     readonly sessions: ReadonlyMap<string, session.ServerSession>;
     readonly tickets: Pick<ticketCache.TicketCache, "listPermitted">;
+    readonly placer: Pick<placer.Placer, "countAllowedRuns">;
     readonly configuration: () => platform.operatorRecords.Configuration | undefined;
     readonly clock: clocks.Clocks;
     readonly log: eventLog.EventLog;
@@ -143,7 +147,7 @@
             const own = new Map<number, number>();
             const taskCount = jobState.countTasks(active.job);
             for (const ready of route === undefined ? [undefined] : readiness!.steps) {
-                const task = ready === undefined ? -1 : ready.occurrence * taskCount + ready.tasks[0]!;
+                const task = ready === undefined ? -1 : ready.occurrence * taskCount + ready.tasks.first!;
                 const first = before?.get(task) ?? now;
                 own.set(task, first);
                 waiting.push({ active, ready, since: first });
@@ -178,10 +182,10 @@
         if (servers.length > 0 && withRoom.length === 0) {
             return undefined;
         }
-        const history = active.progress.occurrences.get(ready.occurrence)?.histories.get(ready.tasks[0]!);
+        const history = active.progress.occurrences.get(ready.occurrence)?.histories.get(ready.tasks.first!);
         return {
-            task: formatName(active, ready.occurrence, ready.tasks[0]!),
-            tasks: ready.tasks.length,
+            task: formatName(active, ready.occurrence, ready.tasks.first!),
+            tasks: ready.tasks.size,
             waited,
             reason: this.#judge(active, ready, withRoom, quota),
             alone: ready.alone,
@@ -209,7 +213,11 @@
         const reasons: readonly [WaitReason, () => boolean][] = [
             [WaitReason.noServer, () => withRoom.length === 0],
             [WaitReason.noServerOpen, () => open.length === 0],
-            [WaitReason.overQuota, () => quota.countAllowed(job.organisation, step, ready.tasks.length) === 0],
+            [WaitReason.overQuota, () => quota.countAllowed(job.organisation, step, ready.tasks.size) === 0],
+            [
+                WaitReason.overRunLimit,
+                () => this.options.placer.countAllowedRuns({ active, ready }, ready.tasks.size) === 0,
+            ],
             [
                 WaitReason.noTicket,
                 () => route?.advice !== undefined && this.options.tickets.listPermitted(stepKey, open).length === 0,
--- a/packages/dispatch/src/work-census.ts
+++ b/packages/dispatch/src/work-census.ts
@@ -20,12 +20,20 @@
     let count = 0;
     for (const { readiness } of jobs) {
         for (const ready of readiness?.steps ?? []) {
-            count += ready.tasks.length;
+            count += ready.tasks.size;
         }
     }
     return count;
 }
 
+export function countRuns(servers: Iterable<Pick<session.ServerSession, "runs">>): number {
+    let count = 0;
+    for (const { runs } of servers) {
+        count += runs.size;
+    }
+    return count;
+}
+
 /** Counts the runs before the servers are first asked. */
 export function countInheritedRuns(servers: Iterable<session.ServerSession>): InheritedRuns {
     const counts = { listed: 0, otherBoot: 0, unlisted: 0 };
--- a/packages/intake/src/index.ts
+++ b/packages/intake/src/index.ts
@@ -3,6 +3,7 @@
  */
 export * from "./authentication.js";
 export * from "./job-api.js";
+export * from "./job-limits.js";
 export * from "./limited-wait.js";
 export * from "./load-shedder.js";
 export * from "./question-answerer.js";
--- a/packages/intake/src/job-api.ts
+++ b/packages/intake/src/job-api.ts
@@ -6,11 +6,11 @@
 import * as platform from "@catkinwharf/platform";
 import * as requestBody from "@catkinwharf/request-body";
 import * as scheduling from "@catkinwharf/scheduling";
-import * as store from "@catkinwharf/store";
 import type * as http from "node:http";
 import * as timers from "node:timers/promises";
 import * as polka from "polka";
 import * as authentication from "./authentication.js";
+import * as jobLimits from "./job-limits.js";
 import * as jobResponses from "./job-responses.js";
 import * as limitedWait from "./limited-wait.js";
 import * as loadShedder from "./load-shedder.js";
@@ -18,9 +18,8 @@
 import * as routeTable from "./route-table.js";
 import * as submissionWriter from "./submission-writer.js";
 
-export interface JobApiOptions {
+export interface JobApiOptions extends jobLimits.JobLimits {
     readonly jobs: jobState.JobTable;
-    readonly storeLimits: platform.settings.StoreLimits;
     readonly writer: submissionWriter.SubmissionWriter;
     readonly log: eventLog.EventLog;
     /** Monotonic time in ms. */
@@ -484,10 +483,8 @@
             submittedAt: this.options.now(),
         };
         const record = jobState.encodeJob(job);
-        if (!store.isStorable(record, this.options.storeLimits)) {
-            return jobResponses.jobTooLarge;
-        }
-        const refused = await this.#refuseOverload(job, request);
+        const refused = jobLimits.refuseOversized(job, record, this.options)
+            ?? await this.#refuseOverload(job, request);
         if (refused !== undefined) {
             return refused;
         }
--- a/packages/intake/src/job-responses.ts
+++ b/packages/intake/src/job-responses.ts
@@ -40,8 +40,6 @@
     reason: "this process is behind the store",
 };
 export const stillReading: JobResponse = { ...behindStore, reason: "this process is still reading what is stored" };
-/** The job's record would exceed what the store takes, and an append with it would be refused with all others in it. */
-export const jobTooLarge: JobResponse = { status: 413, body: "", reason: "the job is too large for the store" };
 /** Responses to submissions whose body wasn't read completely, so that they weren't accepted. */
 export const bodyRefusals: Readonly<Record<requestBody.BodyFault | requestBody.WatchFault, JobResponse>> = {
     [requestBody.BodyFault.tooLarge]: { status: 413, body: "", reason: "the body is too large" },
--- a/packages/intake/src/testing/api.ts
+++ b/packages/intake/src/testing/api.ts
@@ -31,6 +31,7 @@
     return {
         jobs: new jobState.JobTable(),
         storeLimits: { appendSize: 2000, recordSize: 900 },
+        largestGang: 1000,
         writer: { write: () => Promise.resolve("stored") } as unknown as intake.SubmissionWriter,
         log: eventLog.silentEventLog,
         monotonicNow: () => performance.now(),
--- a/packages/job-state/src/job-table.ts
+++ b/packages/job-state/src/job-table.ts
@@ -228,6 +228,11 @@
         return { pending, begunWithoutResult };
     }
 
+    /** Jobs whose submission or short form is known. */
+    listJobs(): jobs.Job[] {
+        return [...this.entries.values()].flatMap(({ job }) => job ?? []);
+    }
+
     /** IDs of the settled jobs, and of those of which there is nothing but a cancellation. */
     listSettled(): string[] {
         return [...this.entries.values()].filter(entry => isSettled(entry) || isOrphaned(entry)).map(({ id }) => id);
--- a/packages/job-state/src/occurrence-codec.ts
+++ b/packages/job-state/src/occurrence-codec.ts
@@ -1,6 +1,7 @@
 /**
  * Codec of the progress of an occurrence's tasks, all or a range of them, as plain objects for CBOR.
  */
+import * as indexRanges from "./index-ranges.js";
 import type * as progress from "./progress.js";
 
 /** A `TaskHistory` as it is stored, under one-letter keys. */
@@ -54,7 +55,7 @@
     const histories: StoredHistory[] = [];
     const firstRuns = new Map<string, number[]>();
     for (const [task, history] of listHistories(occurrenceProgress, range)) {
-        if (isFirstRun(history) && occurrenceProgress.done[task] !== 1) {
+        if (isFirstRun(history) && !occurrenceProgress.done.has(task)) {
             const { server } = history.runs[0]!;
             const tasks = firstRuns.get(server);
             if (tasks === undefined) {
@@ -64,7 +65,7 @@
                 tasks.push(task);
             }
         }
-        else if (occurrenceProgress.done[task] !== 1 || history.runs.length > 0) {
+        else if (!occurrenceProgress.done.has(task) || history.runs.length > 0) {
             histories.push({
                 t: task,
                 l: history.lastRun,
@@ -81,12 +82,8 @@
     }
     return {
         k: occurrence,
-        n: occurrenceProgress.done.length,
-        d: packFlags(
-            range === undefined
-                ? occurrenceProgress.done
-                : occurrenceProgress.done.subarray(range.first, range.first + range.count),
-        ),
+        n: occurrenceProgress.taskCount,
+        d: packFlags(occurrenceProgress.done, range ?? { first: 0, count: occurrenceProgress.taskCount }),
         h: histories,
         ...firstRuns.size === 0 ? {} : { g: [...firstRuns] },
     };
@@ -136,16 +133,24 @@
     };
 }
 
-function packFlags(flags: Uint8Array): Uint8Array {
-    const packed = new Uint8Array(Math.ceil(flags.length / 8));
-    flags.forEach((flag, i) => {
-        packed[i >> 3]! |= flag << (i & 7);
-    });
+function packFlags(tasks: indexRanges.IndexRanges, { first, count }: TaskRange): Uint8Array {
+    const packed = new Uint8Array(Math.ceil(count / 8));
+    for (const task of tasks.clip(first, count)) {
+        const i = task - first;
+        packed[i >> 3]! |= 1 << (i & 7);
+    }
     return packed;
 }
 
-export function unpackFlags(packed: Uint8Array, length: number): Uint8Array {
-    return Uint8Array.from({ length }, (_, i) => ((packed[i >> 3] ?? 0) >> (i & 7)) & 1);
+/** The tasks of the range whose flag is set. */
+export function unpackFlags(packed: Uint8Array, { first, count }: TaskRange): indexRanges.IndexRanges {
+    const tasks = new indexRanges.IndexRanges();
+    for (let i = 0; i < Math.min(count, 8 * packed.length); i++) {
+        if (((packed[i >> 3]! >> (i & 7)) & 1) === 1) {
+            tasks.add(first + i);
+        }
+    }
+    return tasks;
 }
 
 export function restoreHistories(stored: StoredOccurrence): Map<number, progress.TaskHistory> {
--- a/packages/job-state/src/progress-parts.test.ts
+++ b/packages/job-state/src/progress-parts.test.ts
@@ -22,7 +22,7 @@
 function change(progress: jobState.Progress, [number, task, what]: Step): void {
     const occurrence = jobState.getOrCreateOccurrence(progress, job, number);
     const history = jobState.getOrCreateHistory(occurrence, task);
-    if (what === "start" && occurrence.done[task] !== 1) {
+    if (what === "start" && !occurrence.done.has(task)) {
         history.lastRun += 1;
         history.runs.push({ number: history.lastRun, server: "i-1@7" });
     }
@@ -46,12 +46,15 @@
 
 /** What decides which tasks start: those that are done, and the runs and last number of the others. */
 function describe(progress: jobState.Progress | undefined): unknown {
-    return [...progress?.occurrences ?? []].sort(([a], [b]) => a - b).map(([number, { done, histories }]) => [
-        number,
-        [...done].map((flag, task) =>
-            flag === 1 && (histories.get(task)?.runs.length ?? 0) === 0 ? "done" : [flag, histories.get(task)]
-        ),
-    ]);
+    const numbers = new Set([...progress?.occurrences.keys() ?? [], ...progress?.finished ?? []]);
+    return [...numbers].sort((a, b) => a - b).map(number => {
+        const { done, histories } = jobState.getOrCreateOccurrence(progress!, job, number);
+        const describeTask = (_: unknown, task: number) =>
+            done.has(task) && (histories.get(task)?.runs.length ?? 0) === 0
+                ? "done"
+                : [done.has(task) ? 1 : 0, histories.get(task)];
+        return [number, Array.from({ length: taskCount }, describeTask)];
+    });
 }
 
 const steps = fastCheck.array(
@@ -131,26 +134,13 @@
     assert.is(table.entries.get(job.id)?.progress, undefined);
     apply(table, last.job);
     first.parts.forEach(record => apply(table, record));
-    assert.is(table.entries.get(job.id)?.progress?.occurrences.get(1)?.doneCount, taskCount);
+    const restored = table.entries.get(job.id)!.progress!;
+    assert.equal([...restored.finished], [1]);
+    assert.equal([...jobState.getOrCreateOccurrence(restored, job, 1).done], Array.from(Array(taskCount).keys()));
+    assert.is(restored.occurrences.size, 0);
     assert.equal(last.obsolete.map(({ key }) => key), first.parts.map(({ key }) => key));
 });
 
-suite("occurrences are kept as the shortest ascending ranges", () => {
-    fastCheck.assert(
-        fastCheck.property(fastCheck.array(fastCheck.integer({ min: 0, max: 40 })), added => {
-            const ranges: jobState.OccurrenceRange[] = [];
-            added.forEach(one => jobState.addOccurrence(ranges, one));
-            const listed = ranges.flatMap(([first, count]) => Array.from({ length: count }, (_, i) => first + i));
-            assert.equal(listed, [...new Set(added)].sort((a, b) => a - b));
-            assert.ok(ranges.every(([first], i) => i === 0 || ranges[i - 1]![0] + ranges[i - 1]![1] < first));
-            for (let i = 0; i < 42; i++) {
-                assert.is(jobState.includesOccurrence(ranges, i), added.includes(i));
-            }
-        }),
-        { seed },
-    );
-});
-
 suite("a part outgrows its record with the longest checkpoints and IDs of servers", () => {
     for (const size of [640, 5120, 20_000, 262_144, 655_360]) {
         const large = testing.createJob({ steps: [testing.createStep({ taskCount: 3000, checkpointed: true })] });
--- a/packages/job-state/src/progress-parts.ts
+++ b/packages/job-state/src/progress-parts.ts
@@ -7,6 +7,7 @@
  * The parts count only with a record of the job that names their size. It is stored after them, and before the tombstones of
  * those that it makes obsolete: whatever is missing when a coordinator is lost in between was never acted on.
  */
+import type * as indexRanges from "./index-ranges.js";
 import * as jobs from "./job.js";
 import * as codec from "./occurrence-codec.js";
 import * as progress from "./progress.js";
@@ -22,8 +23,9 @@
     /** Number of tasks of the whole occurrence. */
     readonly taskCount: number;
     readonly first: number;
-    /** One flag for each task of the part. */
-    readonly done: Uint8Array;
+    readonly count: number;
+    /** Its tasks that are done, by their indices in the occurrence. */
+    readonly done: indexRanges.IndexRanges;
     readonly histories: ReadonlyMap<number, progress.TaskHistory>;
 }
 
@@ -58,31 +60,26 @@
         occurrence: stored.k,
         taskCount: stored.n,
         first: stored.i,
-        done: codec.unpackFlags(stored.d, stored.m),
+        count: stored.m,
+        done: codec.unpackFlags(stored.d, { first: stored.i, count: stored.m }),
         histories: codec.restoreHistories(stored),
     };
 }
 
 /** Replaces what is known of the part's tasks, unless their occurrence is finished. */
 export function applyPart(current: progress.Progress, part: ProgressPart): void {
-    if (progress.includesOccurrence(current.finished, part.occurrence)) {
+    if (current.finished.has(part.occurrence)) {
         return;
     }
     const found = current.occurrences.get(part.occurrence);
     const occurrence = found ?? progress.createOccurrence(part.taskCount);
     current.occurrences.set(part.occurrence, occurrence);
-    part.done.forEach((flag, i) => {
-        const task = part.first + i;
-        const history = part.histories.get(task);
-        occurrence.doneCount += flag - occurrence.done[task]!;
-        occurrence.done[task] = flag;
-        if (history === undefined) {
-            occurrence.histories.delete(task);
-        }
-        else {
-            occurrence.histories.set(task, history);
-        }
-    });
+    occurrence.done.deleteRange(part.first, part.count);
+    part.done.ranges.forEach(([first, count]) => occurrence.done.addRange(first, count));
+    for (let task = part.first; task < part.first + part.count; task++) {
+        occurrence.histories.delete(task);
+    }
+    part.histories.forEach((history, task) => occurrence.histories.set(task, history));
 }
 
 /**
@@ -95,17 +92,15 @@
     newer: progress.Progress,
     layout: progress.PartLayout,
 ): void {
-    const added = progress.listAddedOccurrences(current.finished, newer.finished);
     current.status = newer.status;
     current.statusAt = newer.statusAt;
     current.begun = newer.begun;
     current.parts = layout;
     current.finished = newer.finished;
-    if (added.length > 0) {
-        const { taskCount } = layout;
-        // None of their tasks changes any more, so they share one.
-        const complete = { done: new Uint8Array(taskCount).fill(1), doneCount: taskCount, histories: new Map() };
-        added.forEach(occurrence => current.occurrences.set(occurrence, complete));
+    for (const occurrence of current.occurrences.keys()) {
+        if (current.finished.has(occurrence)) {
+            current.occurrences.delete(occurrence);
+        }
     }
 }
 
@@ -122,7 +117,8 @@
     for (const [number, occurrence] of current.occurrences) {
         const tasks = progress.takeTouchedTasks(occurrence);
         if (tasks.size > 0 && progress.isFinished(occurrence)) {
-            progress.addOccurrence(current.finished, number);
+            current.finished.add(number);
+            current.occurrences.delete(number);
             finished.push(number);
             continue;
         }
@@ -139,10 +135,8 @@
 export function touchAll(current: progress.Progress): void {
     for (const occurrence of current.occurrences.values()) {
         occurrence.histories.forEach((_, task) => progress.touchTask(occurrence, task));
-        occurrence.done.forEach((flag, task) => {
-            if (flag === 1) {
-                progress.touchTask(occurrence, task);
-            }
-        });
+        for (const task of occurrence.done) {
+            progress.touchTask(occurrence, task);
+        }
     }
 }
--- a/packages/job-state/src/progress.ts
+++ b/packages/job-state/src/progress.ts
@@ -5,6 +5,7 @@
  * Only the coordinator changes progress, and writes it to the ledger; every other process takes over the newest
  * progress record of each job from there.
  */
+import * as indexRanges from "./index-ranges.js";
 import * as jobs from "./job.js";
 
 /**
@@ -57,16 +58,14 @@
 
 /** Progress of one occurrence of a job. */
 export interface OccurrenceProgress {
-    /** One flag per task, counted over all steps: 1 for done, 0 otherwise. */
-    readonly done: Uint8Array;
-    doneCount: number;
+    /** Number of its tasks, over all steps. */
+    readonly taskCount: number;
+    /** Tasks that are done, counted over all steps. */
+    readonly done: indexRanges.IndexRanges;
     /** By task index, counted over all steps. */
     readonly histories: Map<number, TaskHistory>;
 }
 
-/** Consecutive occurrences: number of the first, and how many. */
-export type OccurrenceRange = [first: number, count: number];
-
 /** Division of each occurrence into parts. */
 export interface PartLayout {
     /** Number of tasks in each part but the last. */
@@ -86,9 +85,9 @@
     begun: boolean;
     /** How it is divided if it is stored in parts, see `progress-parts.ts`; `undefined` for one record. */
     parts: PartLayout | undefined;
-    /** Finished occurrences in ascending ranges; only of progress that is stored in parts. */
-    finished: OccurrenceRange[];
-    /** By occurrence number; an occurrence is absent until its first change. */
+    /** Finished occurrences; only of progress that is stored in parts. */
+    finished: indexRanges.IndexRanges;
+    /** By occurrence number; an occurrence is absent until its first change, and once it is among the finished ones. */
     readonly occurrences: Map<number, OccurrenceProgress>;
 }
 
@@ -98,13 +97,13 @@
         statusAt: now,
         begun: false,
         parts: undefined,
-        finished: [],
+        finished: new indexRanges.IndexRanges(),
         occurrences: new Map(),
     };
 }
 
 export function createOccurrence(taskCount: number): OccurrenceProgress {
-    return { done: new Uint8Array(taskCount), doneCount: 0, histories: new Map() };
+    return { taskCount, done: new indexRanges.IndexRanges(), histories: new Map() };
 }
 
 /** Tasks whose progress may have changed since it was last taken for the ledger. */
@@ -130,76 +129,18 @@
 
 /** Whether all tasks are done and none of their runs may be under way. */
 export function isFinished(occurrence: OccurrenceProgress): boolean {
-    return occurrence.doneCount === occurrence.done.length
+    return occurrence.done.size === occurrence.taskCount
         && [...occurrence.histories.values()].every(({ runs }) => runs.length === 0);
 }
 
-/** Adds an occurrence to ascending ranges. */
-export function addOccurrence(ranges: OccurrenceRange[], occurrence: number): void {
-    const at = findRange(ranges, occurrence);
-    const before = ranges[at - 1];
-    const after = ranges[at];
-    if (includesOccurrence(ranges, occurrence)) {
-        return;
-    }
-    const joinsBefore = before !== undefined && before[0] + before[1] === occurrence;
-    const joinsAfter = after !== undefined && after[0] === occurrence + 1;
-    if (joinsBefore) {
-        before[1] += joinsAfter ? after[1] + 1 : 1;
-        ranges.splice(at, joinsAfter ? 1 : 0);
-    }
-    else {
-        ranges.splice(at, joinsAfter ? 1 : 0, [occurrence, joinsAfter ? after[1] + 1 : 1]);
-    }
-}
-
-export function includesOccurrence(ranges: readonly OccurrenceRange[], occurrence: number): boolean {
-    return findEnd(ranges, occurrence) !== undefined;
-}
-
-/** Occurrences of the newer ranges that aren't in the older ones, in ascending order. */
-export function listAddedOccurrences(
-    older: readonly OccurrenceRange[],
-    newer: readonly OccurrenceRange[],
-): number[] {
-    const added: number[] = [];
-    for (const [first, count] of newer) {
-        for (let occurrence = first; occurrence < first + count;) {
-            const end = findEnd(older, occurrence);
-            if (end === undefined) {
-                added.push(occurrence);
-            }
-            occurrence = end ?? occurrence + 1;
-        }
-    }
-    return added;
-}
-
-/** Number after the last one of the range with the occurrence; `undefined` if none has it. */
-function findEnd(ranges: readonly OccurrenceRange[], occurrence: number): number | undefined {
-    const range = ranges[findRange(ranges, occurrence) - 1];
-    const end = range === undefined ? occurrence : range[0] + range[1];
-    return occurrence < end ? end : undefined;
-}
-
-/** Index of the first range that begins after the occurrence. */
-function findRange(ranges: readonly OccurrenceRange[], occurrence: number): number {
-    let low = 0;
-    let high = ranges.length;
-    while (low < high) {
-        const middle = (low + high) >> 1;
-        if (ranges[middle]![0] <= occurrence) {
-            low = middle + 1;
-        }
-        else {
-            high = middle;
-        }
-    }
-    return low;
-}
-
+/** The occurrence's progress, to be changed; of a finished one a copy, of which no task is open. */
 export function getOrCreateOccurrence(progress: Progress, job: jobs.Job, occurrence: number): OccurrenceProgress {
     let found = progress.occurrences.get(occurrence);
+    if (found === undefined && progress.finished.has(occurrence)) {
+        const copy = createOccurrence(jobs.countTasks(job));
+        copy.done.addRange(0, copy.taskCount);
+        return copy;
+    }
     if (found === undefined) {
         found = createOccurrence(jobs.countTasks(job));
         progress.occurrences.set(occurrence, found);
@@ -228,14 +169,19 @@
     return found;
 }
 
-/** Marks a task as done. Its history is kept in memory, but no longer stored once none of its runs may be under way. */
+/** Marks a task as done. Its history is no longer stored once none of its runs may be under way. */
 export function markDone(progress: OccurrenceProgress, task: number): void {
-    if (progress.done[task] === 1) {
-        return;
+    if (!progress.done.has(task)) {
+        touchTask(progress, task);
+        progress.done.add(task);
+    }
+}
+
+/** Drops the task's history if nothing needs it any more: the task is done, and none of its runs may be under way. */
+export function dropEndedHistory({ done, histories }: OccurrenceProgress, task: number): void {
+    if (done.has(task) && histories.get(task)?.runs.length === 0) {
+        histories.delete(task);
     }
-    touchTask(progress, task);
-    progress.done[task] = 1;
-    progress.doneCount += 1;
 }
 
 /** Whether the status is final. Runs of a settled job may still be under way. */
@@ -252,29 +198,39 @@
 /** Whether all tasks of all occurrences are done. */
 export function isComplete(progress: Progress, job: jobs.Job): boolean {
     const occurrenceCount = jobs.countOccurrences(job);
-    if (progress.occurrences.size < occurrenceCount) {
+    if (progress.finished.size + progress.occurrences.size < occurrenceCount) {
         return false;
     }
     const taskCount = jobs.countTasks(job);
-    for (let occurrence = 0; occurrence < occurrenceCount; occurrence++) {
-        const found = progress.occurrences.get(occurrence);
-        if (found === undefined || found.doneCount < taskCount) {
-            return false;
-        }
-    }
-    return true;
+    const open = [...progress.occurrences].filter(([number]) => !progress.finished.has(number));
+    const complete = open.filter(([number, { done }]) => number < occurrenceCount && done.size === taskCount);
+    return progress.finished.size + complete.length >= occurrenceCount;
 }
 
 /** Whether any task of the job is done. */
-export function hasResults(progress: Progress): boolean {
-    for (const occurrence of progress.occurrences.values()) {
-        if (occurrence.doneCount > 0) {
+export function hasResults({ finished, occurrences }: Progress): boolean {
+    if (finished.size > 0) {
+        return true;
+    }
+    for (const { done } of occurrences.values()) {
+        if (done.size > 0) {
             return true;
         }
     }
     return false;
 }
 
+/** Number of the job's runs that may be under way. */
+export function countRuns({ occurrences }: Progress): number {
+    let count = 0;
+    for (const { histories } of occurrences.values()) {
+        for (const { runs } of histories.values()) {
+            count += runs.length;
+        }
+    }
+    return count;
+}
+
 /** Whether any run of the job may be under way. */
 export function hasRuns(progress: Progress): boolean {
     for (const occurrence of progress.occurrences.values()) {
--- a/packages/job-state/src/records.test.ts
+++ b/packages/job-state/src/records.test.ts
@@ -37,7 +37,7 @@
     const decoded = jobState.decodeLedger(record.key, record.value);
     assert.ok(decoded?.kind === "progress" && decoded.id === job.id);
     const restored = decoded.progress.occurrences.get(0)!;
-    assert.is(restored.doneCount, 2);
+    assert.is(restored.done.size, 2);
     assert.equal([...restored.done], [...occurrence.done]);
     assert.equal(restored.histories.get(10), history);
     assert.ok(decoded.progress.begun);
--- a/packages/job-state/src/records.ts
+++ b/packages/job-state/src/records.ts
@@ -9,6 +9,7 @@
  */
 import * as cbor from "cbor-x";
 import * as endedJob from "./ended-job.js";
+import * as indexRanges from "./index-ranges.js";
 import * as jobs from "./job.js";
 import * as codec from "./occurrence-codec.js";
 import * as parts from "./progress-parts.js";
@@ -131,7 +132,7 @@
     /** `occurrences`; none if they are stored in parts. */
     readonly o: readonly codec.StoredOccurrence[];
     /** `parts`, size and number of tasks, and `finished`; absent without parts. */
-    readonly p?: readonly [number, number, readonly progress.OccurrenceRange[]];
+    readonly p?: readonly [number, number, readonly indexRanges.IndexRange[]];
 }
 
 const finalStatuses: ReadonlySet<unknown> = new Set(Object.values(jobs.JobStatus).filter(progress.isSettled));
@@ -278,7 +279,7 @@
             }
         }
     }
-    const jobRecord = encodeStored(id, current, { o: [], p: [size, taskCount, current.finished] });
+    const jobRecord = encodeStored(id, current, { o: [], p: [size, taskCount, current.finished.ranges] });
     return { parts: changedParts, job: jobRecord, obsolete };
 }
 
@@ -420,14 +421,14 @@
     restored.status = stored.s;
     restored.begun = stored.b;
     for (const occurrence of stored.o) {
-        const done = codec.unpackFlags(occurrence.d, occurrence.n);
-        const doneCount = done.reduce((sum, flag) => sum + flag, 0);
-        restored.occurrences.set(occurrence.k, { done, doneCount, histories: codec.restoreHistories(occurrence) });
+        const { k: number, n: taskCount, d: flags } = occurrence;
+        const done = codec.unpackFlags(flags, { first: 0, count: taskCount });
+        restored.occurrences.set(number, { taskCount, done, histories: codec.restoreHistories(occurrence) });
     }
     if (stored.p !== undefined) {
         const [size, taskCount, finished] = stored.p;
         restored.parts = { size, taskCount };
-        restored.finished = finished.map(([first, count]) => [first, count]);
+        restored.finished = new indexRanges.IndexRanges(finished);
     }
     return restored;
 }
--- a/packages/node/src/entry-instance.ts
+++ b/packages/node/src/entry-instance.ts
@@ -13,6 +13,7 @@
 import type * as http from "node:http";
 import type * as net from "node:net";
 import * as timers from "node:timers/promises";
+import * as v8 from "node:v8";
 import * as explanations from "./explanations.js";
 import * as metrics from "./metrics.js";
 import * as peerDirectory from "./peer-directory.js";
@@ -55,6 +56,8 @@
 const maxWaitsAge = 1500;
 /** Time in ms between two checks whether the readiness has changed, for the log. */
 const readinessCheckInterval = 50;
+/** Number of runs that a coordinator in this process may have under way. */
+const runLimit = scheduling.computeRunLimit(v8.getHeapStatistics().heap_size_limit);
 /** Time in ms between two removals of old submissions from the count for committed rates. */
 const committedRatesSweepInterval = 10_000;
 
@@ -184,6 +187,7 @@
         });
         this.#explanations = new explanations.Explanations({
             storeLimits: settings.storeLimits,
+            largestGang: scheduling.computeLargestGang(runLimit),
             requiresKeys: settings.requiresKeys,
             jobs: this.#jobs,
             now,
@@ -299,6 +303,7 @@
         return new intake.JobApi({
             jobs: this.#jobs,
             storeLimits: this.settings.storeLimits,
+            largestGang: scheduling.computeLargestGang(runLimit),
             writer: new intake.SubmissionWriter({
                 store: this.#store,
                 storeLimits: this.settings.storeLimits,
@@ -576,6 +581,7 @@
             settings: this.settings,
             claim,
             processStart: this.#processStart,
+            runLimit,
             store: this.#store,
             calls: this.#httpClient,
             serverCalls: this.#serverClient,
--- a/packages/node/src/explanations.test.ts
+++ b/packages/node/src/explanations.test.ts
@@ -47,6 +47,7 @@
     jobs.applySubmission(record.key, record.value);
     return new explanations.Explanations({
         storeLimits: { appendSize: 100_000, recordSize: 100_000 },
+        largestGang: 1000,
         requiresKeys: true,
         jobs,
         now: () => 1000,
--- a/packages/node/src/explanations.ts
+++ b/packages/node/src/explanations.ts
@@ -13,8 +13,7 @@
 /** ID of a submission whose path names none; no caller's job has one of this form. */
 const previewId = "submission";
 
-export interface ExplanationsOptions {
-    readonly storeLimits: platform.settings.StoreLimits;
+export interface ExplanationsOptions extends intake.JobLimits {
     /** The deployment has organisations: requests need a key unless their route is public. */
     readonly requiresKeys: boolean;
     readonly jobs: jobState.JobTable;
@@ -151,8 +150,9 @@
             ...submission,
             submittedAt: this.options.now(),
         };
-        if (!store.isStorable(jobState.encodeJob(job), this.options.storeLimits)) {
-            return refused(413, "the job is too large for the store");
+        const oversized = intake.refuseOversized(job, jobState.encodeJob(job), this.options);
+        if (oversized !== undefined) {
+            return refused(oversized.status, oversized.reason ?? "");
         }
         const startDelay = this.options.startDelay();
         const overload = scheduling.canMeetObjective(job, route, startDelay)
--- a/packages/scheduling/src/index.ts
+++ b/packages/scheduling/src/index.ts
@@ -21,6 +21,7 @@
 export * from "./quota.js";
 export * from "./ready.js";
 export * from "./reservations.js";
+export * from "./run-budget.js";
 export * from "./run-time-prediction.js";
 export * from "./start-delay.js";
 export * from "./start-limit.js";
--- a/packages/scheduling/src/objective.test.ts
+++ b/packages/scheduling/src/objective.test.ts
@@ -13,6 +13,7 @@
     objective: 1500,
     criticalPath: 500,
     longRunning: false,
+    readyTasks: 1,
     begun: false,
     beyondRate: false,
     share: 0,
@@ -109,4 +110,11 @@
     },
 );
 
+suite("an expired job isn't completed, as all tasks of a wide one that began before it go first", () => {
+    const wide = scheduling.rank({ ...work, objective: 200, begun: true, readyTasks: 900_000 }, policy, 900);
+    const narrow = scheduling.rank({ ...work, objective: 300 }, policy, 900);
+    assert.is(wide.timeliness, Timeliness.expired);
+    assert.equal([wide, narrow].sort(scheduling.compareRanks), [narrow, wide]);
+});
+
 suite.run();
--- a/packages/scheduling/src/objective.ts
+++ b/packages/scheduling/src/objective.ts
@@ -87,6 +87,9 @@
     return jobState.findDueTime(job, occurrence) + policy.slackFactor * criticalPath + policy.latencyAllowance;
 }
 
+/** Ready tasks from which on a step counts as wide. */
+const wideStep = 1000;
+
 /** Expected timeliness of a job that runs from now on; lower values go first. */
 export const Timeliness = {
     /** It can meet its objective, within `begunLatenessTolerance` or with `unbegunSlackMargin`. */
@@ -106,6 +109,8 @@
     readonly timeliness: Timeliness;
     /** The job lies beyond its organisation's committed rate, see `committed-rate.ts`. */
     readonly beyondRate: boolean;
+    /** The step has so many ready tasks that it may take all room for long. */
+    readonly wide: boolean;
     /**
      * A task of the job has been started. Such a job goes before one that hasn't begun; with capacity split between
      * them, both might be late.
@@ -123,7 +128,8 @@
  *
  * Jobs beyond the committed rate go after all jobs within theirs that are of use to their callers, also when they have
  * begun: their organisation has no claim to what they would displace, and the work done isn't lost while they wait.
- * Expired jobs go after them, since nobody gains by those. Shares decide between jobs that are equally timely: before the
+ * Expired jobs go after them, since nobody gains by those, and wide ones among these last: others would wait for all their
+ * tasks. Shares decide between jobs that are equally timely: before the
  * timeliness or the begun jobs they would make more jobs late than they save.
  */
 export function compareRanks(a: Rank, b: Rank): number {
@@ -131,7 +137,8 @@
         return a.longRunning ? -1 : 1;
     }
     return Number(isExpired(a)) - Number(isExpired(b)) || Number(a.beyondRate) - Number(b.beyondRate)
-        || a.timeliness - b.timeliness || a.priority - b.priority || Number(b.begun) - Number(a.begun)
+        || a.timeliness - b.timeliness || (isExpired(a) ? Number(a.wide) - Number(b.wide) : 0)
+        || a.priority - b.priority || Number(b.begun) - Number(a.begun)
         || a.share - b.share || a.slack - b.slack;
 }
 
@@ -148,6 +155,8 @@
     /** Length of the remaining critical path, from the step that is to start to the end of the job. */
     readonly criticalPath: number;
     readonly longRunning: boolean;
+    /** Number of tasks that are ready. */
+    readonly readyTasks: number;
     /** A task of the job has been started. */
     readonly begun: boolean;
     /** The job lies beyond its organisation's committed rate. */
@@ -161,7 +170,8 @@
     const { longRunning, begun, beyondRate, share } = work;
     const slack = work.objective - now - work.criticalPath;
     const timeliness = classifyTimeliness(work, slack, now);
-    return { longRunning, priority: policy.priority, timeliness, beyondRate, begun, share, slack };
+    const wide = work.readyTasks > wideStep;
+    return { longRunning, priority: policy.priority, timeliness, beyondRate, wide, begun, share, slack };
 }
 
 function classifyTimeliness(work: RemainingWork, slack: number, now: number): Timeliness {
--- a/packages/scheduling/src/ready.ts
+++ b/packages/scheduling/src/ready.ts
@@ -11,7 +11,7 @@
     /** Index of the step. */
     readonly step: number;
     /** Task indices, counted over all steps of the job. */
-    readonly tasks: readonly number[];
+    readonly tasks: jobState.IndexRanges;
     /** Each of the tasks starts alone on its server, see `crashes.ts`; a gang starts apart from other tasks. */
     readonly alone: boolean;
 }
@@ -25,6 +25,7 @@
     readonly nextDue: number | undefined;
 }
 
+const noTasks: jobState.IndexRanges = new jobState.IndexRanges();
 const noneReady: Readiness = { steps: [], nextDue: undefined };
 
 /**
@@ -47,8 +48,13 @@
     const taskCount = jobState.countTasks(job);
     let examined = 0;
     for (let occurrence = 0; occurrence < occurrenceCount && examined < maxExaminedOccurrences; occurrence++) {
+        const finishedEnd = progress.finished.findEnd(occurrence);
+        if (finishedEnd !== undefined) {
+            occurrence = finishedEnd - 1;
+            continue;
+        }
         const occurrenceProgress = progress.occurrences.get(occurrence);
-        if (occurrenceProgress?.doneCount === taskCount) {
+        if (occurrenceProgress?.done.size === taskCount) {
             continue;
         }
         // A job without repetition is due at once: its `submittedAt` is by another process's clock, which may be ahead.
@@ -69,60 +75,60 @@
     occurrence: number,
     readySteps: ReadyStep[],
 ): void {
-    const completeFlags = flagCompleteSteps(job, occurrenceProgress);
-    let firstTask = 0;
+    const { done, taken, startingAlone } = sortTasks(occurrenceProgress);
+    let end = 0;
+    const ranges = job.steps.map(({ taskCount }) => {
+        end += taskCount;
+        return { first: end - taskCount, count: taskCount };
+    });
+    const isComplete = ranges.map(({ first, count }) => done.countIn(first, count) === count);
     job.steps.forEach((step, i) => {
-        if (!completeFlags[i] && step.dependsOn.every(earlier => completeFlags[earlier])) {
-            const ready = listStartable(step, occurrenceProgress, firstTask);
-            const alone = ready.filter(task => occurrenceProgress?.histories.get(task)?.startsAlone === true);
-            const others = step.gang && alone.length > 0 ? [] : ready.filter(task => !alone.includes(task));
-            if (others.length > 0) {
-                readySteps.push({ occurrence, step: i, tasks: others, alone: false });
-            }
-            if (alone.length > 0) {
-                readySteps.push({ occurrence, step: i, tasks: step.gang ? ready : alone, alone: true });
-            }
+        if (isComplete[i] || !step.dependsOn.every(earlier => isComplete[earlier])) {
+            return;
         }
-        firstTask += step.taskCount;
-    });
-}
-
-/** One flag per step: whether all its tasks are done. */
-function flagCompleteSteps(job: jobState.Job, occurrenceProgress: jobState.OccurrenceProgress | undefined): boolean[] {
-    let end = 0;
-    return job.steps.map(step => {
-        const first = end;
-        end += step.taskCount;
-        if (occurrenceProgress === undefined) {
-            return false;
+        const { first, count } = ranges[i]!;
+        const ready = taken.complement(first, count);
+        // Members of a gang start together or not at all: while a run of one may be under way, none is ready. They are also
+        // marked as done together.
+        if (ready.size === 0 || (step.gang && ready.size < count)) {
+            return;
         }
-        for (let task = first; task < end; task++) {
-            if (occurrenceProgress.done[task] !== 1) {
-                return false;
-            }
+        const alone = startingAlone.clip(first, count);
+        if (step.gang && alone.size > 0) {
+            readySteps.push({ occurrence, step: i, tasks: ready, alone: true });
+            return;
+        }
+        alone.ranges.forEach(range => ready.deleteRange(...range));
+        if (ready.size > 0) {
+            readySteps.push({ occurrence, step: i, tasks: ready, alone: false });
+        }
+        if (alone.size > 0) {
+            readySteps.push({ occurrence, step: i, tasks: alone, alone: true });
         }
-        return true;
     });
 }
 
-/**
- * Tasks of a step, whose first one is `firstTask`, that aren't done, have no run that may be under way, and don't wait for the
- * judgement of a crash.
- */
-function listStartable(
-    step: jobState.Step,
-    occurrenceProgress: jobState.OccurrenceProgress | undefined,
-    firstTask: number,
-): number[] {
-    const startable: number[] = [];
-    for (let task = firstTask; task < firstTask + step.taskCount; task++) {
-        const history = occurrenceProgress?.histories.get(task);
-        const mayStart = history === undefined || history.runs.length === 0 && !history.awaitsJudgement;
-        if (occurrenceProgress?.done[task] !== 1 && mayStart) {
-            startable.push(task);
+/** Tasks of an occurrence, by what keeps them from starting. */
+interface SortedTasks {
+    readonly done: jobState.IndexRanges;
+    /** Those that are done, have a run that may be under way, or wait for the judgement of a crash. */
+    readonly taken: jobState.IndexRanges;
+    /** Those of the others that start alone. */
+    readonly startingAlone: jobState.IndexRanges;
+}
+
+/** Costs time by the number of tasks that were started and aren't done, not by that of all tasks. */
+function sortTasks(occurrenceProgress: jobState.OccurrenceProgress | undefined): SortedTasks {
+    const done = occurrenceProgress?.done ?? noTasks;
+    const taken = new jobState.IndexRanges(done.ranges);
+    const startingAlone = new jobState.IndexRanges();
+    for (const [task, history] of occurrenceProgress?.histories ?? []) {
+        if (history.runs.length > 0 || history.awaitsJudgement) {
+            taken.add(task);
+        }
+        else if (history.startsAlone && !done.has(task)) {
+            startingAlone.add(task);
         }
     }
-    // Members of a gang start together or not at all: while a run of one may be under way, none is ready. They are also
-    // marked as done together.
-    return step.gang && startable.length < step.taskCount ? [] : startable;
+    return { done, taken, startingAlone };
 }
--- a/packages/scheduling/src/start-limit.ts
+++ b/packages/scheduling/src/start-limit.ts
@@ -17,6 +17,17 @@
 /** Factor by which the limit rises. */
 const increase = 1.3;
 
+/** Part of the room that each service may use, however many starts others take. */
+const serviceShare = 1 / 16;
+
+/**
+ * Number of starts that may be added for one service, after `started` for those before it. A service whose tasks are always
+ * ready and go first would otherwise keep those of the others from starting.
+ */
+export function computeServiceRoom(room: number, started: number): number {
+    return Math.max(room - started, Math.ceil(room * serviceShare));
+}
+
 export class StartLimit {
     #limit = initialLimit;
     #durations: number[] = [];
--- a/packages/types/src/placement-explanation.ts
+++ b/packages/types/src/placement-explanation.ts
@@ -38,6 +38,8 @@
     /** Steps that it depends on, or the due time of its occurrence. */
     notReady: "notReady",
     quota: "quota",
+    /** The coordinator has as many runs under way as it has memory for. */
+    runs: "runs",
     /** A ticket of the advice service. */
     ticket: "ticket",
     /** It is beyond its organisation's committed rate, and a step within its own waits for room and can be on time. */
