Bound gangs by the memory that their starts take

The limit of half of the heap, at 4 KB for each run, was too high for gangs and would have been too low for many ordinary runs. Change: separate limits.

--- a/packages/dispatch/src/coordinator.ts
+++ b/packages/dispatch/src/coordinator.ts
@@ -63,8 +63,8 @@
     readonly claim: leaderElection.Claim;
     /** Unix time in ms; tells this process from an earlier one of the same node. */
     readonly processStart: number;
-    /** Number of runs that this process has memory for. */
-    readonly runLimit: number;
+    /** What this process has memory for. */
+    readonly runLimits: scheduling.RunLimits;
     readonly store: storeClient.StoreClient;
     readonly calls: httpCalls.HttpClient;
     /** For calls to backend servers. */
@@ -200,7 +200,7 @@
         this.#tickets = new ticketCache.TicketCache(this.#shared);
         this.#sweeper = new jobSweeper.JobSweeper(this.#shared, store);
         this.#placer = new placer.Placer(this.#shared, this.#runManager, this.#tickets, this.registry.runTimes, {
-            limit: options.runLimit,
+            limits: options.runLimits,
             countUnderWay: () => workCensus.countRuns(this.fleet.sessions.values()),
         });
         this.#explainer = new placementExplainer.PlacementExplainer({
--- a/packages/dispatch/src/placer.ts
+++ b/packages/dispatch/src/placer.ts
@@ -39,14 +39,14 @@
     overRunLimit: number;
 }
 
-/** What bounds the runs that a coordinator has under way. */
-export interface RunLimit {
-    readonly limit: number;
+/** What bounds the runs that a coordinator has under way, and how many there are. */
+export interface RunCapacity {
+    readonly limits: scheduling.RunLimits;
     /** Number of runs of all jobs that are under way. */
     readonly countUnderWay: () => number;
 }
 
-const noRunLimit: RunLimit = { limit: Number.POSITIVE_INFINITY, countUnderWay: () => 0 };
+const unlimitedRuns: RunCapacity = { limits: scheduling.noRunLimits, countUnderWay: () => 0 };
 
 /** Share of the tasks of a step that end within their expected duration, where they may start on a reserved server. */
 const backfillQuantile = 0.8;
@@ -99,7 +99,7 @@
         private readonly runs: runManager.RunManager,
         private readonly tickets: ticketCache.TicketCache,
         private readonly runTimes = new scheduling.RunTimePrediction(),
-        private readonly runLimit = noRunLimit,
+        private readonly runCapacity = unlimitedRuns,
         private readonly reservationPolicy = scheduling.defaultReservationPolicy,
     ) {}
 
@@ -221,7 +221,7 @@
     }
 
     #beginRunBudget(): scheduling.RunBudget {
-        return new scheduling.RunBudget(this.runLimit.limit, this.runLimit.countUnderWay());
+        return new scheduling.RunBudget(this.runCapacity.limits, this.runCapacity.countUnderWay());
     }
 
     /** Number of the candidate's tasks that may start by the limit on runs, at most `wanted`. */
--- a/packages/dispatch/src/testing/simulation.ts
+++ b/packages/dispatch/src/testing/simulation.ts
@@ -9,6 +9,7 @@
 import * as jobTesting from "@catkinwharf/job-state/testing";
 import * as platform from "@catkinwharf/platform";
 import * as platformTesting from "@catkinwharf/platform/testing";
+import * as scheduling from "@catkinwharf/scheduling";
 import * as neverthrow from "neverthrow";
 import * as coordinator from "../coordinator.js";
 import * as earlierOrders from "../earlier-orders.js";
@@ -70,8 +71,8 @@
     /** Share of a core that the coordinator gets; its work takes no time if there is none. */
     readonly processorShare?: number;
     readonly storeLimits?: platform.settings.StoreLimits;
-    /** Number of runs that a coordinator may have under way; unlimited unless given. */
-    readonly runLimit?: number;
+    /** What bounds the runs that a coordinator has under way; nothing unless given. */
+    readonly runLimits?: scheduling.RunLimits;
     /** Reading in ms at which a server's clock begins in each boot; 0 if there is none. */
     readonly chooseClockStart?: () => number;
     /**
@@ -400,7 +401,7 @@
             },
             claim,
             processStart: epoch,
-            runLimit: this.options.runLimit ?? Number.POSITIVE_INFINITY,
+            runLimits: this.options.runLimits ?? scheduling.noRunLimits,
             store: new memoryStore.MemoryStore(
                 this.#topics,
                 this.time,
--- a/packages/node/src/entry-instance.ts
+++ b/packages/node/src/entry-instance.ts
@@ -56,8 +56,8 @@
 const maxWaitsAge = 1500;
 /** Time in ms between two checks whether the readiness has changed, for the log. */
 const readinessCheckInterval = 50;
-/** Number of runs that a coordinator in this process may have under way. */
-const runLimit = scheduling.computeRunLimit(v8.getHeapStatistics().heap_size_limit);
+/** What a coordinator in this process has memory for. */
+const runLimits = scheduling.computeRunLimits(v8.getHeapStatistics().heap_size_limit);
 /** Time in ms between two removals of old submissions from the count for committed rates. */
 const committedRatesSweepInterval = 10_000;
 
@@ -187,7 +187,7 @@
         });
         this.#explanations = new explanations.Explanations({
             storeLimits: settings.storeLimits,
-            largestGang: scheduling.computeLargestGang(runLimit),
+            largestGang: runLimits.gang,
             requiresKeys: settings.requiresKeys,
             jobs: this.#jobs,
             now,
@@ -303,7 +303,7 @@
         return new intake.JobApi({
             jobs: this.#jobs,
             storeLimits: this.settings.storeLimits,
-            largestGang: scheduling.computeLargestGang(runLimit),
+            largestGang: runLimits.gang,
             writer: new intake.SubmissionWriter({
                 store: this.#store,
                 storeLimits: this.settings.storeLimits,
@@ -581,7 +581,7 @@
             settings: this.settings,
             claim,
             processStart: this.#processStart,
-            runLimit,
+            runLimits,
             store: this.#store,
             calls: this.#httpClient,
             serverCalls: this.#serverClient,
--- a/packages/scheduling/src/run-budget.ts
+++ b/packages/scheduling/src/run-budget.ts
@@ -7,24 +7,33 @@
  */
 import type * as jobState from "@catkinwharf/job-state";
 
-/** Bytes of memory that a run takes: its record and that of its server's lists, the task's history, and a call that starts it. */
-const runSize = 4096;
-/** Largest share of the memory that runs may take. */
-const memoryShare = 0.5;
-
-/** Number of runs that a process with so many bytes of memory may have under way. */
-export function computeRunLimit(memory: number): number {
-    return Math.floor(memory * memoryShare / runSize);
+/** What bounds the runs of a coordinator. */
+export interface RunLimits {
+    /** Number of runs that may be under way. */
+    readonly runs: number;
+    /** Number of tasks of the largest gang that can start: all of its starts are under way at once. */
+    readonly gang: number;
 }
 
+export const noRunLimits: RunLimits = { runs: Number.POSITIVE_INFINITY, gang: Number.POSITIVE_INFINITY };
+
+/** Bytes that a run takes: its record, its task's history, and its row in the lists of its server. */
+const runSize = 1024;
+/** Bytes that a start takes beside its run, until it is answered. */
+const startSize = 8192;
+/** Shares of the memory that all runs, and the starts of one gang, may take. */
+const runsShare = 0.25;
+const gangShare = 0.25;
 /** Share of the runs that only jobs with few runs may take. */
 const reservedShare = 0.25;
 /** Runs that a job may have by that share, in proportion to the limit. */
 const fewRunsShare = 0.001;
 
-/** Largest gang that can start while no other run is under way. */
-export function computeLargestGang(runLimit: number): number {
-    return Math.floor(runLimit * (1 - reservedShare) / 2);
+/** What a process with so many bytes of memory can keep. */
+export function computeRunLimits(memory: number): RunLimits {
+    const runs = Math.floor(memory * runsShare / runSize);
+    const gang = Math.min(memory * gangShare / startSize, runs * (1 - reservedShare) / 2);
+    return { runs, gang: Math.floor(gang) };
 }
 
 /** Number of tasks of the job's widest gang; 0 without one. */
@@ -34,7 +43,7 @@
 
 export class RunBudget {
     /** @param underWay runs of all jobs */
-    constructor(private readonly limit: number, private underWay: number) {}
+    constructor(private readonly limits: RunLimits, private underWay: number) {}
 
     /**
      * Number of tasks of a step that may start now, at most `wanted`; all or none of a gang.
@@ -42,12 +51,17 @@
      * @param ownRuns runs of its job that are under way
      */
     countAllowed(ownRuns: number, wanted: number, gang: boolean): number {
-        const free = this.limit - this.underWay;
-        const shared = (free - this.limit * reservedShare - ownRuns) / 2;
-        const reserved = Math.min(free, Math.ceil(this.limit * fewRunsShare) - ownRuns);
-        const allowed = this.limit === Number.POSITIVE_INFINITY
-            ? wanted
-            : Math.max(0, Math.floor(shared), reserved);
+        const { runs, gang: largestGang } = this.limits;
+        if (gang && wanted > largestGang) {
+            return 0;
+        }
+        if (runs === Number.POSITIVE_INFINITY) {
+            return wanted;
+        }
+        const free = runs - this.underWay;
+        const shared = (free - runs * reservedShare - ownRuns) / 2;
+        const reserved = Math.min(free, Math.ceil(runs * fewRunsShare) - ownRuns);
+        const allowed = Math.max(0, Math.floor(shared), reserved);
         return gang && allowed < wanted ? 0 : Math.min(wanted, allowed);
     }
 
