Store cancellations of unknown jobs before they are answered

What callers saw: a POST got 504, as the store gave no answer. Its caller cancelled the job at another entry process, which answered 410.

Cause: the answer to a cancellation took a write without a response for one that won't be carried out. Nothing was stored for a job that wasn't, and the process that knew of the open write may have ended.

Change: a DELETE of a job that isn't stored, or not shown to its caller, stores a cancellation in advance for that ID, queue and organisation before it is answered; whoever reads it takes such a job for cancelled, in whatever order the records come. The coordinator removes it after 30 s, or once the end of a job that was stored meanwhile is. A POST of the ID gets 429 until then: one that was on its way when the job was cancelled arrives like this. A submission isn't sent for more than 10 s, nor after its caller's time or once it is cancelled. A process keeps 500 such records at most, of which each queue, connection or organisation has a share. Submissions cost nothing more.

--- a/packages/dispatch/src/job-sweeper.ts
+++ b/packages/dispatch/src/job-sweeper.ts
@@ -14,6 +14,7 @@
 import * as jobState from "@catkinwharf/job-state";
 import * as platform from "@catkinwharf/platform";
 import * as storeClient from "@catkinwharf/store";
+import * as advanceCancellationSweep from "./advance-cancellation-sweep.js";
 import type * as context from "./context.js";
 import * as epochAppender from "./epoch-appender.js";
 
@@ -29,6 +30,7 @@
     #sweeping = false;
     /** On the monotonic clock: when each settled job was first seen so, by its ID. */
     #seenSettledAt: ReadonlyMap<string, number> = new Map();
+    readonly #advanceCancellations = new advanceCancellationSweep.AdvanceCancellationSweep();
 
     constructor(private readonly shared: context.CoordinatorContext, store: storeClient.StoreClient) {
         this.#appender = new epochAppender.EpochAppender(
@@ -55,6 +57,7 @@
         this.#sweeping = true;
         await this.#remove();
         await this.#shorten();
+        await this.#removeAdvanceCancellations();
         this.#sweeping = false;
     }
 
@@ -76,6 +79,22 @@
         }
     }
 
+    async #removeAdvanceCancellations(): Promise<void> {
+        const { jobs, clock, log, mayExtendLeases } = this.shared;
+        const due = this.#advanceCancellations.listDue(jobs, clock.monotonic());
+        const records = due.map(key => jobState.encodeTombstone(key));
+        while (records.length > 0) {
+            const batch = this.#takeBatch(records);
+            if (!mayExtendLeases() || !await this.#appender.append(batch)) {
+                return;
+            }
+            batch.forEach(({ key, value }) => jobs.applySubmission(key, value, false));
+        }
+        if (due.length > 0) {
+            log.info("advance-cancellations-removed", { count: due.length, left: jobs.advanceCancellations.size });
+        }
+    }
+
     #takeBatch(records: platform.storeCalls.KeyedRecord[]): platform.storeCalls.KeyedRecord[] {
         const batch = new storeClient.RecordBatch(this.shared.settings.storeLimits);
         const count = records.slice(0, maxRecordsPerAppend).findIndex(record => !batch.add(record));
--- a/packages/intake/src/job-api.ts
+++ b/packages/intake/src/job-api.ts
@@ -10,6 +10,7 @@
 import * as timers from "node:timers/promises";
 import * as polka from "polka";
 import * as authentication from "./authentication.js";
+import * as cancellationRoom from "./cancellation-room.js";
 import * as jobLimits from "./job-limits.js";
 import * as jobResponses from "./job-responses.js";
 import * as limitedWait from "./limited-wait.js";
@@ -187,6 +188,18 @@
         || (known.organisation === undefined && known.queue === route.name);
 }
 
+/** Which jobs a cancellation by the request holds for. */
+function findScope({ id, organisation, route }: JobRequest): jobState.CancellationScope {
+    return { id, queue: route.name, organisation };
+}
+
+/** Names who sent the request: its organisation, or its queue and its connection. */
+function listCallers({ organisation, route, message: { socket } }: JobRequest): string[] {
+    return organisation === undefined
+        ? [`queue ${route.name}`, `connection ${socket.remoteAddress} ${socket.remotePort}`]
+        : [`organisation ${organisation}`];
+}
+
 /** Describes a path for the log: a caller may have put its key into any part that isn't known, or into the query. */
 function describePath(match: routeTable.RouteMatch | undefined): string | undefined {
     if (match === undefined) {
@@ -227,6 +240,7 @@
 
 export class JobApi {
     readonly #authenticator: authentication.Authenticator;
+    readonly #cancellationRoom = new cancellationRoom.CancellationRoom();
     #routes: { readonly version: number; readonly table: routeTable.RouteTable; } | undefined;
 
     constructor(private readonly options: JobApiOptions) {
@@ -483,14 +497,19 @@
             submittedAt: this.options.now(),
         };
         const record = jobState.encodeJob(job);
-        const refused = jobLimits.refuseOversized(job, record, this.options)
+        const refused = this.#refuseCancelled(request) ?? jobLimits.refuseOversized(job, record, this.options)
             ?? await this.#refuseOverload(job, request);
         if (refused !== undefined) {
             return refused;
         }
         const response = this.options.isStoreUnavailable()
             ? jobResponses.storeUnavailable
-            : await this.#write(record, request, !request.mayConflict);
+            : await this.#write(
+                record,
+                request,
+                !request.mayConflict,
+                () => this.#findCancellation(request) !== undefined,
+            );
         if (response !== jobResponses.accepted) {
             this.options.onUnstored(job);
             return response;
@@ -561,7 +580,9 @@
     async cancel(request: JobRequest): Promise<jobResponses.JobResponse> {
         const { status, answeredBy, response } = await this.#findStatus(request);
         if (status === undefined) {
-            return response;
+            // Also if another organisation's job has the ID: neither the answer nor its time may tell.
+            const isUnknown = response.status === jobResponses.jobNotFound.status;
+            return isUnknown ? this.#cancelInAdvance(request, response) : response;
         }
         if (jobState.isSettled(status)) {
             return { ...jobResponses.accepted, answeredBy };
@@ -573,6 +594,46 @@
         return { ...written, answeredBy };
     }
 
+    /** Cancels a job that isn't stored, and may be: an append of its submission that got no answer may be carried out late. */
+    async #cancelInAdvance(
+        request: JobRequest,
+        notFound: jobResponses.JobResponse,
+    ): Promise<jobResponses.JobResponse> {
+        if (this.options.isStoreUnavailable()) {
+            return jobResponses.storeUnavailable;
+        }
+        const { log, monotonicNow, now } = this.options;
+        const scope = findScope(request);
+        const wait = this.#cancellationRoom.take(
+            listCallers(request),
+            jobState.advanceCancellationTime,
+            monotonicNow(),
+        );
+        if (wait > 0) {
+            return jobResponses.createCancellationRefusal(wait, request.organisation);
+        }
+        const record = jobState.encodeAdvanceCancellation({ ...scope, cancelledAt: now() });
+        const written = await this.#write(record, request);
+        log.info("cancelled-in-advance", {
+            job: request.id,
+            queue: scope.queue,
+            stored: written === jobResponses.accepted,
+        });
+        return written === jobResponses.accepted ? notFound : written;
+    }
+
+    #findCancellation(request: JobRequest): jobState.AdvanceCancellation | undefined {
+        return this.options.jobs.advanceCancellations.find(findScope(request));
+    }
+
+    /** Refuses a job that was cancelled before it was stored, until the cancellation is removed: it would be cancelled at once. */
+    #refuseCancelled(request: JobRequest): jobResponses.JobResponse | undefined {
+        const cancellation = this.#findCancellation(request);
+        return cancellation === undefined
+            ? undefined
+            : jobResponses.createCancelledRefusal(this.options.now() - cancellation.cancelledAt);
+    }
+
     async getStatus(request: JobRequest): Promise<jobResponses.JobResponse> {
         const { status, answeredBy, response } = await this.#findStatus(request);
         return status === undefined
@@ -584,14 +645,17 @@
         record: jobState.KeyedRecord,
         request: JobRequest,
         appliesAtOnce = true,
+        isCancelled = () => false,
     ): Promise<jobResponses.JobResponse> {
         const outcomes: Readonly<Record<submissionWriter.WriteOutcome, jobResponses.JobResponse>> = {
             stored: jobResponses.accepted,
             refused: jobResponses.storeUnavailable,
             unknown: jobResponses.unknownOutcome,
+            cancelled: jobResponses.createCancelledRefusal(0),
         };
         const startedAt = this.options.monotonicNow();
-        const outcome = await this.options.writer.write(record, request.deadline, appliesAtOnce);
+        const { deadline } = request;
+        const outcome = await this.options.writer.write({ record, deadline, appliesAtOnce, isCancelled });
         this.#recordWait(request.arrival, Wait.append, startedAt);
         return outcomes[outcome];
     }
--- a/packages/intake/src/job-responses.ts
+++ b/packages/intake/src/job-responses.ts
@@ -1,4 +1,5 @@
 /** Responses to callers' requests, and why requests are refused. */
+import * as jobState from "@catkinwharf/job-state";
 import * as platform from "@catkinwharf/platform";
 import * as requestBody from "@catkinwharf/request-body";
 import type * as authentication from "./authentication.js";
@@ -72,6 +73,29 @@
     };
 }
 
+/**
+ * Time in ms after the age at which a cancellation of an unknown job may be removed within which it is: the coordinator looks for
+ * such ones every few seconds.
+ */
+const removalTime = 10_000;
+
+/** The caller has cancelled too many unknown jobs to have this one kept; nothing was stored. `wait` is in ms. */
+export function createCancellationRefusal(wait: number, organisation: string | undefined): JobResponse {
+    const reason = "too many cancellations of unknown jobs";
+    return { status: 429, body: "", retryAfter: Math.ceil(wait / 1000), reason, organisation };
+}
+
+/** The job was cancelled `age` ms ago, before it was stored, and never runs. */
+export function createCancelledRefusal(age: number): JobResponse {
+    const left = jobState.advanceCancellationTime + removalTime - Math.max(0, age);
+    return {
+        status: 429,
+        body: "",
+        retryAfter: Math.max(1, Math.ceil(left / 1000)),
+        reason: "the job was cancelled before it was stored",
+    };
+}
+
 /** A job of another organisation has the ID; callers aren't told so. */
 export const idUnusable: JobResponse = { status: 400, body: "", reason: "the job ID belongs to another organisation" };
 
--- a/packages/intake/src/question-answerer.ts
+++ b/packages/intake/src/question-answerer.ts
@@ -41,7 +41,7 @@
     job: jobState.Job,
     { queue, organisation }: Pick<jobState.StatusQuestion, "queue" | "organisation">,
 ): boolean {
-    return job.queue === queue && (job.organisation === undefined || job.organisation === organisation);
+    return jobState.isInScope(job, { id: job.id, queue, organisation });
 }
 
 export class QuestionAnswerer {
--- a/packages/intake/src/submission-writer.ts
+++ b/packages/intake/src/submission-writer.ts
@@ -18,6 +18,8 @@
     refused: "refused",
     /** The record may have been stored, or may still be. */
     unknown: "unknown",
+    /** The job was cancelled meanwhile; the record isn't sent any more, and has no effect if it is stored. */
+    cancelled: "cancelled",
 } as const;
 export type WriteOutcome = (typeof WriteOutcome)[keyof typeof WriteOutcome];
 
@@ -25,15 +27,32 @@
 const retryDelay = 80;
 /** Number of refused attempts after which the write is reported as refused, unless an attempt got no response. */
 const maxRefusals = 3;
+/**
+ * Longest time in ms for which a record is sent again, however long its caller waits: it is part of how late a submission may be
+ * stored, for which cancellations of unknown jobs are kept.
+ */
+const maxWriteTime = 10_000;
 /** Maximum records in one append, in addition to the store's limits. */
 const maxRecordsPerAppend = 200;
 
-interface PendingWrite {
+/** A record that is to be stored for a caller. */
+export interface CallerWrite {
     readonly record: platform.storeCalls.KeyedRecord;
     /** Monotonic time in ms by which the caller's response has to be sent. */
     readonly deadline: number;
-    readonly resolve: (outcome: WriteOutcome) => void;
+    /**
+     * Whether this process applies the record once it is stored, before it reads it from the topic; not if another record of
+     * the job may have been stored first, as the first one that is applied counts.
+     */
     readonly appliesAtOnce: boolean;
+    /** Whether the job has been cancelled meanwhile. */
+    readonly isCancelled: () => boolean;
+}
+
+interface PendingWrite extends CallerWrite {
+    readonly resolve: (outcome: WriteOutcome) => void;
+    /** Monotonic time in ms after which the record isn't sent again. */
+    readonly sentUntil: number;
     /** The outcome of an earlier append with this record is unknown. */
     mayBeStored: boolean;
     refusals: number;
@@ -58,16 +77,11 @@
 
     constructor(private readonly options: SubmissionWriterOptions) {}
 
-    /**
-     * Stores a record.
-     *
-     * @param deadline monotonic time in ms by which the caller's response has to be sent
-     * @param appliesAtOnce whether this process applies the record once it is stored, before it reads it from the topic;
-     * not if another record of the job may have been stored first, as the first one that is applied counts
-     */
-    write(record: platform.storeCalls.KeyedRecord, deadline: number, appliesAtOnce = true): Promise<WriteOutcome> {
+    /** Stores a record. */
+    write(write: CallerWrite): Promise<WriteOutcome> {
+        const sentUntil = Math.min(write.deadline, this.options.monotonicNow() + maxWriteTime);
         return new Promise(resolve => {
-            this.#pending.push({ record, deadline, resolve, appliesAtOnce, mayBeStored: false, refusals: 0 });
+            this.#pending.push({ ...write, sentUntil, resolve, mayBeStored: false, refusals: 0 });
             if (!this.#appending) {
                 this.#appending = true;
                 void this.#run();
@@ -79,6 +93,9 @@
         try {
             while (this.#pending.length > 0) {
                 const batch = this.#takeBatch();
+                if (batch.length === 0) {
+                    continue; // None of them may be sent any more.
+                }
                 const result = await this.options.store.append(
                     jobState.submissionsTopic,
                     batch.map(write => write.record),
@@ -100,11 +117,25 @@
     }
 
     #takeBatch(): PendingWrite[] {
+        this.#pending = this.#pending.filter(write => !this.#resolveOverdue(write));
         const batch = new store.RecordBatch(this.options.storeLimits);
         const count = this.#pending.slice(0, maxRecordsPerAppend).findIndex(({ record }) => !batch.add(record));
         return this.#pending.splice(0, count === -1 ? maxRecordsPerAppend : count);
     }
 
+    /** Resolves a write that must not be sent any more; returns whether it was resolved. */
+    #resolveOverdue(write: PendingWrite): boolean {
+        if (write.isCancelled()) {
+            write.resolve(WriteOutcome.cancelled);
+            return true;
+        }
+        if (this.options.monotonicNow() < write.sentUntil) {
+            return false;
+        }
+        write.resolve(write.mayBeStored ? WriteOutcome.unknown : WriteOutcome.refused);
+        return true;
+    }
+
     #resolveStored(write: PendingWrite): void {
         if (write.appliesAtOnce) {
             this.options.jobs.applySubmission(write.record.key, write.record.value, false);
@@ -120,7 +151,7 @@
     #resolveFailed(write: PendingWrite, outcomeUnknown: boolean): boolean {
         write.mayBeStored ||= outcomeUnknown;
         write.refusals += outcomeUnknown ? 0 : 1;
-        const expired = this.options.monotonicNow() >= write.deadline;
+        const expired = this.options.monotonicNow() >= write.sentUntil;
         if (write.mayBeStored) {
             if (expired || this.options.isStoreUnavailable()) {
                 write.resolve(WriteOutcome.unknown);
--- a/packages/job-state/src/index.ts
+++ b/packages/job-state/src/index.ts
@@ -1,6 +1,7 @@
 /**
  * Jobs and their progress, and the records in which the store's topics hold them.
  */
+export * from "./advance-cancellations.js";
 export * from "./index-ranges.js";
 export * from "./job-table.js";
 export * from "./job.js";
--- a/packages/job-state/src/job-table.ts
+++ b/packages/job-state/src/job-table.ts
@@ -2,6 +2,7 @@
  * All jobs known to a process, built from two topics of the store: submissions holds jobs and cancellations, the ledger
  * their progress (see `records.ts`).
  */
+import * as advance from "./advance-cancellations.js";
 import * as jobs from "./job.js";
 import * as parts from "./progress-parts.js";
 import * as progress from "./progress.js";
@@ -43,6 +44,7 @@
 
 export class JobTable {
     readonly entries = new Map<string, JobEntry>();
+    readonly advanceCancellations = new advance.AdvanceCancellations();
     /** Called after each job or cancellation record, also when an earlier record of the same job has won. */
     onJobOrCancellation: JobListener = () => undefined;
     /** Number of records of the submissions topic that couldn't be decoded. */
@@ -69,6 +71,7 @@
             return;
         }
         if (value.length === 0) {
+            this.advanceCancellations.delete(key);
             return; // Tombstone of a cancellation: the tombstone of its job deletes the entry.
         }
         const record = records.decodeSubmission(key, value);
@@ -76,6 +79,10 @@
             this.unreadableCount += 1;
             return;
         }
+        if (record.kind === "advance-cancellation") {
+            this.#applyAdvanceCancellation(key, record.cancellation);
+            return;
+        }
         if (record.kind !== "cancellation") {
             const entry = this.#getOrCreate(record.job.id);
             if (record.kind === "ended") {
@@ -87,6 +94,7 @@
                 entry.job ??= record.job;
                 this.#submitted.add(entry.id);
             }
+            entry.cancelledAt ??= this.advanceCancellations.find(entry.job)?.cancelledAt;
             if (isRead) {
                 this.#readJobs.add(entry.id);
                 this.#waiting.get(entry.id)?.forEach(resolve => resolve(entry.job!));
@@ -100,6 +108,15 @@
         this.onJobOrCancellation(entry);
     }
 
+    #applyAdvanceCancellation(key: string, cancellation: advance.AdvanceCancellation): void {
+        this.advanceCancellations.set(key, cancellation);
+        const entry = this.entries.get(cancellation.id);
+        if (entry?.job !== undefined && advance.isInScope(entry.job, cancellation)) {
+            entry.cancelledAt ??= cancellation.cancelledAt;
+            this.onJobOrCancellation(entry);
+        }
+    }
+
     /** Number of calls of `waitForJob` that wait. */
     get waitingCount(): number {
         return [...this.#waiting.values()].reduce((sum, { size }) => sum + size, 0);
@@ -137,6 +154,7 @@
         if (newestKeys === undefined) {
             return; // A record that can't be read may be that of any job.
         }
+        this.advanceCancellations.dropRemoved(newestKeys);
         for (const id of this.#readJobs) {
             if (!newestKeys.has(records.formatJobKey(id))) {
                 this.#remove(id);
--- a/packages/job-state/src/records.ts
+++ b/packages/job-state/src/records.ts
@@ -8,6 +8,7 @@
  * backend servers, and its orders to move or maintain machines, the instances on which these run.
  */
 import * as cbor from "cbor-x";
+import * as advance from "./advance-cancellations.js";
 import * as endedJob from "./ended-job.js";
 import * as indexRanges from "./index-ranges.js";
 import * as jobs from "./job.js";
@@ -25,7 +26,7 @@
  */
 export const ledgerProducer = "coordinator";
 
-const KeyPrefix = { job: "j:", cancellation: "c:", progress: "p:" } as const;
+const KeyPrefix = { job: "j:", cancellation: "c:", advanceCancellation: "a:", progress: "p:" } as const;
 const leaderKey = "leader";
 const nodePrefix = "n:";
 const wavePrefix = "w:";
@@ -75,7 +76,8 @@
     | { readonly kind: "job"; readonly job: jobs.Job; }
     /** What is left of a job whose final status is stored. */
     | { readonly kind: "ended"; readonly job: jobs.Job; readonly status: jobs.JobStatus; }
-    | { readonly kind: "cancellation"; readonly id: string; readonly cancelledAt: number; };
+    | { readonly kind: "cancellation"; readonly id: string; readonly cancelledAt: number; }
+    | { readonly kind: "advance-cancellation"; readonly cancellation: advance.AdvanceCancellation; };
 
 export type LedgerRecord =
     | { readonly kind: "leadership"; readonly leadership: Leadership; }
@@ -158,6 +160,23 @@
     return { key: KeyPrefix.cancellation + id, value: cborCodec.encode({ cancelledAt }) };
 }
 
+/** Encodes a cancellation of a job that isn't stored. Earlier versions don't know such a record, and skip it. */
+export function encodeAdvanceCancellation(cancellation: advance.AdvanceCancellation): KeyedRecord {
+    const key = [KeyPrefix.advanceCancellation + cancellation.id, advance.digestScope(cancellation)].join(
+        partSeparator,
+    );
+    const { queue, organisation, cancelledAt } = cancellation;
+    return {
+        key,
+        value: cborCodec.encode({ queue, cancelledAt, ...organisation === undefined ? {} : { organisation } }),
+    };
+}
+
+/** Whether a record of the submissions topic is a cancellation of a job that isn't stored, or its tombstone. */
+export function isAdvanceCancellationKey(key: string): boolean {
+    return key.startsWith(KeyPrefix.advanceCancellation);
+}
+
 /** Tombstones of a job and of its cancellation, for the submissions topic. */
 export function encodeJobTombstones(id: string): KeyedRecord[] {
     return [encodeTombstone(formatJobKey(id)), encodeCancellationTombstone(id)];
@@ -283,7 +302,8 @@
     return { parts: changedParts, job: jobRecord, obsolete };
 }
 
-function encodeTombstone(key: string): KeyedRecord {
+/** Tombstone of the record with this key. */
+export function encodeTombstone(key: string): KeyedRecord {
     return { key, value: new Uint8Array() };
 }
 
@@ -315,7 +335,20 @@
             cancelledAt: decoded["cancelledAt"],
         };
     }
-    return undefined;
+    return decodeAdvanceCancellation(key, decoded);
+}
+
+function decodeAdvanceCancellation(key: string, decoded: unknown): SubmissionRecord | undefined {
+    if (!isAdvanceCancellationKey(key) || !isObject(decoded)) {
+        return undefined;
+    }
+    const { queue, organisation, cancelledAt } = decoded;
+    const isOrganisation = organisation === undefined || typeof organisation === "string";
+    if (typeof queue !== "string" || typeof cancelledAt !== "number" || !isOrganisation) {
+        return undefined;
+    }
+    const id = key.slice(KeyPrefix.advanceCancellation.length, key.indexOf(partSeparator));
+    return { kind: "advance-cancellation", cancellation: { id, queue, organisation, cancelledAt } };
 }
 
 /**
