Bound the cancellations of unknown jobs of all processes together

Cause: the bound of 500 for each process allows 150,000 at 300 processes, which all processes keep in memory. And the records of one job's progress were spread into the arguments of a call, which has room for some 120,000. Change: from 5,000 known ones on only callers that keep few may add one, up to 10,000. The records are added one by one.

--- a/packages/dispatch/src/ledger-writer.ts
+++ b/packages/dispatch/src/ledger-writer.ts
@@ -155,7 +155,7 @@
             }
             jobCount += 1;
             this.#dirtyJobs.delete(id);
-            this.#pendingRecords.push(...this.#takeRecords(entry));
+            this.#takeRecords(entry).forEach(record => this.#pendingRecords.push(record));
             this.#fillBatch(batch, statuses);
         }
         return { records: batch.records, statuses };
--- a/packages/intake/src/cancellation-room.test.ts
+++ b/packages/intake/src/cancellation-room.test.ts
@@ -24,6 +24,17 @@
     assert.is(room.take(["organisation c"], duration, 0), 0);
 });
 
+suite("crowds at many processes together take the memory of each", () => {
+    const room = new cancellationRoom.CancellationRoom(500);
+    const own = ["queue a", "connection x"];
+    assert.is(room.take(own, duration, 0, 4999), 0);
+    assert.is(room.take(own, duration, 0, 5000), 0);
+    assert.is(room.take(own, duration, 0, 5000), 0);
+    assert.is(room.take(own, duration, 0, 5000), duration);
+    assert.is(room.take(["queue a", "connection y"], duration, 0, 9999), 0);
+    assert.is(room.take(["queue a", "connection z"], duration, 0, 10_000), duration);
+});
+
 suite("there is room again at the time that a refused caller is told", () => {
     const room = new cancellationRoom.CancellationRoom(60);
     for (let now = 0; now < 5000; now += 100) {
--- a/packages/intake/src/cancellation-room.ts
+++ b/packages/intake/src/cancellation-room.ts
@@ -6,6 +6,9 @@
 
 /** Cancellations that a process may have stored at a time. */
 const maxHeld = 500;
+/** Those of all processes from which on only callers that keep few may add one, and up to which they may. */
+const crowdedTotal = 5000;
+const maxTotal = 2 * crowdedTotal;
 
 /** Part of them that is left to callers that keep few. */
 const reservedShare = 0.25;
@@ -28,11 +31,16 @@
      *
      * @param callers names of the caller and of what it is part of, which comes first; each has its share
      * @param now monotonic time in ms
+     * @param total cancellations of all processes that are known to be stored
      * @returns ms after which there is room for the caller, 0 if it was taken
      */
-    take(callers: readonly string[], duration: number, now: number): number {
+    take(callers: readonly string[], duration: number, now: number, total = 0): number {
         this.#held = this.#held.filter(({ until }) => until > now);
         const counts = new Map(callers.map(caller => [caller, this.#count(caller)]));
+        const own = [...counts.values()].at(-1) ?? 0;
+        if (total >= maxTotal || (total >= crowdedTotal && own >= fewHeld)) {
+            return duration;
+        }
         let free = this.limit - this.#held.length;
         if (hasRoom(counts, free, this.limit * reservedShare)) {
             this.#held.push({ callers, until: now + duration });
--- a/packages/intake/src/job-api.ts
+++ b/packages/intake/src/job-api.ts
@@ -602,12 +602,13 @@
         if (this.options.isStoreUnavailable()) {
             return jobResponses.storeUnavailable;
         }
-        const { log, monotonicNow, now } = this.options;
+        const { jobs, log, monotonicNow, now } = this.options;
         const scope = findScope(request);
         const wait = this.#cancellationRoom.take(
             listCallers(request),
             jobState.advanceCancellationTime,
             monotonicNow(),
+            jobs.advanceCancellations.size,
         );
         if (wait > 0) {
             return jobResponses.createCancellationRefusal(wait, request.organisation);
