--- a/packages/dispatch/src/placement-explainer.ts
+++ b/packages/dispatch/src/placement-explainer.ts
@@ -187,7 +187,7 @@
         const request = {
             stepKey,
             step,
-            tasks: [],
+            tasks: [], // What a server lacks is the same for each of them.
             avoided: active.avoided,
             alone: ready.alone,
             expectedDuration: this.options.placer.predictDuration(active, index),
--- a/packages/intake/src/cancellation-room.ts
+++ b/packages/intake/src/cancellation-room.ts
@@ -6,13 +6,12 @@
 
 /** Cancellations that a process may have stored at a time. */
 const maxHeld = 500;
-/** Those of all processes from which on only callers that keep few may add one, and up to which they may. */
-const crowdedTotal = 5000;
-const maxTotal = 2 * crowdedTotal;
-
-/** Part of them that is left to callers that keep few. */
+/** Part of them that is left to callers that keep few, and how many these keep at most. */
 const reservedShare = 0.25;
 const fewHeld = 3;
+/** From this number of all processes on only callers that keep few may add one, up to the second. */
+const crowdedTotal = 5000;
+const maxTotal = 2 * crowdedTotal;
 
 interface HeldCancellation {
     readonly callers: readonly string[];
@@ -61,10 +60,7 @@
     }
 }
 
-/**
- * Whether the caller may keep one more: each of its names keeps less than is free of the shared part, of which those before it
- * have theirs; or the caller itself keeps few.
- */
+/** Whether the caller may keep one more: all its names together keep less than is free of the shared part, or the last one few. */
 function hasRoom(counts: ReadonlyMap<string, number>, free: number, reserved: number): boolean {
     let left = free - reserved;
     for (const count of counts.values()) {
--- a/packages/intake/src/job-responses.ts
+++ b/packages/intake/src/job-responses.ts
@@ -73,10 +73,7 @@
     };
 }
 
-/**
- * Time in ms after the age at which a cancellation of an unknown job may be removed within which it is: the coordinator looks for
- * such ones every few seconds.
- */
+/** Longest time in ms until the coordinator has removed a cancellation that may be removed; it looks every few seconds. */
 const removalTime = 10_000;
 
 /** The caller has cancelled too many unknown jobs to have this one kept; nothing was stored. `wait` is in ms. */
--- a/packages/scheduling/src/ready.ts
+++ b/packages/scheduling/src/ready.ts
@@ -117,7 +117,7 @@
     readonly startingAlone: jobState.IndexRanges;
 }
 
-/** Costs time by the number of tasks that were started and aren't done, not by that of all tasks. */
+/** Takes time by the number of tasks that were started and aren't done, not by that of all tasks. */
 function sortTasks(occurrenceProgress: jobState.OccurrenceProgress | undefined): SortedTasks {
     const done = occurrenceProgress?.done ?? noTasks;
     const taken = new jobState.IndexRanges(done.ranges);
