--- a/packages/node/src/integration/late-submissions.test.ts
+++ b/packages/node/src/integration/late-submissions.test.ts
@@ -77,7 +77,7 @@
 );
 
 suite(
-    "the same once the process that sent the submission and the coordinator are killed",
+    "a cancelled job runs, as its submission is stored after the processes that sent and coordinated it were killed",
     () =>
         play(world =>
             cancelBeforeStored(world, async first => {
--- a/packages/scheduling/src/run-budget.ts
+++ b/packages/scheduling/src/run-budget.ts
@@ -17,9 +17,9 @@
 
 export const noRunLimits: RunLimits = { runs: Number.POSITIVE_INFINITY, gang: Number.POSITIVE_INFINITY };
 
-/** Bytes that a run takes: its record, its task's history, and its row in the lists of its server. */
+/** Bytes that are set aside for a run: its record, its task's history, and its row in the lists of its server. */
 const runSize = 1024;
-/** Bytes that a start takes beside its run, until it is answered. */
+/** Bytes that are set aside for a start until it is answered, beside those of its run. */
 const startSize = 8192;
 /** Shares of the memory that all runs, and the starts of one gang, may take. */
 const runsShare = 0.25;
